Run non-repeatable requests at most once through key homes

Cause: retries by callers reach other entries, and agents restart or are lost with their records, so a booking hold could run twice.

--- /dev/null
+++ b/src/balsamwall/idempotency/home_join.py
@@ -0,0 +1,95 @@
+"""Collection of grants and records by a joining key home."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.idempotency import key_record
+from balsamwall.protocol import messages_home
+
+if TYPE_CHECKING:
+    from balsamwall.idempotency import home_map
+    from balsamwall.idempotency import key_home
+    from balsamwall.protocol import outbox as outbox_module
+
+
+class HomeJoinAttempt:
+    """Join under one revision of the map; needs a grant of every member."""
+
+    __slots__ = (
+        "_batches",
+        "_grants",
+        "_home",
+        "_incarnation",
+        "_map",
+        "_outbox",
+        "_vm",
+    )
+
+    def __init__(
+        self,
+        outbox: outbox_module.Outbox,
+        home: key_home.KeyHome,
+        vm: str,
+        incarnation: int,
+        current: home_map.HomeMap,
+    ) -> None:
+        self._outbox = outbox
+        self._home = home
+        self._vm = vm
+        self._incarnation = incarnation
+        self._map = current
+        self._grants: dict[str, messages_home.HomeGrant] = {}
+        self._batches: dict[str, set[int]] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision that the grants must name."""
+        return self._map.revision
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every member granted and sent all its records."""
+        return all(self._has_all_of(vm) for vm in self._map.member_names)
+
+    @property
+    def complete_since_ms(self) -> int:
+        """Return the wall time from which the collected records are whole."""
+        return max(
+            (grant.complete_since_ms for grant in self._grants.values()),
+            default=0,
+        )
+
+    def ask(self) -> None:
+        """Ask each member that has not yet sent everything."""
+        for vm in self._map.member_names:
+            if not self._has_all_of(vm):
+                self._outbox.send(
+                    vm,
+                    messages_home.HomeJoin(
+                        self._map.service,
+                        self._map.revision,
+                        self._vm,
+                        self._incarnation,
+                    ),
+                )
+
+    def on_grant(self, peer: str, item: messages_home.HomeGrant) -> None:
+        """Take the grant of a member."""
+        if item.map_revision == self.revision and item.joiner == self._vm:
+            self._grants[peer] = item
+
+    def on_records(self, peer: str, item: messages_home.HomeRecords) -> None:
+        """Take a batch of records; raise RecordError."""
+        if item.map_revision != self.revision:
+            return
+        records = [key_record.from_row(row) for row in item.rows]
+        for record in records:
+            self._home.take(record)
+        self._batches.setdefault(peer, set()).add(item.batch)
+
+    def _has_all_of(self, vm: str) -> bool:
+        grant = self._grants.get(vm)
+        if grant is None:
+            return False
+        return len(self._batches.get(vm, ())) >= grant.record_batches
--- /dev/null
+++ b/src/balsamwall/idempotency/home_leave.py
@@ -0,0 +1,74 @@
+"""Transfer of records by a leaving key home."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.idempotency import record_batches
+from balsamwall.protocol import messages_home
+
+if TYPE_CHECKING:
+    from balsamwall.idempotency import home_map
+    from balsamwall.idempotency import key_home
+    from balsamwall.protocol import outbox as outbox_module
+
+
+class HomeLeaveAttempt:
+    """Transfer to the successors under one revision of the map."""
+
+    __slots__ = ("_messages", "_open", "_outbox", "_remaining")
+
+    def __init__(
+        self,
+        outbox: outbox_module.Outbox,
+        home: key_home.KeyHome,
+        vm: str,
+        current: home_map.HomeMap,
+    ) -> None:
+        self._outbox = outbox
+        self._remaining = current.without_member(vm)
+        self._messages: dict[str, list[messages_home.HomeRecords]] = {}
+        self._open: set[tuple[str, int]] = set()
+        for successor in self._remaining.member_names:
+            records = [
+                record
+                for record in home.table
+                if self._remaining.home_of(record.key) == successor
+            ]
+            self._prepare(successor, current, record_batches.split(records))
+
+    @property
+    def remaining(self) -> home_map.HomeMap:
+        """Return the map to write when everything was taken."""
+        return self._remaining
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether the successors hold all records."""
+        return not self._open
+
+    def send(self) -> None:
+        """Send every batch that was not confirmed."""
+        for successor, batch in sorted(self._open):
+            self._outbox.send(successor, self._messages[successor][batch])
+
+    def on_taken(
+        self, peer: str, item: messages_home.HomeRecordsTaken
+    ) -> None:
+        """Take the confirmation of a batch."""
+        if item.map_revision == self._remaining.revision - 1:
+            self._open.discard((peer, item.batch))
+
+    def _prepare(
+        self,
+        successor: str,
+        current: home_map.HomeMap,
+        batches: list[list[list[object]]],
+    ) -> None:
+        self._messages[successor] = [
+            messages_home.HomeRecords(
+                current.service, current.revision, index, len(batches), rows
+            )
+            for index, rows in enumerate(batches)
+        ]
+        self._open.update((successor, index) for index in range(len(batches)))
--- /dev/null
+++ b/src/balsamwall/idempotency/key_home.py
@@ -0,0 +1,296 @@
+"""Decisions of one home agent about idempotency keys."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.idempotency import key_gate
+from balsamwall.idempotency import key_record
+from balsamwall.idempotency import record_table
+from balsamwall.idempotency import uuid7
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.idempotency import home_map
+    from balsamwall.timing import clock as clock_module
+
+CLOCK_SKEW_MS = 500
+RESEND_WINDOW_MS = 600_000
+
+_Admission = key_gate.Admission
+_Code = result_code.ResultCode
+
+
+class KeyHome:
+    """Gate in front of the executions of one non-repeatable service."""
+
+    __slots__ = (
+        "_are_opaque_keys_allowed",
+        "_clock",
+        "_granted",
+        "_is_open",
+        "_map",
+        "_resend_window_ms",
+        "_service",
+        "_table",
+        "_vm",
+        "_waiters",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        vm: str,
+        service: str,
+        table: record_table.RecordTable | None = None,
+        resend_window_ms: int = RESEND_WINDOW_MS,
+        are_opaque_keys_allowed: bool = True,
+    ) -> None:
+        self._clock = clock
+        self._vm = vm
+        self._service = service
+        # An empty table is false, so the test must be for None.
+        self._table = (
+            table if table is not None else record_table.RecordTable()
+        )
+        self._resend_window_ms = resend_window_ms
+        self._are_opaque_keys_allowed = are_opaque_keys_allowed
+        self._map: home_map.HomeMap | None = None
+        self._is_open = False
+        self._granted: set[str] = set()
+        self._waiters: dict[str, list[Callable[[], None]]] = {}
+
+    @property
+    def service(self) -> str:
+        """Return the name of the service."""
+        return self._service
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether keys are admitted."""
+        return self._is_open
+
+    @property
+    def table(self) -> record_table.RecordTable:
+        """Return the records of this home."""
+        return self._table
+
+    @property
+    def granted_joiners(self) -> set[str]:
+        """Return the joining agents whose future keys are refused."""
+        return set(self._granted)
+
+    def open(self, current: home_map.HomeMap) -> None:
+        """Admit keys under a map that holds this agent as a member."""
+        self._map = current
+        self._is_open = True
+
+    def close(self) -> None:
+        """Admit no further keys."""
+        self._is_open = False
+
+    def update_map(self, current: home_map.HomeMap) -> None:
+        """Take a map with a higher revision."""
+        if self._map is None or current.revision > self._map.revision:
+            self._map = current
+            self._granted -= set(current.member_names)
+
+    def grant(self, joiner: str) -> None:
+        """Refuse the keys that will belong to a joining agent from now on."""
+        self._granted.add(joiner)
+
+    def withdraw(self, joiner: str) -> None:
+        """Admit the keys again that were kept back for a joining agent."""
+        self._granted.discard(joiner)
+
+    def set_limits(
+        self, resend_window_ms: int, are_opaque_keys_allowed: bool
+    ) -> None:
+        """Take the parameters of the configuration in force."""
+        self._resend_window_ms = resend_window_ms
+        self._are_opaque_keys_allowed = are_opaque_keys_allowed
+
+    def admit(
+        self, service: str, key: str, fingerprint: bytes
+    ) -> key_gate.KeyAdmission:
+        """Decide on a dispatch; RUN records the key before it returns."""
+        record = self._table.get(key) if service == self._service else None
+        if record is not None:
+            return self._admit_known(record, fingerprint)
+        refusal = self._refuse_unknown(service, key)
+        if refusal is not None:
+            return refusal
+        self._table.put(
+            key_record.KeyRecord(
+                key,
+                fingerprint,
+                key_record.KeyState.RUNNING,
+                self._clock.wall_ms(),
+            )
+        )
+        return key_gate.KeyAdmission(_Admission.RUN, scope="key")
+
+    def on_settled(
+        self, service: str, key: str, callback: Callable[[], None]
+    ) -> None:
+        """Call back once when a running key ends; then admit tells more."""
+        record = self._table.get(key)
+        if record is None or record.state is not key_record.KeyState.RUNNING:
+            callback()
+            return
+        self._waiters.setdefault(key, []).append(callback)
+
+    def complete(
+        self, service: str, key: str, answer: key_gate.RecordedAnswer
+    ) -> None:
+        """Record the whole answer of a key."""
+        self._settle(key, key_record.KeyState.DONE, answer)
+
+    def fail(self, service: str, key: str, ran: result_code.Ran) -> None:
+        """Record a failed run; NOT_RUN lets the key run later."""
+        if ran is result_code.Ran.NOT_RUN:
+            self._table.remove(key)
+            self._wake(key)
+            return
+        self._settle(key, key_record.KeyState.UNKNOWN, None)
+
+    def is_any_running(self, joiner: str | None = None) -> bool:
+        """Tell whether a key runs, or one that will belong to a joiner."""
+        return any(
+            record.state is key_record.KeyState.RUNNING
+            and (joiner is None or self._will_belong_to(record.key, joiner))
+            for record in self._table
+        )
+
+    def records_for(self, joiner: str) -> list[key_record.KeyRecord]:
+        """Return the records that a joining agent will own."""
+        return [
+            record
+            for record in self._table
+            if self._will_belong_to(record.key, joiner)
+        ]
+
+    def take(self, record: key_record.KeyRecord) -> None:
+        """Take over a record; what is known already is kept."""
+        if self._table.get(record.key) is None:
+            self._table.put(record)
+
+    def _will_belong_to(self, key: str, joiner: str) -> bool:
+        current = self._map
+        return (
+            current is not None and current.home_of(key, (joiner,)) == joiner
+        )
+
+    def _admit_known(
+        self, record: key_record.KeyRecord, fingerprint: bytes
+    ) -> key_gate.KeyAdmission:
+        if record.fingerprint != fingerprint:
+            return self._refuse(
+                _Code.KEY_CONFLICT, "the key was used with another body"
+            )
+        if record.state is key_record.KeyState.RUNNING:
+            return key_gate.KeyAdmission(_Admission.ATTACH, scope="key")
+        if record.state is key_record.KeyState.UNKNOWN:
+            return self._refuse(
+                _Code.OUTCOME_UNKNOWN, "an earlier run ended without an answer"
+            )
+        if record.answer is None:
+            return self._refuse(
+                _Code.ANSWER_NOT_KEPT,
+                "the request ran; its answer was dropped",
+            )
+        return key_gate.KeyAdmission(
+            _Admission.REPLAY, scope="key", answer=record.answer
+        )
+
+    def _refuse_unknown(
+        self, service: str, key: str
+    ) -> key_gate.KeyAdmission | None:
+        if service != self._service:
+            return self._refuse(_Code.UNKNOWN_SERVICE, "not served here")
+        current = self._map
+        if not self._is_open or current is None:
+            return self._refuse(_Code.NOT_READY, "the key home is not open")
+        if current.home_of(key, self._granted) != self._vm:
+            return self._refuse(_Code.NOT_HOME, "another agent is the home")
+        refusal = self._refuse_by_age(current, key)
+        if refusal is not None:
+            return refusal
+        if not self._table.has_room(self._clock.wall_ms()):
+            return self._refuse(_Code.QUEUE_FULL, "the key table is full")
+        return None
+
+    def _refuse_by_age(
+        self, current: home_map.HomeMap, key: str
+    ) -> key_gate.KeyAdmission | None:
+        wall_ms = self._clock.wall_ms()
+        limit_ms = current.incomplete_before_ms(key)
+        created_ms = uuid7.creation_ms(key)
+        if created_ms is None:
+            return self._refuse_opaque(limit_ms, wall_ms)
+        if created_ms > wall_ms + CLOCK_SKEW_MS:
+            return self._refuse(
+                _Code.INVALID_IDEMPOTENCY_KEY,
+                "the creation time of the key is in the future",
+            )
+        if created_ms < wall_ms - self._table.retention_ms:
+            return self._refuse(
+                _Code.KEY_EXPIRED, "the key is older than records are kept"
+            )
+        # The limit, the creation time and the time of the earlier run come
+        # from three clocks, each of which may be off by one skew.
+        if limit_ms and created_ms <= limit_ms + 3 * CLOCK_SKEW_MS:
+            return self._refuse(
+                _Code.KEY_RECORD_INCOMPLETE,
+                "a lost agent may have run the key; this attempt was not run",
+            )
+        return None
+
+    def _refuse_opaque(
+        self, limit_ms: int, wall_ms: int
+    ) -> key_gate.KeyAdmission | None:
+        if not self._are_opaque_keys_allowed:
+            return self._refuse(
+                _Code.INVALID_IDEMPOTENCY_KEY, "the key must be a UUIDv7"
+            )
+        window_ms = self._resend_window_ms + 3 * CLOCK_SKEW_MS
+        if limit_ms and wall_ms <= limit_ms + window_ms:
+            return self._refuse(
+                _Code.KEY_RECORD_INCOMPLETE,
+                "a lost agent may have run the key; this attempt was not run;"
+                " a UUIDv7 key would be admitted",
+            )
+        return None
+
+    def _refuse(
+        self, code: result_code.ResultCode, detail: str
+    ) -> key_gate.KeyAdmission:
+        return key_gate.KeyAdmission(
+            _Admission.REFUSE, code=code, scope="attempt", detail=detail
+        )
+
+    def _settle(
+        self,
+        key: str,
+        state: key_record.KeyState,
+        answer: key_gate.RecordedAnswer | None,
+    ) -> None:
+        record = self._table.get(key)
+        if record is None or record.state is key_record.KeyState.DONE:
+            return
+        self._table.put(
+            key_record.KeyRecord(
+                key,
+                record.fingerprint,
+                state,
+                self._clock.wall_ms(),
+                answer,
+            )
+        )
+        self._wake(key)
+
+    def _wake(self, key: str) -> None:
+        for callback in self._waiters.pop(key, []):
+            callback()
--- /dev/null
+++ b/src/balsamwall/idempotency/key_record.py
@@ -0,0 +1,68 @@
+"""Record of one idempotency key."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import Any
+
+from balsamwall.idempotency import exceptions
+from balsamwall.idempotency import key_gate
+
+
+class KeyState(enum.Enum):
+    """State of the request that a key names."""
+
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True)
+class KeyRecord:
+    """What is known about one key; the answer may have been dropped."""
+
+    key: str
+    fingerprint: bytes
+    state: KeyState
+    changed_ms: int  # wall time
+    answer: key_gate.RecordedAnswer | None = None
+
+    @property
+    def answer_bytes(self) -> int:
+        """Return the memory that the answer takes, without overhead."""
+        return len(self.answer.body) if self.answer is not None else 0
+
+    def to_row(self) -> list[Any]:
+        """Return the fields for a transfer."""
+        answer = None
+        if self.answer is not None:
+            answer = [
+                self.answer.http_status,
+                self.answer.headers,
+                self.answer.body,
+            ]
+        return [
+            self.key,
+            self.fingerprint,
+            self.state.value,
+            self.changed_ms,
+            answer,
+        ]
+
+
+def from_row(row: list[Any]) -> KeyRecord:
+    """Read a transferred record; raise RecordError."""
+    try:
+        key, fingerprint, state, changed_ms, fields = row
+        answer = None
+        if fields is not None:
+            status, headers, body = fields
+            answer = key_gate.RecordedAnswer(int(status), dict(headers), body)
+        if type(key) is not str or type(fingerprint) is not bytes:
+            raise TypeError("key or fingerprint has a wrong type")
+        return KeyRecord(
+            key, fingerprint, KeyState(state), int(changed_ms), answer
+        )
+    except (ValueError, TypeError) as error:
+        raise exceptions.RecordError(f"record is invalid: {error}") from error
--- /dev/null
+++ b/src/balsamwall/idempotency/map_store.py
@@ -0,0 +1,48 @@
+"""Interface to the stored map of key homes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from returns import result
+
+    from balsamwall.idempotency import home_map
+    from balsamwall.results import result_code
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoredMap:
+    """Map with the version that a compare-and-swap must name."""
+
+    version: int
+    content: home_map.HomeMap
+
+
+class MapStore(Protocol):
+    """Maps in the key-value service."""
+
+    def read(
+        self,
+        service: str,
+        callback: Callable[
+            [result.Result[StoredMap | None, result_code.ResultCode]], None
+        ],
+    ) -> None:
+        """Read the map of a service, None if it was never written."""
+
+    def write(
+        self,
+        service: str,
+        expected_version: int,
+        content: home_map.HomeMap,
+        callback: Callable[[result.Result[int, result_code.ResultCode]], None],
+    ) -> None:
+        """Replace the map if its version is as expected, 0 for none.
+
+        A failure with PLATFORM_OUTCOME_UNKNOWN may have taken effect.
+        """
--- /dev/null
+++ b/src/balsamwall/idempotency/uuid7.py
@@ -0,0 +1,32 @@
+"""Idempotency keys that carry their creation time (UUIDv7, RFC 9562)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+import uuid
+
+if TYPE_CHECKING:
+    import random
+
+_RANDOM_BITS = 74
+_RAND_B_BITS = 62
+
+
+def generate(wall_ms: int, random_source: random.Random) -> str:
+    """Return a new key created at a wall time in milliseconds."""
+    bits = random_source.getrandbits(_RANDOM_BITS)
+    rand_a, rand_b = bits >> _RAND_B_BITS, bits & ((1 << _RAND_B_BITS) - 1)
+    value = (wall_ms & ((1 << 48) - 1)) << 80
+    value |= 0x7 << 76 | rand_a << 64 | 0b10 << 62 | rand_b
+    return str(uuid.UUID(int=value))
+
+
+def creation_ms(key: str) -> int | None:
+    """Return the creation time in milliseconds, None for opaque keys."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.variant != uuid.RFC_4122 or parsed.version != 7:
+        return None
+    return parsed.int >> 80
--- /dev/null
+++ b/src/balsamwall/membership/peer_subset.py
@@ -0,0 +1,41 @@
+"""Choice of the agents that an entry keeps streams to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.membership import rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamwall.membership import vm_directory
+
+SUBSET_AGENTS = 64
+
+
+def choose_subset(
+    entry_vm: str,
+    availability_zone: str,
+    agents: Iterable[vm_directory.VmRecord],
+    size: int = SUBSET_AGENTS,
+) -> set[str]:
+    """Return the agents of an entry: all of a small fleet, else a share.
+
+    Half of the subset is taken from the entry's own availability zone. The
+    rest is spread over the other zones, so that the loss of a zone leaves
+    every entry with live agents.
+    """
+    by_zone: dict[str, list[str]] = {}
+    for record in agents:
+        by_zone.setdefault(record.availability_zone, []).append(record.vm)
+    total = sum(len(names) for names in by_zone.values())
+    if total <= size:
+        return {name for names in by_zone.values() for name in names}
+    own = by_zone.pop(availability_zone, [])
+    chosen = set(rendezvous.ranking(entry_vm, own, size // 2))
+    for index, zone in enumerate(sorted(by_zone)):
+        zones_left = len(by_zone) - index
+        share = (size - len(chosen)) // zones_left
+        chosen.update(rendezvous.ranking(entry_vm, by_zone[zone], share))
+    return chosen
--- /dev/null
+++ b/src/balsamwall/membership/rendezvous.py
@@ -0,0 +1,31 @@
+"""Rendezvous hashing."""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def score(key: str, member: str) -> int:
+    """Return the 64-bit weight of a member for a key."""
+    data = f"{len(key)}:{key}{member}".encode()
+    digest = hashlib.blake2b(data, digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def winner(key: str, members: Iterable[str]) -> str | None:
+    """Return the member with the highest weight, None without members."""
+    return max(
+        members, key=lambda name: (score(key, name), name), default=None
+    )
+
+
+def ranking(key: str, members: Iterable[str], count: int) -> list[str]:
+    """Return the members with the highest weights, highest first."""
+    return heapq.nlargest(
+        count, members, key=lambda name: (score(key, name), name)
+    )
--- a/src/balsamwall/protocol/messages_home.py
+++ b/src/balsamwall/protocol/messages_home.py
@@ -59,7 +59,8 @@
 
 @message.register(85)
 class HomeMapChanged(message.Message):
-    """Tell that the map of a service has a higher revision."""
+    """Carry the map of a service as it was written."""
 
     service: str
     map_revision: int
+    content: bytes
--- /dev/null
+++ b/tests/idempotency/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of idempotency."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of membership."""
+
+from __future__ import annotations
