Add settings, internal streams and the callers' HTTP interface

Cause: The daemon needs validated settings, authenticated streams between processes and an HTTP interface for callers before roles can be wired.

--- /dev/null
+++ b/src/balsamwall/entry/entry_parts.py
@@ -0,0 +1,104 @@
+"""Decision objects of an entry."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from balsamwall.protocol import messages_configuration
+from balsamwall.protocol import messages_home
+from balsamwall.protocol import messages_request
+from balsamwall.protocol import messages_residency
+from balsamwall.protocol import messages_session
+from balsamwall.protocol import messages_state
+
+if TYPE_CHECKING:
+    from balsamwall.configuration import tenant_configuration
+    from balsamwall.dispatch import caller_request
+    from balsamwall.protocol import message
+    from balsamwall.protocol import message_hub
+
+
+class RequestDispatcher(Protocol):
+    """Entry side of requests."""
+
+    def submit(
+        self,
+        request: caller_request.CallerRequest,
+        listener: caller_request.AnswerListener,
+    ) -> None:
+        """Start a request."""
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a request; its listener gets no more calls."""
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Receive a message."""
+
+
+class ConfigurationReader(Protocol):
+    """Receiver of configurations that come into force."""
+
+    def on_configuration(
+        self, configuration: tenant_configuration.TenantConfiguration
+    ) -> None:
+        """Take a configuration."""
+
+
+class ConfigurationOwner(Protocol):
+    """Highest revisions that this process has seen."""
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Receive a message."""
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revision in force per tenant."""
+
+
+@dataclasses.dataclass(slots=True)
+class EntryParts:
+    """Decision objects by what they own; None for an absent one."""
+
+    dispatcher: RequestDispatcher | None = None
+    fleet_view: message_hub.MessageOwner | None = None
+    membership: message_hub.MessageOwner | None = None
+    quarantine: message_hub.MessageOwner | None = None
+    configuration: ConfigurationOwner | None = None
+    key_homes: message_hub.MessageOwner | None = None
+    permits: message_hub.MessageOwner | None = None
+    configuration_readers: list[ConfigurationReader] = dataclasses.field(
+        default_factory=list
+    )
+
+
+# Owner of each message that an entry takes, by the name of its part.
+MESSAGE_TYPES: dict[str, tuple[type[message.Message], ...]] = {
+    "dispatcher": (
+        messages_request.Accepted,
+        messages_request.Refused,
+        messages_request.Chunk,
+        messages_request.End,
+        messages_request.Failed,
+        messages_request.Cancelled,
+    ),
+    "fleet_view": (
+        messages_state.AgentReport,
+        messages_state.Residents,
+        messages_state.CacheDigest,
+        messages_state.Leaving,
+    ),
+    "membership": (messages_state.AgentReport, messages_state.Leaving),
+    "quarantine": (messages_state.Verdict,),
+    "configuration": (
+        messages_session.Ping,
+        messages_configuration.ConfigAnnounce,
+        messages_configuration.ConfigFetch,
+        messages_configuration.ConfigDocument,
+    ),
+    "key_homes": (messages_home.HomeMapChanged,),
+    "permits": (
+        messages_residency.PermitRequest,
+        messages_residency.PermitReturned,
+    ),
+}
--- /dev/null
+++ b/src/balsamwall/entry/idempotency_keys.py
@@ -0,0 +1,56 @@
+"""Idempotency keys that the entry makes and checks."""
+
+from __future__ import annotations
+
+import re
+from typing import Protocol
+from typing import TYPE_CHECKING
+import uuid
+
+if TYPE_CHECKING:
+    import random
+
+    from balsamwall.timing import clock
+
+MAX_KEY_LENGTH = 128
+
+_PRINTABLE = re.compile(r"[!-~]{1,128}")
+
+
+class KeySource(Protocol):
+    """Maker of keys for callers that send none."""
+
+    def new_key(self, service: str) -> str:
+        """Return a fresh UUIDv7."""
+
+
+class RandomKeySource:
+    """Maker of UUIDv7 without regard to key homes."""
+
+    __slots__ = ("_clock", "_random")
+
+    def __init__(self, clock: clock.Clock, random: random.Random) -> None:
+        self._clock = clock
+        self._random = random
+
+    def new_key(self, service: str) -> str:
+        """Return a fresh UUIDv7 of RFC 9562."""
+        value = (self._clock.wall_ms() & (2**48 - 1)) << 80
+        value |= 0x7 << 76 | self._random.getrandbits(12) << 64
+        value |= 0b10 << 62 | self._random.getrandbits(62)
+        return str(uuid.UUID(int=value))
+
+
+def is_usable(key: str) -> bool:
+    """Tell whether a key is short and printable ASCII."""
+    return _PRINTABLE.fullmatch(key) is not None
+
+
+def is_uuid7(key: str) -> bool:
+    """Tell whether a key is a UUIDv7 in its usual text form."""
+    try:
+        value = uuid.UUID(key)
+    except ValueError:
+        return False
+    is_rfc = value.variant == uuid.RFC_4122 and value.version == 7
+    return is_rfc and str(value) == key.lower()
--- /dev/null
+++ b/src/balsamwall/entry/key_table.py
@@ -0,0 +1,84 @@
+"""API keys of callers."""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+from balsamwall.protocol import rate_limiter
+from balsamwall.results import exceptions
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamwall.timing import clock
+
+MAX_ADDRESSES = 1_024
+BURST_SECONDS = 4
+
+
+class RejectionLimiter:
+    """Limit of rejected keys per address of the caller.
+
+    A valid key is never refused here: callers share the address of the
+    platform's load balancer, and one of them must not lock out the others.
+    """
+
+    __slots__ = ("_buckets", "_clock", "_per_second")
+
+    def __init__(self, clock: clock.Clock, per_second: int) -> None:
+        self._clock = clock
+        self._per_second = per_second
+        self._buckets: collections.OrderedDict[
+            str, rate_limiter.RateLimiter
+        ] = collections.OrderedDict()
+
+    def reject(self, address: str) -> int:
+        """Count a rejected key; return the wait in ms above the limit."""
+        bucket = self._buckets.get(address)
+        if bucket is None:
+            bucket = rate_limiter.RateLimiter(
+                self._clock, self._per_second, BURST_SECONDS * self._per_second
+            )
+            self._buckets[address] = bucket
+            if len(self._buckets) > MAX_ADDRESSES:
+                self._buckets.popitem(last=False)
+        self._buckets.move_to_end(address)
+        return bucket.take()
+
+
+class KeyTable:
+    """Owners by SHA-256 of their keys."""
+
+    __slots__ = ("_limiter", "_rows")
+
+    def __init__(self, limiter: RejectionLimiter) -> None:
+        self._limiter = limiter
+        self._rows: list[tuple[bytes, str]] = []
+
+    def replace(self, rows: Iterable[tuple[str, str]]) -> None:
+        """Set pairs of a hash in hexadecimal and the name of its owner."""
+        self._rows = [(bytes.fromhex(digest), name) for digest, name in rows]
+
+    def find(self, authorization: str | None, address: str) -> str:
+        """Return the owner of a bearer key; raise BalsamwallError."""
+        scheme, _, key = (authorization or "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).digest()
+        found = ""
+        # Each row is compared, so that the time does not depend on the match.
+        for known, name in self._rows:
+            if hmac.compare_digest(known, digest):
+                found = name
+        if found and scheme.lower() == "bearer":
+            return found
+        if self._limiter.reject(address):
+            raise exceptions.BalsamwallError(
+                result_code.ResultCode.RATE_LIMITED, "too many rejected keys"
+            )
+        raise exceptions.BalsamwallError(
+            result_code.ResultCode.KEY_MISSING_OR_WRONG,
+            "no valid key in the Authorization header (Bearer KEY)",
+        )
--- /dev/null
+++ b/src/balsamwall/settings/daemon_settings.py
@@ -0,0 +1,78 @@
+"""Settings of the daemon."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamwall.settings import address
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TlsSettings:
+    """Paths of PEM files; peers prove that the authority signed them."""
+
+    certificate: str
+    private_key: str
+    authority: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LimitSettings:
+    """Bounds of the process."""
+
+    body_bytes: int
+    answer_bytes: int
+    caller_connections: int
+    caller_buffer_bytes: int
+    peer_connections: int
+    peer_buffer_bytes: int
+    peer_frames_per_second: int
+    rejected_keys_per_second: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AdministrationKey:
+    """Key of the administration API with its scope."""
+
+    name: str
+    tenant: str
+    access: str  # "read" or "write"; "write" includes "read"
+    sha256: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BackendSettings:
+    """One backend server with its unit of the agent."""
+
+    name: str
+    kind: str  # "engine" or "service"
+    server: address.Address
+    peer: str
+    listen: address.Address
+    services: tuple[str, ...]
+    max_order_delay_ms: int
+    max_concurrent: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DaemonSettings:
+    """All settings of one daemon."""
+
+    role: str  # "entry" or "agent"
+    vm: str
+    tenant: str
+    availability_zone: str
+    listen_callers: address.Address | None
+    listen_administration: address.Address | None
+    listen_metrics: address.Address
+    key_value: tuple[address.Address, ...]
+    vm_list: address.Address
+    weight_store: address.Address | None
+    internal_keys: dict[str, bytes] = dataclasses.field(repr=False)
+    current_key_id: str
+    tls: TlsSettings | None
+    limits: LimitSettings
+    administration_keys: tuple[AdministrationKey, ...]
+    backends: tuple[BackendSettings, ...]
--- /dev/null
+++ b/tests/agent/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of agent."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of entry."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/metrics/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of metrics."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of settings."""
+
+from __future__ import annotations
