--- /dev/null
+++ b/src/balsamwall/agent/agent_core.py
@@ -0,0 +1,197 @@
+"""Composition of the decision objects of one unit, without sockets."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+import eliot
+
+from balsamwall.agent import agent_parts
+from balsamwall.agent import state_reporter
+from balsamwall.protocol import message_hub
+from balsamwall.protocol import messages_request
+from balsamwall.protocol import messages_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.configuration import tenant_configuration
+    from balsamwall.protocol import message
+    from balsamwall.protocol import messages_session
+    from balsamwall.protocol import outbox
+    from balsamwall.protocol import session
+    from balsamwall.timing import clock
+
+DRAIN_SPREAD_MS = 3_000
+# The last Chunk and End need their Ack; entries read within one ping.
+DRAIN_LINGER_MS = 1_000
+
+# Only entries are responsible for requests of callers.
+_ENTRY_ONLY = (
+    messages_request.Dispatch,
+    messages_request.Ack,
+    messages_request.Reattach,
+    messages_request.Cancel,
+)
+
+
+class AgentCore:
+    """Owner of the drain state and the reports of one backend server."""
+
+    __slots__ = (
+        "_clock",
+        "_configurations",
+        "_count",
+        "_drain_callbacks",
+        "_hub",
+        "_identity",
+        "_leaving",
+        "_open_steps",
+        "_outbox",
+        "_reporter",
+        "parts",
+    )
+
+    _leaving: messages_state.Leaving | None
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        identity: session.Identity,
+        outbox: outbox.Outbox,
+        parts: agent_parts.AgentParts,
+        count: Callable[[str], None],
+    ) -> None:
+        self._clock = clock
+        self._identity = identity
+        self._outbox = outbox
+        self._count = count
+        self.parts = parts
+        self._hub = message_hub.MessageHub(count)
+        self._configurations: dict[str, int] = {}
+        self._leaving = None
+        self._open_steps: set[int] = set()
+        self._drain_callbacks: list[Callable[[], None]] = []
+        self._reporter = state_reporter.StateReporter(
+            clock,
+            outbox,
+            parts,
+            identity.incarnation,
+            lambda: self.state,
+            lambda: self._hub.peers_of("entry"),
+        )
+        for name, types in agent_parts.MESSAGE_TYPES.items():
+            self._hub.add(getattr(parts, name), types)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the VM incarnation is marked as leaving."""
+        return self._leaving is not None
+
+    @property
+    def state(self) -> str:
+        """Return the state that reports carry."""
+        if self.is_leaving:
+            return "leaving"
+        source = self.parts.resident_source
+        if source is None or not source.is_ready:
+            return "starting"
+        return "down" if source.is_down else "ready"
+
+    @property
+    def not_ready_reason(self) -> str:
+        """Return why the unit takes no work; empty if it does."""
+        return "" if self.state == "ready" else self.state
+
+    def start(self) -> None:
+        """Begin to report."""
+        self._reporter.start()
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Hand a message to its owner."""
+        if isinstance(item, _ENTRY_ONLY):
+            if peer not in self._hub.peers_of("entry"):
+                self._count("message_from_wrong_role")
+                return
+        if isinstance(item, messages_state.Leaving):
+            self._on_leaving(item)
+        self._hub.on_message(peer, item)
+
+    def on_peer_up(self, peer: str, hello: messages_session.Hello) -> None:
+        """Tell the decision objects about a peer and report to it."""
+        self._hub.on_peer_up(peer, hello)
+        if self._leaving is not None:
+            self._outbox.send(peer, self._leaving)
+        if hello.role == "entry":
+            self._reporter.send_all(peer)
+
+    def on_peer_down(self, peer: str) -> None:
+        """Tell the decision objects about the loss of a peer."""
+        self._hub.on_peer_down(peer)
+
+    def config_revisions(self) -> dict[str, int]:
+        """Return the revision in force per tenant."""
+        if self.parts.configuration is not None:
+            return self.parts.configuration.revisions()
+        return dict(self._configurations)
+
+    def on_configuration(
+        self, configuration: tenant_configuration.TenantConfiguration
+    ) -> None:
+        """Take a configuration unless a later one is in force."""
+        tenant, revision = configuration.tenant, configuration.revision
+        if self._configurations.get(tenant, -1) >= revision:
+            return
+        self._configurations[tenant] = revision
+        eliot.log_message(
+            "configuration_in_force", tenant=tenant, revision=revision
+        )
+        for reader in self.parts.configuration_readers:
+            reader.on_configuration(configuration)
+
+    def begin_drain(
+        self, source: str, on_drained: Callable[[], None] | None = None
+    ) -> None:
+        """Mark the VM incarnation as leaving; the mark stays.
+
+        The callback runs once all work is complete. Source is the origin of
+        the drain: signal, operator, vm_list or engine.
+        """
+        if on_drained is not None:
+            self._drain_callbacks.append(on_drained)
+        if self._leaving is not None:
+            return
+        self._leaving = messages_state.Leaving(
+            self._identity.vm, self._identity.incarnation, source
+        )
+        eliot.log_message(
+            "agent_leaving", peer=self._identity.vm, source=source
+        )
+        for role in ("entry", "agent"):
+            for peer in self._hub.peers_of(role):
+                self._outbox.send(peer, self._leaving)
+        self._reporter.report_now()
+        # The spread is a step too: an idle agent stays until entries know.
+        self._clock.call_later(DRAIN_SPREAD_MS, self._end_step, -1)
+        self._open_steps = {-1, *range(len(self.parts.drain_steps))}
+        for index, step in enumerate(self.parts.drain_steps):
+            step(functools.partial(self._end_step, index))
+
+    def _on_leaving(self, item: messages_state.Leaving) -> None:
+        own = (self._identity.vm, self._identity.incarnation)
+        if (item.vm, item.incarnation) == own:
+            self.begin_drain(item.source)
+
+    def _end_step(self, index: int) -> None:
+        if index not in self._open_steps:
+            return
+        self._open_steps.discard(index)
+        if not self._open_steps:
+            eliot.log_message("agent_drained", peer=self._identity.vm)
+            self._clock.call_later(DRAIN_LINGER_MS, self._finish_drain)
+
+    def _finish_drain(self) -> None:
+        callbacks, self._drain_callbacks = self._drain_callbacks, []
+        for callback in callbacks:
+            callback()
--- /dev/null
+++ b/src/balsamwall/entry/administration.py
@@ -0,0 +1,215 @@
+"""Registry and calls of the administration API, without sockets."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+from balsamwall.entry import error_body
+from balsamwall.entry import key_table
+from balsamwall.results import exceptions
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from balsamwall.entry import answer_sink
+    from balsamwall.settings import daemon_settings
+
+READ = "read"
+WRITE = "write"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AdministrationCall:
+    """Authorised call of an endpoint."""
+
+    key_name: str
+    tenant: str
+    parameters: dict[str, str]  # parts of the path by name
+    query: dict[str, str]
+    body: bytes
+
+    def document(self) -> dict[str, Any]:
+        """Return the body as a JSON object; raise BalsamwallError."""
+        try:
+            document = json.loads(self.body)
+        except (ValueError, RecursionError) as error:
+            raise exceptions.BalsamwallError(
+                result_code.ResultCode.MALFORMED_REQUEST,
+                f"body is not JSON: {error}",
+            ) from error
+        if not isinstance(document, dict):
+            raise exceptions.BalsamwallError(
+                result_code.ResultCode.MALFORMED_REQUEST,
+                "body is not a JSON object",
+            )
+        return document
+
+
+class Reply:
+    """Answer of one call, given once, now or later."""
+
+    __slots__ = ("_is_given", "_sink")
+
+    def __init__(self, sink: answer_sink.AnswerSink) -> None:
+        self._sink = sink
+        self._is_given = False
+
+    def send(self, document: object, status: int = 200) -> None:
+        """Answer with a JSON document."""
+        body = json.dumps(document, sort_keys=True).encode()
+        self._give(status, body, {})
+
+    def fail(
+        self,
+        code: result_code.ResultCode,
+        message: str,
+        detail: dict[str, Any] | None = None,
+    ) -> None:
+        """Answer with an error; the detail joins the error object."""
+        document = json.loads(error_body.encode(code, message))
+        document["error"].update(detail or {})
+        headers = {}
+        if code.repeat is result_code.Repeat.LATER:
+            headers["retry-after"] = "1"
+        body = json.dumps(document).encode()
+        self._give(code.http_status, body, headers)
+
+    def _give(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+        if self._is_given:
+            return
+        self._is_given = True
+        headers["content-type"] = "application/json"
+        headers["content-length"] = str(len(body))
+        self._sink.start(status, headers)
+        self._sink.write(body)
+        self._sink.finish()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Endpoint:
+    """Registered endpoint; {name} in the path matches one part."""
+
+    method: str
+    path: str
+    access: str
+    handle: Callable[[Any, AdministrationCall, Reply], None]
+
+
+_ENDPOINTS: list[Endpoint] = []
+
+
+def endpoint(
+    method: str, path: str, access: str
+) -> Callable[
+    [Callable[[Any, AdministrationCall, Reply], None]],
+    Callable[[Any, AdministrationCall, Reply], None],
+]:
+    """Register a function under a method and path.
+
+    The function gets the context of the API, the call and the reply. A path
+    with {tenant} is open only to keys of that tenant.
+    """
+
+    def add(
+        handle: Callable[[Any, AdministrationCall, Reply], None],
+    ) -> Callable[[Any, AdministrationCall, Reply], None]:
+        for known in _ENDPOINTS:
+            if (known.method, known.path) == (method, path):
+                raise ValueError(f"endpoint {method} {path} is used twice")
+        _ENDPOINTS.append(Endpoint(method, path, access, handle))
+        return handle
+
+    return add
+
+
+def endpoints() -> list[Endpoint]:
+    """Return all registered endpoints."""
+    return list(_ENDPOINTS)
+
+
+class AdministrationApi:
+    """Authorisation and choice of the endpoint."""
+
+    __slots__ = ("_context", "_keys", "_table")
+
+    def __init__(
+        self,
+        context: object,
+        keys: Iterable[daemon_settings.AdministrationKey],
+        limiter: key_table.RejectionLimiter,
+    ) -> None:
+        self._context = context
+        self._keys = {key.name: key for key in keys}
+        self._table = key_table.KeyTable(limiter)
+        self._table.replace(
+            (key.sha256, key.name) for key in self._keys.values()
+        )
+
+    def authenticate(
+        self, authorization: str | None, address: str
+    ) -> daemon_settings.AdministrationKey:
+        """Return the key of a call; raise BalsamwallError."""
+        return self._keys[self._table.find(authorization, address)]
+
+    def handle(
+        self,
+        key: daemon_settings.AdministrationKey,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        reply: Reply,
+    ) -> None:
+        """Run the endpoint of a path; raise BalsamwallError."""
+        found, parameters = _find(method, path)
+        if parameters.get("tenant", key.tenant) != key.tenant:
+            raise exceptions.BalsamwallError(
+                result_code.ResultCode.FORBIDDEN,
+                f"key {key.name} is not for this tenant",
+            )
+        if found.access == WRITE and key.access != WRITE:
+            raise exceptions.BalsamwallError(
+                result_code.ResultCode.FORBIDDEN,
+                f"key {key.name} permits reading only",
+            )
+        call = AdministrationCall(
+            key.name, key.tenant, parameters, query, body
+        )
+        found.handle(self._context, call, reply)
+
+
+def _find(method: str, path: str) -> tuple[Endpoint, dict[str, str]]:
+    allowed = set()
+    for known in _ENDPOINTS:
+        parameters = _match(known.path, path)
+        if parameters is None:
+            continue
+        if known.method == method:
+            return known, parameters
+        allowed.add(known.method)
+    if allowed:
+        raise exceptions.BalsamwallError(
+            result_code.ResultCode.METHOD_NOT_ALLOWED,
+            f"method {method[:16]!r}, allowed: {', '.join(sorted(allowed))}",
+        )
+    raise exceptions.BalsamwallError(
+        result_code.ResultCode.UNKNOWN_PATH, f"no path {path[:128]!r}"
+    )
+
+
+def _match(pattern: str, path: str) -> dict[str, str] | None:
+    expected, found = pattern.split("/"), path.split("/")
+    if len(expected) != len(found):
+        return None
+    parameters = {}
+    for part, value in zip(expected, found, strict=True):
+        if part.startswith("{") and value:
+            parameters[part[1:-1]] = value
+        elif part != value:
+            return None
+    return parameters
--- a/src/balsamwall/entry/caller_resource.py
+++ b/src/balsamwall/entry/caller_resource.py
@@ -97,6 +97,11 @@
                 result_code.ResultCode.BODY_TOO_LARGE,
                 f"body exceeds {self._limits.body_bytes} bytes",
             )
+        if request.is_body_refused:
+            raise exceptions.BalsamwallError(
+                result_code.ResultCode.QUEUE_FULL,
+                "the entry holds too many bodies",
+            )
         headers = _headers_of(request)
         body = request.content.read()
         if is_model:
--- a/src/balsamwall/entry/entry_core.py
+++ b/src/balsamwall/entry/entry_core.py
@@ -67,6 +67,11 @@
         """Return the number of requests in progress."""
         return len(self._open)
 
+    @property
+    def agents(self) -> list[str]:
+        """Return the agents that can be reached."""
+        return self._hub.peers_of("agent")
+
     @property
     def is_leaving(self) -> bool:
         """Tell whether the entry drains."""
@@ -81,7 +86,7 @@
             return "no dispatcher"
         if not self._configurations:
             return "no configuration"
-        if not self._hub.peers_of("agent"):
+        if not self.agents:
             return "no agent is reachable"
         return ""
 
--- a/src/balsamwall/entry/http_site.py
+++ b/src/balsamwall/entry/http_site.py
@@ -31,7 +31,9 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.is_body_too_large = False
+        self.is_body_refused = False
         self._body_bytes = 0
+        self._charged_bytes = 0
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Prepare for a body; bodies never go to a file."""
@@ -40,14 +42,32 @@
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Take a part of the body."""
         self._body_bytes += len(data)
-        if self._body_bytes <= self.max_body_bytes:
-            self.content.write(data)
-            return
-        self.is_body_too_large = True
+        self.is_body_too_large = self._body_bytes > self.max_body_bytes
+        if not self.is_body_too_large and not self.is_body_refused:
+            if self.channel.site.charge_body(len(data)):
+                self._charged_bytes += len(data)
+                self.content.write(data)
+                return
+            self.is_body_refused = True
         self.content = io.BytesIO()
+        self._release_body()
         if self._body_bytes > DISCARD_FACTOR * self.max_body_bytes:
             self.channel.transport.abortConnection()
 
+    def finish(self) -> None:
+        """End the answer and release the memory of the body."""
+        self._release_body()
+        super().finish()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Release the memory of the body."""
+        self._release_body()
+        super().connectionLost(reason)
+
+    def _release_body(self) -> None:
+        self.channel.site.charge_body(-self._charged_bytes)
+        self._charged_bytes = 0
+
 
 class LimitedChannel(http.HTTPChannel):  # type: ignore[misc]
     """Connection that counts against the limit of its site."""
@@ -83,7 +103,11 @@
     """Site with limits on bodies and connections and without a log."""
 
     def __init__(
-        self, resource: Any, max_body_bytes: int, max_connections: int
+        self,
+        resource: Any,
+        max_body_bytes: int,
+        max_connections: int,
+        max_total_body_bytes: int = 2**23,
     ) -> None:
         request_factory = type(
             "SiteRequest",
@@ -101,6 +125,8 @@
         self.protocol = _build_channel
         self._max_connections = max_connections
         self._connections = 0
+        self._max_total_body_bytes = max_total_body_bytes
+        self._total_body_bytes = 0
 
     @property
     def connections(self) -> int:
@@ -118,6 +144,14 @@
         """Count a connection as closed."""
         self._connections -= 1
 
+    def charge_body(self, size_bytes: int) -> bool:
+        """Charge memory for bodies; return False above the limit."""
+        total_bytes = self._total_body_bytes + size_bytes
+        if size_bytes > 0 and total_bytes > self._max_total_body_bytes:
+            return False
+        self._total_body_bytes = total_bytes
+        return True
+
     def log(self, request: Any) -> None:
         """Write no line per request."""
 
--- a/src/balsamwall/protocol/peer_table.py
+++ b/src/balsamwall/protocol/peer_table.py
@@ -133,6 +133,12 @@
         self._kept = frozenset(vms)
         self._dial_kept()
 
+    def dial(self, vm: str) -> None:
+        """Open a stream to a peer that has none; it is closed when idle."""
+        peer = self._peer(vm) if vm in self._addresses else None
+        if peer is not None and not peer.sessions and not self._is_stopped:
+            peer.dialler.start()
+
     def send(self, peer: str, item: message.Message) -> None:
         """Send a message; dial the peer if its address is known."""
         entry = self._peers.get(peer)
--- a/src/balsamwall/settings/daemon_settings.py
+++ b/src/balsamwall/settings/daemon_settings.py
@@ -23,6 +23,7 @@
     """Bounds of the process."""
 
     body_bytes: int
+    total_body_bytes: int
     answer_bytes: int
     caller_connections: int
     caller_buffer_bytes: int
--- a/src/balsamwall/settings/settings_file.py
+++ b/src/balsamwall/settings/settings_file.py
@@ -90,6 +90,7 @@
     "limits",
     (
         _integer("body_bytes", 1_024, 2**24, 2**20),
+        _integer("total_body_bytes", 2**20, 2**30, 2**25),
         _integer("answer_bytes", 1_024, 2**28, 2**24),
         _integer("caller_connections", 1, 100_000, 4_096),
         _integer("caller_buffer_bytes", 65_536, 2**28, 2**20),
