--- a/src/balsamwall/agent/agent_core.py
+++ b/src/balsamwall/agent/agent_core.py
@@ -111,7 +111,7 @@
     def on_message(self, peer: str, item: message.Message) -> None:
         """Hand a message to its owner."""
         if isinstance(item, _ENTRY_ONLY):
-            if peer not in self._hub.peers_of("entry"):
+            if self._hub.role_of(peer) != "entry":
                 self._count("message_from_wrong_role")
                 return
         if isinstance(item, messages_state.Leaving):
--- a/src/balsamwall/daemon.py
+++ b/src/balsamwall/daemon.py
@@ -55,6 +55,7 @@
     from balsamwall import factory
 
     eliot.to_file(sys.stderr)
+    _begin_logging()
     runner = _Runner(reactor)
     try:
         daemon = factory.build(settings, reactor)
@@ -65,6 +66,26 @@
     return runner.exit_code
 
 
+def _begin_logging() -> None:
+    from twisted import logger
+
+    # Until an observer is set, Twisted keeps up to 65,536 events in memory.
+    logger.globalLogBeginner.beginLoggingTo(
+        [_log_failure], redirectStandardIO=False
+    )
+
+
+def _log_failure(event: dict[str, Any]) -> None:
+    """Write failures that Twisted caught; drop its other events."""
+    failure = event.get("log_failure")
+    if failure is not None:
+        import eliot
+
+        eliot.log_message(
+            "twisted_failure", traceback=failure.getTraceback()[-4_096:]
+        )
+
+
 class _Runner:
     """Signals and the run of the reactor."""
 
--- a/src/balsamwall/entry/entry_core.py
+++ b/src/balsamwall/entry/entry_core.py
@@ -24,6 +24,8 @@
 # The load balancer needs this time to see that the entry is not ready.
 DRAIN_SPREAD_MS = 3_000
 DRAIN_POLL_MS = 100
+# The ends of the last answers are still being written.
+DRAIN_LINGER_MS = 1_000
 NOT_READY_RETRY_MS = 1_000
 
 
@@ -205,7 +207,7 @@
 
     def _check_drained(self, on_drained: Callable[[], None]) -> None:
         if not self._open:
-            on_drained()
+            self._clock.call_later(DRAIN_LINGER_MS, on_drained)
             return
         self._clock.call_later(DRAIN_POLL_MS, self._check_drained, on_drained)
 
--- a/src/balsamwall/entry/event_filter.py
+++ b/src/balsamwall/entry/event_filter.py
@@ -33,6 +33,10 @@
 
     def push(self, data: bytes) -> bytes:
         """Return the whole events that may be passed on now."""
+        # Engines send whole events, so most parts need no search.
+        is_whole = not self._held and data.endswith(b"\n\n")
+        if is_whole and not self._is_done and b"[DONE]" not in data:
+            return data
         start = max(0, len(self._held) - _OVERLAP_BYTES)
         self._held += data
         if self._is_done:
--- a/src/balsamwall/entry/http_site.py
+++ b/src/balsamwall/entry/http_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,11 @@
 
 REQUEST_TIMEOUT_S = 60
 STALL_LIMIT_MS = 30_000
+_KEEP_ALIVE_OPTIONS = (
+    (socket.TCP_KEEPIDLE, 10),
+    (socket.TCP_KEEPINTVL, 5),
+    (socket.TCP_KEEPCNT, 4),
+)
 # Up to this multiple of the limit a body is read and discarded, so that the
 # caller gets the error; above, the connection is closed.
 DISCARD_FACTOR = 8
@@ -83,7 +89,15 @@
             return
         self._site = site
         self.transport.setTcpNoDelay(True)
+        self._set_keep_alive()
+
+    def _set_keep_alive(self) -> None:
+        # A caller whose VM was lost sends no end of the connection; without
+        # probes its unstreamed request would run to the end.
         self.transport.setTcpKeepAlive(True)
+        handle = self.transport.getHandle()
+        for option, value in _KEEP_ALIVE_OPTIONS:
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Release the place of the connection."""
--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -113,6 +113,11 @@
         _build_agent(daemon)
     else:
         _build_entry(daemon)
+    daemon.metrics.watch(
+        "peers_up",
+        "Peers that can be reached",
+        lambda: sum(len(table.up_peers) for table in daemon.tables),
+    )
     status = status_resource.StatusResource(
         daemon.metrics, daemon.not_ready_reason
     )
--- a/src/balsamwall/protocol/message_hub.py
+++ b/src/balsamwall/protocol/message_hub.py
@@ -81,6 +81,10 @@
             if on_peer_down is not None:
                 on_peer_down(peer)
 
+    def role_of(self, peer: str) -> str:
+        """Return the role of a reachable peer, empty for another one."""
+        return self._roles.get(peer, "")
+
     def peers_of(self, role: str) -> list[str]:
         """Return the reachable peers of a role."""
         return [peer for peer, known in self._roles.items() if known == role]
