Let other handlers serve administration paths

Cause: The configuration endpoints keep their own table of routes and need the authorised key of a call.

Change: Hand paths without a registered endpoint to an optional handler, and read addresses of the VM list as text in the composition root.

--- a/src/balsamwall/entry/administration.py
+++ b/src/balsamwall/entry/administration.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from balsamwall.entry import error_body
@@ -132,18 +133,35 @@
     return list(_ENDPOINTS)
 
 
+class OtherPaths(Protocol):
+    """Handler of paths without a registered endpoint; it checks the scope."""
+
+    def __call__(
+        self,
+        key: daemon_settings.AdministrationKey,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        reply: Reply,
+    ) -> None:
+        """Answer a call; raise BalsamwallError."""
+
+
 class AdministrationApi:
     """Authorisation and choice of the endpoint."""
 
-    __slots__ = ("_context", "_keys", "_table")
+    __slots__ = ("_context", "_keys", "_other_paths", "_table")
 
     def __init__(
         self,
         context: object,
         keys: Iterable[daemon_settings.AdministrationKey],
         limiter: key_table.RejectionLimiter,
+        other_paths: OtherPaths | None = None,
     ) -> None:
         self._context = context
+        self._other_paths = other_paths
         self._keys = {key.name: key for key in keys}
         self._table = key_table.KeyTable(limiter)
         self._table.replace(
@@ -166,6 +184,9 @@
         reply: Reply,
     ) -> None:
         """Run the endpoint of a path; raise BalsamwallError."""
+        if self._other_paths is not None and not _is_registered(path):
+            self._other_paths(key, method, path, query, body, reply)
+            return
         found, parameters = _find(method, path)
         if parameters.get("tenant", key.tenant) != key.tenant:
             raise exceptions.BalsamwallError(
@@ -183,6 +204,10 @@
         found.handle(self._context, call, reply)
 
 
+def _is_registered(path: str) -> bool:
+    return any(_match(known.path, path) is not None for known in _ENDPOINTS)
+
+
 def _find(method: str, path: str) -> tuple[Endpoint, dict[str, str]]:
     allowed = set()
     for known in _ENDPOINTS:
--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -25,12 +25,12 @@
 from balsamwall.protocol import peer_table
 from balsamwall.protocol import session
 from balsamwall.protocol import stream
+from balsamwall.settings import address
 from balsamwall.timing import reactor_clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamwall.settings import address
     from balsamwall.settings import daemon_settings
 
 # Modules that register endpoints of the administration API when imported.
@@ -100,8 +100,14 @@
         for port in self.ports.values():
             port.stopListening()
 
-    def set_addresses(self, addresses: dict[str, address.Address]) -> None:
-        """Take the addresses of the VM list."""
+    def set_addresses(self, texts: dict[str, str]) -> None:
+        """Take the addresses of the VM list as HOST:PORT by peer name."""
+        addresses = {}
+        for vm, text in texts.items():
+            try:
+                addresses[vm] = address.parse(text)
+            except ValueError:
+                self.metrics.count("vm_list_bad_address")
         for table in self.tables:
             table.set_addresses(addresses)
 
--- a/tests/entry/test_administration.py
+++ b/tests/entry/test_administration.py
@@ -76,6 +76,19 @@
             with self.subTest(arguments):
                 self.assertEqual(expected, self._call(*arguments))
 
+    def test_other_paths_get_the_scope(self) -> None:
+        """A handler of other paths must know whose key it serves."""
+        seen: list[object] = []
+        self.api._other_paths = lambda key, method, path, *rest: seen.append(
+            (key.tenant, key.access, path)
+        )
+        with self.assertRaises(ValueError):
+            self._call("reader", "GET", "/v1/tenants/kovacevic/vms")
+        self._call("writer", "GET", "/v1/tenants/tampere/drains/vm-1")
+        self.assertEqual(
+            [("tampere", "read", "/v1/tenants/kovacevic/vms")], seen
+        )
+
     def test_endpoint_is_used_once(self) -> None:
         """Two modules must not register the same endpoint unnoticed."""
         with self.assertRaises(ValueError):
