--- /dev/null
+++ b/src/balsamwall/configuration/configuration_watcher.py
@@ -0,0 +1,153 @@
+"""Watch of a tenant's document that feeds the replica."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from balsamwall.configuration import configuration_store
+from balsamwall.configuration import watcher_choice
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import random
+
+    from returns.result import Result
+
+    from balsamwall.configuration import configuration_replica
+    from balsamwall.configuration import key_value_client
+    from balsamwall.configuration import store_call
+    from balsamwall.results import exceptions
+    from balsamwall.timing import clock as timing_clock
+
+BACKOFF_FIRST_MS = 500
+BACKOFF_LIMIT_MS = 8_000
+# A watch may break without a report, so the document is also read.
+READ_INTERVAL_MS = 60_000
+
+
+class ConfigurationWatcher:
+    """Watch a document while this process is one of its zone's watchers.
+
+    Other processes make no call to the key-value service. The known peers
+    of the replica come from the same members.
+    """
+
+    __slots__ = (
+        "_availability_zone",
+        "_backoff_ms",
+        "_clock",
+        "_generation",
+        "_is_active",
+        "_random",
+        "_replica",
+        "_store",
+        "_tenant",
+        "_timer",
+        "_vm",
+        "_watch",
+    )
+
+    def __init__(
+        self,
+        clock: timing_clock.Clock,
+        store: configuration_store.ConfigurationStore,
+        replica: configuration_replica.ConfigurationReplica,
+        random_source: random.Random,
+        tenant: str,
+        vm: str,
+        availability_zone: str,
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._replica = replica
+        self._random = random_source
+        self._tenant = tenant
+        self._vm = vm
+        self._availability_zone = availability_zone
+        self._is_active = False
+        self._generation = 0
+        self._backoff_ms = BACKOFF_FIRST_MS
+        self._timer: timing_clock.Timer | None = None
+        self._watch: key_value_client.Watch | None = None
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether this process is a watcher."""
+        return self._is_active
+
+    def on_members(self, members: Iterable[tuple[str, str]]) -> None:
+        """Start or end the watch for the live VMs and their zones."""
+        live = list(members)
+        self._replica.set_known_peers(vm for vm, _ in live if vm != self._vm)
+        is_chosen = watcher_choice.is_watcher(
+            self._tenant, self._vm, self._availability_zone, live
+        )
+        if is_chosen and not self._is_active:
+            self._is_active = True
+            self._begin()
+        elif not is_chosen and self._is_active:
+            self.stop()
+
+    def stop(self) -> None:
+        """End the watch."""
+        self._is_active = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self._generation += 1
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    def _begin(self) -> None:
+        self._clear()
+        generation = self._generation
+
+        def on_change(
+            result: Result[
+                key_value_client.KeyValueEntry, exceptions.BalsamwallError
+            ],
+        ) -> None:
+            if generation != self._generation:
+                return
+            if isinstance(result, Failure):
+                self._retry()
+            else:
+                self._offer(result.unwrap())
+
+        def on_get(result: store_call.GetResult) -> None:
+            if generation != self._generation:
+                return
+            if isinstance(result, Failure):
+                self._retry()
+                return
+            self._backoff_ms = BACKOFF_FIRST_MS
+            self._offer(result.unwrap())
+            self._timer = self._clock.call_later(READ_INTERVAL_MS, self._begin)
+
+        # The watch starts before the read, so no write falls between them.
+        watch = self._store.watch(self._tenant, on_change)
+        if generation != self._generation:
+            watch.cancel()
+            return
+        self._watch = watch
+        self._store.get(self._tenant, on_get)
+
+    def _offer(self, entry: key_value_client.KeyValueEntry | None) -> None:
+        result = configuration_store.decode_entry(entry)
+        if isinstance(result, Failure):
+            return
+        document = result.unwrap()
+        if document is not None and document.tenant == self._tenant:
+            self._replica.offer(document.configuration)
+
+    def _retry(self) -> None:
+        self._clear()
+        delay_ms = self._random.randint(self._backoff_ms, 2 * self._backoff_ms)
+        self._backoff_ms = min(2 * self._backoff_ms, BACKOFF_LIMIT_MS)
+        self._timer = self._clock.call_later(delay_ms, self._begin)
--- /dev/null
+++ b/src/balsamwall/configuration/document_codec.py
@@ -0,0 +1,262 @@
+"""Encoding of configurations and documents with size and schema checks."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+from typing import Any
+from typing import TYPE_CHECKING
+from typing import TypeVar
+import zlib
+
+import msgpack
+
+from balsamwall.configuration import configuration_document
+from balsamwall.configuration import exceptions
+from balsamwall.configuration import tenant_configuration
+from balsamwall.protocol import exceptions as protocol_exceptions
+from balsamwall.protocol import message
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+T = TypeVar("T")
+
+FORMAT = 1
+MAX_DOCUMENT_BYTES = 1_000_000
+MAX_CONTENT_BYTES = 512 * 1024
+# A daemon has 64 MB; a small hostile document must not expand beyond this.
+MAX_PLAIN_BYTES = 4 * 1024 * 1024
+MAX_HISTORY_ENTRIES = 50
+
+_PARTS: tuple[tuple[str, Any], ...] = (
+    ("models", tenant_configuration.ModelSpec),
+    ("adapters", tenant_configuration.AdapterSpec),
+    ("services", tenant_configuration.ServiceSpec),
+    ("workspaces", tenant_configuration.WorkspaceSpec),
+)
+
+
+def encode_configuration(
+    configuration: tenant_configuration.TenantConfiguration,
+) -> bytes:
+    """Encode a configuration; raise DocumentInvalid if it is too large."""
+    plain: dict[str, Any] = {
+        "format": FORMAT,
+        "tenant": configuration.tenant,
+        "revision": configuration.revision,
+        "change_id": configuration.change_id,
+    }
+    for part, _ in _PARTS:
+        specs = getattr(configuration, part)
+        plain[part] = [dataclasses.asdict(spec) for spec in specs.values()]
+    if configuration.fleet is not None:
+        plain["fleet"] = dataclasses.asdict(configuration.fleet)
+    content = _pack(plain)
+    if len(content) > MAX_CONTENT_BYTES:
+        raise exceptions.DocumentInvalid(
+            f"configuration of {len(content)} bytes"
+            f" exceeds {MAX_CONTENT_BYTES}"
+        )
+    return content
+
+
+def decode_configuration(
+    content: bytes,
+) -> tenant_configuration.TenantConfiguration:
+    """Decode and check a configuration; raise DocumentInvalid.
+
+    Unknown fields are ignored and absent ones take their defaults, so that
+    processes of two releases can exchange configurations.
+    """
+    plain = _unpack(content, MAX_CONTENT_BYTES)
+    parts: dict[str, Any] = {}
+    for part, cls in _PARTS:
+        rows = _field(plain, part, list)
+        specs = [_spec(cls, row) for row in rows]
+        parts[part] = {spec.name: spec for spec in specs}
+        if len(parts[part]) != len(rows):
+            raise exceptions.DocumentInvalid(f"{part}: repeated name")
+    fleet = plain.get("fleet")
+    configuration = tenant_configuration.TenantConfiguration(
+        tenant=_field(plain, "tenant", str),
+        revision=_field(plain, "revision", int),
+        change_id=_field(plain, "change_id", str),
+        fleet=(
+            _spec(tenant_configuration.FleetSpec, fleet)
+            if fleet is not None
+            else None
+        ),
+        **parts,
+    )
+    _check_references(configuration)
+    return configuration
+
+
+def encode_document(
+    document: configuration_document.ConfigurationDocument,
+) -> bytes:
+    """Encode a document; drop the oldest entries until it fits.
+
+    Raise DocumentInvalid if not even the newest entry fits.
+    """
+    content = encode_configuration(document.configuration)
+    entries = [
+        {**entry.to_json(), "files": _pack(dict(entry.files))}
+        for entry in document.entries[:MAX_HISTORY_ENTRIES]
+    ]
+    while entries:
+        data: bytes = msgpack.packb(
+            {"format": FORMAT, "content": content, "entries": entries}
+        )
+        if len(data) <= MAX_DOCUMENT_BYTES:
+            return data
+        entries.pop()
+    raise exceptions.DocumentInvalid(
+        f"document exceeds {MAX_DOCUMENT_BYTES} bytes without any history"
+    )
+
+
+def decode_document(
+    data: bytes,
+) -> configuration_document.ConfigurationDocument:
+    """Decode and check a document; raise DocumentInvalid."""
+    if len(data) > MAX_DOCUMENT_BYTES:
+        raise exceptions.DocumentInvalid(
+            f"document of {len(data)} bytes exceeds {MAX_DOCUMENT_BYTES}"
+        )
+    plain = _unpack_map(data)
+    configuration = decode_configuration(_field(plain, "content", bytes))
+    entries = []
+    for row in _field(plain, "entries", list):
+        if type(row) is not dict:
+            raise exceptions.DocumentInvalid("entries: not a map")
+        files = _unpack(_field(row, "files", bytes), MAX_DOCUMENT_BYTES)
+        _check("files", dict[str, str], files)
+        entries.append(
+            _spec(
+                configuration_document.DocumentEntry,
+                {**row, "files": {}},
+                files=files,
+            )
+        )
+    if not entries or entries[0].revision != configuration.revision:
+        raise exceptions.DocumentInvalid("newest entry has another revision")
+    return configuration_document.ConfigurationDocument(
+        configuration, tuple(entries)
+    )
+
+
+def _pack(plain: Mapping[str, Any]) -> bytes:
+    return zlib.compress(msgpack.packb(plain), 6)
+
+
+def _unpack(data: bytes, limit: int) -> dict[str, Any]:
+    if len(data) > limit:
+        raise exceptions.DocumentInvalid(
+            f"{len(data)} bytes exceed the limit of {limit}"
+        )
+    expander = zlib.decompressobj()
+    try:
+        plain = expander.decompress(data, MAX_PLAIN_BYTES)
+    except zlib.error as error:
+        raise exceptions.DocumentInvalid(f"not zlib: {error}") from error
+    if not expander.eof or expander.unused_data:
+        raise exceptions.DocumentInvalid(
+            f"incomplete, or more than {MAX_PLAIN_BYTES} bytes uncompressed"
+        )
+    return _unpack_map(plain)
+
+
+def _unpack_map(data: bytes) -> dict[str, Any]:
+    try:
+        plain = msgpack.unpackb(data, raw=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise exceptions.DocumentInvalid(f"not msgpack: {error}") from error
+    if type(plain) is not dict:
+        raise exceptions.DocumentInvalid("not a map")
+    return plain
+
+
+def _field(plain: Mapping[str, Any], name: str, expected: type[T]) -> T:
+    value = plain.get(name)
+    if type(value) is not expected:
+        found = type(value).__name__
+        raise exceptions.DocumentInvalid(
+            f"{name}: expected {expected.__name__}, found {found}"
+        )
+    return value
+
+
+def _check(name: str, expected: Any, value: object) -> None:
+    try:
+        message.check_value(name, expected, value)
+    except protocol_exceptions.ProtocolError as error:
+        raise exceptions.DocumentInvalid(error.message) from error
+
+
+def _spec(cls: type[T], row: object, **given: object) -> T:
+    if type(row) is not dict:
+        raise exceptions.DocumentInvalid(f"{cls.__name__}: not a map")
+    values: dict[str, Any] = {}
+    hints = _hints_of(cls)
+    for field in dataclasses.fields(cls):  # type: ignore[arg-type]
+        name = field.name
+        if name in given:
+            values[name] = given[name]
+        elif name in row:
+            values[name] = _value(name, hints[name], row[name])
+        elif field.default is dataclasses.MISSING:
+            raise exceptions.DocumentInvalid(
+                f"{cls.__name__}: no field {name}"
+            )
+    return cls(**values)
+
+
+_HINTS: dict[type, dict[str, Any]] = {}
+
+
+def _hints_of(cls: type) -> dict[str, Any]:
+    if cls not in _HINTS:
+        if cls is configuration_document.DocumentEntry:
+            # Its mapping is checked by the caller.
+            _HINTS[cls] = {
+                "revision": int,
+                "change_id": str,
+                "author": str,
+                "changed_ms": int,
+                "rollback_of": int,
+            }
+        else:
+            _HINTS[cls] = typing.get_type_hints(cls)
+    return _HINTS[cls]
+
+
+def _value(name: str, expected: Any, value: object) -> object:
+    if typing.get_origin(expected) is tuple:
+        if type(value) is not list:
+            raise exceptions.DocumentInvalid(f"{name}: not a list")
+        _check(name, list[str], value)
+        return tuple(value)
+    _check(name, expected, value)
+    return value
+
+
+def _check_references(
+    configuration: tenant_configuration.TenantConfiguration,
+) -> None:
+    for adapter in configuration.adapters.values():
+        if adapter.base not in configuration.models:
+            raise exceptions.DocumentInvalid(
+                f"adapter {adapter.name}: unknown base {adapter.base}"
+            )
+    for workspace in configuration.workspaces.values():
+        for part in ("models", "adapters", "services"):
+            unknown = set(getattr(workspace, part)).difference(
+                getattr(configuration, part)
+            )
+            if unknown:
+                raise exceptions.DocumentInvalid(
+                    f"workspace {workspace.name}: unknown {part}"
+                    f" {', '.join(sorted(unknown))}"
+                )
--- /dev/null
+++ b/src/balsamwall/configuration/memory_check.py
@@ -0,0 +1,84 @@
+"""Check that one copy of everything fits into the fleet."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from balsamwall.configuration import tenant_configuration
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MemoryVerdict:
+    """Result of packing models and adapters onto VMs."""
+
+    needed_vms: int
+    available_vms: int
+    weight_bytes: int
+    usable_bytes_per_vm: int
+    oversized: tuple[str, ...]
+
+    @property
+    def fits(self) -> bool:
+        """Tell whether everything has a place."""
+        return not self.oversized and self.needed_vms <= self.available_vms
+
+
+def check(
+    models: Mapping[str, tenant_configuration.ModelSpec],
+    adapters: Mapping[str, tenant_configuration.AdapterSpec],
+    fleet: tenant_configuration.FleetSpec,
+) -> MemoryVerdict:
+    """Pack by first fit of the largest group first.
+
+    A group is a model with its adapters. Adapters that do not fit beside
+    their base get another copy of it. The count is an upper bound of the
+    VMs that an exact packing needs.
+    """
+    usable = round(fleet.vm_memory_bytes * (1 - fleet.kv_reserve))
+    groups, oversized = _groups(models, adapters, usable)
+    bins: list[int] = []
+    for size in sorted(groups, reverse=True):
+        for index, free in enumerate(bins):
+            if size <= free:
+                bins[index] = free - size
+                break
+        else:
+            bins.append(usable - size)
+    return MemoryVerdict(
+        needed_vms=len(bins),
+        available_vms=max(0, fleet.model_vms - fleet.spare_vms),
+        weight_bytes=sum(groups),
+        usable_bytes_per_vm=usable,
+        oversized=tuple(oversized),
+    )
+
+
+def _groups(
+    models: Mapping[str, tenant_configuration.ModelSpec],
+    adapters: Mapping[str, tenant_configuration.AdapterSpec],
+    usable: int,
+) -> tuple[list[int], list[str]]:
+    groups: list[int] = []
+    oversized: list[str] = []
+    by_base: dict[str, list[tenant_configuration.AdapterSpec]] = {}
+    for adapter in adapters.values():
+        by_base.setdefault(adapter.base, []).append(adapter)
+    for model in models.values():
+        if model.weight_bytes > usable:
+            oversized.append(model.name)
+            continue
+        size = model.weight_bytes
+        for adapter in by_base.get(model.name, []):
+            if model.weight_bytes + adapter.weight_bytes > usable:
+                oversized.append(adapter.name)
+            elif size + adapter.weight_bytes > usable:
+                groups.append(size)
+                size = model.weight_bytes + adapter.weight_bytes
+            else:
+                size += adapter.weight_bytes
+        groups.append(size)
+    return groups, oversized
--- /dev/null
+++ b/src/balsamwall/configuration/store_call.py
@@ -0,0 +1,61 @@
+"""Call to the key-value service with a time limit."""
+
+from __future__ import annotations
+
+from typing import Generic
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import TypeVar
+
+from returns.result import Failure
+from returns.result import Result
+
+from balsamwall.configuration import key_value_client
+from balsamwall.results import exceptions
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.timing import clock as timing_clock
+
+T = TypeVar("T")
+
+GetResult: TypeAlias = Result[
+    key_value_client.KeyValueEntry | None, exceptions.BalsamwallError
+]
+SwapResult: TypeAlias = Result[int, exceptions.BalsamwallError]
+
+
+class StoreCall(Generic[T]):
+    """Callback that runs once, with a failure if no answer comes."""
+
+    __slots__ = ("_callback", "_timer")
+
+    def __init__(
+        self,
+        clock: timing_clock.Clock,
+        timeout_ms: int,
+        callback: Callable[[Result[T, exceptions.BalsamwallError]], None],
+    ) -> None:
+        self._callback: (
+            Callable[[Result[T, exceptions.BalsamwallError]], None] | None
+        ) = callback
+        self._timer = clock.call_later(timeout_ms, self._on_timeout)
+
+    def on_result(self, result: Result[T, exceptions.BalsamwallError]) -> None:
+        """Pass on the first result and discard later ones."""
+        self._timer.cancel()
+        callback, self._callback = self._callback, None
+        if callback is not None:
+            callback(result)
+
+    def _on_timeout(self) -> None:
+        self.on_result(
+            Failure(
+                exceptions.BalsamwallError(
+                    result_code.ResultCode.PLATFORM_OUTCOME_UNKNOWN,
+                    "no answer from the key-value service in time",
+                )
+            )
+        )
--- a/src/balsamwall/configuration/tenant_configuration.py
+++ b/src/balsamwall/configuration/tenant_configuration.py
@@ -59,6 +59,17 @@
     are_opaque_keys_allowed: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class FleetSpec:
+    """Capacity that the models and adapters of a tenant must fit into."""
+
+    model_vms: int
+    vm_memory_bytes: int
+    kv_reserve: float  # share of the memory kept for the KV cache
+    spare_vms: int  # VMs that may be lost while everything still fits
+    availability_zones: int = 1
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TenantConfiguration:
     """Accepted configuration of a tenant at one revision."""
@@ -70,6 +81,7 @@
     adapters: dict[str, AdapterSpec]
     services: dict[str, ServiceSpec]
     workspaces: dict[str, WorkspaceSpec]
+    fleet: FleetSpec | None = None
 
     def base_of(self, name: str) -> str:
         """Return the base model of an adapter, or the model itself."""
--- /dev/null
+++ b/tests/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the configuration."""
+
+from __future__ import annotations
