--- /dev/null
+++ b/src/balsamwall/configuration/administration_fleet.py
@@ -0,0 +1,253 @@
+"""Handlers of the administration API for the fleet."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from balsamwall.configuration import administration_routes
+from balsamwall.configuration import administration_types
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from balsamwall.configuration import administration
+    from balsamwall.configuration import tenant_configuration
+
+    Context = administration.Administration
+    Request = administration_types.AdministrationRequest
+    Respond = administration_types.Respond
+
+_CODE = result_code.ResultCode
+_FINGERPRINT = re.compile(r"(?:[0-9a-f]{2}){1,64}")
+
+route = administration_routes.route
+
+
+def _answer(respond: Respond, **body: object) -> None:
+    respond(administration_types.AdministrationResponse(200, body))
+
+
+def _configuration(
+    context: Context, request: Request
+) -> tenant_configuration.TenantConfiguration:
+    configuration = context.replica.current(request.scope.tenant)
+    if configuration is None:
+        raise administration_types.AdministrationError(
+            _CODE.UNKNOWN_TENANT, "no configuration is in force"
+        )
+    return configuration
+
+
+def _holders(context: Context, tenant: str) -> dict[str, list[str]]:
+    """Return the VMs that hold each model and adapter ready."""
+    holders: dict[str, list[str]] = {}
+    for vm in context.fleet.vms(tenant):
+        if vm.state in ("ready", "leaving"):
+            for name in vm.residents.models | vm.residents.adapters:
+                holders.setdefault(name, []).append(vm.vm)
+    return holders
+
+
+def _users(
+    configuration: tenant_configuration.TenantConfiguration, name: str
+) -> list[str]:
+    return [
+        workspace.name
+        for workspace in configuration.workspaces.values()
+        if name in workspace.models or name in workspace.adapters
+    ]
+
+
+@route("GET", "models")
+def models(context: Context, request: Request, respond: Respond) -> None:
+    """List the models with their replicas and workspaces."""
+    configuration = _configuration(context, request)
+    holders = _holders(context, request.scope.tenant)
+    _answer(
+        respond,
+        models=[
+            {
+                "name": spec.name,
+                "version": spec.version,
+                "weight_bytes": spec.weight_bytes,
+                "replicas": len(holders.get(spec.name, [])),
+                "workspaces": _users(configuration, spec.name),
+            }
+            for spec in configuration.models.values()
+        ],
+    )
+
+
+@route("GET", "adapters")
+def adapters(context: Context, request: Request, respond: Respond) -> None:
+    """List the adapters with their replicas and workspaces."""
+    configuration = _configuration(context, request)
+    holders = _holders(context, request.scope.tenant)
+    _answer(
+        respond,
+        adapters=[
+            {
+                "name": spec.name,
+                "base": spec.base,
+                "version": spec.version,
+                "weight_bytes": spec.weight_bytes,
+                "replicas": len(holders.get(spec.name, [])),
+                "workspaces": _users(configuration, spec.name),
+            }
+            for spec in configuration.adapters.values()
+        ],
+    )
+
+
+@route("GET", "vms")
+def vms(context: Context, request: Request, respond: Respond) -> None:
+    """List the VMs with their load and memory."""
+    rows = [vm.to_json() for vm in context.fleet.vms(request.scope.tenant)]
+    _answer(respond, vms=sorted(rows, key=lambda row: str(row["vm"])))
+
+
+@route("GET", "replicas")
+def replicas(context: Context, request: Request, respond: Respond) -> None:
+    """List the holders of each configured name, or of one."""
+    configuration = _configuration(context, request)
+    holders = _holders(context, request.scope.tenant)
+    wanted = request.query.get("name", "")
+    names = sorted(configuration.configured_names())
+    if wanted:
+        if wanted not in names:
+            raise _unknown_name(wanted)
+        names = [wanted]
+    _answer(
+        respond,
+        replicas=[
+            {"name": name, "vms": sorted(holders.get(name, []))}
+            for name in names
+        ],
+    )
+
+
+@route("GET", "drains")
+def drains(context: Context, request: Request, respond: Respond) -> None:
+    """List leaving VMs and drains that no agent has seen."""
+    tenant = request.scope.tenant
+    now_ms = context.clock.now_ms()
+    rows: list[dict[str, object]] = [
+        {
+            "vm": vm.vm,
+            "state": "leaving",
+            "running": vm.running,
+            "waiting": vm.waiting,
+        }
+        for vm in context.fleet.vms(tenant)
+        if vm.state == "leaving"
+    ]
+    rows += [
+        {
+            "vm": intent.vm,
+            "state": "not seen by the agent",
+            "author": intent.author,
+            "age_ms": now_ms - intent.since_ms,
+        }
+        for intent in context.drains.waiting(tenant)
+    ]
+    _answer(respond, drains=rows)
+
+
+@route("POST", "vms/{vm}/drain", needs_write=True)
+def drain(
+    context: Context, request: Request, respond: Respond, vm: str
+) -> None:
+    """Mark a VM as leaving, once its agent is reachable."""
+    tenant = request.scope.tenant
+    _check_vm(context, tenant, vm)
+    is_seen = context.drains.request(tenant, vm, request.scope.author)
+    _answer(
+        respond,
+        vm=vm,
+        state="leaving" if is_seen else "not seen by the agent",
+        can_be_withdrawn=not is_seen,
+    )
+
+
+@route("POST", "vms/{vm}/undrain", needs_write=True)
+def undrain(
+    context: Context, request: Request, respond: Respond, vm: str
+) -> None:
+    """Withdraw a drain that no agent has seen."""
+    tenant = request.scope.tenant
+    if context.drains.withdraw(tenant, vm):
+        _answer(respond, vm=vm, state="withdrawn")
+        return
+    _check_vm(context, tenant, vm)
+    raise administration_types.AdministrationError(
+        _CODE.LEAVING,
+        f"no drain of {vm} waits for its agent; a leaving mark that an agent"
+        " has seen is never removed, replace the VM instead",
+        409,
+    )
+
+
+@route("GET", "quarantine")
+def quarantine(context: Context, request: Request, respond: Respond) -> None:
+    """List the quarantined request fingerprints."""
+    entries = context.fleet.quarantined(request.scope.tenant)
+    _answer(respond, quarantine=[entry.to_json() for entry in entries])
+
+
+@route("POST", "quarantine/clear", needs_write=True)
+def clear_quarantine(
+    context: Context, request: Request, respond: Respond
+) -> None:
+    """Clear one fingerprint everywhere."""
+    text = administration_types.body_field(request.body, "fingerprint", str)
+    if not _FINGERPRINT.fullmatch(text):
+        raise administration_types.malformed(
+            "fingerprint must be an even number of hexadecimal digits"
+        )
+    if not context.fleet.clear_quarantine(
+        request.scope.tenant, bytes.fromhex(text)
+    ):
+        raise administration_types.AdministrationError(
+            _CODE.QUARANTINED, "this fingerprint is not quarantined", 404
+        )
+    _answer(respond, fingerprint=text, state="cleared")
+
+
+@route("GET", "explain")
+def explain(context: Context, request: Request, respond: Respond) -> None:
+    """Tell where a request for a name would be routed and why."""
+    configuration = _configuration(context, request)
+    name = request.query.get("name", "")
+    if name not in configuration.configured_names():
+        raise _unknown_name(name)
+    urgency = request.query.get("class", "urgent")
+    if urgency not in ("urgent", "deferrable"):
+        raise administration_types.malformed(
+            f"class: found {urgency[:32]!r}, allowed: urgent or deferrable"
+        )
+    candidates = context.fleet.candidates(
+        request.scope.tenant, name, urgency == "urgent"
+    )
+    chosen = next((c.vm for c in candidates if c.is_eligible), "")
+    _answer(
+        respond,
+        name=name,
+        base=configuration.base_of(name),
+        request_class=urgency,
+        workspaces=_users(configuration, name),
+        chosen=chosen,
+        candidates=[candidate.to_json() for candidate in candidates],
+    )
+
+
+def _check_vm(context: Context, tenant: str, vm: str) -> None:
+    if not any(known.vm == vm for known in context.fleet.vms(tenant)):
+        raise administration_types.AdministrationError(
+            _CODE.UNKNOWN_VM, f"tenant {tenant} has no VM {vm}"
+        )
+
+
+def _unknown_name(name: str) -> administration_types.AdministrationError:
+    return administration_types.AdministrationError(
+        _CODE.UNKNOWN_MODEL, f"no workspace uses a model or adapter {name!r}"
+    )
--- a/src/balsamwall/configuration/configuration_parser.py
+++ b/src/balsamwall/configuration/configuration_parser.py
@@ -4,6 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from balsamwall.configuration import exceptions
 from balsamwall.configuration import ini_file
 from balsamwall.configuration import memory_check
@@ -46,6 +50,20 @@
     return result
 
 
+def try_parse(
+    files: Mapping[str, str],
+    tenant: str = "",
+    fleet: tenant_configuration.FleetSpec | None = None,
+) -> Result[
+    tenant_configuration.TenantConfiguration, exceptions.ConfigurationInvalid
+]:
+    """Parse and validate files; a failure carries all problems."""
+    try:
+        return Success(parse(files, tenant, fleet))
+    except exceptions.ConfigurationInvalid as error:
+        return Failure(error)
+
+
 class _Parser:
     """State of one parse."""
 
--- a/src/balsamwall/protocol/messages_state.py
+++ b/src/balsamwall/protocol/messages_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from balsamwall.protocol import message
 
 
@@ -33,6 +35,8 @@
     adapters: list[str]
     loading: list[str]
     services: list[str]
+    # "name@version" of each ready copy, for the progress of a roll-out.
+    versions: list[str] = dataclasses.field(default_factory=list)
 
 
 @message.register(32)
