--- a/src/balsamwall/configuration/administration_types.py
+++ b/src/balsamwall/configuration/administration_types.py
@@ -155,9 +155,9 @@
         status,
         {
             "error": {
-                "code": error.code.number,
-                "name": error.code.name,
                 "message": error.message,
+                "code": error.code.name.lower(),
+                "number": error.code.number,
                 "ran": error.code.ran.value,
                 "repeat": error.code.repeat.value,
                 **details,
--- a/src/balsamwall/configuration/configuration_store.py
+++ b/src/balsamwall/configuration/configuration_store.py
@@ -127,7 +127,7 @@
     entry: key_value_client.KeyValueEntry | None,
 ) -> Result[Document | None, results_exceptions.BalsamwallError]:
     """Decode a stored entry; an absent one gives None."""
-    if entry is None:
+    if entry is None or entry.value is None:
         return Success(None)
     try:
         return Success(document_codec.decode_document(entry.value))
@@ -183,7 +183,8 @@
             if written is not None:
                 self._finish_written(current, written)
                 return
-        found = entry.revision if entry is not None else 0
+        is_absent = entry is None or entry.value is None
+        found = 0 if entry is None or is_absent else entry.revision
         if self._expected < 0:
             self._prepare(current, found)
         elif found == self._expected:
--- a/src/balsamwall/configuration/configuration_watcher.py
+++ b/src/balsamwall/configuration/configuration_watcher.py
@@ -13,18 +13,13 @@
     from collections.abc import Iterable
     import random
 
-    from returns.result import Result
-
     from balsamwall.configuration import configuration_replica
     from balsamwall.configuration import key_value_client
-    from balsamwall.configuration import store_call
-    from balsamwall.results import exceptions
     from balsamwall.timing import clock as timing_clock
 
-BACKOFF_FIRST_MS = 500
-BACKOFF_LIMIT_MS = 8_000
-# A watch may break without a report, so the document is also read.
-READ_INTERVAL_MS = 60_000
+# A watch may go silent without a report; a new one begins with the value.
+RENEW_INTERVAL_MS = 60_000
+RENEW_LIMIT_MS = 90_000
 
 
 class ConfigurationWatcher:
@@ -36,7 +31,6 @@
 
     __slots__ = (
         "_availability_zone",
-        "_backoff_ms",
         "_clock",
         "_generation",
         "_is_active",
@@ -47,6 +41,7 @@
         "_timer",
         "_vm",
         "_watch",
+        "documents_refused",
     )
 
     def __init__(
@@ -68,7 +63,7 @@
         self._availability_zone = availability_zone
         self._is_active = False
         self._generation = 0
-        self._backoff_ms = BACKOFF_FIRST_MS
+        self.documents_refused = 0
         self._timer: timing_clock.Timer | None = None
         self._watch: key_value_client.Watch | None = None
 
@@ -108,46 +103,24 @@
         self._clear()
         generation = self._generation
 
-        def on_change(
-            result: Result[
-                key_value_client.KeyValueEntry, exceptions.BalsamwallError
-            ],
-        ) -> None:
-            if generation != self._generation:
-                return
-            if isinstance(result, Failure):
-                self._retry()
-            else:
-                self._offer(result.unwrap())
-
-        def on_get(result: store_call.GetResult) -> None:
-            if generation != self._generation:
-                return
-            if isinstance(result, Failure):
-                self._retry()
-                return
-            self._backoff_ms = BACKOFF_FIRST_MS
-            self._offer(result.unwrap())
-            self._timer = self._clock.call_later(READ_INTERVAL_MS, self._begin)
-
-        # The watch starts before the read, so no write falls between them.
+        def on_change(entry: key_value_client.KeyValueEntry) -> None:
+            if generation == self._generation:
+                self._offer(entry)
+
         watch = self._store.watch(self._tenant, on_change)
         if generation != self._generation:
             watch.cancel()
             return
         self._watch = watch
-        self._store.get(self._tenant, on_get)
+        # Spread, so that the watchers do not all read at the same time.
+        delay_ms = self._random.randint(RENEW_INTERVAL_MS, RENEW_LIMIT_MS)
+        self._timer = self._clock.call_later(delay_ms, self._begin)
 
-    def _offer(self, entry: key_value_client.KeyValueEntry | None) -> None:
+    def _offer(self, entry: key_value_client.KeyValueEntry) -> None:
         result = configuration_store.decode_entry(entry)
         if isinstance(result, Failure):
+            self.documents_refused += 1
             return
         document = result.unwrap()
         if document is not None and document.tenant == self._tenant:
             self._replica.offer(document.configuration)
-
-    def _retry(self) -> None:
-        self._clear()
-        delay_ms = self._random.randint(self._backoff_ms, 2 * self._backoff_ms)
-        self._backoff_ms = min(2 * self._backoff_ms, BACKOFF_LIMIT_MS)
-        self._timer = self._clock.call_later(delay_ms, self._begin)
--- a/src/balsamwall/configuration/exceptions.py
+++ b/src/balsamwall/configuration/exceptions.py
@@ -39,7 +39,7 @@
     def to_json(self) -> dict[str, object]:
         """Return the fields as plain JSON values."""
         return {
-            "code": self.code.number,
+            "number": self.code.number,
             "file": self.file,
             "section": self.section,
             "key": self.key,
--- a/src/balsamwall/configuration/key_value_client.py
+++ b/src/balsamwall/configuration/key_value_client.py
@@ -7,15 +7,15 @@
 
 from returns.result import Result
 
-from balsamwall.results import exceptions
+from balsamwall.results import result_code
 
 
 class KeyValueEntry(Protocol):
     """Value of a key and the revision at which it was written."""
 
     @property
-    def value(self) -> bytes:
-        """Return the value."""
+    def value(self) -> bytes | None:
+        """Return the value, None after a delete."""
 
     @property
     def revision(self) -> int:
@@ -30,12 +30,10 @@
 
 
 GetCallback = Callable[
-    [Result[KeyValueEntry | None, exceptions.BalsamwallError]], None
-]
-SwapCallback = Callable[[Result[int, exceptions.BalsamwallError]], None]
-WatchCallback = Callable[
-    [Result[KeyValueEntry, exceptions.BalsamwallError]], None
+    [Result[KeyValueEntry | None, result_code.ResultCode]], None
 ]
+SwapCallback = Callable[[Result[int, result_code.ResultCode]], None]
+WatchCallback = Callable[[KeyValueEntry], None]
 
 
 class KeyValueClient(Protocol):
@@ -53,9 +51,13 @@
     ) -> None:
         """Write a key if its revision is as expected (0: absent).
 
-        The result is the new revision; a failure is COMPARE_FAILED (the
-        write did not take effect) or another code (it may have).
+        The result is the new revision. A failure is COMPARE_FAILED or
+        PLATFORM_UNAVAILABLE (the write did not take effect), or another
+        code (it may have taken effect).
         """
 
-    def watch(self, key: str, callback: WatchCallback) -> Watch:
-        """Report each later write; a failure ends the watch."""
+    def watch(self, key: str, on_change: WatchCallback) -> Watch:
+        """Deliver the present value, then each newer one.
+
+        The watch resumes by itself after an interruption.
+        """
--- a/src/balsamwall/configuration/store_call.py
+++ b/src/balsamwall/configuration/store_call.py
@@ -43,19 +43,20 @@
         ) = callback
         self._timer = clock.call_later(timeout_ms, self._on_timeout)
 
-    def on_result(self, result: Result[T, exceptions.BalsamwallError]) -> None:
+    def on_result(self, result: Result[T, result_code.ResultCode]) -> None:
         """Pass on the first result and discard later ones."""
         self._timer.cancel()
         callback, self._callback = self._callback, None
         if callback is not None:
-            callback(result)
+            callback(result.alt(_error))
 
     def _on_timeout(self) -> None:
         self.on_result(
-            Failure(
-                exceptions.BalsamwallError(
-                    result_code.ResultCode.PLATFORM_OUTCOME_UNKNOWN,
-                    "no answer from the key-value service in time",
-                )
-            )
+            Failure(result_code.ResultCode.PLATFORM_OUTCOME_UNKNOWN)
         )
+
+
+def _error(code: result_code.ResultCode) -> exceptions.BalsamwallError:
+    return exceptions.BalsamwallError(
+        code, f"the key-value service failed with {code.name}"
+    )
--- /dev/null
+++ b/src/balsamwall/console/file_reader.py
@@ -0,0 +1,33 @@
+"""Reader of configuration files for the commands."""
+
+from __future__ import annotations
+
+import pathlib
+
+from balsamwall.configuration import ini_file
+from balsamwall.console import exceptions
+from balsamwall.console import exit_codes
+
+
+def read_files(paths: tuple[str, ...]) -> dict[str, str]:
+    """Return the texts by file name; raise ConsoleError."""
+    if not paths:
+        raise exceptions.ConsoleError(
+            exit_codes.ExitCode.USAGE, "give at least one configuration file"
+        )
+    files: dict[str, str] = {}
+    for path in paths:
+        name = pathlib.Path(path).name
+        if name in files:
+            raise exceptions.ConsoleError(
+                exit_codes.ExitCode.USAGE, f"two files are named {name}"
+            )
+        try:
+            with open(path, encoding="utf-8") as file:
+                # The validation reports a file that is longer than this.
+                files[name] = file.read(ini_file.MAX_FILE_BYTES + 1)
+        except (OSError, UnicodeDecodeError) as error:
+            raise exceptions.ConsoleError(
+                exit_codes.ExitCode.INVALID, f"{path}: {error}"
+            ) from error
+    return files
--- /dev/null
+++ b/src/balsamwall/console/session.py
@@ -0,0 +1,89 @@
+"""Options, clients and output of one command."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from balsamwall.console import administration_client
+from balsamwall.console import http_transport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from balsamwall.console import console_settings
+
+
+class Session:
+    """What a command works with."""
+
+    __slots__ = (
+        "administration",
+        "is_json",
+        "settings",
+        "sleep",
+        "transport",
+    )
+
+    def __init__(
+        self,
+        settings: console_settings.ConsoleSettings,
+        is_json: bool,
+        transport: http_transport.Transport = http_transport.send,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self.settings = settings
+        self.is_json = is_json
+        self.transport = transport
+        self.sleep = sleep
+        self.administration = administration_client.AdministrationClient(
+            settings, transport, sleep
+        )
+
+    def show(self, body: Mapping[str, Any], text: str) -> None:
+        """Print the body with --json, else the text."""
+        if self.is_json:
+            print(json.dumps(body), flush=True)
+        elif text:
+            print(text, flush=True)
+
+    def show_table(
+        self,
+        body: Mapping[str, Any],
+        rows: Sequence[Mapping[str, Any]],
+        columns: Sequence[str],
+    ) -> None:
+        """Print rows in aligned columns, or the body with --json."""
+        self.show(body, table(rows, columns))
+
+    def note(self, text: str) -> None:
+        """Print a remark that is not part of the output."""
+        print(text, file=sys.stderr, flush=True)
+
+
+def table(rows: Sequence[Mapping[str, Any]], columns: Sequence[str]) -> str:
+    """Return rows in aligned columns with a heading."""
+    lines = [[column.replace("_", " ").upper() for column in columns]]
+    lines += [[_cell(row.get(column)) for column in columns] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def _cell(value: Any) -> str:
+    if value is None or value == "":
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return ",".join(map(str, value)) or "-"
+    return str(value)
--- /dev/null
+++ b/tests/console/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the command-line tool."""
+
+from __future__ import annotations
