--- a/src/balsamwall/configuration/administration_routes.py
+++ b/src/balsamwall/configuration/administration_routes.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import Any
 
-PREFIX = "/admin/v1/tenants/"
+PREFIX = "/v1/tenants/"
 MAX_PATH_CHARACTERS = 512
 
 Handler = Callable[..., None]
--- a/src/balsamwall/configuration/configuration_difference.py
+++ b/src/balsamwall/configuration/configuration_difference.py
@@ -14,6 +14,7 @@
     from balsamwall.configuration import tenant_configuration
 
 _PARTS = ("models", "adapters", "services", "workspaces")
+_SINGLE_PARTS = ("fleet", "weight_store")
 _SHOWN_HASH_CHARACTERS = 8
 
 
@@ -30,7 +31,7 @@
     """One added or removed item, or one changed field of an item."""
 
     kind: Kind
-    part: str  # "models", "adapters", "services", "workspaces" or "fleet"
+    part: str  # field of TenantConfiguration
     name: str
     field: str = ""
     old: Any = None
@@ -74,13 +75,15 @@
     for part in _PARTS:
         before = getattr(old, part) if old is not None else {}
         entries += _difference_of_part(part, before, getattr(new, part))
-    old_fleet = old.fleet if old is not None else None
-    if old_fleet is None and new.fleet is not None:
-        entries.append(DifferenceEntry(Kind.ADDED, "fleet", ""))
-    elif old_fleet is not None and new.fleet is None:
-        entries.append(DifferenceEntry(Kind.REMOVED, "fleet", ""))
-    elif old_fleet is not None:
-        entries += _changed_fields("fleet", "", old_fleet, new.fleet)
+    for part in _SINGLE_PARTS:
+        before = getattr(old, part) if old is not None else None
+        after = getattr(new, part)
+        if before is None and after is not None:
+            entries.append(DifferenceEntry(Kind.ADDED, part, ""))
+        elif before is not None and after is None:
+            entries.append(DifferenceEntry(Kind.REMOVED, part, ""))
+        elif before is not None:
+            entries += _changed_fields(part, "", before, after)
     return entries
 
 
--- a/src/balsamwall/configuration/configuration_parser.py
+++ b/src/balsamwall/configuration/configuration_parser.py
@@ -23,13 +23,14 @@
 SECTION_KINDS = (
     "tenant",
     "fleet",
+    "weight_store",
     "model",
     "adapter",
     "service",
     "template",
     "workspace",
 )
-_SINGLE_KINDS = ("tenant", "fleet")
+_SINGLE_KINDS = ("tenant", "fleet", "weight_store")
 
 
 def parse(
@@ -94,7 +95,11 @@
             tuple(models), tuple(adapters), tuple(services)
         )
         workspaces = self._workspaces(known)
-        own_fleet = self._fleet()
+        fleets = self._sections["fleet"]
+        if fleets:
+            own_fleet = section_builders.build_fleet(fleets[0])
+            fleet = fleet or own_fleet
+        stores = self._sections["weight_store"]
         result = tenant_configuration.TenantConfiguration(
             tenant=name,
             revision=0,
@@ -103,7 +108,12 @@
             adapters=adapters,
             services=services,
             workspaces=workspaces,
-            fleet=fleet or own_fleet,
+            fleet=fleet,
+            weight_store=(
+                section_builders.build_weight_store(stores[0])
+                if stores
+                else None
+            ),
         )
         if not self.problems:
             self._check_keys_are_distinct(workspaces)
@@ -140,10 +150,6 @@
             section.report("name", name, expected)
         return name
 
-    def _fleet(self) -> tenant_configuration.FleetSpec | None:
-        sections = self._sections["fleet"]
-        return section_builders.build_fleet(sections[0]) if sections else None
-
     def _models(self) -> dict[str, tenant_configuration.ModelSpec]:
         models: dict[str, tenant_configuration.ModelSpec] = {}
         for section, names in self._expanded("model"):
--- a/src/balsamwall/configuration/configuration_replica.py
+++ b/src/balsamwall/configuration/configuration_replica.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from balsamwall.configuration import configuration_delta
 from balsamwall.configuration import document_codec
 from balsamwall.configuration import exceptions
 from balsamwall.configuration import tenant_configuration
@@ -31,6 +32,8 @@
 FETCH_TIMEOUT_MS = 500
 FETCHES_PER_SOURCE = 3
 MAX_SOURCES = 16
+# Differences to this many earlier revisions can be sent and understood.
+KEPT_REVISIONS = 16
 
 Configuration = tenant_configuration.TenantConfiguration
 Listener = Callable[[Configuration, Configuration | None], None]
@@ -43,6 +46,7 @@
     documents_taken: int = 0
     documents_refused: int = 0
     documents_sent: int = 0
+    deltas_sent: int = 0
     fetches_sent: int = 0
     announces_sent: int = 0
 
@@ -69,6 +73,7 @@
         "_contents",
         "_fetches",
         "_in_force",
+        "_kept",
         "_known",
         "_listeners",
         "_outbox",
@@ -90,7 +95,9 @@
         self._random = random_source
         self._tenants = frozenset(tenants)
         self._in_force: dict[str, Configuration] = {}
-        self._contents: dict[str, bytes] = {}
+        # Encoded forms of what is in force by base revision, 0 for whole.
+        self._contents: dict[str, dict[int, bytes]] = {}
+        self._kept: dict[str, dict[int, Configuration]] = {}
         self._connected: dict[str, None] = {}
         self._known: tuple[str, ...] = ()
         self._fetches: dict[str, _Fetch] = {}
@@ -139,15 +146,11 @@
         self._known = tuple(peers)
 
     def offer(self, configuration: Configuration) -> bool:
-        """Take a configuration if its revision is higher.
-
-        Raise DocumentInvalid if it is too large to pass on.
-        """
+        """Take a configuration if its revision is higher."""
         tenant = configuration.tenant
         if not self._is_wanted(tenant, configuration.revision):
             return False
-        content = document_codec.encode_configuration(configuration)
-        self._take(configuration, content, "")
+        self._take(configuration, "")
         return True
 
     def on_peer_up(self, peer: str, hello: Any = None) -> None:
@@ -241,23 +244,55 @@
             or configuration.revision <= item.above_revision
         ):
             return
+        content = self._content(configuration, item.above_revision)
+        if content is None:
+            return
         self.counters.documents_sent += 1
         self._outbox.send(
             peer,
             messages_configuration.ConfigDocument(
-                item.tenant,
-                configuration.revision,
-                self._contents[item.tenant],
+                item.tenant, configuration.revision, content
             ),
         )
 
+    def _content(
+        self, configuration: Configuration, above_revision: int
+    ) -> bytes | None:
+        tenant = configuration.tenant
+        base = self._kept[tenant].get(above_revision)
+        encoded = self._contents[tenant]
+        number = base.revision if base is not None else 0
+        if number not in encoded:
+            try:
+                encoded[number] = (
+                    configuration_delta.encode(base, configuration)
+                    if base is not None
+                    else document_codec.encode_configuration(configuration)
+                )
+            except exceptions.DocumentInvalid:
+                # Not reached for a document that the store has accepted.
+                self.counters.documents_refused += 1
+                return None
+        if base is not None:
+            self.counters.deltas_sent += 1
+        return encoded[number]
+
     def _on_document(
         self, peer: str, item: messages_configuration.ConfigDocument
     ) -> None:
         if not self._is_wanted(item.tenant, item.revision):
             return
         try:
-            configuration = document_codec.decode_configuration(item.content)
+            configuration = configuration_delta.decode(
+                item.content, self._kept.get(item.tenant, {})
+            )
+        except exceptions.DeltaBaseUnknown:
+            # Revision 0 asks for the whole document.
+            self.counters.fetches_sent += 1
+            self._outbox.send(
+                peer, messages_configuration.ConfigFetch(item.tenant, 0)
+            )
+            return
         except exceptions.DocumentInvalid:
             self._refuse(peer, item.tenant)
             return
@@ -267,7 +302,7 @@
         ):
             self._refuse(peer, item.tenant)
             return
-        self._take(configuration, item.content, peer)
+        self._take(configuration, peer)
 
     def _refuse(self, peer: str, tenant: str) -> None:
         self.counters.documents_refused += 1
@@ -276,13 +311,15 @@
             fetch.sources.pop(peer, None)
             self._ask_next(tenant)
 
-    def _take(
-        self, configuration: Configuration, content: bytes, source: str
-    ) -> None:
+    def _take(self, configuration: Configuration, source: str) -> None:
         tenant = configuration.tenant
         old = self._in_force.get(tenant)
         self._in_force[tenant] = configuration
-        self._contents[tenant] = content
+        self._contents[tenant] = {}
+        kept = self._kept.setdefault(tenant, {})
+        kept[configuration.revision] = configuration
+        if len(kept) > KEPT_REVISIONS:
+            del kept[min(kept)]
         self.counters.documents_taken += 1
         if tenant in self._fetches:
             fetch = self._fetches[tenant]
--- a/src/balsamwall/configuration/document_codec.py
+++ b/src/balsamwall/configuration/document_codec.py
@@ -29,12 +29,16 @@
 MAX_PLAIN_BYTES = 4 * 1024 * 1024
 MAX_HISTORY_ENTRIES = 50
 
-_PARTS: tuple[tuple[str, Any], ...] = (
+PARTS: tuple[tuple[str, Any], ...] = (
     ("models", tenant_configuration.ModelSpec),
     ("adapters", tenant_configuration.AdapterSpec),
     ("services", tenant_configuration.ServiceSpec),
     ("workspaces", tenant_configuration.WorkspaceSpec),
 )
+SINGLE_PARTS: tuple[tuple[str, Any], ...] = (
+    ("fleet", tenant_configuration.FleetSpec),
+    ("weight_store", tenant_configuration.WeightStoreSpec),
+)
 
 
 def encode_configuration(
@@ -47,12 +51,14 @@
         "revision": configuration.revision,
         "change_id": configuration.change_id,
     }
-    for part, _ in _PARTS:
+    for part, _ in PARTS:
         specs = getattr(configuration, part)
         plain[part] = [dataclasses.asdict(spec) for spec in specs.values()]
-    if configuration.fleet is not None:
-        plain["fleet"] = dataclasses.asdict(configuration.fleet)
-    content = _pack(plain)
+    for part, _ in SINGLE_PARTS:
+        spec = getattr(configuration, part)
+        if spec is not None:
+            plain[part] = dataclasses.asdict(spec)
+    content = pack(plain)
     if len(content) > MAX_CONTENT_BYTES:
         raise exceptions.DocumentInvalid(
             f"configuration of {len(content)} bytes"
@@ -69,27 +75,30 @@
     Unknown fields are ignored and absent ones take their defaults, so that
     processes of two releases can exchange configurations.
     """
-    plain = _unpack(content, MAX_CONTENT_BYTES)
+    return from_plain(unpack(content, MAX_CONTENT_BYTES))
+
+
+def from_plain(
+    plain: Mapping[str, Any],
+) -> tenant_configuration.TenantConfiguration:
+    """Return a checked configuration from a map; raise DocumentInvalid."""
     parts: dict[str, Any] = {}
-    for part, cls in _PARTS:
-        rows = _field(plain, part, list)
-        specs = [_spec(cls, row) for row in rows]
+    for part, cls in PARTS:
+        rows = read_field(plain, part, list)
+        specs = [read_spec(cls, row) for row in rows]
         parts[part] = {spec.name: spec for spec in specs}
         if len(parts[part]) != len(rows):
             raise exceptions.DocumentInvalid(f"{part}: repeated name")
-    fleet = plain.get("fleet")
+    for part, cls in SINGLE_PARTS:
+        if plain.get(part) is not None:
+            parts[part] = read_spec(cls, plain[part])
     configuration = tenant_configuration.TenantConfiguration(
-        tenant=_field(plain, "tenant", str),
-        revision=_field(plain, "revision", int),
-        change_id=_field(plain, "change_id", str),
-        fleet=(
-            _spec(tenant_configuration.FleetSpec, fleet)
-            if fleet is not None
-            else None
-        ),
+        tenant=read_field(plain, "tenant", str),
+        revision=read_field(plain, "revision", int),
+        change_id=read_field(plain, "change_id", str),
         **parts,
     )
-    _check_references(configuration)
+    check_references(configuration)
     return configuration
 
 
@@ -102,7 +111,7 @@
     """
     content = encode_configuration(document.configuration)
     entries = [
-        {**entry.to_json(), "files": _pack(dict(entry.files))}
+        {**entry.to_json(), "files": pack(dict(entry.files))}
         for entry in document.entries[:MAX_HISTORY_ENTRIES]
     ]
     while entries:
@@ -126,15 +135,15 @@
             f"document of {len(data)} bytes exceeds {MAX_DOCUMENT_BYTES}"
         )
     plain = _unpack_map(data)
-    configuration = decode_configuration(_field(plain, "content", bytes))
+    configuration = decode_configuration(read_field(plain, "content", bytes))
     entries = []
-    for row in _field(plain, "entries", list):
+    for row in read_field(plain, "entries", list):
         if type(row) is not dict:
             raise exceptions.DocumentInvalid("entries: not a map")
-        files = _unpack(_field(row, "files", bytes), MAX_DOCUMENT_BYTES)
+        files = unpack(read_field(row, "files", bytes), MAX_DOCUMENT_BYTES)
         _check("files", dict[str, str], files)
         entries.append(
-            _spec(
+            read_spec(
                 configuration_document.DocumentEntry,
                 {**row, "files": {}},
                 files=files,
@@ -147,11 +156,13 @@
     )
 
 
-def _pack(plain: Mapping[str, Any]) -> bytes:
+def pack(plain: Mapping[str, Any]) -> bytes:
+    """Encode and compress a map."""
     return zlib.compress(msgpack.packb(plain), 6)
 
 
-def _unpack(data: bytes, limit: int) -> dict[str, Any]:
+def unpack(data: bytes, limit: int) -> dict[str, Any]:
+    """Decode a compressed map within limits; raise DocumentInvalid."""
     if len(data) > limit:
         raise exceptions.DocumentInvalid(
             f"{len(data)} bytes exceed the limit of {limit}"
@@ -178,7 +189,8 @@
     return plain
 
 
-def _field(plain: Mapping[str, Any], name: str, expected: type[T]) -> T:
+def read_field(plain: Mapping[str, Any], name: str, expected: type[T]) -> T:
+    """Return a checked field of a map; raise DocumentInvalid."""
     value = plain.get(name)
     if type(value) is not expected:
         found = type(value).__name__
@@ -195,7 +207,8 @@
         raise exceptions.DocumentInvalid(error.message) from error
 
 
-def _spec(cls: type[T], row: object, **given: object) -> T:
+def read_spec(cls: type[T], row: object, **given: object) -> T:
+    """Return a data class from a map; raise DocumentInvalid."""
     if type(row) is not dict:
         raise exceptions.DocumentInvalid(f"{cls.__name__}: not a map")
     values: dict[str, Any] = {}
@@ -242,9 +255,10 @@
     return value
 
 
-def _check_references(
+def check_references(
     configuration: tenant_configuration.TenantConfiguration,
 ) -> None:
+    """Check that every referenced name exists; raise DocumentInvalid."""
     for adapter in configuration.adapters.values():
         if adapter.base not in configuration.models:
             raise exceptions.DocumentInvalid(
--- a/src/balsamwall/configuration/exceptions.py
+++ b/src/balsamwall/configuration/exceptions.py
@@ -80,3 +80,7 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(_CODE.CONFIGURATION_INVALID, message)
+
+
+class DeltaBaseUnknown(DocumentInvalid):
+    """Difference to a revision that this process does not have."""
--- a/src/balsamwall/configuration/section_builders.py
+++ b/src/balsamwall/configuration/section_builders.py
@@ -22,6 +22,8 @@
 _ZONES = value_readers.integer(1, 64)
 _VM_MEMORY = value_readers.size_bytes("1 MiB", "16 TiB")
 _KV_RESERVE = value_readers.decimal(0.05, 0.9)
+_LOADS = value_readers.decimal(0.01, 10_000)
+_LOADS_AT_ONCE = value_readers.integer(1, 10_000)
 _WEIGHTS = value_readers.size_bytes("1 KiB", "8 TiB")
 _KV_PER_TOKEN = value_readers.size_bytes("1 B", "64 MiB")
 _CONTEXT = value_readers.integer(16, 4_000_000)
@@ -57,6 +59,21 @@
     return fleet
 
 
+def build_weight_store(
+    section: ini_file.Section,
+) -> tenant_configuration.WeightStoreSpec:
+    """Read the limits of the weight store."""
+    section.check_keys({"loads_per_second", "max_concurrent"})
+    return tenant_configuration.WeightStoreSpec(
+        loads_per_second=section.read(
+            "loads_per_second", _LOADS, 1.0, is_required=True
+        ),
+        max_concurrent=section.read(
+            "max_concurrent", _LOADS_AT_ONCE, 1, is_required=True
+        ),
+    )
+
+
 def build_models(
     section: ini_file.Section, names: Sequence[str]
 ) -> dict[str, tenant_configuration.ModelSpec]:
--- a/src/balsamwall/configuration/tenant_configuration.py
+++ b/src/balsamwall/configuration/tenant_configuration.py
@@ -70,6 +70,14 @@
     availability_zones: int = 1
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WeightStoreSpec:
+    """Limits of the weight store that the permits share."""
+
+    loads_per_second: float
+    max_concurrent: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TenantConfiguration:
     """Accepted configuration of a tenant at one revision."""
@@ -82,6 +90,7 @@
     services: dict[str, ServiceSpec]
     workspaces: dict[str, WorkspaceSpec]
     fleet: FleetSpec | None = None
+    weight_store: WeightStoreSpec | None = None
 
     def base_of(self, name: str) -> str:
         """Return the base model of an adapter, or the model itself."""
--- a/src/balsamwall/console/administration_client.py
+++ b/src/balsamwall/console/administration_client.py
@@ -96,7 +96,7 @@
         try:
             with self._transport(
                 method,
-                f"{base}/admin/v1/tenants/{tenant}/{path}",
+                f"{base}/v1/tenants/{tenant}/{path}",
                 headers,
                 data,
                 settings.timeout_s,
--- a/tests/configuration/test_configuration_parser.py
+++ b/tests/configuration/test_configuration_parser.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 import hypothesis
 from hypothesis import strategies
 
+from balsamwall.configuration import configuration_delta
 from balsamwall.configuration import configuration_parser
 from balsamwall.configuration import document_codec
 from balsamwall.configuration import exceptions
@@ -114,6 +116,18 @@
         content = document_codec.encode_configuration(result)
         self.assertEqual(result, document_codec.decode_configuration(content))
 
+    def test_difference_to_a_base(self) -> None:
+        """A difference to another base would mix two configurations."""
+        old = dataclasses.replace(fakes.parse(), revision=1, change_id="a")
+        text = fakes.BASIC.replace("{1..4}", "{2..5}") + "rate = 9\n"
+        new = dataclasses.replace(fakes.parse(text), revision=2, change_id="b")
+        content = configuration_delta.encode(old, new)
+        self.assertEqual(new, configuration_delta.decode(content, {1: old}))
+        other = dataclasses.replace(old, change_id="c")
+        for kept in ({}, {1: other}):
+            with self.assertRaises(exceptions.DeltaBaseUnknown):
+                configuration_delta.decode(content, kept)
+
     @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
     @hypothesis.given(strategies.data())
     def test_damage_is_refused(self, data: strategies.DataObject) -> None:
--- a/tests/configuration/test_dissemination.py
+++ b/tests/configuration/test_dissemination.py
@@ -121,7 +121,7 @@
 
         entry.store.write(
             configuration_store.Change(
-                dataclasses.replace(fakes.parse()),
+                fakes.parse(fakes.BASIC + f"burst = {revision}\n"),
                 {"a.ini": "x"},
                 f"c{revision}",
                 "ana",
@@ -169,6 +169,11 @@
             f" idle: {calls:.2f} calls/s to the key-value service,"
             f" {sent:.0f} bytes/s per process"
         )
+        counters = [p.replica.counters for p in fleet.processes.values()]
+        deltas = sum(counter.deltas_sent for counter in counters)
+        documents = sum(counter.documents_sent for counter in counters)
+        print(f"{deltas} of {documents} documents were differences")
+        self.assertGreater(deltas, documents / 2)
         self.assertLess(max(times), IN_FORCE_LIMIT_MS)
         self.assertEqual(0, fleet.reverts)
         self.assertEqual(2 * ZONES, len(fleet.service.watches))
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -109,7 +109,7 @@
     @contextlib.contextmanager
     def transport(self, method, url, headers, body, timeout_s):
         parts = urllib.parse.urlsplit(url)
-        if parts.path.startswith("/v1/"):
+        if parts.netloc == "c":
             self.caller_headers.append(headers)
             status, answer_headers, lines = self.caller_answer
             yield http_transport.HttpAnswer(
--- /dev/null
+++ b/tests/deploy/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the sample files."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/results/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the result codes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/results/test_result_codes_page.py
@@ -0,0 +1,36 @@
+"""Tests of the page of result codes."""
+
+from __future__ import annotations
+
+import pathlib
+import unittest
+
+from balsamwall.results import result_code
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "result-codes.md"
+
+
+class ResultCodesPageTest(unittest.TestCase):
+    """Guard against a page that tells callers something else."""
+
+    def test_table_equals_the_source(self) -> None:
+        """A caller who trusts a wrong row may repeat a booking."""
+        rows = [
+            [cell.strip() for cell in line.strip("|").split("|")]
+            for line in PAGE.read_text().splitlines()
+            if line.startswith("| ") and line[2].isdigit()
+        ]
+        rows = [row for row in rows if row[0].isdigit()]
+        expected = [
+            [
+                str(code.number),
+                code.name,
+                str(code.http_status),
+                code.ran.value,
+                code.repeat.value,
+            ]
+            for code in result_code.ResultCode
+        ]
+        self.assertEqual(expected, rows)
+        numbers = [code.number for code in result_code.ResultCode]
+        self.assertEqual(len(numbers), len(set(numbers)))
