--- a/src/balsamwall/configuration/configuration_delta.py
+++ b/src/balsamwall/configuration/configuration_delta.py
@@ -71,6 +71,24 @@
     return _apply(base, plain)
 
 
+def share(old: Configuration, new: Configuration) -> Configuration:
+    """Return the new configuration with the unchanged objects of the old.
+
+    Several revisions are kept; without sharing each would take megabytes.
+    """
+    parts: dict[str, Any] = {}
+    for part, _ in document_codec.PARTS:
+        before, after = getattr(old, part), getattr(new, part)
+        if before == after:
+            parts[part] = before
+            continue
+        parts[part] = {
+            name: before[name] if before.get(name) == spec else spec
+            for name, spec in after.items()
+        }
+    return dataclasses.replace(new, **parts)
+
+
 def _apply(base: Configuration, plain: Mapping[str, Any]) -> Configuration:
     parts: dict[str, Any] = {}
     for part, cls in document_codec.PARTS:
--- a/src/balsamwall/configuration/configuration_replica.py
+++ b/src/balsamwall/configuration/configuration_replica.py
@@ -33,7 +33,7 @@
 FETCHES_PER_SOURCE = 3
 MAX_SOURCES = 16
 # Differences to this many earlier revisions can be sent and understood.
-KEPT_REVISIONS = 16
+KEPT_REVISIONS = 8
 
 Configuration = tenant_configuration.TenantConfiguration
 Listener = Callable[[Configuration, Configuration | None], None]
@@ -136,7 +136,7 @@
 
     def revisions(self) -> dict[str, int]:
         """Return the revisions in force, for the ping."""
-        revisions = dict.fromkeys(self._tenants, 0)
+        revisions = dict.fromkeys(sorted(self._tenants), 0)
         for tenant, configuration in self._in_force.items():
             revisions[tenant] = configuration.revision
         return revisions
@@ -314,6 +314,8 @@
     def _take(self, configuration: Configuration, source: str) -> None:
         tenant = configuration.tenant
         old = self._in_force.get(tenant)
+        if old is not None:
+            configuration = configuration_delta.share(old, configuration)
         self._in_force[tenant] = configuration
         self._contents[tenant] = {}
         kept = self._kept.setdefault(tenant, {})
--- a/src/balsamwall/configuration/configuration_watcher.py
+++ b/src/balsamwall/configuration/configuration_watcher.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from returns.result import Failure
-
-from balsamwall.configuration import configuration_store
+from balsamwall.configuration import document_codec
+from balsamwall.configuration import exceptions
 from balsamwall.configuration import watcher_choice
 
 if TYPE_CHECKING:
@@ -14,6 +13,7 @@
     import random
 
     from balsamwall.configuration import configuration_replica
+    from balsamwall.configuration import configuration_store
     from balsamwall.configuration import key_value_client
     from balsamwall.timing import clock as timing_clock
 
@@ -117,10 +117,14 @@
         self._timer = self._clock.call_later(delay_ms, self._begin)
 
     def _offer(self, entry: key_value_client.KeyValueEntry) -> None:
-        result = configuration_store.decode_entry(entry)
-        if isinstance(result, Failure):
+        if entry.value is None:
+            return
+        try:
+            configuration = document_codec.decode_newer(
+                entry.value, self._replica.revision(self._tenant)
+            )
+        except exceptions.DocumentInvalid:
             self.documents_refused += 1
             return
-        document = result.unwrap()
-        if document is not None and document.tenant == self._tenant:
-            self._replica.offer(document.configuration)
+        if configuration is not None and configuration.tenant == self._tenant:
+            self._replica.offer(configuration)
--- a/src/balsamwall/configuration/document_codec.py
+++ b/src/balsamwall/configuration/document_codec.py
@@ -126,6 +126,30 @@
     )
 
 
+def decode_newer(
+    data: bytes, above_revision: int
+) -> tenant_configuration.TenantConfiguration | None:
+    """Decode only the configuration of a document, None if not newer.
+
+    Raise DocumentInvalid.
+    """
+    if len(data) > MAX_DOCUMENT_BYTES:
+        raise exceptions.DocumentInvalid(
+            f"document of {len(data)} bytes exceeds {MAX_DOCUMENT_BYTES}"
+        )
+    plain = _unpack_map(data)
+    entries = read_field(plain, "entries", list)
+    if not entries or type(entries[0]) is not dict:
+        raise exceptions.DocumentInvalid("entries: no newest entry")
+    revision = read_field(entries[0], "revision", int)
+    if revision <= above_revision:
+        return None
+    configuration = decode_configuration(read_field(plain, "content", bytes))
+    if configuration.revision != revision:
+        raise exceptions.DocumentInvalid("newest entry has another revision")
+    return configuration
+
+
 def decode_document(
     data: bytes,
 ) -> configuration_document.ConfigurationDocument:
--- a/tests/configuration/test_dissemination.py
+++ b/tests/configuration/test_dissemination.py
@@ -84,11 +84,11 @@
             name: f"z{number % ZONES}"
             for number, name in enumerate(self.names)
         }
-        self.links = {name: set() for name in self.names}
+        self.links = {name: {} for name in self.names}
         for entry in self.names[:ENTRIES]:
             for agent in self.random.sample(self.names[ENTRIES:], 64):
-                self.links[entry].add(agent)
-                self.links[agent].add(entry)
+                self.links[entry][agent] = None
+                self.links[agent][entry] = None
         self.processes = {n: Process(self, n) for n in self.names}
         for process in self.processes.values():
             process.start()
