--- a/src/balsamwall/configuration/administration.py
+++ b/src/balsamwall/configuration/administration.py
@@ -42,7 +42,7 @@
         self.fleet = fleet
         self.drains = drain_intents.DrainIntents(clock, fleet.mark_leaving)
         self.tracker = rollout_progress.RolloutTracker(
-            replica, self.rollout_view
+            clock, replica, self.rollout_view
         )
 
     def rollout_view(self, tenant: str) -> rollout_progress.RolloutView:
--- a/src/balsamwall/configuration/administration_configuration.py
+++ b/src/balsamwall/configuration/administration_configuration.py
@@ -310,7 +310,7 @@
     body: dict[str, object] = {
         "revision": configuration.revision,
         "change_id": configuration.change_id,
-        "source": "memory of the entry; the key-value service is unavailable",
+        "source": f"memory of the entry, because {error.message}",
         "files": {},
         **administration_bodies.counts(configuration),
     }
--- a/src/balsamwall/configuration/administration_fleet.py
+++ b/src/balsamwall/configuration/administration_fleet.py
@@ -49,13 +49,14 @@
 
 
 def _users(
-    configuration: tenant_configuration.TenantConfiguration, name: str
-) -> list[str]:
-    return [
-        workspace.name
-        for workspace in configuration.workspaces.values()
-        if name in workspace.models or name in workspace.adapters
-    ]
+    configuration: tenant_configuration.TenantConfiguration,
+) -> dict[str, list[str]]:
+    """Return the workspaces that use each model and adapter."""
+    users: dict[str, list[str]] = {}
+    for workspace in configuration.workspaces.values():
+        for name in (*workspace.models, *workspace.adapters):
+            users.setdefault(name, []).append(workspace.name)
+    return users
 
 
 @route("GET", "models")
@@ -63,6 +64,7 @@
     """List the models with their replicas and workspaces."""
     configuration = _configuration(context, request)
     holders = _holders(context, request.scope.tenant)
+    users = _users(configuration)
     _answer(
         respond,
         models=[
@@ -71,7 +73,7 @@
                 "version": spec.version,
                 "weight_bytes": spec.weight_bytes,
                 "replicas": len(holders.get(spec.name, [])),
-                "workspaces": _users(configuration, spec.name),
+                "workspaces": users.get(spec.name, []),
             }
             for spec in configuration.models.values()
         ],
@@ -83,6 +85,7 @@
     """List the adapters with their replicas and workspaces."""
     configuration = _configuration(context, request)
     holders = _holders(context, request.scope.tenant)
+    users = _users(configuration)
     _answer(
         respond,
         adapters=[
@@ -92,7 +95,7 @@
                 "version": spec.version,
                 "weight_bytes": spec.weight_bytes,
                 "replicas": len(holders.get(spec.name, [])),
-                "workspaces": _users(configuration, spec.name),
+                "workspaces": users.get(spec.name, []),
             }
             for spec in configuration.adapters.values()
         ],
@@ -234,7 +237,7 @@
         name=name,
         base=configuration.base_of(name),
         request_class=urgency,
-        workspaces=_users(configuration, name),
+        workspaces=_users(configuration).get(name, []),
         chosen=chosen,
         candidates=[candidate.to_json() for candidate in candidates],
     )
--- a/src/balsamwall/configuration/configuration_delta.py
+++ b/src/balsamwall/configuration/configuration_delta.py
@@ -61,6 +61,7 @@
     plain = document_codec.unpack(content, document_codec.MAX_CONTENT_BYTES)
     if "base_revision" not in plain:
         return document_codec.from_plain(plain)
+    document_codec.check_format(plain)
     number = document_codec.read_field(plain, "base_revision", int)
     change_id = document_codec.read_field(plain, "base_change_id", str)
     base = kept.get(number)
--- a/src/balsamwall/configuration/configuration_parser.py
+++ b/src/balsamwall/configuration/configuration_parser.py
@@ -47,7 +47,10 @@
     parser = _Parser(files)
     result = parser.build(tenant, fleet)
     if parser.problems:
-        raise exceptions.ConfigurationInvalid(parser.problems)
+        # A template that several workspaces use is checked for each.
+        raise exceptions.ConfigurationInvalid(
+            list(dict.fromkeys(parser.problems))
+        )
     return result
 
 
--- a/src/balsamwall/configuration/document_codec.py
+++ b/src/balsamwall/configuration/document_codec.py
@@ -82,6 +82,7 @@
     plain: Mapping[str, Any],
 ) -> tenant_configuration.TenantConfiguration:
     """Return a checked configuration from a map; raise DocumentInvalid."""
+    check_format(plain)
     parts: dict[str, Any] = {}
     for part, cls in PARTS:
         rows = read_field(plain, part, list)
@@ -138,6 +139,7 @@
             f"document of {len(data)} bytes exceeds {MAX_DOCUMENT_BYTES}"
         )
     plain = _unpack_map(data)
+    check_format(plain)
     entries = read_field(plain, "entries", list)
     if not entries or type(entries[0]) is not dict:
         raise exceptions.DocumentInvalid("entries: no newest entry")
@@ -159,6 +161,7 @@
             f"document of {len(data)} bytes exceeds {MAX_DOCUMENT_BYTES}"
         )
     plain = _unpack_map(data)
+    check_format(plain)
     configuration = decode_configuration(read_field(plain, "content", bytes))
     entries = []
     for row in read_field(plain, "entries", list):
@@ -180,6 +183,15 @@
     )
 
 
+def check_format(plain: Mapping[str, Any]) -> None:
+    """Refuse a format of a later release; raise DocumentInvalid."""
+    found = read_field(plain, "format", int)
+    if found != FORMAT:
+        raise exceptions.DocumentInvalid(
+            f"format {found}, this release reads {FORMAT}"
+        )
+
+
 def pack(plain: Mapping[str, Any]) -> bytes:
     """Encode and compress a map."""
     return zlib.compress(msgpack.packb(plain), 6)
--- a/src/balsamwall/configuration/rollout_planner.py
+++ b/src/balsamwall/configuration/rollout_planner.py
@@ -91,18 +91,19 @@
         ]
         is_tight = not _fits_side_by_side(old, new, dropped, replaced)
         if is_tight:
-            self._unload_all(dropped, ())
+            # A base stays while an adapter that moves off it needs it.
+            held = {before[name].base for name in replaced}
+            early = [copy for copy in dropped if copy.name not in held]
+            dropped = [copy for copy in dropped if copy.name in held]
+            self._unload_all(early, ())
         for name, copy in after.items():
             if name not in before:
                 self._load(copy, replaced)
         self._replace(replaced, before, after, is_tight)
-        if not is_tight:
-            loads = [
-                step.number
-                for step in self._steps
-                if step.action is Action.LOAD
-            ]
-            self._unload_all(dropped, tuple(loads))
+        loads = [
+            step.number for step in self._steps if step.action is Action.LOAD
+        ]
+        self._unload_all(dropped, tuple(loads))
         return list(self._steps)
 
     def _add(
--- a/src/balsamwall/configuration/rollout_progress.py
+++ b/src/balsamwall/configuration/rollout_progress.py
@@ -15,6 +15,11 @@
 
     from balsamwall.configuration import configuration_replica
     from balsamwall.configuration import tenant_configuration
+    from balsamwall.timing import clock as timing_clock
+
+
+# Planning takes tens of milliseconds for thousands of models.
+CHECK_INTERVAL_MS = 10_000
 
 
 class StepState(enum.Enum):
@@ -35,16 +40,6 @@
     services: frozenset[str] = frozenset()
     versions: frozenset[str] = frozenset()
 
-    def has(self, name: str) -> bool:
-        """Tell whether any version of a name is ready."""
-        return name in self.models or name in self.adapters
-
-    def has_version(self, name: str, version: str) -> bool:
-        """Tell whether a version is ready; any, if none is reported."""
-        if self.versions and version:
-            return f"{name}@{version}" in self.versions
-        return self.has(name)
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RolloutView:
@@ -71,87 +66,98 @@
         }
 
 
+class _Holders:
+    """VMs by what they report, so that each step takes one look-up."""
+
+    __slots__ = ("_by_name", "_by_version", "_loading", "_versioned")
+
+    def __init__(self, residents: Mapping[str, ResidentSet]) -> None:
+        self._by_name: dict[str, list[str]] = {}
+        self._by_version: dict[str, list[str]] = {}
+        self._loading: dict[str, list[str]] = {}
+        self._versioned: set[str] = set()
+        for vm, report in residents.items():
+            if report.versions:
+                self._versioned.add(vm)
+            for table, names in (
+                (self._by_name, report.models | report.adapters),
+                (self._by_version, report.versions),
+                (self._loading, report.loading),
+            ):
+                for name in names:
+                    table.setdefault(name, []).append(vm)
+
+    def ready(
+        self, name: str, version: str, needs_version: bool = False
+    ) -> list[str]:
+        """Return the VMs that hold a version ready.
+
+        A VM that reports no versions is taken to hold any version of what
+        it holds, unless the version must be known.
+        """
+        vms = list(self._by_version.get(f"{name}@{version}", []))
+        if not needs_version:
+            vms += [
+                vm
+                for vm in self._by_name.get(name, [])
+                if vm not in self._versioned
+            ]
+        return vms
+
+    def loading(self, name: str, version: str) -> list[str]:
+        """Return the VMs that load a name."""
+        return [
+            *self._loading.get(name, []),
+            *self._loading.get(f"{name}@{version}", []),
+        ]
+
+
 def progress(
     steps: Sequence[rollout_planner.RolloutStep],
     revision: int,
     view: RolloutView,
 ) -> list[StepProgress]:
     """Return the state of each step; steps are in planned order."""
+    holders = _Holders(view.residents)
+    behind = [vm for vm, own in view.revisions.items() if own < revision]
+    loaded = {
+        step.name
+        for step in steps
+        if step.action is rollout_planner.Action.LOAD
+    }
     result: list[StepProgress] = []
     done: set[int] = set()
     for step in steps:
-        item = _step_progress(step, steps, revision, view, done)
+        if step.action is rollout_planner.Action.PARAMETERS:
+            item = _parameters(step, behind, len(view.revisions))
+        elif step.action is rollout_planner.Action.LOAD:
+            item = _load(step, holders)
+        else:
+            waiting = [n for n in step.depends_on if n not in done]
+            item = _unload(step, waiting, step.name in loaded, holders)
         if item.state is StepState.DONE:
             done.add(step.number)
         result.append(item)
     return result
 
 
-def _step_progress(
-    step: rollout_planner.RolloutStep,
-    steps: Sequence[rollout_planner.RolloutStep],
-    revision: int,
-    view: RolloutView,
-    done: set[int],
-) -> StepProgress:
-    if step.action is rollout_planner.Action.PARAMETERS:
-        return _parameters(step, revision, view)
-    if step.action is rollout_planner.Action.LOAD:
-        return _load(step, view)
-    waiting = [n for n in step.depends_on if n not in done]
-    if waiting:
-        return StepProgress(
-            step,
-            StepState.PENDING,
-            f"waits for {', '.join(map(str, waiting))}",
-        )
-    is_replacement = any(
-        other.action is rollout_planner.Action.LOAD and other.name == step.name
-        for other in steps
-    )
-    holders = []
-    for vm, residents in view.residents.items():
-        if is_replacement and not residents.versions:
-            # The name alone shows the new version, which stays.
-            continue
-        if residents.has_version(step.name, step.version):
-            holders.append(vm)
-    if holders:
-        return StepProgress(
-            step, StepState.RUNNING, f"still on {_short(holders)}"
-        )
-    return StepProgress(step, StepState.DONE, "on no VM")
-
-
 def _parameters(
-    step: rollout_planner.RolloutStep, revision: int, view: RolloutView
+    step: rollout_planner.RolloutStep, behind: list[str], total: int
 ) -> StepProgress:
-    behind = [vm for vm, own in view.revisions.items() if own < revision]
     if not behind:
-        return StepProgress(
-            step, StepState.DONE, f"on {len(view.revisions)} VMs"
-        )
-    is_begun = len(behind) < len(view.revisions)
+        return StepProgress(step, StepState.DONE, f"on {total} VMs")
+    is_begun = len(behind) < total
     state = StepState.RUNNING if is_begun else StepState.PENDING
     return StepProgress(step, state, f"not yet on {_short(behind)}")
 
 
 def _load(
-    step: rollout_planner.RolloutStep, view: RolloutView
+    step: rollout_planner.RolloutStep, holders: _Holders
 ) -> StepProgress:
-    holders = [
-        vm
-        for vm, residents in view.residents.items()
-        if residents.has_version(step.name, step.version)
-    ]
-    if holders:
-        return StepProgress(step, StepState.DONE, f"on {_short(holders)}")
-    names = {step.name, f"{step.name}@{step.version}"}
-    loading = [
-        vm
-        for vm, residents in view.residents.items()
-        if residents.loading & names
-    ]
+    ready = holders.ready(step.name, step.version)
+    if ready:
+        return StepProgress(step, StepState.DONE, f"on {_short(ready)}")
+    loading = holders.loading(step.name, step.version)
     if loading:
         return StepProgress(
             step, StepState.RUNNING, f"loading on {_short(loading)}"
@@ -159,6 +165,26 @@
     return StepProgress(step, StepState.PENDING, "on no VM")
 
 
+def _unload(
+    step: rollout_planner.RolloutStep,
+    waiting: list[int],
+    is_replaced: bool,
+    holders: _Holders,
+) -> StepProgress:
+    if waiting:
+        numbers = ", ".join(map(str, waiting[:3]))
+        if len(waiting) > 3:
+            numbers += f" and {len(waiting) - 3} more"
+        return StepProgress(step, StepState.PENDING, f"waits for {numbers}")
+    # The name alone shows the new version of a replaced copy, which stays.
+    still = holders.ready(step.name, step.version, needs_version=is_replaced)
+    if still:
+        return StepProgress(
+            step, StepState.RUNNING, f"still on {_short(still)}"
+        )
+    return StepProgress(step, StepState.DONE, "on no VM")
+
+
 def _short(vms: list[str]) -> str:
     shown = ", ".join(sorted(vms)[:3])
     return shown if len(vms) <= 3 else f"{shown} and {len(vms) - 3} more"
@@ -167,19 +193,29 @@
 class RolloutTracker:
     """Steps of each tenant since the last finished roll-out."""
 
-    __slots__ = ("_baselines", "_planner", "_replica", "_view")
+    __slots__ = (
+        "_baselines",
+        "_checked_ms",
+        "_clock",
+        "_planner",
+        "_replica",
+        "_view",
+    )
 
     def __init__(
         self,
+        clock: timing_clock.Clock,
         replica: configuration_replica.ConfigurationReplica,
         view: Callable[[str], RolloutView],
     ) -> None:
+        self._clock = clock
         self._replica = replica
         self._view = view
         self._planner = rollout_planner.RolloutPlanner()
         self._baselines: dict[
             str, tenant_configuration.TenantConfiguration | None
         ] = {}
+        self._checked_ms: dict[str, int] = {}
         replica.add_listener(self._on_change)
 
     def current(self, tenant: str) -> list[StepProgress]:
@@ -204,5 +240,12 @@
             # After a restart the earlier configuration is unknown; every
             # load counts, and those that are resident are done at once.
             self._baselines[new.tenant] = None
-        elif all(p.state is StepState.DONE for p in self._progress(old)):
+            return
+        now_ms = self._clock.now_ms()
+        last_ms = self._checked_ms.get(new.tenant, -CHECK_INTERVAL_MS)
+        if now_ms - last_ms < CHECK_INTERVAL_MS:
+            # An older baseline only lists more steps that are done.
+            return
+        self._checked_ms[new.tenant] = now_ms
+        if all(p.state is StepState.DONE for p in self._progress(old)):
             self._baselines[new.tenant] = old
--- a/src/balsamwall/configuration/template_expander.py
+++ b/src/balsamwall/configuration/template_expander.py
@@ -17,7 +17,11 @@
     names: set[str] = set()
     for key, value in template.values.items():
         for match in _PLACEHOLDER.finditer(value):
-            name = match.group(1)
+            name, default = match.groups()
+            if default is not None and "{" in default:
+                template.report(
+                    key, match.group(0), "a default without a {} pattern"
+                )
             if _PARAMETER.fullmatch(name):
                 names.add(name)
             else:
