--- /dev/null
+++ b/src/balsamwall/platform/http_client.py
@@ -0,0 +1,255 @@
+"""HTTP exchanges of a client with a time limit."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python import failure
+
+    from balsamwall.timing import clock as clock_module
+
+CONNECT_TIMEOUT_MS = 1_000
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_NOT_SENT = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    error.DNSLookupError,
+    error.TimeoutError,
+)
+
+
+class Receiver(Protocol):
+    """Receiver of an answer in parts; on_close comes exactly once."""
+
+    def on_head(self, status: int, headers: dict[str, str]) -> None:
+        """Receive the status and the headers with names in lower case."""
+
+    def on_data(self, data: bytes) -> None:
+        """Receive a part of the body."""
+
+    def on_close(self, is_complete: bool, was_sent: bool, reason: str) -> None:
+        """Receive the end; was_sent is False if nothing left this process."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HttpAnswer:
+    """Whole answer, or the reason why there is none (status 0)."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    was_sent: bool
+    reason: str
+
+
+@interface.implementer(iweb.IBodyProducer)
+class _BytesProducer:
+    def __init__(self, body: bytes) -> None:
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(self, consumer: Any) -> Any:
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:
+        """Do nothing, because the body is written at once."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing, because the body is written at once."""
+
+    def stopProducing(self) -> None:
+        """Do nothing, because the body is written at once."""
+
+
+class _BodyReader(protocol.Protocol):  # type: ignore[misc]
+    def __init__(self, exchange: HttpExchange) -> None:
+        self._exchange = exchange
+
+    def dataReceived(self, data: bytes) -> None:
+        self._exchange.on_data(data)
+
+    def connectionLost(self, reason: failure.Failure = None) -> None:
+        # PotentialDataLoss means that the length was not stated, so that a
+        # cut answer would look whole; it counts as incomplete.
+        is_complete = bool(reason.check(client.ResponseDone))
+        self._exchange.close(is_complete, True, reason.getErrorMessage())
+
+
+class HttpExchange:
+    """One request on a connection of its own."""
+
+    __slots__ = ("_deferred", "_reader", "_receiver")
+
+    def __init__(self, receiver: Receiver) -> None:
+        self._receiver: Receiver | None = receiver
+        self._deferred: Any = None
+        self._reader: Any = None
+
+    def start(
+        self,
+        agent: Any,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        """Send the request."""
+        raw = http_headers.Headers(
+            {name: [value] for name, value in headers.items()}
+        )
+        producer = _BytesProducer(body) if body or method == "POST" else None
+        self._deferred = agent.request(
+            method.encode("ascii"), url.encode("utf-8"), raw, producer
+        )
+        self._deferred.addCallbacks(self._on_response, self._on_failure)
+
+    def abort(self) -> None:
+        """Close the connection; the receiver hears nothing more."""
+        self._receiver = None
+        if self._reader is not None:
+            if self._reader.transport is not None:
+                self._reader.transport.loseConnection()
+        elif self._deferred is not None:
+            self._deferred.cancel()
+
+    def on_data(self, data: bytes) -> None:
+        """Hand on a part of the body."""
+        if self._receiver is not None:
+            self._receiver.on_data(data)
+
+    def close(self, is_complete: bool, was_sent: bool, reason: str) -> None:
+        """Hand on the end once."""
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.on_close(is_complete, was_sent, reason)
+
+    def _on_response(self, response: Any) -> None:
+        self._reader = _BodyReader(self)
+        if self._receiver is not None:
+            found = {
+                name.decode("latin-1").lower(): values[0].decode("latin-1")
+                for name, values in response.headers.getAllRawHeaders()
+            }
+            self._receiver.on_head(response.code, found)
+        response.deliverBody(self._reader)
+        if self._receiver is None and self._reader.transport is not None:
+            self._reader.transport.loseConnection()
+
+    def _on_failure(self, reason: failure.Failure) -> None:
+        was_sent = not reason.check(*_NOT_SENT)
+        self.close(False, was_sent, reason.getErrorMessage())
+
+
+class _WholeAnswer:
+    """Receiver that collects an answer within a time limit."""
+
+    __slots__ = (
+        "_body",
+        "_callback",
+        "_headers",
+        "_size",
+        "_status",
+        "exchange",
+        "timer",
+    )
+
+    def __init__(self, callback: Callable[[HttpAnswer], None]) -> None:
+        self._callback: Callable[[HttpAnswer], None] | None = callback
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+        self.exchange = HttpExchange(self)
+        self.timer: clock_module.Timer | None = None
+
+    def on_head(self, status: int, headers: dict[str, str]) -> None:
+        self._status = status
+        self._headers = headers
+
+    def on_data(self, data: bytes) -> None:
+        self._size += len(data)
+        self._body.append(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self.exchange.abort()
+            self.on_close(False, True, "the answer is too large")
+
+    def on_close(self, is_complete: bool, was_sent: bool, reason: str) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        callback, self._callback = self._callback, None
+        if callback is None:
+            return
+        status = self._status if is_complete else 0
+        body = b"".join(self._body) if is_complete else b""
+        callback(HttpAnswer(status, self._headers, body, was_sent, reason))
+
+    def on_timeout(self) -> None:
+        self.exchange.abort()
+        self.on_close(False, True, "no answer within the time limit")
+
+    def cancel(self) -> None:
+        self._callback = None
+        if self.timer is not None:
+            self.timer.cancel()
+        self.exchange.abort()
+
+
+class HttpClient:
+    """Client that opens one connection per request.
+
+    A kept connection may have gone silent or been closed by the peer, and a
+    request sent on it would end with an unknown outcome for no need.
+    """
+
+    __slots__ = ("_agent", "_clock")
+
+    def __init__(self, reactor: Any, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        pool = client.HTTPConnectionPool(reactor, persistent=False)
+        pool.retryAutomatically = False
+        self._agent = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_MS / 1_000, pool=pool
+        )
+
+    def stream(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes,
+        receiver: Receiver,
+    ) -> HttpExchange:
+        """Send a request and deliver the answer in parts."""
+        exchange = HttpExchange(receiver)
+        exchange.start(self._agent, method, url, headers, body)
+        return exchange
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_ms: int,
+        callback: Callable[[HttpAnswer], None],
+    ) -> Callable[[], None]:
+        """Send a request, call back once; return a function that cancels."""
+        whole = _WholeAnswer(callback)
+        whole.timer = self._clock.call_later(timeout_ms, whole.on_timeout)
+        whole.exchange.start(self._agent, method, url, headers, body)
+        return whole.cancel
--- /dev/null
+++ b/src/balsamwall/platform/key_value_service.py
@@ -0,0 +1,112 @@
+"""Interface of the platform's key-value service."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from returns.result import Result
+
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeyValue:
+    """Value of a key at a revision; the value is None after a delete."""
+
+    key: str
+    value: bytes | None
+    revision: int  # revision of the last change of the key
+    lease_id: int = 0
+
+
+RevisionResult = Result[int, result_code.ResultCode]
+GetResult = Result[KeyValue | None, result_code.ResultCode]
+ListResult = Result[tuple[KeyValue, ...], result_code.ResultCode]
+LeaseResult = Result[int, result_code.ResultCode]
+
+
+class Watch(Protocol):
+    """Handle of a watch."""
+
+    def cancel(self) -> None:
+        """End the watch; do nothing if it has ended."""
+
+
+class KeyValueService(Protocol):
+    """Small agreed store; each callback is called exactly once.
+
+    A failure is PLATFORM_UNAVAILABLE (a read failed, or a write had no
+    effect), PLATFORM_OUTCOME_UNKNOWN (a write that may have taken effect),
+    COMPARE_FAILED, or BODY_TOO_LARGE for a value over MAX_VALUE_BYTES.
+    """
+
+    def get(self, key: str, callback: Callable[[GetResult], None]) -> None:
+        """Read a key; None when it is absent."""
+
+    def get_prefix(
+        self, prefix: str, callback: Callable[[ListResult], None]
+    ) -> None:
+        """Read all keys that start with a prefix, in key order."""
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        callback: Callable[[RevisionResult], None],
+        lease_id: int = 0,
+    ) -> None:
+        """Write a key without a condition; return the new revision."""
+
+    def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        callback: Callable[[RevisionResult], None],
+        lease_id: int = 0,
+    ) -> None:
+        """Write a key if its revision is as expected, 0 for an absent key."""
+
+    def delete(
+        self,
+        key: str,
+        callback: Callable[[RevisionResult], None],
+        expected_revision: int = 0,
+    ) -> None:
+        """Delete a key, on a revision if one is given."""
+
+    def lease(
+        self, ttl_ms: int, callback: Callable[[LeaseResult], None]
+    ) -> None:
+        """Grant a lease and return its identifier."""
+
+    def keep_alive(
+        self, lease_id: int, callback: Callable[[LeaseResult], None]
+    ) -> None:
+        """Renew a lease; return the time left in ms, COMPARE_FAILED if gone.
+
+        A renewal without an answer fails with PLATFORM_OUTCOME_UNKNOWN.
+        """
+
+    def revoke(
+        self, lease_id: int, callback: Callable[[LeaseResult], None]
+    ) -> None:
+        """End a lease and delete its keys."""
+
+    def watch(
+        self,
+        key: str,
+        on_change: Callable[[KeyValue], None],
+        is_prefix: bool = False,
+    ) -> Watch:
+        """Deliver the present value, then each newer one.
+
+        After an interruption only the newest value of a key is delivered.
+        """
--- /dev/null
+++ b/standins/balsamwall_standins/tokens.py
@@ -0,0 +1,76 @@
+"""Deterministic tokens that a test can compute again."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+BLOCK_BYTES = 256
+BYTES_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 16
+_SYLLABLES = (
+    "ba", "de", "fi", "go", "hu", "ka", "le", "mi",
+    "no", "pu", "ra", "se", "ti", "vo", "zu", "yo",
+)  # fmt: skip
+
+
+def prompt_of(body: dict[str, Any]) -> str:
+    """Return the prompt of a completion or chat body as one text."""
+    messages = body.get("messages")
+    if isinstance(messages, list):
+        return "".join(
+            f"{item.get('role', '')}: {item.get('content', '')}\n"
+            for item in messages
+        )
+    prompt = body.get("prompt", "")
+    if isinstance(prompt, list):
+        return "".join(str(part) for part in prompt)
+    return str(prompt)
+
+
+def max_tokens_of(body: dict[str, Any]) -> int:
+    """Return the largest number of tokens that a body asks for."""
+    found = body.get("max_completion_tokens", body.get("max_tokens"))
+    return max(1, int(DEFAULT_MAX_TOKENS if found is None else found))
+
+
+def count_prompt_tokens(prompt: str) -> int:
+    """Return the number of tokens of a prompt."""
+    size = len(prompt.encode())
+    return max(1, (size + BYTES_PER_TOKEN - 1) // BYTES_PER_TOKEN)
+
+
+def answer_tokens(target: str, body: dict[str, Any]) -> list[str]:
+    """Return the tokens of the one correct answer."""
+    prompt = prompt_of(body)
+    seed = hashlib.sha256(f"{target}\0{prompt}".encode()).digest()
+    count = max_tokens_of(body)
+    if not body.get("ignore_eos"):
+        count = 1 + int.from_bytes(seed[:4], "big") % count
+    found: list[str] = []
+    block = seed
+    for index in range(count):
+        place = index % 16
+        if place == 0:
+            block = hashlib.sha256(block).digest()
+        high, low = block[2 * place], block[2 * place + 1]
+        word = _SYLLABLES[high % 16] + _SYLLABLES[low % 16]
+        found.append(f" {word}{high // 16:x}{low // 16:x}")
+    return found
+
+
+def answer_text(target: str, body: dict[str, Any]) -> str:
+    """Return the text of the one correct answer."""
+    return "".join(answer_tokens(target, body))
+
+
+def prefix_hashes(target: str, prompt: str) -> list[int]:
+    """Return a chained 63-bit hash per whole block of the prompt."""
+    data = prompt.encode()
+    chain = hashlib.sha256(target.encode()).digest()
+    found: list[int] = []
+    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        block = data[start : start + BLOCK_BYTES]
+        chain = hashlib.sha256(chain + block).digest()
+        found.append(int.from_bytes(chain[:8], "big") >> 1)
+    return found
