Add fakes of the platform and clients of all of them

Cause: entry, agent and residency need outside systems to talk to, and a key-value service in memory for tests with virtual time.

--- /dev/null
+++ b/src/balsamwall/backend/engine_answer.py
@@ -0,0 +1,361 @@
+"""One answer of an engine, read over as many connections as it takes."""
+
+from __future__ import annotations
+
+import re
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from balsamwall.backend import http_headers
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.backend import backend_server
+    from balsamwall.platform import http_client
+    from balsamwall.timing import clock as clock_module
+
+RESUME_DELAY_MIN_MS = 50
+RESUME_DELAY_MAX_MS = 1_000
+CANCEL_TRIES = 5
+CANCEL_RETRY_MS = 500
+MAX_ERROR_BYTES = 65_536
+# The usage is in the last event, which is far shorter than this.
+TAIL_BYTES = 2_048
+_USAGE = re.compile(rb'(?<!\\)"completion_tokens":\s*(\d+)')
+
+_Code = result_code.ResultCode
+
+
+class EngineTransport(Protocol):
+    """Exchanges with one engine."""
+
+    boot: str
+
+    def post(
+        self,
+        request: backend_server.BackendRequest,
+        receiver: http_client.Receiver,
+    ) -> Callable[[], None]:
+        """Send a request; return a function that closes the connection."""
+
+    def read_stream(
+        self, request_id: str, offset: int, receiver: http_client.Receiver
+    ) -> Callable[[], None]:
+        """Read a buffered answer from an offset."""
+
+    def delete_stream(
+        self, request_id: str, callback: Callable[[bool | None, str], None]
+    ) -> None:
+        """Cancel; the callback gets whether it ran and the boot number.
+
+        It gets None and an empty text if there was no answer, and None and
+        "down" if the engine refused the connection.
+        """
+
+
+class EngineAnswer:
+    """State machine of one answer; the listener hears one end or error."""
+
+    __slots__ = (
+        "_abort",
+        "_boot",
+        "_clock",
+        "_connection",
+        "_deadline_timer",
+        "_delay_ms",
+        "_error_body",
+        "_has_head",
+        "_headers",
+        "_is_resuming",
+        "_is_stopping",
+        "_listener",
+        "_offset",
+        "_on_finished",
+        "_request_id",
+        "_silence_ms",
+        "_status",
+        "_tail",
+        "_timer",
+        "_transport",
+        "resumes",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        transport: EngineTransport,
+        request_id: str,
+        listener: backend_server.BackendListener,
+        silence_ms: int,
+        on_finished: Callable[[EngineAnswer], None],
+    ) -> None:
+        self._clock = clock
+        self._transport = transport
+        self._request_id = request_id
+        self._listener = listener
+        self._silence_ms = silence_ms
+        self._on_finished = on_finished
+        self._boot = transport.boot
+        self._abort: Callable[[], None] | None = None
+        self._connection = 0
+        self._deadline_timer: clock_module.Timer | None = None
+        self._delay_ms = RESUME_DELAY_MIN_MS
+        self._error_body = b""
+        self._has_head = False
+        self._headers: dict[str, str] = {}
+        self._is_resuming = False
+        self._is_stopping = False
+        self._offset = 0
+        self._status = 0
+        self._tail = b""
+        self._timer: clock_module.Timer | None = None
+        self.resumes = 0
+
+    def start(self, request: backend_server.BackendRequest) -> None:
+        """Send the request."""
+        if request.timeout_ms > 0:
+            self._deadline_timer = self._clock.call_later(
+                request.timeout_ms, self._on_deadline
+            )
+        receiver = self._next_connection()
+        self._set_abort(receiver, self._transport.post(request, receiver))
+
+    def resume(self, offset: int) -> None:
+        """Read the rest of the answer from an offset."""
+        self._offset = offset
+        self._has_head = True
+        self._read_on()
+
+    def cancel(self) -> None:
+        """Stop the request; the error comes when the engine confirmed it."""
+        self._stop(_Code.CANCELLED_AFTER_START)
+
+    def detach(self) -> None:
+        """Close the connection without a word to listener or engine."""
+        self._is_stopping = True
+        self._clear()
+
+    def on_head(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head of the present connection."""
+        self._status = status
+        self._error_body = b""
+        boot = headers.get("x-engine-boot", "")
+        if status == 200:
+            self._has_head = True
+            self._boot = boot or self._boot
+            self._headers = headers
+        elif not self._is_resuming:
+            self._headers = headers
+        self._arm()
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body of the present connection."""
+        self._arm()
+        self._delay_ms = RESUME_DELAY_MIN_MS
+        if self._status != 200:
+            self._error_body = (self._error_body + data)[:MAX_ERROR_BYTES]
+            return
+        offset = self._offset
+        self._offset += len(data)
+        self._tail = (self._tail + data)[-TAIL_BYTES:]
+        self._listener.on_data(offset, data)
+
+    def on_close(
+        self, is_complete: bool, was_sent: bool, reason: str, boot: str
+    ) -> None:
+        """Take the end of the present connection."""
+        if is_complete and self._status == 200:
+            self._succeed(200)
+        elif is_complete and self._is_resuming:
+            self._on_resume_status(boot)
+        elif is_complete:
+            self._on_refusal()
+        elif was_sent:
+            self._read_on_later()
+        elif self._is_resuming:
+            self._fail(_Code.BACKEND_CRASHED, reason, is_crash=True)
+        else:
+            # Nothing was sent, so this request cannot be what took the
+            # engine down; is_crash would make it a suspect.
+            self._fail(_Code.BACKEND_DOWN, reason)
+
+    def _next_connection(self) -> _ConnectionReceiver:
+        self._close_connection()
+        self._status = 0
+        self._arm()
+        return _ConnectionReceiver(self, self._connection)
+
+    def is_present(self, connection: int) -> bool:
+        """Tell whether events of a connection still count."""
+        return connection == self._connection and not self._is_stopping
+
+    def _set_abort(
+        self, receiver: _ConnectionReceiver, abort: Callable[[], None]
+    ) -> None:
+        if self.is_present(receiver.connection):
+            self._abort = abort
+
+    def _close_connection(self) -> None:
+        self._connection += 1
+        abort, self._abort = self._abort, None
+        if abort is not None:
+            abort()
+
+    def _read_on(self) -> None:
+        if self._is_stopping:
+            return
+        self._is_resuming = True
+        self.resumes += 1
+        receiver = self._next_connection()
+        abort = self._transport.read_stream(
+            self._request_id, self._offset, receiver
+        )
+        self._set_abort(receiver, abort)
+
+    def _read_on_later(self) -> None:
+        self._close_connection()
+        delay_ms = self._delay_ms
+        self._delay_ms = min(RESUME_DELAY_MAX_MS, 2 * delay_ms)
+        self._set_timer(delay_ms, self._read_on)
+
+    def _on_resume_status(self, boot: str) -> None:
+        if boot and self._boot and boot != self._boot:
+            self._fail(_Code.BACKEND_CRASHED, "the engine was restarted", True)
+        elif self._status == 416 or self._status == 404 and self._has_head:
+            self._fail(_Code.ANSWER_INTERRUPTED, "the engine lost the answer")
+        elif self._status == 404:
+            # The request may still be on its way; the cancel makes the
+            # engine record that it must not run it any more.
+            self._stop(_Code.OUTCOME_UNKNOWN)
+        else:
+            self._read_on_later()
+
+    def _on_refusal(self) -> None:
+        status = self._status
+        detail = self._error_body.decode("utf-8", "replace")[:500]
+        is_not_run = self._headers.get("x-not-run") == "1"
+        if status == 404 and is_not_run:
+            self._fail(_Code.NO_REPLICA, detail)
+        elif status == 409 and is_not_run:
+            self._fail(_Code.CANCELLED_NOT_RUN, detail)
+        elif status == 429 and is_not_run:
+            self._fail(_Code.QUEUE_FULL, detail)
+        elif status == 503 and is_not_run:
+            self._fail(_Code.BACKEND_DOWN, detail)
+        elif status >= 500:
+            self._fail(_Code.BACKEND_ERROR, detail)
+        else:
+            body, self._offset = self._error_body, len(self._error_body)
+            self._listener.on_data(0, body)
+            self._succeed(status)
+
+    def _on_deadline(self) -> None:
+        self._stop(_Code.DEADLINE_EXCEEDED)
+
+    def _stop(self, code: result_code.ResultCode) -> None:
+        """Cancel at the engine, then report; memory is in use until then."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._clear()
+        self._try_delete(code, 1)
+
+    def _try_delete(self, code: result_code.ResultCode, tries: int) -> None:
+        def on_answer(has_run: bool | None, boot: str) -> None:
+            if has_run is None and boot == "down":
+                self._report(_Code.BACKEND_CRASHED, "the engine is down", True)
+            elif has_run is None and tries < CANCEL_TRIES:
+                self._clock.call_later(
+                    CANCEL_RETRY_MS, self._try_delete, code, tries + 1
+                )
+            elif has_run is None:
+                self._report(
+                    _Code.OUTCOME_UNKNOWN, "the cancel was not confirmed"
+                )
+            elif boot != self._boot:
+                is_crash = bool(self._boot)
+                unknown = (
+                    _Code.BACKEND_CRASHED
+                    if is_crash
+                    else _Code.OUTCOME_UNKNOWN
+                )
+                detail = "the engine may have been restarted"
+                self._report(unknown, detail, is_crash)
+            elif has_run or self._offset:
+                self._report(code, "cancelled after it had run")
+            else:
+                self._report(_Code.CANCELLED_NOT_RUN, "cancelled before a run")
+
+        self._transport.delete_stream(self._request_id, on_answer)
+
+    def _succeed(self, status: int) -> None:
+        found = _USAGE.findall(self._tail)
+        tokens = int(found[-1]) if found else 0
+        self._is_stopping = True
+        self._clear()
+        self._on_finished(self)
+        self._listener.on_end(
+            status,
+            http_headers.end_to_end(self._headers),
+            self._offset,
+            tokens,
+        )
+
+    def _fail(
+        self,
+        code: result_code.ResultCode,
+        detail: str,
+        is_crash: bool = False,
+    ) -> None:
+        self._is_stopping = True
+        self._clear()
+        self._report(code, detail, is_crash)
+
+    def _report(
+        self,
+        code: result_code.ResultCode,
+        detail: str,
+        is_crash: bool = False,
+    ) -> None:
+        self._on_finished(self)
+        self._listener.on_error(code, detail, is_crash)
+
+    def _clear(self) -> None:
+        for timer in (self._timer, self._deadline_timer):
+            if timer is not None:
+                timer.cancel()
+        self._close_connection()
+
+    def _arm(self) -> None:
+        self._set_timer(self._silence_ms, self._read_on)
+
+    def _set_timer(self, delay_ms: int, function: Callable[[], None]) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._clock.call_later(delay_ms, function)
+
+
+class _ConnectionReceiver:
+    """Receiver of one connection; events of an old one are ignored."""
+
+    __slots__ = ("_answer", "_boot", "connection")
+
+    def __init__(self, answer: EngineAnswer, connection: int) -> None:
+        self._answer = answer
+        self._boot = ""
+        self.connection = connection
+
+    def on_head(self, status: int, headers: dict[str, str]) -> None:
+        self._boot = headers.get("x-engine-boot", "")
+        if self._answer.is_present(self.connection):
+            self._answer.on_head(status, headers)
+
+    def on_data(self, data: bytes) -> None:
+        if self._answer.is_present(self.connection):
+            self._answer.on_data(data)
+
+    def on_close(self, is_complete: bool, was_sent: bool, reason: str) -> None:
+        if self._answer.is_present(self.connection):
+            self._answer.on_close(is_complete, was_sent, reason, self._boot)
--- /dev/null
+++ b/src/balsamwall/backend/engine_client.py
@@ -0,0 +1,386 @@
+"""Client of a model engine."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+import urllib.parse
+
+from balsamwall.backend import backend_server
+from balsamwall.backend import engine_answer
+from balsamwall.backend import http_headers
+from balsamwall.platform import http_client
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.timing import clock as clock_module
+
+SILENCE_MS = 2_000
+CALL_TIMEOUT_MS = 2_000
+_Code = result_code.ResultCode
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CacheEvents:
+    """Changes of the prefix cache; late, and with gaps."""
+
+    boot: int
+    next_sequence: int
+    has_gap: bool
+    age_ms: int
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+class EngineClient:
+    """BackendServer and EngineControl over HTTP."""
+
+    __slots__ = (
+        "_answers",
+        "_base_url",
+        "_client",
+        "_clock",
+        "_silence_ms",
+        "_timeout_ms",
+        "boot",
+    )
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clock_module.Clock,
+        base_url: str,
+        silence_ms: int = SILENCE_MS,
+        call_timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
+        self._client = http_client.HttpClient(reactor, clock)
+        self._clock = clock
+        self._base_url = base_url.rstrip("/")
+        self._silence_ms = silence_ms
+        self._timeout_ms = call_timeout_ms
+        self._answers: dict[str, engine_answer.EngineAnswer] = {}
+        self.boot = ""
+
+    def start(
+        self,
+        request: backend_server.BackendRequest,
+        listener: backend_server.BackendListener,
+    ) -> None:
+        """Run a request."""
+        self._new_answer(request.request_id, listener).start(request)
+
+    def resume(
+        self,
+        request_id: str,
+        offset: int,
+        listener: backend_server.BackendListener,
+    ) -> None:
+        """Read the rest of a running stream from a byte offset."""
+        self._new_answer(request_id, listener).resume(offset)
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a request; its listener gets on_error once it is stopped."""
+        answer = self._answers.get(request_id)
+        if answer is not None:
+            answer.cancel()
+        else:
+            self.delete_stream(request_id, lambda has_run, boot: None)
+
+    def order(
+        self,
+        order: backend_server.EngineOrder,
+        callback: Callable[[result_code.ResultCode], None],
+    ) -> None:
+        """Send an order; ORDER_OUTCOME_UNKNOWN when no answer came."""
+        body = {
+            "id": order.order_id,
+            "fence": order.fence,
+            "action": order.action,
+            "name": order.name,
+            "kind": order.kind,
+            "version": order.version,
+            "base": order.base,
+            "bytes": order.memory_bytes,
+        }
+        self._call(
+            "POST",
+            "/engine/orders",
+            body,
+            lambda answer: callback(_order_code(answer)),
+        )
+
+    def order_state(
+        self, order_id: str, callback: Callable[[str], None]
+    ) -> None:
+        """Read accepted, finished, failed or unknown; empty on failure."""
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            body = _parse(answer)
+            callback("" if body is None else str(body.get("state", "")))
+
+        path = f"/engine/orders/{_quote(order_id)}"
+        self._call("GET", path, None, on_answer)
+
+    def listing(
+        self,
+        callback: Callable[[backend_server.EngineListing | None], None],
+    ) -> None:
+        """Read the account; the callback gets None when it failed."""
+        self._call(
+            "GET",
+            "/engine/listing",
+            None,
+            lambda answer: callback(_convert(answer, _listing_of)),
+        )
+
+    def load(
+        self, callback: Callable[[backend_server.EngineLoad | None], None]
+    ) -> None:
+        """Read the load report; the callback gets None when it failed."""
+        self._call(
+            "GET",
+            "/engine/load",
+            None,
+            lambda answer: callback(_convert(answer, _load_of)),
+        )
+
+    def cache_events(
+        self, since: int, callback: Callable[[CacheEvents | None], None]
+    ) -> None:
+        """Read cache events from a sequence number on; None on failure."""
+        self._call(
+            "GET",
+            f"/engine/cache-events?since={since}",
+            None,
+            lambda answer: callback(_convert(answer, _events_of)),
+        )
+
+    def export_kv(
+        self,
+        target: str,
+        prefixes: tuple[int, ...],
+        callback: Callable[[dict[str, Any] | None], None],
+    ) -> None:
+        """Read cached blocks for an import elsewhere; None on failure."""
+        body = {"target": target, "prefixes": list(prefixes)}
+        self._call(
+            "POST",
+            "/engine/kv/export",
+            body,
+            lambda answer: callback(_parse(answer)),
+        )
+
+    def import_kv(
+        self,
+        import_id: str,
+        exported: dict[str, Any],
+        callback: Callable[[result_code.ResultCode], None],
+    ) -> None:
+        """Store exported blocks; their memory is in use until release_kv."""
+        self._call(
+            "POST",
+            "/engine/kv/import",
+            {**exported, "id": import_id},
+            lambda answer: callback(_order_code(answer)),
+        )
+
+    def release_kv(
+        self,
+        import_id: str,
+        callback: Callable[[result_code.ResultCode], None],
+    ) -> None:
+        """Release the memory of an import."""
+        self._call(
+            "DELETE",
+            f"/engine/kv/{_quote(import_id)}",
+            None,
+            lambda answer: callback(_order_code(answer)),
+        )
+
+    def check_health(self, callback: Callable[[bool], None]) -> None:
+        """Tell whether the engine answers."""
+        self._call(
+            "GET",
+            "/healthz",
+            None,
+            lambda answer: callback(answer.status == 200),
+        )
+
+    def post(
+        self,
+        request: backend_server.BackendRequest,
+        receiver: http_client.Receiver,
+    ) -> Callable[[], None]:
+        """Send a request; return a function that closes the connection."""
+        headers = http_headers.end_to_end(request.headers)
+        headers.setdefault("content-type", "application/json")
+        headers["x-request-id"] = request.request_id
+        headers["x-priority"] = "urgent" if request.is_urgent else "deferrable"
+        if request.idempotency_key:
+            headers["idempotency-key"] = request.idempotency_key
+        exchange = self._client.stream(
+            "POST",
+            self._base_url + urllib.parse.quote(request.path, safe="/?=&%"),
+            headers,
+            request.body,
+            receiver,
+        )
+        return exchange.abort
+
+    def read_stream(
+        self, request_id: str, offset: int, receiver: http_client.Receiver
+    ) -> Callable[[], None]:
+        """Read a buffered answer from an offset."""
+        url = f"{self._base_url}/v1/streams/{_quote(request_id)}"
+        exchange = self._client.stream(
+            "GET", f"{url}?offset={offset}", {}, b"", receiver
+        )
+        return exchange.abort
+
+    def delete_stream(
+        self, request_id: str, callback: Callable[[bool | None, str], None]
+    ) -> None:
+        """Cancel; the callback gets whether it ran and the boot number."""
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            body = _parse(answer)
+            if not answer.was_sent:
+                callback(None, "down")
+            elif body is None or not isinstance(body.get("ran"), bool):
+                callback(None, "")
+            else:
+                callback(body["ran"], answer.headers.get("x-engine-boot", ""))
+
+        path = f"/v1/streams/{_quote(request_id)}"
+        self._call("DELETE", path, None, on_answer)
+
+    def _new_answer(
+        self, request_id: str, listener: backend_server.BackendListener
+    ) -> engine_answer.EngineAnswer:
+        old = self._answers.pop(request_id, None)
+        if old is not None:
+            old.detach()
+        answer = engine_answer.EngineAnswer(
+            self._clock,
+            self,
+            request_id,
+            listener,
+            self._silence_ms,
+            lambda ended: self._forget(request_id, ended),
+        )
+        self._answers[request_id] = answer
+        return answer
+
+    def _forget(
+        self, request_id: str, ended: engine_answer.EngineAnswer
+    ) -> None:
+        if self._answers.get(request_id) is ended:
+            del self._answers[request_id]
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        callback: Callable[[http_client.HttpAnswer], None],
+    ) -> None:
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            self.boot = answer.headers.get("x-engine-boot") or self.boot
+            callback(answer)
+
+        self._client.call(
+            method,
+            self._base_url + path,
+            {"content-type": "application/json"},
+            b"" if body is None else json.dumps(body).encode(),
+            self._timeout_ms,
+            on_answer,
+        )
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="")
+
+
+def _parse(answer: http_client.HttpAnswer) -> dict[str, Any] | None:
+    if answer.status != 200:
+        return None
+    try:
+        found = json.loads(answer.body)
+    except ValueError:
+        return None
+    return found if isinstance(found, dict) else None
+
+
+def _convert(
+    answer: http_client.HttpAnswer, convert: Callable[[dict[str, Any]], Any]
+) -> Any:
+    body = _parse(answer)
+    try:
+        return None if body is None else convert(body)
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _order_code(answer: http_client.HttpAnswer) -> result_code.ResultCode:
+    if answer.status in (200, 202):
+        return _Code.OK
+    if not answer.was_sent:
+        return _Code.BACKEND_DOWN
+    if answer.status == 409 and b"stale fence" in answer.body:
+        return _Code.ORDER_STALE_FENCE
+    if answer.status == 507:
+        return _Code.ORDER_REFUSED_MEMORY
+    if answer.status == 400:
+        return _Code.MALFORMED_REQUEST
+    if answer.status in (404, 409):
+        return _Code.NOT_READY
+    return _Code.ORDER_OUTCOME_UNKNOWN
+
+
+def _listing_of(body: dict[str, Any]) -> backend_server.EngineListing:
+    residents = tuple(
+        backend_server.Resident(
+            str(item["name"]),
+            str(item["kind"]),
+            str(item["version"]),
+            str(item["base"]),
+            int(item["bytes"]),
+            str(item["state"]),
+        )
+        for item in body["residents"]
+    )
+    return backend_server.EngineListing(
+        int(body["capacity"]),
+        int(body["used"]),
+        int(body["fence"]),
+        bool(body["is_fence_checked"]),
+        str(body["role"]),
+        residents,
+        tuple(str(order_id) for order_id in body["open_orders"]),
+    )
+
+
+def _load_of(body: dict[str, Any]) -> backend_server.EngineLoad:
+    names = ("running", "waiting", "queued_tokens", "kv_used_bytes")
+    values = [int(body[name]) for name in (*names, "step_us", "age_ms")]
+    return backend_server.EngineLoad(*values)
+
+
+def _events_of(body: dict[str, Any]) -> CacheEvents:
+    # A block that was removed and stored again counts by its last event.
+    last: dict[int, str] = {}
+    for event in body["events"]:
+        last[int(event["prefix"])] = str(event["kind"])
+    return CacheEvents(
+        int(body["boot"]),
+        int(body["next"]),
+        bool(body["has_gap"]),
+        int(body["age_ms"]),
+        tuple(block for block, kind in last.items() if kind == "stored"),
+        tuple(block for block, kind in last.items() if kind == "removed"),
+    )
--- /dev/null
+++ b/src/balsamwall/backend/http_headers.py
@@ -0,0 +1,38 @@
+"""Headers that pass between a caller and a backend server."""
+
+from __future__ import annotations
+
+# These describe one connection or are set anew for each exchange.
+_DROPPED = frozenset(
+    (
+        "accept-encoding",
+        "authorization",
+        "connection",
+        "content-encoding",
+        "content-length",
+        "date",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-engine-boot",
+        "x-priority",
+        "x-request-id",
+        "x-stream-offset",
+    )
+)
+
+
+def end_to_end(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers to pass on, with names in lower case."""
+    return {
+        name.lower(): value
+        for name, value in headers.items()
+        if name.lower() not in _DROPPED
+    }
--- /dev/null
+++ b/src/balsamwall/platform/etcd_client.py
@@ -0,0 +1,322 @@
+"""Client of the key-value service over the JSON form of etcd v3."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+from returns.result import Success
+
+from balsamwall.platform import etcd_watch
+from balsamwall.platform import http_client
+from balsamwall.platform import key_value_service
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.timing import clock as clock_module
+
+CALL_TIMEOUT_MS = 2_000
+_UNAVAILABLE = result_code.ResultCode.PLATFORM_UNAVAILABLE
+_UNKNOWN = result_code.ResultCode.PLATFORM_OUTCOME_UNKNOWN
+_COMPARE_FAILED = result_code.ResultCode.COMPARE_FAILED
+_TOO_LARGE = result_code.ResultCode.BODY_TOO_LARGE
+
+
+class EtcdClient:
+    """KeyValueService over HTTP; implements every part of the interface."""
+
+    __slots__ = ("_base_url", "_client", "_clock", "_timeout_ms", "calls")
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clock_module.Clock,
+        base_url: str,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._client = http_client.HttpClient(reactor, clock)
+        self._clock = clock
+        self._timeout_ms = timeout_ms
+        self.calls = 0
+
+    def get(
+        self,
+        key: str,
+        callback: Callable[[key_value_service.GetResult], None],
+    ) -> None:
+        """Read a key; None when it is absent."""
+
+        def on_list(result: key_value_service.ListResult) -> None:
+            callback(result.map(lambda found: found[0] if found else None))
+
+        self._read({"key": encode(key)}, on_list)
+
+    def get_prefix(
+        self,
+        prefix: str,
+        callback: Callable[[key_value_service.ListResult], None],
+    ) -> None:
+        """Read all keys that start with a prefix, in key order."""
+        self._read(range_of(prefix, True), callback)
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        callback: Callable[[key_value_service.RevisionResult], None],
+        lease_id: int = 0,
+    ) -> None:
+        """Write a key without a condition; return the new revision."""
+        if len(value) > key_value_service.MAX_VALUE_BYTES:
+            callback(Failure(_TOO_LARGE))
+            return
+        body = _put_body(key, value, lease_id)
+        self._write("/v3/kv/put", body, callback, _revision_of)
+
+    def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        callback: Callable[[key_value_service.RevisionResult], None],
+        lease_id: int = 0,
+    ) -> None:
+        """Write a key if its revision is as expected, 0 for an absent key."""
+        if len(value) > key_value_service.MAX_VALUE_BYTES:
+            callback(Failure(_TOO_LARGE))
+            return
+        put = {"request_put": _put_body(key, value, lease_id)}
+        body = _conditional(key, expected_revision, put)
+        self._write("/v3/kv/txn", body, callback, _revision_if_met)
+
+    def delete(
+        self,
+        key: str,
+        callback: Callable[[key_value_service.RevisionResult], None],
+        expected_revision: int = 0,
+    ) -> None:
+        """Delete a key, on a revision if one is given."""
+        deletion = {"key": encode(key)}
+        if not expected_revision:
+            path = "/v3/kv/deleterange"
+            self._write(path, deletion, callback, _revision_of)
+            return
+        body = _conditional(
+            key, expected_revision, {"request_delete_range": deletion}
+        )
+        self._write("/v3/kv/txn", body, callback, _revision_if_met)
+
+    def lease(
+        self,
+        ttl_ms: int,
+        callback: Callable[[key_value_service.LeaseResult], None],
+    ) -> None:
+        """Grant a lease and return its identifier."""
+        ttl_s = max(1, (ttl_ms + 999) // 1_000)
+        body = {"TTL": str(ttl_s)}
+        self._write("/v3/lease/grant", body, callback, _lease_id_of)
+
+    def keep_alive(
+        self,
+        lease_id: int,
+        callback: Callable[[key_value_service.LeaseResult], None],
+    ) -> None:
+        """Renew a lease; return the time left in ms."""
+        body = {"ID": str(lease_id)}
+        self._write("/v3/lease/keepalive", body, callback, _time_left_of)
+
+    def revoke(
+        self,
+        lease_id: int,
+        callback: Callable[[key_value_service.LeaseResult], None],
+    ) -> None:
+        """End a lease and delete its keys; a lease that is gone is ended."""
+        body = {"ID": str(lease_id)}
+        self._write(
+            "/v3/lease/revoke",
+            body,
+            callback,
+            lambda _: Success(lease_id),
+            absent=Success(lease_id),
+        )
+
+    def watch(
+        self,
+        key: str,
+        on_change: Callable[[key_value_service.KeyValue], None],
+        is_prefix: bool = False,
+    ) -> key_value_service.Watch:
+        """Deliver the present value, then each newer one."""
+
+        def read(
+            callback: Callable[[etcd_watch.SnapshotResult], None],
+        ) -> Callable[[], None]:
+            return self._snapshot(range_of(key, is_prefix), callback)
+
+        def open_stream(
+            revision: int, receiver: http_client.Receiver
+        ) -> Callable[[], None]:
+            self.calls += 1
+            request: dict[str, Any] = range_of(key, is_prefix)
+            request["start_revision"] = str(revision)
+            request["progress_notify"] = True
+            exchange = self._client.stream(
+                "POST",
+                f"{self._base_url}/v3/watch",
+                {},
+                json.dumps({"create_request": request}).encode(),
+                receiver,
+            )
+            return exchange.abort
+
+        found = etcd_watch.EtcdWatch(self._clock, read, open_stream, on_change)
+        found.start()
+        return found
+
+    def _post(
+        self,
+        path: str,
+        body: dict[str, Any],
+        callback: Callable[[http_client.HttpAnswer], None],
+    ) -> Callable[[], None]:
+        self.calls += 1
+        return self._client.call(
+            "POST",
+            f"{self._base_url}{path}",
+            {"content-type": "application/json"},
+            json.dumps(body).encode(),
+            self._timeout_ms,
+            callback,
+        )
+
+    def _read(
+        self,
+        body: dict[str, str],
+        callback: Callable[[key_value_service.ListResult], None],
+    ) -> None:
+        def on_snapshot(result: etcd_watch.SnapshotResult) -> None:
+            callback(result.map(lambda found: found[1]))
+
+        self._snapshot(body, on_snapshot)
+
+    def _snapshot(
+        self,
+        body: dict[str, str],
+        callback: Callable[[etcd_watch.SnapshotResult], None],
+    ) -> Callable[[], None]:
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            result: etcd_watch.SnapshotResult = Failure(_UNAVAILABLE)
+            if answer.status == 200:
+                try:
+                    result = Success(_snapshot_of(json.loads(answer.body)))
+                except (AttributeError, KeyError, TypeError, ValueError):
+                    result = Failure(_UNAVAILABLE)
+            callback(result)
+
+        return self._post("/v3/kv/range", body, on_answer)
+
+    def _write(
+        self,
+        path: str,
+        body: dict[str, Any],
+        callback: Callable[[key_value_service.RevisionResult], None],
+        parse: Callable[[Any], key_value_service.RevisionResult],
+        absent: key_value_service.RevisionResult | None = None,
+    ) -> None:
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            callback(_outcome(answer, parse, absent))
+
+        self._post(path, body, on_answer)
+
+
+def _outcome(
+    answer: http_client.HttpAnswer,
+    parse: Callable[[Any], key_value_service.RevisionResult],
+    absent: key_value_service.RevisionResult | None,
+) -> key_value_service.RevisionResult:
+    if answer.status == 200:
+        try:
+            return parse(json.loads(answer.body))
+        except (AttributeError, KeyError, TypeError, ValueError):
+            return Failure(_UNKNOWN)
+    if not answer.was_sent:
+        return Failure(_UNAVAILABLE)
+    if answer.status == 404 and b"lease not found" in answer.body:
+        return absent if absent is not None else Failure(_COMPARE_FAILED)
+    # The service checks rate limits and arguments before it applies a write,
+    # so that an answer with 4xx proves that there was no effect. A 5xx may
+    # come after a write that was applied.
+    if 400 <= answer.status < 500:
+        return Failure(_UNAVAILABLE)
+    return Failure(_UNKNOWN)
+
+
+def encode(text: str) -> str:
+    """Return a key in the base64 form of the API."""
+    return base64.b64encode(text.encode()).decode("ascii")
+
+
+def range_of(key: str, is_prefix: bool) -> dict[str, str]:
+    """Return the range of a key or of all keys with a prefix."""
+    found = {"key": encode(key)}
+    if is_prefix:
+        raw = key.encode()
+        end = raw[:-1] + bytes([raw[-1] + 1]) if raw else b"\0"
+        found["range_end"] = base64.b64encode(end).decode("ascii")
+        if not raw:
+            found["key"] = base64.b64encode(b"\0").decode("ascii")
+    return found
+
+
+def _put_body(key: str, value: bytes, lease_id: int) -> dict[str, str]:
+    body = {
+        "key": encode(key),
+        "value": base64.b64encode(value).decode("ascii"),
+    }
+    if lease_id:
+        body["lease"] = str(lease_id)
+    return body
+
+
+def _conditional(
+    key: str, expected_revision: int, operation: dict[str, Any]
+) -> dict[str, Any]:
+    compare = {
+        "key": encode(key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(expected_revision),
+    }
+    return {"compare": [compare], "success": [operation], "failure": []}
+
+
+def _snapshot_of(
+    body: dict[str, Any],
+) -> tuple[int, tuple[key_value_service.KeyValue, ...]]:
+    items = [etcd_watch.parse_kv(item) for item in body.get("kvs", [])]
+    return int(body["header"]["revision"]), tuple(items)
+
+
+def _revision_of(body: dict[str, Any]) -> key_value_service.RevisionResult:
+    return Success(int(body["header"]["revision"]))
+
+
+def _revision_if_met(body: dict[str, Any]) -> key_value_service.RevisionResult:
+    if not body.get("succeeded", False):
+        return Failure(_COMPARE_FAILED)
+    return _revision_of(body)
+
+
+def _lease_id_of(body: dict[str, Any]) -> key_value_service.LeaseResult:
+    return Success(int(body["ID"]))
+
+
+def _time_left_of(body: dict[str, Any]) -> key_value_service.LeaseResult:
+    left_ms = int(body["result"].get("TTL", 0)) * 1_000
+    return Success(left_ms) if left_ms > 0 else Failure(_COMPARE_FAILED)
--- /dev/null
+++ b/standins/balsamwall_standins/engine_orders.py
@@ -0,0 +1,276 @@
+"""Residents of an engine and the orders that change them."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.timing import clock as clock_module
+    from balsamwall_standins import engine_options
+    from balsamwall_standins import memory_book
+
+ORDERS_KEPT = 1_000
+
+
+class WeightLoader(Protocol):
+    """Reader of weights."""
+
+    def read(
+        self,
+        name: str,
+        version: str,
+        size_bytes: int,
+        callback: Callable[[bool], None],
+    ) -> None:
+        """Read weights and tell whether all of them came."""
+
+
+@dataclasses.dataclass(slots=True)
+class HeldModel:
+    """Model or adapter in memory."""
+
+    name: str
+    kind: str
+    version: str
+    base: str
+    size_bytes: int
+    state: str
+    ready_sequence: int = 0
+
+    @property
+    def memory_key(self) -> str:
+        """Return the key of the charge."""
+        return f"weights:{self.name}:{self.version}"
+
+    def describe(self) -> dict[str, object]:
+        """Return the entry of the listing."""
+        return {
+            "name": self.name,
+            "kind": self.kind,
+            "version": self.version,
+            "base": self.base,
+            "bytes": self.size_bytes,
+            "state": self.state,
+        }
+
+
+class EngineOrders:
+    """Asynchronous loads and unloads under fencing numbers."""
+
+    __slots__ = (
+        "_boot",
+        "_clock",
+        "_loader",
+        "_memory",
+        "_on_unload",
+        "_options",
+        "_orders",
+        "_ready_sequence",
+        "fence",
+        "finished_loads",
+        "held",
+        "role",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        options: engine_options.EngineOptions,
+        memory: memory_book.MemoryBook,
+        loader: WeightLoader | None,
+        on_unload: Callable[[HeldModel], None],
+    ) -> None:
+        self._clock = clock
+        self._options = options
+        self._memory = memory
+        self._loader = loader
+        self._on_unload = on_unload
+        self._boot = 0
+        self._ready_sequence = 0
+        self._orders: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self.held: dict[tuple[str, str], HeldModel] = {}
+        self.fence = 0
+        self.finished_loads = 0
+        self.role = "serving"
+
+    @property
+    def open_orders(self) -> list[str]:
+        """Return the identifiers accepted and unfinished."""
+        return [
+            order_id
+            for order_id, state in self._orders.items()
+            if state == "accepted"
+        ]
+
+    def state_of(self, order_id: str) -> str:
+        """Return accepted, finished, failed or unknown."""
+        return self._orders.get(order_id, "unknown")
+
+    def find_ready(self, name: str) -> HeldModel | None:
+        """Return the newest ready version whose base is ready too."""
+        ready = [
+            model
+            for model in self.held.values()
+            if model.name == name and model.state == "ready"
+        ]
+        if not ready:
+            return None
+        newest = max(ready, key=lambda model: model.ready_sequence)
+        if newest.kind == "adapter" and self.find_ready(newest.base) is None:
+            return None
+        return newest
+
+    def add_resident(
+        self, name: str, kind: str, version: str, base: str, size_bytes: int
+    ) -> None:
+        """Hold a model from the start, without an order."""
+        model = HeldModel(name, kind, version, base, size_bytes, "loading")
+        self._memory.charge(model.memory_key, size_bytes)
+        self.held[(name, version)] = model
+        self._make_ready(model)
+
+    def receive(self, order: dict[str, Any]) -> tuple[int, dict[str, object]]:
+        """Check an order and start it; return the HTTP status and body."""
+        order_id = str(order["id"])
+        known = self._orders.get(order_id)
+        if known is not None:
+            return 202, {"id": order_id, "state": known}
+        fence = int(order["fence"])
+        if self._options.is_fence_checked:
+            if fence < self.fence:
+                body = {"error": "stale fence", "fence": self.fence}
+                return 409, dict(body)
+            self.fence = fence
+        refusal = self._start(order_id, order)
+        if refusal is not None:
+            return refusal
+        while len(self._orders) > ORDERS_KEPT:
+            self._orders.popitem(last=False)
+        return 202, {"id": order_id, "state": self._orders[order_id]}
+
+    def forget(self) -> None:
+        """Lose residents and orders, as in a crash."""
+        self._boot += 1
+        self.held.clear()
+        self._orders.clear()
+
+    def _start(
+        self, order_id: str, order: dict[str, Any]
+    ) -> tuple[int, dict[str, object]] | None:
+        action = order["action"]
+        if action == "load":
+            return self._start_load(order_id, order)
+        if action == "unload":
+            self._start_unload(order_id, order)
+        elif action == "role":
+            self.role = str(order["name"])
+            self._orders[order_id] = "finished"
+        elif action == "fence":
+            self._orders[order_id] = "finished"
+        else:
+            return 400, {"error": f"unknown action {action!r}"}
+        return None
+
+    def _start_load(
+        self, order_id: str, order: dict[str, Any]
+    ) -> tuple[int, dict[str, object]] | None:
+        name, version = str(order["name"]), str(order["version"])
+        size_bytes, base = int(order["bytes"]), str(order.get("base", ""))
+        if (name, version) in self.held:
+            state = self.held[(name, version)].state
+            if state == "unloading":
+                return 409, {"error": "the model is being unloaded"}
+            self._orders[order_id] = "finished"
+            return None
+        if order["kind"] == "adapter" and self.find_ready(base) is None:
+            return 409, {"error": f"base model {base!r} is not ready"}
+        if self._options.is_over_capacity_refused:
+            if not self._memory.fits(size_bytes):
+                return 507, {"error": "not enough memory"}
+        model = HeldModel(
+            name, str(order["kind"]), version, base, size_bytes, "loading"
+        )
+        self.held[(name, version)] = model
+        self._memory.charge(model.memory_key, size_bytes)
+        self._orders[order_id] = "accepted"
+        boot = self._boot
+
+        def on_weights(is_whole: bool) -> None:
+            if boot != self._boot:
+                return
+            if is_whole:
+                self._clock.call_later(
+                    self._options.load_ms,
+                    self._end_load,
+                    boot,
+                    order_id,
+                    model,
+                )
+            else:
+                self._drop(model)
+                self._orders[order_id] = "failed"
+
+        if self._loader is None:
+            on_weights(True)
+        else:
+            self._loader.read(name, version, size_bytes, on_weights)
+        return None
+
+    def _end_load(self, boot: int, order_id: str, model: HeldModel) -> None:
+        if boot != self._boot:
+            return
+        self._orders[order_id] = "finished"
+        if self.held.get((model.name, model.version)) is model:
+            self.finished_loads += 1
+            self._make_ready(model)
+
+    def _make_ready(self, model: HeldModel) -> None:
+        self._ready_sequence += 1
+        model.ready_sequence = self._ready_sequence
+        model.state = "ready"
+
+    def _start_unload(self, order_id: str, order: dict[str, Any]) -> None:
+        name, version = str(order["name"]), str(order.get("version", ""))
+        found = [
+            model
+            for model in self.held.values()
+            if model.name == name
+            and version in ("", model.version)
+            and model.state == "ready"
+        ]
+        if not found:
+            self._orders[order_id] = "finished"
+            return
+        self._orders[order_id] = "accepted"
+        for model in found:
+            model.state = "unloading"
+            self._on_unload(model)
+        self._clock.call_later(
+            self._options.unload_ms,
+            self._end_unload,
+            self._boot,
+            order_id,
+            found,
+        )
+
+    def _end_unload(
+        self, boot: int, order_id: str, models: list[HeldModel]
+    ) -> None:
+        if boot != self._boot:
+            return
+        self._orders[order_id] = "finished"
+        for model in models:
+            self._drop(model)
+
+    def _drop(self, model: HeldModel) -> None:
+        if self.held.get((model.name, model.version)) is model:
+            del self.held[(model.name, model.version)]
+            self._memory.release(model.memory_key)
--- a/standins/balsamwall_standins/http_server.py
+++ b/standins/balsamwall_standins/http_server.py
@@ -20,6 +20,7 @@
 
     Handler = Callable[["Call"], None]
 
+
 class Channel(http.HTTPChannel):  # type: ignore[misc]
     """Connection that can go silent without being closed."""
 
@@ -50,6 +51,11 @@
         if not self.is_silent:
             super().writeSequence(data)
 
+    def abort(self) -> None:
+        """Reset the connection at once."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+
     def loseConnection(self) -> None:
         """Keep a silent connection open."""
         if not self.is_silent:
@@ -147,7 +153,7 @@
     def abort(self) -> None:
         """Close the connection at once without an answer."""
         if self.is_open:
-            self._request.channel.forceAbortClient()
+            self._request.channel.abort()
 
     def _set_head(
         self, status: int, kind: str, headers: dict[str, str] | None
@@ -271,7 +277,7 @@
             request.channel.is_silent = True
             return
         if active.take_request_loss():
-            request.channel.forceAbortClient()
+            request.channel.abort()
             return
         call = Call(request, active.take_answer_loss())
         if active.draw(active.error_rate):
@@ -306,8 +312,7 @@
             self._port.stopListening()
             self._port = None
         for channel in list(self.site.channels):
-            channel.is_silent = False
-            channel.forceAbortClient()
+            channel.abort()
 
     def _listen_again(self) -> None:
         if self._port is not None or self._is_stopped:
