--- a/src/balsamwall/backend/engine_answer.py
+++ b/src/balsamwall/backend/engine_answer.py
@@ -248,7 +248,8 @@
             self._fail(_Code.BACKEND_ERROR, detail)
         else:
             body, self._offset = self._error_body, len(self._error_body)
-            self._listener.on_data(0, body)
+            if body:
+                self._listener.on_data(0, body)
             self._succeed(status)
 
     def _on_deadline(self) -> None:
--- a/src/balsamwall/platform/http_client.py
+++ b/src/balsamwall/platform/http_client.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
+from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import protocol
 from twisted.web import client
@@ -113,9 +114,12 @@
             {name: [value] for name, value in headers.items()}
         )
         producer = _BytesProducer(body) if body or method == "POST" else None
-        self._deferred = agent.request(
-            method.encode("ascii"), url.encode("utf-8"), raw, producer
-        )
+        try:
+            self._deferred = agent.request(
+                method.encode("ascii"), url.encode("utf-8"), raw, producer
+            )
+        except ValueError as invalid_url:
+            self._deferred = defer.fail(error.ConnectError(str(invalid_url)))
         self._deferred.addCallbacks(self._on_response, self._on_failure)
 
     def abort(self) -> None:
@@ -209,6 +213,31 @@
         self.exchange.abort()
 
 
+@interface.implementer(iweb.IAgentEndpointFactory)
+class _EndpointFactory:
+    """Endpoints for IP numbers.
+
+    The default factory also serves host names, and reports a refused
+    connection only after its delay of 300 ms between attempts.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: Any) -> Any:
+        if uri.scheme != b"http":
+            raise ValueError(f"unsupported scheme {uri.scheme!r}")
+        host = uri.host.decode("ascii").strip("[]")
+        is_ipv6 = ":" in host
+        factory = (
+            endpoints.TCP6ClientEndpoint
+            if is_ipv6
+            else endpoints.TCP4ClientEndpoint
+        )
+        timeout_s = CONNECT_TIMEOUT_MS / 1_000
+        return factory(self._reactor, host, uri.port, timeout=timeout_s)
+
+
 class HttpClient:
     """Client that opens one connection per request.
 
@@ -222,8 +251,8 @@
         self._clock = clock
         pool = client.HTTPConnectionPool(reactor, persistent=False)
         pool.retryAutomatically = False
-        self._agent = client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_MS / 1_000, pool=pool
+        self._agent = client.Agent.usingEndpointFactory(
+            reactor, _EndpointFactory(reactor), pool
         )
 
     def stream(
--- a/standins/balsamwall_standins/engine.py
+++ b/standins/balsamwall_standins/engine.py
@@ -120,10 +120,10 @@
 
     def _on_stream(self, call: http_server.Call) -> None:
         offset = call.number("offset", 0)
-        buffer = self.core.buffer_of(call.tail)
+        found = self.core.sequence_of(call.tail)
+        buffer = None if found is None else found.buffer
         if buffer is None or buffer.is_broken:
-            refusal = engine_core.Refusal(404, "unknown stream")
-            call.reply(404, {"error": refusal.detail}, self._boot_header)
+            call.reply(404, {"error": "unknown stream"}, self._boot_header)
         elif not 0 <= offset <= buffer.size:
             call.reply(416, {"error": "offset out of range"})
         else:
--- a/standins/balsamwall_standins/engine_core.py
+++ b/standins/balsamwall_standins/engine_core.py
@@ -18,7 +18,6 @@
     from collections.abc import Callable
 
     from balsamwall.timing import clock as clock_module
-    from balsamwall_standins import answer_buffer
     from balsamwall_standins import engine_options
 
 CANCELS_KEPT = 10_000
@@ -43,6 +42,7 @@
         "_options",
         "_running",
         "_sequences",
+        "_serial",
         "_step_us",
         "_step_rest_us",
         "_tombstones",
@@ -68,6 +68,7 @@
         self._options = options
         self._on_run = on_run
         self._sequences: dict[str, sequence.Sequence] = {}
+        self._serial = 0
         self._tombstones: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -108,7 +109,9 @@
                 return Refusal(409, "the request was cancelled before")
             if held is None:
                 return Refusal(404, f"model {target!r} is not resident")
+            self._serial += 1
             found = sequence.Sequence(
+                self._serial,
                 request_id,
                 headers.get("idempotency-key", ""),
                 body,
@@ -126,10 +129,9 @@
             self._schedule_step()
         return found
 
-    def buffer_of(self, request_id: str) -> answer_buffer.AnswerBuffer | None:
-        """Return the buffered answer of a request."""
-        found = self._sequences.get(request_id)
-        return None if found is None else found.buffer
+    def sequence_of(self, request_id: str) -> sequence.Sequence | None:
+        """Return a request that is running or whose answer is kept."""
+        return self._sequences.get(request_id)
 
     def cancel(self, request_id: str) -> bool:
         """Stop a request, or record it as never to be run.
@@ -204,6 +206,9 @@
         if self.orders.find_ready(target) is None:
             return Refusal(404, f"model {target!r} is not resident")
         size_bytes = len(prefixes) * self._block_bytes(target)
+        if self._options.is_over_capacity_refused:
+            if not self.memory.fits(size_bytes):
+                return Refusal(507, "not enough memory")
         self.memory.charge(f"import:{import_id}", size_bytes)
         self.cache.store(prefixes)
         return None
@@ -290,6 +295,9 @@
         budget = self._options.prefill_tokens_per_step
         ordered = sorted(self._running, key=lambda found: not found.is_urgent)
         for found in ordered:
+            # A reader of an earlier answer may have cancelled this one.
+            if found.is_done:
+                continue
             if found.prefill_left > 0:
                 part = min(budget, found.prefill_left)
                 budget -= part
@@ -338,7 +346,7 @@
                 found.prompt_tokens for found in self._waiting
             )
             + sum(found.prefill_left for found in self._running),
-            "kv_used_bytes": self.memory.used_by("kv:"),
+            "kv_used_bytes": self.memory.used_by("kv"),
             "step_us": self._step_us,
         }
 
--- a/standins/balsamwall_standins/http_server.py
+++ b/standins/balsamwall_standins/http_server.py
@@ -191,6 +191,7 @@
         self._number = 0
         self._interface = "127.0.0.1"
         self._is_stopped = False
+        self._down_until_ms = 0
         self._routes: list[tuple[str, str, Handler]] = []
         self._executions: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -227,6 +228,8 @@
     def go_down(self, duration_ms: int) -> None:
         """Refuse and drop connections for a time."""
         self._close()
+        until_ms = self.clock.now_ms() + duration_ms
+        self._down_until_ms = max(self._down_until_ms, until_ms)
         self.clock.call_later(duration_ms, self._listen_again)
 
     def silence_open_connections(self) -> None:
@@ -243,8 +246,9 @@
             self.faults = faults.Faults()
         self._apply_own_faults(values)
         self.faults.update(values)
+        # The delay lets the answer to this call pass first.
         if is_silencing:
-            self.silence_open_connections()
+            self.clock.call_later(5, self.silence_open_connections)
         if down_ms:
             self.clock.call_later(5, self.go_down, down_ms)
 
@@ -317,6 +321,10 @@
     def _listen_again(self) -> None:
         if self._port is not None or self._is_stopped:
             return
+        if self.clock.now_ms() < self._down_until_ms:
+            left_ms = self._down_until_ms - self.clock.now_ms()
+            self.clock.call_later(left_ms, self._listen_again)
+            return
         try:
             self.listen(self._number, self._interface)
         except error.CannotListenError:
--- a/standins/balsamwall_standins/memory_book.py
+++ b/standins/balsamwall_standins/memory_book.py
@@ -4,28 +4,31 @@
 
 
 class MemoryBook:
-    """Charges by key; counts the moments when it went over capacity."""
+    """Charges by key; counts the moments when it went over capacity.
 
-    __slots__ = ("_charges", "capacity_bytes", "over_count", "peak_bytes")
+    A key is KIND:NAME, and the sums are kept by kind.
+    """
+
+    __slots__ = (
+        "_charges",
+        "_used_by_kind",
+        "capacity_bytes",
+        "over_count",
+        "peak_bytes",
+        "used_bytes",
+    )
 
     def __init__(self, capacity_bytes: int) -> None:
         self._charges: dict[str, int] = {}
+        self._used_by_kind: dict[str, int] = {}
         self.capacity_bytes = capacity_bytes
         self.over_count = 0
         self.peak_bytes = 0
+        self.used_bytes = 0
 
-    @property
-    def used_bytes(self) -> int:
-        """Return the sum of the charges."""
-        return sum(self._charges.values())
-
-    def used_by(self, prefix: str) -> int:
-        """Return the sum of the charges whose keys start with a prefix."""
-        return sum(
-            size
-            for key, size in self._charges.items()
-            if key.startswith(prefix)
-        )
+    def used_by(self, kind: str) -> int:
+        """Return the sum of the charges of a kind."""
+        return self._used_by_kind.get(kind, 0)
 
     def fits(self, size_bytes: int) -> bool:
         """Tell whether a charge would stay within the capacity."""
@@ -34,16 +37,24 @@
     def charge(self, key: str, size_bytes: int) -> None:
         """Add or replace a charge, also beyond the capacity."""
         was_over = self.used_bytes > self.capacity_bytes
+        self.release(key)
         self._charges[key] = size_bytes
-        used = self.used_bytes
-        self.peak_bytes = max(self.peak_bytes, used)
-        if used > self.capacity_bytes and not was_over:
+        self._add(key, size_bytes)
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+        if self.used_bytes > self.capacity_bytes and not was_over:
             self.over_count += 1
 
     def release(self, key: str) -> None:
         """Remove a charge; do nothing for an unknown key."""
-        self._charges.pop(key, None)
+        self._add(key, -self._charges.pop(key, 0))
 
     def clear(self) -> None:
         """Remove all charges."""
         self._charges.clear()
+        self._used_by_kind.clear()
+        self.used_bytes = 0
+
+    def _add(self, key: str, size_bytes: int) -> None:
+        kind = key.partition(":")[0]
+        self.used_bytes += size_bytes
+        self._used_by_kind[kind] = self.used_by(kind) + size_bytes
--- a/standins/balsamwall_standins/sequence.py
+++ b/standins/balsamwall_standins/sequence.py
@@ -18,6 +18,7 @@
 
     __slots__ = (
         "_format",
+        "_serial",
         "buffer",
         "cached_tokens",
         "emitted",
@@ -38,6 +39,7 @@
 
     def __init__(
         self,
+        serial: int,
         request_id: str,
         idempotency_key: str,
         body: dict[str, Any],
@@ -47,6 +49,7 @@
         kv_bytes_per_token: int,
     ) -> None:
         prompt = tokens.prompt_of(body)
+        self._serial = serial
         self.request_id = request_id
         self.idempotency_key = idempotency_key
         self.held = held
@@ -78,7 +81,7 @@
     @property
     def memory_key(self) -> str:
         """Return the key of the charge of the KV cache."""
-        return f"kv:{self.request_id}"
+        return f"kv:{self._serial}"
 
     def use_cached_blocks(self, blocks: int) -> None:
         """Skip the prefill of cached blocks; one token always remains."""
--- a/standins/balsamwall_standins/service.py
+++ b/standins/balsamwall_standins/service.py
@@ -51,7 +51,7 @@
             call.header("x-request-id"), call.header("idempotency-key")
         )
         is_crash = self.faults.is_crash_marker_enabled
-        if is_crash and b'"crash": true' in call.body:
+        if is_crash and b'"crash":true' in call.body.replace(b" ", b""):
             self.crash()
             return
         self.running += 1
--- /dev/null
+++ b/tests/backend/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the clients of backend servers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/backend/test_engine_answer.py
@@ -0,0 +1,155 @@
+"""Tests of reading one answer over several connections."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.backend import backend_server
+from balsamwall.backend import engine_answer
+from balsamwall.results import result_code
+from balsamwall.timing import virtual_clock
+from tests.fixtures import recording_listener
+
+Code = result_code.ResultCode
+SILENCE_MS = 2_000
+
+
+class FakeTransport:
+    """Transport whose connections the test plays by hand."""
+
+    def __init__(self) -> None:
+        self.boot = "7"
+        self.connections = []
+        self.offsets = []
+        self.deletes = []
+
+    def post(self, request, receiver):
+        self.connections.append(receiver)
+        return lambda: None
+
+    def read_stream(self, request_id, offset, receiver):
+        self.connections.append(receiver)
+        self.offsets.append(offset)
+        return lambda: None
+
+    def delete_stream(self, request_id, callback):
+        self.deletes.append(callback)
+
+
+class EngineAnswerTest(unittest.TestCase):
+    """Guard against lost, mixed and wrongly certified answers."""
+
+    def setUp(self) -> None:
+        self.clock = virtual_clock.VirtualClock()
+        self.transport = FakeTransport()
+        self.listener = recording_listener.RecordingListener()
+        self.answer = engine_answer.EngineAnswer(
+            self.clock,
+            self.transport,
+            "r1",
+            self.listener,
+            SILENCE_MS,
+            lambda answer: None,
+        )
+        self.answer.start(
+            backend_server.BackendRequest(
+                request_id="r1",
+                kind="model",
+                target="m",
+                path="/v1/completions",
+                headers={},
+                body=b"{}",
+                is_urgent=True,
+                is_streamed=True,
+                prompt_tokens=1,
+                max_output_tokens=4,
+                idempotency_key="",
+                timeout_ms=30_000,
+            )
+        )
+
+    def _head(self, connection, status=200, boot="7") -> None:
+        self.transport.connections[connection].on_head(
+            status, {"x-engine-boot": boot}
+        )
+
+    def test_silent_connection_is_resumed_at_the_offset(self) -> None:
+        """A stream that goes silent for ever would hang its caller."""
+        self._head(0)
+        self.transport.connections[0].on_data(b"abc")
+        self.clock.advance(SILENCE_MS)
+        self.assertEqual([3], self.transport.offsets)
+        self.transport.connections[0].on_data(b"late")
+        self._head(1)
+        self.transport.connections[1].on_data(b"def")
+        self.transport.connections[1].on_close(True, True, "")
+        self.assertEqual(b"abcdef", self.listener.data)
+        self.assertEqual(200, self.listener.end[0])
+
+    def test_cut_body_is_not_a_whole_answer(self) -> None:
+        """A reset in the middle must not look like the end."""
+        self._head(0)
+        self.transport.connections[0].on_data(b"abc")
+        self.transport.connections[0].on_close(False, True, "reset")
+        self.assertFalse(self.listener.is_finished)
+        self.clock.advance(engine_answer.RESUME_DELAY_MIN_MS)
+        self.assertEqual([3], self.transport.offsets)
+
+    def test_refused_connect_is_not_run_and_no_suspect(self) -> None:
+        """A request that never left must not be blamed for a crash."""
+        self.transport.connections[0].on_close(False, False, "refused")
+        self.assertEqual(Code.BACKEND_DOWN, self.listener.error[0])
+        self.assertFalse(self.listener.error[2])
+
+    def test_refused_resume_is_a_crash(self) -> None:
+        """A crash that goes unnoticed is attributed to no request."""
+        self._head(0)
+        self.transport.connections[0].on_close(False, True, "reset")
+        self.clock.advance(engine_answer.RESUME_DELAY_MIN_MS)
+        self.transport.connections[1].on_close(False, False, "refused")
+        self.assertEqual(Code.BACKEND_CRASHED, self.listener.error[0])
+        self.assertTrue(self.listener.error[2])
+
+    def test_restarted_engine_is_a_crash(self) -> None:
+        """An engine that is back at once must not hide its crash."""
+        self._head(0)
+        self.transport.connections[0].on_close(False, True, "reset")
+        self.clock.advance(engine_answer.RESUME_DELAY_MIN_MS)
+        self._head(1, 404, "8")
+        self.transport.connections[1].on_close(True, True, "")
+        self.assertTrue(self.listener.error[2])
+
+    def _lose_request(self) -> None:
+        self.clock.advance(SILENCE_MS)
+        self._head(1, 404)
+        self.transport.connections[1].on_close(True, True, "")
+
+    def test_unknown_request_is_certified_by_a_cancel(self) -> None:
+        """A request still on its way could run after a plain retry."""
+        self._lose_request()
+        self.assertFalse(self.listener.is_finished)
+        self.transport.deletes[0](False, "7")
+        self.assertEqual(Code.CANCELLED_NOT_RUN, self.listener.error[0])
+
+    def test_restart_before_the_cancel_certifies_nothing(self) -> None:
+        """A fresh engine does not know what ran before its start."""
+        self._lose_request()
+        self.transport.deletes[0](False, "8")
+        self.assertEqual(Code.BACKEND_CRASHED, self.listener.error[0])
+
+    def test_cancel_reports_after_the_engine_stopped(self) -> None:
+        """Memory of a request that still runs must not be given away."""
+        self._head(0)
+        self.answer.cancel()
+        self.transport.deletes[0](None, "")
+        self.assertFalse(self.listener.is_finished)
+        self.clock.advance(engine_answer.CANCEL_RETRY_MS)
+        self.transport.deletes[1](True, "7")
+        self.assertEqual(Code.CANCELLED_AFTER_START, self.listener.error[0])
+
+    def test_deadline_cancels_at_the_engine(self) -> None:
+        """A request past its deadline would keep its place in the batch."""
+        self._head(0)
+        self.clock.advance(30_000)
+        self.transport.deletes[0](True, "7")
+        self.assertEqual(Code.DEADLINE_EXCEEDED, self.listener.error[0])
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the platform clients."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the stand-ins."""
+
+from __future__ import annotations
