--- a/src/balsamwall/backend/engine_answer.py
+++ b/src/balsamwall/backend/engine_answer.py
@@ -142,6 +142,7 @@
         self._status = status
         self._error_body = b""
         boot = headers.get("x-engine-boot", "")
+        self._transport.boot = boot or self._transport.boot
         if status == 200:
             self._has_head = True
             self._boot = boot or self._boot
--- a/standins/balsamwall_standins/engine.py
+++ b/standins/balsamwall_standins/engine.py
@@ -146,8 +146,8 @@
                 request_id,
             )
 
-        call.on_gone(on_gone)
         buffer.attach(reader, offset)
+        call.on_gone(on_gone)
 
     def _on_cancel(self, call: http_server.Call) -> None:
         has_run = self.core.cancel(call.tail)
--- a/standins/balsamwall_standins/http_server.py
+++ b/standins/balsamwall_standins/http_server.py
@@ -111,7 +111,10 @@
 
     def on_gone(self, function: Callable[[], None]) -> None:
         """Call a function when the answer ended or the client left."""
-        self._gone.append(function)
+        if self.is_open:
+            self._gone.append(function)
+        else:
+            function()
 
     def reply(
         self, status: int, value: object, headers: dict[str, str] | None = None
