--- /dev/null
+++ b/src/balsamwall/dispatch/dispatcher.py
@@ -0,0 +1,337 @@
+"""Entry side of requests in progress."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.dispatch import active_request
+from balsamwall.dispatch import answer_assembler
+from balsamwall.dispatch import attempt_sender
+from balsamwall.dispatch import caller_request
+from balsamwall.dispatch import request_control
+from balsamwall.dispatch import request_table
+from balsamwall.dispatch import target_choice
+from balsamwall.protocol import messages_request
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from balsamwall.limits import request_limits
+    from balsamwall.protocol import message
+    from balsamwall.protocol import outbox as outbox_module
+    from balsamwall.routing import router as router_module
+    from balsamwall.timing import clock as clock_module
+
+_Code = result_code.ResultCode
+_State = active_request.State
+_Active = active_request.ActiveRequest
+# The agent could not take the attempt for a reason that ends by itself or
+# that other agents do not share.
+_FREE_RETRIES = frozenset(
+    (
+        _Code.LEAVING,
+        _Code.WRONG_INCARNATION,
+        _Code.CANCELLED_NOT_RUN,
+        _Code.NOT_HOME,
+        _Code.NOT_READY,
+        _Code.NO_REPLICA,
+        _Code.BACKEND_DOWN,
+    )
+)
+
+
+def _never_quarantined(fingerprint: bytes) -> bool:
+    return False
+
+
+class Dispatcher:
+    """State machine of the requests of one entry.
+
+    `home_of(service, key)` names the agent that may run a non-repeatable
+    service request. `on_no_replica(target, is_urgent)` is called while no
+    ready replica of a target is known, `dial(peer)` when a connection to an
+    agent is needed.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_control",
+        "_is_quarantined",
+        "_limits",
+        "_router",
+        "_sender",
+        "_table",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        outbox: outbox_module.Outbox,
+        router: router_module.Router,
+        limits: request_limits.RequestLimits,
+        random_source: random.Random,
+        home_of: Callable[[str, str], str | None] | None = None,
+        is_quarantined: Callable[[bytes], bool] = _never_quarantined,
+        on_no_replica: Callable[[str, bool], None] | None = None,
+        dial: Callable[[str], None] | None = None,
+    ) -> None:
+        self._clock = clock
+        self._router = router
+        self._limits = limits
+        self._is_quarantined = is_quarantined
+        self._table = request_table.RequestTable()
+        self._sender = attempt_sender.AttemptSender(clock, outbox)
+        self._control = request_control.RequestControl(
+            clock,
+            router,
+            limits,
+            random_source,
+            self._table,
+            self._sender,
+            target_choice.TargetChoice(
+                clock, router, self._sender, home_of, on_no_replica, dial
+            ),
+        )
+
+    @property
+    def active_count(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._table)
+
+    def submit(
+        self,
+        request: caller_request.CallerRequest,
+        listener: caller_request.AnswerListener,
+    ) -> None:
+        """Take responsibility for a request; the listener gets the answer."""
+        active = _Active(request, listener)
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        if self._table.get(request.request_id) is not None:
+            self._refuse_at_once(active, _Code.MALFORMED_REQUEST, "reused id")
+            return
+        if left_ms <= 0:
+            self._refuse_at_once(
+                active, _Code.DEADLINE_UNREACHABLE, "the deadline has passed"
+            )
+            return
+        if self._is_quarantined(request.fingerprint):
+            self._refuse_at_once(
+                active, _Code.QUARANTINED, "crashed backend servers"
+            )
+            return
+        admittance = self._limits.admit(
+            request.tenant,
+            request.workspace,
+            request.request_id,
+            request.is_urgent,
+        )
+        if admittance.code is not _Code.OK:
+            self._refuse_at_once(
+                active,
+                admittance.code,
+                "limit of the workspace",
+                admittance.retry_after_ms,
+            )
+            return
+        self._table.add(active)
+        active.deadline_timer = self._clock.call_later(
+            left_ms, self._control.on_deadline, active
+        )
+        if not admittance.must_wait:
+            active.has_place = True
+            self._control.advance(active)
+
+    def cancel(self, request_id: str) -> None:
+        """Give up a request whose caller has gone."""
+        active = self._table.get(request_id)
+        if active is not None:
+            self._sender.cancel(active)
+            self._control.fail(
+                active, _Code.CALLER_GONE, "the caller has gone"
+            )
+
+    def on_peer_up(self, peer: str, incarnation: int) -> None:
+        """Attach again to the attempts at an incarnation of an agent."""
+        self._sender.on_peer_up(peer, incarnation)
+        for active in self._table.at_peer(peer):
+            attempt = active.attempt
+            if attempt is None or not self._is_at(active, peer):
+                continue
+            if attempt.incarnation != incarnation:
+                self._control.on_attempt_dead(active)
+            elif active.state is _State.CANCELLING:
+                self._sender.cancel(active)
+            else:
+                self._control.reattach(active)
+        # Requests that wait for a home or a replica try again at once.
+        for active in self._table.parked():
+            if active.state is _State.PARKED:
+                self._control.advance(active)
+
+    def on_peer_down(self, peer: str) -> None:
+        """Retry elsewhere or wait for the agent to come back."""
+        self._sender.on_peer_down(peer)
+        for active in self._table.at_peer(peer):
+            if self._is_at(active, peer):
+                self._control.on_attempt_lost(active)
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Take a message of an agent about an attempt."""
+        if isinstance(item, messages_request.Chunk):
+            self._on_chunk(peer, item)
+        elif isinstance(item, messages_request.End):
+            self._on_end(peer, item)
+        elif isinstance(item, messages_request.Accepted):
+            self._on_accepted(peer, item)
+        elif isinstance(item, messages_request.Refused):
+            self._on_refused(peer, item)
+        elif isinstance(item, messages_request.Failed):
+            self._on_failed(peer, item)
+        elif isinstance(item, messages_request.Cancelled):
+            self._on_cancelled(peer, item)
+
+    def _on_accepted(self, peer: str, item: messages_request.Accepted) -> None:
+        active = self._current(peer, item.request_id, item.attempt)
+        if active is not None and active.state is not _State.CANCELLING:
+            self._control.note_progress(active)
+
+    def _on_chunk(self, peer: str, item: messages_request.Chunk) -> None:
+        active = self._current(peer, item.request_id, item.attempt)
+        if active is None:
+            return
+        is_first = not active.has_output
+        if not active.answer.take(item):
+            if active.answer.is_gap(item):
+                self._control.on_gap(active)
+            return
+        self._control.note_progress(active)
+        attempt = active.attempt
+        if is_first and attempt is not None:
+            self._router.on_first_token(
+                attempt.peer,
+                attempt.predicted_ms,
+                self._clock.now_ms() - attempt.sent_ms,
+            )
+        if active.answer.must_acknowledge():
+            self._sender.acknowledge(active)
+        active.listener.on_chunk(item.data)
+
+    def _on_end(self, peer: str, item: messages_request.End) -> None:
+        active = self._current(peer, item.request_id, item.attempt)
+        if active is None:
+            # Nobody waits for this answer, so the agent may drop it.
+            self._sender.acknowledge_unwanted(peer, item)
+            return
+        verification = active.answer.verify(item)
+        if verification is answer_assembler.Verification.INCOMPLETE:
+            self._control.on_gap(active)
+        elif verification is answer_assembler.Verification.CORRUPT:
+            self._sender.cancel(active)
+            self._control.fail(
+                active,
+                _Code.ANSWER_INTERRUPTED,
+                "the digest of the answer does not match",
+            )
+        else:
+            self._sender.acknowledge(active)
+            attempt = active.attempt
+            if attempt is not None:
+                duration_ms = self._clock.now_ms() - attempt.sent_ms
+                self._router.on_done(attempt.peer, duration_ms)
+            end = caller_request.AnswerEnd(
+                http_status=item.http_status,
+                headers=item.headers,
+                total_bytes=item.total_bytes,
+                output_tokens=item.output_tokens,
+            )
+            self._control.close(active, lambda: active.listener.on_end(end))
+
+    def _on_refused(self, peer: str, item: messages_request.Refused) -> None:
+        active = self._certified(peer, item.request_id, item.attempt)
+        if active is None:
+            return
+        code = result_code.from_number(item.code)
+        self._control.note_failure(active, code)
+        can_retry = (
+            active.may_run_again
+            and code.repeat is not result_code.Repeat.NEVER
+            and code is not _Code.DEADLINE_UNREACHABLE
+        )
+        if can_retry and (
+            code in _FREE_RETRIES or self._control.take_retry(active)
+        ):
+            self._control.retry(active)
+            return
+        wait_ms = item.retry_after_ms
+        if code.repeat is result_code.Repeat.LATER:
+            wait_ms = wait_ms or request_control.RETRY_AFTER_MS
+        self._control.fail(active, code, item.detail, wait_ms, item.scope)
+
+    def _on_cancelled(
+        self, peer: str, item: messages_request.Cancelled
+    ) -> None:
+        if not item.ran:
+            active = self._certified(peer, item.request_id, item.attempt)
+            if active is not None:
+                self._control.note_failure(active, _Code.CANCELLED_NOT_RUN)
+                self._control.retry(active)
+            return
+        active = self._current(peer, item.request_id, item.attempt)
+        if active is None:
+            return
+        if not active.request.is_repeatable and not active.is_cancel_answered:
+            # The agent lets it run to completion; ask for the answer.
+            active.is_cancel_answered = True
+            self._control.reattach(active)
+        else:
+            code = _Code.CANCELLED_AFTER_START
+            self._control.on_attempt_ended(
+                active, code, "stopped at the agent"
+            )
+
+    def _on_failed(self, peer: str, item: messages_request.Failed) -> None:
+        active = self._current(peer, item.request_id, item.attempt)
+        if active is not None:
+            code = result_code.from_number(item.code)
+            self._control.on_attempt_ended(active, code, item.detail)
+
+    def _is_at(self, active: _Active, peer: str) -> bool:
+        """Tell whether an earlier callback left a request at an agent."""
+        if active.state is _State.FINISHED or active.attempt is None:
+            return False
+        return active.attempt.peer == peer
+
+    def _current(
+        self, peer: str, request_id: str, number: int
+    ) -> _Active | None:
+        """Return the request if the message is about its current attempt."""
+        active = self._table.get(request_id)
+        if active is None or active.attempt is None:
+            return None
+        attempt = active.attempt
+        if attempt.number != number or attempt.peer != peer:
+            return None
+        return active
+
+    def _certified(
+        self, peer: str, request_id: str, number: int
+    ) -> _Active | None:
+        """Note that an attempt was not run; return a current request."""
+        active = self._table.get(request_id)
+        if active is not None:
+            active.uncertain.discard(number)
+        return self._current(peer, request_id, number)
+
+    def _refuse_at_once(
+        self,
+        active: _Active,
+        code: _Code,
+        detail: str,
+        retry_after_ms: int = 0,
+    ) -> None:
+        active.state = _State.FINISHED
+        active.listener.on_failure(
+            caller_request.AnswerFailure(code, detail, retry_after_ms)
+        )
--- /dev/null
+++ b/src/balsamwall/execution/attempt_records.py
@@ -0,0 +1,61 @@
+"""Attempts that ended, remembered so that late duplicates are refused."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamwall.execution import run
+    from balsamwall.protocol import message
+    from balsamwall.timing import clock as clock_module
+
+RECORD_KEEP_MS = 600_000
+MAX_RECORDS = 20_000
+
+
+class AttemptRecords:
+    """Last word on each ended attempt, bounded by time and number.
+
+    An entry numbers its attempts in rising order. When a record is dropped,
+    its number becomes the floor of that entry: every unknown attempt at or
+    below the floor is refused, so a dropped record can never be run later.
+    """
+
+    __slots__ = ("_clock", "_floors", "_limit", "_records")
+
+    def __init__(
+        self, clock: clock_module.Clock, limit: int = MAX_RECORDS
+    ) -> None:
+        self._clock = clock
+        self._limit = limit
+        self._floors: dict[str, int] = {}
+        self._records: collections.OrderedDict[
+            run.AttemptKey, tuple[int, message.Message]
+        ] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def add(self, key: run.AttemptKey, last_word: message.Message) -> None:
+        """Remember the answer to any later message about an attempt."""
+        now_ms = self._clock.now_ms()
+        self._records[key] = (now_ms, last_word)
+        self._records.move_to_end(key)
+        while self._records:
+            oldest, (added_ms, _) = next(iter(self._records.items()))
+            is_old = added_ms + RECORD_KEEP_MS <= now_ms
+            if not is_old and len(self._records) <= self._limit:
+                break
+            del self._records[oldest]
+            peer, _, attempt = oldest
+            self._floors[peer] = max(attempt, self._floors.get(peer, -1))
+
+    def get(self, key: run.AttemptKey) -> message.Message | None:
+        """Return the last word on an attempt, or None without one."""
+        record = self._records.get(key)
+        return None if record is None else record[1]
+
+    def is_forgotten(self, key: run.AttemptKey) -> bool:
+        """Tell whether a record of an unknown attempt may be dropped."""
+        return key[2] <= self._floors.get(key[0], -1)
--- /dev/null
+++ b/src/balsamwall/execution/crash_attribution.py
@@ -0,0 +1,298 @@
+"""Suspects of crashes of backend servers, and their quarantine."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+from balsamwall.protocol import messages_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from balsamwall.timing import clock as clock_module
+
+SUSPECT_MS = 600_000
+QUARANTINE_MS = 3_600_000
+# An announced trial waits this long before it starts, so that the
+# announcements of other agents arrive and only one of them runs.
+TRIAL_CLAIM_MS = 500
+MAX_TRIAL_MS = 600_000
+MAX_ENTRIES = 10_000
+
+
+class Standing(enum.Enum):
+    """Judgement on the fingerprint of a request."""
+
+    CLEAN = "clean"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+_STANDINGS = {
+    "clear": Standing.CLEAN,
+    "suspect": Standing.SUSPECT,
+    "quarantine": Standing.QUARANTINED,
+}
+_RANKS = {"clear": 0, "suspect": 1, "quarantine": 2}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Judgement:
+    """Latest judgement on one fingerprint."""
+
+    fingerprint: bytes
+    action: str  # "suspect", "quarantine" or "clear"
+    sequence: int
+    until_ms: int
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Trial:
+    """Announced run of a suspect alone on one backend server."""
+
+    owner: str
+    sequence: int
+    until_ms: int
+
+
+class CrashAttribution:
+    """Judgements that all agents and entries come to share.
+
+    Each judgement has a sequence from wall time, raised above the one that
+    it replaces; the highest wins, and a suspicion never replaces a
+    quarantine in force. New judgements are passed on to all peers once.
+    """
+
+    __slots__ = ("_clock", "_judgements", "_name", "_spread", "_trials")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        name: str,
+        spread: Callable[[messages_state.Verdict], None],
+    ) -> None:
+        self._clock = clock
+        self._name = name
+        self._spread = spread
+        self._judgements: dict[bytes, Judgement] = {}
+        self._trials: dict[bytes, Trial] = {}
+
+    def standing(self, fingerprint: bytes) -> Standing:
+        """Return the standing of a fingerprint now."""
+        known = self._judgements.get(fingerprint)
+        if known is None or known.until_ms <= self._clock.now_ms():
+            return Standing.CLEAN
+        return _STANDINGS[known.action]
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Tell whether requests with a fingerprint are refused."""
+        return self.standing(fingerprint) is Standing.QUARANTINED
+
+    def left_ms(self, fingerprint: bytes) -> int:
+        """Return how long the judgement stays in force, in milliseconds."""
+        known = self._judgements.get(fingerprint)
+        if known is None:
+            return 0
+        return max(0, known.until_ms - self._clock.now_ms())
+
+    def listing(self) -> list[Judgement]:
+        """Return the suspects and quarantines in force."""
+        now_ms = self._clock.now_ms()
+        return [
+            known
+            for known in self._judgements.values()
+            if known.action != "clear" and known.until_ms > now_ms
+        ]
+
+    def on_crash(
+        self, fingerprints: Iterable[bytes], tried_alone: bytes | None
+    ) -> None:
+        """Judge the requests that ran during a crash."""
+        if tried_alone is not None:
+            self._judge(
+                tried_alone,
+                "quarantine",
+                QUARANTINE_MS,
+                f"crashed a backend server alone at {self._name}",
+            )
+            return
+        for fingerprint in set(fingerprints):
+            if self.standing(fingerprint) is Standing.CLEAN:
+                self._judge(
+                    fingerprint,
+                    "suspect",
+                    SUSPECT_MS,
+                    f"ran during a crash at {self._name}",
+                )
+
+    def on_survived(self, fingerprint: bytes) -> None:
+        """Clear a suspect that ran alone without a crash."""
+        if self.standing(fingerprint) is Standing.SUSPECT:
+            self._judge(
+                fingerprint,
+                "clear",
+                SUSPECT_MS,
+                f"ran alone without a crash at {self._name}",
+            )
+
+    def clear(self, fingerprint: bytes, reason: str) -> bool:
+        """Clear a judgement by order; return False without one."""
+        if self.standing(fingerprint) is Standing.CLEAN:
+            return False
+        self._judge(fingerprint, "clear", QUARANTINE_MS, reason)
+        return True
+
+    def claim_trial(self, fingerprint: bytes, length_ms: int) -> bool:
+        """Announce a run alone; return False while another agent has one."""
+        if self._foreign_trial(fingerprint) is not None:
+            return False
+        length_ms = min(length_ms, MAX_TRIAL_MS)
+        now_ms = self._clock.now_ms()
+        old = self._trials.get(fingerprint)
+        trial = Trial(
+            self._name,
+            max(self._clock.wall_ms(), old.sequence + 1 if old else 0),
+            now_ms + length_ms,
+        )
+        self._trials[fingerprint] = trial
+        self._send(fingerprint, "trial", trial.sequence, length_ms, self._name)
+        return True
+
+    def has_trial(self, fingerprint: bytes) -> bool:
+        """Tell whether the claim of this agent still stands."""
+        trial = self._trials.get(fingerprint)
+        return trial is not None and trial.owner == self._name
+
+    def end_trial(self, fingerprint: bytes) -> None:
+        """Announce that the run alone has ended."""
+        if self.has_trial(fingerprint):
+            trial = self._trials.pop(fingerprint)
+            self._send(fingerprint, "trial_end", trial.sequence, 0, self._name)
+
+    def on_verdict(self, item: messages_state.Verdict) -> bool:
+        """Take a verdict of a peer; pass it on and return True if new."""
+        if item.action == "trial":
+            is_new = self._on_trial(item)
+        elif item.action == "trial_end":
+            trial = self._trials.get(item.fingerprint)
+            is_new = trial is not None and trial.owner == item.reason
+            is_new = is_new and item.reason != self._name
+            if is_new:
+                del self._trials[item.fingerprint]
+        elif item.action in _RANKS:
+            is_new = self._on_judgement(item)
+        else:
+            return False
+        if is_new:
+            self._spread(item)
+        return is_new
+
+    def current_verdicts(self) -> list[messages_state.Verdict]:
+        """Return the judgements in force for a peer that has connected."""
+        now_ms = self._clock.now_ms()
+        return [
+            messages_state.Verdict(
+                fingerprint=known.fingerprint,
+                action=known.action,
+                sequence=known.sequence,
+                left_ms=known.until_ms - now_ms,
+                reason=known.reason,
+            )
+            for known in self._judgements.values()
+            if known.until_ms > now_ms
+        ]
+
+    def _on_trial(self, item: messages_state.Verdict) -> bool:
+        if item.reason == self._name:
+            return False
+        known = self._trials.get(item.fingerprint)
+        now_ms = self._clock.now_ms()
+        if known is not None and known.until_ms > now_ms:
+            # Of two claims at the same time the lower name stands, at every
+            # agent alike.
+            if known.owner < item.reason:
+                return False
+            if known.owner == item.reason:
+                if known.sequence >= item.sequence:
+                    return False
+        left_ms = min(item.left_ms, MAX_TRIAL_MS)
+        self._trials[item.fingerprint] = Trial(
+            item.reason, item.sequence, now_ms + left_ms
+        )
+        return True
+
+    def _on_judgement(self, item: messages_state.Verdict) -> bool:
+        known = self._judgements.get(item.fingerprint)
+        if known is not None:
+            mine = (known.sequence, _RANKS[known.action])
+            if (item.sequence, _RANKS[item.action]) <= mine:
+                return False
+            if item.action == "suspect" and self.is_quarantined(
+                item.fingerprint
+            ):
+                return False
+        left_ms = min(item.left_ms, QUARANTINE_MS)
+        self._keep(
+            Judgement(
+                item.fingerprint,
+                item.action,
+                item.sequence,
+                self._clock.now_ms() + left_ms,
+                item.reason,
+            )
+        )
+        return True
+
+    def _judge(
+        self, fingerprint: bytes, action: str, length_ms: int, reason: str
+    ) -> None:
+        known = self._judgements.get(fingerprint)
+        sequence = max(
+            self._clock.wall_ms(), known.sequence + 1 if known else 0
+        )
+        until_ms = self._clock.now_ms() + length_ms
+        self._keep(Judgement(fingerprint, action, sequence, until_ms, reason))
+        self._send(fingerprint, action, sequence, length_ms, reason)
+
+    def _keep(self, judgement: Judgement) -> None:
+        now_ms = self._clock.now_ms()
+        if len(self._judgements) >= MAX_ENTRIES:
+            for known in list(self._judgements.values()):
+                if known.until_ms <= now_ms:
+                    del self._judgements[known.fingerprint]
+        if len(self._judgements) >= MAX_ENTRIES:
+            oldest = next(iter(self._judgements))
+            del self._judgements[oldest]
+        self._judgements.pop(judgement.fingerprint, None)
+        self._judgements[judgement.fingerprint] = judgement
+
+    def _foreign_trial(self, fingerprint: bytes) -> Trial | None:
+        trial = self._trials.get(fingerprint)
+        if trial is None or trial.owner == self._name:
+            return None
+        if trial.until_ms <= self._clock.now_ms():
+            del self._trials[fingerprint]
+            return None
+        return trial
+
+    def _send(
+        self,
+        fingerprint: bytes,
+        action: str,
+        sequence: int,
+        left_ms: int,
+        reason: str,
+    ) -> None:
+        self._spread(
+            messages_state.Verdict(
+                fingerprint=fingerprint,
+                action=action,
+                sequence=sequence,
+                left_ms=left_ms,
+                reason=reason,
+            )
+        )
--- /dev/null
+++ b/src/balsamwall/execution/executor.py
@@ -0,0 +1,375 @@
+"""Agent side of requests in progress."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.execution import crash_attribution
+from balsamwall.execution import run as run_module
+from balsamwall.execution import run_control
+from balsamwall.execution import run_scheduler
+from balsamwall.execution import run_table
+from balsamwall.idempotency import key_gate as key_gate_module
+from balsamwall.protocol import messages_request
+from balsamwall.protocol import messages_state
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.backend import backend_server
+    from balsamwall.protocol import message
+    from balsamwall.protocol import outbox as outbox_module
+    from balsamwall.residency import memory_account
+    from balsamwall.timing import clock as clock_module
+
+ORPHAN_GRACE_MS = 5_000
+DRAIN_SPREAD_MS = 3_000
+QUEUE_RETRY_AFTER_MS = 1_000
+
+_Code = result_code.ResultCode
+
+
+def _always_held(kind: str, target: str) -> bool:
+    return True
+
+
+def _no_kv_bytes(target: str, tokens: int) -> int:
+    return 0
+
+
+class Executor:
+    """State machine of the attempts at one backend server.
+
+    `kv_bytes(target, tokens)` gives the size of a KV cache, `is_held(kind,
+    target)` tells whether the backend server can run a target now.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_control",
+        "_crash",
+        "_incarnation",
+        "_is_draining",
+        "_is_flushed",
+        "_key_gate",
+        "_on_idle",
+        "_scheduler",
+        "_table",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        outbox: outbox_module.Outbox,
+        backend: backend_server.BackendServer,
+        memory: memory_account.MemoryAccount,
+        key_gate: key_gate_module.KeyGate,
+        incarnation: int,
+        crash: crash_attribution.CrashAttribution,
+        kv_bytes: Callable[[str, int], int] = _no_kv_bytes,
+        is_held: Callable[[str, str], bool] = _always_held,
+        max_running: int = run_scheduler.MAX_RUNNING,
+    ) -> None:
+        self._clock = clock
+        self._key_gate = key_gate
+        self._incarnation = incarnation
+        self._crash = crash
+        self._table = run_table.RunTable(clock, outbox, self._check_idle)
+        self._control = run_control.RunControl(
+            clock,
+            backend,
+            memory,
+            key_gate,
+            crash,
+            self._table,
+            kv_bytes,
+            is_held,
+            max_running,
+        )
+        self._scheduler = self._control.scheduler
+        self._is_draining = False
+        self._is_flushed = False
+        self._on_idle: Callable[[], None] | None = None
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation that dispatches must name."""
+        return self._incarnation
+
+    @property
+    def state(self) -> str:
+        """Return the state for reports: ready, leaving or down."""
+        if self._is_draining:
+            return "leaving"
+        return "ready" if self._control.is_backend_up else "down"
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no attempt is in progress or unacknowledged."""
+        return not len(self._table)
+
+    def load(self) -> run_scheduler.LoadCounts:
+        """Return the load counts for a report."""
+        return self._scheduler.counts()
+
+    def active_requests(self, target: str) -> int:
+        """Return the attempts in progress for a model, adapter or service."""
+        return sum(
+            1
+            for run in self._table.all_runs()
+            if run.dispatch.target == target
+            and run.state is not run_module.RunState.ENDED
+        )
+
+    def pump(self) -> None:
+        """Start what may start after memory was freed elsewhere."""
+        self._scheduler.pump()
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Take a message of an entry, or a verdict of any peer."""
+        if isinstance(item, messages_request.Dispatch):
+            self._on_dispatch(peer, item)
+        elif isinstance(item, messages_request.Ack):
+            self._on_ack(peer, item)
+        elif isinstance(item, messages_request.Reattach):
+            self._on_reattach(peer, item)
+        elif isinstance(item, messages_request.Cancel):
+            self._on_cancel(peer, item)
+        elif isinstance(item, messages_state.Verdict):
+            if self._crash.on_verdict(item):
+                self._scheduler.review()
+
+    def on_peer_down(self, peer: str) -> None:
+        """Start the grace period of a peer to which no stream is left."""
+        runs = self._table.runs_of(peer)
+        for run in runs:
+            run.is_attached = False
+        if runs:
+            self._clock.call_later(ORPHAN_GRACE_MS, self._drop_orphans, peer)
+
+    def start_drain(self, on_idle: Callable[[], None]) -> None:
+        """Finish what is in progress; call back once nothing is left.
+
+        Dispatches are taken for `DRAIN_SPREAD_MS` more, while the mark
+        spreads; then waiting attempts and later dispatches are refused.
+        """
+        self._on_idle = on_idle
+        if not self._is_draining:
+            self._is_draining = True
+            self._clock.call_later(DRAIN_SPREAD_MS, self._flush)
+        self._check_idle()
+
+    def on_backend_down(self, is_crash: bool) -> None:
+        """Fail what runs and refuse what waits."""
+        if self._control.is_backend_up:
+            self._control.backend_down(is_crash)
+
+    def on_backend_up(self) -> None:
+        """Accept dispatches again."""
+        self._control.backend_up()
+
+    def _on_dispatch(self, peer: str, item: messages_request.Dispatch) -> None:
+        run = run_module.Run(peer, item, self._clock.now_ms())
+        known = self._table.get(run.key)
+        if known is not None:
+            known.is_attached = True
+            self._accept(known)
+            return
+        last_word = self._table.records.get(run.key)
+        if last_word is not None:
+            self._table.send_to(peer, last_word)
+            return
+        code, detail = self._check(run)
+        if code is not _Code.OK:
+            wait_ms = QUEUE_RETRY_AFTER_MS if code is _Code.QUEUE_FULL else 0
+            last_word = run_table.refused(
+                run.key, code, detail, retry_after_ms=wait_ms
+            )
+            self._table.refuse_new(run, last_word)
+            return
+        self._table.add(run)
+        if not item.idempotency_key or self._pass_gate(run):
+            self._enqueue(run)
+
+    def _check(self, run: run_module.Run) -> tuple[_Code, str]:
+        """Return the code of a refusal before the key records are asked."""
+        item = run.dispatch
+        if self._table.records.is_forgotten(run.key):
+            return _Code.CANCELLED_NOT_RUN, "the attempt is too old"
+        if item.incarnation != self._incarnation:
+            return _Code.WRONG_INCARNATION, "another incarnation was meant"
+        if self._is_flushed:
+            return _Code.LEAVING, "the backend server is leaving"
+        if not self._control.is_backend_up:
+            return _Code.BACKEND_DOWN, "the backend server is down"
+        if item.deadline_left_ms <= 0:
+            return _Code.DEADLINE_UNREACHABLE, "the deadline has passed"
+        if self._crash.is_quarantined(item.fingerprint):
+            return _Code.QUARANTINED, "crashed backend servers"
+        if not self._scheduler.can_ever_fit(run):
+            return _Code.INSUFFICIENT_MEMORY, "the KV cache can't fit"
+        if not self._scheduler.has_room(item.is_urgent):
+            return _Code.QUEUE_FULL, "the queue of the agent is full"
+        return _Code.OK, ""
+
+    def _pass_gate(self, run: run_module.Run) -> bool:
+        """Ask the key records; return True if the attempt may run."""
+        item = run.dispatch
+        admission = self._key_gate.admit(
+            item.target, item.idempotency_key, item.fingerprint
+        )
+        if admission.admission is key_gate_module.Admission.RUN:
+            run.state = run_module.RunState.WAITING
+            return True
+        # From here on the key belongs to another run or to none.
+        run.state = run_module.RunState.ATTACHED
+        if admission.admission is key_gate_module.Admission.ATTACH:
+            self._accept(run)
+            self._key_gate.on_settled(
+                item.target,
+                item.idempotency_key,
+                lambda: self._on_key_settled(run),
+            )
+        elif admission.answer is not None:
+            self._replay(run, admission.answer)
+        else:
+            self._control.refuse(
+                run, admission.code, admission.detail, admission.scope
+            )
+        return False
+
+    def _on_key_settled(self, run: run_module.Run) -> None:
+        if run not in self._table or not self._pass_gate(run):
+            return
+        code, detail = self._check(run)
+        if code is _Code.OK:
+            self._enqueue(run)
+        else:
+            self._control.refuse(run, code, detail)
+
+    def _replay(
+        self, run: run_module.Run, answer: key_gate_module.RecordedAnswer
+    ) -> None:
+        self._accept(run)
+        run.buffer.append(answer.body)
+        for offset, data in run.buffer.read(0):
+            self._table.send_chunk(run, offset, data)
+        self._control.end(run, answer.http_status, answer.headers, 0)
+
+    def _enqueue(self, run: run_module.Run) -> None:
+        standing = self._crash.standing(run.dispatch.fingerprint)
+        if (
+            standing is crash_attribution.Standing.SUSPECT
+            and not run.dispatch.is_repeatable
+        ):
+            self._control.refuse(
+                run,
+                _Code.QUARANTINED,
+                "ran during a crash and is not repeatable",
+            )
+            return
+        self._scheduler.enqueue(run)
+        self._accept(run)
+        self._scheduler.pump()
+
+    def _accept(self, run: run_module.Run) -> None:
+        self._table.send(
+            run,
+            messages_request.Accepted(
+                request_id=run.dispatch.request_id,
+                attempt=run.dispatch.attempt,
+                queue_length=self._scheduler.queue_length,
+            ),
+        )
+
+    def _on_ack(self, peer: str, item: messages_request.Ack) -> None:
+        run = self._table.get((peer, item.request_id, item.attempt))
+        if run is None:
+            return
+        run.is_attached = True
+        run.buffer.acknowledge(item.offset)
+        if run.end is not None and item.offset >= run.end.total_bytes:
+            self._control.drop_answer(run)
+
+    def _on_reattach(self, peer: str, item: messages_request.Reattach) -> None:
+        key = (peer, item.request_id, item.attempt)
+        run = self._table.get(key)
+        if run is None:
+            self._answer_unknown(key, item.incarnation, is_cancel=False)
+            return
+        run.is_attached = True
+        if item.offset < run.buffer.base:
+            self._control.interrupt(run, "the offset was acknowledged before")
+            return
+        run.buffer.acknowledge(item.offset)
+        self._accept(run)
+        for offset, data in run.buffer.read(item.offset):
+            self._table.send_chunk(run, offset, data)
+        if run.end is not None:
+            self._table.send(run, run.end)
+
+    def _on_cancel(self, peer: str, item: messages_request.Cancel) -> None:
+        key = (peer, item.request_id, item.attempt)
+        run = self._table.get(key)
+        if run is None:
+            self._answer_unknown(key, item.incarnation, is_cancel=True)
+        elif self._scheduler.remove(run):
+            self._close_not_run(run)
+            self._scheduler.pump()
+        elif run.dispatch.is_repeatable:
+            self._control.cancel(run)
+        else:
+            # It runs to completion, and its answer stays for a resend. An
+            # attempt that waits for another run of its key counts as run,
+            # because the request did.
+            self._table.send(run, run_table.cancelled(key, ran=True))
+
+    def _close_not_run(self, run: run_module.Run) -> None:
+        self._control.fail_key(run, result_code.Ran.NOT_RUN)
+        self._table.close(run, run_table.cancelled(run.key, ran=False))
+
+    def _answer_unknown(
+        self, key: run_module.AttemptKey, incarnation: int, is_cancel: bool
+    ) -> None:
+        """Certify an attempt that is not known as not run, if possible."""
+        records = self._table.records
+        last_word = records.get(key)
+        if last_word is None:
+            is_ours = incarnation == self._incarnation
+            can_certify = is_ours and not records.is_forgotten(key)
+            last_word = run_table.cancelled(key, ran=not can_certify)
+            if can_certify:
+                records.add(key, last_word)
+        elif is_cancel and isinstance(last_word, messages_request.Failed):
+            last_word = run_table.cancelled(key, ran=True)
+        self._table.send_to(key[0], last_word)
+
+    def _drop_orphans(self, peer: str) -> None:
+        for run in self._table.runs_of(peer):
+            if run.is_attached:
+                continue
+            if run.state is run_module.RunState.ENDED:
+                self._control.drop_answer(run)
+            elif not run.dispatch.is_repeatable:
+                continue
+            elif self._scheduler.remove(run):
+                self._close_not_run(run)
+            else:
+                self._control.cancel(run)
+        self._scheduler.pump()
+
+    def _flush(self) -> None:
+        self._is_flushed = True
+        for run in list(self._scheduler.waiting()):
+            if self._scheduler.remove(run):
+                self._control.refuse(
+                    run, _Code.LEAVING, "the backend server is leaving"
+                )
+        self._check_idle()
+
+    def _check_idle(self) -> None:
+        if self._is_flushed and not len(self._table):
+            on_idle, self._on_idle = self._on_idle, None
+            if on_idle is not None:
+                on_idle()
--- /dev/null
+++ b/src/balsamwall/execution/run.py
@@ -0,0 +1,87 @@
+"""Attempt that an agent has taken responsibility for."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from balsamwall.execution import stream_buffer
+
+if TYPE_CHECKING:
+    from balsamwall.protocol import messages_request
+    from balsamwall.timing import clock as clock_module
+
+AttemptKey = tuple[str, str, int]  # entry, request identifier, attempt
+
+
+class RunState(enum.Enum):
+    """Progress of an attempt at the agent."""
+
+    WAITING = "waiting"
+    ATTACHED = "attached"  # waits for another run of the same key
+    RUNNING = "running"
+    ENDED = "ended"  # answer is whole and not yet acknowledged
+
+
+class Run:
+    """State of one accepted attempt."""
+
+    __slots__ = (
+        "buffer",
+        "charged_bytes",
+        "deadline_ms",
+        "dispatch",
+        "end",
+        "enqueued_ms",
+        "generation",
+        "is_attached",
+        "is_suspect",
+        "key",
+        "resumes",
+        "state",
+        "timer",
+    )
+
+    def __init__(
+        self, peer: str, dispatch: messages_request.Dispatch, now_ms: int
+    ) -> None:
+        self.key: AttemptKey = (peer, dispatch.request_id, dispatch.attempt)
+        self.dispatch = dispatch
+        self.state = RunState.WAITING
+        self.enqueued_ms = now_ms
+        self.deadline_ms = now_ms + dispatch.deadline_left_ms
+        self.buffer = stream_buffer.StreamBuffer(
+            is_kept_whole=bool(dispatch.idempotency_key)
+        )
+        self.end: messages_request.End | None = None
+        self.is_attached = True
+        self.is_suspect = False
+        self.charged_bytes = 0
+        self.generation = 0
+        self.resumes = 0
+        self.timer: clock_module.Timer | None = None
+
+    @property
+    def peer(self) -> str:
+        """Return the entry that dispatched the attempt."""
+        return self.key[0]
+
+    @property
+    def backend_id(self) -> str:
+        """Return the identifier that the backend server sees.
+
+        It names the attempt, so that two attempts of one request that meet
+        at a backend server stay apart.
+        """
+        return f"{self.dispatch.request_id}/{self.dispatch.attempt}"
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that the KV cache must hold at most."""
+        return self.dispatch.prompt_tokens + self.dispatch.max_output_tokens
+
+    def stop_timer(self) -> None:
+        """Cancel the timer of the attempt."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- /dev/null
+++ b/src/balsamwall/execution/run_listener.py
@@ -0,0 +1,52 @@
+"""Listener that binds answers of a backend server to one attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamwall.execution import run as run_module
+    from balsamwall.execution import run_control
+    from balsamwall.results import result_code
+
+
+class RunListener:
+    """Receiver for one reading of a stream; older readings are ignored."""
+
+    __slots__ = ("_control", "_generation", "_run")
+
+    def __init__(
+        self, control: run_control.RunControl, run: run_module.Run
+    ) -> None:
+        self._control = control
+        self._run = run
+        self._generation = run.generation
+
+    def on_data(self, offset: int, data: bytes) -> None:
+        """Receive a part of the answer at a byte offset."""
+        self._control.on_data(self._run, self._generation, offset, data)
+
+    def on_end(
+        self,
+        http_status: int,
+        headers: dict[str, str],
+        total_bytes: int,
+        output_tokens: int,
+    ) -> None:
+        """Receive the end of a whole answer."""
+        self._control.on_end(
+            self._run,
+            self._generation,
+            http_status,
+            headers,
+            total_bytes,
+            output_tokens,
+        )
+
+    def on_error(
+        self, code: result_code.ResultCode, detail: str, is_crash: bool
+    ) -> None:
+        """Receive the failure of the attempt or of the stream."""
+        self._control.on_error(
+            self._run, self._generation, code, detail, is_crash
+        )
--- /dev/null
+++ b/src/balsamwall/execution/run_scheduler.py
@@ -0,0 +1,373 @@
+"""Decision which waiting attempt starts at a backend server."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from balsamwall.execution import admission_queue
+from balsamwall.execution import crash_attribution
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from balsamwall.execution import run as run_module
+    from balsamwall.residency import memory_account
+    from balsamwall.timing import clock as clock_module
+
+DEFERRABLE_KV_SHARE = 0.75
+MAX_RUNNING = 256
+# A cancelled attempt keeps its memory charged until the backend server has
+# reported its end, or for this long if it never does.
+SETTLE_MS = 5_000
+TRIAL_RETRY_MS = 1_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadCounts:
+    """Load of one backend server for its report."""
+
+    running: int
+    waiting_urgent: int
+    waiting_deferrable: int
+    queued_tokens: int
+    kv_bytes: int
+
+
+class RunScheduler:
+    """Admission queue, KV charges and the isolation of suspects."""
+
+    __slots__ = (
+        "_clock",
+        "_crash",
+        "_deferrable_bytes",
+        "_is_claimed",
+        "_is_held",
+        "_kv_bytes",
+        "_kv_total",
+        "_max_running",
+        "_memory",
+        "_queue",
+        "_refuse",
+        "_retry_timer",
+        "_running",
+        "_settling",
+        "_start",
+        "_suspects",
+        "_trial",
+        "is_paused",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        memory: memory_account.MemoryAccount,
+        crash: crash_attribution.CrashAttribution,
+        kv_bytes: Callable[[str, int], int],
+        is_held: Callable[[str, str], bool],
+        start: Callable[[run_module.Run], None],
+        refuse: Callable[[run_module.Run, result_code.ResultCode, str], None],
+        max_running: int = MAX_RUNNING,
+    ) -> None:
+        self._clock = clock
+        self._memory = memory
+        self._crash = crash
+        self._kv_bytes = kv_bytes
+        self._is_held = is_held
+        self._start = start
+        self._refuse = refuse
+        self._max_running = max_running
+        self._queue = admission_queue.AdmissionQueue()
+        self._running: dict[run_module.AttemptKey, run_module.Run] = {}
+        self._settling: dict[
+            run_module.AttemptKey, tuple[run_module.Run, clock_module.Timer]
+        ] = {}
+        self._suspects: collections.deque[run_module.Run] = collections.deque()
+        self._trial: run_module.Run | None = None
+        self._is_claimed = False
+        self._retry_timer: clock_module.Timer | None = None
+        self._kv_total = 0
+        self._deferrable_bytes = 0
+        self.is_paused = False  # nothing starts while the server is down
+
+    @property
+    def running(self) -> tuple[run_module.Run, ...]:
+        """Return the attempts that run at the backend server."""
+        return tuple(self._running.values())
+
+    @property
+    def tried_alone(self) -> bytes | None:
+        """Return the fingerprint that runs alone now, or None."""
+        if self._trial is None or self._trial.key not in self._running:
+            return None
+        return self._trial.dispatch.fingerprint
+
+    @property
+    def queue_length(self) -> int:
+        """Return the number of attempts that have not started."""
+        return len(self._queue) + len(self._suspects)
+
+    def exposed_fingerprints(self) -> list[bytes]:
+        """Return what the backend server may have been working on.
+
+        A cancelled attempt counts until the server has reported its end.
+        """
+        exposed = [run.dispatch.fingerprint for run in self.running]
+        settling = (run for run, _ in self._settling.values())
+        return exposed + [run.dispatch.fingerprint for run in settling]
+
+    def counts(self) -> LoadCounts:
+        """Return the load for a report."""
+        held = len(self._suspects) + (
+            self._trial is not None and self._trial.key not in self._running
+        )
+        tokens = sum(run.dispatch.prompt_tokens for run in self.waiting())
+        tokens += sum(
+            run.dispatch.prompt_tokens
+            for run in self._running.values()
+            if not run.buffer.end
+        )
+        return LoadCounts(
+            running=len(self._running),
+            waiting_urgent=self._queue.waiting(True) + held,
+            waiting_deferrable=self._queue.waiting(False),
+            queued_tokens=tokens,
+            kv_bytes=self._kv_total,
+        )
+
+    def waiting(self) -> Iterator[run_module.Run]:
+        """Yield the attempts that have not started."""
+        yield from self._queue
+        yield from tuple(self._suspects)
+        if self._trial is not None and self._trial.key not in self._running:
+            yield self._trial
+
+    def has_room(self, is_urgent: bool) -> bool:
+        """Tell whether another attempt of a class may wait."""
+        bound = admission_queue.AGENT_QUEUE_BOUND
+        return self._queue.has_room(is_urgent) and (
+            len(self._suspects) < bound
+        )
+
+    def can_ever_fit(self, run: run_module.Run) -> bool:
+        """Tell whether the KV cache of an attempt fits an idle server."""
+        needed = self._needed_bytes(run)
+        pool = self._pool_bytes()
+        if not run.dispatch.is_urgent:
+            pool = int(pool * DEFERRABLE_KV_SHARE)
+        return needed <= pool
+
+    def enqueue(self, run: run_module.Run) -> None:
+        """Let an attempt wait for its turn."""
+        self._queue.push(run)
+
+    def remove(self, run: run_module.Run) -> bool:
+        """Take a waiting attempt out; return False if it has started."""
+        if self._queue.remove(run):
+            return True
+        if run in self._suspects:
+            self._suspects.remove(run)
+            return True
+        if run is self._trial and run.key not in self._running:
+            self._drop_trial()
+            return True
+        return False
+
+    def finish(
+        self, run: run_module.Run, has_survived: bool, is_settled: bool = True
+    ) -> None:
+        """Take a started attempt out and release its memory."""
+        if self._running.pop(run.key, None) is None:
+            return
+        if run is self._trial:
+            if has_survived:
+                self._crash.on_survived(run.dispatch.fingerprint)
+            self._drop_trial()
+        if is_settled:
+            self._release(run)
+        else:
+            timer = self._clock.call_later(SETTLE_MS, self.settle, run)
+            self._settling[run.key] = (run, timer)
+
+    def settle(self, run: run_module.Run) -> None:
+        """Release the memory of a cancelled attempt that has ended."""
+        settling = self._settling.pop(run.key, None)
+        if settling is not None:
+            settling[1].cancel()
+            self._release(run)
+            self.pump()
+
+    def settle_all(self) -> None:
+        """Release what a backend server that is down can't use any more."""
+        for run, _ in list(self._settling.values()):
+            self.settle(run)
+
+    def review(self) -> None:
+        """Apply changed judgements to the attempts that wait."""
+        for run in list(self.waiting()):
+            if self._crash.is_quarantined(run.dispatch.fingerprint):
+                if self.remove(run):
+                    self._refuse(
+                        run,
+                        result_code.ResultCode.QUARANTINED,
+                        "crashed backend servers",
+                    )
+        for run in tuple(self._suspects):
+            if self._standing(run) is crash_attribution.Standing.CLEAN:
+                self._suspects.remove(run)
+                self._queue.push_front(run)
+        self.pump()
+
+    def pump(self) -> None:
+        """Start what may start now."""
+        while not self.is_paused and not self._is_isolating():
+            run = self._queue.take(self._clock.now_ms(), self._can_start)
+            if run is None:
+                break
+            if self._is_out(run):
+                continue
+            standing = self._standing(run)
+            if standing is crash_attribution.Standing.SUSPECT:
+                run.is_suspect = True
+                self._suspects.append(run)
+            elif not self._charge_and_start(run):
+                self._queue.push_front(run)
+                break
+        self._consider_trial()
+
+    def _is_isolating(self) -> bool:
+        """Tell whether starts wait for a run alone; start it when idle."""
+        trial = self._trial
+        if trial is None or not self._is_claimed:
+            return False
+        if trial.key in self._running:
+            return True
+        if self._running or self._settling:
+            return True
+        if self._is_out(trial):
+            self._drop_trial()
+            return False
+        if not self._charge_and_start(trial):
+            self._drop_trial()
+            self._refuse(
+                trial,
+                result_code.ResultCode.INSUFFICIENT_MEMORY,
+                "no memory for a run alone",
+            )
+            return False
+        return True
+
+    def _consider_trial(self) -> None:
+        if self._trial is not None or not self._suspects:
+            return
+        for run in tuple(self._suspects):
+            if self._is_out(run):
+                self._suspects.remove(run)
+                continue
+            left_ms = run.deadline_ms - self._clock.now_ms()
+            fingerprint = run.dispatch.fingerprint
+            if self._crash.claim_trial(fingerprint, left_ms):
+                self._suspects.remove(run)
+                self._trial = run
+                self._is_claimed = False
+                self._clock.call_later(
+                    crash_attribution.TRIAL_CLAIM_MS, self._on_claimed, run
+                )
+                return
+        if self._suspects and self._retry_timer is None:
+            self._retry_timer = self._clock.call_later(
+                TRIAL_RETRY_MS, self._on_trial_retry
+            )
+
+    def _on_trial_retry(self) -> None:
+        self._retry_timer = None
+        self.review()
+
+    def _on_claimed(self, run: run_module.Run) -> None:
+        if run is not self._trial or self._is_claimed:
+            return
+        if not self._crash.has_trial(run.dispatch.fingerprint):
+            self._trial = None
+            self._suspects.append(run)
+        elif self._standing(run) is crash_attribution.Standing.SUSPECT:
+            self._is_claimed = True
+        else:
+            self._drop_trial()
+            self._queue.push_front(run)
+        self.pump()
+
+    def _drop_trial(self) -> None:
+        trial, self._trial = self._trial, None
+        self._is_claimed = False
+        if trial is not None:
+            self._crash.end_trial(trial.dispatch.fingerprint)
+
+    def _standing(self, run: run_module.Run) -> crash_attribution.Standing:
+        return self._crash.standing(run.dispatch.fingerprint)
+
+    def _is_out(self, run: run_module.Run) -> bool:
+        """Refuse an attempt that must not start; return True if refused."""
+        code = result_code.ResultCode.OK
+        detail = ""
+        if run.deadline_ms <= self._clock.now_ms():
+            code = result_code.ResultCode.DEADLINE_UNREACHABLE
+            detail = "the deadline passed before the start"
+        elif self._crash.is_quarantined(run.dispatch.fingerprint):
+            code = result_code.ResultCode.QUARANTINED
+            detail = "crashed backend servers"
+        elif not self._is_held(run.dispatch.kind, run.dispatch.target):
+            code = result_code.ResultCode.NO_REPLICA
+            detail = f"{run.dispatch.target} is not resident"
+        if code is result_code.ResultCode.OK:
+            return False
+        self._refuse(run, code, detail)
+        return True
+
+    def _can_start(self, run: run_module.Run) -> bool:
+        if len(self._running) >= self._max_running:
+            return False
+        if run.deadline_ms <= self._clock.now_ms():
+            return True
+        if self._standing(run) is not crash_attribution.Standing.CLEAN:
+            return True
+        needed = self._needed_bytes(run)
+        if needed > self._memory.free_bytes:
+            return False
+        if run.dispatch.is_urgent:
+            return True
+        allowed = int(self._pool_bytes() * DEFERRABLE_KV_SHARE)
+        return self._deferrable_bytes + needed <= allowed
+
+    def _charge_and_start(self, run: run_module.Run) -> bool:
+        needed = self._needed_bytes(run)
+        if needed and not self._memory.charge(self._account(run), needed):
+            return False
+        run.charged_bytes = needed
+        self._kv_total += needed
+        if not run.dispatch.is_urgent:
+            self._deferrable_bytes += needed
+        self._running[run.key] = run
+        self._start(run)
+        return True
+
+    def _release(self, run: run_module.Run) -> None:
+        if run.charged_bytes:
+            self._memory.release(self._account(run))
+        self._kv_total -= run.charged_bytes
+        if not run.dispatch.is_urgent:
+            self._deferrable_bytes -= run.charged_bytes
+        run.charged_bytes = 0
+
+    def _needed_bytes(self, run: run_module.Run) -> int:
+        if run.dispatch.kind != "model":
+            return 0
+        return self._kv_bytes(run.dispatch.target, run.tokens)
+
+    def _pool_bytes(self) -> int:
+        return self._memory.free_bytes + self._kv_total
+
+    def _account(self, run: run_module.Run) -> str:
+        return f"kv/{run.peer}/{run.backend_id}"
--- /dev/null
+++ b/src/balsamwall/execution/stream_buffer.py
@@ -0,0 +1,75 @@
+"""Buffer of an answer until it is acknowledged."""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_PART_BYTES = 256 * 1_024
+DIGEST_BYTES = 16
+
+
+class StreamBuffer:
+    """Parts of an answer by byte offset, with a digest of the whole."""
+
+    __slots__ = ("_base", "_digest", "_end", "_parts", "_whole")
+
+    def __init__(self, is_kept_whole: bool = False) -> None:
+        self._base = 0
+        self._end = 0
+        self._parts: collections.deque[bytes] = collections.deque()
+        self._digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        self._whole: list[bytes] | None = [] if is_kept_whole else None
+
+    @property
+    def base(self) -> int:
+        """Return the offset of the first byte that is still kept."""
+        return self._base
+
+    @property
+    def end(self) -> int:
+        """Return the offset after the last byte received."""
+        return self._end
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the number of bytes kept for reading again."""
+        return self._end - self._base
+
+    @property
+    def digest(self) -> bytes:
+        """Return the digest of everything received."""
+        return self._digest.digest()
+
+    def append(self, data: bytes) -> None:
+        """Append the next part of the answer."""
+        if data:
+            self._parts.append(data)
+            self._end += len(data)
+            self._digest.update(data)
+            if self._whole is not None:
+                self._whole.append(data)
+
+    def acknowledge(self, offset: int) -> None:
+        """Drop the parts that lie whole before an offset."""
+        while self._parts and self._base + len(self._parts[0]) <= offset:
+            self._base += len(self._parts.popleft())
+
+    def read(self, offset: int) -> Iterator[tuple[int, bytes]]:
+        """Yield the parts from an offset with their own offsets."""
+        position = self._base
+        for part in tuple(self._parts):
+            skip = max(0, offset - position)
+            while skip < len(part):
+                data = part[skip : skip + MAX_PART_BYTES]
+                yield position + skip, data
+                skip += len(data)
+            position += len(part)
+
+    def whole(self) -> bytes:
+        """Return the whole answer of a buffer that keeps it."""
+        return b"".join(self._whole or ())
--- /dev/null
+++ b/src/balsamwall/limits/token_bucket.py
@@ -0,0 +1,53 @@
+"""Token bucket that limits a rate with a burst."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamwall.timing import clock as clock_module
+
+
+class TokenBucket:
+    """Bucket that refills at a rate per second up to its burst."""
+
+    __slots__ = ("_burst", "_clock", "_rate", "_tokens", "_updated_ms")
+
+    def __init__(
+        self, clock: clock_module.Clock, rate_per_s: float, burst: int
+    ) -> None:
+        self._clock = clock
+        self._rate = rate_per_s
+        self._burst = float(max(1, burst))
+        self._tokens = self._burst
+        self._updated_ms = clock.now_ms()
+
+    def change(self, rate_per_s: float, burst: int) -> None:
+        """Take a new rate and burst and keep the tokens that fit."""
+        self._refill()
+        self._rate = rate_per_s
+        self._burst = float(max(1, burst))
+        self._tokens = min(self._tokens, self._burst)
+
+    def take(self) -> bool:
+        """Take one token; return False without one."""
+        self._refill()
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def wait_ms(self) -> int:
+        """Return the time until a token is there, in milliseconds."""
+        self._refill()
+        if self._tokens >= 1.0:
+            return 0
+        if self._rate <= 0:
+            return 60_000
+        return int((1.0 - self._tokens) * 1_000 / self._rate) + 1
+
+    def _refill(self) -> None:
+        now_ms = self._clock.now_ms()
+        added = (now_ms - self._updated_ms) * self._rate / 1_000
+        self._tokens = min(self._burst, self._tokens + added)
+        self._updated_ms = now_ms
--- a/src/balsamwall/protocol/messages_state.py
+++ b/src/balsamwall/protocol/messages_state.py
@@ -57,10 +57,14 @@
 
 @message.register(34)
 class Verdict(message.Message):
-    """Spread or clear the quarantine of a request fingerprint."""
+    """Spread a judgement on a request fingerprint.
+
+    "trial" claims the one run alone of a suspect for the agent that
+    `reason` names; "trial_end" gives the claim back.
+    """
 
     fingerprint: bytes
-    action: str  # "quarantine" or "clear"
+    action: str  # "suspect", "quarantine", "clear", "trial" or "trial_end"
     sequence: int
     left_ms: int
     reason: str
--- /dev/null
+++ b/src/balsamwall/routing/route_query.py
@@ -0,0 +1,57 @@
+"""Question to the router and its answer."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from balsamwall.results import result_code
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RouteQuery:
+    """Facts about a request that a routing decision needs."""
+
+    kind: str  # "model" or "service"
+    target: str
+    is_urgent: bool
+    prompt_tokens: int
+    max_output_tokens: int
+    first_token_deadline_ms: int  # on the entry's monotonic clock
+    prefix_hashes: tuple[int, ...] = ()
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RouteDecision:
+    """Chosen agent, or a refusal with the time to come back."""
+
+    code: result_code.ResultCode
+    peer: str = ""
+    incarnation: int = 0
+    predicted_ms: int = 0
+    matched_tokens: int = 0
+    retry_after_ms: int = 0
+    detail: str = ""
+
+    @property
+    def is_chosen(self) -> bool:
+        """Tell whether an agent was chosen."""
+        return self.code is result_code.ResultCode.OK
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CandidateView:
+    """State of one replica as the router sees it, for operators."""
+
+    peer: str
+    zone: str
+    predicted_ms: int
+    matched_tokens: int
+    is_ejected: bool
+    slow_start_weight: float
+    report_age_ms: int
+
+
+def index_name(kind: str, target: str) -> str:
+    """Return the name under which replicas of a target are indexed."""
+    return f"service:{target}" if kind == "service" else target
