--- /dev/null
+++ b/src/balsamwall/residency/memory_room.py
@@ -0,0 +1,76 @@
+"""Memory for the weights of one more copy."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.residency import urgency as urgency_levels
+from balsamwall.residency import victim_choice
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.residency import copy_table
+    from balsamwall.residency import memory_ledger
+    from balsamwall.residency import model_copy
+    from balsamwall.residency import residency_task
+
+
+class MemoryRoom:
+    """Tell whether weights fit and what to unload if they do not."""
+
+    __slots__ = ("_cost", "_floor_bytes", "_is_evictable", "_ledger", "_table")
+
+    def __init__(
+        self,
+        ledger: memory_ledger.MemoryLedger,
+        table: copy_table.CopyTable,
+        is_evictable: Callable[[model_copy.ModelCopy], bool],
+        cost: Callable[[model_copy.ModelCopy], float],
+        floor_bytes: int,
+    ) -> None:
+        """Take floor_bytes, which stay free of weights."""
+        self._ledger = ledger
+        self._table = table
+        self._is_evictable = is_evictable
+        self._cost = cost
+        self._floor_bytes = floor_bytes
+
+    def has_room(self, spec: model_copy.CopySpec) -> bool:
+        """Tell whether the weights fit beside all that is charged."""
+        charged = self._table.remaining_bytes(spec)
+        return self._missing_bytes(spec) - charged <= 0
+
+    def victims(
+        self,
+        task: residency_task.ResidencyTask,
+        spec: model_copy.CopySpec,
+        spared: set[str],
+    ) -> list[model_copy.ModelCopy] | None:
+        """Return what to unload; empty to wait, None if nothing helps."""
+        held = sum(copy.spec.memory_bytes for copy in self._table.copies())
+        if held + spec.memory_bytes <= self._limit_bytes:
+            return []
+        if task.drop or task.is_roll:
+            dropped = task.drop or task.name
+            if dropped in task.barred:
+                return None
+            return self._table.versions(dropped) or None
+        if task.urgency < urgency_levels.UNREACHABLE:
+            return None
+        return victim_choice.choose_victims(
+            self._table,
+            task.barred | {spec.base} | spared,
+            held + spec.memory_bytes - self._limit_bytes,
+            self._is_evictable,
+            self._cost,
+        )
+
+    @property
+    def _limit_bytes(self) -> int:
+        return self._ledger.capacity_bytes - self._floor_bytes
+
+    def _missing_bytes(self, spec: model_copy.CopySpec) -> int:
+        """Return the bytes that the weights lack beside all charges."""
+        needed = self._table.weight_bytes + spec.memory_bytes
+        return needed - self._limit_bytes
--- /dev/null
+++ b/src/balsamwall/residency/residency_hooks.py
@@ -0,0 +1,43 @@
+"""What residency needs to know from the other parts of an agent."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+
+def _never(name: str) -> bool:
+    return False
+
+
+def _no_start(name: str) -> int | None:
+    return None
+
+
+def _no_vms(name: str) -> Sequence[str]:
+    return ()
+
+
+def _zero(name: str) -> float:
+    return 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ResidencyHooks:
+    """Questions to the executor, to membership and to the demand counts."""
+
+    # True while running requests use a model or adapter.
+    is_in_use: Callable[[str], bool] = _never
+    # Start of the oldest running request of a name on the agent's clock in
+    # milliseconds, None without one.
+    oldest_running_ms: Callable[[str], int | None] = _no_start
+    # Live VMs, not leaving, that hold a ready copy of a name.
+    holders: Callable[[str], Sequence[str]] = _no_vms
+    # Live VMs, not leaving, that may load a name, best one first.
+    load_targets: Callable[[str], Sequence[str]] = _no_vms
+    # Demand for a name; copies with less demand are evicted first.
+    demand: Callable[[str], float] = _zero
--- /dev/null
+++ b/src/balsamwall/residency/task_runner.py
@@ -0,0 +1,466 @@
+"""Runner of loads, unloads and role changes, one at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.residency import memory_room
+from balsamwall.residency import model_copy
+from balsamwall.residency import order_issuer
+from balsamwall.residency import residency_task
+from balsamwall.residency import task_queue
+from balsamwall.residency import urgency as urgency_levels
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from balsamwall.configuration import tenant_configuration
+    from balsamwall.residency import copy_table
+    from balsamwall.residency import memory_ledger
+    from balsamwall.residency import permit
+    from balsamwall.residency import residency_hooks
+    from balsamwall.residency import retention
+    from balsamwall.timing import clock as clock_module
+
+WAIT_LIMIT_MS = 60_000
+WAIT_STEP_MS = 200
+RETRY_MIN_MS = 1_000
+RETRY_MAX_MS = 30_000
+MAX_ATTEMPTS = 6
+
+_Task = residency_task.ResidencyTask
+_Kind = residency_task.TaskKind
+_Code = result_code.ResultCode
+
+
+class TaskRunner:
+    """Advance the most urgent task whenever no order is open.
+
+    The running task is a stack: a load may first need its base model, or
+    memory that unloads free.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_hooks",
+        "_is_pumping",
+        "_issuer",
+        "_ledger",
+        "_permits",
+        "_queue",
+        "_random_source",
+        "_retention",
+        "_room",
+        "_stack",
+        "_table",
+        "_wake_timer",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+        ledger: memory_ledger.MemoryLedger,
+        table: copy_table.CopyTable,
+        issuer: order_issuer.OrderIssuer,
+        retention_table: retention.RetentionTable,
+        permits: permit.PermitSource,
+        hooks: residency_hooks.ResidencyHooks,
+        kv_floor_bytes: int,
+    ) -> None:
+        self._clock = clock
+        self._random_source = random_source
+        self._ledger = ledger
+        self._table = table
+        self._issuer = issuer
+        self._retention = retention_table
+        self._permits = permits
+        self._hooks = hooks
+        self._room = memory_room.MemoryRoom(
+            ledger,
+            table,
+            self._is_evictable,
+            self._eviction_cost,
+            kv_floor_bytes,
+        )
+        self._configuration: tenant_configuration.TenantConfiguration | None
+        self._configuration = None
+        self._queue = task_queue.TaskQueue(clock)
+        self._stack: list[_Task] = []
+        self._is_pumping = False
+        self._wake_timer: clock_module.Timer | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no task waits or runs."""
+        return self._queue.is_empty and not self._stack
+
+    def set_configuration(
+        self, configuration: tenant_configuration.TenantConfiguration
+    ) -> None:
+        """Take the configuration in force."""
+        self._configuration = configuration
+
+    def is_configured(self, name: str) -> bool:
+        """Tell whether a name must stay reachable; yes if unknown."""
+        if self._configuration is None:
+            return True
+        return name in self._configuration.configured_names()
+
+    def has_task(self, kind: _Kind, name: str, version: str = "") -> bool:
+        """Tell whether a task waits or runs."""
+        key = (kind, name, version)
+        if self._queue.get(key) is not None:
+            return True
+        return any(task.key == key for task in self._stack)
+
+    def add(
+        self,
+        kind: _Kind,
+        name: str,
+        version: str,
+        urgency: int,
+        on_done: Callable[[result_code.ResultCode], None] | None = None,
+        drop: str = "",
+        is_roll: bool = False,
+    ) -> None:
+        """Queue a task, or raise the urgency of an equal one."""
+        key = (kind, name, version)
+        task = self._queue.get(key)
+        if task is None:
+            task = next((t for t in self._stack if t.key == key), None)
+        if task is None:
+            task = self._queue.make(kind, name, version, urgency)
+            task.is_roll = is_roll
+            self._queue.put(task)
+        task.urgency = max(task.urgency, urgency)
+        task.drop = task.drop or drop
+        if on_done is not None:
+            task.callbacks.append(on_done)
+        self.pump()
+
+    def clear(self) -> None:
+        """Drop every task that has no order out."""
+        tasks = self._queue.take_all()
+        if self._issuer.open_order is None:
+            for task in reversed(self._stack):
+                self._clean_up(task)
+            tasks += self._stack
+            self._stack = []
+        for task in tasks:
+            self._tell(task, _Code.LEAVING)
+
+    def pump(self) -> None:
+        """Advance tasks until they wait for an event."""
+        if self._is_pumping:
+            return
+        self._is_pumping = True
+        try:
+            while self._issuer.is_idle and self._step():
+                pass
+        finally:
+            self._is_pumping = False
+
+    def _step(self) -> bool:
+        waiting = self._queue.most_urgent()
+        if self._stack:
+            root = self._stack[0]
+            if waiting is not None and waiting.urgency > root.urgency:
+                self._put_back()
+        if not self._stack:
+            if waiting is None:
+                delay_ms = self._queue.delay_ms()
+                if delay_ms is not None:
+                    self._wake_after(delay_ms)
+                return False
+            self._queue.take(waiting.key)
+            self._stack = [waiting]
+        task = self._stack[-1]
+        if task.kind is _Kind.LOAD:
+            return self._advance_load(task)
+        if task.kind is _Kind.UNLOAD:
+            return self._advance_unload(task)
+        spec = model_copy.CopySpec(task.name, "", "", "", 0)
+        self._issue(task, "role", spec)
+        return False
+
+    def _put_back(self) -> None:
+        """Return the running task to the queue for a more urgent one."""
+        for task in reversed(self._stack):
+            self._clean_up(task)
+        root = self._stack[0]
+        root.reset()
+        for task in self._stack[1:]:
+            self._tell(task, _Code.EVICTION_REFUSED)
+        self._stack = []
+        self._queue.put(root)
+
+    def _wake_after(self, delay_ms: int) -> None:
+        if self._wake_timer is not None:
+            self._wake_timer.cancel()
+        self._wake_timer = self._clock.call_later(delay_ms, self.pump)
+
+    def _wait(self, task: _Task, code: result_code.ResultCode) -> bool:
+        """Wait for an event; end the task with the code at the limit."""
+        now_ms = self._clock.now_ms()
+        if task.waits_since_ms is None:
+            task.waits_since_ms = now_ms
+        if now_ms - task.waits_since_ms > WAIT_LIMIT_MS:
+            return self._finish(task, code)
+        self._wake_after(WAIT_STEP_MS)
+        return False
+
+    def _advance_load(self, task: _Task) -> bool:
+        spec = model_copy.find_spec(self._configuration, task.name)
+        if spec is None:
+            return self._finish(task, _Code.UNKNOWN_MODEL)
+        if task.spec is not None and task.spec != spec:
+            self._clean_up(task)
+            task.reset()
+        held = self._table.get(spec.key)
+        if held is not None:
+            if held.state is model_copy.CopyState.READY:
+                return self._finish(task, _Code.OK)
+            return self._wait(task, _Code.ORDER_OUTCOME_UNKNOWN)
+        if not task.is_roll and self._table.ready(task.name) is not None:
+            return self._finish(task, _Code.OK)
+        task.spec = spec
+        if spec.base and self._table.ready(spec.base) is None:
+            return self._push(task, _Kind.LOAD, spec.base, "")
+        if not self._room.has_room(spec):
+            return self._make_room(task, spec)
+        if task.permit_id is None or (
+            task.is_permit_granted
+            and not self._permits.is_usable(task.permit_id)
+        ):
+            return self._ask_permit(task)
+        if not task.is_permit_granted:
+            return self._wait(task, _Code.PERMIT_REFUSED)
+        if not self._ledger.charge_part(spec.ledger_key, spec.memory_bytes):
+            return self._wait(task, _Code.INSUFFICIENT_MEMORY)
+        self._permits.mark_started(task.permit_id)
+        self._table.begin_load(spec)
+        self._issue(task, "load", spec)
+        return False
+
+    def _make_room(self, task: _Task, spec: model_copy.CopySpec) -> bool:
+        """Unload something first, or end the task without memory."""
+        names = {t.name for t in self._stack}
+        victims = self._room.victims(task, spec, names)
+        if victims is None:
+            return self._finish(task, _Code.INSUFFICIENT_MEMORY)
+        if not victims:
+            # Memory of a removed copy is still charged for a while.
+            return self._wait(task, _Code.INSUFFICIENT_MEMORY)
+        victim = victims[0]
+        if victim.spec.name == task.name:
+            for item in self._table.dependents(task.name):
+                self.add(
+                    _Kind.LOAD,
+                    item.spec.name,
+                    "",
+                    urgency_levels.REBALANCING,
+                )
+        return self._push(
+            task, _Kind.UNLOAD, victim.spec.name, victim.spec.version
+        )
+
+    def _is_evictable(self, copy: model_copy.ModelCopy) -> bool:
+        """Tell whether an eviction has a chance to be allowed."""
+        name = copy.spec.name
+        if not self.is_configured(name):
+            return True
+        if not self._retention.may_evict(name):
+            return False
+        return bool(self._hooks.holders(name))
+
+    def _eviction_cost(self, copy: model_copy.ModelCopy) -> float:
+        if not self.is_configured(copy.spec.name):
+            return -1.0
+        return self._hooks.demand(copy.spec.name)
+
+    def _ask_permit(self, task: _Task) -> bool:
+        if task.permit_id is not None:
+            self._permits.release(task.permit_id)
+        task.permit_id = None
+        task.is_permit_granted = False
+
+        def on_granted(permit_id: int) -> None:
+            if task.permit_id in (None, permit_id):
+                task.permit_id = permit_id
+                task.is_permit_granted = True
+                self.pump()
+
+        permit_id = self._permits.acquire(task.name, task.urgency, on_granted)
+        task.permit_id = permit_id
+        if task.is_permit_granted:
+            return True
+        return self._wait(task, _Code.PERMIT_REFUSED)
+
+    def _advance_unload(self, task: _Task) -> bool:
+        key = (task.name, task.version)
+        copy = self._table.get(key)
+        if copy is None:
+            return self._finish(task, _Code.OK)
+        if copy.state is not model_copy.CopyState.READY:
+            return self._wait(task, _Code.EVICTION_REFUSED)
+        has_other = any(
+            other is not copy and other.state is model_copy.CopyState.READY
+            for other in self._table.versions(task.name)
+        )
+        is_granted = has_other or not self.is_configured(task.name)
+        if not has_other:
+            for item in self._table.dependents(task.name):
+                return self._push(
+                    task, _Kind.UNLOAD, item.spec.name, item.spec.version
+                )
+        if not is_granted:
+            if task.is_refused or not self._retention.may_evict(task.name):
+                return self._finish(task, _Code.EVICTION_REFUSED)
+            if task.grant is None:
+                return self._ask_grant(task)
+            if not task.grant.is_usable(self._clock.now_ms()):
+                return self._finish(task, _Code.EVICTION_REFUSED)
+        self._table.withdraw(key, True)
+        if self._is_in_use(copy, has_other):
+            return self._wait(task, _Code.EVICTION_REFUSED)
+        if not is_granted and not self._retention.mark_ordered(task.name):
+            return self._finish(task, _Code.EVICTION_REFUSED)
+        self._table.begin_unload(key)
+        self._issue(task, "unload", copy.spec)
+        return False
+
+    def _is_in_use(self, copy: model_copy.ModelCopy, has_other: bool) -> bool:
+        """Tell whether running requests may use a copy."""
+        name = copy.spec.name
+        if not self._hooks.is_in_use(name):
+            return False
+        oldest_ms = self._hooks.oldest_running_ms(name)
+        if not has_other or oldest_ms is None:
+            return True
+        # Requests that started after the other version was ready use it.
+        return not any(
+            other is not copy
+            and other.state is model_copy.CopyState.READY
+            and other.ready_ms < oldest_ms
+            for other in self._table.versions(name)
+        )
+
+    def _ask_grant(self, task: _Task) -> bool:
+        if task.is_asking:
+            return self._wait(task, _Code.EVICTION_REFUSED)
+        task.is_asking = True
+
+        def on_answer(grant: retention.Grant | None) -> None:
+            task.grant = grant
+            task.is_refused = grant is None
+            self.pump()
+
+        self._retention.request(
+            task.name, self._hooks.holders(task.name), on_answer
+        )
+        if task.grant is not None or task.is_refused:
+            return True
+        return self._wait(task, _Code.EVICTION_REFUSED)
+
+    def _push(
+        self, parent: _Task, kind: _Kind, name: str, version: str
+    ) -> bool:
+        """Run a task first that the parent needs."""
+        task = self._queue.take((kind, name, version))
+        if task is None:
+            task = self._queue.make(kind, name, version, parent.urgency)
+        task.urgency = max(task.urgency, parent.urgency)
+        self._stack.append(task)
+        return True
+
+    def _issue(
+        self, task: _Task, action: str, spec: model_copy.CopySpec
+    ) -> None:
+        def on_settled(
+            outcome: order_issuer.OrderOutcome, code: result_code.ResultCode
+        ) -> None:
+            self._on_settled(task, action, spec, outcome, code)
+
+        self._issuer.issue(action, spec, on_settled)
+
+    def _on_settled(
+        self,
+        task: _Task,
+        action: str,
+        spec: model_copy.CopySpec,
+        outcome: order_issuer.OrderOutcome,
+        code: result_code.ResultCode,
+    ) -> None:
+        is_done = outcome is order_issuer.OrderOutcome.DONE
+        if action == "load" and not is_done:
+            self._table.remove(spec.key)
+        elif action == "unload" and is_done:
+            self._table.remove(spec.key)
+        elif action == "unload":
+            self._table.unload_failed(spec.key)
+        if action == "load" and is_done and task.drop:
+            for copy in self._table.versions(task.drop):
+                self.add(
+                    _Kind.UNLOAD, task.drop, copy.spec.version, task.urgency
+                )
+        self._finish(task, code)
+        self.pump()
+
+    def _clean_up(self, task: _Task) -> None:
+        """Give back what an attempt holds."""
+        if task.permit_id is not None:
+            self._permits.release(task.permit_id)
+            task.permit_id = None
+        if task.kind is _Kind.LOAD and task.spec is not None:
+            self._table.drop_claim(task.spec)
+        if task.kind is _Kind.UNLOAD:
+            self._table.withdraw((task.name, task.version), False)
+            if task.is_asking:
+                self._retention.cancel(task.name)
+
+    def _finish(self, task: _Task, code: result_code.ResultCode) -> bool:
+        """End a task; a failed one ends those that need it."""
+        self._clean_up(task)
+        if task in self._stack:
+            self._stack.remove(task)
+        if code is _Code.OK or not self._retry(task, code):
+            self._tell(task, code)
+        if code is _Code.OK or not self._stack:
+            return True
+        parent = self._stack[-1]
+        if task.kind is _Kind.UNLOAD and parent.kind is _Kind.LOAD:
+            # Another copy may be free to go.
+            parent.barred.add(task.name)
+        else:
+            self._finish(parent, code)
+        return True
+
+    def _retry(self, task: _Task, code: result_code.ResultCode) -> bool:
+        """Queue a load again after a failed order; False at the limit."""
+        is_order_failure = code in (
+            _Code.ORDER_OUTCOME_UNKNOWN,
+            _Code.ORDER_REFUSED_MEMORY,
+            _Code.ORDER_STALE_FENCE,
+            _Code.PERMIT_REFUSED,
+        )
+        task.attempts += 1
+        if task.kind is not _Kind.LOAD or not is_order_failure:
+            return False
+        if task.attempts >= MAX_ATTEMPTS:
+            return False
+        limit_ms = min(RETRY_MAX_MS, RETRY_MIN_MS << task.attempts)
+        delay_ms = self._random_source.randint(RETRY_MIN_MS, limit_ms)
+        task.reset()
+        task.not_before_ms = self._clock.now_ms() + delay_ms
+        self._queue.put(task)
+        self._wake_after(delay_ms)
+        return True
+
+    def _tell(self, task: _Task, code: result_code.ResultCode) -> None:
+        callbacks, task.callbacks = task.callbacks, []
+        for callback in callbacks:
+            callback(code)
--- /dev/null
+++ b/src/balsamwall/residency/urgency.py
@@ -0,0 +1,9 @@
+"""Urgency of loads; higher numbers go first."""
+
+from __future__ import annotations
+
+REBALANCING = 0
+DEFERRABLE = 1
+URGENT = 2
+UNREACHABLE = 3
+UNREACHABLE_URGENT = 4
--- /dev/null
+++ b/src/balsamwall/residency/version_roll.py
@@ -0,0 +1,131 @@
+"""Change of copies to the configured version, forward and back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.protocol import messages_residency
+from balsamwall.residency import model_copy
+from balsamwall.residency import residency_task
+from balsamwall.residency import urgency as urgency_levels
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from balsamwall.configuration import tenant_configuration
+    from balsamwall.protocol import outbox as outbox_module
+    from balsamwall.residency import copy_table
+    from balsamwall.residency import residency_hooks
+    from balsamwall.residency import task_runner
+    from balsamwall.timing import clock as clock_module
+
+RECONCILE_MS = 5_000
+ROLL_RETRY_MS = 15_000
+
+_Kind = residency_task.TaskKind
+
+
+class VersionRoll:
+    """Load the configured version first, then unload the other one.
+
+    Where memory is short for both, the load unloads the other version under
+    a retention grant, that is while another holder serves the model.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_hooks",
+        "_is_active",
+        "_not_before_ms",
+        "_outbox",
+        "_random_source",
+        "_runner",
+        "_table",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        outbox: outbox_module.Outbox,
+        random_source: random.Random,
+        table: copy_table.CopyTable,
+        runner: task_runner.TaskRunner,
+        hooks: residency_hooks.ResidencyHooks,
+        is_active: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._outbox = outbox
+        self._random_source = random_source
+        self._table = table
+        self._runner = runner
+        self._hooks = hooks
+        self._is_active = is_active
+        self._configuration: tenant_configuration.TenantConfiguration | None
+        self._configuration = None
+        self._not_before_ms: dict[str, int] = {}
+        self._timer: clock_module.Timer | None = None
+
+    def set_configuration(
+        self, configuration: tenant_configuration.TenantConfiguration
+    ) -> None:
+        """Take the configuration in force."""
+        self._configuration = configuration
+        self._not_before_ms.clear()
+
+    def start(self) -> None:
+        """Compare versions from time to time, VMs at different times."""
+        spread_ms = self._random_source.randrange(RECONCILE_MS)
+        self._timer = self._clock.call_later(
+            RECONCILE_MS // 2 + spread_ms, self._step
+        )
+
+    def stop(self) -> None:
+        """Compare versions no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _step(self) -> None:
+        self.start()
+        if not self._is_active():
+            return
+        for copy in self._table.copies():
+            spec = model_copy.find_spec(self._configuration, copy.spec.name)
+            if spec is not None and spec.version != copy.spec.version:
+                self._roll(copy, spec)
+        self._runner.pump()
+
+    def _roll(
+        self, copy: model_copy.ModelCopy, spec: model_copy.CopySpec
+    ) -> None:
+        name, version = copy.spec.key
+        level = urgency_levels.REBALANCING
+        held = self._table.get(spec.key)
+        if held is not None:
+            if held.state is model_copy.CopyState.READY:
+                self._runner.add(_Kind.UNLOAD, name, version, level)
+            return
+        now_ms = self._clock.now_ms()
+        if self._not_before_ms.get(name, 0) > now_ms:
+            return
+        if self._runner.has_task(_Kind.LOAD, name):
+            return
+        self._not_before_ms[name] = now_ms + ROLL_RETRY_MS
+
+        def on_done(code: result_code.ResultCode) -> None:
+            if code is not result_code.ResultCode.OK:
+                self._ask_elsewhere(name)
+
+        self._runner.add(_Kind.LOAD, name, "", level, on_done, is_roll=True)
+
+    def _ask_elsewhere(self, name: str) -> None:
+        """Let another VM load the new version if nobody else holds one."""
+        if self._hooks.holders(name):
+            return
+        for target in self._hooks.load_targets(name)[:1]:
+            item = messages_residency.EnsureResident(name, False)
+            self._outbox.send(target, item)
