--- a/src/balsamwall/residency/copy_table.py
+++ b/src/balsamwall/residency/copy_table.py
@@ -147,17 +147,7 @@
             return
         ledger_key = copy.spec.ledger_key
         self._remains.add(ledger_key)
-        sent_ms = self._load_sent_ms.get(ledger_key)
-        now_ms = self._clock.now_ms()
-        end_ms = now_ms
-        if sent_ms is not None:
-            end_ms = sent_ms + self._max_order_delay_ms + 1
-        if end_ms <= now_ms:
-            self._release_remains(ledger_key)
-        else:
-            self._clock.call_later(
-                end_ms - now_ms, self._release_remains, ledger_key
-            )
+        self._release_remains(ledger_key)
         self._on_change()
 
     def drop_claim(self, spec: model_copy.CopySpec) -> None:
@@ -250,8 +240,20 @@
             self._ledger.shrink(EARLIER_KEY, other)
 
     def _release_remains(self, ledger_key: str) -> None:
-        if ledger_key in self._remains:
-            self._remains.discard(ledger_key)
-            self._ledger.release(ledger_key)
-            self._load_sent_ms.pop(ledger_key, None)
-            self._on_release()
+        """Release a charge now, or when no load order can arrive."""
+        if ledger_key not in self._remains:
+            return
+        now_ms = self._clock.now_ms()
+        end_ms = now_ms
+        sent_ms = self._load_sent_ms.get(ledger_key)
+        if sent_ms is not None:
+            end_ms = sent_ms + self._max_order_delay_ms + 1
+        if end_ms > now_ms:
+            self._clock.call_later(
+                end_ms - now_ms, self._release_remains, ledger_key
+            )
+            return
+        self._remains.discard(ledger_key)
+        self._load_sent_ms.pop(ledger_key, None)
+        self._ledger.release(ledger_key)
+        self._on_release()
--- /dev/null
+++ b/tests/order_schedules/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of order schedules."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/placement/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of placement."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/residency/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of residency."""
+
+from __future__ import annotations
