Hand over copies that are still loading and announce empty engines

Cause: a leaving VM ended its handover before it knew its copies, and a restarted agent with an empty engine kept its old residents at its peers. Change: the handover waits for the first listing and covers copies in any state; the first listing is always announced.

--- a/src/balsamwall/residency/copy_table.py
+++ b/src/balsamwall/residency/copy_table.py
@@ -53,7 +53,7 @@
         self._copies: dict[model_copy.CopyKey, model_copy.ModelCopy] = {}
         self._load_sent_ms: dict[str, int] = {}
         # Charges of copies that are gone, by ledger key.
-        self._remains: set[str] = set()
+        self._remains: dict[str, model_copy.CopySpec] = {}
         self._has_listing = False
         self._lost = 0
 
@@ -72,7 +72,8 @@
         """Return the charges of all copies, and of those just removed."""
         keys = {copy.spec.ledger_key for copy in self._copies.values()}
         return sum(
-            self._ledger.charged_bytes(key) for key in keys | self._remains
+            self._ledger.charged_bytes(key)
+            for key in keys | self._remains.keys()
         )
 
     def remaining_bytes(self, spec: model_copy.CopySpec) -> int:
@@ -112,11 +113,15 @@
         """Return the adapters of a base model."""
         return [c for c in self._copies.values() if c.spec.base == base]
 
+    def may_gain_dependents(self, base: str) -> bool:
+        """Tell whether a repeated order could load an adapter of a base."""
+        return any(spec.base == base for spec in self._remains.values())
+
     def begin_load(self, spec: model_copy.CopySpec) -> None:
         """Note that a load order is sent; its memory is charged."""
         state = model_copy.CopyState.LOADING
         self._copies[spec.key] = model_copy.ModelCopy(spec, state)
-        self._remains.discard(spec.ledger_key)
+        self._remains.pop(spec.ledger_key, None)
         self._load_sent_ms[spec.ledger_key] = self._clock.now_ms()
         self._on_change()
 
@@ -146,7 +151,7 @@
         if copy is None:
             return
         ledger_key = copy.spec.ledger_key
-        self._remains.add(ledger_key)
+        self._remains[ledger_key] = copy.spec
         self._release_remains(ledger_key)
         self._on_change()
 
@@ -166,7 +171,9 @@
         target = None
         if open_order is not None and open_order.action != "role":
             target = (open_order.name, open_order.version)
-        is_changed = not self._has_listing
+        is_first = not self._has_listing
+        is_changed = is_first
+        self._has_listing = True
         shown = set()
         for item in listing.residents:
             shown.add((item.name, item.version))
@@ -178,8 +185,7 @@
                 lost.append(key[0])
                 self.remove(key)
         self._lost += len(lost)
-        self._charge_earlier(listing)
-        self._has_listing = True
+        self._charge_earlier(listing, is_first)
         if is_changed:
             self._on_change()
         return lost
@@ -216,7 +222,7 @@
             copy = model_copy.ModelCopy(spec, state)
             copy.ready_ms = self._clock.now_ms()
             self._copies[key] = copy
-            self._remains.discard(spec.ledger_key)
+            self._remains.pop(spec.ledger_key, None)
             self._ledger.adopt(spec.ledger_key, item.memory_bytes)
             return True
         self._ledger.adopt(copy.spec.ledger_key, item.memory_bytes)
@@ -228,11 +234,13 @@
             copy.ready_ms = self._clock.now_ms()
         return True
 
-    def _charge_earlier(self, listing: backend_server.EngineListing) -> None:
+    def _charge_earlier(
+        self, listing: backend_server.EngineListing, is_first: bool
+    ) -> None:
         """Charge what requests of an earlier incarnation still use."""
         shown = sum(item.memory_bytes for item in listing.residents)
         other = max(0, listing.used_bytes - shown)
-        if not self._has_listing:
+        if is_first:
             self._ledger.adopt(EARLIER_KEY, other)
         elif other == 0:
             self._ledger.release(EARLIER_KEY)
@@ -253,7 +261,7 @@
                 end_ms - now_ms, self._release_remains, ledger_key
             )
             return
-        self._remains.discard(ledger_key)
+        del self._remains[ledger_key]
         self._load_sent_ms.pop(ledger_key, None)
         self._ledger.release(ledger_key)
         self._on_release()
--- a/src/balsamwall/residency/handover.py
+++ b/src/balsamwall/residency/handover.py
@@ -54,10 +54,10 @@
         outbox: outbox_module.Outbox,
         retention_table: retention.RetentionTable,
         hooks: residency_hooks.ResidencyHooks,
-        required: Callable[[], list[str]],
+        required: Callable[[], list[str] | None],
         on_done: Callable[[], None],
     ) -> None:
-        """Take required, which returns the names to hand over."""
+        """Take required: the names to hand over, None while unknown."""
         self._clock = clock
         self._outbox = outbox
         self._retention = retention_table
@@ -77,7 +77,7 @@
         """Return the names without a promise of another holder."""
         return [
             name
-            for name in self._required()
+            for name in self._required() or ()
             if name not in self._names or self._names[name].grant is None
         ]
 
@@ -87,9 +87,11 @@
             return
         now_ms = self._clock.now_ms()
         required = self._required()
-        for name in required:
+        for name in required or ():
             self._step_name(name, now_ms)
-        if all(self._names[name].grant is not None for name in required):
+        if required is not None and all(
+            self._names[name].grant is not None for name in required
+        ):
             self._is_done = True
             self._on_done()
             return
--- a/src/balsamwall/residency/order_issuer.py
+++ b/src/balsamwall/residency/order_issuer.py
@@ -19,6 +19,7 @@
 
 ANSWER_TIMEOUT_MS = 5_000
 FENCE_REPEAT_MS = 1_000
+ENGINE_DOWN_FAILURES = 40
 
 
 class IssuerState(enum.Enum):
@@ -135,6 +136,11 @@
         """Tell whether the last readings of the listing succeeded."""
         return self._last_listing is not None and self._reader.failures < 3
 
+    @property
+    def is_engine_down(self) -> bool:
+        """Tell whether readings of the listing have failed for long."""
+        return self._reader.failures >= ENGINE_DOWN_FAILURES
+
     def start(self) -> None:
         """Begin recovery: find out what the engine holds."""
         self._started_ms = self._clock.now_ms()
--- a/src/balsamwall/residency/residency_manager.py
+++ b/src/balsamwall/residency/residency_manager.py
@@ -57,6 +57,7 @@
         "_configuration",
         "_handover",
         "_hooks",
+        "_is_announced",
         "_issuer",
         "_ledger",
         "_listeners",
@@ -101,6 +102,9 @@
         self._configuration = None
         self._listeners: list[Callable[[ResidentNames], None]] = []
         self._names = ResidentNames()
+        # The first listing is announced even if it is empty, because peers
+        # may know what an earlier incarnation held.
+        self._is_announced = False
         self._handover: handover.Handover | None = None
         self._retention = retention.RetentionTable(
             clock, outbox, random_source, vm, self._verify
@@ -354,13 +358,12 @@
         ]
         return max(sizes, default=0)
 
-    def _names_to_hand_over(self) -> list[str]:
+    def _names_to_hand_over(self) -> list[str] | None:
+        """Return what is here, with copies that may just become ready."""
+        if not self._table.has_listing and not self._issuer.is_engine_down:
+            return None
         names = {copy.spec.name for copy in self._table.copies()}
-        return sorted(
-            name
-            for name in names
-            if self._table.is_served(name) and self._runner.is_configured(name)
-        )
+        return sorted(n for n in names if self._runner.is_configured(n))
 
     def _on_lost(self, name: str) -> None:
         """React to a copy that vanished, as after a crash of the engine."""
@@ -389,7 +392,8 @@
             tuple(sorted(adapters)),
             tuple(sorted(loading)),
         )
-        if names != self._names:
+        if names != self._names or not self._is_announced:
+            self._is_announced = self._table.has_listing
             self._names = names
             for listener in self._listeners:
                 listener(names)
--- a/src/balsamwall/residency/task_runner.py
+++ b/src/balsamwall/residency/task_runner.py
@@ -317,6 +317,8 @@
                 return self._push(
                     task, _Kind.UNLOAD, item.spec.name, item.spec.version
                 )
+            if self._table.may_gain_dependents(task.name):
+                return self._wait(task, _Code.EVICTION_REFUSED)
         if not is_granted:
             if task.is_refused or not self._retention.may_evict(task.name):
                 return self._finish(task, _Code.EVICTION_REFUSED)
