--- /dev/null
+++ b/src/balsamwall/placement/demand_forecast.py
@@ -0,0 +1,125 @@
+"""Demand per model at two time scales."""
+
+from __future__ import annotations
+
+import math
+
+FAST_MS = 30_000
+SLOW_MS = 600_000
+# A fast rate is a burst when it exceeds the slow one by this many standard
+# deviations of a Poisson count; less would follow noise with loads.
+BURST_DEVIATIONS = 4.0
+
+
+class _Average:
+    """Exponentially weighted rate per second, without start-up bias."""
+
+    __slots__ = ("_started_ms", "_sum", "_time_ms", "_updated_ms")
+
+    def __init__(self, time_ms: int, now_ms: int) -> None:
+        self._time_ms = time_ms
+        self._started_ms = now_ms
+        self._updated_ms = now_ms
+        self._sum = 0.0
+
+    def add(self, amount: float, now_ms: int) -> None:
+        """Add an amount that arrived now."""
+        self._decay(now_ms)
+        self._sum += amount
+
+    def rate(self, now_ms: int) -> float:
+        """Return the amount per second."""
+        self._decay(now_ms)
+        age_ms = max(1_000, now_ms - self._started_ms)
+        window_s = self._time_ms / 1_000
+        return self._sum / (window_s * -math.expm1(-age_ms / self._time_ms))
+
+    def _decay(self, now_ms: int) -> None:
+        passed_ms = now_ms - self._updated_ms
+        if passed_ms > 0:
+            self._sum *= math.exp(-passed_ms / self._time_ms)
+            self._updated_ms = now_ms
+
+
+class _NameDemand:
+    """Averages of one model or adapter."""
+
+    __slots__ = (
+        "fast_count",
+        "fast_work",
+        "slow_count",
+        "slow_urgent",
+        "slow_work",
+    )
+
+    def __init__(self, now_ms: int) -> None:
+        self.fast_count = _Average(FAST_MS, now_ms)
+        self.slow_count = _Average(SLOW_MS, now_ms)
+        self.fast_work = _Average(FAST_MS, now_ms)
+        self.slow_work = _Average(SLOW_MS, now_ms)
+        self.slow_urgent = _Average(SLOW_MS, now_ms)
+
+    def is_burst(self, now_ms: int) -> bool:
+        """Tell whether the last half minute stands out from the noise."""
+        slow = self.slow_count.rate(now_ms)
+        # Variance of an exponential average of a Poisson process.
+        variance = max(slow, 1_000 / FAST_MS) / (2 * FAST_MS / 1_000)
+        limit = slow + BURST_DEVIATIONS * math.sqrt(variance)
+        return self.fast_count.rate(now_ms) > limit
+
+
+class DemandForecast:
+    """Count of requests and of the engine time that they take."""
+
+    __slots__ = ("_names",)
+
+    def __init__(self) -> None:
+        self._names: dict[str, _NameDemand] = {}
+
+    def observe(
+        self,
+        name: str,
+        is_urgent: bool,
+        count: int,
+        work_ms: float,
+        now_ms: int,
+    ) -> None:
+        """Count requests and their share of one engine's time in ms."""
+        demand = self._names.get(name)
+        if demand is None:
+            demand = self._names[name] = _NameDemand(now_ms)
+        demand.fast_count.add(count, now_ms)
+        demand.slow_count.add(count, now_ms)
+        demand.fast_work.add(work_ms / 1_000, now_ms)
+        demand.slow_work.add(work_ms / 1_000, now_ms)
+        if is_urgent:
+            demand.slow_urgent.add(count, now_ms)
+
+    def work(self, name: str, now_ms: int) -> float:
+        """Return the expected load in engines kept busy by a name."""
+        demand = self._names.get(name)
+        if demand is None:
+            return 0.0
+        slow = demand.slow_work.rate(now_ms)
+        if demand.is_burst(now_ms):
+            return max(slow, demand.fast_work.rate(now_ms))
+        return slow
+
+    def rate(self, name: str, now_ms: int) -> float:
+        """Return the expected requests per second of a name."""
+        demand = self._names.get(name)
+        if demand is None:
+            return 0.0
+        slow = demand.slow_count.rate(now_ms)
+        if demand.is_burst(now_ms):
+            return max(slow, demand.fast_count.rate(now_ms))
+        return slow
+
+    def urgent_share(self, name: str, now_ms: int) -> float:
+        """Return the part of the requests that are urgent, 0 to 1."""
+        demand = self._names.get(name)
+        if demand is None:
+            return 0.0
+        total = demand.slow_count.rate(now_ms)
+        urgent = demand.slow_urgent.rate(now_ms)
+        return min(1.0, urgent / total) if total > 0 else 0.0
--- /dev/null
+++ b/src/balsamwall/placement/placement_task.py
@@ -0,0 +1,129 @@
+"""Background task that plans and proposes steps while it has the lease."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from balsamwall.placement import fleet_view
+from balsamwall.protocol import messages_residency
+from balsamwall.residency import residency_manager
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.placement import demand_forecast
+    from balsamwall.placement import lease_keeper
+    from balsamwall.placement import planner as planner_module
+    from balsamwall.protocol import outbox as outbox_module
+    from balsamwall.timing import clock as clock_module
+
+ROUND_MS = 10_000
+# A proposed step counts as done in the view until reports can show it.
+STEP_MEMORY_MS = 60_000
+# After the lease is taken, reports and demand are collected first.
+WARM_UP_MS = 20_000
+
+
+class PlacementTask:
+    """Send each planned step to its agent, which checks it."""
+
+    __slots__ = (
+        "_clock",
+        "_demand",
+        "_lease",
+        "_outbox",
+        "_planner",
+        "_recent",
+        "_step_number",
+        "_steps_sent",
+        "_timer",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        outbox: outbox_module.Outbox,
+        lease: lease_keeper.LeaseKeeper,
+        planner: planner_module.Planner,
+        view: Callable[[], fleet_view.FleetView],
+        demand: demand_forecast.DemandForecast,
+    ) -> None:
+        self._clock = clock
+        self._outbox = outbox
+        self._lease = lease
+        self._planner = planner
+        self._view = view
+        self._demand = demand
+        self._recent: list[tuple[int, fleet_view.Step]] = []
+        self._step_number = 0
+        self._steps_sent = 0
+        self._timer: clock_module.Timer | None = None
+
+    @property
+    def steps_sent(self) -> int:
+        """Return the number of steps proposed since the start."""
+        return self._steps_sent
+
+    def start(self) -> None:
+        """Plan at regular intervals while the lease is held."""
+        self._timer = self._clock.call_later(ROUND_MS, self._round)
+
+    def stop(self) -> None:
+        """Plan no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _round(self) -> None:
+        self.start()
+        since_ms = self._lease.held_since_ms
+        now_ms = self._clock.now_ms()
+        if since_ms is None:
+            self._recent.clear()
+            return
+        if now_ms - since_ms < WARM_UP_MS:
+            return
+        self._recent = [
+            item for item in self._recent if now_ms - item[0] < STEP_MEMORY_MS
+        ]
+        view = self._with_recent(self._view())
+        for step in self._planner.plan(view, self._demand, now_ms):
+            self._propose(step, now_ms)
+
+    def _propose(self, step: fleet_view.Step, now_ms: int) -> None:
+        self._recent.append((now_ms, step))
+        self._steps_sent += 1
+        self._step_number = (self._step_number + 1) % (
+            residency_manager.STEPS_PER_MS
+        )
+        step_id = (
+            self._clock.wall_ms() * residency_manager.STEPS_PER_MS
+            + self._step_number
+        )
+        item = messages_residency.PlacementStep(
+            step_id, step.action, step.name, step.other, step.urgency
+        )
+        self._outbox.send(step.vm, item)
+
+    def _with_recent(self, view: fleet_view.FleetView) -> fleet_view.FleetView:
+        """Return the view with the steps that reports do not show yet."""
+        if not self._recent:
+            return view
+        by_vm: dict[str, list[fleet_view.Step]] = {}
+        for _, step in self._recent:
+            by_vm.setdefault(step.vm, []).append(step)
+        workers = []
+        for worker in view.workers:
+            steps = by_vm.get(worker.vm)
+            if steps is not None:
+                added = {step.name for step in steps} - worker.residents
+                dropped = {step.other for step in steps}
+                worker = dataclasses.replace(
+                    worker,
+                    residents=worker.residents - dropped,
+                    loading=worker.loading | added,
+                )
+            workers.append(worker)
+        return fleet_view.FleetView(tuple(workers), view.configurations)
--- a/src/balsamwall/protocol/messages_residency.py
+++ b/src/balsamwall/protocol/messages_residency.py
@@ -79,3 +79,10 @@
     """Return a permit after the load."""
 
     request_id: int
+
+
+@message.register(69)
+class PermitInUse(message.Message):
+    """Tell a granter that the load of a permit runs."""
+
+    request_id: int
--- a/src/balsamwall/residency/memory_room.py
+++ b/src/balsamwall/residency/memory_room.py
@@ -56,16 +56,21 @@
             if dropped in task.barred:
                 return None
             return self._table.versions(dropped) or None
+        is_evictable = self._is_evictable
         if task.urgency < urgency_levels.UNREACHABLE:
-            return None
+            is_evictable = self._is_unwanted
         return victim_choice.choose_victims(
             self._table,
             task.barred | {spec.base} | spared,
             held + spec.memory_bytes - self._limit_bytes,
-            self._is_evictable,
+            is_evictable,
             self._cost,
         )
 
+    def _is_unwanted(self, copy: model_copy.ModelCopy) -> bool:
+        """Tell whether a copy is of a name that is not configured."""
+        return self._cost(copy) < 0
+
     @property
     def _limit_bytes(self) -> int:
         return self._ledger.capacity_bytes - self._floor_bytes
--- a/src/balsamwall/residency/task_runner.py
+++ b/src/balsamwall/residency/task_runner.py
@@ -7,8 +7,10 @@
 from balsamwall.residency import memory_room
 from balsamwall.residency import model_copy
 from balsamwall.residency import order_issuer
+from balsamwall.residency import permit_holder
 from balsamwall.residency import residency_task
 from balsamwall.residency import task_queue
+from balsamwall.residency import unload_check
 from balsamwall.residency import urgency as urgency_levels
 from balsamwall.results import result_code
 
@@ -56,6 +58,7 @@
         "_room",
         "_stack",
         "_table",
+        "_unload_check",
         "_wake_timer",
     )
 
@@ -77,13 +80,16 @@
         self._table = table
         self._issuer = issuer
         self._retention = retention_table
-        self._permits = permits
+        self._permits = permit_holder.PermitHolder(permits, self.pump)
         self._hooks = hooks
+        self._unload_check = unload_check.UnloadCheck(
+            clock, table, retention_table, hooks, self.is_configured
+        )
         self._room = memory_room.MemoryRoom(
             ledger,
             table,
-            self._is_evictable,
-            self._eviction_cost,
+            self._unload_check.is_evictable,
+            self._unload_check.eviction_cost,
             kv_floor_bytes,
         )
         self._configuration: tenant_configuration.TenantConfiguration | None
@@ -232,16 +238,11 @@
             return self._push(task, _Kind.LOAD, spec.base, "")
         if not self._room.has_room(spec):
             return self._make_room(task, spec)
-        if task.permit_id is None or (
-            task.is_permit_granted
-            and not self._permits.is_usable(task.permit_id)
-        ):
-            return self._ask_permit(task)
-        if not task.is_permit_granted:
+        if not self._permits.hold(task):
             return self._wait(task, _Code.PERMIT_REFUSED)
         if not self._ledger.charge_part(spec.ledger_key, spec.memory_bytes):
             return self._wait(task, _Code.INSUFFICIENT_MEMORY)
-        self._permits.mark_started(task.permit_id)
+        self._permits.mark_started(task)
         self._table.begin_load(spec)
         self._issue(task, "load", spec)
         return False
@@ -268,38 +269,6 @@
             task, _Kind.UNLOAD, victim.spec.name, victim.spec.version
         )
 
-    def _is_evictable(self, copy: model_copy.ModelCopy) -> bool:
-        """Tell whether an eviction has a chance to be allowed."""
-        name = copy.spec.name
-        if not self.is_configured(name):
-            return True
-        if not self._retention.may_evict(name):
-            return False
-        return bool(self._hooks.holders(name))
-
-    def _eviction_cost(self, copy: model_copy.ModelCopy) -> float:
-        if not self.is_configured(copy.spec.name):
-            return -1.0
-        return self._hooks.demand(copy.spec.name)
-
-    def _ask_permit(self, task: _Task) -> bool:
-        if task.permit_id is not None:
-            self._permits.release(task.permit_id)
-        task.permit_id = None
-        task.is_permit_granted = False
-
-        def on_granted(permit_id: int) -> None:
-            if task.permit_id in (None, permit_id):
-                task.permit_id = permit_id
-                task.is_permit_granted = True
-                self.pump()
-
-        permit_id = self._permits.acquire(task.name, task.urgency, on_granted)
-        task.permit_id = permit_id
-        if task.is_permit_granted:
-            return True
-        return self._wait(task, _Code.PERMIT_REFUSED)
-
     def _advance_unload(self, task: _Task) -> bool:
         key = (task.name, task.version)
         copy = self._table.get(key)
@@ -307,50 +276,21 @@
             return self._finish(task, _Code.OK)
         if copy.state is not model_copy.CopyState.READY:
             return self._wait(task, _Code.EVICTION_REFUSED)
-        has_other = any(
-            other is not copy and other.state is model_copy.CopyState.READY
-            for other in self._table.versions(task.name)
-        )
-        is_granted = has_other or not self.is_configured(task.name)
-        if not has_other:
-            for item in self._table.dependents(task.name):
-                return self._push(
-                    task, _Kind.UNLOAD, item.spec.name, item.spec.version
-                )
-            if self._table.may_gain_dependents(task.name):
-                return self._wait(task, _Code.EVICTION_REFUSED)
-        if not is_granted:
-            if task.is_refused or not self._retention.may_evict(task.name):
-                return self._finish(task, _Code.EVICTION_REFUSED)
-            if task.grant is None:
-                return self._ask_grant(task)
-            if not task.grant.is_usable(self._clock.now_ms()):
-                return self._finish(task, _Code.EVICTION_REFUSED)
-        self._table.withdraw(key, True)
-        if self._is_in_use(copy, has_other):
-            return self._wait(task, _Code.EVICTION_REFUSED)
-        if not is_granted and not self._retention.mark_ordered(task.name):
+        dependent = self._unload_check.dependent(copy)
+        if dependent is not None:
+            spec = dependent.spec
+            return self._push(task, _Kind.UNLOAD, spec.name, spec.version)
+        verdict = self._unload_check.check(task, copy)
+        if verdict is unload_check.UnloadVerdict.REFUSE:
             return self._finish(task, _Code.EVICTION_REFUSED)
+        if verdict is unload_check.UnloadVerdict.ASK_GRANT:
+            return self._ask_grant(task)
+        if verdict is unload_check.UnloadVerdict.WAIT:
+            return self._wait(task, _Code.EVICTION_REFUSED)
         self._table.begin_unload(key)
         self._issue(task, "unload", copy.spec)
         return False
 
-    def _is_in_use(self, copy: model_copy.ModelCopy, has_other: bool) -> bool:
-        """Tell whether running requests may use a copy."""
-        name = copy.spec.name
-        if not self._hooks.is_in_use(name):
-            return False
-        oldest_ms = self._hooks.oldest_running_ms(name)
-        if not has_other or oldest_ms is None:
-            return True
-        # Requests that started after the other version was ready use it.
-        return not any(
-            other is not copy
-            and other.state is model_copy.CopyState.READY
-            and other.ready_ms < oldest_ms
-            for other in self._table.versions(name)
-        )
-
     def _ask_grant(self, task: _Task) -> bool:
         if task.is_asking:
             return self._wait(task, _Code.EVICTION_REFUSED)
@@ -414,9 +354,7 @@
 
     def _clean_up(self, task: _Task) -> None:
         """Give back what an attempt holds."""
-        if task.permit_id is not None:
-            self._permits.release(task.permit_id)
-            task.permit_id = None
+        self._permits.release(task)
         if task.kind is _Kind.LOAD and task.spec is not None:
             self._table.drop_claim(task.spec)
         if task.kind is _Kind.UNLOAD:
