Release remaining charges only after a listing read past the order delay

Cause: a schedule had a repeated load arrive in the last second of its delay, and a drain gave a promise back while the unload under it was in flight. Change: the listing that releases a charge must be read after the delay; an ordered unload keeps its promise.

--- a/src/balsamwall/placement/permit_pool.py
+++ b/src/balsamwall/placement/permit_pool.py
@@ -86,9 +86,17 @@
         """Return the number of requests that wait."""
         return len(self._waiting)
 
+    def follow_activity(self) -> None:
+        """Start to learn anew when this process becomes the granter."""
+        if not self._is_active():
+            self._active_since_ms = None
+            self._waiting.clear()
+        elif self._active_since_ms is None:
+            self._active_since_ms = self._clock.now_ms()
+
     def on_request(self, peer: str, request_id: int, urgency: int) -> None:
         """Note a request and answer at once, with 0 ms while it waits."""
-        self._follow_activity()
+        self.follow_activity()
         if self._active_since_ms is None or not self._concurrency:
             return
         now_ms = self._clock.now_ms()
@@ -108,7 +116,7 @@
 
     def on_in_use(self, peer: str, request_id: int) -> None:
         """Note that a permit is in use, whoever granted it."""
-        self._follow_activity()
+        self.follow_activity()
         self._in_use[(peer, request_id)] = self._clock.now_ms()
         self._waiting.pop((peer, request_id), None)
 
@@ -116,17 +124,9 @@
         """Free the slot of a permit, or drop a request."""
         self._waiting.pop((peer, request_id), None)
         self._in_use.pop((peer, request_id), None)
-        self._follow_activity()
+        self.follow_activity()
         self._grant()
 
-    def _follow_activity(self) -> None:
-        """Start to learn anew whenever this process becomes the granter."""
-        if not self._is_active():
-            self._active_since_ms = None
-            self._waiting.clear()
-        elif self._active_since_ms is None:
-            self._active_since_ms = self._clock.now_ms()
-
     def _grant(self) -> None:
         """Grant what is possible now and come back for the rest."""
         now_ms = self._clock.now_ms()
@@ -158,7 +158,7 @@
         self._timer = self._clock.call_later(delay_ms, self._on_timer)
 
     def _on_timer(self) -> None:
-        self._follow_activity()
+        self.follow_activity()
         self._grant()
 
     def _drop_lost(self, now_ms: int) -> None:
--- a/src/balsamwall/placement/permit_task.py
+++ b/src/balsamwall/placement/permit_task.py
@@ -15,6 +15,10 @@
     from balsamwall.protocol import outbox as outbox_module
     from balsamwall.timing import clock as clock_module
 
+FOLLOW_MS = 1_000
+# Request numbers end with 0 for the lease holder and with k for share k - 1.
+POOL_NUMBERS = 64
+
 
 def split_limits(
     rate_per_s: float, concurrency: int
@@ -37,7 +41,7 @@
 class PermitTask:
     """Grant permits as lease holder and as owner of fixed shares."""
 
-    __slots__ = ("_lease", "_pool", "_shares")
+    __slots__ = ("_clock", "_pool", "_shares", "_timer")
 
     def __init__(
         self,
@@ -52,7 +56,8 @@
 
         Owners are selected by rendezvous hashing over the VM list.
         """
-        self._lease = lease
+        self._clock = clock
+        self._timer: clock_module.Timer | None = None
         central, (share_rate, shares) = split_limits(rate_per_s, concurrency)
         self._pool = permit_pool.PermitPool(
             clock, outbox, central[0], central[1], lambda: lease.is_held
@@ -70,6 +75,18 @@
         count = self._pool.in_use_count
         return count + sum(pool.in_use_count for pool in self._shares)
 
+    def start(self) -> None:
+        """Follow who grants, so that learning ends before it is needed."""
+        for pool in (self._pool, *self._shares):
+            pool.follow_activity()
+        self._timer = self._clock.call_later(FOLLOW_MS, self.start)
+
+    def stop(self) -> None:
+        """Follow no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def on_message(self, peer: str, item: message.Message) -> bool:
         """Handle a permit message; tell whether it was one."""
         if isinstance(item, messages_residency.PermitRequest):
@@ -98,10 +115,6 @@
         return None
 
 
-# Request numbers end with 0 for the lease holder and with k for share k - 1.
-POOL_NUMBERS = 64
-
-
 def _share_check(
     owns_share: Callable[[int], bool], index: int
 ) -> Callable[[], bool]:
--- a/src/balsamwall/residency/copy_table.py
+++ b/src/balsamwall/residency/copy_table.py
@@ -20,11 +20,12 @@
 class CopyTable:
     """Follow the engine's listing; release charges only after it.
 
-    The charge of a removed copy stays until no duplicate of its load order
-    can arrive any more, which is the maximum order delay after it was sent.
+    The charge of a removed copy stays until a listing that was read when no
+    duplicate of its load order could arrive any more does not show it.
     """
 
     __slots__ = (
+        "_asked_ms",
         "_clock",
         "_copies",
         "_has_listing",
@@ -35,6 +36,7 @@
         "_on_change",
         "_on_release",
         "_remains",
+        "_shown",
     )
 
     def __init__(
@@ -54,6 +56,9 @@
         self._load_sent_ms: dict[str, int] = {}
         # Charges of copies that are gone, by ledger key.
         self._remains: dict[str, model_copy.CopySpec] = {}
+        # Time and content of the last listing.
+        self._asked_ms = 0
+        self._shown: set[model_copy.CopyKey] = set()
         self._has_listing = False
         self._lost = 0
 
@@ -150,9 +155,8 @@
         copy = self._copies.pop(key, None)
         if copy is None:
             return
-        ledger_key = copy.spec.ledger_key
-        self._remains[ledger_key] = copy.spec
-        self._release_remains(ledger_key)
+        self._remains[copy.spec.ledger_key] = copy.spec
+        self._release_remains()
         self._on_change()
 
     def drop_claim(self, spec: model_copy.CopySpec) -> None:
@@ -165,6 +169,7 @@
         self,
         listing: backend_server.EngineListing,
         open_order: backend_server.EngineOrder | None,
+        asked_ms: int,
     ) -> list[str]:
         """Follow a listing; return names that vanished without an order."""
         self._ledger.set_capacity(listing.capacity_bytes)
@@ -174,17 +179,18 @@
         is_first = not self._has_listing
         is_changed = is_first
         self._has_listing = True
-        shown = set()
+        self._asked_ms = asked_ms
+        self._shown = {(r.name, r.version) for r in listing.residents}
         for item in listing.residents:
-            shown.add((item.name, item.version))
             if self._follow(item, target):
                 is_changed = True
         lost = []
         for key in list(self._copies):
-            if key not in shown and key != target:
+            if key not in self._shown and key != target:
                 lost.append(key[0])
                 self.remove(key)
         self._lost += len(lost)
+        self._release_remains()
         self._charge_earlier(listing, is_first)
         if is_changed:
             self._on_change()
@@ -247,21 +253,20 @@
         else:
             self._ledger.shrink(EARLIER_KEY, other)
 
-    def _release_remains(self, ledger_key: str) -> None:
-        """Release a charge now, or when no load order can arrive."""
-        if ledger_key not in self._remains:
-            return
-        now_ms = self._clock.now_ms()
-        end_ms = now_ms
-        sent_ms = self._load_sent_ms.get(ledger_key)
-        if sent_ms is not None:
-            end_ms = sent_ms + self._max_order_delay_ms + 1
-        if end_ms > now_ms:
-            self._clock.call_later(
-                end_ms - now_ms, self._release_remains, ledger_key
-            )
-            return
-        del self._remains[ledger_key]
-        self._load_sent_ms.pop(ledger_key, None)
-        self._ledger.release(ledger_key)
-        self._on_release()
+    def _release_remains(self) -> None:
+        """Release charges that the last listing shows to be unused."""
+        released = False
+        for ledger_key, spec in list(self._remains.items()):
+            sent_ms = self._load_sent_ms.get(ledger_key)
+            if spec.key in self._shown:
+                continue
+            if sent_ms is not None and self._asked_ms <= (
+                sent_ms + self._max_order_delay_ms
+            ):
+                continue
+            del self._remains[ledger_key]
+            self._load_sent_ms.pop(ledger_key, None)
+            self._ledger.release(ledger_key)
+            released = True
+        if released:
+            self._on_release()
--- a/src/balsamwall/residency/order_issuer.py
+++ b/src/balsamwall/residency/order_issuer.py
@@ -41,7 +41,7 @@
     """Receiver of the engine's account."""
 
     def on_listing(
-        self, listing: backend_server.EngineListing, number: int
+        self, listing: backend_server.EngineListing, asked_ms: int
     ) -> None:
         """Receive a listing before the orders are settled by it."""
 
@@ -57,8 +57,9 @@
     sent_ms: int
     callback: Callable[[OrderOutcome, result_code.ResultCode], None]
     # Only a listing with this number or a higher one was read after the
-    # answer; an earlier one may show the state before the order.
-    first_listing: int = 0
+    # order was sent, and then after its answer; an earlier one may show the
+    # state before the order.
+    first_listing: int
     is_accepted: bool = False
     fence_to_kill: int = 0
 
@@ -162,7 +163,9 @@
         if not self.is_idle:
             raise RuntimeError("an order is open or recovery has not ended")
         order = self._make_order(action, spec)
-        self._open = _OpenOrder(order, self._clock.now_ms(), callback)
+        self._open = _OpenOrder(
+            order, self._clock.now_ms(), callback, self._reader.next_number
+        )
         self._clock.call_later(
             ANSWER_TIMEOUT_MS,
             self._on_answer,
@@ -254,7 +257,7 @@
         asked_ms: int,
     ) -> None:
         self._last_listing = listing
-        self._observer.on_listing(listing, number)
+        self._observer.on_listing(listing, asked_ms)
         self._check_fence(listing)
         self._settle_by(listing, number, asked_ms)
         if self._state is IssuerState.RECOVERING:
@@ -308,7 +311,7 @@
         asked_ms: int,
     ) -> None:
         opened = self._open
-        if opened is None:
+        if opened is None or number < opened.first_listing:
             return
         order = opened.order
         if order.order_id in listing.open_orders:
@@ -327,9 +330,7 @@
             is_under_way = False
         if is_done:
             self._settle(OrderOutcome.DONE, result_code.ResultCode.OK)
-        elif not is_under_way and self._is_dead(
-            opened, listing, number, asked_ms
-        ):
+        elif not is_under_way and self._is_dead(opened, listing, asked_ms):
             code = result_code.ResultCode.ORDER_OUTCOME_UNKNOWN
             self._settle(OrderOutcome.NOT_DONE, code)
 
@@ -337,12 +338,11 @@
         self,
         opened: _OpenOrder,
         listing: backend_server.EngineListing,
-        number: int,
         asked_ms: int,
     ) -> bool:
         """Tell whether an order without effect can have none later."""
         if opened.is_accepted:
-            return number >= opened.first_listing
+            return True
         if opened.fence_to_kill and listing.fence >= opened.fence_to_kill:
             return True
         return asked_ms > opened.sent_ms + self._max_order_delay_ms
--- a/src/balsamwall/residency/residency_manager.py
+++ b/src/balsamwall/residency/residency_manager.py
@@ -281,12 +281,13 @@
         self._retention.on_peer_down(peer)
 
     def on_listing(
-        self, listing: backend_server.EngineListing, number: int
+        self, listing: backend_server.EngineListing, asked_ms: int
     ) -> None:
         """Follow the engine's account."""
         if not self.is_recovered:
             self._table.release_hold()
-        lost = self._table.on_listing(listing, self._issuer.open_order)
+        opened = self._issuer.open_order
+        lost = self._table.on_listing(listing, opened, asked_ms)
         if not self.is_recovered:
             self._table.hold_for_earlier_orders(self._largest_load_bytes())
         for name in lost:
--- a/src/balsamwall/residency/retention.py
+++ b/src/balsamwall/residency/retention.py
@@ -128,7 +128,13 @@
 
         The callback gets None later, after a grant, if the eviction must
         stop: the peer lost its copy or asks for the same model itself.
+        A promise under which an unload was ordered is never given back for
+        a new request, because the order may still take effect.
         """
+        held = self._inquiries.get(name)
+        if held is not None and held.is_ordered:
+            callback(None)
+            return
         self.cancel(name)
         peers = [vm for vm in holders if vm != self._vm]
         inquiry = _Inquiry(name, peers, callback, is_eviction)
--- a/tests/order_schedules/fleet.py
+++ b/tests/order_schedules/fleet.py
@@ -7,13 +7,17 @@
 import random
 
 from balsamwall.configuration import tenant_configuration
+from balsamwall.placement import lease_keeper
+from balsamwall.placement import permit_task
 from balsamwall.protocol import messages_residency
 from balsamwall.residency import memory_ledger
+from balsamwall.residency import permit_client
 from balsamwall.residency import residency_hooks
 from balsamwall.residency import residency_manager
 from balsamwall.residency import retention
 from balsamwall.timing import virtual_clock
 from tests.order_schedules import fake_engine
+from tests.order_schedules import fake_store
 
 MAX_DELAY_MS = 30_000
 
@@ -87,6 +91,7 @@
                 holders=lambda name: fleet.holders(name, self.vm),
                 load_targets=lambda name: fleet.targets(name, self.vm),
             ),
+            permits=self.make_permits(clock) if fleet.uses_permits else None,
             max_order_delay_ms=MAX_DELAY_MS,
         )
         self.manager.add_listener(self.publish)
@@ -95,6 +100,31 @@
         if self.vm in fleet.leaving:
             self.manager.start_handover(self.leave)
 
+    def make_permits(self, clock):
+        fleet, vm = self.fleet, self.vm
+
+        def first(key):
+            return next(iter(fleet.targets(key, "")), vm)
+
+        self.lease = lease_keeper.LeaseKeeper(
+            clock, fleet.store, "permits", vm, lambda: first("lease") == vm
+        )
+        self.lease.start()
+        self.permit_task = permit_task.PermitTask(
+            clock, self, self.lease, 3.0, 3, lambda k: first(f"k{k}") == vm
+        )
+        self.permit_task.start()
+        rng = random.Random(fleet.rng.random())
+        return permit_client.PermitClient(
+            clock, self, rng, lambda: first("lease"), lambda: [first("k0")]
+        )
+
+    def on_message(self, sender, item):
+        if self.manager.on_message(sender, item):
+            return
+        if self.fleet.uses_permits:
+            self.permit_task.on_message(sender, item)
+
     def publish(self, names):
         served = set(names.models) | set(names.adapters)
         delay = self.fleet.rng.randint(1, 700)
@@ -223,6 +253,8 @@
         self.versions = dict.fromkeys(self.sizes, "1")
         self.configure()
         mode = self.rng.choice(("ignored", "kept", "reset"))
+        self.uses_permits = self.rng.random() < 0.3
+        self.store = fake_store.FakeLeaseStore(self.clock, self.rng)
         self.agents = {}
         for index in range(4):
             vm = f"vm{index}"
@@ -268,9 +300,7 @@
             self.clock.call_later(delay, self.receive, agent, sender, item)
 
     def receive(self, agent, sender, item):
-        agent.run(
-            agent.incarnation, lambda: agent.manager.on_message(sender, item)
-        )
+        agent.run(agent.incarnation, lambda: agent.on_message(sender, item))
 
     def note(self, agent, sequence, served):
         if agent.is_alive and sequence == agent.published:
@@ -398,6 +428,8 @@
             self.change_version()
         elif roll < 0.80 and len(self.leaving) < 1 and rng.random() < 0.3:
             agent.drain()
+        elif roll < 0.82:
+            self.store.is_up = rng.random() < 0.4
         elif rng.random() < self.faults * 2:
             self.fault(agent)
 
@@ -431,14 +463,15 @@
             }
             agent.engine.crash(self.rng.randint(50, 6_000))
 
-    def run(self, duration_ms=60_000, settle_ms=300_000):
+    def run(self, settle_ms=300_000):
         """Run the schedule, then wait without faults for every name."""
         self.start()
-        end_ms = duration_ms
+        end_ms = self.rng.choice((15_000, 30_000, 60_000))
         while self.clock.now_ms() < end_ms and not self.violations:
             self.clock.advance(self.rng.randint(50, 900))
             self.random_step()
         self.faults = 0.0
+        self.store.is_up = True
         for agent in self.agents.values():
             agent.engine.fault_rate = 0.0
         limit_ms = self.clock.now_ms() + settle_ms
