Compose the decision objects into entry and agent units

Cause: the packages were built against interfaces and ran only in tests.

Change: add the composition package (EntryUnit for each tenant of an entry, EngineUnit and ServiceUnit for agents, demand reports, monitors of backend servers, the VM feed) and connect it in the factory. Idempotency keys are scoped by workspace, because two workspaces may use the same key. An entry may serve several tenants, each with decision objects of its own.

The whole path is not yet measured.

--- a/src/balsamwall/agent/agent_core.py
+++ b/src/balsamwall/agent/agent_core.py
@@ -80,10 +80,16 @@
             identity.incarnation,
             lambda: self.state,
             lambda: self._hub.peers_of("entry"),
+            lambda: self._hub.peers_of("entry") + self._hub.peers_of("agent"),
         )
         for name, types in agent_parts.MESSAGE_TYPES.items():
             self._hub.add(getattr(parts, name), types)
 
+    @property
+    def vm(self) -> str:
+        """Return the peer name of the unit."""
+        return self._identity.vm
+
     @property
     def is_leaving(self) -> bool:
         """Tell whether the VM incarnation is marked as leaving."""
@@ -114,6 +120,10 @@
             if self._hub.role_of(peer) != "entry":
                 self._count("message_from_wrong_role")
                 return
+        if isinstance(item, messages_request.Dispatch):
+            if item.tenant != self._identity.tenant:
+                self._count("dispatch_of_another_tenant")
+                return
         if isinstance(item, messages_state.Leaving):
             self._on_leaving(item)
         self._hub.on_message(peer, item)
@@ -125,6 +135,8 @@
             self._outbox.send(peer, self._leaving)
         if hello.role == "entry":
             self._reporter.send_all(peer)
+        else:
+            self._reporter.send_residents(peer)
 
     def on_peer_down(self, peer: str) -> None:
         """Tell the decision objects about the loss of a peer."""
--- a/src/balsamwall/agent/agent_parts.py
+++ b/src/balsamwall/agent/agent_parts.py
@@ -43,6 +43,7 @@
     adapters: tuple[str, ...] = ()
     loading: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()  # "name@version" of ready copies
 
 
 class LoadSource(Protocol):
@@ -90,6 +91,7 @@
 class AgentParts:
     """Decision objects by what they own; None for an absent one."""
 
+    demand: message_hub.MessageOwner | None = None
     executor: message_hub.MessageOwner | None = None
     residency: message_hub.MessageOwner | None = None
     key_homes: message_hub.MessageOwner | None = None
@@ -113,6 +115,7 @@
 
 # Owner of each message that an agent takes, by the name of its part.
 MESSAGE_TYPES: dict[str, tuple[type[message.Message], ...]] = {
+    "demand": (messages_request.Dispatch,),
     "executor": (
         messages_request.Dispatch,
         messages_request.Ack,
@@ -144,8 +147,9 @@
         messages_configuration.ConfigFetch,
         messages_configuration.ConfigDocument,
     ),
-    "fleet_view": (messages_state.AgentReport, messages_state.Residents),
+    "fleet_view": (messages_state.Residents, messages_state.Leaving),
     "permits": (
+        messages_residency.PermitInUse,
         messages_residency.PermitRequest,
         messages_residency.PermitReturned,
     ),
--- a/src/balsamwall/agent/state_reporter.py
+++ b/src/balsamwall/agent/state_reporter.py
@@ -12,7 +12,6 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from balsamwall.protocol import message
     from balsamwall.protocol import outbox
     from balsamwall.timing import clock
 
@@ -33,6 +32,7 @@
         "_parts",
         "_read_state",
         "_receivers",
+        "_resident_receivers",
         "_sequence",
     )
 
@@ -47,6 +47,7 @@
         incarnation: int,
         read_state: Callable[[], str],
         receivers: Callable[[], Iterable[str]],
+        resident_receivers: Callable[[], Iterable[str]],
     ) -> None:
         self._clock = clock
         self._outbox = outbox
@@ -54,6 +55,7 @@
         self._incarnation = incarnation
         self._read_state = read_state
         self._receivers = receivers
+        self._resident_receivers = resident_receivers
         self._sequence = 0
         self._last_report = None
         self._last_names = None
@@ -82,13 +84,18 @@
         self._sequence += 1
         self._last_report = self._report()
         self._last_sent_ms = now_ms
-        items: list[message.Message] = [self._last_report]
+        for peer in self._receivers():
+            self._outbox.send(peer, self._last_report)
         if is_renamed:
             self._last_names = names
-            items.append(self._residents(names))
-        for peer in self._receivers():
-            for item in items:
-                self._outbox.send(peer, item)
+            residents = self._residents(names)
+            for peer in self._resident_receivers():
+                self._outbox.send(peer, residents)
+
+    def send_residents(self, peer: str) -> None:
+        """Send the names of the residents to a peer that has come up."""
+        self._sequence += 1
+        self._outbox.send(peer, self._residents(self._names()))
 
     def _tick(self) -> None:
         self._clock.call_later(REPORT_INTERVAL_MS, self._tick)
@@ -131,6 +138,7 @@
             list(names.adapters),
             list(names.loading),
             list(names.services),
+            list(names.versions),
         )
 
 
--- /dev/null
+++ b/src/balsamwall/composition/__init__.py
@@ -0,0 +1,3 @@
+"""Units that compose the decision objects of one role."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/balsamwall/composition/endpoint_bridge.py
@@ -0,0 +1,65 @@
+"""Mount of the configuration's administration API under the HTTP API."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from balsamwall.configuration import administration_types
+from balsamwall.results import exceptions
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from balsamwall.configuration import administration
+    from balsamwall.entry import administration as entry_administration
+    from balsamwall.settings import daemon_settings
+
+_PREFIX_PARTS = 3
+
+
+class EndpointBridge:
+    """Pass calls to Administration with the scope of their key."""
+
+    __slots__ = ("_administration",)
+
+    def __init__(self, handler: administration.Administration) -> None:
+        self._administration = handler
+
+    def __call__(
+        self,
+        key: daemon_settings.AdministrationKey,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        reply: entry_administration.Reply,
+    ) -> None:
+        """Answer a call; raise BalsamwallError."""
+        tenant = key.tenant
+        parts = path.split("/")
+        if tenant == "*" and len(parts) > _PREFIX_PARTS:
+            tenant = parts[_PREFIX_PARTS]
+        request = administration_types.AdministrationRequest(
+            method,
+            path,
+            query,
+            _parse(body),
+            administration_types.AdministrationScope(
+                tenant, key.access == "write", key.name
+            ),
+        )
+        self._administration.handle(
+            request, lambda answer: reply.send(answer.body, answer.status)
+        )
+
+
+def _parse(body: bytes) -> object:
+    if not body:
+        return None
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise exceptions.BalsamwallError(
+            result_code.ResultCode.MALFORMED_REQUEST,
+            f"body is not JSON: {error}",
+        ) from error
--- /dev/null
+++ b/src/balsamwall/composition/entry_unit.py
@@ -0,0 +1,469 @@
+"""Decision objects of an entry for one tenant."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from balsamwall.composition import demand_meter
+from balsamwall.configuration import configuration_watcher
+from balsamwall.dispatch import caller_request
+from balsamwall.dispatch import dispatcher
+from balsamwall.execution import crash_attribution
+from balsamwall.idempotency import home_directory
+from balsamwall.limits import request_limits
+from balsamwall.membership import leaving_marks
+from balsamwall.membership import peer_subset
+from balsamwall.membership import rendezvous
+from balsamwall.placement import fleet_view
+from balsamwall.placement import lease_keeper
+from balsamwall.placement import permit_task
+from balsamwall.placement import placement_task
+from balsamwall.placement import planner
+from balsamwall.protocol import message_hub
+from balsamwall.protocol import messages_home
+from balsamwall.protocol import messages_request
+from balsamwall.protocol import messages_residency
+from balsamwall.protocol import messages_state
+from balsamwall.results import result_code
+from balsamwall.routing import router
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.composition import vm_feed
+    from balsamwall.configuration import configuration_replica
+    from balsamwall.configuration import configuration_store
+    from balsamwall.configuration import tenant_configuration
+    from balsamwall.membership import vm_directory
+    from balsamwall.platform import key_value_service
+    from balsamwall.protocol import message
+    from balsamwall.protocol import messages_session
+    from balsamwall.protocol import peer_table
+    from balsamwall.timing import clock as clock_module
+
+# Agents that are asked to load a model without a live replica.
+ENSURE_TARGETS = 2
+ENSURE_INTERVAL_MS = 1_000
+DEFAULT_KV_RESERVE = 0.3
+# Used until the configuration names the limits of the weight store.
+DEFAULT_LOADS_PER_SECOND = 1.0
+DEFAULT_LOADS_AT_ONCE = 2
+
+_REFUSED_EARLY = frozenset(
+    (
+        result_code.ResultCode.DEADLINE_UNREACHABLE,
+        result_code.ResultCode.NO_REPLICA,
+        result_code.ResultCode.QUEUE_FULL,
+    )
+)
+
+
+class EntryUnit:
+    """Routing, requests, limits, quarantine and leased tasks of a tenant."""
+
+    __slots__ = (
+        "_clock",
+        "_collector",
+        "_configuration",
+        "_ensured_ms",
+        "_feed",
+        "_hub",
+        "_key_value",
+        "_limits",
+        "_marks",
+        "_permits",
+        "_placement",
+        "_table",
+        "_vm",
+        "_watcher",
+        "crash",
+        "directory",
+        "dispatcher",
+        "reports",
+        "residents",
+        "router",
+        "tenant",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        random_source: Any,
+        table: peer_table.PeerTable,
+        key_value: key_value_service.KeyValueService,
+        store: configuration_store.ConfigurationStore,
+        replica: configuration_replica.ConfigurationReplica,
+        feed: vm_feed.VmFeed,
+        tenant: str,
+        vm: str,
+        availability_zone: str,
+    ) -> None:
+        self._clock = clock
+        self._table = table
+        self._key_value = key_value
+        self._feed = feed
+        self._vm = vm
+        self.tenant = tenant
+        self._configuration: (
+            tenant_configuration.TenantConfiguration | None
+        ) = None
+        self._ensured_ms: dict[str, int] = {}
+        self.reports: dict[str, messages_state.AgentReport] = {}
+        self.residents: dict[str, messages_state.Residents] = {}
+        self._marks = leaving_marks.LeavingMarks()
+        self.router = router.Router(clock, random_source, availability_zone)
+        self._limits = request_limits.RequestLimits(clock)
+        self.crash = crash_attribution.CrashAttribution(
+            clock, vm, self._spread_verdict
+        )
+        self.directory = home_directory.HomeDirectory(
+            clock, table, random_source
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            clock,
+            table,
+            self.router,
+            self._limits,
+            random_source,
+            self.directory.home_of,
+            self.crash.is_quarantined,
+            self._ensure_resident,
+            table.dial,
+        )
+        self._collector = demand_meter.DemandCollector(clock)
+        self._placement = placement_task.PlacementTask(
+            clock,
+            table,
+            self._start_lease("placement"),
+            planner.Planner(),
+            self.fleet_view,
+            self._collector.forecast,
+        )
+        self._permits: permit_task.PermitTask | None = None
+        self._watcher = configuration_watcher.ConfigurationWatcher(
+            clock, store, replica, random_source, tenant, vm, availability_zone
+        )
+        self._hub = message_hub.MessageHub(lambda event: None)
+        self._add_owners()
+        self._placement.start()
+        feed.add_listener(self._on_vms)
+        feed.directory.subscribe(on_gone=self._on_gone)
+
+    @property
+    def configuration(
+        self,
+    ) -> tenant_configuration.TenantConfiguration | None:
+        """Return the configuration in force."""
+        return self._configuration
+
+    def submit(
+        self,
+        request: caller_request.CallerRequest,
+        listener: caller_request.AnswerListener,
+    ) -> None:
+        """Start a request."""
+        if request.kind == "model":
+            listener = _DemandListener(self, request, listener)
+        self.dispatcher.submit(request, listener)
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Hand a message to its owner."""
+        if isinstance(item, messages_state.Leaving) and item.vm != peer:
+            # Only a VM itself or the VM list may tell that it leaves.
+            return
+        self._hub.on_message(peer, item)
+
+    def on_peer_up(self, peer: str, hello: messages_session.Hello) -> None:
+        """Take an agent into the routing view and attach requests again."""
+        self.router.on_peer_up(
+            peer, hello.incarnation, hello.availability_zone
+        )
+        self.dispatcher.on_peer_up(peer, hello.incarnation)
+        for item in self.crash.current_verdicts():
+            self._table.send(peer, item)
+        for mark in self._marks.marks:
+            if mark.vm == peer:
+                self._table.send(peer, mark)
+
+    def on_peer_down(self, peer: str) -> None:
+        """Take an agent out of the routing view."""
+        self.router.on_peer_down(peer)
+        self.dispatcher.on_peer_down(peer)
+        self.reports.pop(peer, None)
+        self.residents.pop(peer, None)
+
+    def on_configuration(
+        self, configuration: tenant_configuration.TenantConfiguration
+    ) -> None:
+        """Take the configuration in force."""
+        old, self._configuration = self._configuration, configuration
+        self._limits.apply(configuration)
+        is_limit_changed = (
+            old is None or old.weight_store != configuration.weight_store
+        )
+        if is_limit_changed:
+            self._replace_permits(configuration)
+
+    def on_refused(
+        self,
+        request: caller_request.CallerRequest,
+        code: result_code.ResultCode,
+    ) -> None:
+        """Count the demand of a request that no agent has seen."""
+        if code in _REFUSED_EARLY:
+            tokens = request.max_output_tokens // 4
+            cost_ms = demand_meter.work_ms(request.prompt_tokens, tokens)
+            entries = len(self._feed.entries(self.tenant))
+            self._collector.on_refused(
+                request.target, request.is_urgent, cost_ms, entries
+            )
+
+    def mark_leaving(self, vm: str, source: str) -> bool:
+        """Mark a VM as leaving; False if its agent is unreachable."""
+        hello = self._table.hello_of(vm)
+        if hello is None:
+            return False
+        self._marks.mark(vm, hello.incarnation, source)
+        self.router.view.mark_leaving(vm, hello.incarnation)
+        item = messages_state.Leaving(vm, hello.incarnation, source)
+        self._table.send(vm, item)
+        return True
+
+    def clear_quarantine(self, fingerprint: bytes) -> bool:
+        """Clear a quarantine everywhere; False for an unknown one."""
+        return self.crash.clear(fingerprint, "cleared by an operator")
+
+    def new_key(self, workspace: str, service: str) -> str:
+        """Return a new key whose home is live, if any is."""
+        up = set(self._table.up_peers)
+        return self.directory.generate_key(service, workspace, up.__contains__)
+
+    def fleet_view(self) -> fleet_view.FleetView:
+        """Return the engines as the planner needs them."""
+        configuration = self._configuration
+        configurations = {}
+        if configuration is not None:
+            configurations[self.tenant] = configuration
+        workers = []
+        for peer, report in self.reports.items():
+            held = self.residents.get(peer)
+            known = self.router.view.get(peer)
+            if held is None or known is None or not report.capacity_bytes:
+                continue
+            if report.state not in ("ready", "leaving"):
+                continue
+            limit = report.capacity_bytes * (1 - self._kv_reserve())
+            workers.append(
+                fleet_view.WorkerView(
+                    peer,
+                    known.zone,
+                    self.tenant,
+                    int(limit),
+                    frozenset(held.models + held.adapters),
+                    frozenset(held.loading),
+                    known.is_leaving,
+                )
+            )
+        workers.sort(key=lambda worker: worker.vm)
+        return fleet_view.FleetView(tuple(workers), configurations)
+
+    def _add_owners(self) -> None:
+        hub = self._hub
+        hub.add(
+            self.dispatcher,
+            (
+                messages_request.Accepted,
+                messages_request.Refused,
+                messages_request.Chunk,
+                messages_request.End,
+                messages_request.Failed,
+                messages_request.Cancelled,
+            ),
+        )
+        hub.add(
+            self.router,
+            (
+                messages_state.AgentReport,
+                messages_state.Residents,
+                messages_state.CacheDigest,
+                messages_state.Leaving,
+            ),
+        )
+        hub.add(self._collector, (messages_state.DemandReport,))
+        hub.add(
+            _Recorder(self),
+            (
+                messages_state.AgentReport,
+                messages_state.Residents,
+                messages_state.Verdict,
+                messages_home.HomeMapChanged,
+                messages_request.Refused,
+                messages_residency.PermitRequest,
+                messages_residency.PermitInUse,
+                messages_residency.PermitReturned,
+            ),
+        )
+
+    def on_recorded(self, peer: str, item: message.Message) -> None:
+        """Take a message that has no owner of its own."""
+        if isinstance(item, messages_state.AgentReport):
+            self.reports[peer] = item
+        elif isinstance(item, messages_state.Residents):
+            self.residents[peer] = item
+        elif isinstance(item, messages_state.Verdict):
+            self.crash.on_verdict(item)
+        elif isinstance(item, messages_home.HomeMapChanged):
+            self.directory.on_map_changed(item)
+        elif isinstance(item, messages_request.Refused):
+            if item.code == result_code.ResultCode.NOT_HOME.number:
+                for service in self.directory.maps:
+                    self.directory.on_not_home(peer, service)
+        elif self._permits is not None:
+            self._permits.on_message(peer, item)
+
+    def _spread_verdict(self, item: messages_state.Verdict) -> None:
+        for peer in self.reports:
+            self._table.send(peer, item)
+
+    def _ensure_resident(self, name: str, is_urgent: bool) -> None:
+        now_ms = self._clock.now_ms()
+        last_ms = self._ensured_ms.get(name)
+        if last_ms is not None and now_ms - last_ms < ENSURE_INTERVAL_MS:
+            return
+        self._ensured_ms[name] = now_ms
+        engines = [
+            worker.vm
+            for worker in self.fleet_view().workers
+            if not worker.is_leaving
+        ]
+        item = messages_residency.EnsureResident(name, is_urgent)
+        for vm in rendezvous.ranking(name, engines, ENSURE_TARGETS)[:1]:
+            self._table.send(vm, item)
+
+    def _kv_reserve(self) -> float:
+        configuration = self._configuration
+        if configuration is None or configuration.fleet is None:
+            return DEFAULT_KV_RESERVE
+        return configuration.fleet.kv_reserve
+
+    def _start_lease(self, name: str) -> lease_keeper.LeaseKeeper:
+        lease = lease_keeper.LeaseKeeper(
+            self._clock,
+            self._key_value,
+            f"balsamwall/leases/{self.tenant}/{name}",
+            self._vm,
+            lambda: self._is_lease_candidate(name),
+        )
+        lease.start()
+        return lease
+
+    def _is_lease_candidate(self, name: str) -> bool:
+        return self._vm == lease_candidate(self._feed, self.tenant, name)
+
+    def _replace_permits(
+        self, configuration: tenant_configuration.TenantConfiguration
+    ) -> None:
+        rate, concurrency = weight_store_limits(configuration)
+        if self._permits is not None:
+            self._permits.stop()
+        self._permits = permit_task.PermitTask(
+            self._clock,
+            self._table,
+            self._start_lease("permits"),
+            rate,
+            concurrency,
+            self._owns_share,
+        )
+        self._permits.start()
+
+    def _owns_share(self, index: int) -> bool:
+        owners = share_owners(self._feed, self.tenant, index + 1)
+        return len(owners) > index and owners[index] == self._vm
+
+    def _on_vms(self, directory: vm_directory.VmDirectory) -> None:
+        agents = self._feed.agents(self.tenant)
+        live = [row for row in agents if row.state == "live"]
+        subset = peer_subset.choose_subset(
+            self._vm, self._availability_zone(), live
+        )
+        # Leaving agents keep their streams until their requests are done.
+        subset.update(row.vm for row in agents if row.state != "live")
+        self._table.keep(subset, self.tenant)
+        self._watcher.on_members(self._feed.members(self.tenant))
+        for row in agents:
+            if row.state == "leaving":
+                self.mark_leaving(row.vm, "vm_list")
+
+    def _availability_zone(self) -> str:
+        record = self._feed.directory.records.get(self._vm)
+        return record.availability_zone if record is not None else ""
+
+    def _on_gone(self, vm: str) -> None:
+        self.router.forget(vm)
+
+
+def lease_candidate(feed: vm_feed.VmFeed, tenant: str, name: str) -> str:
+    """Return the entry that may hold a lease, empty without an entry."""
+    names = [row.vm for row in feed.entries(tenant)]
+    return rendezvous.winner(f"{tenant}/{name}", names) or ""
+
+
+def share_owners(feed: vm_feed.VmFeed, tenant: str, count: int) -> list[str]:
+    """Return the entries that own the fixed shares of permits."""
+    names = [row.vm for row in feed.entries(tenant)]
+    return rendezvous.ranking(f"{tenant}/permit-share", names, count)
+
+
+def weight_store_limits(
+    configuration: tenant_configuration.TenantConfiguration,
+) -> tuple[float, int]:
+    """Return loads per second and loads at once of the weight store."""
+    spec = configuration.weight_store
+    if spec is None:
+        return DEFAULT_LOADS_PER_SECOND, DEFAULT_LOADS_AT_ONCE
+    return spec.loads_per_second, spec.max_concurrent
+
+
+class _Recorder:
+    """Owner of the messages that the unit itself takes."""
+
+    __slots__ = ("_unit",)
+
+    def __init__(self, unit: EntryUnit) -> None:
+        self._unit = unit
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Receive a message."""
+        self._unit.on_recorded(peer, item)
+
+
+class _DemandListener:
+    """Listener that counts the demand of refused requests."""
+
+    __slots__ = ("_listener", "_request", "_unit")
+
+    def __init__(
+        self,
+        unit: EntryUnit,
+        request: caller_request.CallerRequest,
+        listener: caller_request.AnswerListener,
+    ) -> None:
+        self._unit = unit
+        self._request = request
+        self._listener = listener
+
+    @property
+    def on_chunk(self) -> Callable[[bytes], None]:
+        """Return the receiver of parts."""
+        return self._listener.on_chunk
+
+    @property
+    def on_end(self) -> Callable[[caller_request.AnswerEnd], None]:
+        """Return the receiver of the end."""
+        return self._listener.on_end
+
+    def on_failure(self, failure: caller_request.AnswerFailure) -> None:
+        """Count a refusal and pass it on."""
+        self._unit.on_refused(self._request, failure.code)
+        self._listener.on_failure(failure)
--- /dev/null
+++ b/src/balsamwall/composition/fleet_state.py
@@ -0,0 +1,162 @@
+"""Fleet of an entry as the administration API shows it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.configuration import administration_types
+from balsamwall.configuration import rollout_progress
+from balsamwall.protocol import messages_session
+from balsamwall.routing import route_query
+
+if TYPE_CHECKING:
+    from balsamwall.composition import entry_unit
+    from balsamwall.composition import vm_feed
+    from balsamwall.protocol import message
+    from balsamwall.protocol import messages_state
+    from balsamwall.timing import clock as clock_module
+
+_NO_DEADLINE_MS = 3_600_000
+
+
+class UnitFleetState:
+    """FleetState over the units of an entry."""
+
+    __slots__ = ("_clock", "_feed", "_revisions", "_units")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        feed: vm_feed.VmFeed,
+        units: dict[str, entry_unit.EntryUnit],
+    ) -> None:
+        self._clock = clock
+        self._feed = feed
+        self._units = units
+        self._revisions: dict[tuple[str, str], int] = {}
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Note the revisions that a peer has in force."""
+        if isinstance(item, messages_session.Ping):
+            for tenant, revision in item.config_revisions.items():
+                self._revisions[peer, tenant] = revision
+
+    def vms(self, tenant: str) -> list[administration_types.VmStatus]:
+        """Return the VMs of a tenant."""
+        unit = self._units.get(tenant)
+        if unit is None:
+            return []
+        names = {row.vm: row for row in self._feed.agents(tenant)}
+        return [
+            self._status(unit, vm, row.availability_zone)
+            for vm, row in sorted(names.items())
+        ]
+
+    def candidates(
+        self, tenant: str, name: str, is_urgent: bool
+    ) -> list[administration_types.RouteCandidate]:
+        """Return the replicas of a name, the preferred one first."""
+        unit = self._units.get(tenant)
+        if unit is None:
+            return []
+        kind = "model"
+        configuration = unit.configuration
+        if configuration is not None and name in configuration.services:
+            kind = "service"
+        query = route_query.RouteQuery(
+            kind=kind,
+            target=name,
+            is_urgent=is_urgent,
+            prompt_tokens=256,
+            max_output_tokens=256,
+            first_token_deadline_ms=self._clock.now_ms() + _NO_DEADLINE_MS,
+        )
+        rows = [
+            administration_types.RouteCandidate(
+                view.peer,
+                view.zone,
+                view.predicted_ms,
+                not view.is_ejected,
+                "ejected after failures"
+                if view.is_ejected
+                else f"report is {view.report_age_ms} ms old",
+            )
+            for view in unit.router.explain(query)
+        ]
+        return sorted(
+            rows,
+            key=lambda row: (
+                not row.is_eligible,
+                row.predicted_first_token_ms,
+                row.vm,
+            ),
+        )
+
+    def quarantined(
+        self, tenant: str
+    ) -> list[administration_types.QuarantineEntry]:
+        """Return the quarantined fingerprints."""
+        unit = self._units.get(tenant)
+        if unit is None:
+            return []
+        return [
+            administration_types.QuarantineEntry(
+                row.fingerprint,
+                row.reason,
+                row.until_ms - self._clock.now_ms(),
+            )
+            for row in unit.crash.listing()
+            if row.action == "quarantine"
+        ]
+
+    def clear_quarantine(self, tenant: str, fingerprint: bytes) -> bool:
+        """Clear one everywhere; return False for an unknown one."""
+        unit = self._units.get(tenant)
+        return unit is not None and unit.clear_quarantine(fingerprint)
+
+    def mark_leaving(self, tenant: str, vm: str) -> bool:
+        """Hand the mark to the VM's agent; False if it is unreachable."""
+        unit = self._units.get(tenant)
+        return unit is not None and unit.mark_leaving(vm, "operator")
+
+    def _status(
+        self, unit: entry_unit.EntryUnit, vm: str, zone: str
+    ) -> administration_types.VmStatus:
+        report = unit.reports.get(vm)
+        known = unit.router.view.get(vm)
+        state = "down" if report is None else report.state
+        if report is not None and known is not None and known.is_leaving:
+            state = "leaving"
+        return administration_types.VmStatus(
+            vm=vm,
+            availability_zone=zone,
+            role="agent",
+            state=state,
+            incarnation=known.incarnation if known is not None else 0,
+            config_revision=self._revisions.get((vm, unit.tenant), 0),
+            running=report.running if report is not None else 0,
+            waiting=_waiting(report),
+            committed_bytes=report.committed_bytes if report else 0,
+            capacity_bytes=report.capacity_bytes if report else 0,
+            residents=_residents(unit.residents.get(vm)),
+        )
+
+
+def _waiting(report: messages_state.AgentReport | None) -> int:
+    if report is None:
+        return 0
+    return report.waiting_urgent + report.waiting_deferrable
+
+
+def _residents(
+    held: messages_state.Residents | None,
+) -> rollout_progress.ResidentSet:
+    if held is None:
+        return rollout_progress.ResidentSet()
+    return rollout_progress.ResidentSet(
+        frozenset(held.models),
+        frozenset(held.adapters),
+        frozenset(held.loading),
+        frozenset(held.services),
+        frozenset(held.versions),
+    )
--- /dev/null
+++ b/src/balsamwall/composition/home_gate.py
@@ -0,0 +1,57 @@
+"""Gate of the executor over the key homes of several services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.idempotency import key_gate
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.idempotency import key_home
+
+
+class HomeGate:
+    """Choose the key home by the service; refuse keys without a home."""
+
+    __slots__ = ("_homes",)
+
+    def __init__(self, homes: dict[str, key_home.KeyHome]) -> None:
+        self._homes = homes
+
+    def admit(
+        self, service: str, key: str, fingerprint: bytes
+    ) -> key_gate.KeyAdmission:
+        """Decide on a dispatch; RUN records the key before it returns."""
+        home = self._homes.get(service)
+        if home is None:
+            return key_gate.KeyAdmission(
+                key_gate.Admission.REFUSE,
+                code=result_code.ResultCode.UNKNOWN_SERVICE,
+                detail="the service has no key home here",
+            )
+        return home.admit(service, key, fingerprint)
+
+    def on_settled(
+        self, service: str, key: str, callback: Callable[[], None]
+    ) -> None:
+        """Call back once when a running key ends."""
+        home = self._homes.get(service)
+        if home is not None:
+            home.on_settled(service, key, callback)
+
+    def complete(
+        self, service: str, key: str, answer: key_gate.RecordedAnswer
+    ) -> None:
+        """Record the whole answer of a key."""
+        home = self._homes.get(service)
+        if home is not None:
+            home.complete(service, key, answer)
+
+    def fail(self, service: str, key: str, ran: result_code.Ran) -> None:
+        """Record a failed run."""
+        home = self._homes.get(service)
+        if home is not None:
+            home.fail(service, key, ran)
--- a/src/balsamwall/entry/administration.py
+++ b/src/balsamwall/entry/administration.py
@@ -188,7 +188,8 @@
             self._other_paths(key, method, path, query, body, reply)
             return
         found, parameters = _find(method, path)
-        if parameters.get("tenant", key.tenant) != key.tenant:
+        tenant = parameters.get("tenant", key.tenant)
+        if key.tenant not in ("*", tenant):
             raise exceptions.BalsamwallError(
                 result_code.ResultCode.FORBIDDEN,
                 f"key {key.name} is not for this tenant",
@@ -198,9 +199,7 @@
                 result_code.ResultCode.FORBIDDEN,
                 f"key {key.name} permits reading only",
             )
-        call = AdministrationCall(
-            key.name, key.tenant, parameters, query, body
-        )
+        call = AdministrationCall(key.name, tenant, parameters, query, body)
         found.handle(self._context, call, reply)
 
 
--- a/src/balsamwall/entry/caller_resource.py
+++ b/src/balsamwall/entry/caller_resource.py
@@ -14,6 +14,7 @@
 from balsamwall.entry import caller_answer
 from balsamwall.entry import http_site
 from balsamwall.entry import request_checker
+from balsamwall.idempotency import scoped_key
 from balsamwall.metrics import answer_meter
 from balsamwall.results import exceptions
 from balsamwall.results import result_code
@@ -121,7 +122,9 @@
     ) -> None:
         extra_headers = {"x-balsamwall-request-id": checked.request_id}
         if checked.idempotency_key:
-            extra_headers["idempotency-key"] = checked.idempotency_key
+            extra_headers["idempotency-key"] = scoped_key.caller_key(
+                checked.idempotency_key
+            )
         meter = answer_meter.AnswerMeter(
             self._clock, self._metrics, checked.tenant, checked.is_urgent
         )
--- a/src/balsamwall/entry/entry_parts.py
+++ b/src/balsamwall/entry/entry_parts.py
@@ -86,9 +86,10 @@
         messages_state.AgentReport,
         messages_state.Residents,
         messages_state.CacheDigest,
+        messages_state.DemandReport,
         messages_state.Leaving,
     ),
-    "membership": (messages_state.AgentReport, messages_state.Leaving),
+    "membership": (messages_session.Ping,),
     "quarantine": (messages_state.Verdict,),
     "configuration": (
         messages_session.Ping,
@@ -98,6 +99,7 @@
     ),
     "key_homes": (messages_home.HomeMapChanged,),
     "permits": (
+        messages_residency.PermitInUse,
         messages_residency.PermitRequest,
         messages_residency.PermitReturned,
     ),
--- a/src/balsamwall/entry/idempotency_keys.py
+++ b/src/balsamwall/entry/idempotency_keys.py
@@ -5,7 +5,8 @@
 import re
 from typing import Protocol
 from typing import TYPE_CHECKING
-import uuid
+
+from balsamwall.idempotency import uuid7
 
 if TYPE_CHECKING:
     import random
@@ -20,7 +21,7 @@
 class KeySource(Protocol):
     """Maker of keys for callers that send none."""
 
-    def new_key(self, service: str) -> str:
+    def new_key(self, tenant: str, workspace: str, service: str) -> str:
         """Return a fresh UUIDv7."""
 
 
@@ -33,12 +34,9 @@
         self._clock = clock
         self._random = random
 
-    def new_key(self, service: str) -> str:
-        """Return a fresh UUIDv7 of RFC 9562."""
-        value = (self._clock.wall_ms() & (2**48 - 1)) << 80
-        value |= 0x7 << 76 | self._random.getrandbits(12) << 64
-        value |= 0b10 << 62 | self._random.getrandbits(62)
-        return str(uuid.UUID(int=value))
+    def new_key(self, tenant: str, workspace: str, service: str) -> str:
+        """Return a fresh UUIDv7."""
+        return uuid7.generate(self._clock.wall_ms(), self._random)
 
 
 def is_usable(key: str) -> bool:
@@ -48,9 +46,4 @@
 
 def is_uuid7(key: str) -> bool:
     """Tell whether a key is a UUIDv7 in its usual text form."""
-    try:
-        value = uuid.UUID(key)
-    except ValueError:
-        return False
-    is_rfc = value.variant == uuid.RFC_4122 and value.version == 7
-    return is_rfc and str(value) == key.lower()
+    return uuid7.creation_ms(key) is not None
--- a/src/balsamwall/entry/prompt.py
+++ b/src/balsamwall/entry/prompt.py
@@ -1,8 +1,7 @@
-"""Size and prefixes of a prompt."""
+"""Size of a prompt."""
 
 from __future__ import annotations
 
-import hashlib
 import json
 from typing import Any
 
@@ -10,8 +9,6 @@
 # average; the estimate is on the high side, because it charges memory.
 BYTES_PER_TOKEN = 3
 TOKENS_PER_MESSAGE = 8
-PREFIX_BLOCK_BYTES = 256
-MAX_PREFIX_BLOCKS = 64
 
 
 def text_of(document: dict[str, Any]) -> bytes:
@@ -30,16 +27,3 @@
     parts = len(prompt) if isinstance(prompt, list) else 1
     size = len(text_of(document))
     return -(-size // BYTES_PER_TOKEN) + parts * TOKENS_PER_MESSAGE
-
-
-def prefix_hashes(target: str, text: bytes) -> tuple[int, ...]:
-    """Return one hash per whole block, each over all text up to its end."""
-    hashes = []
-    running = hashlib.blake2b(target.encode() + b"\x00", digest_size=8)
-    blocks = min(len(text) // PREFIX_BLOCK_BYTES, MAX_PREFIX_BLOCKS)
-    for index in range(blocks):
-        start = index * PREFIX_BLOCK_BYTES
-        running.update(text[start : start + PREFIX_BLOCK_BYTES])
-        # 63 bits fit in the signed integers of every msgpack reader.
-        hashes.append(int.from_bytes(running.digest(), "big") >> 1)
-    return tuple(hashes)
--- a/src/balsamwall/entry/request_checker.py
+++ b/src/balsamwall/entry/request_checker.py
@@ -9,10 +9,12 @@
 from typing import TYPE_CHECKING
 import uuid
 
+from balsamwall.backend import prefix_hash
 from balsamwall.dispatch import caller_request
 from balsamwall.entry import body_schema
 from balsamwall.entry import idempotency_keys
 from balsamwall.entry import prompt
+from balsamwall.idempotency import scoped_key
 from balsamwall.results import exceptions
 from balsamwall.results import result_code
 
@@ -129,8 +131,8 @@
             max_output_tokens=output,
             idempotency_key="",
             fingerprint=_fingerprint(owner, _encode(hashed)),
-            prefix_hashes=prompt.prefix_hashes(
-                target, prompt.text_of(document)
+            prefix_hashes=prefix_hash.prefix_hashes(
+                target, prefix_hash.prompt_text(document)
             ),
         )
 
@@ -156,7 +158,9 @@
         )
         key = parameters.idempotency_key
         if not key and not is_repeatable:
-            key = self._key_source.new_key(name)
+            key = self._key_source.new_key(
+                configuration.tenant, workspace.name, name
+            )
         now_ms = self._clock.now_ms()
         deadline_ms = min(parameters.deadline_ms, now_ms + spec.timeout_ms)
         owner = (configuration.tenant, workspace.name, name, raw.path)
@@ -181,7 +185,9 @@
             first_token_deadline_ms=deadline_ms,
             prompt_tokens=0,
             max_output_tokens=0,
-            idempotency_key=key,
+            idempotency_key=scoped_key.scope(workspace.name, key)
+            if key
+            else "",
             fingerprint=_fingerprint(owner, raw.body),
         )
 
--- a/src/balsamwall/execution/executor.py
+++ b/src/balsamwall/execution/executor.py
@@ -122,6 +122,18 @@
             and run.state is not run_module.RunState.ENDED
         )
 
+    def oldest_start_ms(self, target: str) -> int | None:
+        """Return the arrival of the oldest attempt in progress for a name."""
+        return min(
+            (
+                run.enqueued_ms
+                for run in self._table.all_runs()
+                if run.dispatch.target == target
+                and run.state is not run_module.RunState.ENDED
+            ),
+            default=None,
+        )
+
     def pump(self) -> None:
         """Start what may start after memory was freed elsewhere."""
         self._scheduler.pump()
--- a/src/balsamwall/execution/run_control.py
+++ b/src/balsamwall/execution/run_control.py
@@ -10,6 +10,7 @@
 from balsamwall.execution import run_scheduler
 from balsamwall.execution import run_table
 from balsamwall.idempotency import key_gate as key_gate_module
+from balsamwall.idempotency import scoped_key
 from balsamwall.protocol import messages_request
 from balsamwall.results import result_code
 
@@ -265,7 +266,7 @@
                 is_streamed=item.is_streamed,
                 prompt_tokens=item.prompt_tokens,
                 max_output_tokens=item.max_output_tokens,
-                idempotency_key=item.idempotency_key,
+                idempotency_key=scoped_key.caller_key(item.idempotency_key),
                 timeout_ms=left_ms,
             ),
             run_listener.RunListener(self, run),
--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -8,7 +8,20 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.agent import agent_core
-from balsamwall.agent import agent_parts
+from balsamwall.backend import engine_client
+from balsamwall.backend import service_client
+from balsamwall.composition import agent_unit
+from balsamwall.composition import endpoint_bridge
+from balsamwall.composition import entry_unit
+from balsamwall.composition import fleet_state
+from balsamwall.composition import tenant_switch
+from balsamwall.composition import vm_feed
+from balsamwall.configuration import (
+    administration as configuration_administration,
+)
+from balsamwall.configuration import configuration_replica
+from balsamwall.configuration import configuration_store
+from balsamwall.configuration import configuration_watcher
 from balsamwall.entry import administration
 from balsamwall.entry import administration_endpoints
 from balsamwall.entry import administration_resource
@@ -16,11 +29,12 @@
 from balsamwall.entry import entry_core
 from balsamwall.entry import entry_parts
 from balsamwall.entry import http_site
-from balsamwall.entry import idempotency_keys
 from balsamwall.entry import key_table
 from balsamwall.entry import request_checker
 from balsamwall.metrics import metrics as metrics_module
 from balsamwall.metrics import status_resource
+from balsamwall.platform import etcd_client
+from balsamwall.platform import vm_list_client
 from balsamwall.protocol import key_ring
 from balsamwall.protocol import peer_table
 from balsamwall.protocol import session
@@ -100,16 +114,26 @@
         for port in self.ports.values():
             port.stopListening()
 
-    def set_addresses(self, texts: dict[str, str]) -> None:
-        """Take the addresses of the VM list as HOST:PORT by peer name."""
-        addresses = {}
-        for vm, text in texts.items():
-            try:
-                addresses[vm] = address.parse(text)
-            except ValueError:
-                self.metrics.count("vm_list_bad_address")
-        for table in self.tables:
-            table.set_addresses(addresses)
+
+class _Platform:
+    """Clients of the platform's services of one process."""
+
+    __slots__ = ("feed", "key_value", "store", "vm_list")
+
+    def __init__(self, daemon: Daemon) -> None:
+        settings = daemon.settings
+        first = settings.key_value[0]
+        self.key_value = etcd_client.EtcdClient(
+            daemon.reactor, daemon.clock, f"http://{first.host}:{first.port}"
+        )
+        self.store = configuration_store.ConfigurationStore(
+            self.key_value, daemon.clock
+        )
+        where = settings.vm_list
+        self.vm_list = vm_list_client.VmListClient(
+            daemon.reactor, daemon.clock, f"http://{where.host}:{where.port}"
+        )
+        self.feed = vm_feed.VmFeed(daemon.metrics.count)
 
 
 def build(settings: daemon_settings.DaemonSettings, reactor: Any) -> Daemon:
@@ -136,27 +160,11 @@
     return daemon
 
 
-def build_entry_parts(
-    daemon: Daemon, table: peer_table.PeerTable
-) -> entry_parts.EntryParts:
-    """Build the decision objects of an entry."""
-    return entry_parts.EntryParts()
-
-
-def build_agent_parts(
-    daemon: Daemon,
-    table: peer_table.PeerTable,
-    identity: session.Identity,
-    backend: daemon_settings.BackendSettings,
-) -> agent_parts.AgentParts:
-    """Build the decision objects of one unit of an agent."""
-    return agent_parts.AgentParts()
-
-
 def _build_agent(daemon: Daemon) -> None:
     # The listening ports come first: a second agent for the same backend
     # server must end here, before it could send an order.
     units = []
+    platform = _Platform(daemon)
     for backend in daemon.settings.backends:
         identity = _identity(daemon, backend.peer)
         table, streams = _build_streams(daemon, identity)
@@ -165,30 +173,147 @@
         )
         units.append((backend, identity, table, streams))
     for backend, identity, table, streams in units:
-        parts = build_agent_parts(daemon, table, identity, backend)
-        core = agent_core.AgentCore(
-            daemon.clock, identity, table, parts, daemon.metrics.count
+        _build_unit(daemon, platform, table, streams, identity, backend)
+    platform.vm_list.start(platform.feed.on_listing)
+
+
+def _build_unit(
+    daemon: Daemon,
+    platform: _Platform,
+    table: peer_table.PeerTable,
+    streams: stream.StreamTransport,
+    identity: session.Identity,
+    backend: daemon_settings.BackendSettings,
+) -> None:
+    tenant = identity.tenant
+    replica, watcher = _build_configuration(
+        daemon, platform, table, tenant, identity.vm
+    )
+    url = f"http://{backend.server.host}:{backend.server.port}"
+    unit: agent_unit.EngineUnit | agent_unit.ServiceUnit
+    if backend.kind == "engine":
+        unit = agent_unit.EngineUnit(
+            daemon.clock,
+            daemon.random,
+            table,
+            identity,
+            platform.feed,
+            backend,
+            engine_client.EngineClient(daemon.reactor, daemon.clock, url),
         )
-        table.attach(streams, core)
-        daemon.agents.append(core)
-        core.start()
+    else:
+        unit = agent_unit.ServiceUnit(
+            daemon.clock,
+            daemon.random,
+            table,
+            identity,
+            platform.feed,
+            backend,
+            service_client.ServiceClient(daemon.reactor, daemon.clock, url),
+            platform.key_value,
+        )
+    parts = unit.parts()
+    parts.configuration = replica
+    core = agent_core.AgentCore(
+        daemon.clock, identity, table, parts, daemon.metrics.count
+    )
+    replica.add_listener(lambda new, old: core.on_configuration(new))
+    platform.feed.add_table(table)
+    platform.feed.add_listener(
+        lambda directory: _follow_vms(platform.feed, tenant, watcher, core)
+    )
+    table.attach(streams, core)
+    daemon.agents.append(core)
+    core.start()
+    unit.start()
+    replica.start()
+
+
+def _follow_vms(
+    feed: vm_feed.VmFeed,
+    tenant: str,
+    watcher: configuration_watcher.ConfigurationWatcher,
+    core: agent_core.AgentCore,
+) -> None:
+    watcher.on_members(feed.members(tenant))
+    record = feed.directory.records.get(core.vm)
+    if record is not None and record.state == "leaving":
+        core.begin_drain("vm_list")
+
+
+def _build_configuration(
+    daemon: Daemon,
+    platform: _Platform,
+    table: peer_table.PeerTable,
+    tenant: str,
+    vm: str,
+) -> tuple[
+    configuration_replica.ConfigurationReplica,
+    configuration_watcher.ConfigurationWatcher,
+]:
+    replica = configuration_replica.ConfigurationReplica(
+        daemon.clock, table, daemon.random, (tenant,)
+    )
+    watcher = configuration_watcher.ConfigurationWatcher(
+        daemon.clock,
+        platform.store,
+        replica,
+        daemon.random,
+        tenant,
+        vm,
+        daemon.settings.availability_zone,
+    )
+    return replica, watcher
 
 
 def _build_entry(daemon: Daemon) -> None:
     settings = daemon.settings
     table, streams = _build_streams(daemon, _identity(daemon, settings.vm))
+    platform = _Platform(daemon)
+    platform.feed.add_table(table)
+    tenants = settings.tenant.split()
+    replica = configuration_replica.ConfigurationReplica(
+        daemon.clock, table, daemon.random, tenants
+    )
+    units = {
+        tenant: entry_unit.EntryUnit(
+            daemon.clock,
+            daemon.random,
+            table,
+            platform.key_value,
+            platform.store,
+            replica,
+            platform.feed,
+            tenant,
+            settings.vm,
+            settings.availability_zone,
+        )
+        for tenant in tenants
+    }
+    switch = tenant_switch.TenantSwitch(units)
+    fleet = fleet_state.UnitFleetState(daemon.clock, platform.feed, units)
     core = entry_core.EntryCore(
         daemon.clock,
-        build_entry_parts(daemon, table),
+        entry_parts.EntryParts(
+            dispatcher=switch,
+            fleet_view=switch,
+            quarantine=switch,
+            configuration=replica,
+            key_homes=switch,
+            permits=switch,
+            membership=fleet,
+            configuration_readers=[switch],
+        ),
         daemon.metrics.count,
         settings.limits.rejected_keys_per_second,
     )
+    replica.add_listener(lambda new, old: core.on_configuration(new))
     daemon.entry = core
     table.attach(streams, core)
+    replica.start()
+    platform.vm_list.start(platform.feed.on_listing)
     checker = request_checker.RequestChecker(
-        daemon.clock,
-        daemon.random,
-        idempotency_keys.RandomKeySource(daemon.clock, daemon.random),
+        daemon.clock, daemon.random, switch
     )
     callers = caller_resource.CallerResource(
         daemon.clock, core, checker, daemon.metrics, settings.limits
@@ -210,18 +335,29 @@
     assert settings.listen_callers is not None
     _listen_http(daemon, "callers", settings.listen_callers, site)
     if settings.listen_administration is not None:
-        _build_administration(daemon, core, settings.listen_administration)
+        handler = configuration_administration.Administration(
+            daemon.clock, platform.store, replica, fleet
+        )
+        _build_administration(
+            daemon, core, handler, settings.listen_administration
+        )
 
 
 def _build_administration(
-    daemon: Daemon, core: entry_core.EntryCore, where: address.Address
+    daemon: Daemon,
+    core: entry_core.EntryCore,
+    handler: configuration_administration.Administration,
+    where: address.Address,
 ) -> None:
     settings = daemon.settings
     limiter = key_table.RejectionLimiter(
         daemon.clock, settings.limits.rejected_keys_per_second
     )
     api = administration.AdministrationApi(
-        core, settings.administration_keys, limiter
+        core,
+        settings.administration_keys,
+        limiter,
+        endpoint_bridge.EndpointBridge(handler),
     )
     resource = administration_resource.AdministrationResource(
         daemon.clock, api, daemon.metrics
--- a/src/balsamwall/idempotency/home_directory.py
+++ b/src/balsamwall/idempotency/home_directory.py
@@ -6,6 +6,7 @@
 
 from balsamwall.idempotency import exceptions
 from balsamwall.idempotency import home_map
+from balsamwall.idempotency import scoped_key
 from balsamwall.idempotency import uuid7
 from balsamwall.protocol import messages_home
 
@@ -52,14 +53,14 @@
         return current.member_names if current is not None else []
 
     def generate_key(
-        self, service: str, is_live: Callable[[str], bool]
+        self, service: str, workspace: str, is_live: Callable[[str], bool]
     ) -> str:
         """Return a new key, one whose home is live if there is any."""
         key = uuid7.generate(self._clock.wall_ms(), self._random)
         if not any(is_live(vm) for vm in self.members(service)):
             return key
         for _ in range(MAX_GENERATED_KEYS):
-            home = self.home_of(service, key)
+            home = self.home_of(service, scoped_key.scope(workspace, key))
             if home is not None and is_live(home):
                 break
             key = uuid7.generate(self._clock.wall_ms(), self._random)
--- a/src/balsamwall/idempotency/key_home.py
+++ b/src/balsamwall/idempotency/key_home.py
@@ -7,6 +7,7 @@
 from balsamwall.idempotency import key_gate
 from balsamwall.idempotency import key_record
 from balsamwall.idempotency import record_table
+from balsamwall.idempotency import scoped_key
 from balsamwall.idempotency import uuid7
 from balsamwall.results import result_code
 
@@ -227,7 +228,7 @@
     ) -> key_gate.KeyAdmission | None:
         wall_ms = self._clock.wall_ms()
         limit_ms = current.incomplete_before_ms(key)
-        created_ms = uuid7.creation_ms(key)
+        created_ms = uuid7.creation_ms(scoped_key.caller_key(key) or key)
         if created_ms is None:
             return self._refuse_opaque(limit_ms, wall_ms)
         if created_ms > wall_ms + CLOCK_SKEW_MS:
--- a/src/balsamwall/idempotency/uuid7.py
+++ b/src/balsamwall/idempotency/uuid7.py
@@ -27,6 +27,7 @@
         parsed = uuid.UUID(key)
     except ValueError:
         return None
-    if parsed.variant != uuid.RFC_4122 or parsed.version != 7:
+    is_rfc = parsed.variant == uuid.RFC_4122 and parsed.version == 7
+    if not is_rfc or str(parsed) != key.lower():
         return None
     return parsed.int >> 80
--- a/src/balsamwall/protocol/message_hub.py
+++ b/src/balsamwall/protocol/message_hub.py
@@ -17,7 +17,7 @@
 class MessageOwner(Protocol):
     """Decision object that takes messages."""
 
-    def on_message(self, peer: str, item: message.Message) -> None:
+    def on_message(self, peer: str, item: message.Message) -> object:
         """Receive a message."""
 
 
--- a/src/balsamwall/protocol/messages_state.py
+++ b/src/balsamwall/protocol/messages_state.py
@@ -72,3 +72,14 @@
     sequence: int
     left_ms: int
     reason: str
+
+
+@message.register(35)
+class DemandReport(message.Message):
+    """Count the requests of an interval by model or adapter."""
+
+    sequence: int
+    names: list[str]
+    counts: list[int]
+    urgent: list[int]
+    work_ms: list[int]
--- a/src/balsamwall/protocol/peer_table.py
+++ b/src/balsamwall/protocol/peer_table.py
@@ -78,6 +78,7 @@
         "_clock",
         "_connector",
         "_count",
+        "_groups",
         "_is_stopped",
         "_kept",
         "_max_peers",
@@ -103,6 +104,7 @@
         self._connector = None
         self._observer = None
         self._addresses: dict[str, address.Address] = {}
+        self._groups: dict[str, frozenset[str]] = {}
         self._kept: frozenset[str] = frozenset()
         self._peers: dict[str, _Peer] = {}
         self._is_stopped = False
@@ -128,9 +130,10 @@
         self._addresses = dict(addresses)
         self._dial_kept()
 
-    def keep(self, vms: Iterable[str]) -> None:
-        """Hold streams to these peers; others are dialled on demand."""
-        self._kept = frozenset(vms)
+    def keep(self, vms: Iterable[str], group: str = "") -> None:
+        """Hold streams to the peers of a group; dial others on demand."""
+        self._groups[group] = frozenset(vms)
+        self._kept = frozenset().union(*self._groups.values())
         self._dial_kept()
 
     def dial(self, vm: str) -> None:
--- a/src/balsamwall/protocol/session.py
+++ b/src/balsamwall/protocol/session.py
@@ -347,7 +347,8 @@
         raise exceptions.ProtocolError(
             f"peer is {peer.vm!r}, expected {expected_vm or 'another VM'!r}"
         )
-    if peer.tenant != own.tenant:
+    # An entry may serve several tenants; their names are joined by spaces.
+    if not set(peer.tenant.split()) & set(own.tenant.split()):
         raise exceptions.ProtocolError(
             f"peer has tenant {peer.tenant!r}, expected {own.tenant!r}"
         )
--- a/src/balsamwall/residency/residency_manager.py
+++ b/src/balsamwall/residency/residency_manager.py
@@ -146,6 +146,22 @@
         """Tell whether orders may be issued."""
         return self._issuer.state is order_issuer.IssuerState.READY
 
+    @property
+    def is_listed(self) -> bool:
+        """Tell whether the engine's listing was read since the start."""
+        return self._table.has_listing
+
+    @property
+    def ready_versions(self) -> tuple[str, ...]:
+        """Return "name@version" of each copy that is ready."""
+        return tuple(
+            sorted(
+                f"{copy.spec.name}@{copy.spec.version}"
+                for copy in self._table.copies()
+                if copy.state is model_copy.CopyState.READY
+            )
+        )
+
     @property
     def is_engine_answering(self) -> bool:
         """Tell whether the engine answers readings of its listing."""
--- a/src/balsamwall/settings/parsers.py
+++ b/src/balsamwall/settings/parsers.py
@@ -29,11 +29,21 @@
     return text
 
 
+def name_or_any(text: str) -> str:
+    """Parse a name or an asterisk; raise ValueError."""
+    return text if text == "*" else name(text)
+
+
 def names(text: str) -> tuple[str, ...]:
     """Parse names separated by commas; raise ValueError."""
     return tuple(name(part.strip()) for part in text.split(","))
 
 
+def tenants(text: str) -> str:
+    """Parse names separated by commas into one text; raise ValueError."""
+    return " ".join(names(text))
+
+
 def connect_address(text: str) -> address.Address:
     """Parse an address to connect to; raise ValueError."""
     result = address.parse(text)
--- a/src/balsamwall/settings/settings_file.py
+++ b/src/balsamwall/settings/settings_file.py
@@ -58,7 +58,11 @@
     (
         _word("role", "entry", "agent"),
         _name("vm"),
-        _name("tenant"),
+        schema.Key(
+            "tenant",
+            parsers.tenants,
+            "one name; for an entry several, separated by commas",
+        ),
         _name("availability_zone"),
     ),
 )
@@ -103,7 +107,11 @@
 ADMINISTRATION_KEY = schema.Section(
     "administration_key NAME",
     (
-        _name("tenant"),
+        schema.Key(
+            "tenant",
+            parsers.name_or_any,
+            parsers.NAME_ALLOWED + ", or * for every tenant",
+        ),
         _word("access", "read", "write"),
         schema.Key("sha256", parsers.sha256, parsers.SHA256_ALLOWED),
     ),
