Tell a busy engine from a crashed one

Cause: under load the accept queue of an engine was full, a connect timed out, and the client reported a crash, which would make its requests suspects. The silence timer was moved with each part of a body.

--- a/src/balsamwall/backend/engine_answer.py
+++ b/src/balsamwall/backend/engine_answer.py
@@ -7,13 +7,13 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.backend import http_headers
+from balsamwall.platform import http_client
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from balsamwall.backend import backend_server
-    from balsamwall.platform import http_client
     from balsamwall.timing import clock as clock_module
 
 RESUME_DELAY_MIN_MS = 50
@@ -70,6 +70,7 @@
         "_headers",
         "_is_resuming",
         "_is_stopping",
+        "_last_byte_ms",
         "_listener",
         "_offset",
         "_on_finished",
@@ -107,6 +108,7 @@
         self._headers: dict[str, str] = {}
         self._is_resuming = False
         self._is_stopping = False
+        self._last_byte_ms = 0
         self._offset = 0
         self._status = 0
         self._tail = b""
@@ -149,11 +151,11 @@
             self._headers = headers
         elif not self._is_resuming:
             self._headers = headers
-        self._arm()
+        self._last_byte_ms = self._clock.now_ms()
 
     def on_data(self, data: bytes) -> None:
         """Take a part of the body of the present connection."""
-        self._arm()
+        self._last_byte_ms = self._clock.now_ms()
         self._delay_ms = RESUME_DELAY_MIN_MS
         if self._status != 200:
             self._error_body = (self._error_body + data)[:MAX_ERROR_BYTES]
@@ -173,10 +175,10 @@
             self._on_resume_status(boot)
         elif is_complete:
             self._on_refusal()
-        elif was_sent:
-            self._read_on_later()
-        elif self._is_resuming:
+        elif self._is_resuming and reason == http_client.REFUSED:
             self._fail(_Code.BACKEND_CRASHED, reason, is_crash=True)
+        elif was_sent or self._is_resuming:
+            self._read_on_later()
         else:
             # Nothing was sent, so this request cannot be what took the
             # engine down; is_crash would make it a suspect.
@@ -185,7 +187,8 @@
     def _next_connection(self) -> _ConnectionReceiver:
         self._close_connection()
         self._status = 0
-        self._arm()
+        self._last_byte_ms = self._clock.now_ms()
+        self._set_timer(self._silence_ms, self._on_silence_timer)
         return _ConnectionReceiver(self, self._connection)
 
     def is_present(self, connection: int) -> bool:
@@ -330,8 +333,19 @@
                 timer.cancel()
         self._close_connection()
 
-    def _arm(self) -> None:
-        self._set_timer(self._silence_ms, self._read_on)
+    def _on_silence_timer(self) -> None:
+        """Read on elsewhere if no byte came; else wait for the rest.
+
+        A timer that is moved with each part of a body would cost more than
+        the part itself.
+        """
+        silent_ms = self._clock.now_ms() - self._last_byte_ms
+        if silent_ms >= self._silence_ms:
+            self._read_on()
+        else:
+            self._set_timer(
+                self._silence_ms - silent_ms, self._on_silence_timer
+            )
 
     def _set_timer(self, delay_ms: int, function: Callable[[], None]) -> None:
         if self._timer is not None:
--- a/src/balsamwall/backend/engine_client.py
+++ b/src/balsamwall/backend/engine_client.py
@@ -248,7 +248,7 @@
 
         def on_answer(answer: http_client.HttpAnswer) -> None:
             body = _parse(answer)
-            if not answer.was_sent:
+            if answer.reason == http_client.REFUSED:
                 callback(None, "down")
             elif body is None or not isinstance(body.get("ran"), bool):
                 callback(None, "")
--- a/src/balsamwall/backend/service_client.py
+++ b/src/balsamwall/backend/service_client.py
@@ -177,7 +177,9 @@
 
     def check_refused(self, callback: Callable[[bool], None]) -> None:
         """Tell whether the service refuses connections."""
-        self._get_health(lambda answer: callback(not answer.was_sent))
+        self._get_health(
+            lambda answer: callback(answer.reason == http_client.REFUSED)
+        )
 
     def _get_health(
         self, callback: Callable[[http_client.HttpAnswer], None]
--- a/src/balsamwall/platform/http_client.py
+++ b/src/balsamwall/platform/http_client.py
@@ -25,6 +25,9 @@
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# A refused connect means that no process listens; a connect that times out
+# may also come from a process that is busy or paused.
+REFUSED = "connection refused"
 _NOT_SENT = (
     error.ConnectError,
     error.ConnectingCancelledError,
@@ -156,7 +159,9 @@
 
     def _on_failure(self, reason: failure.Failure) -> None:
         was_sent = not reason.check(*_NOT_SENT)
-        self.close(False, was_sent, reason.getErrorMessage())
+        is_refused = reason.check(error.ConnectionRefusedError)
+        text = REFUSED if is_refused else reason.getErrorMessage()
+        self.close(False, was_sent, text)
 
 
 class _WholeAnswer:
--- a/standins/balsamwall_standins/http_server.py
+++ b/standins/balsamwall_standins/http_server.py
@@ -21,6 +21,9 @@
     Handler = Callable[["Call"], None]
 
 
+LISTEN_BACKLOG = 512
+
+
 class Channel(http.HTTPChannel):  # type: ignore[misc]
     """Connection that can go silent without being closed."""
 
@@ -218,7 +221,7 @@
         """Start to listen and return the port."""
         self._interface = interface
         self._port = self._reactor.listenTCP(
-            port, self.site, interface=interface
+            port, self.site, backlog=LISTEN_BACKLOG, interface=interface
         )
         self._number = int(self._port.getHost().port)
         return self._number
--- a/tests/backend/test_engine_answer.py
+++ b/tests/backend/test_engine_answer.py
@@ -6,6 +6,7 @@
 
 from balsamwall.backend import backend_server
 from balsamwall.backend import engine_answer
+from balsamwall.platform import http_client
 from balsamwall.results import result_code
 from balsamwall.timing import virtual_clock
 from tests.fixtures import recording_listener
@@ -97,7 +98,9 @@
 
     def test_refused_connect_is_not_run_and_no_suspect(self) -> None:
         """A request that never left must not be blamed for a crash."""
-        self.transport.connections[0].on_close(False, False, "refused")
+        self.transport.connections[0].on_close(
+            False, False, http_client.REFUSED
+        )
         self.assertEqual(Code.BACKEND_DOWN, self.listener.error[0])
         self.assertFalse(self.listener.error[2])
 
@@ -106,10 +109,23 @@
         self._head(0)
         self.transport.connections[0].on_close(False, True, "reset")
         self.clock.advance(engine_answer.RESUME_DELAY_MIN_MS)
-        self.transport.connections[1].on_close(False, False, "refused")
+        self.transport.connections[1].on_close(
+            False, False, http_client.REFUSED
+        )
         self.assertEqual(Code.BACKEND_CRASHED, self.listener.error[0])
         self.assertTrue(self.listener.error[2])
 
+    def test_slow_connect_of_a_resume_is_no_crash(self) -> None:
+        """A busy engine taken for a crashed one would blame its requests."""
+        self._head(0)
+        self.transport.connections[0].on_data(b"abc")
+        self.transport.connections[0].on_close(False, True, "reset")
+        self.clock.advance(engine_answer.RESUME_DELAY_MIN_MS)
+        self.transport.connections[1].on_close(False, False, "timeout")
+        self.assertFalse(self.listener.is_finished)
+        self.clock.advance(2 * engine_answer.RESUME_DELAY_MIN_MS)
+        self.assertEqual([3, 3], self.transport.offsets)
+
     def test_restarted_engine_is_a_crash(self) -> None:
         """An engine that is back at once must not hide its crash."""
         self._head(0)
