Import the configuration API on one line

Cause: the hacking check H301 refused the import in parentheses. Change: import the module by its path under another name.

--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -16,12 +16,10 @@
 from balsamwall.composition import fleet_state
 from balsamwall.composition import tenant_switch
 from balsamwall.composition import vm_feed
-from balsamwall.configuration import (
-    administration as configuration_administration,
-)
 from balsamwall.configuration import configuration_replica
 from balsamwall.configuration import configuration_store
 from balsamwall.configuration import configuration_watcher
+import balsamwall.configuration.administration as configuration_api
 from balsamwall.entry import administration
 from balsamwall.entry import administration_endpoints
 from balsamwall.entry import administration_resource
@@ -335,7 +333,7 @@
     assert settings.listen_callers is not None
     _listen_http(daemon, "callers", settings.listen_callers, site)
     if settings.listen_administration is not None:
-        handler = configuration_administration.Administration(
+        handler = configuration_api.Administration(
             daemon.clock, platform.store, replica, fleet
         )
         _build_administration(
@@ -346,7 +344,7 @@
 def _build_administration(
     daemon: Daemon,
     core: entry_core.EntryCore,
-    handler: configuration_administration.Administration,
+    handler: configuration_api.Administration,
     where: address.Address,
 ) -> None:
     settings = daemon.settings
