Build the configuration API in the endpoint bridge

Cause: two modules named administration made the import order of the factory fail the hacking check. Change: the bridge builds the API that it mounts.

--- a/src/balsamwall/composition/endpoint_bridge.py
+++ b/src/balsamwall/composition/endpoint_bridge.py
@@ -5,14 +5,17 @@
 import json
 from typing import TYPE_CHECKING
 
+from balsamwall.configuration import administration
 from balsamwall.configuration import administration_types
 from balsamwall.results import exceptions
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
-    from balsamwall.configuration import administration
+    from balsamwall.configuration import configuration_replica
+    from balsamwall.configuration import configuration_store
     from balsamwall.entry import administration as entry_administration
     from balsamwall.settings import daemon_settings
+    from balsamwall.timing import clock as clock_module
 
 _PREFIX_PARTS = 3
 
@@ -22,8 +25,16 @@
 
     __slots__ = ("_administration",)
 
-    def __init__(self, handler: administration.Administration) -> None:
-        self._administration = handler
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        store: configuration_store.ConfigurationStore,
+        replica: configuration_replica.ConfigurationReplica,
+        fleet: administration_types.FleetState,
+    ) -> None:
+        self._administration = administration.Administration(
+            clock, store, replica, fleet
+        )
 
     def __call__(
         self,
--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -19,7 +19,6 @@
 from balsamwall.configuration import configuration_replica
 from balsamwall.configuration import configuration_store
 from balsamwall.configuration import configuration_watcher
-import balsamwall.configuration.administration as configuration_api
 from balsamwall.entry import administration
 from balsamwall.entry import administration_endpoints
 from balsamwall.entry import administration_resource
@@ -333,18 +332,18 @@
     assert settings.listen_callers is not None
     _listen_http(daemon, "callers", settings.listen_callers, site)
     if settings.listen_administration is not None:
-        handler = configuration_api.Administration(
+        bridge = endpoint_bridge.EndpointBridge(
             daemon.clock, platform.store, replica, fleet
         )
         _build_administration(
-            daemon, core, handler, settings.listen_administration
+            daemon, core, bridge, settings.listen_administration
         )
 
 
 def _build_administration(
     daemon: Daemon,
     core: entry_core.EntryCore,
-    handler: configuration_api.Administration,
+    bridge: endpoint_bridge.EndpointBridge,
     where: address.Address,
 ) -> None:
     settings = daemon.settings
@@ -355,7 +354,7 @@
         core,
         settings.administration_keys,
         limiter,
-        endpoint_bridge.EndpointBridge(handler),
+        bridge,
     )
     resource = administration_resource.AdministrationResource(
         daemon.clock, api, daemon.metrics
