Use all addresses of the key-value service and stop the sample cleanly

Cause: only the first address of the key-value service was used, and make run took 22 s to stop, because agents that all leave wait for each other to take over their models.

Change: a failed call makes the next one use another address. The sample stops entries, then agents (a second signal ends their drain), then stand-ins.

--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -119,9 +119,10 @@
 
     def __init__(self, daemon: Daemon) -> None:
         settings = daemon.settings
-        first = settings.key_value[0]
         self.key_value = etcd_client.EtcdClient(
-            daemon.reactor, daemon.clock, f"http://{first.host}:{first.port}"
+            daemon.reactor,
+            daemon.clock,
+            [f"http://{item.host}:{item.port}" for item in settings.key_value],
         )
         self.store = configuration_store.ConfigurationStore(
             self.key_value, daemon.clock
--- a/src/balsamwall/platform/etcd_client.py
+++ b/src/balsamwall/platform/etcd_client.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from balsamwall.timing import clock as clock_module
 
@@ -28,23 +29,41 @@
 
 
 class EtcdClient:
-    """KeyValueService over HTTP; implements every part of the interface."""
+    """KeyValueService over HTTP; implements every part of the interface.
 
-    __slots__ = ("_base_url", "_client", "_clock", "_timeout_ms", "calls")
+    All addresses lead to the same service. A call that fails makes the next
+    one use another address; a failed call itself is not repeated.
+    """
+
+    __slots__ = (
+        "_base_urls",
+        "_client",
+        "_clock",
+        "_current",
+        "_timeout_ms",
+        "calls",
+    )
 
     def __init__(
         self,
         reactor: Any,
         clock: clock_module.Clock,
-        base_url: str,
+        base_urls: str | Sequence[str],
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> None:
-        self._base_url = base_url.rstrip("/")
+        if isinstance(base_urls, str):
+            base_urls = (base_urls,)
+        self._base_urls = [url.rstrip("/") for url in base_urls]
+        self._current = 0
         self._client = http_client.HttpClient(reactor, clock)
         self._clock = clock
         self._timeout_ms = timeout_ms
         self.calls = 0
 
+    @property
+    def _base_url(self) -> str:
+        return self._base_urls[self._current]
+
     def get(
         self,
         key: str,
@@ -186,13 +205,20 @@
         callback: Callable[[http_client.HttpAnswer], None],
     ) -> Callable[[], None]:
         self.calls += 1
+        current = self._current
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            if answer.status == 0 and self._current == current:
+                self._current = (current + 1) % len(self._base_urls)
+            callback(answer)
+
         return self._client.call(
             "POST",
             f"{self._base_url}{path}",
             {"content-type": "application/json"},
             json.dumps(body).encode(),
             self._timeout_ms,
-            callback,
+            on_answer,
         )
 
     def _read(
--- a/standins/balsamwall_standins/sample.py
+++ b/standins/balsamwall_standins/sample.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import json
 import pathlib
@@ -20,7 +21,11 @@
 HOST = "127.0.0.1"
 CALLER_PORTS = (8080, 8082)
 ADMINISTRATION_PORTS = (8081, 8083)
-STOP_TIMEOUT_S = 20.0
+ENTRY_DRAIN_S = 15.0
+# When all agents leave together, nobody can take over their models, so
+# their drains would wait for ever; a second signal ends them.
+AGENT_DRAIN_S = 5.0
+STOP_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 110.0
 ENGINE_MEMORY_BYTES = 24 * 1024**3
 # One VM a row: tenant, VM name, availability zone, kind.
@@ -193,11 +198,17 @@
     def stop(self) -> None:
         """Stop all processes, daemons before stand-ins."""
         running = list(self.programs.values())
-        for group in (
-            [item for item in running if item.name not in self.standins],
-            [item for item in running if item.name in self.standins],
-        ):
-            stop_group(group)
+        vms = {vm for _, vm, _, _ in VMS}
+        agents = [item for item in running if item.name in vms]
+        standins = [item for item in running if item.name in self.standins]
+        first = [
+            item
+            for item in running
+            if item not in agents and item not in standins
+        ]
+        stop_group(first, ENTRY_DRAIN_S)
+        stop_group(agents, AGENT_DRAIN_S)
+        stop_group(standins, STOP_TIMEOUT_S)
         self.programs.clear()
 
     def kill(self, name: str) -> None:
@@ -272,17 +283,21 @@
         self.programs[name] = Program(name, process)
 
 
-def stop_group(programs: list[Program]) -> None:
-    """Ask processes to stop; kill those that do not in time."""
-    for program in programs:
-        program.process.terminate()
-    deadline = time.monotonic() + STOP_TIMEOUT_S
-    for program in programs:
-        try:
-            program.process.wait(max(0.1, deadline - time.monotonic()))
-        except subprocess.TimeoutExpired:
-            program.process.kill()
-            program.process.wait()
+def stop_group(programs: list[Program], patience_s: float) -> None:
+    """Let processes finish; interrupt, then kill those that do not."""
+    for number, limit_s in (
+        (signal.SIGTERM, patience_s),
+        (signal.SIGINT, STOP_TIMEOUT_S),
+        (signal.SIGKILL, STOP_TIMEOUT_S),
+    ):
+        running = [item for item in programs if item.process.poll() is None]
+        for program in running:
+            program.process.send_signal(number)
+        deadline = time.monotonic() + limit_s
+        for program in running:
+            left_s = max(0.01, deadline - time.monotonic())
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                program.process.wait(left_s)
 
 
 def wait_for_port(port: int, timeout_s: float = 20.0) -> None:
--- /dev/null
+++ b/tests/platform/test_etcd_failover.py
@@ -0,0 +1,36 @@
+"""Tests of the use of several addresses of the key-value service."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.platform import etcd_client
+from balsamwall.platform import http_client
+from balsamwall.timing import virtual_clock
+
+
+class EtcdFailoverTest(unittest.TestCase):
+    """Guard against a client that stays at an address that is down."""
+
+    def test_next_call_uses_another_address(self) -> None:
+        """One failed address must not look like an outage for ever."""
+        clock = virtual_clock.VirtualClock()
+        urls = ["http://127.0.0.1:1", "http://127.0.0.1:2"]
+        client = etcd_client.EtcdClient(None, clock, urls)
+        asked: list[str] = []
+
+        class RefusedClient:
+            def call(self, method, url, headers, body, timeout_ms, callback):
+                asked.append(url)
+                callback(http_client.HttpAnswer(0, {}, b"", False, "refused"))
+
+        client._client = RefusedClient()
+        client.get("key", lambda result: None)
+        client.get("key", lambda result: None)
+        self.assertEqual(
+            [
+                "http://127.0.0.1:1/v3/kv/range",
+                "http://127.0.0.1:2/v3/kv/range",
+            ],
+            asked,
+        )
