--- /dev/null
+++ b/tests/dispatch/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of dispatch."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/execution/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of execution."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/request_path/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the request path from entry to backend server."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of routing."""
+
+from __future__ import annotations
