--- a/src/balsamwall/dispatch/request_control.py
+++ b/src/balsamwall/dispatch/request_control.py
@@ -174,11 +174,12 @@
         if active.may_run_again and not is_final and self.take_retry(active):
             self.retry(active)
             return
-        if code.ran is not result_code.Ran.RAN:
-            if not active.request.is_repeatable:
+        if not active.request.is_repeatable:
+            # A code that advises a new request could make it run twice.
+            if code.repeat is not result_code.Repeat.NEVER:
                 code = _Code.OUTCOME_UNKNOWN
-            elif active.has_output:
-                code = _Code.ANSWER_INTERRUPTED
+        elif active.has_output and code.ran is not result_code.Ran.RAN:
+            code = _Code.ANSWER_INTERRUPTED
         self.fail(active, code, detail, RETRY_AFTER_MS)
 
     def on_attempt_lost(self, active: _Active) -> None:
--- a/src/balsamwall/execution/crash_attribution.py
+++ b/src/balsamwall/execution/crash_attribution.py
@@ -67,7 +67,14 @@
     quarantine in force. New judgements are passed on to all peers once.
     """
 
-    __slots__ = ("_clock", "_judgements", "_name", "_spread", "_trials")
+    __slots__ = (
+        "_clock",
+        "_ended",
+        "_judgements",
+        "_name",
+        "_spread",
+        "_trials",
+    )
 
     def __init__(
         self,
@@ -80,6 +87,9 @@
         self._spread = spread
         self._judgements: dict[bytes, Judgement] = {}
         self._trials: dict[bytes, Trial] = {}
+        # Highest ended trial of each owner. Without it a relayed claim that
+        # arrives after its end would be taken as new and relayed for ever.
+        self._ended: dict[tuple[bytes, str], int] = {}
 
     def standing(self, fingerprint: bytes) -> Standing:
         """Return the standing of a fingerprint now."""
@@ -151,12 +161,11 @@
         if self._foreign_trial(fingerprint) is not None:
             return False
         length_ms = min(length_ms, MAX_TRIAL_MS)
-        now_ms = self._clock.now_ms()
-        old = self._trials.get(fingerprint)
+        ended = self._ended.get((fingerprint, self._name), 0)
         trial = Trial(
             self._name,
-            max(self._clock.wall_ms(), old.sequence + 1 if old else 0),
-            now_ms + length_ms,
+            max(self._clock.wall_ms(), ended + 1),
+            self._clock.now_ms() + length_ms,
         )
         self._trials[fingerprint] = trial
         self._send(fingerprint, "trial", trial.sequence, length_ms, self._name)
@@ -170,19 +179,14 @@
     def end_trial(self, fingerprint: bytes) -> None:
         """Announce that the run alone has ended."""
         if self.has_trial(fingerprint):
-            trial = self._trials.pop(fingerprint)
-            self._send(fingerprint, "trial_end", trial.sequence, 0, self._name)
+            self._end_own(fingerprint, self._trials.pop(fingerprint))
 
     def on_verdict(self, item: messages_state.Verdict) -> bool:
         """Take a verdict of a peer; pass it on and return True if new."""
         if item.action == "trial":
             is_new = self._on_trial(item)
         elif item.action == "trial_end":
-            trial = self._trials.get(item.fingerprint)
-            is_new = trial is not None and trial.owner == item.reason
-            is_new = is_new and item.reason != self._name
-            if is_new:
-                del self._trials[item.fingerprint]
+            is_new = self._on_trial_end(item)
         elif item.action in _RANKS:
             is_new = self._on_judgement(item)
         else:
@@ -207,24 +211,51 @@
         ]
 
     def _on_trial(self, item: messages_state.Verdict) -> bool:
-        if item.reason == self._name:
+        fingerprint, owner = item.fingerprint, item.reason
+        if owner == self._name:
+            return False
+        if item.sequence <= self._ended.get((fingerprint, owner), 0):
             return False
-        known = self._trials.get(item.fingerprint)
+        known = self._trials.get(fingerprint)
         now_ms = self._clock.now_ms()
         if known is not None and known.until_ms > now_ms:
             # Of two claims at the same time the lower name stands, at every
             # agent alike.
-            if known.owner < item.reason:
+            if known.owner < owner:
+                return False
+            if known.owner == owner and known.sequence >= item.sequence:
                 return False
-            if known.owner == item.reason:
-                if known.sequence >= item.sequence:
-                    return False
         left_ms = min(item.left_ms, MAX_TRIAL_MS)
-        self._trials[item.fingerprint] = Trial(
-            item.reason, item.sequence, now_ms + left_ms
+        self._trials[fingerprint] = Trial(
+            owner, item.sequence, now_ms + left_ms
         )
+        if known is not None and known.owner == self._name:
+            self._end_own(fingerprint, known)
+        return True
+
+    def _on_trial_end(self, item: messages_state.Verdict) -> bool:
+        fingerprint, owner = item.fingerprint, item.reason
+        if owner == self._name:
+            return False
+        if item.sequence <= self._ended.get((fingerprint, owner), 0):
+            return False
+        self._note_ended(fingerprint, owner, item.sequence)
+        trial = self._trials.get(fingerprint)
+        if trial is not None and trial.owner == owner:
+            del self._trials[fingerprint]
         return True
 
+    def _end_own(self, fingerprint: bytes, trial: Trial) -> None:
+        self._note_ended(fingerprint, self._name, trial.sequence)
+        self._send(fingerprint, "trial_end", trial.sequence, 0, self._name)
+
+    def _note_ended(
+        self, fingerprint: bytes, owner: str, sequence: int
+    ) -> None:
+        if len(self._ended) >= MAX_ENTRIES:
+            del self._ended[next(iter(self._ended))]
+        self._ended[fingerprint, owner] = sequence
+
     def _on_judgement(self, item: messages_state.Verdict) -> bool:
         known = self._judgements.get(item.fingerprint)
         if known is not None:
--- a/tests/request_path/fake_backend.py
+++ b/tests/request_path/fake_backend.py
@@ -140,6 +140,7 @@
             "next": 0,
             "execution": execution,
             "kv": kv,
+            "is_cancelled": False,
         }
         assert sum(r["kv"] for r in self.running.values()) <= (
             self.capacity_bytes
@@ -162,7 +163,17 @@
         if run["next"] >= len(run["parts"]):
             self._end(request_id, run)
 
+    def unfinished(self):
+        """Return the runs that somebody still reads."""
+        return [
+            request_id
+            for request_id, run in self.running.items()
+            if run["listener"] is not None and not run["is_cancelled"]
+        ]
+
     def cancel(self, request_id):
+        if request_id in self.running:
+            self.running[request_id]["is_cancelled"] = True
         self.clock.call_later(30, self._stop, request_id)
 
     def crash(self):
