--- a/src/balsamwall/dispatch/dispatcher.py
+++ b/src/balsamwall/dispatch/dispatcher.py
@@ -256,6 +256,7 @@
         self._control.note_failure(active, code)
         can_retry = (
             active.may_run_again
+            and code.is_certified_not_run
             and code.repeat is not result_code.Repeat.NEVER
             and code is not _Code.DEADLINE_UNREACHABLE
         )
--- a/src/balsamwall/execution/executor.py
+++ b/src/balsamwall/execution/executor.py
@@ -157,6 +157,8 @@
         self._on_idle = on_idle
         if not self._is_draining:
             self._is_draining = True
+            now_ms = self._clock.now_ms()
+            self._scheduler.last_start_ms = now_ms + DRAIN_SPREAD_MS
             self._clock.call_later(DRAIN_SPREAD_MS, self._flush)
         self._check_idle()
 
@@ -199,7 +201,7 @@
             return _Code.CANCELLED_NOT_RUN, "the attempt is too old"
         if item.incarnation != self._incarnation:
             return _Code.WRONG_INCARNATION, "another incarnation was meant"
-        if self._is_flushed:
+        if self._scheduler.is_closed:
             return _Code.LEAVING, "the backend server is leaving"
         if not self._control.is_backend_up:
             return _Code.BACKEND_DOWN, "the backend server is down"
--- a/src/balsamwall/execution/run_scheduler.py
+++ b/src/balsamwall/execution/run_scheduler.py
@@ -59,6 +59,7 @@
         "_suspects",
         "_trial",
         "is_paused",
+        "last_start_ms",
     )
 
     def __init__(
@@ -91,6 +92,9 @@
         self._retry_timer: clock_module.Timer | None = None
         self._kv_total = 0
         self._deferrable_bytes = 0
+        # Compared with the clock at each start, because the timer of a drain
+        # runs late in a process that was paused.
+        self.last_start_ms: int | None = None
         self.is_paused = False  # nothing starts while the server is down
 
     @property
@@ -138,6 +142,12 @@
             kv_bytes=self._kv_total,
         )
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether a drain has ended all starts."""
+        last_ms = self.last_start_ms
+        return last_ms is not None and self._clock.now_ms() >= last_ms
+
     def waiting(self) -> Iterator[run_module.Run]:
         """Yield the attempts that have not started."""
         yield from self._queue
@@ -315,6 +325,9 @@
         if run.deadline_ms <= self._clock.now_ms():
             code = result_code.ResultCode.DEADLINE_UNREACHABLE
             detail = "the deadline passed before the start"
+        elif self.is_closed:
+            code = result_code.ResultCode.LEAVING
+            detail = "the backend server is leaving"
         elif self._crash.is_quarantined(run.dispatch.fingerprint):
             code = result_code.ResultCode.QUARANTINED
             detail = "crashed backend servers"
--- a/src/balsamwall/routing/load_estimator.py
+++ b/src/balsamwall/routing/load_estimator.py
@@ -46,7 +46,11 @@
         share = CACHE_HALF_LIFE_MS / (CACHE_HALF_LIFE_MS + max(0, age_ms))
         if known.cache_has_gap:
             share *= GAP_DISCOUNT
-        return min(int(matched * share), query.prompt_tokens)
+        expected = int(matched * share)
+        if expected < prefix_index.PREFIX_BLOCK_TOKENS:
+            # A digest this old must not draw all requests to one replica.
+            return 0
+        return min(expected, query.prompt_tokens)
 
     def predict_ms(
         self,
--- a/src/balsamwall/routing/router.py
+++ b/src/balsamwall/routing/router.py
@@ -84,10 +84,11 @@
         holders = self.view.holders(name)
         if not len(holders):
             return self._no_replica(f"no ready replica of {query.target}")
-        local = self._draw(
-            self.view.holders_in_zone(name, self._zone), query, CHOICES
-        )
-        remote = self._draw(holders, query, CHOICES)
+        near = self.view.holders_in_zone(name, self._zone)
+        local = self._draw(near, query, CHOICES)
+        remote: list[_Scored] = []
+        if len(near) < len(holders):
+            remote = self._draw(holders, query, CHOICES, self._zone)
         remote += self._prefix_holders(holders, query)
         if not local and not remote:
             remote = self._any_allowed(holders, query)
@@ -180,6 +181,7 @@
         holders: indexed_set.IndexedSet,
         query: route_query.RouteQuery,
         wanted: int,
+        skipped_zone: str | None = None,
     ) -> list[_Scored]:
         """Draw distinct replicas; give up after a fixed number of draws."""
         size = len(holders)
@@ -192,7 +194,7 @@
             if peer in drawn or not self._is_allowed(peer, query):
                 continue
             known = self.view.get(peer)
-            if known is None:
+            if known is None or known.zone == skipped_zone:
                 continue
             share = self._weight(known)
             if share < 1.0 and size > 1 and self._random.random() > share:
--- a/tests/request_path/fake_nodes.py
+++ b/tests/request_path/fake_nodes.py
@@ -101,12 +101,16 @@
         self.started = self.backend.started
         self.backend.on_restart = self.executor.on_backend_up
         self._sequence = 0
+        self._reported = None
         self.drained_ms = None
         self.report_loop()
 
     def report_loop(self):
-        for peer in sorted(self.peers):
-            self.report(peer)
+        state = (self.executor.state, self.executor.load())
+        if state != self._reported:
+            self._reported = state
+            for peer in sorted(self.peers):
+                self.report(peer)
         self.clock.call_later(500, self.report_loop)
 
     def report(self, peer):
