Deliver late dispatches to the restarted agent in the schedules

Cause: a late dispatch went to the process that was killed, so the check of the incarnation was never exercised.

Change: look up the process at the time of delivery; check that one body crashes at most two backend servers; remove unused members.

--- a/src/balsamwall/execution/run.py
+++ b/src/balsamwall/execution/run.py
@@ -35,7 +35,6 @@
         "enqueued_ms",
         "generation",
         "is_attached",
-        "is_suspect",
         "key",
         "resumes",
         "state",
@@ -55,7 +54,6 @@
         )
         self.end: messages_request.End | None = None
         self.is_attached = True
-        self.is_suspect = False
         self.charged_bytes = 0
         self.generation = 0
         self.resumes = 0
--- a/src/balsamwall/execution/run_scheduler.py
+++ b/src/balsamwall/execution/run_scheduler.py
@@ -241,7 +241,6 @@
                 continue
             standing = self._standing(run)
             if standing is crash_attribution.Standing.SUSPECT:
-                run.is_suspect = True
                 self._suspects.append(run)
             elif not self._charge_and_start(run):
                 self._queue.push_front(run)
--- a/src/balsamwall/limits/class_queue.py
+++ b/src/balsamwall/limits/class_queue.py
@@ -54,8 +54,3 @@
         """Return the next identifier of one lane, or None without one."""
         lane = self._lanes[is_urgent]
         return lane.popitem(last=False)[0] if lane else None
-
-    def pop(self) -> str | None:
-        """Return the next identifier, or None when the queue is empty."""
-        urgent = self.pop_class(True)
-        return urgent if urgent is not None else self.pop_class(False)
--- a/tests/request_path/fake_backend.py
+++ b/tests/request_path/fake_backend.py
@@ -111,6 +111,7 @@
         self.on_restart = lambda: None
         self.break_chance = 0.0
         self.started = []
+        self.crashes = 0
 
     def start(self, request, listener):
         request_id = request.request_id.rsplit("/", 1)[0]
@@ -180,6 +181,7 @@
         if not self.is_up:
             return
         self.is_up = False
+        self.crashes += 1
         running, self.running = self.running, {}
         for run in running.values():
             if run["listener"] is not None:
--- a/tests/request_path/schedule.py
+++ b/tests/request_path/schedule.py
@@ -246,14 +246,14 @@
     def late_dispatch(self):
         """Deliver an old dispatch once more."""
         if self.network.dispatches:
-            source, target, item = self.random.choice(self.network.dispatches)
-            node = self.network.nodes[target]
+            late = self.random.choice(self.network.dispatches)
             delay_ms = self.random.randint(0, 5_000)
-            self.clock.call_later(
-                delay_ms,
-                node.clock.run,
-                lambda: node.on_message(source, item),
-            )
+            self.clock.call_later(delay_ms, self.deliver_late, *late)
+
+    def deliver_late(self, source, target, item):
+        # The agent may have restarted since then.
+        node = self.network.nodes[target]
+        node.clock.run(lambda: node.on_message(source, item))
 
     def poison(self):
         self.submit(fake_backend.POISON)
--- a/tests/request_path/test_schedules.py
+++ b/tests/request_path/test_schedules.py
@@ -64,3 +64,13 @@
                 self.assertIsInstance(
                     caller.outcomes[0], caller_request.AnswerEnd
                 )
+
+    def test_one_body_crashes_two_servers_at_most(self):
+        """A caller that repeats a crashing body could stop the fleet."""
+        for seed in range(20):
+            run = schedule.Schedule(seed, faults=0)
+            for second in range(2, 9):
+                run.clock.call_later(second * 1_000, run.poison)
+            run.run()
+            crashes = sum(node.backend.crashes for node in run.agents_seen)
+            self.assertLessEqual(crashes, 2, f"seed {seed}")
