Certify refusals of keyed requests by the key's own record

Cause: a home that was draining or whose backend server was down refused a resend as not run without asking its key records, although the key may have run; an entry reported such refusals of one attempt as not run too.

Change: KeyGate.peek lets the executor answer with the recorded answer or certify that no attempt of the key ran (scope key). Without that scope, an error for a request with a caller's key says ran unknown and attempt_ran not_run.

--- a/src/balsamwall/composition/home_gate.py
+++ b/src/balsamwall/composition/home_gate.py
@@ -13,6 +13,13 @@
     from balsamwall.idempotency import key_home
 
 
+_NO_HOME = key_gate.KeyAdmission(
+    key_gate.Admission.REFUSE,
+    code=result_code.ResultCode.UNKNOWN_SERVICE,
+    detail="the service has no key home here",
+)
+
+
 class HomeGate:
     """Choose the key home by the service; refuse keys without a home."""
 
@@ -27,13 +34,18 @@
         """Decide on a dispatch; RUN records the key before it returns."""
         home = self._homes.get(service)
         if home is None:
-            return key_gate.KeyAdmission(
-                key_gate.Admission.REFUSE,
-                code=result_code.ResultCode.UNKNOWN_SERVICE,
-                detail="the service has no key home here",
-            )
+            return _NO_HOME
         return home.admit(service, key, fingerprint)
 
+    def peek(
+        self, service: str, key: str, fingerprint: bytes
+    ) -> key_gate.KeyAdmission:
+        """Decide as admit does, but record nothing."""
+        home = self._homes.get(service)
+        if home is None:
+            return _NO_HOME
+        return home.peek(service, key, fingerprint)
+
     def on_settled(
         self, service: str, key: str, callback: Callable[[], None]
     ) -> None:
--- a/src/balsamwall/entry/caller_answer.py
+++ b/src/balsamwall/entry/caller_answer.py
@@ -42,6 +42,7 @@
         "_cancel",
         "_data",
         "_extra_headers",
+        "_has_caller_key",
         "_is_over",
         "_max_bytes",
         "_meter",
@@ -55,12 +56,14 @@
         cancel: Callable[[], None],
         max_bytes: int,
         extra_headers: dict[str, str],
+        has_caller_key: bool = False,
     ) -> None:
         self._sink = sink
         self._meter = meter
         self._cancel = cancel
         self._max_bytes = max_bytes
         self._extra_headers = extra_headers
+        self._has_caller_key = has_caller_key
         self._data = bytearray()
         self._is_over = False
 
@@ -131,6 +134,7 @@
             retry_after_ms,
             scope,
             self._extra_headers,
+            self._has_caller_key,
         )
 
     def _close(self, code: result_code.ResultCode) -> None:
@@ -328,9 +332,10 @@
     retry_after_ms: int = 0,
     scope: str = "attempt",
     extra_headers: dict[str, str] | None = None,
+    has_caller_key: bool = False,
 ) -> None:
     """Send an error as the whole answer."""
-    body = error_body.encode(code, detail, scope)
+    body = error_body.encode(code, detail, scope, has_caller_key)
     headers = {
         "content-type": "application/json",
         "content-length": str(len(body)),
--- a/src/balsamwall/entry/caller_resource.py
+++ b/src/balsamwall/entry/caller_resource.py
@@ -115,10 +115,14 @@
             checked = self._checker.check_service(
                 raw, name, configuration, workspace
             )
-        self._submit(checked, sink)
+        has_caller_key = request_checker.KEY_HEADER in headers
+        self._submit(checked, sink, has_caller_key)
 
     def _submit(
-        self, checked: caller_request.CallerRequest, sink: http_site.HttpSink
+        self,
+        checked: caller_request.CallerRequest,
+        sink: http_site.HttpSink,
+        has_caller_key: bool,
     ) -> None:
         extra_headers = {"x-balsamwall-request-id": checked.request_id}
         if checked.idempotency_key:
@@ -149,7 +153,12 @@
             )
         else:
             answer = caller_answer.WholeAnswer(
-                sink, meter, cancel, self._limits.answer_bytes, extra_headers
+                sink,
+                meter,
+                cancel,
+                self._limits.answer_bytes,
+                extra_headers,
+                has_caller_key,
             )
         sink.watch(answer.on_caller_gone, give_up)
         try:
--- a/src/balsamwall/entry/error_body.py
+++ b/src/balsamwall/entry/error_body.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from balsamwall.results import result_code
+from balsamwall.results import result_code
 
 _TYPES = {
     401: "authentication_error",
@@ -17,10 +15,27 @@
 }
 
 
+# These refuse the body of the request whatever became of its key.
+_REFUSED_BODIES = frozenset(
+    (
+        result_code.ResultCode.KEY_CONFLICT,
+        result_code.ResultCode.INVALID_IDEMPOTENCY_KEY,
+        result_code.ResultCode.MALFORMED_REQUEST,
+    )
+)
+
+
 def encode(
-    code: result_code.ResultCode, message: str, scope: str = "attempt"
+    code: result_code.ResultCode,
+    message: str,
+    scope: str = "attempt",
+    has_caller_key: bool = False,
 ) -> bytes:
-    """Return the JSON body of an error."""
+    """Return the JSON body of an error.
+
+    With a key of the caller, an earlier attempt may have run although this
+    one was refused; only the home of the key can tell (scope "key").
+    """
     status = code.http_status
     default = "server_error" if status >= 500 else "invalid_request_error"
     error = {
@@ -32,6 +47,16 @@
         "repeat": code.repeat.value,
         "scope": scope,
     }
+    is_uncertain = (
+        has_caller_key
+        and scope != "key"
+        and code.ran is result_code.Ran.NOT_RUN
+        and code not in _REFUSED_BODIES
+    )
+    if is_uncertain:
+        error["ran"] = result_code.Ran.UNKNOWN.value
+        error["attempt_ran"] = code.ran.value
+        error["repeat"] = result_code.Repeat.SAME_KEY.value
     return json.dumps({"error": error}).encode()
 
 
--- a/src/balsamwall/execution/executor.py
+++ b/src/balsamwall/execution/executor.py
@@ -196,16 +196,38 @@
             return
         code, detail = self._check(run)
         if code is not _Code.OK:
-            wait_ms = QUEUE_RETRY_AFTER_MS if code is _Code.QUEUE_FULL else 0
-            last_word = run_table.refused(
-                run.key, code, detail, retry_after_ms=wait_ms
-            )
-            self._table.refuse_new(run, last_word)
+            self._refuse_new(run, code, detail)
             return
         self._table.add(run)
         if not item.idempotency_key or self._pass_gate(run):
             self._enqueue(run)
 
+    def _refuse_new(
+        self, run: run_module.Run, code: _Code, detail: str
+    ) -> None:
+        """Refuse an attempt, unless its key ran or runs already."""
+        item, scope = run.dispatch, "attempt"
+        is_ours = code is not _Code.WRONG_INCARNATION
+        if item.idempotency_key and is_ours:
+            known = self._key_gate.peek(
+                item.target, item.idempotency_key, item.fingerprint
+            )
+            if known.admission in (
+                key_gate_module.Admission.REPLAY,
+                key_gate_module.Admission.ATTACH,
+            ):
+                self._table.add(run)
+                self._pass_gate(run)
+                return
+            scope = known.scope
+            if known.admission is key_gate_module.Admission.REFUSE:
+                code, detail = known.code, known.detail
+        wait_ms = QUEUE_RETRY_AFTER_MS if code is _Code.QUEUE_FULL else 0
+        last_word = run_table.refused(
+            run.key, code, detail, scope, retry_after_ms=wait_ms
+        )
+        self._table.refuse_new(run, last_word)
+
     def _check(self, run: run_module.Run) -> tuple[_Code, str]:
         """Return the code of a refusal before the key records are asked."""
         item = run.dispatch
--- a/src/balsamwall/idempotency/key_gate.py
+++ b/src/balsamwall/idempotency/key_gate.py
@@ -50,6 +50,9 @@
     ) -> KeyAdmission:
         """Decide on a dispatch; RUN records the key before it returns."""
 
+    def peek(self, service: str, key: str, fingerprint: bytes) -> KeyAdmission:
+        """Decide as admit does, but record nothing."""
+
     def on_settled(
         self, service: str, key: str, callback: Callable[[], None]
     ) -> None:
--- a/src/balsamwall/idempotency/key_home.py
+++ b/src/balsamwall/idempotency/key_home.py
@@ -117,20 +117,28 @@
         self, service: str, key: str, fingerprint: bytes
     ) -> key_gate.KeyAdmission:
         """Decide on a dispatch; RUN records the key before it returns."""
+        decision = self.peek(service, key, fingerprint)
+        if decision.admission is _Admission.RUN:
+            self._table.put(
+                key_record.KeyRecord(
+                    key,
+                    fingerprint,
+                    key_record.KeyState.RUNNING,
+                    self._clock.wall_ms(),
+                )
+            )
+        return decision
+
+    def peek(
+        self, service: str, key: str, fingerprint: bytes
+    ) -> key_gate.KeyAdmission:
+        """Decide as admit does, but record nothing."""
         record = self._table.get(key) if service == self._service else None
         if record is not None:
             return self._admit_known(record, fingerprint)
         refusal = self._refuse_unknown(service, key)
         if refusal is not None:
             return refusal
-        self._table.put(
-            key_record.KeyRecord(
-                key,
-                fingerprint,
-                key_record.KeyState.RUNNING,
-                self._clock.wall_ms(),
-            )
-        )
         return key_gate.KeyAdmission(_Admission.RUN, scope="key")
 
     def on_settled(
--- a/tests/entry/test_caller_http.py
+++ b/tests/entry/test_caller_http.py
@@ -126,7 +126,7 @@
         self.assertFalse(document["is_repeatable"])
         scoped = "quotes/" + headers["idempotency-key"]
         self.assertEqual(document["key"], scoped)
-        self.assertEqual("7", document["key"][14])
+        self.assertEqual("7", headers["idempotency-key"][14])
         _, headers, body = self._post("/v1/services/holds/list?a=1", b"x")
         self.assertTrue(json.loads(body)["is_repeatable"])
         self.assertNotIn("idempotency-key", headers)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -26,6 +26,15 @@
         return [item for item in self.sent if isinstance(item, kind)]
 
 
+KEYED = {
+    "kind": "service",
+    "target": "s",
+    "is_repeatable": False,
+    "idempotency_key": "5/k",
+    "fingerprint": b"f",
+}
+
+
 def dispatch(attempt=1, **changes):
     values = {
         "request_id": f"r{attempt}",
@@ -199,3 +208,20 @@
         for attempt in range(2, 259):
             self.take(dispatch(attempt))
         self.assertEqual([Code.QUEUE_FULL], self.refusals())
+
+    def test_resend_while_the_backend_server_is_down(self):
+        """A key that ran must not be refused as not run."""
+        self.take(dispatch(1, **KEYED))
+        self.clock.advance(5_000)
+        self.executor.on_backend_down(is_crash=False)
+        self.take(dispatch(2, **KEYED))
+        self.assertEqual([], self.refusals())
+        ends = self.outbox.of(messages.End)
+        self.assertEqual(["r1", "r2"], [item.request_id for item in ends])
+
+    def test_new_key_while_the_backend_server_is_down(self):
+        """The home can certify that no attempt of a new key ran."""
+        self.executor.on_backend_down(is_crash=False)
+        self.take(dispatch(1, **KEYED))
+        refused = self.outbox.of(messages.Refused)[0]
+        self.assertEqual("key", refused.scope)
--- a/tests/request_path/fake_backend.py
+++ b/tests/request_path/fake_backend.py
@@ -60,14 +60,19 @@
         self._waiting = {}
 
     def admit(self, service, key, fingerprint):
+        decision = self.peek(service, key, fingerprint)
+        if decision.admission is key_gate.Admission.RUN:
+            self._records[key] = "running"
+        return decision
+
+    def peek(self, service, key, fingerprint):
         record = self._records.get(key)
         if record is None:
             if int(key.split("/")[0]) <= self._since_ms:
                 return key_gate.KeyAdmission(
                     key_gate.Admission.REFUSE, _Code.KEY_RECORD_INCOMPLETE
                 )
-            self._records[key] = "running"
-            return key_gate.KeyAdmission(key_gate.Admission.RUN)
+            return key_gate.KeyAdmission(key_gate.Admission.RUN, scope="key")
         if record == "running":
             return key_gate.KeyAdmission(key_gate.Admission.ATTACH)
         if isinstance(record, key_gate.RecordedAnswer):
