--- /dev/null
+++ b/src/balsamwall/residency/model_catalogue.py
@@ -0,0 +1,66 @@
+"""Configured models and adapters as residency uses them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.residency import model_copy
+
+if TYPE_CHECKING:
+    from balsamwall.configuration import tenant_configuration
+
+
+class ModelCatalogue:
+    """Names, versions and sizes of the configuration in force."""
+
+    __slots__ = ("_configuration", "_names")
+
+    def __init__(self) -> None:
+        self._configuration: tenant_configuration.TenantConfiguration | None
+        self._configuration = None
+        self._names: frozenset[str] = frozenset()
+
+    def set_configuration(
+        self, configuration: tenant_configuration.TenantConfiguration
+    ) -> None:
+        """Take the configuration in force."""
+        self._configuration = configuration
+        self._names = frozenset(configuration.configured_names())
+
+    def has(self, name: str) -> bool:
+        """Tell whether the known configuration has a name."""
+        return name in self._names
+
+    def must_stay(self, name: str) -> bool:
+        """Tell whether a name must stay reachable; yes if unknown."""
+        return self._configuration is None or name in self._names
+
+    def find(self, name: str) -> model_copy.CopySpec | None:
+        """Return the configured version of a name, or None."""
+        if self._configuration is None:
+            return None
+        model = self._configuration.models.get(name)
+        if model is not None:
+            return model_copy.CopySpec(
+                name, "model", model.version, "", model.weight_bytes
+            )
+        adapter = self._configuration.adapters.get(name)
+        if adapter is not None:
+            return model_copy.CopySpec(
+                name,
+                "adapter",
+                adapter.version,
+                adapter.base,
+                adapter.weight_bytes,
+            )
+        return None
+
+    def largest_bytes(self) -> int | None:
+        """Return the size of the largest item, None if unknown."""
+        if self._configuration is None:
+            return None
+        models = self._configuration.models.values()
+        adapters = self._configuration.adapters.values()
+        sizes = [model.weight_bytes for model in models]
+        sizes += [adapter.weight_bytes for adapter in adapters]
+        return max(sizes, default=0)
--- a/src/balsamwall/residency/model_copy.py
+++ b/src/balsamwall/residency/model_copy.py
@@ -4,10 +4,6 @@
 
 import dataclasses
 import enum
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from balsamwall.configuration import tenant_configuration
 
 CopyKey = tuple[str, str]
 
@@ -49,24 +45,3 @@
     state: CopyState
     is_withdrawn: bool = False
     ready_ms: int = 0
-
-
-def find_spec(
-    configuration: tenant_configuration.TenantConfiguration | None, name: str
-) -> CopySpec | None:
-    """Return the configured version of a name, or None."""
-    if configuration is None:
-        return None
-    model = configuration.models.get(name)
-    if model is not None:
-        return CopySpec(name, "model", model.version, "", model.weight_bytes)
-    adapter = configuration.adapters.get(name)
-    if adapter is not None:
-        return CopySpec(
-            name,
-            "adapter",
-            adapter.version,
-            adapter.base,
-            adapter.weight_bytes,
-        )
-    return None
--- a/src/balsamwall/residency/residency_manager.py
+++ b/src/balsamwall/residency/residency_manager.py
@@ -8,6 +8,7 @@
 from balsamwall.protocol import messages_residency
 from balsamwall.residency import copy_table
 from balsamwall.residency import handover
+from balsamwall.residency import model_catalogue
 from balsamwall.residency import model_copy
 from balsamwall.residency import order_issuer
 from balsamwall.residency import permit
@@ -53,8 +54,8 @@
     """Decide and order what one engine holds."""
 
     __slots__ = (
+        "_catalogue",
         "_clock",
-        "_configuration",
         "_handover",
         "_hooks",
         "_is_announced",
@@ -98,8 +99,7 @@
         self._random_source = random_source
         self._hooks = hooks or residency_hooks.ResidencyHooks()
         self._permits = permits or permit.OpenPermitSource()
-        self._configuration: tenant_configuration.TenantConfiguration | None
-        self._configuration = None
+        self._catalogue = model_catalogue.ModelCatalogue()
         self._listeners: list[Callable[[ResidentNames], None]] = []
         self._names = ResidentNames()
         # The first listing is announced even if it is empty, because peers
@@ -118,6 +118,7 @@
         self._runner = task_runner.TaskRunner(
             clock,
             random_source,
+            self._catalogue,
             ledger,
             self._table,
             self._issuer,
@@ -130,6 +131,7 @@
             clock,
             outbox,
             random_source,
+            self._catalogue,
             self._table,
             self._runner,
             self._hooks,
@@ -178,9 +180,8 @@
         self, configuration: tenant_configuration.TenantConfiguration
     ) -> None:
         """Take the configuration in force."""
-        self._configuration = configuration
-        self._runner.set_configuration(configuration)
-        self._roll.set_configuration(configuration)
+        self._catalogue.set_configuration(configuration)
+        self._roll.retry()
         self._pump()
 
     def start_recovery(self) -> None:
@@ -289,7 +290,9 @@
         opened = self._issuer.open_order
         lost = self._table.on_listing(listing, opened, asked_ms)
         if not self.is_recovered:
-            self._table.hold_for_earlier_orders(self._largest_load_bytes())
+            self._table.hold_for_earlier_orders(
+                self._catalogue.largest_bytes()
+            )
         for name in lost:
             self._on_lost(name)
 
@@ -311,7 +314,7 @@
         return True
 
     def _on_ensure(self, item: messages_residency.EnsureResident) -> None:
-        if not self._is_in_configuration(item.name):
+        if not self._catalogue.has(item.name):
             return
         level = urgency_levels.UNREACHABLE
         if item.is_urgent:
@@ -324,19 +327,13 @@
         if abs(self._clock.wall_ms() - planned_ms) > STEP_VALID_MS:
             return
         urgency = min(max(item.urgency, 0), urgency_levels.UNREACHABLE_URGENT)
-        if item.action == "load" and self._is_in_configuration(item.name):
+        if item.action == "load" and self._catalogue.has(item.name):
             self.ensure(item.name, urgency)
         elif item.action == "evict":
             self.evict(item.name)
-        elif item.action == "swap" and self._is_in_configuration(item.name):
+        elif item.action == "swap" and self._catalogue.has(item.name):
             self.swap(item.other, item.name, urgency)
 
-    def _is_in_configuration(self, name: str) -> bool:
-        configuration = self._configuration
-        if configuration is None:
-            return False
-        return name in configuration.configured_names()
-
     def _verify(self, name: str, callback: Callable[[bool], None]) -> None:
         """Call back whether the engine serves a name and will keep it."""
         if not self.is_recovered:
@@ -349,29 +346,19 @@
 
         self._issuer.read_listing(on_read)
 
-    def _largest_load_bytes(self) -> int | None:
-        """Return the size of the largest load that could be under way."""
-        if self._configuration is None:
-            return None
-        sizes = [m.weight_bytes for m in self._configuration.models.values()]
-        sizes += [
-            a.weight_bytes for a in self._configuration.adapters.values()
-        ]
-        return max(sizes, default=0)
-
     def _names_to_hand_over(self) -> list[str] | None:
         """Return what is here, with copies that may just become ready."""
         if not self._table.has_listing and not self._issuer.is_engine_down:
             return None
         names = {copy.spec.name for copy in self._table.copies()}
-        return sorted(n for n in names if self._runner.is_configured(n))
+        return sorted(n for n in names if self._catalogue.must_stay(n))
 
     def _on_lost(self, name: str) -> None:
         """React to a copy that vanished, as after a crash of the engine."""
         if self._table.ready(name) is not None:
             return
         self._retention.on_copy_lost(name)
-        if self._handover is not None or not self._is_in_configuration(name):
+        if self._handover is not None or not self._catalogue.has(name):
             return
         if not self._hooks.holders(name):
             self._runner.add(_Kind.LOAD, name, "", urgency_levels.UNREACHABLE)
--- a/src/balsamwall/residency/task_runner.py
+++ b/src/balsamwall/residency/task_runner.py
@@ -18,9 +18,9 @@
     from collections.abc import Callable
     import random
 
-    from balsamwall.configuration import tenant_configuration
     from balsamwall.residency import copy_table
     from balsamwall.residency import memory_ledger
+    from balsamwall.residency import model_catalogue
     from balsamwall.residency import permit
     from balsamwall.residency import residency_hooks
     from balsamwall.residency import retention
@@ -46,7 +46,7 @@
 
     __slots__ = (
         "_clock",
-        "_configuration",
+        "_catalogue",
         "_hooks",
         "_is_pumping",
         "_issuer",
@@ -66,6 +66,7 @@
         self,
         clock: clock_module.Clock,
         random_source: random.Random,
+        catalogue: model_catalogue.ModelCatalogue,
         ledger: memory_ledger.MemoryLedger,
         table: copy_table.CopyTable,
         issuer: order_issuer.OrderIssuer,
@@ -83,7 +84,7 @@
         self._permits = permit_holder.PermitHolder(permits, self.pump)
         self._hooks = hooks
         self._unload_check = unload_check.UnloadCheck(
-            clock, table, retention_table, hooks, self.is_configured
+            clock, table, retention_table, hooks, catalogue.must_stay
         )
         self._room = memory_room.MemoryRoom(
             ledger,
@@ -92,8 +93,7 @@
             self._unload_check.eviction_cost,
             kv_floor_bytes,
         )
-        self._configuration: tenant_configuration.TenantConfiguration | None
-        self._configuration = None
+        self._catalogue = catalogue
         self._queue = task_queue.TaskQueue(clock)
         self._stack: list[_Task] = []
         self._is_pumping = False
@@ -104,18 +104,6 @@
         """Tell whether no task waits or runs."""
         return self._queue.is_empty and not self._stack
 
-    def set_configuration(
-        self, configuration: tenant_configuration.TenantConfiguration
-    ) -> None:
-        """Take the configuration in force."""
-        self._configuration = configuration
-
-    def is_configured(self, name: str) -> bool:
-        """Tell whether a name must stay reachable; yes if unknown."""
-        if self._configuration is None:
-            return True
-        return name in self._configuration.configured_names()
-
     def has_task(self, kind: _Kind, name: str, version: str = "") -> bool:
         """Tell whether a task waits or runs."""
         key = (kind, name, version)
@@ -220,7 +208,7 @@
         return False
 
     def _advance_load(self, task: _Task) -> bool:
-        spec = model_copy.find_spec(self._configuration, task.name)
+        spec = self._catalogue.find(task.name)
         if spec is None:
             return self._finish(task, _Code.UNKNOWN_MODEL)
         if task.spec is not None and task.spec != spec:
--- a/src/balsamwall/residency/version_roll.py
+++ b/src/balsamwall/residency/version_roll.py
@@ -14,9 +14,9 @@
     from collections.abc import Callable
     import random
 
-    from balsamwall.configuration import tenant_configuration
     from balsamwall.protocol import outbox as outbox_module
     from balsamwall.residency import copy_table
+    from balsamwall.residency import model_catalogue
     from balsamwall.residency import residency_hooks
     from balsamwall.residency import task_runner
     from balsamwall.timing import clock as clock_module
@@ -35,8 +35,8 @@
     """
 
     __slots__ = (
+        "_catalogue",
         "_clock",
-        "_configuration",
         "_hooks",
         "_is_active",
         "_not_before_ms",
@@ -52,6 +52,7 @@
         clock: clock_module.Clock,
         outbox: outbox_module.Outbox,
         random_source: random.Random,
+        catalogue: model_catalogue.ModelCatalogue,
         table: copy_table.CopyTable,
         runner: task_runner.TaskRunner,
         hooks: residency_hooks.ResidencyHooks,
@@ -64,16 +65,12 @@
         self._runner = runner
         self._hooks = hooks
         self._is_active = is_active
-        self._configuration: tenant_configuration.TenantConfiguration | None
-        self._configuration = None
+        self._catalogue = catalogue
         self._not_before_ms: dict[str, int] = {}
         self._timer: clock_module.Timer | None = None
 
-    def set_configuration(
-        self, configuration: tenant_configuration.TenantConfiguration
-    ) -> None:
-        """Take the configuration in force."""
-        self._configuration = configuration
+    def retry(self) -> None:
+        """Try again at once, because the configuration changed."""
         self._not_before_ms.clear()
 
     def start(self) -> None:
@@ -94,7 +91,7 @@
         if not self._is_active():
             return
         for copy in self._table.copies():
-            spec = model_copy.find_spec(self._configuration, copy.spec.name)
+            spec = self._catalogue.find(copy.spec.name)
             if spec is not None and spec.version != copy.spec.version:
                 self._roll(copy, spec)
         self._runner.pump()
--- a/tests/order_schedules/fleet.py
+++ b/tests/order_schedules/fleet.py
@@ -70,6 +70,8 @@
             return
         fleet = self.fleet
         self.incarnation += 1
+        if self.incarnation > 1:
+            fleet.last_restart_ms = fleet.clock.now_ms()
         self.is_alive = True
         self.pending = None
         self.requests = {}
@@ -250,7 +252,8 @@
         self.losses = {}
         self.unreachable = set()
         self.revision = 0
-        self.is_calm = False
+        self.last_fault_ms = 0
+        self.last_restart_ms = None
         self.sizes = {
             f"m{index}": self.rng.randint(10, 38) for index in range(5)
         }
@@ -494,7 +497,22 @@
             }
             agent.engine.crash(self.rng.randint(50, 6_000))
 
-    def run(self, settle_ms=300_000):
+    def allowance_ms(self):
+        """Return until when every name must be reachable again.
+
+        Orders may be unanswered for the maximum delay after the last fault,
+        a restarted agent evicts nothing for the length of a promise, entries
+        ask each agent for 8 s, and every missing name takes an order, its
+        answer and a load.
+        """
+        missing = [n for n in self.names if not self.is_reachable(n)]
+        start_ms = self.last_fault_ms + MAX_DELAY_MS
+        if self.last_restart_ms is not None:
+            end_ms = self.last_restart_ms + retention.PROMISE_MS
+            start_ms = max(start_ms, end_ms)
+        return start_ms + 8_000 * len(self.agents) + 10_000 * len(missing)
+
+    def run(self):
         """Run the schedule, then wait without faults for every name."""
         self.start()
         end_ms = self.rng.choice((15_000, 30_000, 60_000))
@@ -502,15 +520,17 @@
             self.clock.advance(self.rng.randint(50, 900))
             self.random_step()
         self.faults = 0.0
+        self.focus = "mixed"
         self.store.is_up = True
         for agent in self.agents.values():
             agent.engine.fault_rate = 0.0
-        limit_ms = self.clock.now_ms() + settle_ms
+        # Pauses, restarts and crashes that have begun end within this time.
+        self.last_fault_ms = self.clock.now_ms() + 40_000
         while not self.violations:
             self.clock.advance(1_000)
             missing = [n for n in self.names if not self.is_reachable(n)]
             if not missing:
                 break
-            if self.clock.now_ms() > limit_ms:
+            if self.clock.now_ms() > self.allowance_ms():
                 self.report("not reloaded", ",".join(missing))
         return self.violations
