Use keys with a workspace in the request path schedules

Cause: the harness used keys without a workspace, so the fake backend server saw other keys than the fake key records, and all schedules failed.

Change: keys of the harness are WORKSPACE/MS/NAME; the home of a key is still computed from the part without the workspace, so the seeds keep their schedules.

--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -30,7 +30,7 @@
     "kind": "service",
     "target": "s",
     "is_repeatable": False,
-    "idempotency_key": "5/k",
+    "idempotency_key": "w/5/k",
     "fingerprint": b"f",
 }
 
--- a/tests/request_path/fake_backend.py
+++ b/tests/request_path/fake_backend.py
@@ -51,7 +51,7 @@
 class FakeKeyGate:
     """Key records of one incarnation; older keys are refused.
 
-    A key is "MS/NAME" with its creation time, like a UUIDv7.
+    A key is "WORKSPACE/MS/NAME" with its creation time, like a UUIDv7.
     """
 
     def __init__(self, complete_since_ms):
@@ -68,7 +68,7 @@
     def peek(self, service, key, fingerprint):
         record = self._records.get(key)
         if record is None:
-            if int(key.split("/")[0]) <= self._since_ms:
+            if int(key.split("/")[1]) <= self._since_ms:
                 return key_gate.KeyAdmission(
                     key_gate.Admission.REFUSE, _Code.KEY_RECORD_INCOMPLETE
                 )
--- a/tests/request_path/schedule.py
+++ b/tests/request_path/schedule.py
@@ -6,6 +6,7 @@
 import random
 
 from balsamwall.dispatch import caller_request
+from balsamwall.idempotency import scoped_key
 from balsamwall.timing import virtual_clock
 from tests.request_path import fake_backend
 from tests.request_path import fake_network
@@ -101,7 +102,8 @@
             self.network.connect(name, agent)
 
     def home_of(self, service, key):
-        digest = hashlib.blake2b(key.encode(), digest_size=4).digest()
+        data = scoped_key.caller_key(key).encode()
+        digest = hashlib.blake2b(data, digest_size=4).digest()
         return AGENTS[digest[0] % len(AGENTS)]
 
     def submit(self, body=b"text", key=None, entry=None):
@@ -114,7 +116,7 @@
         kind = "model"
         if key is not None or (body == b"text" and self.random.random() < 0.4):
             kind = "service"
-            key = key or f"{now_ms + 1}/{number}"
+            key = key or f"w/{now_ms + 1}/{number}"
         is_repeatable = kind == "model" and self.random.random() < 0.85
         request = caller_request.CallerRequest(
             request_id=f"r{number}",
@@ -294,7 +296,8 @@
         outcome = caller.outcomes[0]
         candidates = own
         if request.idempotency_key:
-            candidates = keys.get(request.idempotency_key, [])
+            key = scoped_key.caller_key(request.idempotency_key)
+            candidates = keys.get(key, [])
         answers = [execution.answer for execution in candidates]
         if isinstance(outcome, caller_request.AnswerEnd):
             assert caller.data in answers, f"{name}: not a whole answer"
