Place names without a copy every second

Cause: the placement task planned every 10 s with at most 8 steps a round, so a cold fleet stayed without copies for long.

Change: while configured names have no copy, the task plans only those once a second, from 6 s after it holds the lease. The bound of a round stays.

--- a/src/balsamwall/placement/placement_task.py
+++ b/src/balsamwall/placement/placement_task.py
@@ -19,6 +19,11 @@
     from balsamwall.timing import clock as clock_module
 
 ROUND_MS = 10_000
+# Names without a copy can't be served at all, so they do not wait for the
+# next regular round.
+MISSING_ROUND_MS = 1_000
+# Reports arrive at least every 5 s.
+MISSING_WARM_UP_MS = 6_000
 # A proposed step counts as done in the view until reports can show it.
 STEP_MEMORY_MS = 60_000
 # After the lease is taken, reports and demand are collected first.
@@ -33,6 +38,7 @@
         "_demand",
         "_lease",
         "_outbox",
+        "_planned_ms",
         "_planner",
         "_recent",
         "_step_number",
@@ -57,6 +63,7 @@
         self._view = view
         self._demand = demand
         self._recent: list[tuple[int, fleet_view.Step]] = []
+        self._planned_ms = -ROUND_MS
         self._step_number = 0
         self._steps_sent = 0
         self._timer: clock_module.Timer | None = None
@@ -68,7 +75,7 @@
 
     def start(self) -> None:
         """Plan at regular intervals while the lease is held."""
-        self._timer = self._clock.call_later(ROUND_MS, self._round)
+        self._timer = self._clock.call_later(MISSING_ROUND_MS, self._round)
 
     def stop(self) -> None:
         """Plan no more."""
@@ -83,13 +90,22 @@
         if since_ms is None:
             self._recent.clear()
             return
-        if now_ms - since_ms < WARM_UP_MS:
+        held_ms = now_ms - since_ms
+        if held_ms < MISSING_WARM_UP_MS:
             return
+        is_regular = (
+            held_ms >= WARM_UP_MS and now_ms - self._planned_ms >= ROUND_MS
+        )
         self._recent = [
             item for item in self._recent if now_ms - item[0] < STEP_MEMORY_MS
         ]
         view = self._with_recent(self._view())
-        for step in self._planner.plan(view, self._demand, now_ms):
+        if is_regular:
+            self._planned_ms = now_ms
+            steps = self._planner.plan(view, self._demand, now_ms)
+        else:
+            steps = self._planner.plan_missing(view, self._demand, now_ms)
+        for step in steps:
             self._propose(step, now_ms)
 
     def _propose(self, step: fleet_view.Step, now_ms: int) -> None:
--- a/src/balsamwall/placement/planner.py
+++ b/src/balsamwall/placement/planner.py
@@ -12,6 +12,8 @@
 from balsamwall.residency import urgency as urgency_levels
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamwall.configuration import tenant_configuration
     from balsamwall.placement import demand_forecast
 
@@ -52,6 +54,26 @@
         now_ms: int,
     ) -> list[fleet_view.Step]:
         """Return steps, the most urgent first, at most a bound per round."""
+        return self._plan(view, demand, now_ms, _TenantPlan.make)
+
+    def plan_missing(
+        self,
+        view: fleet_view.FleetView,
+        demand: demand_forecast.DemandForecast,
+        now_ms: int,
+    ) -> list[fleet_view.Step]:
+        """Return the steps that place names without a copy."""
+        if not _has_missing(view):
+            return []
+        return self._plan(view, demand, now_ms, _TenantPlan.make_missing)
+
+    def _plan(
+        self,
+        view: fleet_view.FleetView,
+        demand: demand_forecast.DemandForecast,
+        now_ms: int,
+        make: Callable[[_TenantPlan], list[fleet_view.Step]],
+    ) -> list[fleet_view.Step]:
         by_tenant: dict[str, list[fleet_view.WorkerView]] = {}
         for worker in view.workers:
             by_tenant.setdefault(worker.tenant, []).append(worker)
@@ -62,11 +84,24 @@
                 plan = _TenantPlan(
                     self._values, configuration, workers, demand, now_ms
                 )
-                steps += plan.make()
+                steps += make(plan)
         steps.sort(key=lambda step: -step.urgency)
         return steps
 
 
+def _has_missing(view: fleet_view.FleetView) -> bool:
+    """Tell whether some configured name has no copy and no load."""
+    held: dict[str, set[str]] = {}
+    for worker in view.workers:
+        if not worker.is_leaving:
+            names = held.setdefault(worker.tenant, set())
+            names |= worker.residents | worker.loading
+    return any(
+        configuration.configured_names() - held.get(tenant, set())
+        for tenant, configuration in view.configurations.items()
+    )
+
+
 class _TenantPlan:
     """Plan of one tenant."""
 
@@ -108,6 +143,11 @@
         self._add_replicas()
         return self._steps
 
+    def make_missing(self) -> list[fleet_view.Step]:
+        """Return only the steps that place names without a copy."""
+        self._place_missing()
+        return self._steps
+
     def _place_missing(self) -> None:
         """Place names without a copy, in order of urgent demand."""
         model = self._model
