Spread first copies over workers and shorten the learning of permits

Cause: in a fleet without demand the planner put every missing name on the first worker, so loads ran one after the other on one engine. A new granter of weight permits learned for 20 s before it granted.

Change: workers of equal load are ranked by free memory. Permits are valid for 5 s after a request and named every 2 s, so a new granter learns for 10 s.

--- a/src/balsamwall/placement/fleet_model.py
+++ b/src/balsamwall/placement/fleet_model.py
@@ -37,6 +37,15 @@
         self.free_bytes = view.weight_limit_bytes
         self.utilisation = 0.0
 
+    @property
+    def order(self) -> tuple[float, int]:
+        """Return the rank for new copies: low load, then free memory.
+
+        Without the second part a fleet without demand would fill one worker
+        after the other.
+        """
+        return (round(self.utilisation, 3), -self.free_bytes)
+
     @property
     def excess(self) -> float:
         """Return the load above the knee, in engines."""
@@ -89,7 +98,7 @@
         for name, holders in self.holders.items():
             for worker in holders:
                 worker.utilisation += self._work[name] / len(holders)
-        self._heap = [(w.utilisation, w.index) for w in self.workers]
+        self._heap = [(w.order, w.index) for w in self.workers]
         heapq.heapify(self._heap)
 
     @staticmethod
@@ -131,11 +140,11 @@
     ) -> list[WorkerModel]:
         """Return accepted workers by load, looking at scan of them."""
         found: list[WorkerModel] = []
-        taken: dict[int, tuple[float, int]] = {}
+        taken: dict[int, tuple[tuple[float, int], int]] = {}
         while self._heap and len(found) < limit and len(taken) < scan:
             entry = heapq.heappop(self._heap)
             worker = self.workers[entry[1]]
-            if entry[0] != worker.utilisation or worker.index in taken:
+            if entry[0] != worker.order or worker.index in taken:
                 continue  # a newer entry of the worker is in the heap
             taken[worker.index] = entry
             if accepts(worker):
@@ -198,4 +207,4 @@
             worker.utilisation += work / len(holders)
         self.holders[name] = holders
         for worker in {*before, *holders}:
-            heapq.heappush(self._heap, (worker.utilisation, worker.index))
+            heapq.heappush(self._heap, (worker.order, worker.index))
--- a/src/balsamwall/placement/permit_pool.py
+++ b/src/balsamwall/placement/permit_pool.py
@@ -14,15 +14,14 @@
     from balsamwall.timing import clock as clock_module
 
 # A load must start within this time after its request was sent.
-PERMIT_VALID_MS = 10_000
-# The user of a permit names it this often while its load runs.
-PERMIT_REFRESH_MS = 5_000
-PERMIT_LOST_MS = 20_000
+PERMIT_VALID_MS = 5_000
+PERMIT_LOST_MS = 10_000
 # A new granter first learns which permits of an earlier one are in use: they
-# start at most 10 s after a request that the earlier one got, and are named
-# every 5 s; one lost message is allowed for.
-LEARN_MS = 20_000
-REQUEST_LOST_MS = 8_000
+# start at most 5 s after a request that the earlier one got, and are named
+# every 2 s; one lost message is allowed for. Until then a lost granter delays
+# the loads of unreachable models.
+LEARN_MS = 10_000
+REQUEST_LOST_MS = 5_000
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/balsamwall/placement/planner.py
+++ b/src/balsamwall/placement/planner.py
@@ -278,11 +278,13 @@
             holder.view.availability_zone for holder in model.holders[name]
         )
 
-        def rank(worker: fleet_model.WorkerModel) -> tuple[float, int, float]:
+        def rank(
+            worker: fleet_model.WorkerModel,
+        ) -> tuple[float, int, tuple[float, int]]:
             return (
                 round(model.burden_of_adding(name, worker), 3),
                 zones[worker.view.availability_zone],
-                worker.utilisation,
+                worker.order,
             )
 
         return min(workers, key=rank)
--- a/src/balsamwall/residency/permit_client.py
+++ b/src/balsamwall/residency/permit_client.py
@@ -17,7 +17,7 @@
     from balsamwall.protocol import outbox as outbox_module
     from balsamwall.timing import clock as clock_module
 
-REPEAT_MS = 3_000
+REPEAT_MS = 2_000
 # Without any answer for this time another granter is asked.
 SILENT_MS = 4_000
 
