--- /dev/null
+++ b/src/balsamwall/configuration/configuration_watcher.py
@@ -0,0 +1,130 @@
+"""Watch of a tenant's document that feeds the replica."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.configuration import document_codec
+from balsamwall.configuration import exceptions
+from balsamwall.configuration import watcher_choice
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import random
+
+    from balsamwall.configuration import configuration_replica
+    from balsamwall.configuration import configuration_store
+    from balsamwall.configuration import key_value_client
+    from balsamwall.timing import clock as timing_clock
+
+# A watch may go silent without a report; a new one begins with the value.
+RENEW_INTERVAL_MS = 60_000
+RENEW_LIMIT_MS = 90_000
+
+
+class ConfigurationWatcher:
+    """Watch a document while this process is one of its zone's watchers.
+
+    Other processes make no call to the key-value service. The known peers
+    of the replica come from the same members.
+    """
+
+    __slots__ = (
+        "_availability_zone",
+        "_clock",
+        "_generation",
+        "_is_active",
+        "_random",
+        "_replica",
+        "_store",
+        "_tenant",
+        "_timer",
+        "_vm",
+        "_watch",
+        "documents_refused",
+    )
+
+    def __init__(
+        self,
+        clock: timing_clock.Clock,
+        store: configuration_store.ConfigurationStore,
+        replica: configuration_replica.ConfigurationReplica,
+        random_source: random.Random,
+        tenant: str,
+        vm: str,
+        availability_zone: str,
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._replica = replica
+        self._random = random_source
+        self._tenant = tenant
+        self._vm = vm
+        self._availability_zone = availability_zone
+        self._is_active = False
+        self._generation = 0
+        self.documents_refused = 0
+        self._timer: timing_clock.Timer | None = None
+        self._watch: key_value_client.Watch | None = None
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether this process is a watcher."""
+        return self._is_active
+
+    def on_members(self, members: Iterable[tuple[str, str]]) -> None:
+        """Start or end the watch for the live VMs and their zones."""
+        live = list(members)
+        self._replica.set_known_peers(vm for vm, _ in live if vm != self._vm)
+        is_chosen = watcher_choice.is_watcher(
+            self._tenant, self._vm, self._availability_zone, live
+        )
+        if is_chosen and not self._is_active:
+            self._is_active = True
+            self._begin()
+        elif not is_chosen and self._is_active:
+            self.stop()
+
+    def stop(self) -> None:
+        """End the watch."""
+        self._is_active = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self._generation += 1
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    def _begin(self) -> None:
+        self._clear()
+        generation = self._generation
+
+        def on_change(entry: key_value_client.KeyValueEntry) -> None:
+            if generation == self._generation:
+                self._offer(entry)
+
+        watch = self._store.watch(self._tenant, on_change)
+        if generation != self._generation:
+            watch.cancel()
+            return
+        self._watch = watch
+        # Spread, so that the watchers do not all read at the same time.
+        delay_ms = self._random.randint(RENEW_INTERVAL_MS, RENEW_LIMIT_MS)
+        self._timer = self._clock.call_later(delay_ms, self._begin)
+
+    def _offer(self, entry: key_value_client.KeyValueEntry) -> None:
+        if entry.value is None:
+            return
+        try:
+            configuration = document_codec.decode_newer(
+                entry.value, self._replica.revision(self._tenant)
+            )
+        except exceptions.DocumentInvalid:
+            self.documents_refused += 1
+            return
+        if configuration is not None and configuration.tenant == self._tenant:
+            self._replica.offer(configuration)
