--- /dev/null
+++ b/bench/attainment.py
@@ -0,0 +1,170 @@
+"""Attainment and moves of the policies, and the bounds on them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+
+from bench import clairvoyant
+from bench import fake_engine
+from bench import plain_fleet
+from bench import product_fleet
+from bench import score
+from bench import workload
+
+SEEDS = (1, 2, 3)
+POLICIES: dict[
+    str,
+    Callable[
+        [workload.Workload],
+        plain_fleet.PlainFleet | product_fleet.ProductFleet,
+    ],
+] = {
+    "static-random": plain_fleet.StaticRandom,
+    "least-loaded-on-demand": plain_fleet.LeastLoadedOnDemand,
+    "clairvoyant": clairvoyant.Clairvoyant,
+    "balsamwall": product_fleet.ProductFleet,
+}
+BASELINES = ("static-random", "least-loaded-on-demand")
+# Targets of the design page.
+CLAIRVOYANT_SHARE = 0.95
+BASELINE_FACTOR = 1.25
+CLAIRVOYANT_MOVES = 1.2
+ON_DEMAND_MOVES = 0.5
+WORKER_PROCESSES = 12
+
+Key = tuple[str, str, str, int]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Bound:
+    """Regression bound with the figure that it judges."""
+
+    name: str
+    is_kept: bool
+    figure: str
+
+    def lines(self) -> list[str]:
+        """Return the figure and the verdict, whose text never changes."""
+        word = "ok" if self.is_kept else "broken"
+        return [
+            f"bound figure {self.name} {self.figure}",
+            f"bound {word} {self.name}",
+        ]
+
+
+def run_one(key: Key) -> score.RunResult:
+    """Run one policy on one trace."""
+    deployment, trace, policy, seed = key
+    work = workload.build(workload.DEPLOYMENTS[deployment], trace, seed)
+    return POLICIES[policy](work).run()
+
+
+def all_keys() -> list[Key]:
+    """Return the runs in the order in which they are printed."""
+    return [
+        (deployment, trace, policy, seed)
+        for deployment in workload.DEPLOYMENTS
+        for trace in workload.TRACES
+        for seed in SEEDS
+        for policy in POLICIES
+    ]
+
+
+def run_all() -> dict[Key, score.RunResult]:
+    """Run everything on several processes."""
+    keys = all_keys()
+    # The longest runs start first, so that no process idles at the end.
+    started = sorted(keys, key=lambda key: key[2] != "balsamwall")
+    with futures.ProcessPoolExecutor(WORKER_PROCESSES) as pool:
+        results = dict(zip(started, pool.map(run_one, started), strict=True))
+    return {key: results[key] for key in keys}
+
+
+def capacity_share(deployment: str, trace: str, seed: int) -> float:
+    """Return a bound that no policy exceeds: work against engine time.
+
+    The cheapest requests are taken until the engine time between the first
+    arrival and the last deadline is used up.
+    """
+    work = workload.build(workload.DEPLOYMENTS[deployment], trace, seed)
+    end_ms = max(request.deadline_ms for request in work.requests)
+    lost_ms = sum(
+        len(fault.workers) * fault.duration_ms for fault in work.faults
+    )
+    left_ms = float(end_ms * work.deployment.workers - lost_ms)
+    costs = sorted(
+        fake_engine.work_ms(request.prompt_tokens, request.output_tokens)
+        for request in work.requests
+    )
+    count = 0
+    for cost in costs:
+        left_ms -= cost
+        if left_ms < 0:
+            break
+        count += 1
+    return count / len(costs)
+
+
+def judge(results: dict[Key, score.RunResult]) -> list[Bound]:
+    """Return the bounds per deployment and trace; the worst seed counts."""
+    bounds = []
+    for deployment in workload.DEPLOYMENTS:
+        for trace in workload.TRACES:
+            rows = [
+                {
+                    policy: results[deployment, trace, policy, seed]
+                    for policy in POLICIES
+                }
+                for seed in SEEDS
+            ]
+            bounds += _judge_trace(f"{deployment}-{trace}", trace, rows)
+    return bounds
+
+
+def _judge_trace(
+    suffix: str, trace: str, rows: list[dict[str, score.RunResult]]
+) -> list[Bound]:
+    shares = [
+        row["balsamwall"].attained / row["clairvoyant"].attained
+        for row in rows
+    ]
+    bounds = [
+        _at_least("clairvoyant-share", suffix, shares, CLAIRVOYANT_SHARE)
+    ]
+    if trace == "burst":
+        factors = [
+            row["balsamwall"].attained
+            / max(1, *(row[name].attained for name in BASELINES))
+            for row in rows
+        ]
+        bounds.append(
+            _at_least("best-baseline", suffix, factors, BASELINE_FACTOR)
+        )
+    for name, policy, factor in (
+        ("clairvoyant-moves", "clairvoyant", CLAIRVOYANT_MOVES),
+        ("on-demand-moves", "least-loaded-on-demand", ON_DEMAND_MOVES),
+    ):
+        moves = [(row["balsamwall"].moves, row[policy].moves) for row in rows]
+        is_kept = all(own <= factor * other for own, other in moves)
+        figure = " ".join(f"{own}/{other}" for own, other in moves)
+        bounds.append(
+            Bound(f"{name}-{suffix}", is_kept, f"{figure} limit={factor}")
+        )
+    if trace == "calm":
+        late = [row["balsamwall"].late_moves for row in rows]
+        figure = " ".join(str(count) for count in late)
+        bounds.append(
+            Bound(f"steady-moves-{suffix}", not any(late), f"{figure} limit=0")
+        )
+    return bounds
+
+
+def _at_least(
+    name: str, suffix: str, values: list[float], limit: float
+) -> Bound:
+    figure = " ".join(f"{value:.4f}" for value in values)
+    return Bound(
+        f"{name}-{suffix}", min(values) >= limit, f"{figure} limit={limit}"
+    )
--- /dev/null
+++ b/bench/clairvoyant.py
@@ -0,0 +1,190 @@
+"""Policy that knows the whole trace and the exact state of each engine."""
+
+from __future__ import annotations
+
+from typing import cast
+from typing import TYPE_CHECKING
+
+from balsamwall.placement import fleet_view
+from balsamwall.placement import planner as planner_module
+from bench import fake_engine
+from bench import plain_fleet
+from bench import workload
+
+if TYPE_CHECKING:
+    from balsamwall.placement import demand_forecast
+
+WINDOW_MS = 5_000
+LOOK_AHEAD_WINDOWS = 8
+PLAN_INTERVAL_MS = 2_000
+# Places in the batch that only urgent requests take.
+URGENT_PLACES = 4
+
+
+class TrueDemand:
+    """Coming demand read from the trace, in the form of a forecast."""
+
+    def __init__(self, work: workload.Workload) -> None:
+        self._windows = workload.TRACE_MS // WINDOW_MS
+        self._work: dict[str, list[float]] = {}
+        self._urgent: dict[str, int] = {}
+        for request in work.requests:
+            row = self._work.setdefault(request.target, [0.0] * self._windows)
+            row[request.at_ms // WINDOW_MS] += (
+                fake_engine.work_ms(
+                    request.prompt_tokens, request.output_tokens
+                )
+                / WINDOW_MS
+            )
+            count = self._urgent.get(request.target, 0)
+            self._urgent[request.target] = count + request.is_urgent
+
+    def observe(
+        self,
+        name: str,
+        is_urgent: bool,
+        count: int,
+        work_ms: float,
+        now_ms: int,
+    ) -> None:
+        """Learn nothing: everything is known."""
+
+    def work(self, name: str, now_ms: int) -> float:
+        """Return the mean load of the coming time in engines."""
+        row = self._work.get(name)
+        if row is None:
+            return 0.0
+        first = now_ms // WINDOW_MS
+        part = row[first : first + LOOK_AHEAD_WINDOWS]
+        return sum(part) / len(part) if part else 0.0
+
+    def peak(self, name: str) -> float:
+        """Return the highest load over the look-ahead time of the trace."""
+        return max(
+            self.work(name, first * WINDOW_MS)
+            for first in range(self._windows)
+        )
+
+    def mean(self, name: str) -> float:
+        """Return the mean load of the whole trace in engines."""
+        return sum(self._work.get(name, ())) / self._windows
+
+    def rate(self, name: str, now_ms: int) -> float:
+        """Return a value that grows with the coming demand."""
+        return self.work(name, now_ms)
+
+    def urgent_share(self, name: str, now_ms: int) -> float:
+        """Tell whether urgent requests come at all."""
+        return 1.0 if self._urgent.get(name) else 0.0
+
+
+class Clairvoyant(plain_fleet.PlainFleet):
+    """Placement from the coming demand, routing by exact state."""
+
+    policy = "clairvoyant"
+
+    def __init__(self, work: workload.Workload) -> None:
+        self._demand = TrueDemand(work)
+        self._planner = planner_module.Planner()
+        super().__init__(work)
+
+    def first_placement(self) -> list[list[str]]:
+        """Place by the highest demand that will come."""
+        peaks = {name: self._demand.peak(name) for name in self.sizes}
+        return workload.place(self.work, peaks)
+
+    def batch_limit(self, is_urgent: bool) -> int:
+        """Keep a few places for urgent requests."""
+        if is_urgent:
+            return fake_engine.MAX_BATCH
+        return fake_engine.MAX_BATCH - URGENT_PLACES
+
+    def kv_bytes(self, request: workload.Request) -> int:
+        """Charge the true length of the answer."""
+        tokens = request.prompt_tokens + request.output_tokens
+        return tokens * workload.KV_BYTES_PER_TOKEN
+
+    def is_hopeless(self, request: workload.Request) -> bool:
+        """Drop an urgent request that can't have its first token in time."""
+        late_ms = self.clock.now_ms() - request.at_ms
+        if request.is_urgent:
+            return late_ms > workload.FIRST_TOKEN_MS - 60
+        return self.clock.now_ms() > request.deadline_ms
+
+    def choose(self, request: workload.Request) -> plain_fleet.Worker | None:
+        """Return the holder with the earliest exact start."""
+        holders = [
+            worker
+            for worker in self.workers
+            if worker.is_up and request.target in worker.engine.held_names()
+        ]
+        return min(
+            holders,
+            key=lambda worker: (self._wait_ms(worker, request), worker.index),
+            default=None,
+        )
+
+    def _wait_ms(
+        self, worker: plain_fleet.Worker, request: workload.Request
+    ) -> float:
+        """Return the time until a request would have its first token."""
+        sequences = worker.engine.sequences
+        ahead = len(worker.urgent)
+        if not request.is_urgent:
+            ahead += len(worker.deferrable)
+        limit = self.batch_limit(request.is_urgent)
+        over = len(sequences) + ahead + 1 - limit
+        prefill = sum(item.prefill for item in sequences)
+        step_ms = worker.engine.step_ms(min(len(sequences) + 1, limit), 128)
+        wait_ms = (
+            step_ms
+            + prefill * fake_engine.PREFILL_MS_PER_TOKEN
+            + sum(j.request.prompt_tokens for j in worker.urgent)
+            * fake_engine.PREFILL_MS_PER_TOKEN
+        )
+        if over > 0:
+            lefts = sorted(item.left for item in sequences)
+            index = min(over, len(lefts)) - 1
+            wait_ms += lefts[index] * step_ms if lefts else 0.0
+        return wait_ms
+
+    def start(self) -> None:
+        """Plan now and then."""
+        self.clock.call_later(PLAN_INTERVAL_MS, self._plan)
+
+    def on_lost(self, job: plain_fleet.Job) -> None:
+        """Send a request that had not started to another worker."""
+        self.clock.call_later(1, self.submit, job.request, job.outcome)
+
+    def _plan(self) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms >= workload.TRACE_MS:
+            return
+        self.clock.call_later(PLAN_INTERVAL_MS, self._plan)
+        limit = workload.CAPACITY_BYTES - workload.KV_FLOOR_BYTES
+        views = tuple(
+            fleet_view.WorkerView(
+                worker.vm,
+                worker.zone,
+                self.work.deployment.name,
+                limit,
+                frozenset(worker.engine.held_names()),
+                frozenset(worker.engine.held_names("loading")),
+            )
+            for worker in self.workers
+            if worker.is_up
+        )
+        configuration = self.work.configuration
+        view = fleet_view.FleetView(
+            views, {configuration.tenant: configuration}
+        )
+        demand = cast("demand_forecast.DemandForecast", self._demand)
+        by_vm = {worker.vm: worker for worker in self.workers}
+        for step in self._planner.plan(view, demand, now_ms):
+            worker = by_vm[step.vm]
+            in_use = step.other and step.other in worker.names_in_use()
+            if in_use:
+                continue
+            if step.other:
+                worker.unload(step.other)
+            worker.load(step.name)
--- /dev/null
+++ b/bench/cost_report.py
@@ -0,0 +1,93 @@
+"""Report of processor cost and the bounds on its growth."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+
+from balsamwall.configuration import configuration_replica
+from balsamwall.timing import virtual_clock
+from bench import attainment
+from bench import costs
+from bench import workload
+
+ROUTING_GROWTH = 2.0
+CONFIGURATION_CHANGES = 30
+
+
+class _NoOutbox:
+    """Outbox of a replica without peers."""
+
+    def send(self, peer: str, item: object) -> None:
+        """Drop a message."""
+
+
+def measure_configuration(deployment: workload.Deployment) -> float:
+    """Return the time in us in which a replica takes a changed revision."""
+    replica = configuration_replica.ConfigurationReplica(
+        virtual_clock.VirtualClock(), _NoOutbox(), random.Random(1)
+    )
+    first = workload.build_configuration(deployment)
+    revisions = itertools.count(1)
+    items = iter(
+        [
+            dataclasses.replace(first, revision=next(revisions))
+            for _ in range(CONFIGURATION_CHANGES + 1)
+        ]
+    )
+    replica.offer(next(items))
+    return costs.least_us(
+        lambda: _check(replica.offer(next(items))), 1, CONFIGURATION_CHANGES
+    )
+
+
+def _check(is_taken: bool) -> None:
+    if not is_taken:
+        raise RuntimeError("a higher revision was not taken")
+
+
+def measure() -> list[costs.Cost]:
+    """Return all figures of processor cost."""
+    rows = [
+        costs.Cost(f"routing-decision-{count}-replicas", value, "us")
+        for count, value in costs.measure_routing().items()
+    ]
+    for models, workers, copies in ((30, 9, 2), (1_200, 12_000, 100)):
+        value = costs.measure_planner(models, workers, copies)
+        rows.append(
+            costs.Cost(
+                f"planner-round-{models}-models-{workers}-workers", value, "ms"
+            )
+        )
+    token_us, request_us = costs.measure_relay()
+    rows.append(costs.Cost("relayed-token", token_us, "us"))
+    rows.append(costs.Cost("relayed-request", request_us, "us"))
+    for deployment in workload.DEPLOYMENTS.values():
+        rows.append(
+            costs.Cost(
+                f"configuration-change-{deployment.name}",
+                measure_configuration(deployment),
+                "us",
+            )
+        )
+    for name, entries in (("today", 4), ("subset-64", 64)):
+        messages, size = costs.control_traffic(entries)
+        rows.append(
+            costs.Cost(f"control-messages-{name}", messages, "messages/s")
+        )
+        rows.append(costs.Cost(f"control-bytes-{name}", size, "bytes/s"))
+    return rows
+
+
+def judge() -> list[attainment.Bound]:
+    """Return the bounds on growth; figures stay out of the output."""
+    times = costs.measure_routing()
+    ratio = max(times.values()) / min(times.values())
+    return [
+        attainment.Bound(
+            "routing-cost-growth",
+            ratio <= ROUTING_GROWTH,
+            f"limit={ROUTING_GROWTH}",
+        )
+    ]
--- /dev/null
+++ b/bench/fake_engine.py
@@ -0,0 +1,340 @@
+"""Fake engine with continuous batching, for the benchmarks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.backend import backend_server
+from balsamwall.results import result_code
+from bench import workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.configuration import tenant_configuration
+    from balsamwall.timing import virtual_clock
+    from bench import weight_store
+
+STEP_FIXED_MS = 10.0
+STEP_PER_SEQUENCE_MS = 2.0
+PREFILL_MS_PER_TOKEN = 0.05
+PREFILL_TOKENS_PER_STEP = 512
+# With this batch a step with a full share of prefill stays within the limit
+# between two tokens: 10 + 16 x 2 + 512 x 0.05 = 67.6 ms.
+MAX_BATCH = 16
+# Engine time that one token costs at the full batch.
+TOKEN_WORK_MS = STEP_FIXED_MS / MAX_BATCH + STEP_PER_SEQUENCE_MS
+ORDER_DELAY_MS = 5
+LOAD_REPORT_LAG_MS = 300
+TOKEN = b"tok "
+
+_Code = result_code.ResultCode
+
+
+def work_ms(prompt_tokens: int, output_tokens: float) -> float:
+    """Return the engine time of a request at the full batch."""
+    return prompt_tokens * PREFILL_MS_PER_TOKEN + output_tokens * TOKEN_WORK_MS
+
+
+class Sequence:
+    """Request in the batch."""
+
+    __slots__ = ("left", "listener", "offset", "prefill", "request", "total")
+
+    def __init__(
+        self,
+        request: backend_server.BackendRequest,
+        listener: backend_server.BackendListener,
+    ) -> None:
+        self.request = request
+        self.listener = listener
+        self.prefill = request.prompt_tokens
+        self.total = int(request.body)
+        self.left = self.total
+        self.offset = 0
+
+
+class FakeEngine:
+    """Engine that runs requests in steps and loads from a weight store."""
+
+    def __init__(
+        self,
+        clock: virtual_clock.VirtualClock,
+        store: weight_store.WeightStore,
+        on_move: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._on_move = on_move
+        self._sequences: dict[str, Sequence] = {}
+        self._is_stepping = False
+        self._life = 0
+        self._fence = 0
+        self._held: dict[
+            tuple[str, str], tuple[backend_server.EngineOrder, str]
+        ] = {}
+        self._names: dict[str, frozenset[str]] = {}
+        self._open_orders: set[str] = set()
+        self._steps: list[tuple[int, int]] = [(0, 10_000)]
+        self.is_up = True
+        self.on_ready: Callable[[str], None] = lambda name: None
+
+    @property
+    def running(self) -> int:
+        """Return the size of the batch."""
+        return len(self._sequences)
+
+    @property
+    def sequences(self) -> list[Sequence]:
+        """Return the requests in the batch."""
+        return list(self._sequences.values())
+
+    def step_ms(self, batch: int, prefill_tokens: int) -> float:
+        """Return the duration of a step."""
+        return (
+            STEP_FIXED_MS
+            + STEP_PER_SEQUENCE_MS * batch
+            + PREFILL_MS_PER_TOKEN * prefill_tokens
+        )
+
+    @property
+    def reported_step_us(self) -> int:
+        """Return the step duration that a lagging report shows."""
+        limit_ms = self._clock.now_ms() - LOAD_REPORT_LAG_MS
+        while len(self._steps) > 1 and self._steps[1][0] <= limit_ms:
+            self._steps.pop(0)
+        return self._steps[0][1]
+
+    def start(
+        self,
+        request: backend_server.BackendRequest,
+        listener: backend_server.BackendListener,
+    ) -> None:
+        """Put a request into the batch of the next step."""
+        if not self.is_up:
+            self._clock.call_later(
+                1, listener.on_error, _Code.BACKEND_DOWN, "down", False
+            )
+            return
+        self._sequences[request.request_id] = Sequence(request, listener)
+        if not self._is_stepping:
+            self._begin_step()
+
+    def resume(
+        self,
+        request_id: str,
+        offset: int,
+        listener: backend_server.BackendListener,
+    ) -> None:
+        """Read on; the fake keeps every stream until its end."""
+        sequence = self._sequences.get(request_id)
+        if sequence is None:
+            listener.on_error(_Code.ANSWER_INTERRUPTED, "gone", False)
+        else:
+            sequence.listener = listener
+
+    def cancel(self, request_id: str) -> None:
+        """Take a request out of the batch."""
+        sequence = self._sequences.pop(request_id, None)
+        if sequence is not None:
+            self._clock.call_later(
+                1,
+                sequence.listener.on_error,
+                _Code.CANCELLED_AFTER_START,
+                "cancelled",
+                False,
+            )
+
+    def _begin_step(self) -> None:
+        self._is_stepping = True
+        budget = PREFILL_TOKENS_PER_STEP
+        decoding = []
+        filled = []
+        for sequence in self._sequences.values():
+            if sequence.prefill == 0:
+                decoding.append(sequence)
+            elif budget:
+                part = min(budget, sequence.prefill)
+                budget -= part
+                sequence.prefill -= part
+                filled.append(sequence)
+        done = [item for item in filled if item.prefill == 0]
+        batch = len(decoding) + len(filled)
+        prefill = PREFILL_TOKENS_PER_STEP - budget
+        duration_ms = max(1, round(self.step_ms(batch, prefill)))
+        now_ms = self._clock.now_ms()
+        self._steps.append((now_ms + duration_ms, duration_ms * 1_000))
+        if len(self._steps) > 256:
+            del self._steps[:128]
+        self._clock.call_later(
+            duration_ms, self._end_step, decoding + done, self._life
+        )
+
+    def _end_step(self, emitting: list[Sequence], life: int) -> None:
+        if life != self._life:
+            return
+        for sequence in emitting:
+            request_id = sequence.request.request_id
+            if self._sequences.get(request_id) is not sequence:
+                continue
+            offset = sequence.offset
+            sequence.offset += len(TOKEN)
+            sequence.left -= 1
+            sequence.listener.on_data(offset, TOKEN)
+            if sequence.left <= 0:
+                self._sequences.pop(request_id, None)
+                sequence.listener.on_end(
+                    200, {}, sequence.offset, sequence.total
+                )
+        if self._sequences:
+            self._begin_step()
+        else:
+            self._is_stepping = False
+
+    def hold_at_start(self, order: backend_server.EngineOrder) -> None:
+        """Put a first copy into memory without a move."""
+        self._held[order.name, order.version] = (order, "ready")
+        self._names.clear()
+
+    def held_names(self, state: str = "ready") -> frozenset[str]:
+        """Return the names in one state."""
+        names = self._names.get(state)
+        if names is None:
+            names = self._names[state] = frozenset(
+                key[0] for key, held in self._held.items() if held[1] == state
+            )
+        return names
+
+    def order(
+        self,
+        order: backend_server.EngineOrder,
+        callback: Callable[[result_code.ResultCode], None],
+    ) -> None:
+        """Take an order after a short delay."""
+        self._clock.call_later(ORDER_DELAY_MS, self._apply, order, callback)
+
+    def _apply(
+        self,
+        order: backend_server.EngineOrder,
+        callback: Callable[[result_code.ResultCode], None],
+    ) -> None:
+        if not self.is_up:
+            callback(_Code.ORDER_OUTCOME_UNKNOWN)
+            return
+        if order.fence < self._fence:
+            callback(_Code.ORDER_STALE_FENCE)
+            return
+        key = (order.name, order.version)
+        if order.action == "fence":
+            self._fence = max(self._fence, order.fence)
+        elif order.action == "load" and key not in self._held:
+            self._held[key] = (order, "loading")
+            self._names.clear()
+            self._open_orders.add(order.order_id)
+            self._on_move()
+            life = self._life
+            self._store.load(
+                order.memory_bytes, lambda: self._loaded(order, life)
+            )
+        elif order.action == "unload":
+            self._held.pop(key, None)
+            self._names.clear()
+        callback(_Code.OK)
+
+    def _loaded(self, order: backend_server.EngineOrder, life: int) -> None:
+        if life != self._life:
+            return
+        self._open_orders.discard(order.order_id)
+        self._held[order.name, order.version] = (order, "ready")
+        self._names.clear()
+        self.on_ready(order.name)
+
+    def listing(
+        self, callback: Callable[[backend_server.EngineListing | None], None]
+    ) -> None:
+        """Give the account after a short delay."""
+        self._clock.call_later(ORDER_DELAY_MS, self._list, callback)
+
+    def _list(
+        self, callback: Callable[[backend_server.EngineListing | None], None]
+    ) -> None:
+        if not self.is_up:
+            callback(None)
+            return
+        residents = tuple(
+            backend_server.Resident(
+                order.name,
+                order.kind,
+                order.version,
+                order.base,
+                order.memory_bytes,
+                state,
+            )
+            for order, state in self._held.values()
+        )
+        callback(
+            backend_server.EngineListing(
+                workload.CAPACITY_BYTES,
+                sum(item.memory_bytes for item in residents),
+                self._fence,
+                True,
+                "general",
+                residents,
+                tuple(sorted(self._open_orders)),
+            )
+        )
+
+    def load(
+        self, callback: Callable[[backend_server.EngineLoad | None], None]
+    ) -> None:
+        """Give a load report that lags."""
+        callback(
+            backend_server.EngineLoad(
+                len(self._sequences),
+                0,
+                0,
+                0,
+                self.reported_step_us,
+                LOAD_REPORT_LAG_MS,
+            )
+        )
+
+    def crash(self, is_told: bool = True) -> None:
+        """Lose all memory and requests; tell the listeners or not."""
+        self.is_up = False
+        self._life += 1
+        self._is_stepping = False
+        self._held.clear()
+        self._names.clear()
+        self._open_orders.clear()
+        lost, self._sequences = list(self._sequences.values()), {}
+        if is_told:
+            for sequence in lost:
+                sequence.listener.on_error(
+                    _Code.BACKEND_DOWN, "engine crashed", True
+                )
+
+    def come_up(self) -> None:
+        """Answer again, with nothing in memory."""
+        self.is_up = True
+
+
+def load_order(
+    configuration: tenant_configuration.TenantConfiguration,
+    name: str,
+    order_id: str = "start",
+) -> backend_server.EngineOrder:
+    """Return the order that loads a name."""
+    adapter = configuration.adapters.get(name)
+    return backend_server.EngineOrder(
+        order_id,
+        0,
+        "load",
+        name,
+        "model" if adapter is None else "adapter",
+        "1",
+        "" if adapter is None else adapter.base,
+        configuration.models[name].weight_bytes
+        if adapter is None
+        else adapter.weight_bytes,
+    )
--- /dev/null
+++ b/bench/plain_fleet.py
@@ -0,0 +1,400 @@
+"""Fleet without balsamwall: two baselines and the clairvoyant policy."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import TYPE_CHECKING
+
+from balsamwall.backend import backend_server
+from balsamwall.timing import virtual_clock
+from bench import fake_engine
+from bench import score
+from bench import weight_store
+from bench import workload
+
+if TYPE_CHECKING:
+    from balsamwall.results import result_code
+
+NETWORK_MS = 2
+REPEAT_LOAD_MS = 1_000
+
+
+class Job:
+    """Request at a worker, and the listener of its engine."""
+
+    __slots__ = ("fleet", "outcome", "request", "worker")
+
+    def __init__(
+        self,
+        fleet: PlainFleet,
+        worker: Worker,
+        request: workload.Request,
+        outcome: score.Outcome,
+    ) -> None:
+        self.fleet = fleet
+        self.worker = worker
+        self.request = request
+        self.outcome = outcome
+
+    def on_data(self, offset: int, data: bytes) -> None:
+        """Pass a token on to the caller."""
+        self.fleet.clock.call_later(NETWORK_MS, self.outcome.on_chunk, data)
+
+    def on_end(
+        self,
+        http_status: int,
+        headers: dict[str, str],
+        total_bytes: int,
+        output_tokens: int,
+    ) -> None:
+        """Pass the end on and start what waits."""
+        self.fleet.clock.call_later(NETWORK_MS, self.outcome.on_end)
+        self.worker.end(self)
+
+    def on_error(
+        self, code: result_code.ResultCode, detail: str, is_crash: bool
+    ) -> None:
+        """Fail a request that an engine lost."""
+        self.outcome.fail("backend_crashed")
+        self.worker.end(self)
+
+
+class Worker:
+    """Engine with an admission queue that takes urgent requests first."""
+
+    def __init__(self, fleet: PlainFleet, index: int) -> None:
+        self.fleet = fleet
+        self.index = index
+        self.vm = f"w{index}"
+        self.zone = fleet.work.deployment.zone_of(index)
+        self.is_up = True
+        self.engine = fake_engine.FakeEngine(
+            fleet.clock, fleet.store, fleet.note_move
+        )
+        self.engine.on_ready = self.on_ready
+        self.urgent: collections.deque[Job] = collections.deque()
+        self.deferrable: collections.deque[Job] = collections.deque()
+        # Requests whose name is not ready yet.
+        self.parked: dict[str, list[Job]] = {}
+        self.running: dict[str, Job] = {}
+        self.kv_bytes = 0
+        self.last_used_ms: dict[str, int] = {}
+
+    @property
+    def open_count(self) -> int:
+        """Return the requests that run or wait."""
+        parked = sum(len(jobs) for jobs in self.parked.values())
+        queued = len(self.urgent) + len(self.deferrable)
+        return len(self.running) + queued + parked
+
+    @property
+    def weight_bytes(self) -> int:
+        """Return the memory of weights, ready or loading."""
+        names = self.engine.held_names() | self.engine.held_names("loading")
+        return sum(self.fleet.sizes[name] for name in names)
+
+    @property
+    def free_weight_bytes(self) -> int:
+        """Return the memory left for weights."""
+        limit = workload.CAPACITY_BYTES - workload.KV_FLOOR_BYTES
+        return limit - self.weight_bytes
+
+    def names_in_use(self) -> set[str]:
+        """Return the names and bases of requests that run or wait."""
+        names: set[str] = set()
+        for jobs in (self.running.values(), self.urgent, self.deferrable):
+            for job in jobs:
+                names.update((job.request.target, job.request.base))
+        for name in self.parked:
+            names.update((name, self.fleet.work.configuration.base_of(name)))
+        return names
+
+    def add(self, job: Job) -> None:
+        """Take a request."""
+        queue = self.urgent if job.request.is_urgent else self.deferrable
+        queue.append(job)
+        self.pump()
+
+    def pump(self) -> None:
+        """Start what fits into batch and memory."""
+        if not self.is_up:
+            return
+        held = self.engine.held_names()
+        for queue in (self.urgent, self.deferrable):
+            limit = self.fleet.batch_limit(queue is self.urgent)
+            while queue and len(self.running) < limit:
+                job = queue.popleft()
+                if self.fleet.is_hopeless(job.request):
+                    job.outcome.fail("given_up")
+                elif job.request.target not in held:
+                    name = job.request.target
+                    self.parked.setdefault(name, []).append(job)
+                elif not self._start(job):
+                    queue.appendleft(job)
+                    break
+
+    def _start(self, job: Job) -> bool:
+        needed = self.fleet.kv_bytes(job.request)
+        limit = workload.CAPACITY_BYTES - self.weight_bytes
+        if self.kv_bytes + needed > limit:
+            return False
+        request = job.request
+        self.kv_bytes += needed
+        self.running[request.request_id] = job
+        self.last_used_ms[request.target] = self.fleet.clock.now_ms()
+        self.last_used_ms[request.base] = self.fleet.clock.now_ms()
+        self.engine.start(
+            backend_server.BackendRequest(
+                request.request_id,
+                "model",
+                request.target,
+                "",
+                {},
+                str(request.output_tokens).encode(),
+                request.is_urgent,
+                True,
+                request.prompt_tokens,
+                workload.MAX_OUTPUT_TOKENS,
+                "",
+                request.deadline_ms,
+            ),
+            job,
+        )
+        return True
+
+    def end(self, job: Job) -> None:
+        """Release what a request held."""
+        if self.running.pop(job.request.request_id, None) is not None:
+            self.kv_bytes -= self.fleet.kv_bytes(job.request)
+            self.fleet.clock.call_later(0, self.pump)
+
+    def on_ready(self, name: str) -> None:
+        """Start requests that waited for a load."""
+        for job in self.parked.pop(name, ()):
+            self.add(job)
+
+    def load(self, name: str) -> None:
+        """Order a load, with the base first."""
+        configuration = self.fleet.work.configuration
+        base = configuration.base_of(name)
+        held = self.engine.held_names() | self.engine.held_names("loading")
+        for item in dict.fromkeys((base, name)):
+            if item not in held:
+                order = fake_engine.load_order(configuration, item, item)
+                self.engine.order(order, _ignore)
+
+    def unload(self, name: str) -> None:
+        """Order an unload."""
+        order = backend_server.EngineOrder(
+            f"un{name}", 0, "unload", name, "", "1", "", 0
+        )
+        self.engine.order(order, _ignore)
+
+    def go_down(self) -> None:
+        """Fail everything at once."""
+        self.is_up = False
+        queued = [*self.urgent, *self.deferrable]
+        for jobs in self.parked.values():
+            queued.extend(jobs)
+        self.parked.clear()
+        self.urgent.clear()
+        self.deferrable.clear()
+        self.engine.crash()
+        for job in queued:
+            self.fleet.on_lost(job)
+
+
+def _ignore(code: object) -> None:
+    return
+
+
+class PlainFleet:
+    """Fleet of one run; subclasses are the policies."""
+
+    policy = ""
+
+    def __init__(self, work: workload.Workload) -> None:
+        self.work = work
+        self.clock = virtual_clock.VirtualClock()
+        self.rng = random.Random(f"{self.policy}/{work.seed}")
+        self.sizes = workload.sizes_of(work.configuration)
+        deployment = work.deployment
+        self.store = weight_store.WeightStore(
+            self.clock, deployment.loads_per_s, deployment.concurrent_loads
+        )
+        self.move_times_ms: list[int] = []
+        self.workers = [
+            Worker(self, index) for index in range(deployment.workers)
+        ]
+        self.first = self.first_placement()
+        for worker, names in zip(self.workers, self.first, strict=True):
+            for name in names:
+                worker.engine.hold_at_start(
+                    fake_engine.load_order(work.configuration, name)
+                )
+
+    def note_move(self) -> None:
+        """Count a load."""
+        self.move_times_ms.append(self.clock.now_ms())
+
+    def first_placement(self) -> list[list[str]]:
+        """Return the names per worker; demand is not known."""
+        return workload.place(self.work, dict.fromkeys(self.sizes, 1.0))
+
+    def batch_limit(self, is_urgent: bool) -> int:
+        """Return the batch up to which requests of a class start."""
+        return fake_engine.MAX_BATCH
+
+    def kv_bytes(self, request: workload.Request) -> int:
+        """Return what is charged for the KV cache of a request."""
+        tokens = request.prompt_tokens + workload.MAX_OUTPUT_TOKENS
+        return tokens * workload.KV_BYTES_PER_TOKEN
+
+    def is_hopeless(self, request: workload.Request) -> bool:
+        """Tell whether a waiting request is dropped."""
+        return self.clock.now_ms() > request.deadline_ms
+
+    def choose(self, request: workload.Request) -> Worker | None:
+        """Return the worker for a request."""
+        raise NotImplementedError
+
+    def on_lost(self, job: Job) -> None:
+        """Handle a request that waited at a lost worker."""
+        job.outcome.fail("worker_lost")
+
+    def on_back(self, worker: Worker) -> None:
+        """Handle a worker that is back with empty memory."""
+
+    def start(self) -> None:
+        """Start timers of a policy."""
+
+    def submit(
+        self, request: workload.Request, outcome: score.Outcome
+    ) -> None:
+        """Send a request to the chosen worker."""
+        worker = self.choose(request)
+        if worker is None:
+            outcome.fail("no_worker")
+            return
+        job = Job(self, worker, request, outcome)
+        self.clock.call_later(NETWORK_MS, self._arrive, job)
+
+    def _arrive(self, job: Job) -> None:
+        if job.worker.is_up:
+            job.worker.add(job)
+        else:
+            self.on_lost(job)
+
+    def run(self) -> score.RunResult:
+        """Run the trace and count."""
+        outcomes = []
+        for request in self.work.requests:
+            outcome = score.Outcome(self.clock, request, 0)
+            outcomes.append(outcome)
+            self.clock.call_later(request.at_ms, self.submit, request, outcome)
+        for fault in self.work.faults:
+            self.clock.call_later(fault.at_ms, self._begin_fault, fault)
+        self.start()
+        end_ms = workload.TRACE_MS + workload.DEFERRABLE_DEADLINE_MS
+        self.clock.run_until(end_ms)
+        return score.summarise(
+            self.work, self.policy, outcomes, self.move_times_ms
+        )
+
+    def _begin_fault(self, fault: workload.Fault) -> None:
+        if fault.kind == "slow_store":
+            self.store.slowness = 3.0
+        for index in fault.workers:
+            self.workers[index].go_down()
+        self.clock.call_later(fault.duration_ms, self._end_fault, fault)
+
+    def _end_fault(self, fault: workload.Fault) -> None:
+        if fault.kind == "slow_store":
+            self.store.slowness = 1.0
+        for index in fault.workers:
+            worker = self.workers[index]
+            worker.engine.come_up()
+            worker.is_up = True
+            self.on_back(worker)
+
+
+class StaticRandom(PlainFleet):
+    """Fixed balanced placement and a random replica."""
+
+    policy = "static-random"
+
+    def choose(self, request: workload.Request) -> Worker | None:
+        """Return a random worker that is up and holds the name."""
+        holders = [
+            worker
+            for worker in self.workers
+            if worker.is_up and request.target in worker.engine.held_names()
+        ]
+        return self.rng.choice(holders) if holders else None
+
+    def on_back(self, worker: Worker) -> None:
+        """Load the fixed placement of the worker again."""
+        for name in self.first[worker.index]:
+            worker.load(name)
+
+
+class LeastLoadedOnDemand(PlainFleet):
+    """Least loaded worker; load on demand, evict the least recently used."""
+
+    policy = "least-loaded-on-demand"
+
+    def __init__(self, work: workload.Workload) -> None:
+        super().__init__(work)
+        self._wanted: set[tuple[int, str]] = set()
+
+    def choose(self, request: workload.Request) -> Worker | None:
+        """Return the least loaded worker and load the name there."""
+        up = [worker for worker in self.workers if worker.is_up]
+        if not up:
+            return None
+        worker = min(up, key=lambda w: (w.open_count, self.rng.random()))
+        key = (worker.index, request.target)
+        if key not in self._wanted:
+            self._wanted.add(key)
+            self._want(worker, request.target)
+        return worker
+
+    def _want(self, worker: Worker, name: str) -> None:
+        """Load a name, evicting what was not used for the longest time."""
+        held = worker.engine.held_names() | worker.engine.held_names("loading")
+        if name in held or not worker.is_up:
+            self._wanted.discard((worker.index, name))
+            return
+        base = self.work.configuration.base_of(name)
+        needed = sum(
+            self.sizes[item] for item in {name, base} if item not in held
+        )
+        free = worker.free_weight_bytes
+        in_use = worker.names_in_use() | {name, base}
+        ranked = sorted(
+            worker.engine.held_names() - in_use,
+            key=lambda n: (worker.last_used_ms.get(n, -1), n),
+        )
+        configuration = self.work.configuration
+        victims: list[str] = []
+        for victim in ranked:
+            if free >= needed:
+                break
+            if victim in victims:
+                continue
+            dependents = [
+                n for n in sorted(held) if configuration.base_of(n) == victim
+            ]
+            if any(n in in_use for n in dependents):
+                continue
+            for item in {*dependents, victim} - set(victims):
+                victims.append(item)
+                free += self.sizes[item]
+        if free < needed:
+            self.clock.call_later(REPEAT_LOAD_MS, self._want, worker, name)
+            return
+        self._wanted.discard((worker.index, name))
+        for victim in victims:
+            worker.unload(victim)
+        worker.load(name)
--- /dev/null
+++ b/bench/product_entry.py
@@ -0,0 +1,209 @@
+"""Entry of the benchmark fleet: the real objects of one entry."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from balsamwall.dispatch import caller_request
+from balsamwall.dispatch import dispatcher
+from balsamwall.limits import request_limits
+from balsamwall.placement import demand_forecast
+from balsamwall.placement import lease_keeper
+from balsamwall.placement import permit_task
+from balsamwall.placement import placement_task
+from balsamwall.placement import planner
+from balsamwall.protocol import messages_residency
+from balsamwall.protocol import messages_state
+from balsamwall.routing import router
+from bench import fake_engine
+from bench import score
+from bench import workload
+
+if TYPE_CHECKING:
+    from balsamwall.protocol import message
+    from bench import product_fleet
+
+# Entries report their demand to the holder of the placement lease.
+DEMAND_LAG_MS = 1_000
+FIRST_MEAN_OUTPUT = 64.0
+MEAN_OUTPUT_WEIGHT = 0.02
+
+
+class CountedOutcome:
+    """Listener that also learns the length of answers."""
+
+    __slots__ = ("_entry", "_outcome", "_target")
+
+    def __init__(
+        self, entry: Entry, outcome: score.Outcome, target: str
+    ) -> None:
+        self._entry = entry
+        self._outcome = outcome
+        self._target = target
+
+    def on_chunk(self, data: bytes) -> None:
+        """Pass a part on."""
+        self._outcome.on_chunk(data)
+
+    def on_end(self, end: caller_request.AnswerEnd) -> None:
+        """Learn the length."""
+        self._entry.learn(self._target, end.output_tokens)
+        self._outcome.on_end(end)
+
+    def on_failure(self, failure: caller_request.AnswerFailure) -> None:
+        """Pass the failure on."""
+        self._outcome.on_failure(failure)
+
+
+class Entry:
+    """Router, limits and dispatcher, and candidate for leased tasks."""
+
+    def __init__(self, fleet: product_fleet.ProductFleet, index: int) -> None:
+        self._fleet = fleet
+        self.name = f"e{index}"
+        self._clock = fleet.clock
+        rng = random.Random(f"{self.name}/{fleet.work.seed}")
+        deployment = fleet.work.deployment
+        self._router = router.Router(
+            self._clock, rng, deployment.zone_of(index)
+        )
+        limits = request_limits.RequestLimits(self._clock)
+        limits.apply(fleet.configuration)
+        self._dispatcher = dispatcher.Dispatcher(
+            self._clock,
+            self,
+            self._router,
+            limits,
+            rng,
+            on_no_replica=lambda name, is_urgent: fleet.on_no_replica(
+                self.name, name, is_urgent
+            ),
+        )
+        self._mean_output: dict[str, float] = {}
+        self._demand = demand_forecast.DemandForecast()
+        lease = lease_keeper.LeaseKeeper(
+            self._clock,
+            fleet.lease_store,
+            "placement",
+            self.name,
+            lambda: index == 0,
+        )
+        self._lease = lease
+        self._placement = placement_task.PlacementTask(
+            self._clock,
+            self,
+            lease,
+            planner.Planner(),
+            fleet.view,
+            self._demand,
+        )
+        self._permits = permit_task.PermitTask(
+            self._clock,
+            self,
+            lease,
+            deployment.loads_per_s,
+            deployment.concurrent_loads,
+            lambda share: fleet.share_targets()[share] == self.name,
+        )
+        fleet.network.attach(self.name, self.on_message)
+
+    def start(self) -> None:
+        """Start the leased tasks."""
+        self._lease.start()
+        self._placement.start()
+
+    def send(self, peer: str, item: message.Message) -> None:
+        """Send a message."""
+        self._fleet.network.send(self.name, peer, item)
+
+    def on_message(self, peer: str, item: message.Message) -> None:
+        """Hand a message to its owner."""
+        if isinstance(
+            item, (messages_state.AgentReport, messages_state.Residents)
+        ):
+            self._router.on_message(peer, item)
+            if isinstance(item, messages_state.Residents):
+                self._fleet.on_residents(peer, item)
+        elif isinstance(
+            item,
+            (
+                messages_residency.PermitRequest,
+                messages_residency.PermitInUse,
+                messages_residency.PermitReturned,
+            ),
+        ):
+            self._permits.on_message(peer, item)
+        elif not isinstance(item, messages_state.Verdict):
+            self._dispatcher.on_message(peer, item)
+
+    def peer_up(self, vm: str, incarnation: int, zone: str) -> None:
+        """Note a connection."""
+        self._router.on_peer_up(vm, incarnation, zone)
+        self._dispatcher.on_peer_up(vm, incarnation)
+
+    def peer_down(self, vm: str) -> None:
+        """Note a lost connection."""
+        self._router.on_peer_down(vm)
+        self._dispatcher.on_peer_down(vm)
+
+    def demand_of(self, name: str) -> float:
+        """Return the demand by which copies are kept or evicted."""
+        return self._demand.rate(name, self._clock.now_ms())
+
+    def learn(self, target: str, output_tokens: int) -> None:
+        """Take the length of an answer into the mean of its target."""
+        mean = self._mean_output.get(target, FIRST_MEAN_OUTPUT)
+        mean += MEAN_OUTPUT_WEIGHT * (output_tokens - mean)
+        self._mean_output[target] = mean
+
+    def observe(self, request: workload.Request, work_ms: float) -> None:
+        """Count a request in the forecast of the lease holder."""
+        self._demand.observe(
+            request.target,
+            request.is_urgent,
+            1,
+            work_ms,
+            self._clock.now_ms(),
+        )
+
+    def submit(
+        self, request: workload.Request, outcome: score.Outcome
+    ) -> None:
+        """Give a request to the dispatcher."""
+        now_ms = self._clock.now_ms()
+        mean = self._mean_output.get(request.target, FIRST_MEAN_OUTPUT)
+        self._clock.call_later(
+            DEMAND_LAG_MS,
+            self._fleet.entries[0].observe,
+            request,
+            fake_engine.work_ms(request.prompt_tokens, mean),
+        )
+        allowed_ms = workload.DEFERRABLE_DEADLINE_MS
+        first_ms = allowed_ms
+        if request.is_urgent:
+            allowed_ms = workload.URGENT_DEADLINE_MS
+            first_ms = workload.FIRST_TOKEN_MS
+        self._dispatcher.submit(
+            caller_request.CallerRequest(
+                request_id=request.request_id,
+                tenant=self._fleet.configuration.tenant,
+                workspace="work",
+                kind="model",
+                target=request.target,
+                base=request.base,
+                path="/v1/completions",
+                headers={},
+                body=str(request.output_tokens).encode(),
+                is_urgent=request.is_urgent,
+                is_repeatable=True,
+                is_streamed=True,
+                deadline_ms=now_ms + allowed_ms,
+                first_token_deadline_ms=now_ms + first_ms,
+                prompt_tokens=request.prompt_tokens,
+                max_output_tokens=workload.MAX_OUTPUT_TOKENS,
+                idempotency_key="",
+                fingerprint=request.request_id.encode(),
+            ),
+            CountedOutcome(self, outcome, request.target),
+        )
--- /dev/null
+++ b/bench/product_fleet.py
@@ -0,0 +1,261 @@
+"""Fleet with the decision objects of balsamwall on a small fake network."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from balsamwall.membership import rendezvous
+from balsamwall.placement import fleet_view
+from balsamwall.placement import permit_task
+from balsamwall.protocol import messages_residency
+from balsamwall.protocol import messages_state
+from balsamwall.timing import virtual_clock
+from bench import fake_engine
+from bench import fake_store
+from bench import product_agent
+from bench import product_entry
+from bench import score
+from bench import weight_store
+from bench import workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.protocol import message
+
+# Agents refuse to promise copies for two minutes after their start.
+SETTLE_MS = 150_000
+PEER_DEAD_AFTER_MS = 3_000
+ENSURE_INTERVAL_MS = 1_000
+
+
+class Network:
+    """Ordered delivery between peers after one or two milliseconds."""
+
+    __slots__ = ("_clock", "_due_ms", "_receive", "_rng")
+
+    def __init__(
+        self, clock: virtual_clock.VirtualClock, rng: random.Random
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._due_ms: dict[tuple[str, str], int] = {}
+        self._receive: dict[str, Callable[[str, message.Message], None]] = {}
+
+    def attach(
+        self, name: str, receive: Callable[[str, message.Message], None]
+    ) -> None:
+        """Deliver messages for a name to a receiver."""
+        self._receive[name] = receive
+
+    def detach(self, name: str) -> None:
+        """Drop messages for a name."""
+        self._receive.pop(name, None)
+
+    def send(self, sender: str, peer: str, item: message.Message) -> None:
+        """Deliver a message unless the receiver is gone by then."""
+        now_ms = self._clock.now_ms()
+        due_ms = now_ms + 1 + (self._rng.random() < 0.3)
+        due_ms = max(due_ms, self._due_ms.get((sender, peer), 0))
+        self._due_ms[sender, peer] = due_ms
+        self._clock.call_later(
+            due_ms - now_ms, self._deliver, sender, peer, item
+        )
+
+    def _deliver(self, sender: str, peer: str, item: message.Message) -> None:
+        receive = self._receive.get(peer)
+        if receive is not None:
+            receive(sender, item)
+
+
+class ProductFleet:
+    """Agents, entries and the leased tasks of one run."""
+
+    policy = "balsamwall"
+
+    def __init__(self, work: workload.Workload) -> None:
+        self.work = work
+        self.configuration = work.configuration
+        self.clock = virtual_clock.VirtualClock()
+        self.rng = random.Random(f"balsamwall/{work.seed}")
+        deployment = work.deployment
+        self.network = Network(self.clock, self.rng)
+        self.store = weight_store.WeightStore(
+            self.clock, deployment.loads_per_s, deployment.concurrent_loads
+        )
+        self.lease_store = fake_store.FakeLeaseStore(self.clock)
+        self.move_times_ms: list[int] = []
+        self.board: dict[str, messages_state.Residents] = {}
+        self.up: dict[str, int] = {}
+        self._ensured_ms: dict[str, int] = {}
+        self._shares = len(
+            range(
+                permit_task.split_limits(
+                    deployment.loads_per_s, deployment.concurrent_loads
+                )[1][1]
+            )
+        )
+        self.entries = [
+            product_entry.Entry(self, index)
+            for index in range(deployment.zones)
+        ]
+        self.agents: list[product_agent.Agent] = []
+        sizes = workload.sizes_of(work.configuration)
+        first = workload.place(work, dict.fromkeys(sizes, 1.0))
+        for index, names in enumerate(first):
+            engine = fake_engine.FakeEngine(
+                self.clock, self.store, self._note_move
+            )
+            for name in names:
+                engine.hold_at_start(
+                    fake_engine.load_order(work.configuration, name)
+                )
+            self.agents.append(product_agent.Agent(self, index, engine))
+
+    def _note_move(self) -> None:
+        self.move_times_ms.append(self.clock.now_ms() - SETTLE_MS)
+
+    def lease_target(self) -> str:
+        """Return the candidate for the leased tasks."""
+        return self.entries[0].name
+
+    def share_targets(self) -> list[str]:
+        """Return the owners of the fixed shares of the weight store."""
+        names = [entry.name for entry in self.entries]
+        return [names[(i + 1) % len(names)] for i in range(self._shares)]
+
+    def holders(self, name: str) -> list[str]:
+        """Return the live VMs that reported a ready copy."""
+        return [
+            vm
+            for vm, item in sorted(self.board.items())
+            if vm in self.up and (name in item.models or name in item.adapters)
+        ]
+
+    def targets(self, name: str) -> list[str]:
+        """Return live VMs that may load a name, holders of its base first."""
+        ranked = rendezvous.ranking(name, self.up, len(self.up))
+        near = set(self.holders(self.configuration.base_of(name)))
+        return sorted(ranked, key=lambda vm: vm not in near)
+
+    def on_residents(self, vm: str, item: messages_state.Residents) -> None:
+        """Note what an agent reported."""
+        self.board[vm] = item
+
+    def on_no_replica(self, sender: str, name: str, is_urgent: bool) -> None:
+        """Ask an agent to load a name that has no live replica."""
+        now_ms = self.clock.now_ms()
+        last_ms = self._ensured_ms.get(name, -ENSURE_INTERVAL_MS)
+        if now_ms - last_ms < ENSURE_INTERVAL_MS:
+            return
+        self._ensured_ms[name] = now_ms
+        for vm in self.targets(name)[:1]:
+            item = messages_residency.EnsureResident(name, is_urgent)
+            self.network.send(sender, vm, item)
+
+    def view(self) -> fleet_view.FleetView:
+        """Return the fleet as the last reports show it."""
+        limit = workload.CAPACITY_BYTES - workload.KV_FLOOR_BYTES
+        workers = []
+        for vm, item in sorted(self.board.items()):
+            if vm in self.up:
+                zone = self.work.deployment.zone_of(int(vm[1:]))
+                residents = frozenset((*item.models, *item.adapters))
+                workers.append(
+                    fleet_view.WorkerView(
+                        vm,
+                        zone,
+                        self.configuration.tenant,
+                        limit,
+                        residents,
+                        frozenset(item.loading),
+                    )
+                )
+        configurations = {self.configuration.tenant: self.configuration}
+        return fleet_view.FleetView(tuple(workers), configurations)
+
+    def run(self) -> score.RunResult:
+        """Run the trace after the agents have settled, and count."""
+        for agent in self.agents:
+            agent.start()
+            self.peer_up(agent)
+        for entry in self.entries:
+            entry.start()
+        self.clock.run_until(SETTLE_MS)
+        outcomes = []
+        for request in self.work.requests:
+            outcome = score.Outcome(self.clock, request, SETTLE_MS)
+            outcomes.append(outcome)
+            entry = self.entries[request.entry]
+            self.clock.call_later(
+                request.at_ms, entry.submit, request, outcome
+            )
+        for fault in self.work.faults:
+            self.clock.call_later(fault.at_ms, self._begin_fault, fault)
+        end_ms = workload.TRACE_MS + workload.DEFERRABLE_DEADLINE_MS
+        self.clock.run_until(SETTLE_MS + end_ms)
+        moves = [
+            at_ms
+            for at_ms in self.move_times_ms
+            if 0 <= at_ms < workload.TRACE_MS
+        ]
+        return score.summarise(self.work, self.policy, outcomes, moves)
+
+    def peer_up(self, agent: product_agent.Agent) -> None:
+        """Connect an agent to the entries."""
+        self.up[agent.vm] = agent.incarnation
+        self.network.attach(agent.vm, agent.on_message)
+        for entry in self.entries:
+            entry.peer_up(agent.vm, agent.incarnation, agent.zone)
+            agent.reporter.send_all(entry.name)
+
+    def _peer_down(self, vm: str, incarnation: int) -> None:
+        if self.up.get(vm) != incarnation:
+            return
+        del self.up[vm]
+        self.board.pop(vm, None)
+        for entry in self.entries:
+            entry.peer_down(vm)
+        for agent in self.agents:
+            if agent.vm in self.up:
+                agent.manager.on_peer_down(vm)
+
+    def _begin_fault(self, fault: workload.Fault) -> None:
+        if fault.kind == "slow_store":
+            self.store.slowness = 3.0
+        for index in fault.workers:
+            agent = self.agents[index]
+            if fault.kind == "lost":
+                agent.stop()
+                agent.engine.crash(is_told=False)
+                self.network.detach(agent.vm)
+                self.clock.call_later(
+                    PEER_DEAD_AFTER_MS,
+                    self._peer_down,
+                    agent.vm,
+                    agent.incarnation,
+                )
+            else:
+                agent.engine.crash()
+                agent.executor.on_backend_down(True)
+        self.clock.call_later(fault.duration_ms, self._end_fault, fault)
+
+    def _end_fault(self, fault: workload.Fault) -> None:
+        if fault.kind == "slow_store":
+            self.store.slowness = 1.0
+        for index in fault.workers:
+            agent = self.agents[index]
+            agent.engine.come_up()
+            if fault.kind == "lost":
+                engine = fake_engine.FakeEngine(
+                    self.clock, self.store, self._note_move
+                )
+                agent = product_agent.Agent(
+                    self, index, engine, agent.incarnation + 1
+                )
+                self.agents[index] = agent
+                agent.start()
+                self.peer_up(agent)
+            else:
+                agent.executor.on_backend_up()
--- /dev/null
+++ b/bench/weight_store.py
@@ -0,0 +1,67 @@
+"""Fake weight store with a rate and a limit of concurrent loads."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.timing import virtual_clock
+
+LOAD_FIXED_MS = 1_500
+LOAD_BYTES_PER_MS = 2_000_000
+
+
+class WeightStore:
+    """Start loads in order within the limits."""
+
+    __slots__ = (
+        "_clock",
+        "_concurrency",
+        "_interval_ms",
+        "_next_ms",
+        "_queue",
+        "_running",
+        "slowness",
+    )
+
+    def __init__(
+        self,
+        clock: virtual_clock.VirtualClock,
+        loads_per_s: float,
+        concurrency: int,
+    ) -> None:
+        self._clock = clock
+        self._interval_ms = int(1_000 / loads_per_s)
+        self._concurrency = concurrency
+        self._running = 0
+        self._next_ms = 0
+        self._queue: collections.deque[tuple[int, Callable[[], None]]]
+        self._queue = collections.deque()
+        self.slowness = 1.0
+
+    def load(self, size_bytes: int, on_done: Callable[[], None]) -> None:
+        """Load weights; call back when they are in memory."""
+        self._queue.append((size_bytes, on_done))
+        self._pump()
+
+    def _pump(self) -> None:
+        while self._queue and self._running < self._concurrency:
+            now_ms = self._clock.now_ms()
+            if now_ms < self._next_ms:
+                self._clock.call_later(self._next_ms - now_ms, self._pump)
+                return
+            self._next_ms = now_ms + self._interval_ms
+            self._running += 1
+            size_bytes, on_done = self._queue.popleft()
+            duration_ms = LOAD_FIXED_MS + size_bytes // LOAD_BYTES_PER_MS
+            self._clock.call_later(
+                int(duration_ms * self.slowness), self._end, on_done
+            )
+
+    def _end(self, on_done: Callable[[], None]) -> None:
+        self._running -= 1
+        on_done()
+        self._pump()
