--- a/bench/attainment.py
+++ b/bench/attainment.py
@@ -6,6 +6,7 @@
 from concurrent import futures
 import dataclasses
 
+from bench import baselines
 from bench import clairvoyant
 from bench import fake_engine
 from bench import plain_fleet
@@ -21,8 +22,8 @@
         plain_fleet.PlainFleet | product_fleet.ProductFleet,
     ],
 ] = {
-    "static-random": plain_fleet.StaticRandom,
-    "least-loaded-on-demand": plain_fleet.LeastLoadedOnDemand,
+    "static-random": baselines.StaticRandom,
+    "least-loaded-on-demand": baselines.LeastLoadedOnDemand,
     "clairvoyant": clairvoyant.Clairvoyant,
     "balsamwall": product_fleet.ProductFleet,
 }
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,93 @@
+"""Baselines: fixed placement, and loads on demand."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bench import plain_fleet
+
+if TYPE_CHECKING:
+    from bench import workload
+
+REPEAT_LOAD_MS = 1_000
+
+
+class StaticRandom(plain_fleet.PlainFleet):
+    """Fixed balanced placement and a random replica."""
+
+    policy = "static-random"
+
+    def choose(self, request: workload.Request) -> plain_fleet.Worker | None:
+        """Return a random worker that is up and holds the name."""
+        holders = [
+            worker
+            for worker in self.workers
+            if worker.is_up and request.target in worker.engine.held_names()
+        ]
+        return self.rng.choice(holders) if holders else None
+
+    def on_back(self, worker: plain_fleet.Worker) -> None:
+        """Load the fixed placement of the worker again."""
+        for name in self.first[worker.index]:
+            worker.load(name)
+
+
+class LeastLoadedOnDemand(plain_fleet.PlainFleet):
+    """Least loaded worker; load on demand, evict the least recently used."""
+
+    policy = "least-loaded-on-demand"
+
+    def __init__(self, work: workload.Workload) -> None:
+        super().__init__(work)
+        self._wanted: set[tuple[int, str]] = set()
+
+    def choose(self, request: workload.Request) -> plain_fleet.Worker | None:
+        """Return the least loaded worker and load the name there."""
+        up = [worker for worker in self.workers if worker.is_up]
+        if not up:
+            return None
+        worker = min(up, key=lambda w: (w.open_count, self.rng.random()))
+        key = (worker.index, request.target)
+        if key not in self._wanted:
+            self._wanted.add(key)
+            self._want(worker, request.target)
+        return worker
+
+    def _want(self, worker: plain_fleet.Worker, name: str) -> None:
+        """Load a name, evicting what was not used for the longest time."""
+        held = worker.engine.held_names() | worker.engine.held_names("loading")
+        if name in held or not worker.is_up:
+            self._wanted.discard((worker.index, name))
+            return
+        base = self.work.configuration.base_of(name)
+        needed = sum(
+            self.sizes[item] for item in {name, base} if item not in held
+        )
+        free = worker.free_weight_bytes
+        in_use = worker.names_in_use() | {name, base}
+        ranked = sorted(
+            worker.engine.held_names() - in_use,
+            key=lambda n: (worker.last_used_ms.get(n, -1), n),
+        )
+        configuration = self.work.configuration
+        victims: list[str] = []
+        for victim in ranked:
+            if free >= needed:
+                break
+            if victim in victims:
+                continue
+            dependents = [
+                n for n in sorted(held) if configuration.base_of(n) == victim
+            ]
+            if any(n in in_use for n in dependents):
+                continue
+            for item in {*dependents, victim} - set(victims):
+                victims.append(item)
+                free += self.sizes[item]
+        if free < needed:
+            self.clock.call_later(REPEAT_LOAD_MS, self._want, worker, name)
+            return
+        self._wanted.discard((worker.index, name))
+        for victim in victims:
+            worker.unload(victim)
+        worker.load(name)
--- a/tests/bench/test_bench.py
+++ b/tests/bench/test_bench.py
@@ -8,9 +8,9 @@
 from balsamwall.backend import backend_server
 from balsamwall.timing import virtual_clock
 from bench import attainment
+from bench import baselines
 from bench import fake_engine
 from bench import output_length
-from bench import plain_fleet
 from bench import product_fleet
 from bench import score
 from bench import weight_store
@@ -121,7 +121,7 @@
     def test_every_policy_answers_light_load(self):
         """Guard against a fleet that loses requests by its own fault."""
         work = short_workload("calm", 4_000)
-        for fleet in (plain_fleet.StaticRandom, product_fleet.ProductFleet):
+        for fleet in (baselines.StaticRandom, product_fleet.ProductFleet):
             result = fleet(work).run()
             self.assertEqual(result.requests, len(work.requests))
             self.assertGreater(result.share, 0.95, result.line())
