Give the benchmark agents the receivers of resident names

Change: The agents of the benchmark pass the entries as both kinds of receivers, and the gate without keys has peek.

--- a/bench/product_agent.py
+++ b/bench/product_agent.py
@@ -64,6 +64,12 @@
         """Let every request run."""
         return key_gate.KeyAdmission(key_gate.Admission.RUN)
 
+    def peek(
+        self, service: str, key: str, fingerprint: bytes
+    ) -> key_gate.KeyAdmission:
+        """Let every request run."""
+        return key_gate.KeyAdmission(key_gate.Admission.RUN)
+
     def on_settled(
         self, service: str, key: str, callback: Callable[[], None]
     ) -> None:
@@ -140,7 +146,8 @@
             parts,
             incarnation,
             self._state,
-            lambda: [entry.name for entry in fleet.entries],
+            receivers=self._entry_names,
+            resident_receivers=self._entry_names,
         )
         self.manager.add_listener(lambda names: self.executor.pump())
 
@@ -194,6 +201,9 @@
         if not self.manager.on_message(peer, item):
             self.executor.on_message(peer, item)
 
+    def _entry_names(self) -> list[str]:
+        return [entry.name for entry in self._fleet.entries]
+
     def _state(self) -> str:
         if not self.manager.is_recovered:
             return "starting"
