Keep places of the batch free for urgent attempts

Cause: queued_tokens counted prompts of waiting deferrable attempts, which raised the predicted first token of urgent ones, and deferrable attempts could take every place of the batch, so that urgent ones waited for their end.

Change: Only urgent prompts count among those that wait, and deferrable attempts start up to 75% of the places. After 60 s of waiting only other deferrable attempts count against one, so that it does not starve.

--- a/src/balsamwall/execution/run_scheduler.py
+++ b/src/balsamwall/execution/run_scheduler.py
@@ -19,6 +19,9 @@
     from balsamwall.timing import clock as clock_module
 
 DEFERRABLE_KV_SHARE = 0.75
+# The other places of the batch stay free for urgent attempts, which would
+# otherwise wait for the end of a deferrable one.
+DEFERRABLE_PLACES_SHARE = 0.75
 MAX_RUNNING = 256
 # A cancelled attempt keeps its memory charged until the backend server has
 # reported its end, or for this long if it never does.
@@ -44,6 +47,7 @@
         "_clock",
         "_crash",
         "_deferrable_bytes",
+        "_deferrable_running",
         "_is_claimed",
         "_is_held",
         "_kv_bytes",
@@ -92,6 +96,7 @@
         self._retry_timer: clock_module.Timer | None = None
         self._kv_total = 0
         self._deferrable_bytes = 0
+        self._deferrable_running = 0
         # Compared with the clock at each start, because the timer of a drain
         # runs late in a process that was paused.
         self.last_start_ms: int | None = None
@@ -128,7 +133,13 @@
         held = len(self._suspects) + (
             self._trial is not None and self._trial.key not in self._running
         )
-        tokens = sum(run.dispatch.prompt_tokens for run in self.waiting())
+        # Prompts of waiting deferrable attempts are left out: an urgent one
+        # is taken before them.
+        tokens = sum(
+            run.dispatch.prompt_tokens
+            for run in self.waiting()
+            if run.dispatch.is_urgent
+        )
         tokens += sum(
             run.dispatch.prompt_tokens
             for run in self._running.values()
@@ -192,6 +203,8 @@
         """Take a started attempt out and release its memory."""
         if self._running.pop(run.key, None) is None:
             return
+        if not run.dispatch.is_urgent:
+            self._deferrable_running -= 1
         if run is self._trial:
             if has_survived:
                 self._crash.on_survived(run.dispatch.fingerprint)
@@ -339,7 +352,7 @@
         return True
 
     def _can_start(self, run: run_module.Run) -> bool:
-        if len(self._running) >= self._max_running:
+        if not self._has_place(run):
             return False
         if run.deadline_ms <= self._clock.now_ms():
             return True
@@ -353,6 +366,19 @@
         allowed = int(self._pool_bytes() * DEFERRABLE_KV_SHARE)
         return self._deferrable_bytes + needed <= allowed
 
+    def _has_place(self, run: run_module.Run) -> bool:
+        """Tell whether the batch has a place for an attempt's class."""
+        running = len(self._running)
+        if run.dispatch.is_urgent or running >= self._max_running:
+            return running < self._max_running
+        allowed = max(1, int(self._max_running * DEFERRABLE_PLACES_SHARE))
+        waited_ms = self._clock.now_ms() - run.enqueued_ms
+        if waited_ms < admission_queue.AGING_MS:
+            return running < allowed
+        # Only deferrable attempts count against an aged one; otherwise it
+        # would starve while urgent ones alone fill its places.
+        return self._deferrable_running < allowed
+
     def _charge_and_start(self, run: run_module.Run) -> bool:
         needed = self._needed_bytes(run)
         if needed and not self._memory.charge(self._account(run), needed):
@@ -361,6 +387,7 @@
         self._kv_total += needed
         if not run.dispatch.is_urgent:
             self._deferrable_bytes += needed
+            self._deferrable_running += 1
         self._running[run.key] = run
         self._start(run)
         return True
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -155,6 +155,29 @@
         self.assertEqual("r20", self.log[-1].request_id)
         self.assertLessEqual(self.memory.committed_bytes, 10_000)
 
+    def test_places_for_urgent(self):
+        """Deferrable work in all places would make urgent work wait."""
+        self.memory = fake_backend.FakeMemory(1_000_000)
+        self.executor = executor.Executor(
+            self.clock,
+            self.outbox,
+            self.backend,
+            self.memory,
+            fake_backend.FakeKeyGate(-1),
+            7,
+            self.crash,
+            max_running=4,
+        )
+        for number in range(1, 6):
+            self.take(dispatch(number, is_urgent=False))
+        load = self.executor.load()
+        self.assertEqual((3, 2), (load.running, load.waiting_deferrable))
+        # Deferrable prompts start after urgent ones, so they delay none.
+        self.assertEqual(150, load.queued_tokens)
+        self.take(dispatch(6))
+        load = self.executor.load()
+        self.assertEqual((4, 0), (load.running, load.waiting_urgent))
+
     def test_deadline_before_start(self):
         """A request that waited too long must be refused as not run."""
         self.take(dispatch(1, prompt_tokens=950))
