Test the whole system from outside

Cause: nothing tested the processes together, and no process showed which configuration revision it has in force.

--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -64,6 +64,7 @@
         "ports",
         "random",
         "reactor",
+        "replicas",
         "settings",
         "tables",
     )
@@ -80,6 +81,7 @@
         self.metrics = metrics_module.Metrics()
         self.ports: dict[str, Any] = {}
         self.tables: list[peer_table.PeerTable] = []
+        self.replicas: list[configuration_replica.ConfigurationReplica] = []
         self.agents: list[agent_core.AgentCore] = []
         self.entry = None
 
@@ -146,6 +148,14 @@
         "Peers that can be reached",
         lambda: sum(len(table.up_peers) for table in daemon.tables),
     )
+    daemon.metrics.watch_by_tenant(
+        "configuration_revision",
+        "Revision in force, the lowest of all backend servers",
+        {
+            tenant: functools.partial(_lowest_revision, daemon, tenant)
+            for tenant in settings.tenant.split()
+        },
+    )
     status = status_resource.StatusResource(
         daemon.metrics, daemon.not_ready_reason
     )
@@ -158,6 +168,10 @@
     return daemon
 
 
+def _lowest_revision(daemon: Daemon, tenant: str) -> int:
+    return min(replica.revision(tenant) for replica in daemon.replicas)
+
+
 def _build_agent(daemon: Daemon) -> None:
     # The listening ports come first: a second agent for the same backend
     # server must end here, before it could send an order.
@@ -252,6 +266,7 @@
     replica = configuration_replica.ConfigurationReplica(
         daemon.clock, table, daemon.random, (tenant,)
     )
+    daemon.replicas.append(replica)
     watcher = configuration_watcher.ConfigurationWatcher(
         daemon.clock,
         platform.store,
@@ -273,6 +288,7 @@
     replica = configuration_replica.ConfigurationReplica(
         daemon.clock, table, daemon.random, tenants
     )
+    daemon.replicas.append(replica)
     units = {
         tenant: entry_unit.EntryUnit(
             daemon.clock,
--- a/src/balsamwall/metrics/metrics.py
+++ b/src/balsamwall/metrics/metrics.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from balsamwall.results import result_code
 
@@ -162,6 +163,22 @@
         )
         gauge.set_function(read)
 
+    def watch_by_tenant(
+        self,
+        name: str,
+        description: str,
+        reads: Mapping[str, Callable[[], float]],
+    ) -> None:
+        """Add a gauge with one series per tenant."""
+        gauge = prometheus_client.Gauge(
+            f"balsamwall_{name}",
+            description,
+            ("tenant",),
+            registry=self._registry,
+        )
+        for tenant, read in reads.items():
+            gauge.labels(tenant).set_function(read)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the whole system as processes on loopback."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/system/test_requests.py
@@ -0,0 +1,202 @@
+"""Tests of requests through the whole system."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import threading
+import unittest
+
+from balsamwall_standins import sample
+from balsamwall_standins import sample_operators
+from balsamwall_standins import service
+from balsamwall_standins import tokens
+import openai
+
+from balsamwall.console import idempotency_key
+from tests.system import running_sample
+
+MESSAGES = [{"role": "user", "content": "Which halls are free?"}]
+# Stand-in engines stop early without it.
+WHOLE_LENGTH = {"ignore_eos": True}
+BODY = {"messages": MESSAGES, "max_tokens": 16, **WHOLE_LENGTH}
+ASKED = {"messages": MESSAGES, "max_tokens": 16, "extra_body": WHOLE_LENGTH}
+CHAT = "/v1/chat/completions"
+
+
+class RequestTest(unittest.TestCase):
+    """Guard against requests that get a wrong or partial answer."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.sample = running_sample.shared()
+
+    def _client(self, tenant: str, entry: int) -> openai.OpenAI:
+        port = self.sample.caller_ports[entry]
+        client = openai.OpenAI(
+            base_url=f"http://{sample.HOST}:{port}/v1",
+            api_key=sample_operators.CALLER_KEYS[tenant],
+            max_retries=0,
+            timeout=60,
+        )
+        self.addCleanup(client.close)
+        return client
+
+    def test_official_client(self) -> None:
+        """A streamed and a whole answer must have all tokens and an end."""
+        names = (
+            ("kovacevic", "clauses-1"),
+            ("kovacevic", "buyer-01"),
+            ("tampere", "quote-2"),
+            ("tampere", "hall-02"),
+        )
+        for index, (tenant, name) in enumerate(names):
+            with self.subTest(name):
+                client = self._client(tenant, index % 2)
+                listed = {item.id for item in client.models.list()}
+                self.assertEqual(set(running_sample.NAMES[tenant]), listed)
+                expected = tokens.answer_text(name, {**BODY, "model": name})
+                whole = client.chat.completions.create(model=name, **ASKED)
+                self.assertEqual(16, whole.usage.completion_tokens)
+                self.assertEqual(expected, whole.choices[0].message.content)
+                parts = client.chat.completions.create(
+                    model=name, stream=True, **ASKED
+                )
+                choices = [part.choices[0] for part in parts if part.choices]
+                text = "".join(row.delta.content or "" for row in choices)
+                self.assertEqual(expected, text)
+                self.assertEqual("length", choices[-1].finish_reason)
+
+    def test_booking_hold(self) -> None:
+        """A resend must get the recorded answer and run nothing again."""
+        body = {"hall": "large", "day": "2026-12-24"}
+        data = json.dumps(body).encode()
+        expected = service.expected_answer("/book", data)
+        key = idempotency_key.new_key()
+        first = self.sample.book(body, key)
+        again = self.sample.book(body, key, entry=1)
+        self.assertEqual((200, 200), (first.status, again.status))
+        self.assertEqual(expected, json.loads(first.body))
+        self.assertEqual(first.body, again.body)
+        other = self.sample.book({"hall": "small"}, key, entry=1)
+        self.assertEqual((409, 1010), (other.status, other.error["number"]))
+        self.assertEqual(1, self.sample.executions()[key])
+
+    def test_booking_hold_without_key(self) -> None:
+        """The generated key must identify a resend."""
+        body = {"hall": "small", "day": "2026-12-25"}
+        first = self.sample.book(body)
+        self.assertEqual(200, first.status, first.body)
+        key = first.headers["idempotency-key"]
+        again = self.sample.book(body, key, entry=1)
+        self.assertEqual((200, first.body), (again.status, again.body))
+        self.assertEqual(1, self.sample.executions()[key])
+
+    def test_invalid_requests(self) -> None:
+        """An invalid request must get its code and disturb no other one."""
+        stream = threading.Thread(target=self._read_stream)
+        self.outcome: list[str] = []
+        stream.start()
+        good = {"model": "quote-1", "messages": MESSAGES, "max_tokens": 1}
+        wrong = {"Authorization": "Bearer sk-wrong"}
+        large = {**good, "user": "x" * 1_100_000}
+        unknown = {**good, "model": "quote-99"}
+        foreign = {**good, "model": "clauses-1"}
+        cases = (
+            (1001, CHAT, b'{"model": ', {}),
+            (1001, CHAT, b"[" * 50_000, {}),
+            (1001, CHAT, b'{"model": "\xff\xfe"}', {}),
+            (1001, CHAT, {**good, "max_tokens": -1}, {}),
+            (1005, CHAT, unknown, {}),
+            (1005, CHAT, foreign, {}),
+            (1003, CHAT, good, wrong),
+            (1002, CHAT, large, {}),
+            (1006, "/v1/services/settlement/meters", {}, {}),
+            (1007, "/v1/elsewhere", good, {}),
+            (1008, CHAT, good, {"X-Balsamwall-Class": "soon"}),
+            (
+                1009,
+                "/v1/services/holds/book",
+                {},
+                {"Idempotency-Key": "k" * 129},
+            ),
+        )
+        for number, path, body, headers in cases:
+            with self.subTest(f"{number} {path}"):
+                answer = self.sample.call("POST", path, body, headers)
+                error = answer.error
+                self.assertEqual(number, error["number"], error)
+                self.assertEqual("not_run", error["ran"])
+                self.assertEqual("", answer.headers.get("x-traceback", ""))
+        stream.join()
+        self.assertEqual(["whole"], self.outcome)
+        self.assertEqual([], self.sample.tracebacks())
+
+    def test_key_of_other_tenant(self) -> None:
+        """The key of one tenant must not reach models of the other."""
+        answer = self.sample.ask("kovacevic", "quote-1")
+        self.assertEqual(1005, answer.error["number"])
+        answer = self.sample.call("GET", "/v1/models", tenant="kovacevic")
+        names = {row["id"] for row in json.loads(answer.body)["data"]}
+        self.assertFalse(names & set(running_sample.NAMES["tampere"]))
+
+    def test_invalid_template(self) -> None:
+        """An invalid template must change nothing and name its faults."""
+        before = self.sample.revisions("tampere")
+        text = running_sample.operators_files()["tampere"]
+        for old, new in (
+            ("burst = 400", "burst = none"),
+            ("template = drafting", "template = missing"),
+            ("models = quote-*", "models = ${missing"),
+            ("[tenant]", "[tenant"),
+        ):
+            with self.subTest(new):
+                body = {
+                    "files": {"operators.ini": text.replace(old, new)},
+                    "base_revision": int(before["entry-1"]),
+                    "change_id": "invalid-template",
+                }
+                answer = self.sample.api(
+                    "POST", "tampere", "configuration", body
+                )
+                self.assertEqual(422, answer.status)
+                self.assertEqual(4002, answer.error["number"])
+                self.assertTrue(answer.error["problems"])
+        self.assertEqual(before, self.sample.revisions("tampere"))
+        self.assertEqual(200, self.sample.ask("tampere", "quote-1").status)
+        self.assertEqual([], self.sample.tracebacks())
+
+    def test_invalid_settings_open_no_port(self) -> None:
+        """A daemon with invalid settings must end before it listens."""
+        port = sample.free_port()
+        text = (self.sample.folder / "entry-1.ini").read_text()
+        lines = [
+            f"callers = {sample.HOST}:{port}"
+            if line.startswith("callers")
+            else line.replace("role = entry", "role = doorman")
+            for line in text.splitlines()
+        ]
+        path = self.sample.folder / "invalid.ini"
+        path.write_text("\n".join(lines))
+        command = [sys.executable, "-m", "balsamwall.daemon", str(path)]
+        # strace is not at hand: a listener would take the exit code 3 when
+        # the port is taken, so the port is held while the daemon starts.
+        with sample.socket.create_server((sample.HOST, port)):
+            result = subprocess.run(command, capture_output=True, check=False)
+        self.assertEqual(4, result.returncode)
+        self.assertIn(b"[daemon] role: found 'doorman'", result.stderr)
+        self.assertNotIn(b"Traceback", result.stderr)
+
+    def _read_stream(self) -> None:
+        parts = self._client("tampere", 0).chat.completions.create(
+            model="quote-1",
+            messages=MESSAGES,
+            max_tokens=200,
+            stream=True,
+            extra_body=WHOLE_LENGTH,
+        )
+        reasons = [
+            part.choices[0].finish_reason for part in parts if part.choices
+        ]
+        self.outcome.append("whole" if reasons[-1] == "length" else "partial")
