Test failures of the running system and measure its cost

Cause: failures of processes, connections and the key-value service were not tested with real processes, and no cost was measured on them.

--- /dev/null
+++ b/bench/system/__init__.py
@@ -0,0 +1,3 @@
+"""Cost of the system, measured on running processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/system/__main__.py
@@ -0,0 +1,37 @@
+"""Run the measurements on processes and print one row per figure."""
+
+from __future__ import annotations
+
+import sys
+
+from bench.system import fleet_slopes
+from bench.system import running_system
+from bench.system import table_slopes
+
+PARTS = {
+    "tables": table_slopes.measure,
+    "fleet": fleet_slopes.measure,
+    "traffic": running_system.measure_traffic,
+    "rest": running_system.measure_rest,
+}
+
+
+def main() -> int:
+    """Run the named parts, or all of them."""
+    names = sys.argv[1:] or list(PARTS)
+    unknown = [name for name in names if name not in PARTS]
+    if unknown:
+        print(f"unknown: {unknown}, allowed: {', '.join(PARTS)}")
+        return 2
+    for name in names:
+        print(f"## {name}", flush=True)
+        PARTS[name](_report)
+    return 0
+
+
+def _report(what: str, value: float, unit: str) -> None:
+    print(f"{what:<60} {value:>14,.3f} {unit}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/system/running_sample.py
+++ b/tests/system/running_sample.py
@@ -25,9 +25,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
 LIMIT_S = 90.0
-RELAYED_VM = "tampere-hold-1"
+HOLD_VMS = ("tampere-hold-1", "tampere-hold-2")
+RELAYED_VM = HOLD_VMS[0]
 # Fewer names than the sample's load in a few seconds; both tenants keep
 # models with and without adapters.
 _SMALLER = (
@@ -63,6 +65,14 @@
         return json.loads(self.body)["error"]
 
 
+class Run(NamedTuple):
+    """Runs of one request that a backend server counted."""
+
+    request_id: str
+    key: str
+    times: int
+
+
 class RunningSample(sample.Sample):
     """Sample on free ports; one agent is reached through a relay."""
 
@@ -161,29 +171,36 @@
         )
 
     def standin(self, name: str, path: str, body: object = None) -> Any:
-        """Call a stand-in."""
+        """Call a stand-in; wait for one that a fault has stopped."""
         port = int(self.standins[name].rsplit(":", 1)[1])
         method = "GET" if body is None else "POST"
+        sample.wait_for_port(port)
         return json.loads(exchange(port, method, path, body, {}).body)
 
+    def runs(self, names: Iterable[str]) -> list[Run]:
+        """Return the runs that stand-ins of backend servers counted."""
+        return [
+            # The request identifier of a caller has the attempt appended.
+            Run(
+                row["request_id"].partition("/")[0],
+                row["idempotency_key"],
+                row["times"],
+            )
+            for name in names
+            for row in self.standin(name, "/standin/executions")["executions"]
+        ]
+
+    def hold_runs(self) -> list[Run]:
+        """Return the runs at the services of tampere."""
+        return self.runs(f"{vm}-service" for vm in HOLD_VMS)
+
     def executions(self) -> dict[str, int]:
         """Return the runs of each key at all services of tampere."""
         found: dict[str, int] = {}
-        for row in self.execution_rows():
-            key = row["idempotency_key"]
-            found[key] = found.get(key, 0) + row["times"]
+        for run in self.hold_runs():
+            found[run.key] = found.get(run.key, 0) + run.times
         return found
 
-    def execution_rows(self) -> list[dict[str, Any]]:
-        """Return the runs that the services of tampere counted."""
-        return [
-            row
-            for vm in ("tampere-hold-1", "tampere-hold-2")
-            for row in self.standin(f"{vm}-service", "/standin/executions")[
-                "executions"
-            ]
-        ]
-
     def metric(self, vm: str, name: str) -> dict[str, float]:
         """Return the values of a metric by their labels."""
         port = int(self.metrics[vm].rsplit(":", 1)[1].split("/")[0])
--- /dev/null
+++ b/tests/system/test_failures.py
@@ -0,0 +1,223 @@
+"""Tests of failed processes, connections and platform services."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import threading
+import time
+import unittest
+
+from balsamwall_standins import sample
+from balsamwall_standins import tokens
+
+from tests.system import running_sample
+
+IN_FORCE_LIMIT_S = 12.0
+
+
+def print_seconds(what: str, seconds: float) -> None:
+    """Print a measured time beside the results of the tests."""
+    print(f"measured: {what}: {seconds:.1f} s", file=sys.stderr, flush=True)
+
+
+class FailureTest(unittest.TestCase):
+    """Guard against failures that reach callers for longer than needed."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.sample = running_sample.shared()
+
+    def tearDown(self) -> None:
+        self.assertEqual([], self.sample.tracebacks())
+
+    def _change(self, tenant: str, old: str, new: str) -> int:
+        current = json.loads(
+            self.sample.api("GET", tenant, "configuration").body
+        )
+        text = current["files"]["operators.ini"].replace(old, new)
+        body = {
+            "files": {"operators.ini": text},
+            "base_revision": current["revision"],
+            "change_id": f"change-{current['revision']}-{tenant}",
+        }
+        answer = self.sample.api("POST", tenant, "configuration", body)
+        self.assertEqual(200, answer.status, answer.body)
+        return json.loads(answer.body)["revision"]
+
+    def _wait_in_force(self, tenant: str, revision: int) -> float:
+        return running_sample.wait_until(
+            lambda: set(self.sample.revisions(tenant).values()) == {revision},
+            f"revision {revision} is in force",
+        )
+
+    def test_change_is_in_force_everywhere(self) -> None:
+        """A change must reach every process, also one started later."""
+        revision = self._change("tampere", "burst = 400", "burst = 410")
+        seconds = self._wait_in_force("tampere", revision)
+        print_seconds("change in force", seconds)
+        self.assertLess(seconds, IN_FORCE_LIMIT_S)
+
+    def test_change_survives_outage(self) -> None:
+        """A process started in an outage must get the revision of peers."""
+        vm = "tampere-draft-2"
+        revision = self._change("tampere", "burst = 4", "burst = 5")
+        self.sample.standin("key-value", "/standin/faults", {"down_ms": 6_000})
+        self.sample.kill(vm)
+        self.sample.start_agent(self.sample.row(vm))
+        seconds = self._wait_in_force("tampere", revision)
+        print_seconds("change in force after an outage began", seconds)
+        self.sample.wait_until_served()
+
+    def test_key_value_outage(self) -> None:
+        """Requests must go on without the key-value service."""
+        self.sample.standin("key-value", "/standin/faults", {"down_ms": 4_000})
+        time.sleep(0.1)
+        seconds = self.sample.wait_until_served()
+        print_seconds("every model answers in a key-value outage", seconds)
+        answer = self.sample.book({"hall": "outage"})
+        self.assertEqual(200, answer.status, answer.body)
+
+    def test_killed_agent(self) -> None:
+        """Models of a killed agent must answer again."""
+        vm = "tampere-draft-1"
+        self.sample.kill(vm)
+        seconds = self.sample.wait_until_served()
+        print_seconds("every model answers after an agent's kill", seconds)
+        self.sample.start_agent(self.sample.row(vm))
+        self._wait_ready("tampere", vm)
+
+    def test_killed_entry(self) -> None:
+        """The other entry and a restarted one must serve every model."""
+        self.sample.kill("entry-2")
+        seconds = self.sample.wait_until_served()
+        print_seconds("every model answers after an entry's kill", seconds)
+        self.sample.start_entry(1)
+        sample.wait_for_port(self.sample.caller_ports[1])
+        seconds = self.sample.wait_until_served()
+        print_seconds("every model answers through a new entry", seconds)
+
+    def test_stopped_agent_cuts_no_stream(self) -> None:
+        """SIGTERM must let streams in progress end and then the process."""
+        vm = "kovacevic-model-2"
+        name = self._resident_on(vm)
+        answers: list[bytes] = []
+        streams = [
+            threading.Thread(target=self._stream, args=(name, index, answers))
+            for index in range(6)
+        ]
+        for stream in streams:
+            stream.start()
+        running_sample.wait_until(
+            lambda: self._running("kovacevic") >= len(streams), "streams run"
+        )
+        program = self.sample.programs.pop(vm)
+        program.process.send_signal(signal.SIGTERM)
+        for stream in streams:
+            stream.join()
+        self.assertEqual([b"whole"] * len(streams), answers)
+        start = time.monotonic()
+        self.assertEqual(0, program.process.wait(60))
+        print_seconds("agent ends after its streams", time.monotonic() - start)
+        self.sample.start_agent(self.sample.row(vm))
+        self._wait_ready("kovacevic", vm)
+
+    def test_crashing_content(self) -> None:
+        """Content that crashes engines must not crash a third one."""
+        engines = [f"kovacevic-model-{index}-engine" for index in (1, 2, 3)]
+        for engine in engines:
+            self.sample.standin(
+                engine, "/standin/faults", {"is_crash_marker_enabled": True}
+            )
+        body = {
+            "model": "clauses-1",
+            "messages": [{"role": "user", "content": "bad content"}],
+            "max_tokens": 8,
+            "crash": True,
+        }
+
+        def is_refused(entry: int) -> bool:
+            answer = self.sample.call(
+                "POST",
+                "/v1/chat/completions",
+                body,
+                tenant="kovacevic",
+                entry=entry,
+            )
+            requests.add(answer.headers.get("x-balsamwall-request-id"))
+            return answer.status == 422
+
+        requests: set[str | None] = set()
+        seconds = running_sample.wait_until(lambda: is_refused(0), "refused")
+        print_seconds("crashing content is refused", seconds)
+        running_sample.wait_until(lambda: is_refused(1), "refused elsewhere")
+        runs = [
+            run.times
+            for run in self.sample.runs(engines)
+            if run.request_id in requests
+        ]
+        self.assertEqual(2, sum(runs))
+        rows = json.loads(
+            self.sample.api("GET", "kovacevic", "quarantine").body
+        )["quarantine"]
+        self.assertEqual(1, len(rows))
+        self.sample.wait_until_served()
+        for engine in engines:
+            self.sample.standin(engine, "/standin/faults", {"clear": True})
+        cleared = self.sample.api(
+            "POST",
+            "kovacevic",
+            "quarantine/clear",
+            {"fingerprint": rows[0]["fingerprint"]},
+        )
+        self.assertEqual(200, cleared.status, cleared.body)
+        running_sample.wait_until(
+            lambda: not is_refused(1), "cleared everywhere"
+        )
+
+    def _resident_on(self, vm: str) -> str:
+        rows = json.loads(
+            self.sample.api("GET", "kovacevic", "replicas").body
+        )["replicas"]
+        names = [row["name"] for row in rows if vm in row["vms"]]
+        return names[0] if names else "clauses-1"
+
+    def _running(self, tenant: str) -> int:
+        rows = json.loads(self.sample.api("GET", tenant, "vms").body)["vms"]
+        return sum(row["running"] for row in rows)
+
+    def _wait_ready(self, tenant: str, vm: str) -> None:
+        def is_ready() -> bool:
+            body = self.sample.api("GET", tenant, "vms").body
+            rows = json.loads(body)["vms"]
+            return any(
+                row["vm"] == vm and row["state"] == "ready" for row in rows
+            )
+
+        running_sample.wait_until(is_ready, f"{vm} is ready")
+
+    def _stream(self, name: str, index: int, answers: list[bytes]) -> None:
+        body = {
+            "model": name,
+            "messages": [{"role": "user", "content": f"stream {index}"}],
+            "max_tokens": 400,
+            "ignore_eos": True,
+            "stream": True,
+        }
+        answer = self.sample.call(
+            "POST",
+            "/v1/chat/completions",
+            body,
+            tenant="kovacevic",
+            entry=index % 2,
+        )
+        events = answer.body.split(b"\n\n")
+        expected = tokens.answer_text(name, body)
+        found = "".join(
+            json.loads(event[6:])["choices"][0]["delta"].get("content", "")
+            for event in events
+            if event.startswith(b"data: {")
+        )
+        is_whole = events[-2:] == [b"data: [DONE]", b""] and found == expected
+        answers.append(b"whole" if is_whole else answer.body[-300:])
--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -76,7 +76,7 @@
         key = idempotency_key.new_key()
         first = self.sample.book(body, key)
         again = self.sample.book(body, key, entry=1)
-        self.assertEqual((200, 200), (first.status, again.status))
+        self.assertEqual((200, 200), (first.status, again.status), first.body)
         self.assertEqual(expected, json.loads(first.body))
         self.assertEqual(first.body, again.body)
         other = self.sample.book({"hall": "small"}, key, entry=1)
