Run first scenarios over the whole fleet in virtual time

Cause: no test ran entries and agents together under faults with all safety promises checked.

Change: a scenario language on behave drives the real decision objects over fakes of network, backend servers and platform, and checks R1 to R8.

--- /dev/null
+++ b/scenarios/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the scenario language."""
--- /dev/null
+++ b/scenarios/steps/fleet_steps.py
@@ -0,0 +1,75 @@
+"""Steps that describe the fleet and what callers send."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import use_step_matcher
+
+from scenarios.world import callers
+from scenarios.world import duration
+from scenarios.world import fleet as fleet_module
+
+use_step_matcher("parse")
+
+
+def rows_of(context) -> list[dict[str, str]]:
+    """Return the rows of the step's table by column."""
+    return [dict(row.items()) for row in context.table]
+
+
+@given('the fleet of tenant "{tenant}"')
+def set_fleet(context, tenant):
+    context.plan.tenant = tenant
+    context.plan.vms = rows_of(context)
+
+
+@given("the entries")
+def set_entries(context):
+    context.plan.entries = rows_of(context)
+
+
+@given("the models")
+def set_models(context):
+    context.plan.models = rows_of(context)
+
+
+@given("the adapters")
+def set_adapters(context):
+    context.plan.adapters = rows_of(context)
+
+
+@given("the workspaces")
+def set_workspaces(context):
+    context.plan.workspaces = rows_of(context)
+
+
+@given("engines that do not check fencing numbers")
+def set_no_fencing(context):
+    for row in context.plan.vms:
+        row["fencing"] = "no"
+
+
+@given("everything is resident")
+def settle(context):
+    context.fleet = fleet_module.Fleet(context.scenario_name, context.plan)
+    context.fleet.settle()
+
+
+@given("the demand")
+def set_demand(context):
+    for row in rows_of(context):
+        words = row.get("details", "").split(", ")
+        context.fleet.callers.schedule(
+            callers.Demand(
+                workspace=row["workspace"],
+                target=row["target"],
+                every_ms=duration.parse(row["every"]),
+                from_ms=duration.parse(row["from"]),
+                until_ms=duration.parse(row["until"]),
+                tokens=int(row.get("tokens", "8")),
+                request_class=row.get("class", "").replace("-", ""),
+                is_streamed="whole" not in words,
+                is_repeatable="not repeatable" not in words,
+                is_crashing="crashes engines" in words,
+            )
+        )
