Let a learning granter of permits stay silent

Cause: a granter that has just taken over answers requests with 0 ms while it learns for 20 s, so agents wait for it although another one could grant.

Change: it says nothing until it may grant; the agent asks the next granter after 4 s.

--- a/src/balsamwall/placement/permit_pool.py
+++ b/src/balsamwall/placement/permit_pool.py
@@ -95,7 +95,11 @@
             self._active_since_ms = self._clock.now_ms()
 
     def on_request(self, peer: str, request_id: int, urgency: int) -> None:
-        """Note a request and answer at once, with 0 ms while it waits."""
+        """Note a request and answer at once, with 0 ms while it waits.
+
+        While this granter learns it says nothing, so that the request goes
+        on to a granter that may grant sooner.
+        """
         self.follow_activity()
         if self._active_since_ms is None or not self._concurrency:
             return
@@ -111,7 +115,8 @@
             self._waiting[key] = waiting
         waiting.seen_ms = now_ms
         self._grant()
-        if key in self._waiting:
+        is_learning = now_ms < self._active_since_ms + LEARN_MS
+        if key in self._waiting and not is_learning:
             self._send(peer, request_id, 0)
 
     def on_in_use(self, peer: str, request_id: int) -> None:
