Ask an agent with room to load an unreachable model

Cause: an entry asked only the first agent by rendezvous hashing. If that one holds only last copies and has no room, nobody loaded the model until a placement round, more than 30 s later.

Change: EnsureChoice prefers engines with room for the name and moves on to the next one when no load begins within 5 s.

--- a/src/balsamwall/composition/entry_unit.py
+++ b/src/balsamwall/composition/entry_unit.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.composition import demand_meter
+from balsamwall.composition import ensure_choice
 from balsamwall.configuration import configuration_watcher
 from balsamwall.dispatch import caller_request
 from balsamwall.dispatch import dispatcher
@@ -42,8 +43,6 @@
     from balsamwall.protocol import peer_table
     from balsamwall.timing import clock as clock_module
 
-# Agents that are asked to load a model without a live replica.
-ENSURE_TARGETS = 2
 ENSURE_INTERVAL_MS = 1_000
 DEFAULT_KV_RESERVE = 0.3
 # Used until the configuration names the limits of the weight store.
@@ -66,6 +65,7 @@
         "_clock",
         "_collector",
         "_configuration",
+        "_ensure_choice",
         "_ensured_ms",
         "_feed",
         "_hub",
@@ -109,6 +109,7 @@
             tenant_configuration.TenantConfiguration | None
         ) = None
         self._ensured_ms: dict[str, int] = {}
+        self._ensure_choice = ensure_choice.EnsureChoice()
         self.reports: dict[str, messages_state.AgentReport] = {}
         self.residents: dict[str, messages_state.Residents] = {}
         self._marks = leaving_marks.LeavingMarks()
@@ -332,13 +333,11 @@
         if last_ms is not None and now_ms - last_ms < ENSURE_INTERVAL_MS:
             return
         self._ensured_ms[name] = now_ms
-        engines = [
-            worker.vm
-            for worker in self.fleet_view().workers
-            if not worker.is_leaving
-        ]
-        item = messages_residency.EnsureResident(name, is_urgent)
-        for vm in rendezvous.ranking(name, engines, ENSURE_TARGETS)[:1]:
+        vm = self._ensure_choice.choose(
+            name, self.fleet_view().workers, self._configuration, now_ms
+        )
+        if vm is not None:
+            item = messages_residency.EnsureResident(name, is_urgent)
             self._table.send(vm, item)
 
     def _kv_reserve(self) -> float:
