--- a/scenarios/environment.py
+++ b/scenarios/environment.py
@@ -38,6 +38,8 @@
         return
     try:
         if scenario.status.name == "failed":
+            if os.environ.get("SCENARIO_TRACE"):
+                fleet.print_summary()
             print(fleet.trace.report())
             return
         for _ in range(SETTLE_LIMIT_MS // SETTLE_STEP_MS):
