--- a/scenarios/world/fleet.py
+++ b/scenarios/world/fleet.py
@@ -248,7 +248,9 @@
     def is_whole(self) -> bool:
         """Tell whether all names are reachable and all homes open."""
         names = self.invariants.configured()
-        if not names or not all(map(self.invariants.reachable_at, names)):
+        if not self.invariants.accepted:
+            return False
+        if not all(map(self.invariants.reachable_at, names)):
             return False
         services = [
             a for a in self.agents.values() if a.backend.server is a.backend
