--- a/scenarios/steps/fleet_steps.py
+++ b/scenarios/steps/fleet_steps.py
@@ -43,10 +43,10 @@
     context.plan.workspaces = rows_of(context)
 
 
-@given("engines that do not check fencing numbers")
-def set_no_fencing(context):
+@given("engines with fencing numbers checked: {answer}")
+def set_fencing(context, answer):
     for row in context.plan.vms:
-        row["fencing"] = "no"
+        row["fencing"] = answer
 
 
 @given("everything is resident")
@@ -67,9 +67,10 @@
                 from_ms=duration.parse(row["from"]),
                 until_ms=duration.parse(row["until"]),
                 tokens=int(row.get("tokens", "8")),
-                request_class=row.get("class", "").replace("-", ""),
+                request_class=row.get("class", ""),
                 is_streamed="whole" not in words,
                 is_repeatable="not repeatable" not in words,
                 is_crashing="crashes engines" in words,
+                entry=row.get("through", ""),
             )
         )
--- a/scenarios/world/backends.py
+++ b/scenarios/world/backends.py
@@ -49,9 +49,8 @@
 class Engine:
     """Engine stand-in of one VM."""
 
-    def __init__(self, clock, trace, log, store, vm, options, seed) -> None:
+    def __init__(self, clock, log, store, vm, options, seed, on_crash) -> None:
         self._clock = clock
-        self._trace = trace
         self.vm = vm
 
         def on_run(backend_id: str, key: str) -> None:
@@ -61,13 +60,13 @@
         self.core = engine_core.EngineCore(clock, options, store, on_run)
         self.core.is_crash_marker_enabled = True
         self.server = memory_engine.MemoryEngine(clock, self.core, seed=seed)
-        on_crash = self.core.on_crash
+        go_down = self.core.on_crash
 
-        def noted() -> None:
-            trace.note(f"engine {vm} crashes")
-            on_crash()
+        def crashed() -> None:
+            on_crash(vm)
+            go_down()
 
-        self.core.on_crash = noted
+        self.core.on_crash = crashed
 
     @property
     def is_down(self) -> bool:
--- a/scenarios/world/fleet.py
+++ b/scenarios/world/fleet.py
@@ -167,6 +167,11 @@
         late = sorted(r.over_ms - r.sent_ms for r in self.callers.requests)
         print("slowest:", late[-8:])
 
+    def _on_crash(self, vm: str) -> None:
+        self.trace.note(f"engine {vm} crashes")
+        fault = self.invariants.begin_fault("engine crash", (vm,))
+        self.invariants.end_fault(fault)
+
     def _on_log(self, row) -> None:
         if row.get("message_type") == "eliot:traceback":
             text = str(row.get("traceback", "")).strip().splitlines()
@@ -189,12 +194,12 @@
                 )
                 backend = backends.Engine(
                     self.clock,
-                    self.trace,
                     self.log,
                     self.weights,
                     vm,
                     options,
                     self.seed + number,
+                    self._on_crash,
                 )
             else:
                 services = (row["runs"],)
--- a/scenarios/world/invariants.py
+++ b/scenarios/world/invariants.py
@@ -34,6 +34,7 @@
 R6 = "R6 no new work on a leaving backend server"
 R7 = "R7 graceful shutdown cuts nothing off"
 R8 = "R8 configuration in force everywhere"
+UNLOAD = "no answer is cut off by an unload"
 ANSWERED = "every request gets its outcome"
 
 
@@ -264,7 +265,7 @@
             ended = agent.backend.core.unloads_in_use
             if ended > self._over.get(f"{vm}/use", 0):
                 self._over[f"{vm}/use"] = ended
-                self._trace.note(f"{vm} unloads a model in use")
+                self._trace.broken(UNLOAD, f"{vm} unloaded a model in use")
 
     def _check_log(self) -> None:
         log = self._fleet.log
--- a/src/balsamwall/agent/state_reporter.py
+++ b/src/balsamwall/agent/state_reporter.py
@@ -144,12 +144,9 @@
 
 def _comparable(
     report: messages_state.AgentReport | None,
-) -> tuple[object, ...] | None:
+) -> messages_state.AgentReport | None:
     # The age of the engine's own report grows all the time and would make
     # every report differ from the last one.
     if report is None:
         return None
-    row = dataclasses.astuple(
-        dataclasses.replace(report, sequence=0, report_age_ms=0)
-    )
-    return row
+    return dataclasses.replace(report, sequence=0, report_age_ms=0)
