Let the engine stand-in name the base copy that an answer uses

Cause: an unload of an old version of a base model broke off answers of adapters that had started on the new version.

Change: a sequence keeps the copy of the base model that was ready when it started, and only an unload of that copy breaks it off.

--- a/standins/balsamwall_standins/engine_core.py
+++ b/standins/balsamwall_standins/engine_core.py
@@ -120,6 +120,8 @@
                 held,
                 self._options.kv_bytes(held.base or held.name),
             )
+            if held.base:
+                found.base_held = self.orders.find_ready(held.base)
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             return Refusal(400, f"invalid body: {error!r}")
         self._sequences[request_id] = found
@@ -245,8 +247,7 @@
     def _on_unload(self, model: engine_orders.HeldModel) -> None:
         """Break off the answers that still use a model being unloaded."""
         for found in [*self._running, *self._waiting]:
-            is_base = found.held.base == model.name
-            if found.held is model or is_base:
+            if model in (found.held, found.base_held):
                 self.unloads_in_use += 1
                 self._remove(found)
                 found.buffer.break_off()
--- a/standins/balsamwall_standins/sequence.py
+++ b/standins/balsamwall_standins/sequence.py
@@ -19,6 +19,7 @@
     __slots__ = (
         "_format",
         "_serial",
+        "base_held",
         "buffer",
         "cached_tokens",
         "emitted",
@@ -53,6 +54,8 @@
         self.request_id = request_id
         self.idempotency_key = idempotency_key
         self.held = held
+        # Copy of the base model that the answer of an adapter uses.
+        self.base_held: engine_orders.HeldModel | None = None
         self.is_urgent = is_urgent
         self.is_streamed = bool(body.get("stream"))
         self.is_crashing = bool(body.get("crash"))
