Keep a base model while an answer of its adapter uses it

Cause: the check before an unload looked only at requests for the name itself, so the old version of a base model was unloaded under the answers of its adapters.

Change: requests of dependent adapters count as use of the base model.

Result: scenario 'Long answers of an adapter outlive the version of its base model' failed before (2 of 90 answers cut off) and passes (python -m behave scenarios/configuration.feature).

--- a/scenarios/configuration.feature
+++ b/scenarios/configuration.feature
@@ -120,3 +120,14 @@
       | drain by signal             | model-1 | ever   |
       | key-value outage            | -       | 20 s   |
       | delay orders to             | model-1 | 20 s   |
+
+  Scenario: Long answers of an adapter outlive the version of its base model
+    Given the demand
+      | workspace | target | every  | from | until | tokens |
+      | traders   | deal-1 | 2 s    | 0 s  | 20 s  | 1000   |
+    When these events happen
+      | at  | event            | on                 | for  |
+      | 3 s | operator changes | clause-1 version 2 | ever |
+    And 60 s pass
+    Then the version of "clause-1" is 2 wherever it is resident
+    And at least 100% of the model requests are answered
--- a/src/balsamwall/residency/unload_check.py
+++ b/src/balsamwall/residency/unload_check.py
@@ -105,14 +105,23 @@
         return bool(self._others(copy))
 
     def _is_in_use(self, copy: model_copy.ModelCopy, has_other: bool) -> bool:
-        """Tell whether running requests may use a copy."""
-        name = copy.spec.name
-        if not self._hooks.is_in_use(name):
+        """Tell whether running requests may use a copy.
+
+        Requests of an adapter use the copy of its base model as well.
+        """
+        dependents = self._table.dependents(copy.spec.name)
+        names = {copy.spec.name, *(item.spec.name for item in dependents)}
+        used = [name for name in names if self._hooks.is_in_use(name)]
+        if not used:
             return False
-        oldest_ms = self._hooks.oldest_running_ms(name)
-        if not has_other or oldest_ms is None:
+        if not has_other:
             return True
+        oldest = [self._hooks.oldest_running_ms(name) for name in used]
         # Requests that started after the other version was ready use it.
-        return not any(
-            other.ready_ms < oldest_ms for other in self._others(copy)
+        return any(
+            oldest_ms is None
+            or not any(
+                other.ready_ms < oldest_ms for other in self._others(copy)
+            )
+            for oldest_ms in oldest
         )
