--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
-.PHONY: install run test lint format scenarios bench
+.PHONY: install run test lint format scenarios mutations bench
 
 install: .venv/installed
 
@@ -28,8 +28,14 @@
 	$(BIN)/flake8 src standins tests scenarios bench tools
 	$(BIN)/mypy
 
+# make scenarios FILE=scenarios/drain.feature runs one file.
+FILE ?= scenarios
+
 scenarios: install
-	$(BIN)/behave scenarios
+	$(BIN)/python -m behave $(FILE)
+
+mutations: install
+	$(BIN)/python -m tools.mutations
 
 bench: install
 	$(BIN)/python -m bench
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scenario language and its checks."""
