Export memory, load and missing replicas as metrics

Cause: operators had no metric to alert on for unreachable models, memory or a backend server that is down.

Change: agents export running, waiting, committed and capacity bytes, residents and backend_down by unit; entries export names without a replica and quarantined fingerprints by tenant.

--- a/src/balsamwall/composition/agent_unit.py
+++ b/src/balsamwall/composition/agent_unit.py
@@ -198,6 +198,16 @@
             clock, table, client, identity.incarnation, self.entries
         )
 
+    @property
+    def load_source(self) -> backend_monitor.LoadMonitor:
+        """Return the source of load counts."""
+        return self._load
+
+    @property
+    def memory(self) -> memory_ledger.MemoryLedger | None:
+        """Return the ledger of the engine's memory."""
+        return self.ledger
+
     @property
     def is_ready(self) -> bool:
         """Tell whether the state was rebuilt since the start."""
@@ -339,6 +349,16 @@
         )
         feed.directory.subscribe(on_gone=self._on_gone)
 
+    @property
+    def load_source(self) -> backend_monitor.LoadMonitor:
+        """Return the source of load counts."""
+        return self._load
+
+    @property
+    def memory(self) -> memory_ledger.MemoryLedger | None:
+        """Return None, because a plain service has no ledger."""
+        return None
+
     @property
     def is_ready(self) -> bool:
         """Tell whether the configuration is known."""
--- a/src/balsamwall/composition/entry_unit.py
+++ b/src/balsamwall/composition/entry_unit.py
@@ -240,6 +240,17 @@
         up = set(self._table.up_peers)
         return self.directory.generate_key(service, workspace, up.__contains__)
 
+    def names_without_replica(self) -> list[str]:
+        """Return the configured names that no ready agent holds."""
+        configuration = self._configuration
+        if configuration is None:
+            return []
+        return sorted(
+            name
+            for name in configuration.configured_names()
+            if not len(self.router.view.holders(name))
+        )
+
     def fleet_view(self) -> fleet_view.FleetView:
         """Return the engines as the planner needs them."""
         configuration = self._configuration
--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -15,6 +15,7 @@
 from balsamwall.composition import entry_unit
 from balsamwall.composition import fleet_state
 from balsamwall.composition import tenant_switch
+from balsamwall.composition import unit_gauges
 from balsamwall.composition import vm_feed
 from balsamwall.configuration import configuration_replica
 from balsamwall.configuration import configuration_store
@@ -148,9 +149,10 @@
         "Peers that can be reached",
         lambda: sum(len(table.up_peers) for table in daemon.tables),
     )
-    daemon.metrics.watch_by_tenant(
+    daemon.metrics.watch_by(
         "configuration_revision",
         "Revision in force, the lowest of all backend servers",
+        "tenant",
         {
             tenant: functools.partial(_lowest_revision, daemon, tenant)
             for tenant in settings.tenant.split()
@@ -184,8 +186,13 @@
             backend.listen
         )
         units.append((backend, identity, table, streams))
-    for backend, identity, table, streams in units:
-        _build_unit(daemon, platform, table, streams, identity, backend)
+    built = {
+        identity.vm: _build_unit(
+            daemon, platform, table, streams, identity, backend
+        )
+        for backend, identity, table, streams in units
+    }
+    unit_gauges.watch_agents(daemon.metrics, built)
     platform.vm_list.start(platform.feed.on_listing)
 
 
@@ -196,7 +203,7 @@
     streams: stream.StreamTransport,
     identity: session.Identity,
     backend: daemon_settings.BackendSettings,
-) -> None:
+) -> agent_unit.EngineUnit | agent_unit.ServiceUnit:
     tenant = identity.tenant
     replica, watcher = _build_configuration(
         daemon, platform, table, tenant, identity.vm
@@ -239,6 +246,7 @@
     core.start()
     unit.start()
     replica.start()
+    return unit
 
 
 def _follow_vms(
@@ -304,6 +312,7 @@
         )
         for tenant in tenants
     }
+    unit_gauges.watch_entry(daemon.metrics, units)
     switch = tenant_switch.TenantSwitch(units)
     fleet = fleet_state.UnitFleetState(daemon.clock, platform.feed, units)
     core = entry_core.EntryCore(
--- a/src/balsamwall/metrics/metrics.py
+++ b/src/balsamwall/metrics/metrics.py
@@ -163,21 +163,22 @@
         )
         gauge.set_function(read)
 
-    def watch_by_tenant(
+    def watch_by(
         self,
         name: str,
         description: str,
+        label: str,
         reads: Mapping[str, Callable[[], float]],
     ) -> None:
-        """Add a gauge with one series per tenant."""
+        """Add a gauge with one series per value of a label."""
         gauge = prometheus_client.Gauge(
             f"balsamwall_{name}",
             description,
-            ("tenant",),
+            (label,),
             registry=self._registry,
         )
-        for tenant, read in reads.items():
-            gauge.labels(tenant).set_function(read)
+        for value, read in reads.items():
+            gauge.labels(value).set_function(read)
 
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
