Observe queue times and answer lengths at agents

Cause: the queue histogram and the mean answer length of the demand meter were never fed.

Change: the executor tells a run observer about starts and ends; the run meter feeds both.

--- a/src/balsamwall/composition/agent_unit.py
+++ b/src/balsamwall/composition/agent_unit.py
@@ -13,6 +13,7 @@
 from balsamwall.composition import home_gate
 from balsamwall.composition import home_map_store
 from balsamwall.composition import peer_residents
+from balsamwall.composition import run_meter
 from balsamwall.composition import unlimited_memory
 from balsamwall.execution import crash_attribution
 from balsamwall.execution import executor
@@ -31,6 +32,7 @@
     from balsamwall.composition import vm_feed
     from balsamwall.configuration import tenant_configuration
     from balsamwall.membership import vm_directory
+    from balsamwall.metrics import metrics as metrics_module
     from balsamwall.platform import key_value_service
     from balsamwall.protocol import message
     from balsamwall.protocol import messages_session
@@ -144,6 +146,7 @@
         feed: vm_feed.VmFeed,
         backend: daemon_settings.BackendSettings,
         client: engine_client.EngineClient,
+        metrics: metrics_module.Metrics | None = None,
     ) -> None:
         super().__init__(clock, table, identity, feed)
         self.ledger = memory_ledger.MemoryLedger()
@@ -186,6 +189,7 @@
             self._kv_bytes,
             lambda kind, target: self.residency.is_served(target),
             backend.max_concurrent,
+            run_meter.RunMeter(metrics, self._demand),
         )
         self.residency.add_listener(lambda names: self.executor.pump())
         self._health = backend_monitor.HealthMonitor(
@@ -306,6 +310,7 @@
         backend: daemon_settings.BackendSettings,
         client: service_client.ServiceClient,
         key_value: key_value_service.KeyValueService,
+        metrics: metrics_module.Metrics | None = None,
     ) -> None:
         super().__init__(clock, table, identity, feed)
         self._random = random_source
@@ -340,6 +345,7 @@
             self.crash,
             is_held=lambda kind, target: target in self._services,
             max_running=backend.max_concurrent,
+            observer=run_meter.RunMeter(metrics),
         )
         self._health = backend_monitor.HealthMonitor(
             clock, client, self.executor
--- a/src/balsamwall/execution/executor.py
+++ b/src/balsamwall/execution/executor.py
@@ -7,6 +7,7 @@
 from balsamwall.execution import crash_attribution
 from balsamwall.execution import run as run_module
 from balsamwall.execution import run_control
+from balsamwall.execution import run_observer
 from balsamwall.execution import run_scheduler
 from balsamwall.execution import run_table
 from balsamwall.idempotency import key_gate as key_gate_module
@@ -70,6 +71,7 @@
         kv_bytes: Callable[[str, int], int] = _no_kv_bytes,
         is_held: Callable[[str, str], bool] = _always_held,
         max_running: int = run_scheduler.MAX_RUNNING,
+        observer: run_observer.RunObserver | None = None,
     ) -> None:
         self._clock = clock
         self._key_gate = key_gate
@@ -86,6 +88,7 @@
             kv_bytes,
             is_held,
             max_running,
+            observer or run_observer.RunObserver(),
         )
         self._scheduler = self._control.scheduler
         self._is_draining = False
--- a/src/balsamwall/execution/run_control.py
+++ b/src/balsamwall/execution/run_control.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from balsamwall.execution import crash_attribution
+    from balsamwall.execution import run_observer
     from balsamwall.residency import memory_account
     from balsamwall.timing import clock as clock_module
 
@@ -41,6 +42,7 @@
         "_clock",
         "_crash",
         "_key_gate",
+        "_observer",
         "_table",
         "is_backend_up",
         "scheduler",
@@ -57,8 +59,10 @@
         kv_bytes: Callable[[str, int], int],
         is_held: Callable[[str, str], bool],
         max_running: int,
+        observer: run_observer.RunObserver,
     ) -> None:
         self._clock = clock
+        self._observer = observer
         self._backend = backend
         self._key_gate = key_gate
         self._crash = crash
@@ -116,6 +120,8 @@
         output_tokens: int,
     ) -> None:
         """Send the end and keep the answer until it is acknowledged."""
+        if run.state is run_module.RunState.RUNNING:
+            self._observer.on_end(run.dispatch, output_tokens)
         run.stop_timer()
         run.state = run_module.RunState.ENDED
         run.end = messages_request.End(
@@ -249,7 +255,9 @@
     def _start(self, run: run_module.Run) -> None:
         item = run.dispatch
         run.state = run_module.RunState.RUNNING
-        left_ms = run.deadline_ms - self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        self._observer.on_start(item, now_ms - run.enqueued_ms)
+        left_ms = run.deadline_ms - now_ms
         limit_ms = left_ms
         if not item.is_repeatable:
             limit_ms += NON_REPEATABLE_SETTLE_MS
--- /dev/null
+++ b/src/balsamwall/execution/run_observer.py
@@ -0,0 +1,24 @@
+"""Observer of attempts for metrics and demand counts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamwall.protocol import messages_request
+
+
+class RunObserver:
+    """Observer that ignores everything; subclasses override it."""
+
+    __slots__ = ()
+
+    def on_start(
+        self, dispatch: messages_request.Dispatch, waited_ms: int
+    ) -> None:
+        """Note the start of an attempt after its time in the queue."""
+
+    def on_end(
+        self, dispatch: messages_request.Dispatch, output_tokens: int
+    ) -> None:
+        """Note a whole answer."""
--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -219,6 +219,7 @@
             platform.feed,
             backend,
             engine_client.EngineClient(daemon.reactor, daemon.clock, url),
+            daemon.metrics,
         )
     else:
         unit = agent_unit.ServiceUnit(
@@ -230,6 +231,7 @@
             backend,
             service_client.ServiceClient(daemon.reactor, daemon.clock, url),
             platform.key_value,
+            daemon.metrics,
         )
     parts = unit.parts()
     parts.configuration = replica
--- /dev/null
+++ b/tests/composition/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of composition."""
+
+from __future__ import annotations
