Keep the memory of a cancelled attempt whose stream broke

Change: ANSWER_INTERRUPTED and OUTCOME_UNKNOWN of a cancelled attempt release nothing; its end, another error or SETTLE_MS does.

--- a/src/balsamwall/execution/run_control.py
+++ b/src/balsamwall/execution/run_control.py
@@ -234,7 +234,10 @@
     ) -> None:
         """Take a failure from the backend server."""
         if not self._is_current(run, generation):
-            self.scheduler.settle(run)
+            # A broken stream says nothing about the run behind it, so the
+            # memory of a cancelled attempt stays charged.
+            if code not in _RESUMABLE:
+                self.scheduler.settle(run)
         elif is_crash:
             self.backend_down(True)
         elif code in _RESUMABLE and run.dispatch.kind == "model":
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -155,6 +155,17 @@
         self.assertEqual("r20", self.log[-1].request_id)
         self.assertLessEqual(self.memory.committed_bytes, 10_000)
 
+    def test_broken_stream_of_a_cancelled_attempt(self):
+        """Its memory is in use until the backend server has stopped it."""
+        self.take(dispatch())
+        run = self.executor._table.get(("e", "r1", 1))
+        self.take(messages.Cancel("r1", 1, 7))
+        for code in (Code.ANSWER_INTERRUPTED, Code.OUTCOME_UNKNOWN):
+            self.executor._control.on_error(run, 0, code, "broken", False)
+        self.assertEqual(1_000, self.memory.committed_bytes)
+        self.clock.advance(30)
+        self.assertEqual(0, self.memory.committed_bytes)
+
     def test_places_for_urgent(self):
         """Deferrable work in all places would make urgent work wait."""
         self.memory = fake_backend.FakeMemory(1_000_000)
