Count own dispatches behind a full batch in the prediction

Cause: An entry sent all requests of a report interval to a full batch, and the correction learned the waits of deferrable requests, which raised the predictions for urgent ones.

Change: Reports carry max_running. Once an agent reports a full batch or a queue, own urgent dispatches wait behind it and own ends free places. The correction and the run time are learned from urgent requests only; the correction is bounded by 0.5 and 2.

--- a/bench/product_agent.py
+++ b/bench/product_agent.py
@@ -179,6 +179,7 @@
             0,
             self.engine.reported_step_us,
             fake_engine.LOAD_REPORT_LAG_MS,
+            counts.max_running,
         )
 
     def start(self) -> None:
--- a/src/balsamwall/agent/agent_parts.py
+++ b/src/balsamwall/agent/agent_parts.py
@@ -33,6 +33,7 @@
     free_kv_bytes: int = 0
     step_us: int = 0
     age_ms: int = 0
+    max_running: int = 0  # attempts that may run at the same time
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/balsamwall/agent/state_reporter.py
+++ b/src/balsamwall/agent/state_reporter.py
@@ -126,6 +126,7 @@
             memory.committed_bytes if memory is not None else 0,
             counts.step_us,
             counts.age_ms,
+            counts.max_running,
         )
 
     def _residents(
--- a/src/balsamwall/composition/backend_monitor.py
+++ b/src/balsamwall/composition/backend_monitor.py
@@ -110,6 +110,7 @@
             self._memory.free_bytes,
             step_us,
             age_ms,
+            counts.max_running,
         )
 
     def _on_load(self, load: backend_server.EngineLoad | None) -> None:
--- a/src/balsamwall/dispatch/dispatcher.py
+++ b/src/balsamwall/dispatch/dispatcher.py
@@ -208,7 +208,7 @@
             return
         self._control.note_progress(active)
         attempt = active.attempt
-        if is_first and attempt is not None:
+        if is_first and attempt is not None and active.request.is_urgent:
             self._router.on_first_token(
                 attempt.peer,
                 attempt.predicted_ms,
@@ -239,7 +239,9 @@
             attempt = active.attempt
             if attempt is not None:
                 duration_ms = self._clock.now_ms() - attempt.sent_ms
-                self._router.on_done(attempt.peer, duration_ms)
+                self._router.on_done(
+                    attempt.peer, duration_ms, active.request.is_urgent
+                )
             end = caller_request.AnswerEnd(
                 http_status=item.http_status,
                 headers=item.headers,
--- a/src/balsamwall/dispatch/request_control.py
+++ b/src/balsamwall/dispatch/request_control.py
@@ -79,8 +79,10 @@
             active.state = _State.DISPATCHED
             self._sender.dispatch(active, chosen.peer, chosen.predicted_ms)
             self._table.set_peer(active)
-            tokens = active.request.prompt_tokens
-            self._router.on_dispatch(chosen.peer, tokens)
+            request = active.request
+            self._router.on_dispatch(
+                chosen.peer, request.prompt_tokens, request.is_urgent
+            )
             self._after(active, DISPATCH_TIMEOUT_MS, self._on_dispatch_timeout)
         elif not chosen.may_wait or not self._park(
             active, target_choice.WAIT_STEP_MS
--- a/src/balsamwall/execution/run_scheduler.py
+++ b/src/balsamwall/execution/run_scheduler.py
@@ -38,6 +38,7 @@
     waiting_deferrable: int
     queued_tokens: int
     kv_bytes: int
+    max_running: int
 
 
 class RunScheduler:
@@ -151,6 +152,7 @@
             waiting_deferrable=self._queue.waiting(False),
             queued_tokens=tokens,
             kv_bytes=self._kv_total,
+            max_running=self._max_running,
         )
 
     @property
--- a/src/balsamwall/protocol/messages_state.py
+++ b/src/balsamwall/protocol/messages_state.py
@@ -23,6 +23,7 @@
     committed_bytes: int
     step_us: int
     report_age_ms: int
+    max_running: int = 0  # 0 if the agent knows no limit
 
 
 @message.register(31)
--- a/src/balsamwall/routing/load_estimator.py
+++ b/src/balsamwall/routing/load_estimator.py
@@ -7,6 +7,7 @@
 from balsamwall.routing import prefix_index
 
 if TYPE_CHECKING:
+    from balsamwall.protocol import messages_state
     from balsamwall.routing import replica as replica_module
     from balsamwall.routing import route_query
     from balsamwall.timing import clock as clock_module
@@ -18,7 +19,9 @@
 DEFAULT_STEP_US = 10_000
 PREFILL_TOKENS_PER_STEP = 512
 CORRECTION_WEIGHT = 0.2
-MIN_CORRECTION, MAX_CORRECTION = 0.25, 8.0
+# The queue is predicted from counts, so the correction only covers the error
+# of the step time; a wider bound lets one late burst refuse many requests.
+MIN_CORRECTION, MAX_CORRECTION = 0.5, 2.0
 RUN_WEIGHT = 0.1
 
 
@@ -63,20 +66,36 @@
         if report is None:
             return 0.0
         step_ms = (report.step_us or DEFAULT_STEP_US) / 1_000
-        own_open = known.own_sent - known.own_done
         ahead_tokens = report.queued_tokens + known.own_prompt_tokens
         prefill = ahead_tokens + query.prompt_tokens - cached_tokens
         predicted = step_ms * (1 + prefill / PREFILL_TOKENS_PER_STEP)
+        ends = self._ends_before_start(known, report, query.is_urgent)
+        predicted += ends * known.mean_run_ms / max(1, report.running)
+        return predicted * known.correction
+
+    def _ends_before_start(
+        self,
+        known: replica_module.Replica,
+        report: messages_state.AgentReport,
+        is_urgent: bool,
+    ) -> int:
+        """Return how many running requests must end before a new one starts.
+
+        The batch is full when the agent reports its limit, or a queue, which
+        means that memory is in use. From then on each own dispatch since the
+        report waits too, and each own end frees a place.
+        """
         waiting = report.waiting_urgent
-        if not query.is_urgent:
+        sent = known.own_sent_urgent
+        if not is_urgent:
             waiting += report.waiting_deferrable
-        waiting = max(0, waiting + min(0, own_open))
-        if waiting:
-            # A queue at the agent means that its memory is in use, so the
-            # requests ahead wait for running ones to end.
-            running = max(1, report.running)
-            predicted += waiting * known.mean_run_ms / running
-        return predicted * known.correction
+            sent = known.own_sent
+        if not waiting and not report.max_running:
+            return 0
+        places = known.own_done
+        if not waiting:
+            places += report.max_running - report.running
+        return max(0, waiting + sent + 1 - places)
 
     def learn_first_token(
         self, known: replica_module.Replica, predicted_ms: float, ms: float
--- a/src/balsamwall/routing/replica.py
+++ b/src/balsamwall/routing/replica.py
@@ -27,6 +27,7 @@
         "own_done",
         "own_prompt_tokens",
         "own_sent",
+        "own_sent_urgent",
         "peer",
         "report",
         "report_seen_ms",
@@ -47,6 +48,7 @@
         self.residents_sequence = -1
         self.returned_ms = 0
         self.own_sent = 0
+        self.own_sent_urgent = 0
         self.own_done = 0
         self.own_prompt_tokens = 0
         self.correction = 1.0
@@ -66,7 +68,8 @@
         self.report = None
         self.residents_sequence = -1
         self.returned_ms = now_ms
-        self.own_sent = self.own_done = self.own_prompt_tokens = 0
+        self.own_sent = self.own_sent_urgent = 0
+        self.own_done = self.own_prompt_tokens = 0
         self.correction = 1.0
         self.failures = 0
         self.cache_prefixes = frozenset()
--- a/src/balsamwall/routing/replica_view.py
+++ b/src/balsamwall/routing/replica_view.py
@@ -111,7 +111,8 @@
             self._unindex(known)
         known.report = item
         known.report_seen_ms = self._clock.now_ms()
-        known.own_sent = known.own_done = known.own_prompt_tokens = 0
+        known.own_sent = known.own_sent_urgent = 0
+        known.own_done = known.own_prompt_tokens = 0
         if item.state == "leaving":
             known.is_leaving = True
         if known.is_ready and not was_ready:
--- a/src/balsamwall/routing/router.py
+++ b/src/balsamwall/routing/router.py
@@ -145,27 +145,35 @@
             )
         return sorted(views, key=lambda view: view.predicted_ms)
 
-    def on_dispatch(self, peer: str, prompt_tokens: int) -> None:
+    def on_dispatch(
+        self, peer: str, prompt_tokens: int, is_urgent: bool
+    ) -> None:
         """Count an own dispatch that reports do not show yet."""
         known = self.view.get(peer)
         if known is not None:
             known.own_sent += 1
+            known.own_sent_urgent += is_urgent
             known.own_prompt_tokens += prompt_tokens
 
     def on_first_token(
         self, peer: str, predicted_ms: int, measured_ms: int
     ) -> None:
-        """Learn from the time to first token of a dispatch."""
+        """Learn from the time to first token of an urgent dispatch.
+
+        Deferrable ones may wait for minutes behind urgent ones, which says
+        nothing about the prediction for an urgent one.
+        """
         known = self.view.get(peer)
         if known is not None:
             self._estimator.learn_first_token(known, predicted_ms, measured_ms)
 
-    def on_done(self, peer: str, duration_ms: int) -> None:
-        """Count a finished request."""
+    def on_done(self, peer: str, duration_ms: int, is_urgent: bool) -> None:
+        """Count a finished request; learn the run time of urgent ones."""
         known = self.view.get(peer)
         if known is not None:
             known.own_done += 1
-            self._estimator.learn_run(known, duration_ms)
+            if is_urgent:
+                self._estimator.learn_run(known, duration_ms)
             self._ejection.on_success(peer)
 
     def on_failure(self, peer: str, is_backend_fault: bool) -> None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -45,11 +45,25 @@
             self.report(peer, **report)
         self.clock.advance(20_000)
 
-    def report(self, peer, sequence=1, state="ready", tokens=0):
+    def report(
+        self, peer, sequence=1, state="ready", tokens=0, running=0, limit=0
+    ):
         self.router.on_message(
             peer,
             messages_state.AgentReport(
-                1, sequence, state, 0, 0, 0, tokens, 0, 0, 0, 10_000, 0
+                1,
+                sequence,
+                state,
+                running,
+                0,
+                0,
+                tokens,
+                0,
+                0,
+                0,
+                10_000,
+                0,
+                limit,
             ),
         )
 
@@ -87,6 +101,19 @@
         self.assertIs(Code.DEADLINE_UNREACHABLE, decision.code)
         self.assertGreater(decision.retry_after_ms, 0)
 
+    def test_own_dispatches_behind_a_full_batch(self):
+        """An entry must not send a second of traffic to a full batch."""
+        self.add(1, running=8, limit=8)
+        asked = query()
+        before_ms = self.router.choose(asked).predicted_ms
+        self.router.on_dispatch("a0", 100, is_urgent=False)
+        self.assertLess(self.router.choose(asked).predicted_ms, before_ms + 10)
+        self.router.on_dispatch("a0", 100, is_urgent=True)
+        late_ms = self.router.choose(asked).predicted_ms
+        self.assertGreater(late_ms, before_ms + 100)
+        self.router.on_done("a0", 1_000, is_urgent=True)
+        self.assertLess(self.router.choose(asked).predicted_ms, late_ms - 100)
+
     def test_prefix_affinity(self):
         """A long cached prompt is to be used, an old digest hardly."""
         self.add(50)
