--- a/scenarios/world/daemons.py
+++ b/scenarios/world/daemons.py
@@ -62,6 +62,7 @@
             clock, self.table, self.random, tenants
         )
         self.replica.add_listener(self._on_configuration)
+        fleet.invariants.on_start(self)
         return identity, connector, key_value
 
     def _count(self, event: str) -> None:
--- a/scenarios/world/invariants.py
+++ b/scenarios/world/invariants.py
@@ -362,6 +362,28 @@
                     f"{vm} has revision {found} 12 s after {revision}",
                 )
 
+    def on_start(self, daemon) -> None:
+        """Check 12 s after its start that a process has caught up."""
+        generation = daemon.generation
+        known = max(self.accepted, default=0)
+        start_ms = self._clock.now_ms()
+
+        def check() -> None:
+            is_same = daemon.generation == generation and daemon.is_working
+            is_touched = any(
+                fault.start_ms >= start_ms and daemon.vm in fault.vms
+                for fault in self.faults
+            )
+            found = daemon.replica.revision(self._fleet.plan.tenant)
+            if is_same and not is_touched and found < known:
+                self._trace.broken(
+                    R8,
+                    f"{daemon.vm} has revision {found} 12 s after its start"
+                    f" with {known} in force",
+                )
+
+        self._clock.call_later(CONFIGURATION_LIMIT_MS, check)
+
     def finish(self) -> None:
         """Check what holds at the end."""
         self._check_memory()
