Split the membership of key homes by job

Change: MapAccess reads and writes the map, HomeGranter answers joins and takes records. Behaviour is unchanged.

--- a/src/balsamwall/idempotency/home_membership.py
+++ b/src/balsamwall/idempotency/home_membership.py
@@ -5,16 +5,13 @@
 import enum
 from typing import TYPE_CHECKING
 
-from returns import result
-
 from balsamwall.idempotency import exceptions
+from balsamwall.idempotency import home_granter
 from balsamwall.idempotency import home_join
 from balsamwall.idempotency import home_leave
 from balsamwall.idempotency import home_map
-from balsamwall.idempotency import key_record
-from balsamwall.idempotency import record_batches
+from balsamwall.idempotency import map_access
 from balsamwall.protocol import messages_home
-from balsamwall.results import result_code
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,8 +23,6 @@
     from balsamwall.protocol import outbox as outbox_module
     from balsamwall.timing import clock as clock_module
 
-RETRY_INTERVAL_MS = 500
-MAP_REFRESH_INTERVAL_MS = 60_000
 LOSS_STAGGER_MS = 1_000
 
 
@@ -44,17 +39,16 @@
 class HomeMembership:
     """Join, restart, leave and removal of lost members.
 
-    Every change goes through a compare-and-swap on the stored map. After a
-    failed or unknown write the map is read again, and the next step follows
-    from what it holds.
+    Every change goes through a compare-and-swap on the stored map, and each
+    step follows from what was read last.
     """
 
     __slots__ = (
+        "_access",
         "_clock",
+        "_granter",
         "_home",
         "_incarnation",
-        "_is_busy",
-        "_is_write_unknown",
         "_is_vm_gone",
         "_join",
         "_leave",
@@ -62,13 +56,8 @@
         "_on_left",
         "_outbox",
         "_peers",
-        "_random",
         "_started_ms",
         "_state",
-        "_store",
-        "_timer",
-        "_timer_due_ms",
-        "_version",
         "_vm",
         "_withdrawals",
     )
@@ -86,25 +75,27 @@
     ) -> None:
         self._clock = clock
         self._outbox = outbox
-        self._random = random_source
         self._home = home
-        self._store = store
+        self._granter = home_granter.HomeGranter(outbox, home, vm)
         self._vm = vm
         self._incarnation = incarnation
         self._is_vm_gone = is_vm_gone
         self._started_ms = clock.wall_ms()
         self._state = HomeState.OUTSIDE
         self._map: home_map.HomeMap | None = None
-        self._version = 0
         self._join: home_join.HomeJoinAttempt | None = None
         self._leave: home_leave.HomeLeaveAttempt | None = None
         self._on_left: Callable[[], None] | None = None
         self._peers: set[str] = set()
         self._withdrawals: set[str] = set()
-        self._is_busy = False
-        self._is_write_unknown = False
-        self._timer: clock_module.Timer | None = None
-        self._timer_due_ms = 0
+        self._access = map_access.MapAccess(
+            clock,
+            random_source,
+            store,
+            home.service,
+            self._on_stored,
+            self._on_written,
+        )
 
     @property
     def state(self) -> HomeState:
@@ -174,41 +165,27 @@
         return True
 
     def _read(self) -> None:
-        if self._is_busy or self._state is HomeState.LEFT:
-            return
-        self._is_busy = True
-        self._store.read(self._home.service, self._on_read)
+        if self._state is not HomeState.LEFT:
+            self._access.read()
 
-    def _on_read(
-        self,
-        outcome: result.Result[
-            map_store.StoredMap | None, result_code.ResultCode
-        ],
-    ) -> None:
-        self._is_busy = False
-        if not isinstance(outcome, result.Success):
-            self._retry_later()
+    def _on_stored(self, stored: home_map.HomeMap | None) -> None:
+        if self._state is HomeState.LEFT:
             return
-        stored = outcome.unwrap()
         if stored is None:
             self._on_no_map()
-            return
-        if self._map is not None and stored.content.revision < (
-            self._map.revision
-        ):
-            self._retry_later()
-            return
-        self._version = stored.version
-        self._take_map(stored.content)
-        self._step(stored.content)
+        elif self._map is not None and stored.revision < self._map.revision:
+            # A late answer; a peer has shown a later map already.
+            self._access.retry_later()
+        else:
+            self._take_map(stored)
+            self._step(stored)
 
     def _on_no_map(self) -> None:
         if self._state is HomeState.LEAVING:
             self._finish_leave()
             return
-        self._version = 0
         empty = home_map.HomeMap(self._home.service)
-        self._write(empty.with_member(self._vm, self._incarnation, 0))
+        self._access.write(empty.with_member(self._vm, self._incarnation, 0))
 
     def _take_map(self, current: home_map.HomeMap) -> None:
         if self._map is not None and current.revision <= self._map.revision:
@@ -220,7 +197,7 @@
             self._home.close()
             self._state = HomeState.JOINING
             self._join = None
-            self._retry_later()
+            self._access.retry_later()
 
     def _is_own_entry(self, current: home_map.HomeMap) -> bool:
         member = current.member(self._vm)
@@ -231,15 +208,17 @@
         if lost is not None:
             wall_ms = self._clock.wall_ms()
             retention_ms = self._home.table.retention_ms
-            self._write(current.with_lost_member(lost, wall_ms, retention_ms))
+            self._access.write(
+                current.with_lost_member(lost, wall_ms, retention_ms)
+            )
         elif self._state is HomeState.JOINING:
             self._step_join(current)
         elif self._state is HomeState.LEAVING:
             self._step_leave(current)
         elif self._withdrawals:
-            self._write(current.with_next_revision())
+            self._access.write(current.with_next_revision())
         else:
-            self._read_after(MAP_REFRESH_INTERVAL_MS)
+            self._access.refresh_later()
 
     def _lost_member(self, current: home_map.HomeMap) -> str | None:
         for name in current.member_names:
@@ -254,7 +233,9 @@
         elif own is not None:
             self._write_restart(current, own)
         elif not current.members:
-            self._write(current.with_member(self._vm, self._incarnation, 0))
+            self._access.write(
+                current.with_member(self._vm, self._incarnation, 0)
+            )
         else:
             self._collect(current)
 
@@ -262,14 +243,16 @@
         self, current: home_map.HomeMap, own: home_map.HomeMember
     ) -> None:
         since_ms = max(own.complete_since_ms, self._started_ms)
-        self._write(current.with_member(self._vm, self._incarnation, since_ms))
+        self._access.write(
+            current.with_member(self._vm, self._incarnation, since_ms)
+        )
 
     def _enter(self, current: home_map.HomeMap) -> None:
         self._join = None
         self._state = HomeState.MEMBER
         self._home.open(current)
         self._broadcast(current)
-        self._read_after(MAP_REFRESH_INTERVAL_MS)
+        self._access.refresh_later()
 
     def _collect(self, current: home_map.HomeMap) -> None:
         if self._join is None or self._join.revision != current.revision:
@@ -277,14 +260,14 @@
                 self._outbox, self._home, self._vm, self._incarnation, current
             )
         if self._join.is_complete:
-            self._write(
+            self._access.write(
                 current.with_member(
                     self._vm, self._incarnation, self._join.complete_since_ms
                 )
             )
             return
         self._join.ask()
-        self._retry_later()
+        self._access.retry_later()
 
     def _step_leave(self, current: home_map.HomeMap) -> None:
         own = current.member(self._vm)
@@ -296,18 +279,18 @@
         if own is None:
             # A join whose outcome is unknown could still take effect; a
             # higher revision makes it fail.
-            if self._is_write_unknown:
-                self._write(current.with_next_revision())
+            if self._access.is_write_unknown:
+                self._access.write(current.with_next_revision())
                 return
             self._finish_leave()
             return
         if self._home.is_any_running():
-            self._retry_later()
+            self._access.retry_later()
             return
         if current.member_names == [self._vm]:
             wall_ms = self._clock.wall_ms()
             retention_ms = self._home.table.retention_ms
-            self._write(
+            self._access.write(
                 current.with_lost_member(self._vm, wall_ms, retention_ms)
             )
             return
@@ -321,10 +304,10 @@
             )
             self._leave = leave
         if leave.is_complete:
-            self._write(leave.remaining)
+            self._access.write(leave.remaining)
             return
         leave.send()
-        self._retry_later()
+        self._access.retry_later()
 
     def _finish_leave(self) -> None:
         self._state = HomeState.LEFT
@@ -332,32 +315,14 @@
         if on_left is not None:
             on_left()
 
-    def _write(self, content: home_map.HomeMap) -> None:
-        self._is_busy = True
-
-        def on_written(
-            outcome: result.Result[int, result_code.ResultCode],
-        ) -> None:
-            self._is_busy = False
-            if not isinstance(outcome, result.Success):
-                code = outcome.failure()
-                if code is result_code.ResultCode.PLATFORM_OUTCOME_UNKNOWN:
-                    self._is_write_unknown = True
-                self._retry_later()
-                return
-            self._is_write_unknown = False
-            self._version = outcome.unwrap()
-            withdrawn = self._withdrawals - set(content.member_names)
-            for joiner in withdrawn:
-                self._home.withdraw(joiner)
-            self._withdrawals -= withdrawn
-            self._take_map(content)
-            self._broadcast(content)
-            self._step(content)
-
-        self._store.write(
-            self._home.service, self._version, content, on_written
-        )
+    def _on_written(self, content: home_map.HomeMap) -> None:
+        withdrawn = self._withdrawals - set(content.member_names)
+        for joiner in withdrawn:
+            self._home.withdraw(joiner)
+        self._withdrawals -= withdrawn
+        self._take_map(content)
+        self._broadcast(content)
+        self._step(content)
 
     def _broadcast(self, current: home_map.HomeMap) -> None:
         targets = self._peers | set(current.member_names)
@@ -371,79 +336,19 @@
             current.service, current.revision, current.encode()
         )
 
-    def _retry_later(self) -> None:
-        jitter_ms = self._random.randrange(RETRY_INTERVAL_MS)
-        self._read_after(RETRY_INTERVAL_MS + jitter_ms)
-
-    def _read_after(self, delay_ms: int) -> None:
-        due_ms = self._clock.now_ms() + delay_ms
-        if self._timer is not None:
-            if self._timer_due_ms <= due_ms:
-                return
-            self._timer.cancel()
-        self._timer_due_ms = due_ms
-        self._timer = self._clock.call_later(delay_ms, self._on_timer)
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        self._read()
-
     def _on_join(self, peer: str, item: messages_home.HomeJoin) -> None:
         current = self._map
         if self._state is not HomeState.MEMBER or current is None:
-            self._refuse(peer, item.map_revision, "not a member")
-            return
-        if item.map_revision > current.revision:
+            self._granter.refuse(peer, item.map_revision, "not a member")
+        elif item.map_revision > current.revision:
             self._read()
-            return
-        if item.map_revision < current.revision:
+        elif item.map_revision < current.revision:
             self._outbox.send(peer, self._map_message(current))
-            self._refuse(peer, item.map_revision, "the map has changed")
-            return
-        self._grant(peer, item, current)
-
-    def _grant(
-        self,
-        peer: str,
-        item: messages_home.HomeJoin,
-        current: home_map.HomeMap,
-    ) -> None:
-        own = current.member(self._vm)
-        if own is None or item.joiner != peer:
-            self._refuse(peer, item.map_revision, "not a member")
-            return
-        self._home.grant(peer)
-        self._withdrawals.discard(peer)
-        if self._home.is_any_running(peer):
-            return
-        batches = record_batches.split(self._home.records_for(peer))
-        self._outbox.send(
-            peer,
-            messages_home.HomeGrant(
-                current.service,
-                current.revision,
-                peer,
-                own.complete_since_ms,
-                len(batches),
-            ),
-        )
-        for index, rows in enumerate(batches):
-            self._outbox.send(
-                peer,
-                messages_home.HomeRecords(
-                    current.service,
-                    current.revision,
-                    index,
-                    len(batches),
-                    rows,
-                ),
+            self._granter.refuse(
+                peer, item.map_revision, "the map has changed"
             )
-
-    def _refuse(self, peer: str, revision: int, reason: str) -> None:
-        self._outbox.send(
-            peer,
-            messages_home.HomeRefuse(self._home.service, revision, reason),
-        )
+        elif self._granter.grant(peer, item, current):
+            self._withdrawals.discard(peer)
 
     def _on_grant(self, peer: str, item: messages_home.HomeGrant) -> None:
         if self._join is not None:
@@ -456,20 +361,13 @@
                 self._read()
             return
         if self._state is not HomeState.MEMBER:
-            self._refuse(peer, item.map_revision, "not a member")
+            self._granter.refuse(peer, item.map_revision, "not a member")
             return
         current = self._map
         if current is None or item.map_revision != current.revision:
             self._read()
             return
-        for row in item.rows:
-            self._home.take(key_record.from_row(row))
-        self._outbox.send(
-            peer,
-            messages_home.HomeRecordsTaken(
-                item.service, item.map_revision, item.batch
-            ),
-        )
+        self._granter.take(peer, item)
 
     def _on_taken(
         self, peer: str, item: messages_home.HomeRecordsTaken
@@ -482,7 +380,7 @@
 
     def _on_refuse(self, item: messages_home.HomeRefuse) -> None:
         if self._join is not None and item.map_revision == self._join.revision:
-            self._retry_later()
+            self._access.retry_later()
 
     def _on_map_changed(self, item: messages_home.HomeMapChanged) -> None:
         try:
