Let a call that is not repeatable settle after its deadline

Cause: the agent waits 60 s beyond the deadline for the answer of such a call, but told the backend client to give up at the deadline, so a call that arrived late ran and its answer was lost for every resend.

Change: the client gets the same limit as the agent's own timer.

--- a/src/balsamwall/execution/run_control.py
+++ b/src/balsamwall/execution/run_control.py
@@ -267,7 +267,7 @@
                 prompt_tokens=item.prompt_tokens,
                 max_output_tokens=item.max_output_tokens,
                 idempotency_key=scoped_key.caller_key(item.idempotency_key),
-                timeout_ms=left_ms,
+                timeout_ms=limit_ms,
             ),
             run_listener.RunListener(self, run),
         )
