Make holds last 0.3 s and check dispatches to leaving agents

Cause: runs of 40 ms were rarely in progress at a fault, so that no scenario noticed a home that runs keys it may have run before, nor a router that ignores the leaving mark.

--- a/scenarios/world/backends.py
+++ b/scenarios/world/backends.py
@@ -96,7 +96,7 @@
     """Service stand-in of one VM, with a log of its runs."""
 
     def __init__(self, clock, trace, log, vm: str) -> None:
-        super().__init__(clock, duration_ms=40)
+        super().__init__(clock, duration_ms=300)
         self._trace = trace
         self._log = log
         self.vm = vm
--- a/scenarios/world/invariants.py
+++ b/scenarios/world/invariants.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.configuration import configuration_parser
+from balsamwall.protocol import messages_request
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -75,6 +76,7 @@
         self._configured_ms: dict[str, int] = {}
         self._log_read = 0
         self._is_started = False
+        fleet.network.on_send = self._on_send
         # Peaks before the start belong to the fill of the fleet and count.
         self._over: dict[str, int] = {}
 
@@ -267,6 +269,20 @@
                 self._over[f"{vm}/use"] = ended
                 self._trace.broken(UNLOAD, f"{vm} unloaded a model in use")
 
+    def _on_send(self, sender: str, receiver: str, item) -> None:
+        """Check that no entry sends new work to a leaving VM."""
+        agent = self._fleet.agents.get(receiver)
+        if not isinstance(item, messages_request.Dispatch) or agent is None:
+            return
+        now_ms = self._clock.now_ms()
+        # A keyed call may go to its home, which refuses it as not run.
+        if item.kind != "model" or not self._is_past_drain(agent):
+            return
+        if not self._had_fault({sender, receiver}, agent.leaving_ms, now_ms):
+            self._trace.broken(
+                R6, f"{sender} sends new work to {receiver}, which leaves"
+            )
+
     def _check_log(self) -> None:
         log = self._fleet.log
         for row in log[self._log_read :]:
--- a/scenarios/world/network.py
+++ b/scenarios/world/network.py
@@ -49,6 +49,7 @@
         if not self.is_open:
             return False
         self.last_used_ms = self._clock.now_ms()
+        self._network.on_send(self.process.vm, self.vm, item)
         self._transfer(codec.encode(item))
         return True
 
@@ -145,6 +146,9 @@
         self._connectors: dict[str, Connector] = {}
         self._sessions: list[FakeSession] = []
         self._cut: set[str] = set()
+        self.on_send: Callable[[str, str, message.Message], None] = (
+            lambda sender, receiver, item: None
+        )
 
     def delay(self) -> int:
         """Return the delay of one message."""
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -222,7 +222,7 @@
 def main() -> int:
     """Run the mutations and print what noticed each."""
     options = argparse.ArgumentParser(description=__doc__)
-    options.add_argument("--jobs", type=int, default=4)
+    options.add_argument("--jobs", type=int, default=2)
     options.add_argument("--only", default="", help="part of a name")
     found = options.parse_args()
     chosen = [item for item in MUTATIONS if found.only in item.name]
