Keep the KV reserve of the configuration free of weights

Cause: agents took no KV floor from the configuration, so loads on demand could fill the memory that requests need.

Change: the room for weights ends at the reserve of the fleet section.

--- a/src/balsamwall/residency/memory_room.py
+++ b/src/balsamwall/residency/memory_room.py
@@ -16,10 +16,22 @@
     from balsamwall.residency import residency_task
 
 
+# A name without any copy is worse than small batches, so its load may take
+# most of the reserve; the rest keeps requests possible.
+UNREACHABLE_RESERVE_SHARE = 0.25
+
+
 class MemoryRoom:
     """Tell whether weights fit and what to unload if they do not."""
 
-    __slots__ = ("_cost", "_floor_bytes", "_is_evictable", "_ledger", "_table")
+    __slots__ = (
+        "_cost",
+        "_floor_bytes",
+        "_is_evictable",
+        "_kv_reserve",
+        "_ledger",
+        "_table",
+    )
 
     def __init__(
         self,
@@ -28,18 +40,23 @@
         is_evictable: Callable[[model_copy.ModelCopy], bool],
         cost: Callable[[model_copy.ModelCopy], float],
         floor_bytes: int,
+        kv_reserve: Callable[[], float],
     ) -> None:
-        """Take floor_bytes, which stay free of weights."""
+        """Take what stays free of weights: bytes and a share of all."""
         self._ledger = ledger
         self._table = table
         self._is_evictable = is_evictable
         self._cost = cost
         self._floor_bytes = floor_bytes
+        self._kv_reserve = kv_reserve
 
-    def has_room(self, spec: model_copy.CopySpec) -> bool:
+    def has_room(
+        self, task: residency_task.ResidencyTask, spec: model_copy.CopySpec
+    ) -> bool:
         """Tell whether the weights fit beside all that is charged."""
         charged = self._table.remaining_bytes(spec)
-        return self._missing_bytes(spec) - charged <= 0
+        needed = self._table.weight_bytes + spec.memory_bytes - charged
+        return needed <= self._limit_bytes(task)
 
     def victims(
         self,
@@ -49,7 +66,8 @@
     ) -> list[model_copy.ModelCopy] | None:
         """Return what to unload; empty to wait, None if nothing helps."""
         held = sum(copy.spec.memory_bytes for copy in self._table.copies())
-        if held + spec.memory_bytes <= self._limit_bytes:
+        limit_bytes = self._limit_bytes(task)
+        if held + spec.memory_bytes <= limit_bytes:
             return []
         if task.drop or task.is_roll:
             dropped = task.drop or task.name
@@ -62,7 +80,7 @@
         return victim_choice.choose_victims(
             self._table,
             task.barred | {spec.base} | spared,
-            held + spec.memory_bytes - self._limit_bytes,
+            held + spec.memory_bytes - limit_bytes,
             is_evictable,
             self._cost,
         )
@@ -71,11 +89,10 @@
         """Tell whether a copy is of a name that is not configured."""
         return self._cost(copy) < 0
 
-    @property
-    def _limit_bytes(self) -> int:
-        return self._ledger.capacity_bytes - self._floor_bytes
-
-    def _missing_bytes(self, spec: model_copy.CopySpec) -> int:
-        """Return the bytes that the weights lack beside all charges."""
-        needed = self._table.weight_bytes + spec.memory_bytes
-        return needed - self._limit_bytes
+    def _limit_bytes(self, task: residency_task.ResidencyTask) -> int:
+        """Return the memory that weights may occupy after a task."""
+        capacity = self._ledger.capacity_bytes
+        reserve = self._kv_reserve()
+        if task.urgency >= urgency_levels.UNREACHABLE:
+            reserve *= UNREACHABLE_RESERVE_SHARE
+        return capacity - max(self._floor_bytes, round(capacity * reserve))
--- a/src/balsamwall/residency/model_catalogue.py
+++ b/src/balsamwall/residency/model_catalogue.py
@@ -20,6 +20,14 @@
         self._configuration = None
         self._names: frozenset[str] = frozenset()
 
+    @property
+    def kv_reserve(self) -> float:
+        """Return the share of the memory that is kept for the KV cache."""
+        configuration = self._configuration
+        if configuration is None or configuration.fleet is None:
+            return 0.0
+        return configuration.fleet.kv_reserve
+
     def set_configuration(
         self, configuration: tenant_configuration.TenantConfiguration
     ) -> None:
--- a/src/balsamwall/residency/task_runner.py
+++ b/src/balsamwall/residency/task_runner.py
@@ -92,6 +92,7 @@
             self._unload_check.is_evictable,
             self._unload_check.eviction_cost,
             kv_floor_bytes,
+            lambda: catalogue.kv_reserve,
         )
         self._catalogue = catalogue
         self._queue = task_queue.TaskQueue(clock)
@@ -224,7 +225,7 @@
         task.spec = spec
         if spec.base and self._table.ready(spec.base) is None:
             return self._push(task, _Kind.LOAD, spec.base, "")
-        if not self._room.has_room(spec):
+        if not self._room.has_room(task, spec):
             return self._make_room(task, spec)
         if not self._permits.hold(task):
             return self._wait(task, _Code.PERMIT_REFUSED)
--- a/tests/residency/test_residency_manager.py
+++ b/tests/residency/test_residency_manager.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import unittest
 
+from balsamwall.configuration import tenant_configuration
 from balsamwall.protocol import messages_residency
 from balsamwall.residency import memory_ledger
 from balsamwall.residency import residency_hooks
@@ -304,3 +306,17 @@
         self.holders["m0"] = ["vm2"]
         self.clock.advance(3_000)
         self.assertEqual(1, len(done))
+
+    def test_weights_leave_the_kv_reserve_free(self) -> None:
+        """Weights that fill the memory would leave no room for requests."""
+        self.build()
+        self.fleet.configuration = dataclasses.replace(
+            self.fleet.configuration,
+            fleet=tenant_configuration.FleetSpec(1, 100, 0.5, 0),
+        )
+        self.manager.set_configuration(self.fleet.configuration)
+        self.manager.start_recovery()
+        self.manager.ensure("m0", 2)
+        self.manager.ensure("m1", 2)
+        self.clock.advance(60_000)
+        self.assertEqual(("m0",), self.manager.residents.models)
