Name attempts at backend servers without a slash

Cause: the identifier of an attempt had a '/', which was escaped in the path of resume and cancel. The engine did not find it: of 96 streams from 48 callers to one model 41 ended with 3002, because answers that waited for 2 s are read on elsewhere, and a cancelled request went on running at the engine while its memory counted as free.

Change: join request and attempt with '.', decode the last part of a path in the stand-ins, and test waiting and abandoned streams on the running system.

--- a/bench/system/measured_sample.py
+++ b/bench/system/measured_sample.py
@@ -47,6 +47,14 @@
             relay.target_port = int(self.standins[name].rsplit(":", 1)[1])
             self.standins[name] = f"http://{sample.HOST}:{relay.port}"
 
+    def _vm_rows(self) -> list[dict[str, str]]:
+        rows = super()._vm_rows()
+        for row in rows:
+            relay = self.relays.get(row["vm"])
+            if relay is not None:
+                row["address"] = f"{sample.HOST}:{relay.port}"
+        return rows
+
     def open(self) -> float:
         """Start, configure and wait; return seconds until all is resident."""
         self.start()
--- a/src/balsamwall/execution/run.py
+++ b/src/balsamwall/execution/run.py
@@ -73,7 +73,9 @@
         It names the attempt, so that two attempts of one request that meet
         at a backend server stay apart.
         """
-        return f"{self.dispatch.request_id}/{self.dispatch.attempt}"
+        # The identifier becomes one part of a path at the engine; servers
+        # differ in how they read an escaped "/" there.
+        return f"{self.dispatch.request_id}.{self.dispatch.attempt}"
 
     @property
     def tokens(self) -> int:
--- a/standins/balsamwall_standins/http_server.py
+++ b/standins/balsamwall_standins/http_server.py
@@ -6,6 +6,7 @@
 import json
 from typing import Any
 from typing import TYPE_CHECKING
+import urllib.parse
 
 from twisted.internet import error
 from twisted.web import http
@@ -91,7 +92,7 @@
     @property
     def tail(self) -> str:
         """Return the last part of the path."""
-        return self.path.rsplit("/", 1)[-1]
+        return urllib.parse.unquote(self.path.rsplit("/", 1)[-1])
 
     def header(self, name: str) -> str:
         """Return a header, empty without one."""
--- a/tests/system/running_sample.py
+++ b/tests/system/running_sample.py
@@ -182,7 +182,7 @@
         return [
             # The request identifier of a caller has the attempt appended.
             Run(
-                row["request_id"].partition("/")[0],
+                row["request_id"].partition(".")[0],
                 row["idempotency_key"],
                 row["times"],
             )
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -15,6 +15,7 @@
 from tests.system import running_sample
 
 IN_FORCE_LIMIT_S = 12.0
+LOAD = "/engine/load"
 
 
 def print_seconds(what: str, seconds: float) -> None:
@@ -176,6 +177,50 @@
             lambda: not is_refused(1), "cleared everywhere"
         )
 
+    def test_waiting_and_abandoned_streams(self) -> None:
+        """Streams that wait long must be whole; abandoned ones must stop.
+
+        An engine that does not find a request by its identifier can neither
+        resume nor cancel it.
+        """
+        answers: list[bytes] = []
+        streams = [
+            threading.Thread(
+                target=self._stream, args=("clauses-2", index, answers)
+            )
+            for index in range(80)
+        ]
+        for stream in streams:
+            stream.start()
+        for stream in streams:
+            stream.join()
+        self.assertEqual([b"whole"] * len(streams), answers)
+        body = {
+            "model": "clauses-2",
+            "messages": [{"role": "user", "content": "abandoned"}],
+            "max_tokens": 512,
+            "ignore_eos": True,
+        }
+        with self.assertRaises(TimeoutError):
+            self.sample.call(
+                "POST",
+                "/v1/chat/completions",
+                body,
+                tenant="kovacevic",
+                timeout_s=0.5,
+            )
+        seconds = running_sample.wait_until(
+            lambda: self._engine_load() == 0, "no engine runs", 3.0
+        )
+        print_seconds("engines stop an abandoned request", seconds)
+
+    def _engine_load(self) -> int:
+        loads = (
+            self.sample.standin(f"kovacevic-model-{index}-engine", LOAD)
+            for index in (1, 2, 3)
+        )
+        return sum(load["running"] + load["waiting"] for load in loads)
+
     def _resident_on(self, vm: str) -> str:
         rows = json.loads(
             self.sample.api("GET", "kovacevic", "replicas").body
