--- a/bench/system/__main__.py
+++ b/bench/system/__main__.py
@@ -12,6 +12,7 @@
     "tables": table_slopes.measure,
     "fleet": fleet_slopes.measure,
     "traffic": running_system.measure_traffic,
+    "changes": running_system.measure_changes,
     "rest": running_system.measure_rest,
 }
 
--- a/bench/system/measured_sample.py
+++ b/bench/system/measured_sample.py
@@ -55,13 +55,17 @@
                 row["address"] = f"{sample.HOST}:{relay.port}"
         return rows
 
-    def open(self) -> float:
-        """Start, configure and wait; return seconds until all is resident."""
+    def start_configured(self) -> None:
+        """Start all processes and accept the operators' files."""
         self.start()
         for port in self._administration_ports:
             sample.wait_for_port(port)
-        start_s = time.monotonic()
         self.apply_configuration()
+
+    def open(self) -> float:
+        """Start, configure and wait; return seconds until all is resident."""
+        self.start_configured()
+        start_s = time.monotonic()
         self.wait_until_resident()
         return time.monotonic() - start_s
 
