--- a/bench/system/measured_sample.py
+++ b/bench/system/measured_sample.py
@@ -47,13 +47,25 @@
             relay.target_port = int(self.standins[name].rsplit(":", 1)[1])
             self.standins[name] = f"http://{sample.HOST}:{relay.port}"
 
-    def open(self) -> float:
-        """Start, configure and wait; return seconds until all is resident."""
+    def _vm_rows(self) -> list[dict[str, str]]:
+        rows = super()._vm_rows()
+        for row in rows:
+            relay = self.relays.get(row["vm"])
+            if relay is not None:
+                row["address"] = f"{sample.HOST}:{relay.port}"
+        return rows
+
+    def start_configured(self) -> None:
+        """Start all processes and accept the operators' files."""
         self.start()
         for port in self._administration_ports:
             sample.wait_for_port(port)
-        start_s = time.monotonic()
         self.apply_configuration()
+
+    def open(self) -> float:
+        """Start, configure and wait; return seconds until all is resident."""
+        self.start_configured()
+        start_s = time.monotonic()
         self.wait_until_resident()
         return time.monotonic() - start_s
 
