Swap base models with their adapters in bursts

Change: A base and its adapters are one victim if each has another copy; a swap's drop also makes room for the base; only running attempts hold back an unload and waiting ones are refused as not run.

--- a/bench/product_entry.py
+++ b/bench/product_entry.py
@@ -112,6 +112,7 @@
         """Start the leased tasks."""
         self._lease.start()
         self._placement.start()
+        self._permits.start()
 
     def send(self, peer: str, item: message.Message) -> None:
         """Send a message."""
--- a/src/balsamwall/execution/executor.py
+++ b/src/balsamwall/execution/executor.py
@@ -114,12 +114,15 @@
         return self._scheduler.counts()
 
     def active_requests(self, target: str) -> int:
-        """Return the attempts in progress for a model, adapter or service."""
+        """Return the running attempts for a model, adapter or service.
+
+        Attempts that wait are not counted: they never start without a copy
+        that is served, and are refused as not run instead.
+        """
         return sum(
             1
-            for run in self._table.all_runs()
+            for run in self._scheduler.running
             if run.dispatch.target == target
-            and run.state is not run_module.RunState.ENDED
         )
 
     def oldest_start_ms(self, target: str) -> int | None:
@@ -135,7 +138,8 @@
         )
 
     def pump(self) -> None:
-        """Start what may start after memory was freed elsewhere."""
+        """Follow a change of the residents or of the free memory."""
+        self._scheduler.refuse_unheld()
         self._scheduler.pump()
 
     def on_message(self, peer: str, item: message.Message) -> None:
--- a/src/balsamwall/execution/run_scheduler.py
+++ b/src/balsamwall/execution/run_scheduler.py
@@ -246,6 +246,19 @@
                 self._queue.push_front(run)
         self.pump()
 
+    def refuse_unheld(self) -> None:
+        """Refuse waiting attempts whose target is no longer served here."""
+        for run in list(self.waiting()):
+            dispatch = run.dispatch
+            if self._is_held(dispatch.kind, dispatch.target):
+                continue
+            if self.remove(run):
+                self._refuse(
+                    run,
+                    result_code.ResultCode.NO_REPLICA,
+                    f"{dispatch.target} is not resident",
+                )
+
     def pump(self) -> None:
         """Start what may start now."""
         while not self.is_paused and not self._is_isolating():
--- a/src/balsamwall/placement/placement_task.py
+++ b/src/balsamwall/placement/placement_task.py
@@ -18,7 +18,7 @@
     from balsamwall.protocol import outbox as outbox_module
     from balsamwall.timing import clock as clock_module
 
-ROUND_MS = 10_000
+ROUND_MS = 5_000
 # Names without a copy can't be served at all, so they do not wait for the
 # next regular round.
 MISSING_ROUND_MS = 1_000
@@ -136,6 +136,14 @@
             if steps is not None:
                 added = {step.name for step in steps} - worker.residents
                 dropped = {step.other for step in steps}
+                configuration = view.configurations.get(worker.tenant)
+                if configuration is not None:
+                    # The agent unloads the adapters of a base model first.
+                    dropped |= {
+                        name
+                        for name in worker.residents
+                        if configuration.base_of(name) in dropped
+                    }
                 worker = dataclasses.replace(
                     worker,
                     residents=worker.residents - dropped,
--- a/src/balsamwall/placement/planner.py
+++ b/src/balsamwall/placement/planner.py
@@ -23,6 +23,9 @@
 SCAN_LIMIT_MISSING = 2_000
 # Names without a possible replica after which a round ends.
 MAX_FAILURES = 64
+# Burdens that differ by less, in engines, are equal: demand is not known more
+# exactly, and a copy in another zone survives the loss of one.
+BURDEN_STEP = 0.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -30,11 +33,17 @@
     """Parameters of the planner."""
 
     horizon_s: float = 600.0
+    # A burst ends long before the horizon; a copy for it must pay earlier.
+    burst_horizon_s: float = 120.0
     # A gain must exceed the cost by this factor, so that noise in the
     # demand causes no loads.
     hysteresis: float = 1.5
+    # Further factor for a steady name whose rate rests on few requests.
+    unsettled_factor: float = 4.0
     load_bytes_per_s: float = 1e9
     load_fixed_s: float = 5.0
+    # Whether a swap may drop a base model together with its adapters.
+    drops_adapters: bool = True
     min_steps: int = 8
     workers_per_step: int = 100
 
@@ -194,6 +203,14 @@
             if failures > MAX_FAILURES:
                 break
 
+    def _is_burst(self, name: str) -> bool:
+        return self._demand.is_burst(name, self._now_ms)
+
+    def _is_known(self, name: str) -> bool:
+        """Tell whether the demand for a name stands out from the noise."""
+        is_settled = self._demand.is_settled(self._now_ms)
+        return is_settled or self._is_burst(name)
+
     def _possible_gain(self, name: str) -> float:
         """Return a bound on the excess that more replicas can remove."""
         work = self._model.work(name)
@@ -207,8 +224,14 @@
         move_weight, attainment_weight = self._weights.get(name, (1.0, 1.0))
         size = self._model.sizes[name]
         cost_s = values.load_fixed_s + size / values.load_bytes_per_s
-        gain_s = values.horizon_s * max(attainment_weight, 1e-9)
-        return values.hysteresis * cost_s * move_weight / gain_s
+        horizon_s = values.horizon_s
+        if self._is_burst(name):
+            horizon_s = values.burst_horizon_s
+        gain_s = horizon_s * max(attainment_weight, 1e-9)
+        hysteresis = values.hysteresis
+        if not self._is_known(name):
+            hysteresis *= values.unsettled_factor
+        return hysteresis * cost_s * move_weight / gain_s
 
     def _add_one(self, name: str) -> bool:
         model = self._model
@@ -222,6 +245,9 @@
             if relief - model.burden_of_adding(name, worker) > needed:
                 self._take(worker, name, "", level)
                 return True
+        if not self._is_known(name):
+            # A swap takes capacity from others while its load runs.
+            return False
         worker, victim, net = self._best_swap(name)
         if worker is None or net <= needed:
             return False
@@ -240,7 +266,8 @@
         step = fleet_view.Step(vm, action, name, victim, level)
         self._steps.append(step)
         if victim:
-            self._model.drop(victim, worker)
+            for item in sorted(self._model.group(victim, worker)):
+                self._model.drop(item, worker)
         self._model.add(name, worker)
 
     def _best_free(
@@ -280,9 +307,9 @@
 
         def rank(
             worker: fleet_model.WorkerModel,
-        ) -> tuple[float, int, tuple[float, int]]:
+        ) -> tuple[int, int, tuple[float, int]]:
             return (
-                round(model.burden_of_adding(name, worker), 3),
+                round(model.burden_of_adding(name, worker) / BURDEN_STEP),
                 zones[worker.view.availability_zone],
                 worker.order,
             )
@@ -299,14 +326,12 @@
         workers = model.least_loaded(
             lambda worker: name not in worker.names, CANDIDATES, SCAN_LIMIT
         )
-        relief = model.relief_of_adding(name)
         for worker in workers:
             wanted = model.needed_bytes(name, worker) - worker.free_bytes
-            gain = relief - model.burden_of_adding(name, worker)
             for victim in sorted(worker.ready & worker.names):
                 if not self._is_spare(victim, name, worker, wanted):
                     continue
-                net = gain - model.loss_of_dropping(victim, worker)
+                net = model.gain_of_exchange(name, victim, worker)
                 if net > best[2]:
                     best = (worker, victim, net)
         return best
@@ -318,17 +343,28 @@
         worker: fleet_model.WorkerModel,
         wanted: int,
     ) -> bool:
-        """Tell whether a copy may go for a name: another one stays."""
+        """Tell whether a copy may go for a name: another one stays.
+
+        The adapters of a base model go with it, so each needs another copy.
+        """
         model = self._model
-        if model.sizes.get(victim, 0) < wanted or victim not in model.holders:
+        if victim not in model.holders:
             return False
         if victim in (name, model.base_of(name)):
             return False
-        if any(a in worker.names for a in model.dependents.get(victim, ())):
+        group = model.group(victim, worker)
+        if name in group or not group <= worker.ready:
             return False
-        return any(
-            holder is not worker and victim in holder.ready
-            for holder in model.holders[victim]
+        if len(group) > 1 and not self._values.drops_adapters:
+            return False
+        if sum(model.sizes[item] for item in group) < wanted:
+            return False
+        return all(
+            any(
+                holder is not worker and item in holder.ready
+                for holder in model.holders[item]
+            )
+            for item in group
         )
 
 
--- a/src/balsamwall/residency/task_runner.py
+++ b/src/balsamwall/residency/task_runner.py
@@ -223,7 +223,11 @@
             return self._finish(task, _Code.OK)
         task.spec = spec
         if spec.base and self._table.ready(spec.base) is None:
-            return self._push(task, _Kind.LOAD, spec.base, "")
+            self._push(task, _Kind.LOAD, spec.base, "")
+            # A swap for an adapter makes room for its base model too.
+            base_task = self._stack[-1]
+            base_task.drop = base_task.drop or task.drop
+            return True
         if not self._room.has_room(spec):
             return self._make_room(task, spec)
         if not self._permits.hold(task):
