Read attempt identifiers with a dot in the harnesses

Cause: attempts at backend servers are named REQUEST.ATTEMPT since a cancel never reached the engine under an escaped slash; three harnesses still split at the slash.

Change: the fakes and one expectation use the dot.

--- a/scenarios/world/backends.py
+++ b/scenarios/world/backends.py
@@ -54,7 +54,7 @@
         self.vm = vm
 
         def on_run(backend_id: str, key: str) -> None:
-            request_id = backend_id.partition("/")[0]
+            request_id = backend_id.rpartition(".")[0]
             log.append(Execution(clock.now_ms(), vm, request_id, key))
 
         self.core = engine_core.EngineCore(clock, options, store, on_run)
@@ -104,7 +104,7 @@
 
     def _run(self, request, listener) -> None:
         if not self.is_down:
-            request_id = request.request_id.partition("/")[0]
+            request_id = request.request_id.rpartition(".")[0]
             self._log.append(
                 Execution(
                     self._clock.now_ms(),
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -144,7 +144,7 @@
         self.take(dispatch(2, is_repeatable=False))
         self.executor.on_peer_down("e")
         self.clock.advance(6_000)
-        self.assertEqual(["r2/2"], list(self.backend.running))
+        self.assertEqual(["r2.2"], list(self.backend.running))
 
     def test_urgent_before_deferrable(self):
         """Deferrable requests must not take the urgent share of memory."""
--- a/tests/request_path/fake_backend.py
+++ b/tests/request_path/fake_backend.py
@@ -119,7 +119,7 @@
         self.crashes = 0
 
     def start(self, request, listener):
-        request_id = request.request_id.rsplit("/", 1)[0]
+        request_id = request.request_id.rsplit(".", 1)[0]
         parts = [
             f"[{request_id} {len(self.log)} {index}]".encode()
             for index in range(self.random.randint(1, 6))
