Read the VM list again only when it has changed

Change: the client sends If-None-Match with the tag of the last list; the stand-in answers 304 without a body while the list is the same.

--- a/src/balsamwall/platform/vm_list_client.py
+++ b/src/balsamwall/platform/vm_list_client.py
@@ -17,6 +17,7 @@
 
 POLL_INTERVAL_MS = 1_000
 POLL_TIMEOUT_MS = 2_000
+NOT_MODIFIED = 304
 _TEXT_FIELDS = (
     "vm",
     "availability_zone",
@@ -68,6 +69,7 @@
         "_is_stopped",
         "_last",
         "_on_listing",
+        "_tag",
         "_timer",
         "_url",
         "failed_polls",
@@ -89,6 +91,9 @@
         self._on_listing: Callable[[VmListing], None] | None = None
         self._timer: clock_module.Timer | None = None
         self._cancel_call: Callable[[], None] | None = None
+        # A list of 1,400 VMs is 177 KB; without a tag each process would
+        # read all of it every second.
+        self._tag = ""
         self.failed_polls = 0
 
     @property
@@ -111,17 +116,27 @@
 
     def _poll(self) -> None:
         if not self._is_stopped:
+            headers = {"if-none-match": self._tag} if self._tag else {}
             self._cancel_call = self._client.call(
-                "GET", self._url, {}, b"", POLL_TIMEOUT_MS, self._on_answer
+                "GET",
+                self._url,
+                headers,
+                b"",
+                POLL_TIMEOUT_MS,
+                self._on_answer,
             )
 
     def _on_answer(self, answer: http_client.HttpAnswer) -> None:
         self._cancel_call = None
+        if answer.status == NOT_MODIFIED:
+            self._timer = self._clock.call_later(self._interval_ms, self._poll)
+            return
         listing = parse_listing(answer) if answer.status == 200 else None
         self._timer = self._clock.call_later(self._interval_ms, self._poll)
         if listing is None:
             self.failed_polls += 1
             return
+        self._tag = answer.headers.get("etag", "")
         if listing != self._last:
             self._last = listing
             if self._on_listing is not None:
--- a/standins/balsamwall_standins/vm_list.py
+++ b/standins/balsamwall_standins/vm_list.py
@@ -51,7 +51,12 @@
         self._revision += 1
 
     def _on_list(self, call: http_server.Call) -> None:
-        call.reply(200, {"revision": self._revision, "vms": self._shown})
+        tag = f'"{self._revision}"'
+        if call.header("if-none-match") == tag:
+            call.reply(304, {}, {"etag": tag})
+            return
+        body = {"revision": self._revision, "vms": self._shown}
+        call.reply(200, body, {"etag": tag})
 
     def _on_change(self, call: http_server.Call) -> None:
         body = call.json()
--- a/tests/platform/test_vm_list_client.py
+++ b/tests/platform/test_vm_list_client.py
@@ -6,7 +6,9 @@
 
 from twisted.internet import reactor
 
+from balsamwall.platform import http_client
 from balsamwall.platform import vm_list_client
+from balsamwall.timing import virtual_clock
 from tests.fixtures import reactor_thread
 from tests.fixtures import standin_process
 
@@ -36,3 +38,29 @@
         standin.set_faults(down_ms=300)
         standin_process.wait_until(lambda: client.failed_polls > 0)
         self.assertEqual(2, len(seen))
+
+    def test_unchanged_list_is_not_read_again(self) -> None:
+        """At 1,400 VMs a whole list every second costs 177 KB a second."""
+        clock = virtual_clock.VirtualClock()
+        client = vm_list_client.VmListClient(None, clock, "http://list")
+        seen = []
+        tags = []
+
+        class HttpClient:
+            def call(self, method, url, headers, body, timeout_ms, callback):
+                tags.append(headers.get("if-none-match"))
+                if tags[-1]:
+                    callback(answer(304, b""))
+                else:
+                    callback(answer(200, b'{"revision": 1, "vms": []}'))
+
+        def answer(status, body):
+            headers = {"etag": '"1"'}
+            return http_client.HttpAnswer(status, headers, body, True, "")
+
+        client._client = HttpClient()
+        client.start(seen.append)
+        clock.advance(2_000)
+        self.assertEqual([None, '"1"', '"1"'], tags)
+        self.assertEqual(1, len(seen))
+        self.assertEqual(0, client.failed_polls)
