Split the units of agents and entries into one module per class

Change: EngineUnit, ServiceUnit, DemandListener, permit owners and PlatformClients have modules of their own; the entry unit uses the list of entry_parts. Behaviour is unchanged.

--- a/scenarios/world/daemons.py
+++ b/scenarios/world/daemons.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.agent import agent_core
-from balsamwall.composition import agent_unit
+from balsamwall.composition import engine_unit
 from balsamwall.composition import entry_unit
 from balsamwall.composition import fleet_state
+from balsamwall.composition import service_unit
 from balsamwall.composition import tenant_switch
 from balsamwall.composition import vm_feed
 from balsamwall.configuration import administration
@@ -119,9 +120,9 @@
             port,
         )
         if self._services:
-            self.unit = agent_unit.ServiceUnit(*arguments, key_value)
+            self.unit = service_unit.ServiceUnit(*arguments, key_value)
         else:
-            self.unit = agent_unit.EngineUnit(*arguments)
+            self.unit = engine_unit.EngineUnit(*arguments)
         parts = self.unit.parts()
         parts.configuration = self.replica
         self.core = agent_core.AgentCore(
--- a/src/balsamwall/composition/entry_unit.py
+++ b/src/balsamwall/composition/entry_unit.py
@@ -5,17 +5,19 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from balsamwall.composition import demand_listener
 from balsamwall.composition import demand_meter
 from balsamwall.composition import ensure_choice
+from balsamwall.composition import permit_owners
 from balsamwall.configuration import configuration_watcher
 from balsamwall.dispatch import caller_request
 from balsamwall.dispatch import dispatcher
+from balsamwall.entry import entry_parts
 from balsamwall.execution import crash_attribution
 from balsamwall.idempotency import home_directory
 from balsamwall.limits import request_limits
 from balsamwall.membership import leaving_marks
 from balsamwall.membership import peer_subset
-from balsamwall.membership import rendezvous
 from balsamwall.placement import fleet_view
 from balsamwall.placement import lease_keeper
 from balsamwall.placement import permit_task
@@ -30,8 +32,6 @@
 from balsamwall.routing import router
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from balsamwall.composition import vm_feed
     from balsamwall.configuration import configuration_replica
     from balsamwall.configuration import configuration_store
@@ -45,9 +45,6 @@
 
 ENSURE_INTERVAL_MS = 1_000
 DEFAULT_KV_RESERVE = 0.3
-# Used until the configuration names the limits of the weight store.
-DEFAULT_LOADS_PER_SECOND = 1.0
-DEFAULT_LOADS_AT_ONCE = 2
 
 _REFUSED_EARLY = frozenset(
     (
@@ -165,7 +162,7 @@
     ) -> None:
         """Start a request."""
         if request.kind == "model":
-            listener = _DemandListener(self, request, listener)
+            listener = demand_listener.DemandListener(self, request, listener)
         self.dispatcher.submit(request, listener)
 
     def on_message(self, peer: str, item: message.Message) -> None:
@@ -282,17 +279,7 @@
 
     def _add_owners(self) -> None:
         hub = self._hub
-        hub.add(
-            self.dispatcher,
-            (
-                messages_request.Accepted,
-                messages_request.Refused,
-                messages_request.Chunk,
-                messages_request.End,
-                messages_request.Failed,
-                messages_request.Cancelled,
-            ),
-        )
+        hub.add(self.dispatcher, entry_parts.MESSAGE_TYPES["dispatcher"])
         hub.add(
             self.router,
             (
@@ -369,12 +356,14 @@
         return lease
 
     def _is_lease_candidate(self, name: str) -> bool:
-        return self._vm == lease_candidate(self._feed, self.tenant, name)
+        return self._vm == permit_owners.lease_candidate(
+            self._feed, self.tenant, name
+        )
 
     def _replace_permits(
         self, configuration: tenant_configuration.TenantConfiguration
     ) -> None:
-        rate, concurrency = weight_store_limits(configuration)
+        rate, concurrency = permit_owners.weight_store_limits(configuration)
         if self._permits is not None:
             self._permits.stop()
         self._permits = permit_task.PermitTask(
@@ -388,7 +377,7 @@
         self._permits.start()
 
     def _owns_share(self, index: int) -> bool:
-        owners = share_owners(self._feed, self.tenant, index + 1)
+        owners = permit_owners.share_owners(self._feed, self.tenant, index + 1)
         return len(owners) > index and owners[index] == self._vm
 
     def _on_vms(self, directory: vm_directory.VmDirectory) -> None:
@@ -413,28 +402,6 @@
         self.router.forget(vm)
 
 
-def lease_candidate(feed: vm_feed.VmFeed, tenant: str, name: str) -> str:
-    """Return the entry that may hold a lease, empty without an entry."""
-    names = [row.vm for row in feed.entries(tenant)]
-    return rendezvous.winner(f"{tenant}/{name}", names) or ""
-
-
-def share_owners(feed: vm_feed.VmFeed, tenant: str, count: int) -> list[str]:
-    """Return the entries that own the fixed shares of permits."""
-    names = [row.vm for row in feed.entries(tenant)]
-    return rendezvous.ranking(f"{tenant}/permit-share", names, count)
-
-
-def weight_store_limits(
-    configuration: tenant_configuration.TenantConfiguration,
-) -> tuple[float, int]:
-    """Return loads per second and loads at once of the weight store."""
-    spec = configuration.weight_store
-    if spec is None:
-        return DEFAULT_LOADS_PER_SECOND, DEFAULT_LOADS_AT_ONCE
-    return spec.loads_per_second, spec.max_concurrent
-
-
 class _Recorder:
     """Owner of the messages that the unit itself takes."""
 
@@ -446,34 +413,3 @@
     def on_message(self, peer: str, item: message.Message) -> None:
         """Receive a message."""
         self._unit.on_recorded(peer, item)
-
-
-class _DemandListener:
-    """Listener that counts the demand of refused requests."""
-
-    __slots__ = ("_listener", "_request", "_unit")
-
-    def __init__(
-        self,
-        unit: EntryUnit,
-        request: caller_request.CallerRequest,
-        listener: caller_request.AnswerListener,
-    ) -> None:
-        self._unit = unit
-        self._request = request
-        self._listener = listener
-
-    @property
-    def on_chunk(self) -> Callable[[bytes], None]:
-        """Return the receiver of parts."""
-        return self._listener.on_chunk
-
-    @property
-    def on_end(self) -> Callable[[caller_request.AnswerEnd], None]:
-        """Return the receiver of the end."""
-        return self._listener.on_end
-
-    def on_failure(self, failure: caller_request.AnswerFailure) -> None:
-        """Count a refusal and pass it on."""
-        self._unit.on_refused(self._request, failure.code)
-        self._listener.on_failure(failure)
--- /dev/null
+++ b/src/balsamwall/composition/platform_clients.py
@@ -0,0 +1,44 @@
+"""Clients of the platform's services of one process."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from balsamwall.composition import vm_feed
+from balsamwall.configuration import configuration_store
+from balsamwall.platform import etcd_client
+from balsamwall.platform import vm_list_client
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.settings import daemon_settings
+    from balsamwall.timing import clock as clock_module
+
+
+class PlatformClients:
+    """Clients of the platform's services of one process."""
+
+    __slots__ = ("feed", "key_value", "store", "vm_list")
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clock_module.Clock,
+        settings: daemon_settings.DaemonSettings,
+        count: Callable[[str], None],
+    ) -> None:
+        self.key_value = etcd_client.EtcdClient(
+            reactor,
+            clock,
+            [f"http://{item.host}:{item.port}" for item in settings.key_value],
+        )
+        self.store = configuration_store.ConfigurationStore(
+            self.key_value, clock
+        )
+        where = settings.vm_list
+        self.vm_list = vm_list_client.VmListClient(
+            reactor, clock, f"http://{where.host}:{where.port}"
+        )
+        self.feed = vm_feed.VmFeed(count)
--- a/src/balsamwall/composition/unit_gauges.py
+++ b/src/balsamwall/composition/unit_gauges.py
@@ -8,14 +8,15 @@
     from collections.abc import Callable
 
     from balsamwall.agent import agent_parts
-    from balsamwall.composition import agent_unit
+    from balsamwall.composition import engine_unit
     from balsamwall.composition import entry_unit
+    from balsamwall.composition import service_unit
     from balsamwall.metrics import metrics as metrics_module
 
 
 def watch_agents(
     metrics: metrics_module.Metrics,
-    units: dict[str, agent_unit.EngineUnit | agent_unit.ServiceUnit],
+    units: dict[str, engine_unit.EngineUnit | service_unit.ServiceUnit],
 ) -> None:
     """Add the gauges of the units of an agent, one series per unit."""
     for field, description in (
@@ -76,7 +77,7 @@
 
 
 def _load(
-    unit: agent_unit.EngineUnit | agent_unit.ServiceUnit, field: str
+    unit: engine_unit.EngineUnit | service_unit.ServiceUnit, field: str
 ) -> Callable[[], float]:
     def read() -> float:
         counts: agent_parts.LoadCounts = unit.load_source.load_counts()
@@ -86,19 +87,19 @@
 
 
 def _down(
-    unit: agent_unit.EngineUnit | agent_unit.ServiceUnit,
+    unit: engine_unit.EngineUnit | service_unit.ServiceUnit,
 ) -> Callable[[], float]:
     return lambda: float(unit.is_down)
 
 
 def _memory(
-    unit: agent_unit.EngineUnit | agent_unit.ServiceUnit, attribute: str
+    unit: engine_unit.EngineUnit | service_unit.ServiceUnit, attribute: str
 ) -> Callable[[], float]:
     return lambda: float(getattr(unit.memory, attribute))
 
 
 def _residents(
-    unit: agent_unit.EngineUnit | agent_unit.ServiceUnit,
+    unit: engine_unit.EngineUnit | service_unit.ServiceUnit,
 ) -> Callable[[], float]:
     def read() -> float:
         names = unit.resident_names()
--- a/src/balsamwall/factory.py
+++ b/src/balsamwall/factory.py
@@ -10,15 +10,16 @@
 from balsamwall.agent import agent_core
 from balsamwall.backend import engine_client
 from balsamwall.backend import service_client
-from balsamwall.composition import agent_unit
 from balsamwall.composition import endpoint_bridge
+from balsamwall.composition import engine_unit
 from balsamwall.composition import entry_unit
 from balsamwall.composition import fleet_state
+from balsamwall.composition import platform_clients
+from balsamwall.composition import service_unit
 from balsamwall.composition import tenant_switch
 from balsamwall.composition import unit_gauges
 from balsamwall.composition import vm_feed
 from balsamwall.configuration import configuration_replica
-from balsamwall.configuration import configuration_store
 from balsamwall.configuration import configuration_watcher
 from balsamwall.entry import administration
 from balsamwall.entry import administration_endpoints
@@ -31,8 +32,6 @@
 from balsamwall.entry import request_checker
 from balsamwall.metrics import metrics as metrics_module
 from balsamwall.metrics import status_resource
-from balsamwall.platform import etcd_client
-from balsamwall.platform import vm_list_client
 from balsamwall.protocol import key_ring
 from balsamwall.protocol import peer_table
 from balsamwall.protocol import session
@@ -115,28 +114,6 @@
             port.stopListening()
 
 
-class _Platform:
-    """Clients of the platform's services of one process."""
-
-    __slots__ = ("feed", "key_value", "store", "vm_list")
-
-    def __init__(self, daemon: Daemon) -> None:
-        settings = daemon.settings
-        self.key_value = etcd_client.EtcdClient(
-            daemon.reactor,
-            daemon.clock,
-            [f"http://{item.host}:{item.port}" for item in settings.key_value],
-        )
-        self.store = configuration_store.ConfigurationStore(
-            self.key_value, daemon.clock
-        )
-        where = settings.vm_list
-        self.vm_list = vm_list_client.VmListClient(
-            daemon.reactor, daemon.clock, f"http://{where.host}:{where.port}"
-        )
-        self.feed = vm_feed.VmFeed(daemon.metrics.count)
-
-
 def build(settings: daemon_settings.DaemonSettings, reactor: Any) -> Daemon:
     """Build and start a daemon; raise OSError if a port is taken."""
     daemon = Daemon(settings, reactor)
@@ -178,7 +155,9 @@
     # The listening ports come first: a second agent for the same backend
     # server must end here, before it could send an order.
     units = []
-    platform = _Platform(daemon)
+    platform = platform_clients.PlatformClients(
+        daemon.reactor, daemon.clock, daemon.settings, daemon.metrics.count
+    )
     for backend in daemon.settings.backends:
         identity = _identity(daemon, backend.peer)
         table, streams = _build_streams(daemon, identity)
@@ -198,20 +177,20 @@
 
 def _build_unit(
     daemon: Daemon,
-    platform: _Platform,
+    platform: platform_clients.PlatformClients,
     table: peer_table.PeerTable,
     streams: stream.StreamTransport,
     identity: session.Identity,
     backend: daemon_settings.BackendSettings,
-) -> agent_unit.EngineUnit | agent_unit.ServiceUnit:
+) -> engine_unit.EngineUnit | service_unit.ServiceUnit:
     tenant = identity.tenant
     replica, watcher = _build_configuration(
         daemon, platform, table, tenant, identity.vm
     )
     url = f"http://{backend.server.host}:{backend.server.port}"
-    unit: agent_unit.EngineUnit | agent_unit.ServiceUnit
+    unit: engine_unit.EngineUnit | service_unit.ServiceUnit
     if backend.kind == "engine":
-        unit = agent_unit.EngineUnit(
+        unit = engine_unit.EngineUnit(
             daemon.clock,
             daemon.random,
             table,
@@ -222,7 +201,7 @@
             daemon.metrics,
         )
     else:
-        unit = agent_unit.ServiceUnit(
+        unit = service_unit.ServiceUnit(
             daemon.clock,
             daemon.random,
             table,
@@ -265,7 +244,7 @@
 
 def _build_configuration(
     daemon: Daemon,
-    platform: _Platform,
+    platform: platform_clients.PlatformClients,
     table: peer_table.PeerTable,
     tenant: str,
     vm: str,
@@ -292,7 +271,9 @@
 def _build_entry(daemon: Daemon) -> None:
     settings = daemon.settings
     table, streams = _build_streams(daemon, _identity(daemon, settings.vm))
-    platform = _Platform(daemon)
+    platform = platform_clients.PlatformClients(
+        daemon.reactor, daemon.clock, daemon.settings, daemon.metrics.count
+    )
     platform.feed.add_table(table)
     tenants = settings.tenant.split()
     replica = configuration_replica.ConfigurationReplica(
