Name the benchmark of running daemons in the Makefile

Cause: python -m bench.system had no target and no mention for contributors. Result: nothing measured.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,8 @@
 
 bench: install
 	$(BIN)/python -m bench
+
+# Cost of running daemons: processor time per token and request, memory,
+# control traffic; it starts the whole system.
+bench-system: install
+	$(BIN)/python -m bench.system
