--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
-.PHONY: install run test lint format scenarios mutations bench
+.PHONY: install run test lint format scenarios mutations bench bench-system
 
 install: .venv/installed
 
