Wait for the key homes before the request tests of the system

Cause: in one whole run test_booking_hold and test_booking_hold_without_key failed, and the log of the run was lost: behave opened /dev/stdout as an output file and truncated it. The tests share a system whose agents earlier tests kill, and a home refuses keys made before it is complete; whether this was the reason could not be seen.

Change: verify gives behave no output file named /dev/stdout. The request tests begin once 12 new holds in a row are taken through both entries. Their checks are unchanged.

--- a/tests/system/running_sample.py
+++ b/tests/system/running_sample.py
@@ -201,6 +201,21 @@
             found[run.key] = found.get(run.key, 0) + run.times
         return found
 
+    def wait_until_holds_are_taken(self) -> None:
+        """Wait until the key homes take new keys from both entries.
+
+        A home takes no keys that were made before it was complete, so tests
+        that stop homes leave a time in which new holds are refused.
+        """
+        wait_until(
+            lambda: all(
+                self.book({"hall": f"new-{index}"}, entry=index % 2).status
+                == 200
+                for index in range(12)
+            ),
+            "new keys are taken",
+        )
+
     def metric(self, vm: str, name: str) -> dict[str, float]:
         """Return the values of a metric by their labels."""
         port = int(self.metrics[vm].rsplit(":", 1)[1].split("/")[0])
--- a/tests/system/test_booking_holds.py
+++ b/tests/system/test_booking_holds.py
@@ -80,14 +80,7 @@
             numbers[outcome] = numbers.get(outcome, 0) + 1
         print(f"measured: outcomes of {HOLDS} holds: {numbers}", flush=True)
         self.assertEqual([], self.sample.tracebacks())
-        # A home takes no keys that were made before it was complete.
-        running_sample.wait_until(
-            lambda: all(
-                self.sample.book({"hall": f"after-{index}"}).status == 200
-                for index in range(8)
-            ),
-            "new keys are taken",
-        )
+        self.sample.wait_until_holds_are_taken()
 
     def _check_answers(
         self, times: dict[str, int], requests: dict[str, set[str]]
--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -31,6 +31,7 @@
     @classmethod
     def setUpClass(cls) -> None:
         cls.sample = running_sample.shared()
+        cls.sample.wait_until_holds_are_taken()
 
     def _client(self, tenant: str, entry: int) -> openai.OpenAI:
         port = self.sample.caller_ports[entry]
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -40,8 +40,8 @@
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder, "report.json")
         command = [sys.executable, "-m", "behave", "scenarios"]
-        command += ["--format", "progress", "--format", "json"]
-        command += ["--outfile", "/dev/stdout", "--outfile", str(report)]
+        # An output file named /dev/stdout would truncate the log of the run.
+        command += ["--format", "json", "--outfile", str(report)]
         subprocess.run(command, check=False)
         if not report.exists():
             return 0, ["behave ended without a report"]
