Wait for every key home with keys of the tests

Cause: test_booking_hold got key_record_incomplete (409) for a fresh key. The hold test waited with holds without a key; for those an entry makes keys whose home is live, so a home that was still starting was missed, and it refuses keys made up to 1.5 s after its start, as designed.

Change: the wait sends keys of its own, which reach every home.

Result: the refusal is the documented one; the checks of the tests are unchanged.

--- a/tests/system/running_sample.py
+++ b/tests/system/running_sample.py
@@ -21,6 +21,7 @@
 from balsamwall_standins import sample
 from balsamwall_standins import sample_operators
 
+from balsamwall.console import idempotency_key
 from tests.system import silent_relay
 
 if TYPE_CHECKING:
@@ -205,11 +206,17 @@
         """Wait until the key homes take new keys from both entries.
 
         A home takes no keys that were made before it was complete, so tests
-        that stop homes leave a time in which new holds are refused.
+        that stop homes leave a time in which new holds are refused. The keys
+        come from here: an entry makes only keys whose home is live, which
+        would miss a home that is still starting.
         """
         wait_until(
             lambda: all(
-                self.book({"hall": f"new-{index}"}, entry=index % 2).status
+                self.book(
+                    {"hall": f"new-{index}"},
+                    idempotency_key.new_key(),
+                    index % 2,
+                ).status
                 == 200
                 for index in range(12)
             ),
