Make the keys of the tool with the shared UUIDv7 module

Cause: the command-line tool built UUIDv7 keys by hand beside idempotency/uuid7.py, which the entry uses.

Change: new_key calls uuid7.generate with the system's random source. Behaviour is unchanged.

--- a/src/balsamwall/console/idempotency_key.py
+++ b/src/balsamwall/console/idempotency_key.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import secrets
+import random
 import time
-import uuid
+
+from balsamwall.idempotency import uuid7
 
 
 def new_key() -> str:
     """Return a UUIDv7 of RFC 9562; it carries its creation time."""
-    value = (time.time_ns() // 1_000_000 & (2**48 - 1)) << 80
-    value |= 0x7 << 76 | secrets.randbits(12) << 64
-    value |= 0b10 << 62 | secrets.randbits(62)
-    return str(uuid.UUID(int=value))
+    wall_ms = time.time_ns() // 1_000_000
+    return uuid7.generate(wall_ms, random.SystemRandom())
