Define the interfaces of the configuration in force once

Cause: agent_parts and entry_parts held the same two protocols for readers and owners of configurations.

Change: configuration_roles.py defines them for both. Behaviour is unchanged.

--- a/src/balsamwall/agent/agent_parts.py
+++ b/src/balsamwall/agent/agent_parts.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamwall.configuration import tenant_configuration
+    from balsamwall.configuration import configuration_roles
     from balsamwall.protocol import message
     from balsamwall.protocol import message_hub
     from balsamwall.residency import memory_account
@@ -69,25 +69,6 @@
         """Return the names now."""
 
 
-class ConfigurationReader(Protocol):
-    """Receiver of configurations that come into force."""
-
-    def on_configuration(
-        self, configuration: tenant_configuration.TenantConfiguration
-    ) -> None:
-        """Take a configuration."""
-
-
-class ConfigurationOwner(Protocol):
-    """Highest revisions that this process has seen."""
-
-    def on_message(self, peer: str, item: message.Message) -> None:
-        """Receive a message."""
-
-    def revisions(self) -> dict[str, int]:
-        """Return the revision in force per tenant."""
-
-
 @dataclasses.dataclass(slots=True)
 class AgentParts:
     """Decision objects by what they own; None for an absent one."""
@@ -98,14 +79,14 @@
     key_homes: message_hub.MessageOwner | None = None
     membership: message_hub.MessageOwner | None = None
     quarantine: message_hub.MessageOwner | None = None
-    configuration: ConfigurationOwner | None = None
+    configuration: configuration_roles.ConfigurationOwner | None = None
     fleet_view: message_hub.MessageOwner | None = None
     permits: message_hub.MessageOwner | None = None
     memory: memory_account.MemoryAccount | None = None
     load_source: LoadSource | None = None
     resident_source: ResidentSource | None = None
-    configuration_readers: list[ConfigurationReader] = dataclasses.field(
-        default_factory=list
+    configuration_readers: list[configuration_roles.ConfigurationReader] = (
+        dataclasses.field(default_factory=list)
     )
     # Each step starts when the VM is marked as leaving and calls back once
     # when its work is complete.
--- a/src/balsamwall/entry/entry_parts.py
+++ b/src/balsamwall/entry/entry_parts.py
@@ -14,7 +14,7 @@
 from balsamwall.protocol import messages_state
 
 if TYPE_CHECKING:
-    from balsamwall.configuration import tenant_configuration
+    from balsamwall.configuration import configuration_roles
     from balsamwall.dispatch import caller_request
     from balsamwall.protocol import message
     from balsamwall.protocol import message_hub
@@ -37,25 +37,6 @@
         """Receive a message."""
 
 
-class ConfigurationReader(Protocol):
-    """Receiver of configurations that come into force."""
-
-    def on_configuration(
-        self, configuration: tenant_configuration.TenantConfiguration
-    ) -> None:
-        """Take a configuration."""
-
-
-class ConfigurationOwner(Protocol):
-    """Highest revisions that this process has seen."""
-
-    def on_message(self, peer: str, item: message.Message) -> None:
-        """Receive a message."""
-
-    def revisions(self) -> dict[str, int]:
-        """Return the revision in force per tenant."""
-
-
 @dataclasses.dataclass(slots=True)
 class EntryParts:
     """Decision objects by what they own; None for an absent one."""
@@ -64,11 +45,11 @@
     fleet_view: message_hub.MessageOwner | None = None
     membership: message_hub.MessageOwner | None = None
     quarantine: message_hub.MessageOwner | None = None
-    configuration: ConfigurationOwner | None = None
+    configuration: configuration_roles.ConfigurationOwner | None = None
     key_homes: message_hub.MessageOwner | None = None
     permits: message_hub.MessageOwner | None = None
-    configuration_readers: list[ConfigurationReader] = dataclasses.field(
-        default_factory=list
+    configuration_readers: list[configuration_roles.ConfigurationReader] = (
+        dataclasses.field(default_factory=list)
     )
 
 
