--- a/scenarios/world/fleet.py
+++ b/scenarios/world/fleet.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from balsamwall.platform import vm_list_client
+from balsamwall.infrastructure import vm_list_client
 from balsamwall.timing import virtual_clock
 from scenarios.world import backends
 from scenarios.world import callers
--- a/src/balsamwall/backend/engine_answer.py
+++ b/src/balsamwall/backend/engine_answer.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.backend import http_headers
-from balsamwall.platform import http_client
+from balsamwall.infrastructure import http_client
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
--- a/src/balsamwall/backend/engine_client.py
+++ b/src/balsamwall/backend/engine_client.py
@@ -11,7 +11,7 @@
 from balsamwall.backend import backend_server
 from balsamwall.backend import engine_answer
 from balsamwall.backend import http_headers
-from balsamwall.platform import http_client
+from balsamwall.infrastructure import http_client
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
--- a/src/balsamwall/backend/service_client.py
+++ b/src/balsamwall/backend/service_client.py
@@ -7,7 +7,7 @@
 import urllib.parse
 
 from balsamwall.backend import http_headers
-from balsamwall.platform import http_client
+from balsamwall.infrastructure import http_client
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
--- a/src/balsamwall/composition/entry_unit.py
+++ b/src/balsamwall/composition/entry_unit.py
@@ -36,8 +36,8 @@
     from balsamwall.configuration import configuration_replica
     from balsamwall.configuration import configuration_store
     from balsamwall.configuration import tenant_configuration
+    from balsamwall.infrastructure import key_value_service
     from balsamwall.membership import vm_directory
-    from balsamwall.platform import key_value_service
     from balsamwall.protocol import message
     from balsamwall.protocol import messages_session
     from balsamwall.protocol import peer_table
--- a/src/balsamwall/composition/home_map_store.py
+++ b/src/balsamwall/composition/home_map_store.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamwall.platform import key_value_service
+    from balsamwall.infrastructure import key_value_service
     from balsamwall.results import result_code
 
 
--- a/src/balsamwall/composition/platform_clients.py
+++ b/src/balsamwall/composition/platform_clients.py
@@ -7,8 +7,8 @@
 
 from balsamwall.composition import vm_feed
 from balsamwall.configuration import configuration_store
-from balsamwall.platform import etcd_client
-from balsamwall.platform import vm_list_client
+from balsamwall.infrastructure import etcd_client
+from balsamwall.infrastructure import vm_list_client
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/balsamwall/composition/service_unit.py
+++ b/src/balsamwall/composition/service_unit.py
@@ -24,8 +24,8 @@
     from balsamwall.backend import service_client
     from balsamwall.composition import vm_feed
     from balsamwall.configuration import tenant_configuration
+    from balsamwall.infrastructure import key_value_service
     from balsamwall.metrics import metrics as metrics_module
-    from balsamwall.platform import key_value_service
     from balsamwall.protocol import message
     from balsamwall.protocol import messages_session
     from balsamwall.protocol import peer_table
--- a/src/balsamwall/composition/vm_feed.py
+++ b/src/balsamwall/composition/vm_feed.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamwall.platform import vm_list_client
+    from balsamwall.infrastructure import vm_list_client
     from balsamwall.protocol import peer_table
 
 
--- a/src/balsamwall/daemon.py
+++ b/src/balsamwall/daemon.py
@@ -53,7 +53,9 @@
     from twisted.internet import reactor
 
     from balsamwall import factory
+    from balsamwall.timing import reactor_clock
 
+    reactor_clock.use_steady_time(reactor)
     eliot.to_file(sys.stderr)
     _begin_logging()
     runner = _Runner(reactor)
--- /dev/null
+++ b/src/balsamwall/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Entry that forwards requests straight to backend servers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/balsamwall/gateway/attempt.py
@@ -0,0 +1,223 @@
+"""One send of a request to a backend server."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import backend_connection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import connection_pool
+    from balsamwall.gateway import http_fields
+    from balsamwall.gateway import incoming_request
+    from balsamwall.timing import clock as clock_module
+
+# Statuses by which a server certifies that it did not run a request.
+WRONG_SERVER_STATUS = 421
+
+
+class AttemptFailure(enum.Enum):
+    """Why a send gave no answer for the caller."""
+
+    NOT_CONNECTED = "not_connected"  # nothing was sent
+    NOT_RUN = "not_run"  # certified by the server
+    BROKEN = "broken"  # it may have run
+    INVALID = "invalid"  # it may have run
+    ABANDONED = "abandoned"  # given up by this process after it was sent
+
+    @property
+    def is_certified_not_run(self) -> bool:
+        """Tell whether the request has not run and never will."""
+        return self in (AttemptFailure.NOT_CONNECTED, AttemptFailure.NOT_RUN)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SendPlan:
+    """Bytes of one send."""
+
+    method: bytes
+    target: bytes
+    fields: http_fields.Fields
+    body: bytes
+    attempt_id: bytes
+
+
+class AttemptListener(Protocol):
+    """Owner of a send; one of on_done and on_failed ends it."""
+
+    def on_answer_head(
+        self, attempt: Attempt, status: int, fields: http_fields.Fields
+    ) -> None:
+        """Receive the head of an answer that the caller may see."""
+
+    def on_answer_data(self, attempt: Attempt, data: bytes) -> None:
+        """Receive a part of the body."""
+
+    def on_done(self, attempt: Attempt) -> None:
+        """Receive the end of a whole answer."""
+
+    def on_failed(
+        self, attempt: Attempt, failure: AttemptFailure, detail: str
+    ) -> None:
+        """Learn that the answer will not be complete."""
+
+
+class Attempt:
+    """Connects, sends, and checks the head of the answer."""
+
+    __slots__ = (
+        "_cancel_connect",
+        "_clock",
+        "_codec",
+        "_connection",
+        "_listener",
+        "_plan",
+        "_refusal",
+        "has_head",
+        "head",
+        "sent_ms",
+        "server",
+        "status",
+        "was_reused",
+    )
+
+    def __init__(
+        self,
+        server: backend_directory.BackendServer,
+        codec: incoming_request.RequestCodec,
+        plan: SendPlan,
+        listener: AttemptListener,
+        clock: clock_module.Clock,
+    ) -> None:
+        self.server = server
+        self.sent_ms = clock.now_ms()
+        self._clock = clock
+        self.status = 0
+        self.has_head = False
+        self.was_reused = False
+        self.head: incoming_request.AnswerHead | None = None
+        self._codec = codec
+        self._plan = plan
+        self._listener: AttemptListener | None = listener
+        self._refusal = ""
+        self._connection: backend_connection.BackendConnection | None = None
+        self._cancel_connect: Callable[[], None] | None = None
+
+    @property
+    def attempt_id(self) -> bytes:
+        """Return the identifier that the answer must echo."""
+        return self._plan.attempt_id
+
+    @property
+    def is_sent(self) -> bool:
+        """Tell whether bytes of the request have been written."""
+        return self._connection is not None
+
+    def start(
+        self, pool: connection_pool.ConnectionPool, is_fresh: bool
+    ) -> None:
+        """Send the request."""
+        cancel = pool.acquire(self.server.record, self, is_fresh)
+        if self._connection is None:
+            self._cancel_connect = cancel
+
+    def abandon(self) -> None:
+        """Cancel the request at the server; the owner hears nothing more."""
+        self._listener = None
+        if self._connection is not None:
+            self._connection.close()
+        elif self._cancel_connect is not None:
+            self._cancel_connect()
+
+    def ignore(self) -> None:
+        """Let the server finish; the owner hears nothing more."""
+        self._listener = None
+
+    def set_blocked(self, is_blocked: bool) -> None:
+        """Stop or resume reading the answer."""
+        if self._connection is None:
+            return
+        if is_blocked:
+            self._connection.pause()
+        else:
+            self._connection.resume()
+
+    # Connection pool
+
+    def on_connected(
+        self, connection: backend_connection.BackendConnection
+    ) -> None:
+        """Write the request."""
+        self._connection = connection
+        self.was_reused = connection.is_reused
+        plan = self._plan
+        connection.send(plan.method, plan.target, plan.fields, plan.body, self)
+
+    def on_not_connected(self, detail: str) -> None:
+        """Report that nothing was sent."""
+        self._fail(AttemptFailure.NOT_CONNECTED, detail)
+
+    # Backend connection
+
+    def on_head(self, status: int, fields: http_fields.Fields) -> None:
+        """Check the head and hand it on."""
+        head = self._codec.decode_answer(fields, self.attempt_id)
+        self.head = head
+        self.status = status
+        self.has_head = True
+        self._note_load(head)
+        if status == WRONG_SERVER_STATUS or head.is_certified_not_run:
+            self._refusal = f"status {status}"
+            return
+        if not head.is_signed or not head.is_echoed or head.is_encoded:
+            connection = self._connection
+            self._fail(
+                AttemptFailure.INVALID, f"status {status} without proof"
+            )
+            if connection is not None:
+                connection.close()
+            return
+        if self._listener is not None:
+            self._listener.on_answer_head(self, status, fields)
+
+    def on_data(self, data: bytes) -> None:
+        """Hand on a part of the body."""
+        if self._listener is not None and not self._refusal:
+            self._listener.on_answer_data(self, data)
+
+    def on_end(self) -> None:
+        """Report the end."""
+        if self._refusal:
+            self._fail(AttemptFailure.NOT_RUN, self._refusal)
+            return
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.on_done(self)
+
+    def on_broken(
+        self, reason: backend_connection.BreakReason, detail: str
+    ) -> None:
+        """Report a cut or malformed answer."""
+        if self._refusal:
+            self._fail(AttemptFailure.NOT_RUN, self._refusal)
+        elif reason is backend_connection.BreakReason.INVALID:
+            self._fail(AttemptFailure.INVALID, detail)
+        else:
+            self._fail(AttemptFailure.BROKEN, detail)
+
+    def _note_load(self, head: incoming_request.AnswerHead) -> None:
+        if head.running is None:
+            return
+        load = head.running + (head.waiting or 0)
+        self.server.on_report(load, self._clock.now_ms())
+
+    def _fail(self, failure: AttemptFailure, detail: str) -> None:
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.on_failed(self, failure, detail)
--- /dev/null
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -0,0 +1,237 @@
+"""Connection to a backend server, read strictly after HTTP/1.1."""
+
+from __future__ import annotations
+
+import enum
+import socket
+from typing import Any
+from typing import Protocol as TypingProtocol
+from typing import TYPE_CHECKING
+
+import h11
+from twisted.internet import error
+from twisted.internet import protocol
+
+from balsamwall.gateway import http_fields
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_ANSWER_HEAD_BYTES = 65_536
+# A VM without power does not reset its connections: unacknowledged bytes or
+# unanswered probes end them after this time.
+DEAD_PEER_MS = 3_000
+PROBE_AFTER_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+
+
+class BreakReason(enum.Enum):
+    """Why an answer did not arrive in whole."""
+
+    CLOSED = "closed"
+    INVALID = "invalid"
+
+
+class AnswerReceiver(TypingProtocol):
+    """Receiver of one answer; on_end or on_broken comes exactly once."""
+
+    @property
+    def attempt_id(self) -> bytes:
+        """Return the identifier that the answer must echo."""
+
+    def on_head(self, status: int, fields: http_fields.Fields) -> None:
+        """Receive the status and the fields with names in lower case."""
+
+    def on_data(self, data: bytes) -> None:
+        """Receive a part of the body."""
+
+    def on_end(self) -> None:
+        """Receive the end of a whole answer."""
+
+    def on_broken(self, reason: BreakReason, detail: str) -> None:
+        """Learn that the answer will not be complete."""
+
+
+class BackendConnection(protocol.Protocol):  # type: ignore[misc]
+    """Sends one request at a time and receives its answer."""
+
+    def __init__(
+        self,
+        echo_field: bytes,
+        on_idle: Callable[[BackendConnection], None],
+        on_lost: Callable[[BackendConnection], None],
+    ) -> None:
+        self._echo_field = echo_field
+        self._on_idle = on_idle
+        self._on_lost = on_lost
+        self._parser = self._new_parser()
+        self._receiver: AnswerReceiver | None = None
+        self._request: h11.Request | None = None
+        self._is_foreign = False
+        self._is_until_close = False
+        self.is_lost = False
+        self.idle_limit_ms: int | None = None
+        self.is_reused = False
+
+    @staticmethod
+    def _new_parser() -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
+        )
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set the socket so that a silent peer is noticed."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        handle = self.transport.getHandle()
+        for option, value in (
+            (socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+            (socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+            (socket.TCP_KEEPCNT, PROBE_COUNT),
+            (socket.TCP_USER_TIMEOUT, DEAD_PEER_MS),
+        ):
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+    def send(
+        self,
+        method: bytes,
+        target: bytes,
+        fields: http_fields.Fields,
+        body: bytes,
+        receiver: AnswerReceiver,
+    ) -> None:
+        """Write a request; its answer goes to the receiver."""
+        self._receiver = receiver
+        self._is_foreign = False
+        self._request = h11.Request(
+            method=method, target=target, headers=fields
+        )
+        parts = [self._parser.send(self._request)]
+        if body:
+            parts.append(self._parser.send(h11.Data(data=body)))
+        parts.append(self._parser.send(h11.EndOfMessage()))
+        self.transport.write(b"".join(part for part in parts if part))
+
+    def close(self) -> None:
+        """Close the connection; the receiver hears nothing more."""
+        self._receiver = None
+        if not self.is_lost:
+            self.transport.abortConnection()
+
+    def pause(self) -> None:
+        """Stop reading the answer."""
+        if not self.is_lost:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read the answer again."""
+        if not self.is_lost:
+            self.transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse a part of an answer."""
+        if self._receiver is None:
+            # Bytes without a request belong to nobody.
+            self.close()
+            return
+        try:
+            self._parser.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as fault:
+            self._break(BreakReason.INVALID, str(fault))
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """End an answer without a length, or report the break."""
+        self.is_lost = True
+        self._on_lost(self)
+        if self._receiver is None:
+            return
+        detail = reason.getErrorMessage() if reason is not None else ""
+        # Only a clean close ends an answer without a length; a reset doesn't.
+        if self._is_until_close and reason.check(error.ConnectionDone):
+            try:
+                self._parser.receive_data(b"")
+                self._read_events()
+            except h11.RemoteProtocolError as fault:
+                detail = str(fault)
+        self._break(BreakReason.CLOSED, detail)
+
+    def _read_events(self) -> None:
+        while self._receiver is not None:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._on_head(event)
+            elif isinstance(event, h11.Data):
+                if not self._is_foreign:
+                    self._receiver.on_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._on_end()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _on_head(self, event: Any) -> None:
+        assert self._receiver is not None
+        fields = [(bytes(n), bytes(v)) for n, v in event.headers]
+        echoed = http_fields.value(fields, self._echo_field)
+        expected = self._receiver.attempt_id
+        # A second answer to an earlier request may come first.
+        self._is_foreign = bool(echoed) and echoed != expected
+        if self._is_foreign:
+            return
+        self._is_until_close = _ends_with_connection(
+            int(event.status_code), fields
+        )
+        self.idle_limit_ms = http_fields.keep_alive_ms(fields)
+        self._receiver.on_head(int(event.status_code), fields)
+
+    def _on_end(self) -> None:
+        if self._is_foreign:
+            self._skip_foreign()
+            return
+        receiver, self._receiver = self._receiver, None
+        extra, _ = self._parser.trailing_data
+        is_reusable = not extra and self._parser.their_state is h11.DONE
+        is_reusable = is_reusable and self._parser.our_state is h11.DONE
+        if is_reusable and not self.is_lost:
+            self._parser.start_next_cycle()
+            self._on_idle(self)
+        else:
+            self.close()
+        if receiver is not None:
+            receiver.on_end()
+
+    def _skip_foreign(self) -> None:
+        """Expect the answer to the present request after another one."""
+        rest, is_closed = self._parser.trailing_data
+        self._parser = self._new_parser()
+        self._is_foreign = False
+        assert self._request is not None
+        # The request is on its way; the new parser only takes note of it.
+        self._parser.send(self._request)
+        length = http_fields.value(
+            list(self._request.headers), b"content-length"
+        )
+        if length and int(length):
+            self._parser.send(h11.Data(data=b"\0" * int(length)))
+        self._parser.send(h11.EndOfMessage())
+        if rest:
+            self._parser.receive_data(rest)
+        if is_closed:
+            self._parser.receive_data(b"")
+
+    def _break(self, reason: BreakReason, detail: str) -> None:
+        receiver, self._receiver = self._receiver, None
+        self.close()
+        if receiver is not None:
+            receiver.on_broken(reason, detail)
+
+
+def _ends_with_connection(status: int, fields: http_fields.Fields) -> bool:
+    if status < 200 or status in (204, 304):
+        return False
+    has_length = http_fields.value(fields, b"content-length") is not None
+    coding = http_fields.value(fields, b"transfer-encoding")
+    return not has_length and coding is None
--- /dev/null
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -0,0 +1,187 @@
+"""Backend servers that requests may be sent to."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+# Requests last a few seconds, so an older report says nothing of the present.
+REPORT_LIFE_MS = 3_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServerRecord:
+    """What a backend server says of itself."""
+
+    server_id: str
+    service: str
+    host: str
+    port: int
+    availability_zone: str
+    slots: int
+    is_draining: bool
+    started_ms: int  # wall time of the start; a new value is a new process
+    models: dict[str, frozenset[str]]  # resident adapters by model
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    remaining_ms: int | None = None  # until a short-notice removal
+
+
+class BackendServer:
+    """Backend server with the traffic that this process sends to it."""
+
+    __slots__ = (
+        "failure_share",
+        "in_flight",
+        "is_leaving",
+        "joined_ms",
+        "models",
+        "quarantined_until_ms",
+        "record",
+        "reported_load",
+        "reported_ms",
+        "sent_since_report",
+    )
+
+    def __init__(self, record: ServerRecord, now_ms: int) -> None:
+        self.record = record
+        self.models: dict[str, frozenset[str]] = record.models
+        self.is_leaving = record.is_draining
+        self.joined_ms = now_ms
+        self.in_flight = 0
+        self.reported_load = 0
+        self.reported_ms = 0
+        self.sent_since_report = 0
+        self.failure_share = 0.0
+        self.quarantined_until_ms = 0
+
+    @property
+    def server_id(self) -> str:
+        """Return the identifier that requests expect."""
+        return self.record.server_id
+
+    def load(self, now_ms: int) -> float:
+        """Return the estimated number of running and waiting requests.
+
+        The last report of the server covers the requests of all entries; it
+        is corrected by what this process sent and saw end since, and counts
+        less as it grows old.
+        """
+        age_ms = now_ms - self.reported_ms
+        share = max(0.0, 1.0 - age_ms / REPORT_LIFE_MS)
+        estimate = self.reported_load * share + self.sent_since_report
+        return max(float(self.in_flight), estimate)
+
+    def on_sent(self) -> None:
+        """Count a request that this process sends."""
+        self.in_flight += 1
+        self.sent_since_report += 1
+
+    def on_ended(self) -> None:
+        """Count the end of a request of this process."""
+        self.in_flight -= 1
+        self.sent_since_report -= 1
+
+    def on_report(self, load: int, now_ms: int) -> None:
+        """Take the load that the server has stated in an answer."""
+        self.reported_load = load
+        self.reported_ms = now_ms
+        self.sent_since_report = 0
+
+    def has(self, model: str, adapter: str) -> bool:
+        """Tell whether a model and its adapter are resident."""
+        adapters = self.models.get(model)
+        return adapters is not None and (not adapter or adapter in adapters)
+
+
+class BackendDirectory:
+    """Servers by identifier and by service."""
+
+    __slots__ = (
+        "_by_service",
+        "_now_ms",
+        "_on_change",
+        "_on_gone",
+        "_servers",
+    )
+
+    def __init__(self, now_ms: Callable[[], int]) -> None:
+        self._now_ms = now_ms
+        self._servers: dict[str, BackendServer] = {}
+        self._by_service: dict[str, dict[str, BackendServer]] = {}
+        self._on_change: list[Callable[[BackendServer], None]] = []
+        self._on_gone: list[Callable[[BackendServer], None]] = []
+
+    def add_listener(
+        self,
+        on_change: Callable[[BackendServer], None],
+        on_gone: Callable[[BackendServer], None],
+    ) -> None:
+        """Call functions when a server changes and when it is removed."""
+        self._on_change.append(on_change)
+        self._on_gone.append(on_gone)
+
+    def get(self, server_id: str) -> BackendServer | None:
+        """Return a known server."""
+        return self._servers.get(server_id)
+
+    def all_servers(self) -> Iterable[BackendServer]:
+        """Return all known servers."""
+        return self._servers.values()
+
+    def ready_servers(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that take new requests."""
+        known = self._by_service.get(service, {})
+        return [server for server in known.values() if not server.is_leaving]
+
+    def put(self, record: ServerRecord) -> None:
+        """Add a server or take its newer record."""
+        server = self._servers.get(record.server_id)
+        if server is not None and self._is_replaced(server.record, record):
+            self.remove(record.server_id)
+            server = None
+        if server is None:
+            server = BackendServer(record, self._now_ms())
+            self._servers[record.server_id] = server
+            rows = self._by_service.setdefault(record.service, {})
+            rows[record.server_id] = server
+        server.record = record
+        server.models = record.models
+        # A drain is never taken back within one incarnation.
+        server.is_leaving = server.is_leaving or record.is_draining
+        for listener in self._on_change:
+            listener(server)
+
+    def set_models(
+        self, server_id: str, models: dict[str, frozenset[str]]
+    ) -> None:
+        """Take the resident models that the order issuer reports."""
+        server = self._servers.get(server_id)
+        if server is None or server.models == models:
+            return
+        server.models = models
+        for listener in self._on_change:
+            listener(server)
+
+    def remove(self, server_id: str) -> None:
+        """Drop a server that is gone."""
+        server = self._servers.pop(server_id, None)
+        if server is None:
+            return
+        server.is_leaving = True
+        self._by_service[server.record.service].pop(server_id, None)
+        for listener in self._on_gone:
+            listener(server)
+
+    @staticmethod
+    def _is_replaced(old: ServerRecord, new: ServerRecord) -> bool:
+        """Tell whether a record belongs to another process."""
+        return (
+            old.started_ms != new.started_ms
+            or old.service != new.service
+            or (old.host, old.port) != (new.host, new.port)
+        )
--- /dev/null
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -0,0 +1,352 @@
+"""Connection of a caller, read strictly after HTTP/1.1."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Protocol as TypingProtocol
+from typing import TYPE_CHECKING
+
+import h11
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from zope.interface import declarations
+
+from balsamwall.gateway import caller_exchange
+from balsamwall.gateway import http_fields
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from balsamwall.gateway import gateway_configuration
+    from balsamwall.timing import clock as clock_module
+
+# Pipelined bytes that wait for the present answer; more are not read.
+MAX_PIPELINED_BYTES = 65_536
+# The server closes an idle connection later than callers stop using it.
+IDLE_SLACK_MS = 1_000
+# A caller that does not read its answer for this long is cut off.
+CLOSE_TIMEOUT_MS = 5_000
+
+
+class CallerSite(TypingProtocol):
+    """Owner of all connections of callers."""
+
+    @property
+    def clock(self) -> clock_module.Clock:
+        """Return the clock."""
+
+    @property
+    def limits(self) -> gateway_configuration.CallerLimits:
+        """Return the limits in force."""
+
+    @property
+    def is_closing(self) -> bool:
+        """Tell whether connections end after their present answer."""
+
+    def on_opened(self, connection: CallerConnection) -> None:
+        """Register a connection."""
+
+    def on_closed(self, connection: CallerConnection) -> None:
+        """Drop a connection."""
+
+    def on_request(self, exchange: caller_exchange.CallerExchange) -> None:
+        """Take a request that was read in whole."""
+
+    def on_rejected(self, status: int, reason: str) -> None:
+        """Note a request that was rejected by its form."""
+
+
+@declarations.implementer(interfaces.IPushProducer)
+class CallerConnection(protocol.Protocol):  # type: ignore[misc]
+    """Reads one request at a time and writes its answer.
+
+    It is also the producer of its transport, so that a caller that does not
+    read slows down its own backend server only.
+    """
+
+    def __init__(self, site: CallerSite) -> None:
+        self._site = site
+        self._parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=site.limits.max_header_bytes,
+        )
+        self._head: caller_exchange.RequestHead | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._arrived_ms: int | None = None
+        self._listener: caller_exchange.ExchangeListener | None = None
+        self._timer: clock_module.Timer | None = None
+        self._is_lost = False
+        self._is_answering = False
+        self._is_reading_paused = False
+
+    # Reading
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Wait for the first request."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._site.on_opened(self)
+        self._wait_idle()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what arrived."""
+        if self._arrived_ms is None:
+            self._arrived_ms = self._site.clock.now_ms()
+            self._set_timer(
+                self._site.limits.header_timeout_ms, self._on_read_timeout
+            )
+        self._parser.receive_data(data)
+        if self._is_answering:
+            self._limit_pipelined()
+            return
+        self._read_events()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Tell the owner that the caller is gone."""
+        self._is_lost = True
+        self._cancel_timer()
+        self._site.on_closed(self)
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.on_caller_gone()
+
+    def _read_events(self) -> None:
+        try:
+            while not self._is_answering and not self._is_lost:
+                event = self._parser.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._on_event(event)
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def _on_event(self, event: Any) -> None:
+        if isinstance(event, h11.Request):
+            self._on_head(event)
+        elif isinstance(event, h11.Data):
+            self._on_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._on_end()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._close()
+
+    def _on_head(self, event: Any) -> None:
+        fields = [(bytes(n), bytes(v)) for n, v in event.headers]
+        fault = _framing_fault(fields, bytes(event.http_version))
+        if fault:
+            self._reject(400, fault)
+            return
+        length = http_fields.value(fields, b"content-length")
+        if length and int(length) > self._site.limits.max_body_bytes:
+            self._reject(413, f"body of {int(length)} bytes")
+            return
+        self._head = caller_exchange.RequestHead(
+            bytes(event.method), bytes(event.target), fields
+        )
+        self._body = []
+        self._body_bytes = 0
+        if self._parser.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        self._set_timer(
+            self._site.limits.idle_timeout_ms, self._on_read_timeout
+        )
+
+    def _on_data(self, data: bytes) -> None:
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self._site.limits.max_body_bytes:
+            self._reject(413, f"body of over {self._body_bytes} bytes")
+
+    def _on_end(self) -> None:
+        self._cancel_timer()
+        self._is_answering = True
+        self._site.on_request(self)
+
+    def _limit_pipelined(self) -> None:
+        waiting, _ = self._parser.trailing_data
+        if len(waiting) > MAX_PIPELINED_BYTES and not self._is_reading_paused:
+            self._is_reading_paused = True
+            self.transport.pauseProducing()
+
+    # Exchange
+
+    @property
+    def head(self) -> caller_exchange.RequestHead:
+        """Return the request line and fields."""
+        assert self._head is not None
+        return self._head
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body."""
+        return b"".join(self._body)
+
+    @property
+    def arrived_ms(self) -> int:
+        """Return when the first byte of the request was read."""
+        return self._arrived_ms or 0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the answer can still be written."""
+        return not self._is_lost and self._is_answering
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or answered."""
+        return not self._is_answering and self._arrived_ms is None
+
+    def set_listener(self, listener: caller_exchange.ExchangeListener) -> None:
+        """Set the owner of the request."""
+        self._listener = listener
+
+    def begin(
+        self,
+        status: int,
+        fields: Sequence[tuple[bytes, bytes]],
+        length: int | None,
+    ) -> None:
+        """Write the head; without a length the end is marked otherwise."""
+        headers = list(fields)
+        if length is not None:
+            headers.append((b"content-length", str(length).encode()))
+        if self._site.is_closing:
+            headers.append((b"connection", b"close"))
+        self._send(h11.Response(status_code=status, headers=headers))
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        self._send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End a complete answer."""
+        if not self._send(h11.EndOfMessage()):
+            return
+        self._next_request()
+
+    def cut(self) -> None:
+        """End an answer so that it can't look complete."""
+        self._listener = None
+        if self._is_lost:
+            return
+        if self._parser.their_http_version == b"1.0":
+            # Without chunks, a plain close would look like the end.
+            self.transport.abortConnection()
+            return
+        self._close()
+
+    def close_if_idle(self) -> None:
+        """Close a connection without a request."""
+        if self.is_idle:
+            self._close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if not self._is_lost:
+            self.transport.abortConnection()
+
+    def _next_request(self) -> None:
+        self._listener = None
+        self._head = None
+        self._body = []
+        self._is_answering = False
+        self._arrived_ms = None
+        if self._parser.our_state is h11.MUST_CLOSE or self._site.is_closing:
+            self._close()
+            return
+        try:
+            self._parser.start_next_cycle()
+        except h11.LocalProtocolError:
+            # The caller asked to close, or its request was not read in whole.
+            self._close()
+            return
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self.transport.resumeProducing()
+        if self._parser.trailing_data[0]:
+            self._arrived_ms = self._site.clock.now_ms()
+        self._wait_idle()
+        self._read_events()
+
+    def _send(self, event: Any) -> bool:
+        if self._is_lost:
+            return False
+        data = self._parser.send(event)
+        if data:
+            self.transport.write(data)
+        return True
+
+    def _reject(self, status: int, reason: str) -> None:
+        """Answer a malformed request and close the connection."""
+        self._cancel_timer()
+        self._site.on_rejected(status, reason)
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            text = reason.encode("latin-1", "replace")
+            head = [
+                (b"content-length", str(len(text)).encode()),
+                (b"content-type", b"text/plain"),
+                (b"connection", b"close"),
+            ]
+            self._send(h11.Response(status_code=status, headers=head))
+            self._send(h11.Data(data=text))
+            self._send(h11.EndOfMessage())
+        self._close()
+
+    # Time and back-pressure
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Slow down the backend server: the caller does not read."""
+        if self._listener is not None:
+            self._listener.on_caller_blocked(True)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Let the backend server go on."""
+        if self._listener is not None:
+            self._listener.on_caller_blocked(False)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: connectionLost follows."""
+
+    def _close(self) -> None:
+        self._cancel_timer()
+        if self._is_lost:
+            return
+        # A registered producer would keep the transport from closing.
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        self._set_timer(CLOSE_TIMEOUT_MS, self.abort)
+
+    def _wait_idle(self) -> None:
+        self._set_timer(
+            self._site.limits.idle_timeout_ms + IDLE_SLACK_MS, self._close
+        )
+
+    def _on_read_timeout(self) -> None:
+        self._reject(408, "the request did not arrive in time")
+
+    def _set_timer(self, delay_ms: int, function: Any) -> None:
+        self._cancel_timer()
+        self._timer = self._site.clock.call_later(delay_ms, function)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _framing_fault(fields: http_fields.Fields, version: bytes) -> str:
+    """Return why the length of a request is ambiguous, or nothing.
+
+    Two readers that disagree on the length would take a part of the body for
+    another request.
+    """
+    has_length = http_fields.value(fields, b"content-length") is not None
+    coding = http_fields.value(fields, b"transfer-encoding")
+    if coding is not None and has_length:
+        return "both Content-Length and Transfer-Encoding"
+    if coding is not None and version != b"1.1":
+        return "Transfer-Encoding needs HTTP/1.1"
+    if http_fields.is_repeated(fields, b"host"):
+        return "more than one Host"
+    return ""
--- /dev/null
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -0,0 +1,247 @@
+"""Kept connections to backend servers."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Protocol as TypingProtocol
+from typing import TYPE_CHECKING
+
+from twisted.internet import protocol
+
+from balsamwall.gateway import backend_connection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.gateway import backend_directory
+    from balsamwall.timing import clock as clock_module
+
+# A lost first packet is sent again after 1 s; another server is asked before.
+CONNECT_TIMEOUT_MS = 600
+# Idle time of a kept connection when the server states none.
+DEFAULT_IDLE_MS = 4_000
+# The server may close in the moment of a send, so the pool closes earlier.
+IDLE_MARGIN_MS = 700
+SWEEP_INTERVAL_MS = 500
+MAX_IDLE_PER_SERVER = 16
+
+
+class ConnectionWaiter(TypingProtocol):
+    """Caller of the pool; exactly one of both calls comes."""
+
+    def on_connected(
+        self, connection: backend_connection.BackendConnection
+    ) -> None:
+        """Receive a connection that is free."""
+
+    def on_not_connected(self, detail: str) -> None:
+        """Learn that nothing was sent."""
+
+
+class _Idle:
+    """Free connection and the time at which it is closed."""
+
+    __slots__ = ("connection", "expires_ms")
+
+    def __init__(
+        self,
+        connection: backend_connection.BackendConnection,
+        expires_ms: int,
+    ) -> None:
+        self.connection = connection
+        self.expires_ms = expires_ms
+
+
+class _Connector(protocol.ClientFactory):  # type: ignore[misc]
+    """Attempt to open one connection."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        server_id: str,
+        waiter: ConnectionWaiter,
+    ) -> None:
+        self._pool = pool
+        self._server_id = server_id
+        self._waiter: ConnectionWaiter | None = waiter
+        self.connector: Any = None
+
+    def buildProtocol(self, addr: object) -> Any:  # noqa: N802
+        """Make the connection and hand it over when it is up."""
+        connection = self._pool.make_connection(self._server_id)
+        self._pool.call_soon(self._hand_over, connection)
+        return connection
+
+    def clientConnectionFailed(  # noqa: N802
+        self, connector: object, reason: Any
+    ) -> None:
+        """Report that no connection was made."""
+        self._pool.on_connect_ended(self._server_id)
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None:
+            waiter.on_not_connected(reason.getErrorMessage())
+
+    def cancel(self) -> None:
+        """Give the attempt up; the waiter hears nothing more."""
+        self._waiter = None
+        self.connector.disconnect()
+
+    def _hand_over(
+        self, connection: backend_connection.BackendConnection
+    ) -> None:
+        self._pool.on_connect_ended(self._server_id)
+        waiter, self._waiter = self._waiter, None
+        if connection.is_lost:
+            if waiter is not None:
+                waiter.on_not_connected("closed by the server at once")
+        elif waiter is None:
+            self._pool.on_idle(self._server_id, connection)
+        else:
+            waiter.on_connected(connection)
+
+
+class ConnectionPool:
+    """Connections by server, newest first."""
+
+    __slots__ = (
+        "_clock",
+        "_connecting",
+        "_echo_field",
+        "_idle",
+        "_open",
+        "_reactor",
+        "opened",
+    )
+
+    def __init__(
+        self, reactor: Any, clock: clock_module.Clock, echo_field: bytes
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._echo_field = echo_field
+        self._idle: dict[str, list[_Idle]] = {}
+        self._open: dict[str, int] = {}
+        self._connecting: dict[str, int] = {}
+        self.opened = 0
+
+    def start(self) -> None:
+        """Close expired connections from now on."""
+        self._clock.call_later(SWEEP_INTERVAL_MS, self.start)
+        now_ms = self._clock.now_ms()
+        for server_id in list(self._idle):
+            kept = []
+            for row in self._idle[server_id]:
+                if row.expires_ms <= now_ms:
+                    row.connection.close()
+                else:
+                    kept.append(row)
+            self._idle[server_id] = kept
+
+    def open_count(self, server_id: str) -> int:
+        """Return the connections to a server, those being opened included."""
+        opened = self._open.get(server_id, 0)
+        return opened + self._connecting.get(server_id, 0)
+
+    def acquire(
+        self,
+        record: backend_directory.ServerRecord,
+        waiter: ConnectionWaiter,
+        is_fresh: bool = False,
+    ) -> Callable[[], None]:
+        """Hand a connection to the waiter; return a function that cancels.
+
+        A fresh connection was not idle, so that the server can't be closing
+        it just now.
+        """
+        rows = self._idle.get(record.server_id, [])
+        now_ms = self._clock.now_ms()
+        while rows and not is_fresh:
+            row = rows.pop()
+            if row.connection.is_lost or row.expires_ms <= now_ms:
+                row.connection.close()
+                continue
+            row.connection.is_reused = True
+            waiter.on_connected(row.connection)
+            return _nothing
+        return self._connect(record, waiter)
+
+    def on_idle(
+        self,
+        server_id: str,
+        connection: backend_connection.BackendConnection,
+    ) -> None:
+        """Keep a connection that has delivered a whole answer."""
+        limit_ms = connection.idle_limit_ms or DEFAULT_IDLE_MS
+        idle_ms = min(limit_ms, DEFAULT_IDLE_MS) - IDLE_MARGIN_MS
+        rows = self._idle.setdefault(server_id, [])
+        if idle_ms <= 0 or len(rows) >= MAX_IDLE_PER_SERVER:
+            connection.close()
+            return
+        expires_ms = self._clock.now_ms() + idle_ms
+        rows.append(_Idle(connection, expires_ms))
+
+    def forget(self, server_id: str) -> None:
+        """Close the free connections to a server."""
+        for row in self._idle.pop(server_id, []):
+            row.connection.close()
+
+    def close(self) -> None:
+        """Close all free connections."""
+        for server_id in list(self._idle):
+            self.forget(server_id)
+
+    def make_connection(
+        self, server_id: str
+    ) -> backend_connection.BackendConnection:
+        """Return a connection that is counted for a server."""
+
+        def on_idle(item: backend_connection.BackendConnection) -> None:
+            self.on_idle(server_id, item)
+
+        def on_lost(item: backend_connection.BackendConnection) -> None:
+            self._on_lost(server_id, item)
+
+        self._open[server_id] = self._open.get(server_id, 0) + 1
+        self.opened += 1
+        return backend_connection.BackendConnection(
+            self._echo_field, on_idle, on_lost
+        )
+
+    def call_soon(self, function: Any, *args: object) -> None:
+        """Run a function in the next turn of the reactor."""
+        self._reactor.callLater(0, function, *args)
+
+    def on_connect_ended(self, server_id: str) -> None:
+        """Note that an attempt to connect has ended."""
+        self._connecting[server_id] = self._connecting.get(server_id, 1) - 1
+
+    def _connect(
+        self,
+        record: backend_directory.ServerRecord,
+        waiter: ConnectionWaiter,
+    ) -> Callable[[], None]:
+        server_id = record.server_id
+        self._connecting[server_id] = self._connecting.get(server_id, 0) + 1
+        factory = _Connector(self, server_id, waiter)
+        factory.connector = self._reactor.connectTCP(
+            record.host,
+            record.port,
+            factory,
+            timeout=CONNECT_TIMEOUT_MS / 1_000,
+        )
+        return factory.cancel
+
+    def _on_lost(
+        self,
+        server_id: str,
+        connection: backend_connection.BackendConnection,
+    ) -> None:
+        self._open[server_id] = self._open.get(server_id, 1) - 1
+        rows = self._idle.get(server_id, [])
+        rows[:] = [row for row in rows if row.connection is not connection]
+
+
+def _nothing() -> None:
+    """Cancel nothing: the connection was handed over at once."""
--- /dev/null
+++ b/src/balsamwall/gateway/gateway.py
@@ -0,0 +1,194 @@
+"""Requests of one entry: routing, answers of its own, and the drain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import gateway_configuration
+from balsamwall.gateway import refusal
+from balsamwall.gateway import request_run
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from balsamwall.gateway import caller_connection
+    from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import configuration_holder
+    from balsamwall.gateway import request_parts
+    from balsamwall.gateway import route as route_module
+    from balsamwall.timing import clock as clock_module
+
+_Code = result_code.ResultCode
+# Requests on kept connections that come later in a drain are refused as not
+# run, because their answers might not end in time.
+LATE_DRAIN_SHARE = 0.6
+# The platform needs two missed probes, one a second, to send no new callers.
+MIN_DRAIN_MS = 2_500
+DRAIN_POLL_MS = 50
+# Time before the kill in which the process ends by itself.
+KILL_MARGIN_MS = 500
+
+
+class Gateway:
+    """Site of the callers' connections and owner of their requests."""
+
+    __slots__ = (
+        "_configuration",
+        "_connections",
+        "_drain_ms",
+        "_drain_since_ms",
+        "_on_drained",
+        "_parts",
+        "_random",
+        "_runs",
+    )
+
+    def __init__(
+        self,
+        parts: request_parts.RequestParts,
+        configuration: configuration_holder.ConfigurationHolder,
+        random_source: random.Random,
+    ) -> None:
+        self._parts = parts
+        self._configuration = configuration
+        self._random = random_source
+        self._runs: set[request_run.RequestRun] = set()
+        self._connections: set[caller_connection.CallerConnection] = set()
+        self._drain_since_ms: int | None = None
+        self._drain_ms = 0
+        self._on_drained: Callable[[], None] | None = None
+
+    @property
+    def clock(self) -> clock_module.Clock:
+        """Return the clock."""
+        return self._parts.clock
+
+    @property
+    def limits(self) -> gateway_configuration.CallerLimits:
+        """Return the limits in force."""
+        current = self._configuration.current
+        if current is None:
+            return gateway_configuration.CallerLimits()
+        return current.limits
+
+    @property
+    def is_closing(self) -> bool:
+        """Tell whether connections end after their present answer."""
+        return self._drain_since_ms is not None
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new callers are welcome."""
+        return self._configuration.current is not None and not self.is_closing
+
+    @property
+    def active_runs(self) -> int:
+        """Return the number of requests without a final answer."""
+        return len(self._runs)
+
+    def on_opened(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
+        """Register a connection."""
+        self._connections.add(connection)
+
+    def on_closed(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
+        """Drop a connection."""
+        self._connections.discard(connection)
+
+    def on_rejected(self, status: int, reason: str) -> None:
+        """Note a request that was rejected by its form."""
+        self._parts.log.write("request_rejected", status=status, reason=reason)
+
+    def on_request(self, exchange: caller_exchange.CallerExchange) -> None:
+        """Route a request that was read in whole."""
+        request = self._parts.codec.decode(exchange.head)
+        current = self._configuration.current
+        if not request.attempt_id:
+            self._refuse(exchange, _Code.MALFORMED_REQUEST, "no identifier")
+            return
+        if current is None:
+            self._refuse(
+                exchange, _Code.CONFIGURATION_UNAVAILABLE, "no configuration"
+            )
+            return
+        route = current.find_route(request.host, exchange.head.path)
+        if route is None:
+            self._refuse(exchange, _Code.UNKNOWN_PATH, "no route")
+            return
+        if self._is_too_late():
+            self._refuse(exchange, _Code.LEAVING, "this entry is leaving")
+            return
+        service = self._pick_service(route)
+        self._parts.budget_of(service).on_request()
+        run = request_run.RequestRun(
+            self._parts, exchange, request, route, service, self._runs.discard
+        )
+        self._runs.add(run)
+        run.start()
+
+    def _refuse(
+        self,
+        exchange: caller_exchange.CallerExchange,
+        code: _Code,
+        detail: str,
+    ) -> None:
+        request = self._parts.codec.decode(exchange.head)
+        self._parts.log.write(
+            "request_refused",
+            request=request.attempt_id.decode("latin-1"),
+            host=request.host,
+            path=exchange.head.path,
+            code=code.name,
+            detail=detail,
+        )
+        refusal.write(exchange, code, detail)
+
+    def _pick_service(self, route: route_module.Route) -> str:
+        destinations = route.destinations
+        if len(destinations) == 1:
+            return destinations[0].service
+        weights = [destination.weight for destination in destinations]
+        chosen = self._random.choices(destinations, weights)[0]
+        return chosen.service
+
+    # Drain
+
+    def begin_drain(
+        self, grace_ms: int, on_drained: Callable[[], None]
+    ) -> None:
+        """Finish the open requests and close all connections."""
+        if self._drain_since_ms is not None:
+            return
+        self._drain_since_ms = self.clock.now_ms()
+        self._drain_ms = grace_ms - KILL_MARGIN_MS
+        self._on_drained = on_drained
+        self._poll_drain()
+
+    def _is_too_late(self) -> bool:
+        if self._drain_since_ms is None:
+            return False
+        since_ms = self.clock.now_ms() - self._drain_since_ms
+        return since_ms > self._drain_ms * LATE_DRAIN_SHARE
+
+    def _poll_drain(self) -> None:
+        assert self._drain_since_ms is not None
+        since_ms = self.clock.now_ms() - self._drain_since_ms
+        is_quiet = since_ms >= MIN_DRAIN_MS and not self._runs
+        if is_quiet:
+            for connection in list(self._connections):
+                connection.close_if_idle()
+        is_done = is_quiet and not self._connections
+        if is_done or since_ms >= self._drain_ms:
+            self._finish_drain()
+            return
+        self.clock.call_later(DRAIN_POLL_MS, self._poll_drain)
+
+    def _finish_drain(self) -> None:
+        on_drained, self._on_drained = self._on_drained, None
+        if on_drained is not None:
+            on_drained()
--- /dev/null
+++ b/src/balsamwall/gateway/gateway_configuration.py
@@ -0,0 +1,88 @@
+"""Configuration that a gateway has in force."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from balsamwall.gateway import route as route_module
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long it may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ModelSpec:
+    """Model that an engine can load."""
+
+    name: str
+    weights_mb: float
+    load_ms: int  # from the weight store
+    warm_ms: int  # from the memory of the VM
+    disk_ms: int  # from the disk of the VM
+    adapters: int
+    adapter_mb: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineSpec:
+    """Properties of the engines of a service."""
+
+    slots: int
+    kv_capacity: int  # tokens
+    weights_mb: float
+    adapter_slots: int
+    loads_per_s: float  # of the weight store, over all engines
+    models: Mapping[str, ModelSpec]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceSpec:
+    """Service whose backend servers answer requests."""
+
+    name: str
+    health_path: str
+    max_connections: int  # to one backend server, over all entries
+    engine: EngineSpec | None = None
+
+
+class GatewayConfiguration:
+    """Routes, services and limits of one version."""
+
+    __slots__ = ("_routes_by_host", "limits", "services", "version")
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[route_module.Route],
+        services: Iterable[ServiceSpec],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.limits = limits
+        self.services = {service.name: service for service in services}
+        by_host: dict[str, list[route_module.Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        for rows in by_host.values():
+            # The longest prefix comes first, so that the first match wins.
+            rows.sort(key=lambda route: -len(route.path_prefix))
+        self._routes_by_host = by_host
+
+    def find_route(self, host: str, path: str) -> route_module.Route | None:
+        """Return the route with the longest prefix of the path."""
+        for route in self._routes_by_host.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -0,0 +1,86 @@
+"""Counters and histograms of a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from prometheus_client import registry as registry_module
+
+if TYPE_CHECKING:
+    from balsamwall.results import result_code
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
+# Without a bound, a configuration with many routes would grow the memory.
+MAX_ROUTES = 64
+OTHER_ROUTES = "other"
+
+
+class GatewayMetrics:
+    """Registry of the metrics of one process."""
+
+    __slots__ = (
+        "_attempts",
+        "_durations",
+        "_first_answers",
+        "_registry",
+        "_requests",
+        "_routes",
+    )
+
+    def __init__(self) -> None:
+        # The series of creation times would add a third to the memory.
+        prometheus_client.disable_created_metrics()  # type: ignore
+        self._registry = registry_module.CollectorRegistry()
+        self._routes: set[str] = set()
+        self._requests = prometheus_client.Counter(
+            "balsamwall_gateway_requests",
+            "Finished requests by result code",
+            ("route", "code"),
+            registry=self._registry,
+        )
+        self._attempts = prometheus_client.Counter(
+            "balsamwall_gateway_failed_attempts",
+            "Sends to backend servers that gave no answer",
+            ("failure",),
+            registry=self._registry,
+        )
+        self._first_answers = self._histogram(
+            "balsamwall_gateway_first_answer_seconds",
+            "Time from the first byte of a request to the head of its answer",
+        )
+        self._durations = self._histogram(
+            "balsamwall_gateway_request_seconds",
+            "Time from the first byte of a request to the end of its answer",
+        )
+
+    def _histogram(self, name: str, text: str) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            name, text, ("route",), buckets=_SECONDS, registry=self._registry
+        )
+
+    def _label(self, route: str) -> str:
+        if route not in self._routes and len(self._routes) >= MAX_ROUTES:
+            return OTHER_ROUTES
+        self._routes.add(route)
+        return route
+
+    def count_attempt(self, failure: str) -> None:
+        """Count a send without an answer."""
+        self._attempts.labels(failure).inc()
+
+    def observe_first_answer(self, route: str, time_ms: int) -> None:
+        """Record the time to the head of an answer."""
+        self._first_answers.labels(self._label(route)).observe(time_ms / 1_000)
+
+    def observe_end(
+        self, route: str, code: result_code.ResultCode, time_ms: int
+    ) -> None:
+        """Record the end of a request."""
+        label = self._label(route)
+        self._requests.labels(label, code.name.lower()).inc()
+        self._durations.labels(label).observe(time_ms / 1_000)
+
+    def render(self) -> bytes:
+        """Return the text of all metrics."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/src/balsamwall/gateway/http_fields.py
@@ -0,0 +1,67 @@
+"""Header fields that concern one connection only."""
+
+from __future__ import annotations
+
+Fields = list[tuple[bytes, bytes]]
+
+_CONNECTION_FIELDS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+def value(fields: Fields, name: bytes) -> bytes | None:
+    """Return the first value of a field, with the name in lower case."""
+    for found, content in fields:
+        if found == name:
+            return content
+    return None
+
+
+def is_repeated(fields: Fields, name: bytes) -> bool:
+    """Tell whether a field occurs more than once."""
+    return sum(1 for found, _ in fields if found == name) > 1
+
+
+def connection_options(fields: Fields) -> set[bytes]:
+    """Return the lower-case options of all Connection fields."""
+    options: set[bytes] = set()
+    for found, content in fields:
+        if found == b"connection":
+            options.update(
+                option.strip().lower() for option in content.split(b",")
+            )
+    return options
+
+
+def end_to_end(fields: Fields, kept: frozenset[bytes]) -> Fields:
+    """Return the fields that are forwarded.
+
+    A sender that names an end-to-end field as a connection option, such as
+    Host, must not remove it; these are given in kept.
+    """
+    dropped = (connection_options(fields) - kept) | _CONNECTION_FIELDS
+    return [field for field in fields if field[0] not in dropped]
+
+
+def keep_alive_ms(fields: Fields) -> int | None:
+    """Return the idle time that a peer allows, if it states one."""
+    content = value(fields, b"keep-alive")
+    if content is None:
+        return None
+    for part in content.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return int(number) * 1_000
+    return None
--- /dev/null
+++ b/src/balsamwall/gateway/request_parts.py
@@ -0,0 +1,208 @@
+"""Decisions and services that every request uses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import refusal
+from balsamwall.gateway import retry_policy as retry_policy_module
+from balsamwall.limits import retry_budget as retry_budget_module
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import attempt as attempt_module
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import configuration_holder
+    from balsamwall.gateway import connection_pool
+    from balsamwall.gateway import gateway_metrics
+    from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import request_run
+    from balsamwall.gateway import residency_waits
+    from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import server_choice
+    from balsamwall.gateway import server_health
+    from balsamwall.logs import decision_log
+    from balsamwall.results import result_code
+    from balsamwall.timing import clock as clock_module
+
+# A load takes up to a few seconds; a request that waits longer is better
+# sent again by its caller when the model is there.
+WAIT_LIMIT_MS = 6_000
+MAX_PRIORITY = 9
+
+
+class RetryTerms:
+    """Budget of retries that all entries share."""
+
+    __slots__ = ("extra", "share", "window_ms")
+
+    def __init__(self, share: float, extra: float, window_ms: int) -> None:
+        self.share = share
+        self.extra = extra
+        self.window_ms = window_ms
+
+
+class RequestParts:
+    """Collaborators of the requests of one process."""
+
+    __slots__ = (
+        "_budgets",
+        "_configuration",
+        "_entries",
+        "_retry_terms",
+        "choice",
+        "clock",
+        "codec",
+        "health",
+        "log",
+        "metrics",
+        "pool",
+        "retry_policy",
+        "wait_limit_ms",
+        "waits",
+        "zone",
+    )
+
+    # Share of the fleet's allowance that this design uses; the rest covers
+    # entries that are not known yet.
+    USED_PART = 0.6
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        zone: str,
+        configuration: configuration_holder.ConfigurationHolder,
+        choice: server_choice.ServerChoice,
+        health: server_health.ServerHealth,
+        pool: connection_pool.ConnectionPool,
+        codec: incoming_request.RequestCodec,
+        waits: residency_waits.ResidencyWaits,
+        log: decision_log.DecisionLog,
+        metrics: gateway_metrics.GatewayMetrics,
+        retry_terms: RetryTerms,
+        entries: int,
+    ) -> None:
+        self.clock = clock
+        self.zone = zone
+        self.choice = choice
+        self.health = health
+        self.pool = pool
+        self.codec = codec
+        self.waits = waits
+        self.log = log
+        self.metrics = metrics
+        self.retry_policy = retry_policy_module.RetryPolicy()
+        self.wait_limit_ms = WAIT_LIMIT_MS
+        self._configuration = configuration
+        self._retry_terms = retry_terms
+        self._entries = max(1, entries)
+        self._budgets: dict[str, retry_budget_module.RetryBudget] = {}
+
+    def set_entries(self, entries: int) -> None:
+        """Take the number of entries that share the retry budget."""
+        self._entries = max(1, entries)
+        for budget in self._budgets.values():
+            budget.set_min_per_s(self._min_retries_per_s())
+
+    def budget_of(self, service: str) -> retry_budget_module.RetryBudget:
+        """Return the budget for repeats at a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            terms = self._retry_terms
+            budget = retry_budget_module.RetryBudget(
+                self.clock,
+                terms.share * self.USED_PART,
+                self._min_retries_per_s(),
+                terms.window_ms,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _min_retries_per_s(self) -> float:
+        terms = self._retry_terms
+        per_window = terms.extra * self.USED_PART / self._entries
+        return per_window * 1_000 / terms.window_ms
+
+    def is_model_known(
+        self, service: str, request: incoming_request.IncomingRequest
+    ) -> bool:
+        """Tell whether the configuration has the model of a request."""
+        current = self._configuration.current
+        spec = current.services.get(service) if current else None
+        return (
+            spec is not None
+            and spec.engine is not None
+            and request.model in spec.engine.models
+        )
+
+    def priority_for(self, route: route_module.Route) -> int | None:
+        """Return the rank at the server, for streams of engines."""
+        if not route.is_stream:
+            return None
+        rank = 2 * route.priority + int(route.is_resumable)
+        return min(MAX_PRIORITY, rank)
+
+    def refuse(
+        self,
+        exchange: caller_exchange.CallerExchange,
+        code: result_code.ResultCode,
+        detail: str,
+        retry_after_ms: int = refusal.RETRY_AFTER_MS,
+    ) -> None:
+        """Answer with a failure of this process."""
+        refusal.write(exchange, code, detail, retry_after_ms)
+
+    def on_first_answer(
+        self,
+        run: request_run.RequestRun,
+        attempt: attempt_module.Attempt,
+        status: int,
+    ) -> None:
+        """Record the time to the head of the answer."""
+        waited_ms = self.clock.now_ms() - run.arrived_ms
+        self.metrics.observe_first_answer(run.route.name, waited_ms)
+
+    def on_attempt_failed(
+        self,
+        run: request_run.RequestRun,
+        attempt: attempt_module.Attempt,
+        failure: attempt_module.AttemptFailure,
+        detail: str,
+    ) -> None:
+        """Log a send that gave no answer."""
+        self.metrics.count_attempt(failure.value)
+        server = attempt.server
+        self.log.write(
+            "attempt_failed",
+            request=run.request_name,
+            server=server.server_id,
+            failure=failure.value,
+            detail=detail,
+            after_ms=self.clock.now_ms() - attempt.sent_ms,
+            was_reused=attempt.was_reused,
+            failure_share=round(server.failure_share, 2),
+        )
+
+    def on_over(
+        self,
+        run: request_run.RequestRun,
+        code: result_code.ResultCode,
+        detail: str,
+        server: backend_directory.BackendServer | None,
+    ) -> None:
+        """Log the outcome of a request."""
+        duration_ms = self.clock.now_ms() - run.arrived_ms
+        self.metrics.observe_end(run.route.name, code, duration_ms)
+        current = self._configuration.current
+        self.log.write(
+            "request_over",
+            request=run.request_name,
+            route=run.route.name,
+            model=run.request.model,
+            adapter=run.request.adapter,
+            code=code.name,
+            detail=detail,
+            server=server.server_id if server else None,
+            duration_ms=duration_ms,
+            configuration=current.version if current else None,
+        )
--- /dev/null
+++ b/src/balsamwall/gateway/request_run.py
@@ -0,0 +1,377 @@
+"""Life of one request, from its head to the end of its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import event_relay
+from balsamwall.gateway import residency_waits
+from balsamwall.gateway import retry_policy
+from balsamwall.gateway import server_choice
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import http_fields
+    from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import request_parts
+    from balsamwall.gateway import route as route_module
+    from balsamwall.timing import clock as clock_module
+
+_Code = result_code.ResultCode
+SERVER_ERROR_STATUS = 500
+# Pause before a send after a refusal, so that a full server gets room.
+RETRY_PAUSE_MS = 15
+
+
+class RequestRun:
+    """Chooses a server, sends, repeats where allowed, and relays."""
+
+    __slots__ = (
+        "_attempt",
+        "_deadline_timer",
+        "_end_ms",
+        "_excluded",
+        "_exchange",
+        "_has_begun",
+        "_history",
+        "_is_over",
+        "_on_over",
+        "_parts",
+        "_relay",
+        "_retry_timer",
+        "_service",
+        "_wait_timer",
+        "_wanted",
+        "request",
+        "route",
+    )
+
+    def __init__(
+        self,
+        parts: request_parts.RequestParts,
+        exchange: caller_exchange.CallerExchange,
+        request: incoming_request.IncomingRequest,
+        route: route_module.Route,
+        service: str,
+        on_over: Callable[[RequestRun], None],
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self.request = request
+        self.route = route
+        self._service = service
+        self._on_over = on_over
+        self._history = retry_policy.SendHistory()
+        self._excluded: frozenset[str] = frozenset()
+        self._attempt: attempt_module.Attempt | None = None
+        self._wanted: residency_waits.Wanted | None = None
+        self._has_begun = False
+        self._is_over = False
+        self._relay: event_relay.EventRelay | None = None
+        if route.is_resumable:
+            self._relay = event_relay.EventRelay(request.resumes_after)
+        wait_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            wait_ms = min(wait_ms, request.deadline_ms)
+        self._end_ms = exchange.arrived_ms + wait_ms
+        self._deadline_timer: clock_module.Timer | None = None
+        self._wait_timer: clock_module.Timer | None = None
+        self._retry_timer: clock_module.Timer | None = None
+
+    @property
+    def priority(self) -> int:
+        """Return the rank, 0 first."""
+        return self.route.priority
+
+    @property
+    def request_name(self) -> str:
+        """Return the identifier of the request for logs."""
+        return self.request.attempt_id.decode("latin-1")
+
+    @property
+    def arrived_ms(self) -> int:
+        """Return when the first byte of the request was read."""
+        return self._exchange.arrived_ms
+
+    @property
+    def left_ms(self) -> int:
+        """Return the time left for the answer."""
+        return self._end_ms - self._parts.clock.now_ms()
+
+    def start(self) -> None:
+        """Send the request, or wait, or refuse it."""
+        self._exchange.set_listener(self)
+        self._deadline_timer = self._parts.clock.call_later(
+            self.left_ms, self._on_deadline
+        )
+        self._dispatch()
+
+    # Choice
+
+    def _dispatch(self) -> None:
+        if self._is_over:
+            return
+        if self.left_ms < retry_policy.MIN_LEFT_MS:
+            self._on_deadline()
+            return
+        choice = self._parts.choice.choose(
+            self._service, self.request, self._parts.zone, self._excluded
+        )
+        if choice.server is not None:
+            self._send(choice.server)
+        elif self._excluded:
+            # Every other server was tried; one of them may have room again.
+            self._excluded = frozenset()
+            self._pause_before_retry()
+        elif choice.missing is server_choice.Missing.NOT_RESIDENT:
+            self._wait_for_model()
+        else:
+            self._give_up(_Code.NO_REPLICA, "no ready server")
+
+    def _wait_for_model(self) -> None:
+        if not self._parts.is_model_known(self._service, self.request):
+            self._give_up(_Code.NO_REPLICA, "unknown model or adapter")
+            return
+        wanted = residency_waits.Wanted(
+            self._service, self.request.model, self.request.adapter
+        )
+        self._wanted = wanted
+        limit_ms = min(
+            self._parts.wait_limit_ms,
+            self.left_ms - retry_policy.MIN_LEFT_MS,
+        )
+        self._wait_timer = self._parts.clock.call_later(
+            limit_ms, self._on_wait_over
+        )
+        self._parts.waits.add(wanted, self)
+
+    def on_resident(self) -> None:
+        """Send now that a server may hold the model."""
+        self._stop_waiting()
+        self._dispatch()
+
+    def _on_wait_over(self) -> None:
+        self._stop_waiting()
+        self._give_up(_Code.NO_REPLICA, "the model was not loaded in time")
+
+    def _stop_waiting(self) -> None:
+        if self._wait_timer is not None:
+            self._wait_timer.cancel()
+            self._wait_timer = None
+        wanted, self._wanted = self._wanted, None
+        if wanted is not None:
+            self._parts.waits.remove(wanted, self)
+
+    # Sending
+
+    def _send(self, server: backend_directory.BackendServer) -> None:
+        head = self._exchange.head
+        codec = self._parts.codec
+        last_event_id = self.request.resumes_after
+        if self._relay is not None:
+            last_event_id = self._relay.last_event_id
+        fields = codec.forwarded_fields(head)
+        fields += codec.attempt_fields(
+            server.record,
+            self.left_ms,
+            self._parts.priority_for(self.route),
+            last_event_id,
+        )
+        body = self._exchange.body
+        if body or head.method in (b"POST", b"PUT", b"PATCH"):
+            fields.append((b"content-length", str(len(body)).encode()))
+        plan = attempt_module.SendPlan(
+            head.method, head.target, fields, body, self.request.attempt_id
+        )
+        attempt = attempt_module.Attempt(
+            server, codec, plan, self, self._parts.clock
+        )
+        self._attempt = attempt
+        server.on_sent()
+        self._parts.choice.note_sent(server, self.request)
+        # A kept connection may be closing; a request that may not be repeated
+        # would end with an unknown outcome.
+        is_fresh = not self.route.is_repeatable and not self.route.is_stream
+        attempt.start(self._parts.pool, is_fresh)
+
+    def on_answer_head(
+        self,
+        attempt: attempt_module.Attempt,
+        status: int,
+        fields: http_fields.Fields,
+    ) -> None:
+        """Begin the answer, or repeat after an error of the server."""
+        if attempt is not self._attempt:
+            return
+        if self._has_begun:
+            if status != 200:
+                self._attempt_over(True)
+                attempt.abandon()
+                self._cut(_Code.ANSWER_INTERRUPTED, f"resume got {status}")
+            return
+        if status >= SERVER_ERROR_STATUS and self._may_repeat(
+            attempt_module.AttemptFailure.INVALID
+        ):
+            self._attempt_over(True)
+            attempt.ignore()
+            self._exclude(attempt.server)
+            self._dispatch()
+            return
+        self._has_begun = True
+        self._parts.on_first_answer(self, attempt, status)
+        self._exchange.begin(
+            status,
+            self._parts.codec.answer_fields(fields),
+            _content_length(fields),
+        )
+
+    def on_answer_data(
+        self, attempt: attempt_module.Attempt, data: bytes
+    ) -> None:
+        """Relay a part of the answer."""
+        if attempt is not self._attempt:
+            return
+        if self._relay is not None and attempt.status == 200:
+            data = self._relay.feed(data)
+        if data:
+            self._exchange.write(data)
+
+    def on_done(self, attempt: attempt_module.Attempt) -> None:
+        """Finish a whole answer."""
+        if attempt is not self._attempt:
+            return
+        self._attempt_over(attempt.status >= SERVER_ERROR_STATUS)
+        if self._relay is not None and self._relay.rest():
+            # The stream ended inside an event although its framing was whole.
+            self._cut(_Code.ANSWER_INTERRUPTED, "unfinished last event")
+            return
+        self._exchange.finish()
+        self._over(_Code.OK, f"status {attempt.status}", attempt.server)
+
+    def on_failed(
+        self,
+        attempt: attempt_module.Attempt,
+        failure: attempt_module.AttemptFailure,
+        detail: str,
+    ) -> None:
+        """Repeat, resume or end the request."""
+        if attempt is not self._attempt:
+            return
+        self._attempt_over(True)
+        self._exclude(attempt.server)
+        self._parts.on_attempt_failed(self, attempt, failure, detail)
+        if self._has_begun and self._relay is None:
+            self._cut(_Code.ANSWER_INTERRUPTED, detail)
+            return
+        if self._relay is not None:
+            self._relay.drop_partial()
+        if self._may_repeat(failure):
+            if failure is attempt_module.AttemptFailure.NOT_RUN:
+                self._pause_before_retry()
+            else:
+                self._dispatch()
+        elif self._has_begun:
+            self._cut(_Code.ANSWER_INTERRUPTED, detail)
+        else:
+            self._give_up(_Code.BACKEND_DOWN, f"{failure.value}: {detail}")
+
+    def _may_repeat(self, failure: attempt_module.AttemptFailure) -> bool:
+        self._history.note(failure)
+        return self._parts.retry_policy.may_send_again(
+            self.route,
+            self._history,
+            failure,
+            self.left_ms,
+            self._parts.budget_of(self._service),
+        )
+
+    def _pause_before_retry(self) -> None:
+        self._retry_timer = self._parts.clock.call_later(
+            RETRY_PAUSE_MS, self._dispatch
+        )
+
+    def _exclude(self, server: backend_directory.BackendServer) -> None:
+        self._excluded |= {server.server_id}
+
+    def _attempt_over(self, is_failure: bool) -> None:
+        """Count the end of the present send."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.server.on_ended()
+        self._parts.health.on_outcome(attempt.server, is_failure)
+
+    # Ends
+
+    def _on_deadline(self) -> None:
+        attempt = self._attempt
+        if attempt is not None:
+            if attempt.is_sent:
+                self._history.note(attempt_module.AttemptFailure.ABANDONED)
+            self._attempt_over(not self._has_begun)
+            attempt.abandon()
+        if self._has_begun:
+            self._cut(_Code.DEADLINE_EXCEEDED, "deadline within the answer")
+        else:
+            self._give_up(_Code.DEADLINE_EXCEEDED, "deadline")
+
+    def on_caller_gone(self) -> None:
+        """Cancel what may be cancelled."""
+        attempt = self._attempt
+        if attempt is not None:
+            attempt.server.on_ended()
+            self._attempt = None
+            if self.route.is_stream or self.route.is_repeatable:
+                attempt.abandon()
+            else:
+                # The outcome counts although nobody waits for it here.
+                attempt.ignore()
+        self._over(_Code.CALLER_GONE, "caller closed", None)
+
+    def on_caller_blocked(self, is_blocked: bool) -> None:
+        """Read from the server only as fast as the caller reads."""
+        if self._attempt is not None:
+            self._attempt.set_blocked(is_blocked)
+
+    def _give_up(self, code: _Code, detail: str) -> None:
+        """Answer with a failure that says whether the request has run."""
+        if self._history.may_have_run and code.is_certified_not_run:
+            code = _Code.OUTCOME_UNKNOWN
+        elif code is _Code.DEADLINE_EXCEEDED and (
+            not self._history.may_have_run
+        ):
+            code = _Code.DEADLINE_UNREACHABLE
+        self._parts.refuse(self._exchange, code, detail)
+        self._over(code, detail, None)
+
+    def _cut(self, code: _Code, detail: str) -> None:
+        self._exchange.cut()
+        self._over(code, detail, None)
+
+    def _over(
+        self,
+        code: _Code,
+        detail: str,
+        server: backend_directory.BackendServer | None,
+    ) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        self._stop_waiting()
+        for timer in (self._deadline_timer, self._retry_timer):
+            if timer is not None:
+                timer.cancel()
+        self._parts.on_over(self, code, detail, server)
+        self._on_over(self)
+
+
+def _content_length(fields: http_fields.Fields) -> int | None:
+    for name, value in fields:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return None
--- /dev/null
+++ b/src/balsamwall/infrastructure/__init__.py
@@ -0,0 +1,3 @@
+"""Clients of the key-value service and of the VM list."""
+
+from __future__ import annotations
--- a/src/balsamwall/platform/etcd_client.py
+++ b/src/balsamwall/infrastructure/etcd_client.py
@@ -10,9 +10,9 @@
 from returns.result import Failure
 from returns.result import Success
 
-from balsamwall.platform import etcd_watch
-from balsamwall.platform import http_client
-from balsamwall.platform import key_value_service
+from balsamwall.infrastructure import etcd_watch
+from balsamwall.infrastructure import http_client
+from balsamwall.infrastructure import key_value_service
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
--- a/src/balsamwall/platform/etcd_watch.py
+++ b/src/balsamwall/infrastructure/etcd_watch.py
@@ -10,13 +10,13 @@
 from returns.result import Result
 from returns.result import Success
 
-from balsamwall.platform import key_value_service
+from balsamwall.infrastructure import key_value_service
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamwall.platform import http_client
+    from balsamwall.infrastructure import http_client
     from balsamwall.timing import clock as clock_module
 
 # The service sends a progress line every 2 s on a healthy stream; three
--- a/src/balsamwall/platform/vm_list_client.py
+++ b/src/balsamwall/infrastructure/vm_list_client.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
-from balsamwall.platform import http_client
+from balsamwall.infrastructure import http_client
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/balsamwall/limits/retry_budget.py
+++ b/src/balsamwall/limits/retry_budget.py
@@ -19,11 +19,28 @@
     is bounded by one window, so that a quiet hour does not pay for a storm.
     """
 
-    __slots__ = ("_clock", "_credit", "_rate", "_updated_ms")
+    __slots__ = (
+        "_clock",
+        "_credit",
+        "_min_per_s",
+        "_rate",
+        "_share",
+        "_updated_ms",
+        "_window_ms",
+    )
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        share: float = RETRY_SHARE,
+        min_per_s: float = MIN_RETRIES_PER_S,
+        window_ms: int = WINDOW_MS,
+    ) -> None:
         self._clock = clock
-        self._credit = MIN_RETRIES_PER_S
+        self._share = share
+        self._min_per_s = min_per_s
+        self._window_ms = window_ms
+        self._credit = min_per_s
         self._rate = 0.0  # requests in the window, decaying
         self._updated_ms = clock.now_ms()
 
@@ -31,7 +48,12 @@
         """Count a first attempt."""
         self._advance()
         self._rate += 1.0
-        self._credit = min(self._limit(), self._credit + RETRY_SHARE)
+        self._credit = min(self._limit(), self._credit + self._share)
+
+    def set_min_per_s(self, min_per_s: float) -> None:
+        """Change the steady minimum, such as a share of a fleet's."""
+        self._advance()
+        self._min_per_s = min_per_s
 
     def take(self) -> bool:
         """Spend one retry; return False when the budget is used up."""
@@ -45,10 +67,10 @@
         """Return the time until a retry is allowed, in milliseconds."""
         self._advance()
         missing = max(0.0, 1.0 - self._credit)
-        return int(missing * 1_000 / MIN_RETRIES_PER_S)
+        return int(missing * 1_000 / self._min_per_s)
 
     def _limit(self) -> float:
-        return MIN_RETRIES_PER_S + RETRY_SHARE * self._rate
+        return self._min_per_s + self._share * self._rate
 
     def _advance(self) -> None:
         now_ms = self._clock.now_ms()
@@ -56,6 +78,6 @@
         if passed_ms <= 0:
             return
         self._updated_ms = now_ms
-        self._rate *= max(0.0, 1.0 - passed_ms / WINDOW_MS)
-        earned = passed_ms * MIN_RETRIES_PER_S / 1_000
+        self._rate *= max(0.0, 1.0 - passed_ms / self._window_ms)
+        earned = passed_ms * self._min_per_s / 1_000
         self._credit = min(self._limit(), self._credit + earned)
--- /dev/null
+++ b/src/balsamwall/logs/__init__.py
@@ -0,0 +1,3 @@
+"""Structured log lines with a bounded volume."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/balsamwall/logs/decision_log.py
@@ -0,0 +1,48 @@
+"""Log lines of decisions, limited by kind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eliot
+
+from balsamwall.limits import token_bucket
+
+if TYPE_CHECKING:
+    from balsamwall.timing import clock as clock_module
+
+# Enough to follow single requests, while an overload can't fill the disk.
+LINES_PER_S = 40
+BURST_LINES = 200
+SUMMARY_INTERVAL_MS = 1_000
+
+
+class DecisionLog:
+    """Write one line a decision, up to a rate for each kind of line."""
+
+    __slots__ = ("_buckets", "_clock", "_dropped")
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._buckets: dict[str, token_bucket.TokenBucket] = {}
+        self._dropped: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Report dropped lines from now on."""
+        self._clock.call_later(SUMMARY_INTERVAL_MS, self.start)
+        for kind, count in self._dropped.items():
+            eliot.log_message("lines_dropped", kind=kind, count=count)
+        self._dropped.clear()
+
+    def write(self, kind: str, **fields: object) -> None:
+        """Write a line, or count it as dropped."""
+        bucket = self._buckets.get(kind)
+        if bucket is None:
+            bucket = token_bucket.TokenBucket(
+                self._clock, LINES_PER_S, BURST_LINES
+            )
+            self._buckets[kind] = bucket
+        if not bucket.take():
+            self._dropped[kind] = self._dropped.get(kind, 0) + 1
+            return
+        eliot.log_message(kind, **fields)
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,16 @@
 # The holder stops this long before the service may give the lease away.
 LEASE_MARGIN_MS = 1_000
 
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaseTimes:
+    """Times of a lease in milliseconds."""
+
+    ttl_ms: int = LEASE_TTL_MS
+    renew_ms: int = LEASE_RENEW_MS
+    margin_ms: int = LEASE_MARGIN_MS
+
+
 StoreResult = Result[int, result_code.ResultCode]
 
 
@@ -67,8 +78,10 @@
         "_lease_id",
         "_owner",
         "_store",
+        "_revision",
         "_taken_ms",
         "_timer",
+        "_times",
         "_valid_until_ms",
     )
 
@@ -79,8 +92,11 @@
         key: str,
         owner: str,
         is_candidate: Callable[[], bool],
+        times: LeaseTimes | None = None,
     ) -> None:
         self._clock = clock
+        self._times = times or LeaseTimes()
+        self._revision = 0
         self._store = store
         self._key = key
         self._owner = owner
@@ -102,9 +118,17 @@
         """Return when the lease was taken, None while it is not held."""
         return self._taken_ms if self.is_held else None
 
+    @property
+    def revision(self) -> int:
+        """Return the revision at which the lease was taken.
+
+        It grows with each holder, so that it serves as a fencing token.
+        """
+        return self._revision
+
     def start(self) -> None:
         """Try to take the lease, then renew it, until stopped."""
-        self._timer = self._clock.call_later(LEASE_RENEW_MS, self.start)
+        self._timer = self._clock.call_later(self._times.renew_ms, self.start)
         if not self._is_candidate():
             self._give_up()
         elif self._lease_id and self.is_held:
@@ -148,6 +172,7 @@
             if attempt != self._attempt:
                 return
             if isinstance(result, Success):
+                self._revision = result.unwrap()
                 self._taken_ms = self._clock.now_ms()
                 self._extend(sent_ms)
             else:
@@ -155,7 +180,7 @@
                 # effect without an answer.
                 self._give_up()
 
-        self._store.lease(LEASE_TTL_MS, on_lease)
+        self._store.lease(self._times.ttl_ms, on_lease)
 
     def _renew(self) -> None:
         attempt = self._attempt
@@ -173,5 +198,5 @@
 
     def _extend(self, sent_ms: int) -> None:
         """Count the validity from the time at which the call was sent."""
-        end_ms = sent_ms + LEASE_TTL_MS - LEASE_MARGIN_MS
+        end_ms = sent_ms + self._times.ttl_ms - self._times.margin_ms
         self._valid_until_ms = max(self._valid_until_ms or 0, end_ms)
--- a/src/balsamwall/platform/__init__.py
+++ b/src/balsamwall/platform/__init__.py
@@ -1,3 +1,3 @@
-"""Clients of the platform services."""
+"""Adapter to the users' platform: it only translates."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/balsamwall/platform/documents.py
@@ -0,0 +1,193 @@
+"""Documents of the platform's store in the project's types.
+
+The store's writers may be of another version, so that a field may be missing
+or of another type; a document that can't be read in whole is not used.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from balsamwall.gateway import backend_directory
+from balsamwall.gateway import gateway_configuration
+from balsamwall.gateway import route as route_module
+
+CONFIGURATION_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+_STATES = ("ready", "draining")
+DEFAULT_LOAD_S = 2.0
+
+
+class DocumentError(ValueError):
+    """Document that can't be read."""
+
+
+def _mapping(raw: bytes) -> dict[str, Any]:
+    try:
+        found = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError(f"not JSON: {error}") from error
+    if type(found) is not dict:
+        raise DocumentError(f"expected an object, found {type(found)}")
+    return found
+
+
+def _field(rows: dict[str, Any], name: str, *types: type) -> Any:
+    found = rows.get(name)
+    if type(found) not in types:
+        raise DocumentError(f"{name}: found {found!r}")
+    return found
+
+
+def _optional(
+    rows: dict[str, Any], name: str, default: Any, *types: type
+) -> Any:
+    return default if name not in rows else _field(rows, name, *types)
+
+
+def _objects(rows: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    found = _field(rows, name, list)
+    if not all(type(row) is dict for row in found):
+        raise DocumentError(f"{name}: expected objects")
+    return list(found)
+
+
+def decode_configuration(
+    raw: bytes,
+) -> gateway_configuration.GatewayConfiguration:
+    """Read a configuration; raise DocumentError."""
+    rows = _mapping(raw)
+    limits = _optional(rows, "limits", {}, dict)
+    defaults = gateway_configuration.CallerLimits()
+    return gateway_configuration.GatewayConfiguration(
+        _field(rows, "version", int),
+        [_route(row) for row in _objects(rows, "routes")],
+        [_service(row) for row in _objects(rows, "services")],
+        gateway_configuration.CallerLimits(
+            _limit(limits, "max_header_bytes", defaults.max_header_bytes),
+            _limit(limits, "max_body_bytes", defaults.max_body_bytes),
+            _limit(limits, "header_timeout_ms", defaults.header_timeout_ms),
+            _limit(limits, "idle_timeout_ms", defaults.idle_timeout_ms),
+        ),
+    )
+
+
+def _limit(rows: dict[str, Any], name: str, default: int) -> int:
+    return int(_optional(rows, name, default, int, float))
+
+
+def _route(row: dict[str, Any]) -> route_module.Route:
+    try:
+        kind = route_module.RequestKind(_field(row, "kind", str))
+    except ValueError as error:
+        raise DocumentError(str(error)) from error
+    if "split" in row:
+        destinations = tuple(
+            route_module.Destination(
+                _field(part, "service", str),
+                float(_field(part, "weight", int, float)),
+            )
+            for part in _objects(row, "split")
+        )
+    else:
+        service = _field(row, "service", str)
+        destinations = (route_module.Destination(service, 1.0),)
+    return route_module.Route(
+        name=_field(row, "name", str),
+        host=_field(row, "host", str),
+        path_prefix=_field(row, "path_prefix", str),
+        kind=kind,
+        timeout_ms=int(_field(row, "timeout_ms", int, float)),
+        first_answer_target_ms=int(
+            _optional(row, "target_latency_ms", 0, int, float)
+        ),
+        priority=_optional(row, "priority", 0, int),
+        destinations=destinations,
+        attempts=_optional(row, "attempts", 1, int),
+        is_resumable=_optional(row, "resumable", False, bool),
+        gap_target_ms=int(_optional(row, "gap_aim_ms", 0, int, float)),
+    )
+
+
+def _service(row: dict[str, Any]) -> gateway_configuration.ServiceSpec:
+    engine = _optional(row, "engine", None, dict, type(None))
+    return gateway_configuration.ServiceSpec(
+        name=_field(row, "name", str),
+        health_path=_optional(row, "health_path", "/health", str),
+        max_connections=_optional(row, "max_conns", 100, int),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(row: dict[str, Any]) -> gateway_configuration.EngineSpec:
+    models = [_model(item) for item in _objects(row, "models")]
+    return gateway_configuration.EngineSpec(
+        slots=_optional(row, "slots", 1, int),
+        kv_capacity=_optional(row, "kv_capacity", 0, int),
+        weights_mb=float(_optional(row, "weights_mb", 0, int, float)),
+        adapter_slots=_optional(row, "adapter_slots", 0, int),
+        loads_per_s=float(_optional(row, "loads_per_s", 0, int, float)),
+        models={model.name: model for model in models},
+    )
+
+
+def _model(row: dict[str, Any]) -> gateway_configuration.ModelSpec:
+    load_s = float(_optional(row, "load_s", DEFAULT_LOAD_S, int, float))
+    return gateway_configuration.ModelSpec(
+        name=_field(row, "name", str),
+        weights_mb=float(_field(row, "weights_mb", int, float)),
+        load_ms=int(load_s * 1_000),
+        warm_ms=int(_optional(row, "warm_s", load_s, int, float) * 1_000),
+        disk_ms=int(_optional(row, "disk_s", load_s, int, float) * 1_000),
+        adapters=_optional(row, "adapters", 0, int),
+        adapter_mb=float(_optional(row, "adapter_mb", 0, int, float)),
+    )
+
+
+def decode_server(
+    server_id: str, raw: bytes
+) -> backend_directory.ServerRecord:
+    """Read what a backend server says of itself; raise DocumentError."""
+    rows = _mapping(raw)
+    host, _, port = _field(rows, "address", str).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise DocumentError(f"address: found {rows['address']!r}")
+    state = _field(rows, "state", str)
+    if state not in _STATES:
+        raise DocumentError(f"state: found {state!r}")
+    remaining = _optional(rows, "remaining_ms", None, int, float)
+    at_hand = _optional(rows, "at_hand", {}, dict)
+    return backend_directory.ServerRecord(
+        server_id=server_id,
+        service=_field(rows, "service", str),
+        host=host,
+        port=int(port),
+        availability_zone=_field(rows, "zone", str),
+        slots=_field(rows, "slots", int),
+        is_draining=state == "draining",
+        # "born" is the start of the process; without it the identifier alone
+        # tells processes apart.
+        started_ms=_optional(rows, "born", 0, int),
+        models=decode_models(rows),
+        in_memory=_names(at_hand, "in_memory"),
+        on_disk=_names(at_hand, "on_disk"),
+        remaining_ms=None if remaining is None else int(remaining),
+    )
+
+
+def decode_models(rows: dict[str, Any]) -> dict[str, frozenset[str]]:
+    """Read the resident models with their adapters; raise DocumentError."""
+    if "models" not in rows:
+        return {}
+    return {
+        _field(row, "name", str): _names(row, "adapters")
+        for row in _objects(rows, "models")
+    }
+
+
+def _names(rows: dict[str, Any], name: str) -> frozenset[str]:
+    found = _optional(rows, name, [], list)
+    if not all(type(item) is str for item in found):
+        raise DocumentError(f"{name}: expected names")
+    return frozenset(found)
--- /dev/null
+++ b/src/balsamwall/platform/header_codec.py
@@ -0,0 +1,146 @@
+"""Header fields of requests and answers on the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import http_fields
+from balsamwall.gateway import incoming_request
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import caller_exchange
+
+REQUEST_ID = b"balsamwall-request-id"
+DEADLINE = b"balsamwall-deadline-ms"
+MODEL = b"balsamwall-model"
+TOKEN_USAGE = b"balsamwall-token-usage"
+PROMPT_PREFIX = b"balsamwall-prompt-prefix"
+EXPECT_SERVER = b"balsamwall-expect-instance"
+PRIORITY = b"balsamwall-request-priority"
+LAST_EVENT_ID = b"last-event-id"
+SIGNATURE = b"balsamwall-response-signature"
+NOT_EXECUTED = b"balsamwall-not-executed"
+SERVER_LOAD = b"balsamwall-server-load"
+CONTENT_ENCODING = b"content-encoding"
+
+# Fields that only the system sets; a caller's own are dropped.
+_SYSTEM_FIELDS = frozenset(
+    (
+        EXPECT_SERVER,
+        PRIORITY,
+        b"balsamwall-expect-version",
+        b"balsamwall-hold",
+        b"balsamwall-pin-ms",
+        b"balsamwall-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    )
+)
+# Fields that are set anew for each send.
+_REPLACED_FIELDS = frozenset((DEADLINE, LAST_EVENT_ID))
+# A caller can't remove these by naming them as connection options.
+_KEPT_FIELDS = frozenset(
+    (b"host", REQUEST_ID, MODEL, TOKEN_USAGE, PROMPT_PREFIX)
+)
+MAX_DEADLINE_MS = 86_400_000
+
+
+class HeaderCodec:
+    """Translate between header fields and typed values."""
+
+    __slots__ = ()
+
+    @property
+    def echo_field(self) -> bytes:
+        """Return the field that repeats the attempt in an answer."""
+        return REQUEST_ID
+
+    def decode(
+        self, head: caller_exchange.RequestHead
+    ) -> incoming_request.IncomingRequest:
+        """Read the fields of a request."""
+        fields = dict(head.fields)
+        host = fields.get(b"host", b"").decode("latin-1")
+        name, _, adapter = (
+            fields.get(MODEL, b"").decode("latin-1").partition("/")
+        )
+        usage = fields.get(TOKEN_USAGE, b"").split(b",")
+        return incoming_request.IncomingRequest(
+            attempt_id=fields.get(REQUEST_ID, b""),
+            host=host.rsplit(":", 1)[0] if ":" in host else host,
+            deadline_ms=_number(fields.get(DEADLINE, b""), MAX_DEADLINE_MS),
+            model=name,
+            adapter=adapter,
+            prompt_tokens=_number(usage[0]) or 0,
+            max_output_tokens=(_number(usage[1]) or 0)
+            if len(usage) > 1
+            else 0,
+            prompt_parts=_prompt_parts(fields.get(PROMPT_PREFIX, b"")),
+            resumes_after=fields.get(LAST_EVENT_ID),
+        )
+
+    def forwarded_fields(
+        self, head: caller_exchange.RequestHead
+    ) -> http_fields.Fields:
+        """Return the fields that go to every backend server."""
+        return [
+            field
+            for field in http_fields.end_to_end(head.fields, _KEPT_FIELDS)
+            if field[0] not in _SYSTEM_FIELDS
+            and field[0] not in _REPLACED_FIELDS
+        ]
+
+    def attempt_fields(
+        self,
+        record: backend_directory.ServerRecord,
+        left_ms: int,
+        priority: int | None,
+        last_event_id: bytes | None,
+    ) -> http_fields.Fields:
+        """Return the fields of one send."""
+        fields = [
+            (DEADLINE, str(left_ms).encode()),
+            (EXPECT_SERVER, record.server_id.encode()),
+        ]
+        if priority is not None:
+            fields.append((PRIORITY, str(priority).encode()))
+        if last_event_id is not None:
+            fields.append((LAST_EVENT_ID, last_event_id))
+        return fields
+
+    def decode_answer(
+        self, fields: http_fields.Fields, attempt_id: bytes
+    ) -> incoming_request.AnswerHead:
+        """Read the fields of an answer."""
+        found = dict(fields)
+        load = found.get(SERVER_LOAD, b"").split(b",")
+        return incoming_request.AnswerHead(
+            is_signed=bool(found.get(SIGNATURE)),
+            is_echoed=found.get(REQUEST_ID) == attempt_id,
+            is_certified_not_run=NOT_EXECUTED in found,
+            is_encoded=CONTENT_ENCODING in found,
+            running=_number(load[0]),
+            waiting=_number(load[1]) if len(load) > 1 else None,
+        )
+
+    def answer_fields(self, fields: http_fields.Fields) -> http_fields.Fields:
+        """Return the fields that go to the caller."""
+        return http_fields.end_to_end(fields, frozenset())
+
+
+def _number(raw: bytes, most: int = 10**9) -> int | None:
+    """Return a whole number up to a bound, None for anything else."""
+    text = raw.strip()
+    if not text.isdigit() or len(text) > 12:
+        return None
+    return min(most, int(text))
+
+
+def _prompt_parts(raw: bytes) -> tuple[str, ...]:
+    """Return the identifiers of the shared parts.
+
+    The last part belongs to one request or session.
+    """
+    rows = raw.decode("latin-1").split(",")
+    return tuple(row.partition(":")[0].strip() for row in rows[:-1])
--- /dev/null
+++ b/src/balsamwall/platform/node_settings.py
@@ -0,0 +1,133 @@
+"""Settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+import dataclasses
+import tomllib
+from typing import Any
+
+from balsamwall.settings import address as address_module
+
+DEFAULT_PATH = "/etc/balsamwall/local.toml"
+PATH_VARIABLE = "BALSAMWALL_NODE_FILE"
+
+
+class NodeSettingsError(Exception):
+    """Field of the settings file that is missing or wrong."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeSettings:
+    """Settings in the terms of the project; times in milliseconds."""
+
+    vm: str
+    availability_zone: str
+    ip: str
+    callers: address_module.Address  # field listen.front
+    probes: address_module.Address  # field listen.ready
+    store: address_module.Address
+    first_internal_port: int
+    last_internal_port: int
+    grace_ms: int
+    lease_ms: int
+    min_lease_ms: int
+    retry_share: float
+    retry_extra: float  # retries allowed in a window beside the share
+    retry_window_ms: int
+    load_window_ms: int
+    load_overshoot: float
+
+
+class _Table:
+    """Part of the file that names its fields in errors."""
+
+    __slots__ = ("_name", "_rows")
+
+    def __init__(self, name: str, rows: dict[str, Any]) -> None:
+        self._name = name
+        self._rows = rows
+
+    def table(self, name: str) -> _Table:
+        return _Table(self._path(name), self._value(name, dict, "a table"))
+
+    def text(self, name: str) -> str:
+        found: str = self._value(name, str, "a text")
+        if not found:
+            raise NodeSettingsError(f"{self._path(name)}: empty")
+        return found
+
+    def number(self, name: str) -> float:
+        found = self._value(name, (int, float), "a number")
+        if isinstance(found, bool) or found < 0:
+            raise NodeSettingsError(
+                f"{self._path(name)}: expected a number from 0, "
+                f"found {found!r}"
+            )
+        return float(found)
+
+    def address(self, name: str) -> address_module.Address:
+        found = self.text(name)
+        try:
+            return address_module.parse(found)
+        except ValueError as error:
+            raise NodeSettingsError(
+                f"{self._path(name)}: expected HOST:PORT, found {found!r}"
+            ) from error
+
+    def port_range(self, name: str) -> tuple[int, int]:
+        found = self._value(name, list, "two ports")
+        if len(found) != 2 or not all(type(port) is int for port in found):
+            raise NodeSettingsError(
+                f"{self._path(name)}: expected two ports, found {found!r}"
+            )
+        return found[0], found[1]
+
+    def _value(self, name: str, types: Any, wanted: str) -> Any:
+        if name not in self._rows:
+            raise NodeSettingsError(f"{self._path(name)}: missing")
+        found = self._rows[name]
+        if not isinstance(found, types):
+            raise NodeSettingsError(
+                f"{self._path(name)}: expected {wanted}, found {found!r}"
+            )
+        return found
+
+    def _path(self, name: str) -> str:
+        return f"{self._name}.{name}" if self._name else name
+
+
+def load(path: str) -> NodeSettings:
+    """Read and check the file; raise NodeSettingsError."""
+    try:
+        with open(path, "rb") as file:
+            rows = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise NodeSettingsError(f"{path}: {error}") from error
+    return parse(rows)
+
+
+def parse(rows: dict[str, Any]) -> NodeSettings:
+    """Check the fields; raise NodeSettingsError with the field's name."""
+    root = _Table("", rows)
+    listen = root.table("listen")
+    bounds = root.table("bounds")
+    store = root.table("platform")
+    ports = root.port_range("internal_ports")
+    return NodeSettings(
+        vm=root.text("node"),
+        availability_zone=root.text("zone"),
+        ip=root.text("ip"),
+        callers=listen.address("front"),
+        probes=listen.address("ready"),
+        store=store.address("address"),
+        first_internal_port=ports[0],
+        last_internal_port=ports[1],
+        grace_ms=int(bounds.number("grace_s") * 1_000),
+        lease_ms=int(bounds.number("lease_ms")),
+        min_lease_ms=int(store.number("ttl_min_ms")),
+        retry_share=bounds.number("retry_budget_ratio"),
+        retry_extra=bounds.number("budget_extra"),
+        retry_window_ms=int(bounds.number("budget_window_s") * 1_000),
+        load_window_ms=int(bounds.number("ceiling_window_s") * 1_000),
+        load_overshoot=bounds.number("ceiling_overshoot"),
+    )
--- /dev/null
+++ b/src/balsamwall/platform/store_client.py
@@ -0,0 +1,222 @@
+"""The platform's metadata store as the project's key-value service."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+import urllib.parse
+
+from returns.result import Failure
+from returns.result import Success
+
+from balsamwall.infrastructure import key_value_service
+from balsamwall.platform import store_feed
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from balsamwall.infrastructure import http_client
+    from balsamwall.timing import clock as clock_module
+
+_Code = result_code.ResultCode
+# The store answers within some milliseconds; a slow one within a few hundred.
+CALL_TIMEOUT_MS = 1_500
+UNAVAILABLE_STATUSES = (429, 503)
+
+
+class StoreClient:
+    """Calls of the store; one feed serves all watches."""
+
+    __slots__ = ("_clock", "_http", "_url", "feed")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+        http: http_client.HttpClient,
+        address: str,
+    ) -> None:
+        self._clock = clock
+        self._http = http
+        self._url = f"http://{address}"
+        self.feed = store_feed.StoreFeed(clock, random_source, self.request)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: object,
+        timeout_ms: int,
+        callback: Callable[[http_client.HttpAnswer], None],
+    ) -> Callable[[], None]:
+        """Make one call; return a function that cancels it."""
+        raw = b"" if body is None else json.dumps(body).encode()
+        headers = {"Content-Type": "application/json"} if raw else {}
+        return self._http.call(
+            method, self._url + path, headers, raw, timeout_ms, callback
+        )
+
+    def get(
+        self,
+        key: str,
+        callback: Callable[[key_value_service.GetResult], None],
+    ) -> None:
+        """Read a key; None when it is absent."""
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            rows = _body(answer)
+            if answer.status == 404:
+                callback(Success(None))
+            elif answer.status == 200 and rows is not None:
+                callback(Success(store_feed.decode_item(rows)))
+            else:
+                callback(Failure(_Code.PLATFORM_UNAVAILABLE))
+
+        query = urllib.parse.urlencode({"key": key})
+        self.request(
+            "GET", f"/kv-key?{query}", None, CALL_TIMEOUT_MS, on_answer
+        )
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        callback: Callable[[key_value_service.RevisionResult], None],
+        lease_id: int = 0,
+    ) -> None:
+        """Write a key without a condition; return the new revision."""
+        self._transact([], [_write(key, value, lease_id)], [], callback)
+
+    def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        callback: Callable[[key_value_service.RevisionResult], None],
+        lease_id: int = 0,
+    ) -> None:
+        """Write a key if its revision is as expected, 0 for an absent key."""
+        condition = {"key": key, "revision": expected_revision}
+        writes = [_write(key, value, lease_id)]
+        self._transact([condition], writes, [], callback)
+
+    def delete(
+        self,
+        key: str,
+        callback: Callable[[key_value_service.RevisionResult], None],
+        expected_revision: int = 0,
+    ) -> None:
+        """Delete a key, on a revision if one is given."""
+        conditions = []
+        if expected_revision:
+            conditions.append({"key": key, "revision": expected_revision})
+        self._transact(conditions, [], [key], callback)
+
+    def lease(
+        self,
+        ttl_ms: int,
+        callback: Callable[[key_value_service.LeaseResult], None],
+    ) -> None:
+        """Grant a lease and return its identifier."""
+        self._lease_call(
+            "POST", "/kv-lease", {"ttl_ms": ttl_ms}, "lease", callback
+        )
+
+    def keep_alive(
+        self,
+        lease_id: int,
+        callback: Callable[[key_value_service.LeaseResult], None],
+    ) -> None:
+        """Renew a lease; return its time, COMPARE_FAILED if it is gone."""
+        path = f"/kv-keep/{lease_id}"
+        self._lease_call("POST", path, None, "ttl_ms", callback)
+
+    def revoke(
+        self,
+        lease_id: int,
+        callback: Callable[[key_value_service.LeaseResult], None],
+    ) -> None:
+        """End a lease and delete its keys."""
+        path = f"/kv-lease-end/{lease_id}"
+        self._lease_call("DELETE", path, None, "", callback)
+
+    def watch(
+        self,
+        key: str,
+        on_change: Callable[[key_value_service.KeyValue], None],
+        is_prefix: bool = False,
+    ) -> key_value_service.Watch:
+        """Deliver the present value, then each newer one."""
+        return self.feed.add(key, on_change, is_prefix)
+
+    def _transact(
+        self,
+        conditions: list[dict[str, Any]],
+        writes: list[dict[str, Any]],
+        removed: list[str],
+        callback: Callable[[key_value_service.RevisionResult], None],
+    ) -> None:
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            rows = _body(answer)
+            if answer.status == 200 and rows is not None:
+                callback(Success(int(rows.get("revision", 0))))
+            elif answer.status in (404, 412):
+                callback(Failure(_Code.COMPARE_FAILED))
+            else:
+                callback(Failure(_failure(answer)))
+
+        body = {
+            "precondition": conditions,
+            "writes": writes,
+            "remove": removed,
+        }
+        self.request("POST", "/kv-txn", body, CALL_TIMEOUT_MS, on_answer)
+
+    def _lease_call(
+        self,
+        method: str,
+        path: str,
+        body: object,
+        field: str,
+        callback: Callable[[key_value_service.LeaseResult], None],
+    ) -> None:
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            if answer.status == 404:
+                callback(Failure(_Code.COMPARE_FAILED))
+                return
+            if answer.status != 200:
+                callback(Failure(_failure(answer)))
+                return
+            rows = _body(answer) or {}
+            number = rows.get(field, 0)
+            if field and type(number) is not int:
+                callback(Failure(_Code.PLATFORM_OUTCOME_UNKNOWN))
+                return
+            callback(Success(number))
+
+        self.request(method, path, body, CALL_TIMEOUT_MS, on_answer)
+
+
+def _write(key: str, value: bytes, lease_id: int) -> dict[str, Any]:
+    encoded = base64.b64encode(value).decode()
+    return {"key": key, "value": encoded, "lease": lease_id}
+
+
+def _failure(answer: http_client.HttpAnswer) -> _Code:
+    """Return whether a write without a success may have taken effect."""
+    if not answer.was_sent or answer.status in UNAVAILABLE_STATUSES:
+        return _Code.PLATFORM_UNAVAILABLE
+    return _Code.PLATFORM_OUTCOME_UNKNOWN
+
+
+def _body(answer: http_client.HttpAnswer) -> dict[str, Any] | None:
+    """Return the object of an answer, None when it can't be read."""
+    try:
+        rows = json.loads(answer.body)
+    except ValueError:
+        return None
+    return rows if type(rows) is dict else None
--- /dev/null
+++ b/src/balsamwall/platform/store_feed.py
@@ -0,0 +1,305 @@
+"""Copy of the store's keys that follows every change."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import eliot
+
+from balsamwall.infrastructure import key_value_service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from balsamwall.infrastructure import http_client
+    from balsamwall.timing import clock as clock_module
+
+# The store answers a watch without events after this time. It is short, so
+# that a connection that has gone silent is noticed within the time in which
+# changes must be in force.
+WATCH_WAIT_MS = 1_500
+WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 700
+READ_TIMEOUT_MS = 1_500
+MIN_BACKOFF_MS = 60
+MAX_BACKOFF_MS = 400
+GONE_STATUS = 410
+
+
+def decode_item(rows: dict[str, Any]) -> key_value_service.KeyValue:
+    """Read an item or an event of the store; raise ValueError."""
+    key, revision = rows.get("key"), rows.get("revision")
+    if type(key) is not str or type(revision) is not int:
+        raise ValueError(f"item without key or revision: {rows!r}")
+    if rows.get("deleted"):
+        return key_value_service.KeyValue(key, None, revision)
+    try:
+        value = base64.b64decode(rows.get("value", ""), validate=True)
+    except (TypeError, binascii.Error) as error:
+        raise ValueError(f"{key}: {error}") from error
+    lease = rows.get("lease", 0)
+    lease_id = lease if type(lease) is int else 0
+    return key_value_service.KeyValue(key, value, revision, lease_id)
+
+
+class FeedWatch:
+    """Registered interest in a key or a prefix."""
+
+    __slots__ = ("_feed", "is_prefix", "key", "on_change")
+
+    def __init__(
+        self,
+        feed: StoreFeed,
+        key: str,
+        on_change: Callable[[key_value_service.KeyValue], None],
+        is_prefix: bool,
+    ) -> None:
+        self._feed = feed
+        self.key = key
+        self.on_change = on_change
+        self.is_prefix = is_prefix
+
+    def cancel(self) -> None:
+        """End the watch; do nothing if it has ended."""
+        self._feed.remove(self)
+
+    def matches(self, key: str) -> bool:
+        """Tell whether a change of a key is of interest."""
+        return key.startswith(self.key) if self.is_prefix else key == self.key
+
+
+class StoreFeed:
+    """One read of all keys, then one watch after the other.
+
+    Every call has a price, so all keys share one watch.
+    """
+
+    __slots__ = (
+        "_backoff_ms",
+        "_cancel_call",
+        "_clock",
+        "_is_stopped",
+        "_known",
+        "_on_state",
+        "_pages",
+        "_random",
+        "_request",
+        "_revision",
+        "_timer",
+        "_watches",
+        "is_connected",
+        "is_synced",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+        request: Callable[..., Callable[[], None]],
+    ) -> None:
+        self._clock = clock
+        self._random = random_source
+        self._request = request
+        self._watches: list[FeedWatch] = []
+        self._known: dict[str, key_value_service.KeyValue] = {}
+        self._pages: dict[str, key_value_service.KeyValue] = {}
+        self._revision = 0
+        self._backoff_ms = MIN_BACKOFF_MS
+        self._is_stopped = False
+        self._timer: clock_module.Timer | None = None
+        self._cancel_call: Callable[[], None] | None = None
+        self._on_state: list[Callable[[bool], None]] = []
+        self.is_connected = False
+        self.is_synced = False
+
+    def add(
+        self,
+        key: str,
+        on_change: Callable[[key_value_service.KeyValue], None],
+        is_prefix: bool,
+    ) -> FeedWatch:
+        """Deliver the present values, then each newer one."""
+        watch = FeedWatch(self, key, on_change, is_prefix)
+        self._watches.append(watch)
+        for item in list(self._known.values()):
+            if item.value is not None and watch.matches(item.key):
+                on_change(item)
+        return watch
+
+    def remove(self, watch: FeedWatch) -> None:
+        """Drop a watch."""
+        if watch in self._watches:
+            self._watches.remove(watch)
+
+    def add_state_listener(self, listener: Callable[[bool], None]) -> None:
+        """Call a function when the store is lost and when it is back."""
+        self._on_state.append(listener)
+
+    def start(self) -> None:
+        """Read all keys and follow the changes."""
+        self._pages = {}
+        self._read_page("", 0)
+
+    def stop(self) -> None:
+        """Make no further call."""
+        self._is_stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._cancel_call is not None:
+            self._cancel_call()
+
+    # Reading all keys
+
+    def _read_page(self, after: str, first_revision: int) -> None:
+        self._timer = None
+        query = {"path_prefix": ""}
+        if after:
+            query["after"] = after
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            self._on_page(answer, first_revision)
+
+        path = f"/kv-range?{urllib.parse.urlencode(query)}"
+        self._cancel_call = self._request(
+            "GET", path, None, READ_TIMEOUT_MS, on_answer
+        )
+
+    def _on_page(
+        self, answer: http_client.HttpAnswer, first_revision: int
+    ) -> None:
+        rows = _object(answer)
+        if rows is None:
+            self._retry(self.start, answer)
+            return
+        items = [item for item in rows.get("items", []) if item]
+        for row in items:
+            item = _read(row)
+            if item is not None:
+                self._pages[item.key] = item
+        revision = rows.get("current_rev", 0)
+        # Pages are no snapshot: the watch begins at the first one.
+        first_revision = first_revision or revision
+        if rows.get("truncated") and items:
+            self._read_page(items[-1]["key"], first_revision)
+            return
+        self._on_read(first_revision)
+
+    def _on_read(self, revision: int) -> None:
+        self._set_connected(True)
+        pages, self._pages = self._pages, {}
+        for item in pages.values():
+            self._take(item)
+        for key, known in list(self._known.items()):
+            if known.value is None:
+                # Nothing older than this read is delivered any more.
+                del self._known[key]
+            elif key not in pages and known.revision <= revision:
+                gone_at = max(revision, known.revision + 1)
+                self._take(key_value_service.KeyValue(key, None, gone_at))
+        self._revision = revision
+        self.is_synced = True
+        self._watch()
+
+    # Following changes
+
+    def _watch(self) -> None:
+        self._timer = None
+        if self._is_stopped:
+            return
+        query = urllib.parse.urlencode(
+            {
+                "path_prefix": "",
+                "after": self._revision,
+                "wait_ms": WATCH_WAIT_MS,
+            }
+        )
+        self._cancel_call = self._request(
+            "GET",
+            f"/kv-watch?{query}",
+            None,
+            WATCH_TIMEOUT_MS,
+            self._on_events,
+        )
+
+    def _on_events(self, answer: http_client.HttpAnswer) -> None:
+        if answer.status == GONE_STATUS:
+            eliot.log_message("store_history_lost", revision=self._revision)
+            self.start()
+            return
+        rows = _object(answer)
+        if rows is None:
+            self._retry(self._watch, answer)
+            return
+        self._set_connected(True)
+        for row in rows.get("events", []):
+            item = _read(row)
+            if item is not None:
+                self._take(item)
+        revision = rows.get("current_rev")
+        if type(revision) is int:
+            self._revision = max(self._revision, revision)
+        self._watch()
+
+    def _take(self, item: key_value_service.KeyValue) -> None:
+        """Deliver an item that is newer than the known one."""
+        known = self._known.get(item.key)
+        if known is not None and item.revision <= known.revision:
+            return
+        if item.value is None and known is None:
+            return
+        self._known[item.key] = item
+        for watch in list(self._watches):
+            if watch.matches(item.key):
+                watch.on_change(item)
+
+    def _retry(
+        self, call: Callable[[], None], answer: http_client.HttpAnswer
+    ) -> None:
+        if self._is_stopped:
+            return
+        if self.is_connected:
+            eliot.log_message(
+                "store_lost", status=answer.status, reason=answer.reason
+            )
+        self._set_connected(False)
+        delay_ms = int(self._backoff_ms * self._random.uniform(0.5, 1.0))
+        self._backoff_ms = min(MAX_BACKOFF_MS, 2 * self._backoff_ms)
+        self._timer = self._clock.call_later(delay_ms, call)
+
+    def _set_connected(self, is_connected: bool) -> None:
+        if is_connected:
+            self._backoff_ms = MIN_BACKOFF_MS
+        if is_connected == self.is_connected:
+            return
+        self.is_connected = is_connected
+        if is_connected:
+            eliot.log_message("store_connected", revision=self._revision)
+        for listener in self._on_state:
+            listener(is_connected)
+
+
+def _object(answer: http_client.HttpAnswer) -> dict[str, Any] | None:
+    """Return the object of a successful answer."""
+    if answer.status != 200:
+        return None
+    try:
+        rows = json.loads(answer.body)
+    except ValueError:
+        return None
+    return rows if type(rows) is dict else None
+
+
+def _read(row: object) -> key_value_service.KeyValue | None:
+    """Return an item, or None with a log line if it can't be read."""
+    try:
+        if type(row) is not dict:
+            raise ValueError(f"expected an object, found {row!r}")
+        return decode_item(row)
+    except ValueError as error:
+        eliot.log_message("store_item_unreadable", reason=str(error)[:200])
+        return None
--- a/src/balsamwall/timing/reactor_clock.py
+++ b/src/balsamwall/timing/reactor_clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,6 +12,14 @@
     from twisted.internet import interfaces
 
 
+def use_steady_time(reactor: Any) -> None:
+    """Make delayed calls independent of jumps of the wall clock.
+
+    Twisted's reactors schedule by time.time.
+    """
+    reactor.seconds = time.monotonic
+
+
 class ReactorTimer:
     """Scheduled call on the reactor."""
 
@@ -34,8 +43,12 @@
         self._reactor = reactor
 
     def now_ms(self) -> int:
-        """Return monotonic time in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Return monotonic time in milliseconds.
+
+        It counts the time in which the VM is suspended, so that a lease or a
+        deadline has passed when the VM goes on.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return wall time in milliseconds since the Unix epoch."""
--- a/standins/balsamwall_standins/weight_reader.py
+++ b/standins/balsamwall_standins/weight_reader.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 import urllib.parse
 
-from balsamwall.platform import http_client
+from balsamwall.infrastructure import http_client
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/backend/test_engine_answer.py
+++ b/tests/backend/test_engine_answer.py
@@ -6,7 +6,7 @@
 
 from balsamwall.backend import backend_server
 from balsamwall.backend import engine_answer
-from balsamwall.platform import http_client
+from balsamwall.infrastructure import http_client
 from balsamwall.results import result_code
 from balsamwall.timing import virtual_clock
 from tests.fixtures import recording_listener
--- a/tests/platform/test_etcd_client.py
+++ b/tests/infrastructure/test_etcd_client.py
@@ -8,8 +8,8 @@
 from returns.result import Success
 from twisted.internet import reactor
 
-from balsamwall.platform import etcd_client
-from balsamwall.platform import key_value_service
+from balsamwall.infrastructure import etcd_client
+from balsamwall.infrastructure import key_value_service
 from balsamwall.results import result_code
 from balsamwall.timing import virtual_clock
 from tests.fixtures import memory_key_value
--- a/tests/platform/test_etcd_failover.py
+++ b/tests/infrastructure/test_etcd_failover.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from balsamwall.platform import etcd_client
-from balsamwall.platform import http_client
+from balsamwall.infrastructure import etcd_client
+from balsamwall.infrastructure import http_client
 from balsamwall.timing import virtual_clock
 
 
--- a/tests/platform/test_etcd_watch.py
+++ b/tests/infrastructure/test_etcd_watch.py
@@ -9,8 +9,8 @@
 from returns.result import Failure
 from returns.result import Success
 
-from balsamwall.platform import etcd_watch
-from balsamwall.platform import key_value_service
+from balsamwall.infrastructure import etcd_watch
+from balsamwall.infrastructure import key_value_service
 from balsamwall.results import result_code
 from balsamwall.timing import virtual_clock
 
--- a/tests/platform/test_vm_list_client.py
+++ b/tests/infrastructure/test_vm_list_client.py
@@ -6,8 +6,8 @@
 
 from twisted.internet import reactor
 
-from balsamwall.platform import http_client
-from balsamwall.platform import vm_list_client
+from balsamwall.infrastructure import http_client
+from balsamwall.infrastructure import vm_list_client
 from balsamwall.timing import virtual_clock
 from tests.fixtures import reactor_thread
 from tests.fixtures import standin_process
