Give orders to the engines from one entry

Cause: names without a resident copy were never served on the platform.

Change: one entry holds a lease in the store and gives all orders, each with the order count that it expects; entries report open requests and arrivals to it over one stream each. A planner weighs the requests that a load serves against those that it delays. A report of a busy engine is not taken as its state: a load on top of one in progress broke the memory of an engine.

--- /dev/null
+++ b/src/balsamwall/coordination/coordinator.py
@@ -0,0 +1,321 @@
+"""Holder of the orders: one entry at a time, chosen by a lease."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import demand as demand_module
+from balsamwall.coordination import engine_book
+from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import order_runner
+from balsamwall.coordination import residency_planner
+from balsamwall.gateway import residency_waits
+
+if TYPE_CHECKING:
+    from balsamwall.coordination import engine_control
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import configuration_holder
+    from balsamwall.gateway import gateway_configuration
+    from balsamwall.logs import decision_log
+    from balsamwall.placement import lease_keeper
+    from balsamwall.protocol import message
+    from balsamwall.timing import clock as clock_module
+
+TICK_INTERVAL_MS = 100
+STATE_INTERVAL_MS = 250
+
+
+class FleetLinks(Protocol):
+    """Streams to the entries."""
+
+    @property
+    def count(self) -> int:
+        """Return the number of entries, this one included."""
+
+    def broadcast(self, item: message.Message) -> None:
+        """Send a message to all entries."""
+
+    def close_all(self) -> None:
+        """Close the streams of the other entries."""
+
+
+class Coordinator:
+    """Follows demand and residents; gives orders while it has the lease."""
+
+    __slots__ = (
+        "_books",
+        "_clock",
+        "_configuration",
+        "_demand",
+        "_directory",
+        "_is_active",
+        "_is_fenced",
+        "_lease",
+        "_links",
+        "_log",
+        "_planner",
+        "_runner",
+        "_state_ms",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        configuration: configuration_holder.ConfigurationHolder,
+        directory: backend_directory.BackendDirectory,
+        lease: lease_keeper.LeaseKeeper,
+        control: engine_control.EngineControl,
+        links: FleetLinks,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._clock = clock
+        self._configuration = configuration
+        self._directory = directory
+        self._lease = lease
+        self._links = links
+        self._log = log
+        self._books: dict[str, engine_book.EngineBook] = {}
+        self._demand = demand_module.Demand(clock)
+        self._planner = residency_planner.ResidencyPlanner(self._demand)
+        self._runner = order_runner.OrderRunner(clock, control, self, log)
+        self._is_active = False
+        self._is_fenced = False
+        self._state_ms = 0
+        directory.add_listener(self._on_server, self._on_server_gone)
+
+    @property
+    def fencing_token(self) -> int:
+        """Return the token of the present holder, 0 without the lease."""
+        if not self._lease.is_held or self._is_fenced:
+            return 0
+        return self._lease.revision
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether this process gives the orders."""
+        return self._is_active
+
+    def start(self) -> None:
+        """Plan at a steady pace."""
+        self._clock.call_later(TICK_INTERVAL_MS, self.start)
+        self._follow_lease()
+        if self._is_active:
+            self._tick()
+
+    def on_message(self, vm: str, item: message.Message) -> None:
+        """Take a message of an entry."""
+        if not self._is_active:
+            return
+        if isinstance(item, messages_fleet.DemandReport):
+            self._demand.on_report(vm, item)
+            self._note_use(item)
+        elif isinstance(item, messages_fleet.LoadWanted):
+            self._check_residents(item)
+            wanted = residency_waits.Wanted(
+                item.service, item.model, item.adapter
+            )
+            self._on_wanted(wanted, 1)
+
+    def _note_use(self, report: messages_fleet.DemandReport) -> None:
+        now_ms = self._clock.now_ms()
+        for server_id, model, adapter, _ in report.running:
+            book = self._books.get(server_id)
+            if book is not None and adapter:
+                book.used_ms[model, adapter] = now_ms
+
+    def _check_residents(self, item: messages_fleet.LoadWanted) -> None:
+        """Read an engine again that should hold what an entry misses."""
+        for book in self._usable_books(item.service):
+            adapters = book.models.get(item.model)
+            is_held = adapters is not None and (
+                not item.adapter or item.adapter in adapters
+            )
+            if is_held and book.is_idle:
+                self._runner.refresh(book)
+
+    def on_entry_up(self) -> list[message.Message]:
+        """Return what a new entry needs to know."""
+        if not self._is_active:
+            return []
+        return [
+            _residents(book) for book in self._books.values() if book.is_fresh
+        ]
+
+    def on_entry_gone(self, vm: str) -> None:
+        """Drop the demand of an entry that is gone."""
+        self._demand.forget(vm)
+
+    def on_residents_changed(self, book: engine_book.EngineBook) -> None:
+        """Tell the entries what an engine holds now."""
+        known = self._books.get(book.record.server_id)
+        if known is not book:
+            return
+        now_ms = self._clock.now_ms()
+        for model in book.models:
+            book.changed_ms.setdefault(model, now_ms)
+        for model in list(book.changed_ms):
+            if model not in book.models:
+                del book.changed_ms[model]
+        self._links.broadcast(_residents(book))
+
+    def on_fenced(self) -> None:
+        """Stop giving orders: a newer holder exists."""
+        self._log.write("orders_fenced", token=self._lease.revision)
+        self._is_fenced = True
+
+    # Lease
+
+    def _follow_lease(self) -> None:
+        if not self._lease.is_held:
+            self._is_fenced = False
+        is_active = bool(self.fencing_token)
+        if is_active == self._is_active:
+            return
+        self._is_active = is_active
+        self._log.write(
+            "orders_taken" if is_active else "orders_given_up",
+            token=self._lease.revision,
+        )
+        if is_active:
+            self._begin()
+        else:
+            self._books.clear()
+            self._links.close_all()
+
+    def _begin(self) -> None:
+        self._books.clear()
+        for server in self._directory.all_servers():
+            self._on_server(server)
+
+    # Servers
+
+    def _engine_of(
+        self, service: str
+    ) -> gateway_configuration.EngineSpec | None:
+        current = self._configuration.current
+        spec = current.services.get(service) if current else None
+        return spec.engine if spec is not None else None
+
+    def _on_server(self, server: backend_directory.BackendServer) -> None:
+        if not self._is_active:
+            return
+        record = server.record
+        engine = self._engine_of(record.service)
+        if engine is None:
+            return
+        known = self._books.get(record.server_id)
+        if known is not None:
+            known.at_hand.update(record.in_memory, record.on_disk)
+            known.record = record
+            known.spec = engine
+            return
+        book = engine_book.EngineBook(record, engine)
+        self._books[record.server_id] = book
+        self._runner.set_load_rate(engine.loads_per_s)
+        self._runner.refresh(book)
+
+    def _on_server_gone(self, server: backend_directory.BackendServer) -> None:
+        self._books.pop(server.server_id, None)
+
+    def _usable_books(self, service: str) -> list[engine_book.EngineBook]:
+        return [
+            self._books[server.server_id]
+            for server in self._directory.ready_servers(service)
+            if server.server_id in self._books
+        ]
+
+    # Planning
+
+    def _tick(self) -> None:
+        self._demand.update()
+        now_ms = self._clock.now_ms()
+        waiting = self._demand.waiting()
+        for wanted in sorted(
+            waiting, key=self._demand.waited_ms, reverse=True
+        ):
+            self._on_wanted(wanted, waiting[wanted])
+        for service in self._engine_services():
+            plan = self._planner.plan_spread(
+                self._usable_books(service), now_ms
+            )
+            self._carry_out(plan)
+        if now_ms - self._state_ms >= STATE_INTERVAL_MS:
+            self._state_ms = now_ms
+            self._links.broadcast(
+                messages_fleet.FleetState(
+                    self._links.count, self._demand.loads()
+                )
+            )
+
+    def _engine_services(self) -> list[str]:
+        current = self._configuration.current
+        if current is None:
+            return []
+        return [
+            spec.name
+            for spec in current.services.values()
+            if spec.engine is not None
+        ]
+
+    def _on_wanted(self, wanted: residency_waits.Wanted, count: int) -> None:
+        service, model, adapter = (
+            wanted.service,
+            wanted.model,
+            wanted.adapter,
+        )
+        engine = self._engine_of(service)
+        if engine is None or model not in engine.models:
+            return
+        books = self._usable_books(service)
+        if any(_will_hold(book, model, adapter) for book in books):
+            return
+        has_base = any(_will_hold(book, model, "") for book in books)
+        if adapter and has_base:
+            plan = self._planner.plan_adapter(books, model, adapter)
+        elif not has_base:
+            plan = self._planner.plan_model(
+                books, wanted, count, self._clock.now_ms()
+            )
+        else:
+            plan = None
+        self._carry_out(plan)
+
+    def _carry_out(self, plan: residency_planner.Plan | None) -> None:
+        if plan is None:
+            return
+        self._log.write(
+            "plan",
+            server=plan.book.record.server_id,
+            cost=round(plan.cost, 2),
+            gain=round(plan.gain, 2),
+            orders=[
+                f"{order.kind.value} {order.model} {order.adapter}".strip()
+                for order in plan.orders
+            ],
+        )
+        plan.book.queue.extend(plan.orders)
+        self._runner.run(plan.book)
+
+
+def _will_hold(book: engine_book.EngineBook, model: str, adapter: str) -> bool:
+    """Tell whether an engine holds a name, or is about to."""
+    if adapter:
+        if adapter in book.models.get(model, ()):
+            return True
+        if (model, adapter) in book.arriving:
+            return True
+    elif model in book.models or model == book.loading:
+        return True
+    return any(
+        order.model == model
+        and order.adapter == adapter
+        and order.kind.value == "load"
+        for order in book.queue
+    )
+
+
+def _residents(book: engine_book.EngineBook) -> messages_fleet.ServerModels:
+    return messages_fleet.ServerModels(
+        book.record.server_id, book.record.started_ms, book.resident()
+    )
--- /dev/null
+++ b/src/balsamwall/coordination/demand.py
@@ -0,0 +1,117 @@
+"""Requests of all entries by model."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import residency_waits
+
+if TYPE_CHECKING:
+    from balsamwall.coordination import messages_fleet
+    from balsamwall.timing import clock as clock_module
+
+# A busy model may fall silent within a few seconds.
+RATE_WINDOW_MS = 5_000
+# Reports come several times a second; one that is older says nothing.
+REPORT_LIFE_MS = 1_500
+
+
+class Demand:
+    """Arrival rates, and running and waiting requests."""
+
+    __slots__ = (
+        "_clock",
+        "_rates",
+        "_reports",
+        "_updated_ms",
+        "_used_ms",
+        "_waiting_since_ms",
+    )
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._reports: dict[str, tuple[int, messages_fleet.DemandReport]] = {}
+        self._rates: dict[str, float] = {}
+        self._updated_ms = clock.now_ms()
+        self._used_ms: dict[str, int] = {}
+        self._waiting_since_ms: dict[residency_waits.Wanted, int] = {}
+
+    def on_report(self, vm: str, report: messages_fleet.DemandReport) -> None:
+        """Take the open requests of an entry."""
+        now_ms = self._clock.now_ms()
+        self._reports[vm] = (now_ms, report)
+        for model, count in report.arrivals.items():
+            per_s = count * 1_000 / RATE_WINDOW_MS
+            self._rates[model] = self._rates.get(model, 0.0) + per_s
+            self._used_ms[model] = now_ms
+
+    def forget(self, vm: str) -> None:
+        """Drop an entry that is gone."""
+        self._reports.pop(vm, None)
+
+    def update(self) -> None:
+        """Let the rates decay up to now."""
+        now_ms = self._clock.now_ms()
+        passed_ms = max(0, now_ms - self._updated_ms)
+        self._updated_ms = now_ms
+        kept = math.exp(-passed_ms / RATE_WINDOW_MS)
+        for model in self._rates:
+            self._rates[model] *= kept
+        waiting = self.waiting()
+        self._waiting_since_ms = {
+            wanted: self._waiting_since_ms.get(wanted, now_ms)
+            for wanted in waiting
+        }
+
+    def rate(self, model: str) -> float:
+        """Return the requests for a model per second."""
+        return self._rates.get(model, 0.0)
+
+    def idle_ms(self, model: str) -> int:
+        """Return how long no request for a model has come."""
+        return self._clock.now_ms() - self._used_ms.get(model, 0)
+
+    def waited_ms(self, wanted: residency_waits.Wanted) -> int:
+        """Return how long requests have waited for a model."""
+        now_ms = self._clock.now_ms()
+        return now_ms - self._waiting_since_ms.get(wanted, now_ms)
+
+    def loads(self) -> dict[str, int]:
+        """Return the running requests by engine."""
+        loads: dict[str, int] = {}
+        for row in self._running_rows():
+            loads[row[0]] = loads.get(row[0], 0) + row[3]
+        return loads
+
+    def running(self) -> dict[tuple[str, str], int]:
+        """Return the running requests by engine and model."""
+        found: dict[tuple[str, str], int] = {}
+        for row in self._running_rows():
+            key = (row[0], row[1])
+            found[key] = found.get(key, 0) + row[3]
+        return found
+
+    def adapters_in_use(self) -> set[tuple[str, str, str]]:
+        """Return the engine, model and adapter of all running requests."""
+        return {(row[0], row[1], row[2]) for row in self._running_rows()}
+
+    def waiting(self) -> dict[residency_waits.Wanted, int]:
+        """Return the waiting requests by what they want."""
+        found: dict[residency_waits.Wanted, int] = {}
+        for report in self._fresh_reports():
+            for row in report.waiting:
+                wanted = residency_waits.Wanted(row[0], row[1], row[2])
+                found[wanted] = found.get(wanted, 0) + row[3]
+        return found
+
+    def _fresh_reports(self) -> list[messages_fleet.DemandReport]:
+        oldest_ms = self._clock.now_ms() - REPORT_LIFE_MS
+        return [
+            report
+            for seen_ms, report in self._reports.values()
+            if seen_ms >= oldest_ms
+        ]
+
+    def _running_rows(self) -> list[list]:  # type: ignore[type-arg]
+        return [row for item in self._fresh_reports() for row in item.running]
--- /dev/null
+++ b/src/balsamwall/coordination/engine_book.py
@@ -0,0 +1,140 @@
+"""State of one engine as the holder of the orders knows it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import engine_control
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import gateway_configuration
+
+
+class EngineBook:
+    """Residents of an engine, and what an accepted order is changing."""
+
+    __slots__ = (
+        "arriving",
+        "at_hand",
+        "changed_ms",
+        "is_fresh",
+        "loading",
+        "models",
+        "order_count",
+        "queue",
+        "record",
+        "spec",
+        "used_ms",
+    )
+
+    def __init__(
+        self,
+        record: backend_directory.ServerRecord,
+        spec: gateway_configuration.EngineSpec,
+    ) -> None:
+        self.record = record
+        self.spec = spec
+        self.models: dict[str, set[str]] = {
+            name: set(adapters) for name, adapters in record.models.items()
+        }
+        self.at_hand: set[str] = {
+            *record.in_memory,
+            *record.on_disk,
+            *record.models,
+        }
+        self.loading: str = ""
+        self.arriving: set[tuple[str, str]] = set()
+        self.order_count = 0
+        # The order count is known only after a report.
+        self.is_fresh = False
+        self.queue: list[engine_control.Order] = []
+        self.used_ms: dict[tuple[str, str], int] = {}
+        self.changed_ms: dict[str, int] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether a new sequence of orders may be given."""
+        return self.is_fresh and not self.queue and not self.loading
+
+    @property
+    def adapter_count(self) -> int:
+        """Return the places for adapters in use, those on the way included."""
+        held = sum(len(adapters) for adapters in self.models.values())
+        arriving = [
+            (model, adapter)
+            for model, adapter in self.arriving
+            if adapter not in self.models.get(model, ())
+        ]
+        return held + len(arriving)
+
+    def charged_mb(self) -> float:
+        """Return the memory of all weights, those being loaded included."""
+        names = {*self.models, self.loading} - {""}
+        total = sum(self._size_mb(name) for name in names)
+        for model, adapters in self.models.items():
+            total += len(adapters) * self._adapter_mb(model)
+        for model, _ in self.arriving:
+            total += self._adapter_mb(model)
+        return total
+
+    def free_mb(self) -> float:
+        """Return the memory that is left for weights."""
+        return self.spec.weights_mb - self.charged_mb()
+
+    def freed_mb(self, model: str) -> float:
+        """Return the memory that unloading a model gives back."""
+        adapters = self.models.get(model, ())
+        return self._size_mb(model) + len(adapters) * self._adapter_mb(model)
+
+    def fits(self, order: engine_control.Order) -> bool:
+        """Tell whether an order leaves the engine within its memory."""
+        if order.kind is engine_control.OrderKind.UNLOAD:
+            return True
+        if order.adapter:
+            has_place = self.adapter_count < self.spec.adapter_slots
+            size_mb = self._adapter_mb(order.model)
+            return has_place and size_mb <= self.free_mb()
+        return self._size_mb(order.model) <= self.free_mb()
+
+    def adopt(self, report: engine_control.EngineReport) -> bool:
+        """Take a report unless it may miss what an order changes.
+
+        While an engine is busy, the report does not tell what it will hold,
+        although the order count is already that of the order.
+        """
+        is_older = self.is_fresh and report.order_count < self.order_count
+        if report.is_busy or is_older:
+            return False
+        self.order_count = report.order_count
+        self.is_fresh = True
+        self.models = {
+            name: set(adapters) for name, adapters in report.models.items()
+        }
+        self.arriving = set(report.arriving)
+        self.at_hand.update(self.models)
+        self.loading = ""
+        return True
+
+    def resident(self) -> dict[str, list[str]]:
+        """Return the models that requests may use, with their adapters."""
+        return {
+            name: sorted(adapters)
+            for name, adapters in self.models.items()
+            if name != self.loading
+        }
+
+    def _size_mb(self, model: str) -> float:
+        spec = self.spec.models.get(model)
+        # A model that is no longer configured still occupies memory; the
+        # largest size is assumed.
+        if spec is None:
+            return max(
+                (item.weights_mb for item in self.spec.models.values()),
+                default=0.0,
+            )
+        return spec.weights_mb
+
+    def _adapter_mb(self, model: str) -> float:
+        spec = self.spec.models.get(model)
+        return spec.adapter_mb if spec is not None else 0.0
--- /dev/null
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -0,0 +1,174 @@
+"""Link of an entry to the present holder of the orders."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import messages_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.coordination import fleet_stream
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import residency_waits
+    from balsamwall.logs import decision_log
+    from balsamwall.protocol import message
+    from balsamwall.timing import clock as clock_module
+
+REPORT_INTERVAL_MS = 200
+
+
+class Link(Protocol):
+    """Way to the holder."""
+
+    def send(self, item: message.Message) -> None:
+        """Send a message."""
+
+    def close(self) -> None:
+        """End the link."""
+
+
+class FleetClient:
+    """Reports open requests, asks for loads, and takes what engines hold."""
+
+    __slots__ = (
+        "_clock",
+        "_count_running",
+        "_dial",
+        "_directory",
+        "_holder",
+        "_is_dialling",
+        "_link",
+        "_log",
+        "_on_entries",
+        "_take_arrivals",
+        "_vm",
+        "_waits",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        vm: str,
+        directory: backend_directory.BackendDirectory,
+        count_running: Callable[[], list[list[object]]],
+        take_arrivals: Callable[[], dict[str, int]],
+        dial: Callable[[str], Link | None],
+        on_entries: Callable[[int], None],
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._clock = clock
+        self._vm = vm
+        self._directory = directory
+        self._count_running = count_running
+        self._take_arrivals = take_arrivals
+        self._dial = dial
+        self._on_entries = on_entries
+        self._log = log
+        self._waits: residency_waits.ResidencyWaits | None = None
+        self._holder = ""
+        self._link: Link | None = None
+        self._is_dialling = False
+
+    def set_waits(self, waits: residency_waits.ResidencyWaits) -> None:
+        """Set the requests that wait for loads."""
+        self._waits = waits
+
+    def start(self) -> None:
+        """Report at a steady pace."""
+        self._clock.call_later(REPORT_INTERVAL_MS, self.start)
+        if self._link is None:
+            self._connect()
+        else:
+            self._report()
+
+    def on_holder(self, address: str) -> None:
+        """Take the address of the holder, empty without one."""
+        if address == self._holder:
+            return
+        self._log.write("holder_changed", holder=address)
+        self._holder = address
+        link, self._link = self._link, None
+        if link is not None:
+            link.close()
+        self._connect()
+
+    def want(self, wanted: residency_waits.Wanted) -> None:
+        """Ask for a load at once."""
+        if self._link is not None:
+            self._link.send(
+                messages_fleet.LoadWanted(
+                    wanted.service, wanted.model, wanted.adapter
+                )
+            )
+
+    def on_message(self, item: message.Message) -> None:
+        """Take a message of the holder."""
+        if isinstance(item, messages_fleet.ServerModels):
+            self._directory.set_models(
+                item.server_id,
+                item.started_ms,
+                {
+                    model: frozenset(adapters)
+                    for model, adapters in item.models.items()
+                },
+            )
+        elif isinstance(item, messages_fleet.FleetState):
+            self._on_entries(item.entries)
+            for server in self._directory.all_servers():
+                server.fleet_load = item.loads.get(server.server_id, 0)
+
+    # Stream to another process
+
+    def on_stream_up(self, stream: fleet_stream.FleetStream) -> None:
+        """Introduce this entry."""
+        self._is_dialling = False
+        self._link = stream
+        stream.send(messages_fleet.FleetHello(self._vm))
+        self._log.write("holder_connected", holder=self._holder)
+        self._report()
+
+    def on_stream_message(
+        self, stream: fleet_stream.FleetStream, item: message.Message
+    ) -> None:
+        """Take a message of the holder."""
+        self.on_message(item)
+
+    def on_stream_down(self, stream: fleet_stream.FleetStream) -> None:
+        """Fall back to the records of the store."""
+        self._is_dialling = False
+        if stream is not self._link:
+            return
+        self._link = None
+        self._log.write("holder_lost", holder=self._holder)
+        self._directory.end_tracking()
+
+    def on_dial_failed(self) -> None:
+        """Allow the next attempt."""
+        self._is_dialling = False
+
+    def _connect(self) -> None:
+        if not self._holder or self._is_dialling:
+            return
+        self._is_dialling = True
+        link = self._dial(self._holder)
+        if link is not None:
+            # The holder is in this process.
+            self._is_dialling = False
+            self._link = link
+            self._report()
+
+    def _report(self) -> None:
+        if self._link is None or self._waits is None:
+            return
+        waiting = [
+            [wanted.service, wanted.model, wanted.adapter, count]
+            for wanted, count in self._waits.counts().items()
+        ]
+        self._link.send(
+            messages_fleet.DemandReport(
+                self._count_running(), waiting, self._take_arrivals()
+            )
+        )
--- /dev/null
+++ b/src/balsamwall/coordination/fleet_server.py
@@ -0,0 +1,81 @@
+"""Streams of the entries at the holder of the orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import messages_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.coordination import coordinator as coordinator_module
+    from balsamwall.coordination import fleet_stream
+    from balsamwall.protocol import message
+
+
+class FleetServer:
+    """Accepts streams, and also serves the entry in the same process."""
+
+    __slots__ = ("_coordinator", "_deliver_local", "_streams", "_vm")
+
+    def __init__(
+        self, vm: str, deliver_local: Callable[[message.Message], None]
+    ) -> None:
+        self._vm = vm
+        self._deliver_local = deliver_local
+        self._coordinator: coordinator_module.Coordinator | None = None
+        self._streams: set[fleet_stream.FleetStream] = set()
+
+    def set_coordinator(
+        self, coordinator: coordinator_module.Coordinator
+    ) -> None:
+        """Set the receiver of the messages."""
+        self._coordinator = coordinator
+
+    @property
+    def count(self) -> int:
+        """Return the number of entries, this one included."""
+        return 1 + len({stream.vm for stream in self._streams if stream.vm})
+
+    def broadcast(self, item: message.Message) -> None:
+        """Send a message to all entries."""
+        self._deliver_local(item)
+        for stream in self._streams:
+            stream.send(item)
+
+    def close_all(self) -> None:
+        """Close the streams of the other entries."""
+        for stream in list(self._streams):
+            stream.close()
+
+    def on_stream_up(self, stream: fleet_stream.FleetStream) -> None:
+        """Wait for the introduction."""
+        self._streams.add(stream)
+
+    def on_stream_message(
+        self, stream: fleet_stream.FleetStream, item: message.Message
+    ) -> None:
+        """Hand a message to the coordinator."""
+        coordinator = self._coordinator
+        if coordinator is None or not coordinator.is_active:
+            # The entry finds the present holder in the store.
+            stream.close()
+            return
+        if isinstance(item, messages_fleet.FleetHello):
+            stream.vm = item.vm
+            for known in coordinator.on_entry_up():
+                stream.send(known)
+            return
+        coordinator.on_message(stream.vm, item)
+
+    def on_stream_down(self, stream: fleet_stream.FleetStream) -> None:
+        """Drop an entry."""
+        self._streams.discard(stream)
+        if self._coordinator is not None and stream.vm:
+            self._coordinator.on_entry_gone(stream.vm)
+
+    def send_local(self, item: message.Message) -> None:
+        """Take a message of the entry in this process."""
+        if self._coordinator is not None:
+            self._coordinator.on_message(self._vm, item)
--- /dev/null
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -0,0 +1,248 @@
+"""Decision which engine loads which model or adapter next."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import engine_control
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamwall.coordination import demand as demand_module
+    from balsamwall.coordination import engine_book
+    from balsamwall.gateway import residency_waits
+
+_Kind = engine_control.OrderKind
+# All costs and gains are in requests that are delayed.
+# A load from the weight store takes seconds and one of its permits.
+STORE_LOAD_COST = 0.6
+DISK_LOAD_COST = 0.1
+# Time for which the requests of a model without a copy are delayed.
+RELOAD_S = 1.5
+# Dropping one of several copies delays nobody while the others have room.
+SPARE_COPY_PART = 0.15
+# An unload waits for the requests that run, and nothing uses the place.
+RUNNING_COST = 1.0
+BUSY_COST = 0.3
+# Requests that wait longer gain weight, so that a rare model is not put off
+# for good by busy ones.
+WAITING_GAIN_PER_S = 1.0
+# A model that was just loaded stays for the requests that wait for it.
+MIN_STAY_MS = 800
+RECENT_USE_MS = 1_500
+# Share of the slots above which a model gets one more copy, and by how much
+# less busy the engine for it must be. Below, a batch costs little time.
+SPREAD_LOAD = 0.7
+SPREAD_MARGIN = 0.3
+SPREAD_GAIN_S = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """Orders for one engine, to be carried out in turn."""
+
+    book: engine_book.EngineBook
+    orders: tuple[engine_control.Order, ...]
+    cost: float = 0.0
+    gain: float = 0.0
+
+
+class ResidencyPlanner:
+    """Plans one change at a time; a pure function of books and demand.
+
+    Load patterns: rare models that are asked for one at a time and share few
+    places (the place with the least recent demand gives way), and busy models
+    whose demand moves within seconds (they get copies where engines are less
+    busy).
+    """
+
+    __slots__ = ("_demand",)
+
+    def __init__(self, demand: demand_module.Demand) -> None:
+        self._demand = demand
+
+    def plan_model(
+        self,
+        books: list[engine_book.EngineBook],
+        wanted: residency_waits.Wanted,
+        count: int,
+        now_ms: int,
+    ) -> Plan | None:
+        """Plan the first copy of a model that requests wait for."""
+        gain = float(max(1, count))
+        gain += self._demand.rate(wanted.model) * RELOAD_S
+        waited_s = self._demand.waited_ms(wanted) / 1_000
+        gain += WAITING_GAIN_PER_S * waited_s
+        return self._cheapest(books, books, wanted.model, now_ms, gain)
+
+    def plan_spread(
+        self, books: list[engine_book.EngineBook], now_ms: int
+    ) -> Plan | None:
+        """Plan one more copy of the model whose engines are busiest."""
+        loads = self._loads(books)
+        holders = _holders(books)
+        pressures = []
+        for model, rows in holders.items():
+            if self._demand.idle_ms(model) > RECENT_USE_MS:
+                continue
+            least = min(loads[book.record.server_id] for book in rows)
+            if least > SPREAD_LOAD:
+                pressures.append((self._demand.rate(model) * least, model))
+        for _, model in sorted(pressures, reverse=True):
+            least = min(
+                loads[book.record.server_id] for book in holders[model]
+            )
+            free = [
+                book
+                for book in books
+                if book not in holders[model]
+                and loads[book.record.server_id] < least - SPREAD_MARGIN
+            ]
+            gain = self._demand.rate(model) * least * SPREAD_GAIN_S
+            plan = self._cheapest(free, books, model, now_ms, gain)
+            if plan is not None:
+                return plan
+        return None
+
+    def plan_adapter(
+        self,
+        books: list[engine_book.EngineBook],
+        model: str,
+        adapter: str,
+    ) -> Plan | None:
+        """Plan an adapter on the least busy engine with its base model."""
+        loads = self._loads(books)
+        in_use = self._demand.adapters_in_use()
+        rows = [
+            book for book in books if book.is_idle and model in book.models
+        ]
+        rows.sort(key=lambda book: loads[book.record.server_id])
+        load = engine_control.Order(_Kind.LOAD, model, adapter)
+        for book in rows:
+            if book.fits(load):
+                return Plan(book, (load,))
+            victim = _oldest_adapter(book, in_use)
+            if victim is not None:
+                unload = engine_control.Order(_Kind.UNLOAD, *victim)
+                return Plan(book, (unload, load))
+        return None
+
+    def _cheapest(
+        self,
+        candidates: list[engine_book.EngineBook],
+        books: list[engine_book.EngineBook],
+        model: str,
+        now_ms: int,
+        gain: float,
+    ) -> Plan | None:
+        """Return the load that costs least, if it costs less than it gains."""
+        best: tuple[float, engine_book.EngineBook, list[str]] | None = None
+        loads = self._loads(candidates)
+        copies = _copies(books)
+        for book in candidates:
+            if not book.is_idle or model in book.models:
+                continue
+            found = self._victims(book, model, now_ms, copies)
+            if found is None:
+                continue
+            cost, victims = found
+            is_at_hand = model in book.at_hand
+            cost += DISK_LOAD_COST if is_at_hand else STORE_LOAD_COST
+            cost += BUSY_COST * loads[book.record.server_id]
+            if best is None or cost < best[0]:
+                best = (cost, book, victims)
+        if best is None or best[0] > gain:
+            return None
+        orders = [
+            engine_control.Order(_Kind.UNLOAD, victim) for victim in best[2]
+        ]
+        orders.append(engine_control.Order(_Kind.LOAD, model))
+        return Plan(best[1], tuple(orders), best[0], gain)
+
+    def _victims(
+        self,
+        book: engine_book.EngineBook,
+        model: str,
+        now_ms: int,
+        copies: dict[str, int],
+    ) -> tuple[float, list[str]] | None:
+        """Return the models that make way, with the cost of dropping them."""
+        spec = book.spec.models.get(model)
+        if spec is None:
+            return None
+        missing_mb = spec.weights_mb - book.free_mb()
+        if missing_mb <= 0:
+            return 0.0, []
+        running = self._demand.running()
+        costs = sorted(
+            (self._drop_cost(book, name, copies, running), name)
+            for name in book.models
+            if now_ms - book.changed_ms.get(name, 0) >= MIN_STAY_MS
+        )
+        chosen: list[str] = []
+        total = 0.0
+        for cost, name in costs:
+            if missing_mb <= 0:
+                break
+            chosen.append(name)
+            total += cost
+            missing_mb -= book.freed_mb(name)
+        if missing_mb > 0:
+            return None
+        return total, chosen
+
+    def _drop_cost(
+        self,
+        book: engine_book.EngineBook,
+        model: str,
+        copies: dict[str, int],
+        running: dict[tuple[str, str], int],
+    ) -> float:
+        cost = self._demand.rate(model) * RELOAD_S
+        if copies.get(model, 1) > 1:
+            cost *= SPARE_COPY_PART
+        if running.get((book.record.server_id, model)):
+            cost += RUNNING_COST
+        return cost
+
+    def _loads(
+        self, books: Iterable[engine_book.EngineBook]
+    ) -> dict[str, float]:
+        running = self._demand.loads()
+        return {
+            book.record.server_id: running.get(book.record.server_id, 0)
+            / max(1, book.spec.slots)
+            for book in books
+        }
+
+
+def _holders(
+    books: Iterable[engine_book.EngineBook],
+) -> dict[str, list[engine_book.EngineBook]]:
+    found: dict[str, list[engine_book.EngineBook]] = {}
+    for book in books:
+        for model in book.models:
+            found.setdefault(model, []).append(book)
+    return found
+
+
+def _copies(books: Iterable[engine_book.EngineBook]) -> dict[str, int]:
+    return {name: len(rows) for name, rows in _holders(books).items()}
+
+
+def _oldest_adapter(
+    book: engine_book.EngineBook, in_use: set[tuple[str, str, str]]
+) -> tuple[str, str] | None:
+    """Return the adapter that was used least recently and is not in use."""
+    rows = [
+        (book.used_ms.get((model, adapter), 0), model, adapter)
+        for model, adapters in book.models.items()
+        for adapter in adapters
+        if (book.record.server_id, model, adapter) not in in_use
+    ]
+    if not rows:
+        return None
+    _, model, adapter = min(rows)
+    return model, adapter
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -36,8 +36,10 @@
 
     __slots__ = (
         "failure_share",
+        "fleet_load",
         "in_flight",
         "is_leaving",
+        "is_tracked",
         "joined_ms",
         "models",
         "quarantined_until_ms",
@@ -51,7 +53,10 @@
         self.record = record
         self.models: dict[str, frozenset[str]] = record.models
         self.is_leaving = record.is_draining
+        # The order issuer knows the models sooner than the record tells.
+        self.is_tracked = False
         self.joined_ms = now_ms
+        self.fleet_load = 0
         self.in_flight = 0
         self.reported_load = 0
         self.reported_ms = 0
@@ -74,7 +79,7 @@
         age_ms = now_ms - self.reported_ms
         share = max(0.0, 1.0 - age_ms / REPORT_LIFE_MS)
         estimate = self.reported_load * share + self.sent_since_report
-        return max(float(self.in_flight), estimate)
+        return max(float(self.in_flight), estimate, float(self.fleet_load))
 
     def on_sent(self) -> None:
         """Count a request that this process sends."""
@@ -149,24 +154,48 @@
             self._servers[record.server_id] = server
             rows = self._by_service.setdefault(record.service, {})
             rows[record.server_id] = server
+        if not server.is_tracked:
+            server.models = record.models
         server.record = record
-        server.models = record.models
         # A drain is never taken back within one incarnation.
         server.is_leaving = server.is_leaving or record.is_draining
         for listener in self._on_change:
             listener(server)
 
     def set_models(
-        self, server_id: str, models: dict[str, frozenset[str]]
+        self,
+        server_id: str,
+        started_ms: int,
+        models: dict[str, frozenset[str]],
     ) -> None:
         """Take the resident models that the order issuer reports."""
         server = self._servers.get(server_id)
-        if server is None or server.models == models:
+        if server is None or server.record.started_ms != started_ms:
+            return
+        server.is_tracked = True
+        if server.models == models:
             return
         server.models = models
         for listener in self._on_change:
             listener(server)
 
+    def drop_model(self, server_id: str, model: str, adapter: str) -> None:
+        """Take a model or adapter off a server that does not hold it."""
+        server = self._servers.get(server_id)
+        if server is None or not server.has(model, adapter):
+            return
+        models = dict(server.models)
+        if adapter:
+            models[model] = models[model] - {adapter}
+        else:
+            del models[model]
+        server.models = models
+
+    def end_tracking(self) -> None:
+        """Follow the records again, without an order issuer."""
+        for server in self._servers.values():
+            server.is_tracked = False
+
     def remove(self, server_id: str) -> None:
         """Drop a server that is gone."""
         server = self._servers.pop(server_id, None)
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -35,6 +35,7 @@
     """Site of the callers' connections and owner of their requests."""
 
     __slots__ = (
+        "_arrivals",
         "_configuration",
         "_connections",
         "_drain_ms",
@@ -56,6 +57,7 @@
         self._random = random_source
         self._runs: set[request_run.RequestRun] = set()
         self._connections: set[caller_connection.CallerConnection] = set()
+        self._arrivals: dict[str, int] = {}
         self._drain_since_ms: int | None = None
         self._drain_ms = 0
         self._on_drained: Callable[[], None] | None = None
@@ -88,6 +90,21 @@
         """Return the number of requests without a final answer."""
         return len(self._runs)
 
+    def count_running(self) -> list[list[object]]:
+        """Return open requests by server, model and adapter."""
+        counts: dict[tuple[str, str, str], int] = {}
+        for run in self._runs:
+            server_id = run.server_id
+            if server_id and run.request.model:
+                key = (server_id, run.request.model, run.request.adapter)
+                counts[key] = counts.get(key, 0) + 1
+        return [[*key, count] for key, count in counts.items()]
+
+    def take_arrivals(self) -> dict[str, int]:
+        """Return the requests by model since the last call."""
+        arrivals, self._arrivals = self._arrivals, {}
+        return arrivals
+
     def on_opened(
         self, connection: caller_connection.CallerConnection
     ) -> None:
@@ -129,6 +146,9 @@
             self._parts, exchange, request, route, service, self._runs.discard
         )
         self._runs.add(run)
+        if request.model:
+            count = self._arrivals.get(request.model, 0)
+            self._arrivals[request.model] = count + 1
         run.start()
 
     def _refuse(
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import refusal
+from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
 from balsamwall.limits import retry_budget as retry_budget_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamwall.gateway import attempt as attempt_module
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
@@ -17,7 +20,6 @@
     from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_run
-    from balsamwall.gateway import residency_waits
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
     from balsamwall.gateway import server_health
@@ -25,9 +27,6 @@
     from balsamwall.results import result_code
     from balsamwall.timing import clock as clock_module
 
-# A load takes up to a few seconds; a request that waits longer is better
-# sent again by its caller when the model is there.
-WAIT_LIMIT_MS = 6_000
 MAX_PRIORITY = 9
 
 
@@ -53,13 +52,14 @@
         "choice",
         "clock",
         "codec",
+        "directory",
         "health",
         "log",
         "metrics",
         "pool",
         "retry_policy",
-        "wait_limit_ms",
         "waits",
+        "want",
         "zone",
     )
 
@@ -81,7 +81,11 @@
         metrics: gateway_metrics.GatewayMetrics,
         retry_terms: RetryTerms,
         entries: int,
+        directory: backend_directory.BackendDirectory,
+        want: Callable[[residency_waits.Wanted], None],
     ) -> None:
+        self.directory = directory
+        self.want = want
         self.clock = clock
         self.zone = zone
         self.choice = choice
@@ -92,7 +96,6 @@
         self.log = log
         self.metrics = metrics
         self.retry_policy = retry_policy_module.RetryPolicy()
-        self.wait_limit_ms = WAIT_LIMIT_MS
         self._configuration = configuration
         self._retry_terms = retry_terms
         self._entries = max(1, entries)
@@ -152,6 +155,20 @@
         """Answer with a failure of this process."""
         refusal.write(exchange, code, detail, retry_after_ms)
 
+    def on_missing(
+        self,
+        service: str,
+        request: incoming_request.IncomingRequest,
+        server: backend_directory.BackendServer,
+    ) -> None:
+        """Take a model off a server that says it does not hold it."""
+        self.directory.drop_model(
+            server.server_id, request.model, request.adapter
+        )
+        self.want(
+            residency_waits.Wanted(service, request.model, request.adapter)
+        )
+
     def on_first_answer(
         self,
         run: request_run.RequestRun,
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -26,6 +26,9 @@
 SERVER_ERROR_STATUS = 500
 # Pause before a send after a refusal, so that a full server gets room.
 RETRY_PAUSE_MS = 15
+# Percentage of a caller's patience that a request waits for a load; then the
+# caller is told when to come back instead.
+WAIT_PART = 70
 
 
 class RequestRun:
@@ -98,6 +101,11 @@
         """Return when the first byte of the request was read."""
         return self._exchange.arrived_ms
 
+    @property
+    def server_id(self) -> str:
+        """Return the server that works on the request, if there is one."""
+        return self._attempt.server.server_id if self._attempt else ""
+
     @property
     def left_ms(self) -> int:
         """Return the time left for the answer."""
@@ -142,7 +150,7 @@
         )
         self._wanted = wanted
         limit_ms = min(
-            self._parts.wait_limit_ms,
+            self.route.patience_ms * WAIT_PART // 100,
             self.left_ms - retry_policy.MIN_LEFT_MS,
         )
         self._wait_timer = self._parts.clock.call_later(
@@ -265,6 +273,8 @@
         self._attempt_over(True)
         self._exclude(attempt.server)
         self._parts.on_attempt_failed(self, attempt, failure, detail)
+        if attempt.status == attempt_module.WRONG_SERVER_STATUS:
+            self._parts.on_missing(self._service, self.request, attempt.server)
         if self._has_begun and self._relay is None:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
             return
--- a/src/balsamwall/gateway/route.py
+++ b/src/balsamwall/gateway/route.py
@@ -5,6 +5,11 @@
 import dataclasses
 import enum
 
+# Callers leave a stream after a silence of the longest of these.
+MIN_PATIENCE_MS = 2_000
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
+
 
 class RequestKind(enum.Enum):
     """What may be repeated of a request."""
@@ -43,6 +48,15 @@
         """Tell whether a request may run more than once."""
         return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
 
+    @property
+    def patience_ms(self) -> int:
+        """Return how long a caller waits for the first event."""
+        if not self.is_stream:
+            return self.timeout_ms
+        by_target = PATIENCE_TARGETS * self.first_answer_target_ms
+        by_gap = PATIENCE_GAPS * self.gap_target_ms
+        return max(MIN_PATIENCE_MS, by_target, by_gap)
+
     @property
     def is_stream(self) -> bool:
         """Tell whether the answer is a stream of events."""
--- a/src/balsamwall/logs/decision_log.py
+++ b/src/balsamwall/logs/decision_log.py
@@ -30,19 +30,19 @@
     def start(self) -> None:
         """Report dropped lines from now on."""
         self._clock.call_later(SUMMARY_INTERVAL_MS, self.start)
-        for kind, count in self._dropped.items():
-            eliot.log_message("lines_dropped", kind=kind, count=count)
+        for event, count in self._dropped.items():
+            eliot.log_message("lines_dropped", event=event, count=count)
         self._dropped.clear()
 
-    def write(self, kind: str, **fields: object) -> None:
+    def write(self, event: str, **fields: object) -> None:
         """Write a line, or count it as dropped."""
-        bucket = self._buckets.get(kind)
+        bucket = self._buckets.get(event)
         if bucket is None:
             bucket = token_bucket.TokenBucket(
                 self._clock, LINES_PER_S, BURST_LINES
             )
-            self._buckets[kind] = bucket
+            self._buckets[event] = bucket
         if not bucket.take():
-            self._dropped[kind] = self._dropped.get(kind, 0) + 1
+            self._dropped[event] = self._dropped.get(event, 0) + 1
             return
-        eliot.log_message(kind, **fields)
+        eliot.log_message(event, **fields)
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -12,6 +12,10 @@
 import eliot
 
 import balsamwall
+from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import fleet_client
+from balsamwall.coordination import fleet_server
+from balsamwall.coordination import fleet_stream
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
 from balsamwall.gateway import connection_pool
@@ -27,16 +31,26 @@
 from balsamwall.infrastructure import key_value_service
 from balsamwall.logs import decision_log
 from balsamwall.logs import line_writer
+from balsamwall.placement import lease_keeper
 from balsamwall.platform import documents
+from balsamwall.platform import engine_calls
 from balsamwall.platform import header_codec
 from balsamwall.platform import node_settings
 from balsamwall.platform import store_client
+from balsamwall.protocol import message
+from balsamwall.settings import address as address_module
 from balsamwall.timing import reactor_clock
 
 EXIT_OK = 0
 EXIT_SETTINGS_INVALID = 4
 # Entries that share the retry budget before their number is known.
 ASSUMED_ENTRIES = 8
+# Key of the lease under which one entry gives orders to the engines.
+HOLDER_KEY = "balsamwall/order-holder"
+LEASE_RENEW_MS = 700
+# The holder stops this long before the store may give the lease away.
+LEASE_MARGIN_MS = 500
+HOLDER_CONNECT_TIMEOUT_MS = 500
 
 
 class EntryDaemon:
@@ -49,23 +63,22 @@
         self._reactor = reactor
         self._clock = reactor_clock.ReactorClock(reactor)
         self._random = random.Random()
+        self._is_stopping = False
         self._log = decision_log.DecisionLog(self._clock)
         self._metrics = gateway_metrics.GatewayMetrics()
         self._configuration = configuration_holder.ConfigurationHolder()
         self._directory = backend_directory.BackendDirectory(
             self._clock.now_ms
         )
+        http = http_client.HttpClient(reactor, self._clock)
         self._store = store_client.StoreClient(
-            self._clock,
-            self._random,
-            http_client.HttpClient(reactor, self._clock),
-            str(settings.store),
+            self._clock, self._random, http, str(settings.store)
         )
         codec = header_codec.HeaderCodec()
         self._pool = connection_pool.ConnectionPool(
             reactor, self._clock, codec.echo_field
         )
-        self._waits = residency_waits.ResidencyWaits(self._on_wanted)
+        self._waits = residency_waits.ResidencyWaits(self._want)
         health = server_health.ServerHealth(self._clock)
         self._parts = request_parts.RequestParts(
             clock=self._clock,
@@ -86,6 +99,8 @@
                 settings.retry_window_ms,
             ),
             entries=ASSUMED_ENTRIES,
+            directory=self._directory,
+            want=self._want,
         )
         self._gateway = gateway_module.Gateway(
             self._parts, self._configuration, self._random
@@ -96,6 +111,50 @@
         self._directory.add_listener(
             self._waits.on_server_changed, self._on_server_gone
         )
+        self._build_coordination(http)
+
+    def _build_coordination(self, http: http_client.HttpClient) -> None:
+        settings = self._settings
+        self._own_address = str(
+            address_module.Address(settings.ip, settings.first_internal_port)
+        )
+        self._holder_seen = ""
+        self._fleet_client = fleet_client.FleetClient(
+            self._clock,
+            settings.vm,
+            self._directory,
+            self._gateway.count_running,
+            self._gateway.take_arrivals,
+            self._dial_holder,
+            self._parts.set_entries,
+            self._log,
+        )
+        self._fleet_client.set_waits(self._waits)
+        self._fleet_server = fleet_server.FleetServer(
+            settings.vm, self._fleet_client.on_message
+        )
+        self._lease = lease_keeper.LeaseKeeper(
+            self._clock,
+            self._store,
+            HOLDER_KEY,
+            self._own_address,
+            self._is_candidate,
+            lease_keeper.LeaseTimes(
+                max(settings.lease_ms, settings.min_lease_ms),
+                LEASE_RENEW_MS,
+                LEASE_MARGIN_MS,
+            ),
+        )
+        self._coordinator = coordinator_module.Coordinator(
+            self._clock,
+            self._configuration,
+            self._directory,
+            self._lease,
+            engine_calls.EngineCalls(http, settings.vm),
+            self._fleet_server,
+            self._log,
+        )
+        self._fleet_server.set_coordinator(self._coordinator)
 
     def start(self) -> None:
         """Open the ports and follow the store."""
@@ -107,7 +166,16 @@
         self._store.watch(
             documents.SERVERS_PREFIX, self._on_server, is_prefix=True
         )
+        self._store.watch(HOLDER_KEY, self._on_holder)
         self._store.feed.start()
+        self._lease.start()
+        self._coordinator.start()
+        self._fleet_client.start()
+        self._reactor.listenTCP(
+            settings.first_internal_port,
+            fleet_stream.FleetStreamFactory(self._fleet_server, self._clock),
+            interface=settings.ip,
+        )
         self._reactor.listenTCP(
             settings.callers.port,
             listeners.CallerFactory(self._gateway),
@@ -135,6 +203,7 @@
 
     def stop(self) -> None:
         """Finish the open requests, then end the process."""
+        self._is_stopping = True
         eliot.log_message(
             "daemon_stopping", requests=self._gateway.active_runs
         )
@@ -177,10 +246,58 @@
     def _on_server_gone(self, server: backend_directory.BackendServer) -> None:
         self._pool.forget(server.server_id)
 
-    def _on_wanted(self, wanted: residency_waits.Wanted) -> None:
+    # Holder of the orders
+
+    def _want(self, wanted: residency_waits.Wanted) -> None:
         self._log.write(
-            "model_wanted", model=wanted.model, adapter=wanted.adapter
+            "load_wanted",
+            service=wanted.service,
+            model=wanted.model,
+            adapter=wanted.adapter,
+        )
+        self._fleet_client.want(wanted)
+
+    def _is_candidate(self) -> bool:
+        """Tell whether this entry may hold the orders."""
+        if self._is_stopping or not self._store.feed.is_synced:
+            return False
+        return self._lease.is_held or not self._holder_seen
+
+    def _on_holder(self, item: key_value_service.KeyValue) -> None:
+        self._holder_seen = (item.value or b"").decode("utf-8", "replace")
+        self._fleet_client.on_holder(self._holder_seen)
+
+    def _dial_holder(self, address: str) -> fleet_client.Link | None:
+        """Connect to the holder; return a link if it is in this process."""
+        if address == self._own_address:
+            return _LocalLink(self._fleet_server)
+        found = address_module.parse(address)
+        factory = fleet_stream.FleetStreamFactory(
+            self._fleet_client, self._clock, self._fleet_client.on_dial_failed
+        )
+        self._reactor.connectTCP(
+            found.host,
+            found.port,
+            factory,
+            timeout=HOLDER_CONNECT_TIMEOUT_MS / 1_000,
         )
+        return None
+
+
+class _LocalLink:
+    """Link to the holder in the same process."""
+
+    __slots__ = ("_server",)
+
+    def __init__(self, server: fleet_server.FleetServer) -> None:
+        self._server = server
+
+    def send(self, item: message.Message) -> None:
+        """Hand a message over."""
+        self._server.send_local(item)
+
+    def close(self) -> None:
+        """Do nothing: there is no connection."""
 
 
 def main(arguments: list[str] | None = None) -> int:
--- /dev/null
+++ b/src/balsamwall/platform/engine_calls.py
@@ -0,0 +1,139 @@
+"""Reports and orders of the platform's workers."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+import eliot
+
+from balsamwall.coordination import engine_control
+from balsamwall.platform import documents
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.gateway import backend_directory
+    from balsamwall.infrastructure import http_client
+
+CALL_TIMEOUT_MS = 700
+EXPECT_SERVER = "Balsamwall-Expect-Instance"
+
+_Outcome = engine_control.OrderOutcome
+_OUTCOMES = {
+    200: _Outcome.ALREADY_TRUE,
+    202: _Outcome.ACCEPTED,
+    400: _Outcome.REJECTED,
+    409: _Outcome.CONFLICT,
+    412: _Outcome.FENCED,
+    421: _Outcome.WRONG_SERVER,
+}
+
+
+class EngineCalls:
+    """Calls of workers by the holder of the orders."""
+
+    __slots__ = ("_holder", "_http")
+
+    def __init__(self, http: http_client.HttpClient, holder: str) -> None:
+        self._http = http
+        self._holder = holder
+
+    def read_report(
+        self,
+        record: backend_directory.ServerRecord,
+        callback: Callable[[engine_control.EngineReport | None], None],
+    ) -> None:
+        """Ask a worker for its state; None when there is no answer."""
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            report = None
+            if answer.status == 200:
+                try:
+                    report = decode_report(answer.body)
+                except ValueError as error:
+                    eliot.log_message(
+                        "report_unreadable",
+                        server=record.server_id,
+                        reason=str(error)[:200],
+                    )
+            callback(report)
+
+        self._http.call(
+            "GET",
+            f"http://{record.host}:{record.port}/report",
+            {EXPECT_SERVER: record.server_id},
+            b"",
+            CALL_TIMEOUT_MS,
+            on_answer,
+        )
+
+    def send_order(
+        self,
+        record: backend_directory.ServerRecord,
+        order: engine_control.Order,
+        order_count: int,
+        fencing_token: int,
+        callback: Callable[[engine_control.OrderOutcome], None],
+    ) -> None:
+        """Give an order that holds only for the expected order count."""
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            callback(_OUTCOMES.get(answer.status, _Outcome.UNKNOWN))
+
+        body: dict[str, Any] = {
+            "op": order.kind.value,
+            "model": order.model,
+            # The worker calls the number of orders it has accepted "seq".
+            "precondition": order_count,
+            "holder": self._holder,
+            "fencing_token": fencing_token,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        headers = {
+            EXPECT_SERVER: record.server_id,
+            "Content-Type": "application/json",
+        }
+        self._http.call(
+            "POST",
+            f"http://{record.host}:{record.port}/order",
+            headers,
+            json.dumps(body).encode(),
+            CALL_TIMEOUT_MS,
+            on_answer,
+        )
+
+
+def decode_report(raw: bytes) -> engine_control.EngineReport:
+    """Read a report; raise ValueError."""
+    rows = json.loads(raw)
+    if type(rows) is not dict:
+        raise ValueError("expected an object")
+    return engine_control.EngineReport(
+        order_count=_count(rows, "seq"),
+        is_busy=bool(rows.get("busy")),
+        models=documents.decode_models(rows),
+        arriving=frozenset(_arriving(rows.get("coming", []))),
+        running=_count(rows, "active"),
+        waiting=_count(rows, "queued"),
+    )
+
+
+def _count(rows: dict[str, Any], name: str) -> int:
+    found = rows.get(name)
+    if type(found) is not int:
+        raise ValueError(f"{name}: found {found!r}")
+    return found
+
+
+def _arriving(rows: object) -> list[tuple[str, str]]:
+    """Read adapters on their way, written as MODEL/NAME@VERSION."""
+    if type(rows) is not list:
+        raise ValueError(f"coming: found {rows!r}")
+    found = []
+    for row in rows:
+        model, _, rest = str(row).partition("/")
+        found.append((model, rest.partition("@")[0]))
+    return found
