Weigh store loads, running victims and pending copies in the planner

Cause: nine loads from the weight store ran at once, unloads waited seconds for running requests, and one model was given five copies within a second because copies that were being loaded did not count.

Change: copies on their way count, a running victim and a store load cost more, and models that no VM has at hand are loaded while it is quiet.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -24,6 +24,10 @@
 
 TICK_INTERVAL_MS = 100
 STATE_INTERVAL_MS = 250
+SUMMARY_INTERVAL_MS = 1_000
+# Loads without a request must leave permits for those with one.
+RESERVE_INTERVAL_MS = 400
+MAX_LOGGED_MODELS = 12
 
 
 class FleetLinks(Protocol):
@@ -54,9 +58,11 @@
         "_lease",
         "_links",
         "_log",
+        "_next_reserve_ms",
         "_planner",
         "_runner",
         "_state_ms",
+        "_summary_ms",
     )
 
     def __init__(
@@ -82,6 +88,8 @@
         self._is_active = False
         self._is_fenced = False
         self._state_ms = 0
+        self._summary_ms = 0
+        self._next_reserve_ms = 0
         directory.add_listener(self._on_server, self._on_server_gone)
 
     @property
@@ -236,10 +244,14 @@
         ):
             self._on_wanted(wanted, waiting[wanted])
         for service in self._engine_services():
-            plan = self._planner.plan_spread(
-                self._usable_books(service), now_ms
-            )
-            self._carry_out(plan)
+            books = self._usable_books(service)
+            self._carry_out(self._planner.plan_spread(books, now_ms))
+            if now_ms >= self._next_reserve_ms:
+                self._next_reserve_ms = now_ms + RESERVE_INTERVAL_MS
+                self._carry_out(self._planner.plan_reserve(books, now_ms))
+        if now_ms - self._summary_ms >= SUMMARY_INTERVAL_MS:
+            self._summary_ms = now_ms
+            self._log_summary(waiting)
         if now_ms - self._state_ms >= STATE_INTERVAL_MS:
             self._state_ms = now_ms
             self._links.broadcast(
@@ -248,6 +260,30 @@
                 )
             )
 
+    def _log_summary(self, waiting: dict[residency_waits.Wanted, int]) -> None:
+        """Log what the engines hold and what is asked for."""
+        loads = self._demand.loads()
+        self._log.write(
+            "residency",
+            engines={
+                book.record.server_id: [
+                    loads.get(book.record.server_id, 0),
+                    *sorted(book.models),
+                    f"+{book.loading}" if book.loading else "",
+                    len(book.queue),
+                ]
+                for book in self._books.values()
+            },
+            rates={
+                model: round(rate, 1)
+                for model, rate in self._demand.top_rates(MAX_LOGGED_MODELS)
+            },
+            waiting={
+                f"{wanted.model}/{wanted.adapter}": count
+                for wanted, count in waiting.items()
+            },
+        )
+
     def _engine_services(self) -> list[str]:
         current = self._configuration.current
         if current is None:
@@ -268,9 +304,9 @@
         if engine is None or model not in engine.models:
             return
         books = self._usable_books(service)
-        if any(_will_hold(book, model, adapter) for book in books):
+        if any(book.will_hold(model, adapter) for book in books):
             return
-        has_base = any(_will_hold(book, model, "") for book in books)
+        has_base = any(book.will_hold(model) for book in books)
         if adapter and has_base:
             plan = self._planner.plan_adapter(books, model, adapter)
         elif not has_base:
@@ -298,23 +334,6 @@
         self._runner.run(plan.book)
 
 
-def _will_hold(book: engine_book.EngineBook, model: str, adapter: str) -> bool:
-    """Tell whether an engine holds a name, or is about to."""
-    if adapter:
-        if adapter in book.models.get(model, ()):
-            return True
-        if (model, adapter) in book.arriving:
-            return True
-    elif model in book.models or model == book.loading:
-        return True
-    return any(
-        order.model == model
-        and order.adapter == adapter
-        and order.kind.value == "load"
-        for order in book.queue
-    )
-
-
 def _residents(book: engine_book.EngineBook) -> messages_fleet.ServerModels:
     return messages_fleet.ServerModels(
         book.record.server_id, book.record.started_ms, book.resident()
--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from typing import TYPE_CHECKING
 
@@ -12,7 +13,7 @@
     from balsamwall.timing import clock as clock_module
 
 # A busy model may fall silent within a few seconds.
-RATE_WINDOW_MS = 5_000
+RATE_WINDOW_MS = 3_000
 # Reports come several times a second; one that is older says nothing.
 REPORT_LIFE_MS = 1_500
 
@@ -68,6 +69,12 @@
         """Return the requests for a model per second."""
         return self._rates.get(model, 0.0)
 
+    def top_rates(self, count: int) -> list[tuple[str, float]]:
+        """Return the models that are asked for most."""
+        return heapq.nlargest(
+            count, self._rates.items(), key=lambda row: row[1]
+        )
+
     def idle_ms(self, model: str) -> int:
         """Return how long no request for a model has come."""
         return self._clock.now_ms() - self._used_ms.get(model, 0)
--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -57,6 +57,30 @@
         """Tell whether a new sequence of orders may be given."""
         return self.is_fresh and not self.queue and not self.loading
 
+    def will_hold(self, model: str, adapter: str = "") -> bool:
+        """Tell whether a model or adapter is resident or about to be."""
+        if any(
+            order.model == model
+            and order.adapter == adapter
+            and order.kind is engine_control.OrderKind.LOAD
+            for order in self.queue
+        ):
+            return True
+        if not adapter:
+            return model in self.models or model == self.loading
+        is_held = adapter in self.models.get(model, ())
+        return is_held or (model, adapter) in self.arriving
+
+    def coming_models(self) -> set[str]:
+        """Return the models that are resident or about to be."""
+        queued = {
+            order.model
+            for order in self.queue
+            if order.kind is engine_control.OrderKind.LOAD
+            and not order.adapter
+        }
+        return ({*self.models, self.loading} | queued) - {""}
+
     @property
     def adapter_count(self) -> int:
         """Return the places for adapters in use, those on the way included."""
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -20,6 +20,7 @@
 POLL_INTERVAL_MS = 150
 RETRY_INTERVAL_MS = 250
 UNLOAD_MS = 10
+LOAD_MARGIN_MS = 40
 # An adapter arrives within some milliseconds of its order.
 ADAPTER_ARRIVAL_MS = 12
 # Loads beyond the steady rate of the weight store that may begin at once.
@@ -209,8 +210,22 @@
             model=model,
             is_from_store=is_from_store,
         )
-        delay_ms = self._load_ms(book, model) + REPORT_LAG_MS
-        self._clock.call_later(delay_ms, self._read, book)
+        delay_ms = self._load_ms(book, model) + LOAD_MARGIN_MS
+        if is_from_store:
+            # Its time grows with the number of loads in all engines.
+            delay_ms += REPORT_LAG_MS
+            self._clock.call_later(delay_ms, self._read, book)
+        else:
+            self._clock.call_later(delay_ms, self._on_loaded, book, model)
+
+    def _on_loaded(self, book: engine_book.EngineBook, model: str) -> None:
+        """Take a load from the VM's own copy as complete."""
+        if book.loading != model or not book.is_fresh:
+            return
+        book.loading = ""
+        book.models.setdefault(model, set())
+        self._owner.on_residents_changed(book)
+        self._clock.call_later(REPORT_LAG_MS, self._read, book)
 
     def _apply_adapter(
         self, book: engine_book.EngineBook, order: engine_control.Order
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -17,26 +17,32 @@
 _Kind = engine_control.OrderKind
 # All costs and gains are in requests that are delayed.
 # A load from the weight store takes seconds and one of its permits.
-STORE_LOAD_COST = 0.6
+STORE_LOAD_COST = 1.5
 DISK_LOAD_COST = 0.1
 # Time for which the requests of a model without a copy are delayed.
 RELOAD_S = 1.5
 # Dropping one of several copies delays nobody while the others have room.
 SPARE_COPY_PART = 0.15
-# An unload waits for the requests that run, and nothing uses the place.
-RUNNING_COST = 1.0
+# An unload waits for the requests that run, up to several seconds, in which
+# nothing uses the place.
+RUNNING_COST = 4.0
 BUSY_COST = 0.3
-# Requests that wait longer gain weight, so that a rare model is not put off
-# for good by busy ones.
-WAITING_GAIN_PER_S = 1.0
+# Waiting requests and the time that they have waited add to a gain, so that
+# rare models get their turn. Both are bounded: a backlog must not push out a
+# model that is asked for more often, whose own backlog would follow.
+MAX_WAITING_GAIN = 2.0
+MAX_WAITED_GAIN_S = 1.5
 # A model that was just loaded stays for the requests that wait for it.
 MIN_STAY_MS = 800
 RECENT_USE_MS = 1_500
+# Share of the slots below which models are loaded without a request, and the
+# gain of such a load: less than that of keeping a model that is asked for.
+QUIET_LOAD = 0.1
+RESERVE_GAIN = 2.2
 # Share of the slots above which a model gets one more copy, and by how much
 # less busy the engine for it must be. Below, a batch costs little time.
-SPREAD_LOAD = 0.7
+SPREAD_LOAD = 0.75
 SPREAD_MARGIN = 0.3
-SPREAD_GAIN_S = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -71,10 +77,10 @@
         now_ms: int,
     ) -> Plan | None:
         """Plan the first copy of a model that requests wait for."""
-        gain = float(max(1, count))
+        gain = min(MAX_WAITING_GAIN, float(max(1, count)))
         gain += self._demand.rate(wanted.model) * RELOAD_S
         waited_s = self._demand.waited_ms(wanted) / 1_000
-        gain += WAITING_GAIN_PER_S * waited_s
+        gain += min(MAX_WAITED_GAIN_S, waited_s)
         return self._cheapest(books, books, wanted.model, now_ms, gain)
 
     def plan_spread(
@@ -89,23 +95,46 @@
                 continue
             least = min(loads[book.record.server_id] for book in rows)
             if least > SPREAD_LOAD:
-                pressures.append((self._demand.rate(model) * least, model))
-        for _, model in sorted(pressures, reverse=True):
+                slots = rows[0].spec.slots * len(rows)
+                pressures.append(((least - SPREAD_LOAD) * slots, model))
+        for gain, model in sorted(pressures, reverse=True):
             least = min(
                 loads[book.record.server_id] for book in holders[model]
             )
             free = [
                 book
                 for book in books
-                if book not in holders[model]
+                if not book.will_hold(model)
                 and loads[book.record.server_id] < least - SPREAD_MARGIN
             ]
-            gain = self._demand.rate(model) * least * SPREAD_GAIN_S
             plan = self._cheapest(free, books, model, now_ms, gain)
             if plan is not None:
                 return plan
         return None
 
+    def plan_reserve(
+        self, books: list[engine_book.EngineBook], now_ms: int
+    ) -> Plan | None:
+        """Plan a load of a model that no VM has at hand, while it is quiet.
+
+        A load from the VM's own disk takes a fourth of the time of one from
+        the weight store, and needs no permit. A model that makes way stays at
+        hand on its VM.
+        """
+        if not books or max(self._loads(books).values()) > QUIET_LOAD:
+            return None
+        at_hand = {
+            name
+            for book in books
+            for name in (*book.at_hand, *book.coming_models())
+        }
+        for model in books[0].spec.models:
+            if model not in at_hand:
+                return self._cheapest(
+                    books, books, model, now_ms, RESERVE_GAIN
+                )
+        return None
+
     def plan_adapter(
         self,
         books: list[engine_book.EngineBook],
@@ -142,7 +171,7 @@
         loads = self._loads(candidates)
         copies = _copies(books)
         for book in candidates:
-            if not book.is_idle or model in book.models:
+            if not book.is_idle or book.will_hold(model):
                 continue
             found = self._victims(book, model, now_ms, copies)
             if found is None:
@@ -223,7 +252,7 @@
 ) -> dict[str, list[engine_book.EngineBook]]:
     found: dict[str, list[engine_book.EngineBook]] = {}
     for book in books:
-        for model in book.models:
+        for model in book.coming_models():
             found.setdefault(model, []).append(book)
     return found
 
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -21,9 +21,9 @@
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
-# Requests on kept connections that come later in a drain are refused as not
-# run, because their answers might not end in time.
-LATE_DRAIN_SHARE = 0.6
+# Streams that are asked for later in a drain, on kept connections, are refused
+# as not run: a long one would be cut by the end of the process.
+LAST_STREAM_MS = 2_700
 # The platform needs two missed probes, one a second, to send no new callers.
 MIN_DRAIN_MS = 2_500
 DRAIN_POLL_MS = 50
@@ -137,7 +137,7 @@
         if route is None:
             self._refuse(exchange, _Code.UNKNOWN_PATH, "no route")
             return
-        if self._is_too_late():
+        if self._is_too_late(route):
             self._refuse(exchange, _Code.LEAVING, "this entry is leaving")
             return
         service = self._pick_service(route)
@@ -189,21 +189,25 @@
         self._on_drained = on_drained
         self._poll_drain()
 
-    def _is_too_late(self) -> bool:
+    def _is_too_late(self, route: route_module.Route) -> bool:
+        """Tell whether an answer might not end before the process does."""
         if self._drain_since_ms is None:
             return False
         since_ms = self.clock.now_ms() - self._drain_since_ms
-        return since_ms > self._drain_ms * LATE_DRAIN_SHARE
+        if route.is_stream:
+            return since_ms > LAST_STREAM_MS
+        return since_ms + route.timeout_ms > self._drain_ms
 
     def _poll_drain(self) -> None:
         assert self._drain_since_ms is not None
         since_ms = self.clock.now_ms() - self._drain_since_ms
-        is_quiet = since_ms >= MIN_DRAIN_MS and not self._runs
-        if is_quiet:
+        if since_ms >= MIN_DRAIN_MS:
             for connection in list(self._connections):
                 connection.close_if_idle()
-        is_done = is_quiet and not self._connections
-        if is_done or since_ms >= self._drain_ms:
+            if not self._runs and not self._connections:
+                self._finish_drain()
+                return
+        if since_ms >= self._drain_ms:
             self._finish_drain()
             return
         self.clock.call_later(DRAIN_POLL_MS, self._poll_drain)
