Follow each engine with one state and one timer

Cause: overlapping timers read an engine while an order was in flight, and a report right after an order shows the new order count with older models.

Change: one state a engine, one planned step; models are taken from reports whose count is steady; refused orders are tried again after a pause.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -26,7 +26,8 @@
 STATE_INTERVAL_MS = 250
 SUMMARY_INTERVAL_MS = 1_000
 # Loads without a request must leave permits for those with one.
-RESERVE_INTERVAL_MS = 400
+RESERVE_INTERVAL_MS = 300
+ENGINES_SETTLE_MS = 1_000
 MAX_LOGGED_MODELS = 12
 
 
@@ -52,6 +53,7 @@
         "_clock",
         "_configuration",
         "_demand",
+        "_engines_changed_ms",
         "_directory",
         "_is_active",
         "_is_fenced",
@@ -90,6 +92,7 @@
         self._state_ms = 0
         self._summary_ms = 0
         self._next_reserve_ms = 0
+        self._engines_changed_ms = 0
         directory.add_listener(self._on_server, self._on_server_gone)
 
     @property
@@ -147,7 +150,9 @@
         if not self._is_active:
             return []
         return [
-            _residents(book) for book in self._books.values() if book.is_fresh
+            _residents(book)
+            for book in self._books.values()
+            if book.state is not engine_book.EngineState.UNKNOWN
         ]
 
     def on_entry_gone(self, vm: str) -> None:
@@ -220,6 +225,7 @@
             return
         book = engine_book.EngineBook(record, engine)
         self._books[record.server_id] = book
+        self._engines_changed_ms = self._clock.now_ms()
         self._runner.set_load_rate(engine.loads_per_s)
         self._runner.refresh(book)
 
@@ -246,7 +252,7 @@
         for service in self._engine_services():
             books = self._usable_books(service)
             self._carry_out(self._planner.plan_spread(books, now_ms))
-            if now_ms >= self._next_reserve_ms:
+            if self._is_reserve_due(now_ms):
                 self._next_reserve_ms = now_ms + RESERVE_INTERVAL_MS
                 self._carry_out(self._planner.plan_reserve(books, now_ms))
         if now_ms - self._summary_ms >= SUMMARY_INTERVAL_MS:
@@ -260,6 +266,15 @@
                 )
             )
 
+    def _is_reserve_due(self, now_ms: int) -> bool:
+        """Tell whether models may be loaded without a request.
+
+        Engines that have just started are not all known yet, and a model
+        that seems to be nowhere may be on the next one.
+        """
+        is_settled = now_ms - self._engines_changed_ms >= ENGINES_SETTLE_MS
+        return is_settled and now_ms >= self._next_reserve_ms
+
     def _log_summary(self, waiting: dict[residency_waits.Wanted, int]) -> None:
         """Log what the engines hold and what is asked for."""
         loads = self._demand.loads()
--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from balsamwall.coordination import engine_control
@@ -9,6 +10,17 @@
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import gateway_configuration
+    from balsamwall.timing import clock as clock_module
+
+
+class EngineState(enum.Enum):
+    """What the holder of the orders may do with an engine now."""
+
+    UNKNOWN = "unknown"  # a report is needed
+    READY = "ready"
+    ORDERING = "ordering"  # an order has no answer yet
+    BUSY = "busy"  # the engine carries out an unload
+    LOADING = "loading"
 
 
 class EngineBook:
@@ -18,13 +30,16 @@
         "arriving",
         "at_hand",
         "changed_ms",
-        "is_fresh",
+        "conflicts",
         "loading",
         "models",
         "order_count",
         "queue",
         "record",
         "spec",
+        "state",
+        "steady_since_ms",
+        "timer",
         "used_ms",
     )
 
@@ -46,8 +61,10 @@
         self.loading: str = ""
         self.arriving: set[tuple[str, str]] = set()
         self.order_count = 0
-        # The order count is known only after a report.
-        self.is_fresh = False
+        self.state = EngineState.UNKNOWN
+        self.timer: clock_module.Timer | None = None
+        self.steady_since_ms: int | None = None
+        self.conflicts = 0
         self.queue: list[engine_control.Order] = []
         self.used_ms: dict[tuple[str, str], int] = {}
         self.changed_ms: dict[str, int] = {}
@@ -55,7 +72,7 @@
     @property
     def is_idle(self) -> bool:
         """Tell whether a new sequence of orders may be given."""
-        return self.is_fresh and not self.queue and not self.loading
+        return self.state is EngineState.READY and not self.queue
 
     def will_hold(self, model: str, adapter: str = "") -> bool:
         """Tell whether a model or adapter is resident or about to be."""
@@ -121,24 +138,24 @@
             return has_place and size_mb <= self.free_mb()
         return self._size_mb(order.model) <= self.free_mb()
 
-    def adopt(self, report: engine_control.EngineReport) -> bool:
-        """Take a report unless it may miss what an order changes.
-
-        While an engine is busy, the report does not tell what it will hold,
-        although the order count is already that of the order.
-        """
-        is_older = self.is_fresh and report.order_count < self.order_count
-        if report.is_busy or is_older:
-            return False
+    def adopt(self, report: engine_control.EngineReport) -> None:
+        """Take a report of an engine that is not busy."""
         self.order_count = report.order_count
-        self.is_fresh = True
         self.models = {
             name: set(adapters) for name, adapters in report.models.items()
         }
         self.arriving = set(report.arriving)
         self.at_hand.update(self.models)
         self.loading = ""
-        return True
+        # An order that had no answer may have been carried out.
+        self.queue = [order for order in self.queue if self._is_open(order)]
+
+    def _is_open(self, order: engine_control.Order) -> bool:
+        held = self.models.get(order.model)
+        is_held = held is not None and (
+            not order.adapter or order.adapter in held
+        )
+        return is_held is (order.kind is engine_control.OrderKind.UNLOAD)
 
     def resident(self) -> dict[str, list[str]]:
         """Return the models that requests may use, with their adapters."""
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -5,22 +5,33 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import engine_book
 from balsamwall.coordination import engine_control
 from balsamwall.limits import token_bucket
 
 if TYPE_CHECKING:
-    from balsamwall.coordination import engine_book
+    from collections.abc import Callable
+
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
 _Kind = engine_control.OrderKind
+_State = engine_book.EngineState
 _Outcome = engine_control.OrderOutcome
-# Reports are some hundred milliseconds old.
-REPORT_LAG_MS = 200
+# The models in a report may be some hundred milliseconds older than its order
+# count; they are taken when the count has been the same for this long.
+SETTLE_MS = 500
 POLL_INTERVAL_MS = 150
 RETRY_INTERVAL_MS = 250
+# An unload without running requests is over at once.
 UNLOAD_MS = 10
 LOAD_MARGIN_MS = 40
+# An engine that is busy refuses the next order; the first pause between two
+# tries, which doubles, and the longest one.
+FIRST_CONFLICT_PAUSE_MS = 40
+MAX_CONFLICT_PAUSE_MS = 320
+# Refusals in a row after which the order count is compared.
+CONFLICTS_TO_CHECK = 4
 # An adapter arrives within some milliseconds of its order.
 ADAPTER_ARRIVAL_MS = 12
 # Loads beyond the steady rate of the weight store that may begin at once.
@@ -53,7 +64,6 @@
     """
 
     __slots__ = (
-        "_busy",
         "_clock",
         "_control",
         "_load_bucket",
@@ -74,7 +84,6 @@
         self._owner = owner
         self._log = log
         self._load_bucket = token_bucket.TokenBucket(clock, 0.0, LOAD_BURST)
-        self._busy: set[str] = set()
         self.loads = 0
 
     def set_load_rate(self, loads_per_s: float) -> None:
@@ -82,17 +91,13 @@
         self._load_bucket.change(loads_per_s * LOAD_RATE_PART, LOAD_BURST)
 
     def refresh(self, book: engine_book.EngineBook) -> None:
-        """Read the state of an engine that is not known."""
-        self._read(book)
+        """Read the state of an engine that has nothing to do."""
+        if book.state in (_State.UNKNOWN, _State.READY) and not book.queue:
+            self._lose_track(book)
 
     def run(self, book: engine_book.EngineBook) -> None:
         """Send the next queued order, if the engine is free."""
-        if book.record.server_id in self._busy or not book.queue:
-            return
-        if not book.is_fresh:
-            self._read(book)
-            return
-        if book.loading:
+        if book.state is not _State.READY or not book.queue:
             return
         token = self._owner.fencing_token
         if not token:
@@ -111,10 +116,28 @@
             book.queue.clear()
             return
         if self._is_store_load(book, order) and not self._load_bucket.take():
-            self._clock.call_later(self._load_bucket.wait_ms(), self.run, book)
+            wait_ms = self._load_bucket.wait_ms()
+            self._schedule(book, wait_ms, self.run)
             return
         self._send(book, order, token)
 
+    def _schedule(
+        self,
+        book: engine_book.EngineBook,
+        delay_ms: int,
+        function: Callable[[engine_book.EngineBook], None],
+    ) -> None:
+        """Plan the next step of an engine; there is one at a time."""
+        if book.timer is not None:
+            book.timer.cancel()
+        book.timer = self._clock.call_later(delay_ms, function, book)
+
+    def _lose_track(self, book: engine_book.EngineBook) -> None:
+        """Read the state until it is steady."""
+        book.state = _State.UNKNOWN
+        book.steady_since_ms = None
+        self._schedule(book, 0, self._read_state)
+
     @staticmethod
     def _is_store_load(
         book: engine_book.EngineBook, order: engine_control.Order
@@ -128,14 +151,13 @@
         order: engine_control.Order,
         token: int,
     ) -> None:
-        self._busy.add(book.record.server_id)
+        book.state = _State.ORDERING
         if order.kind is _Kind.UNLOAD:
             # Entries stop using what is about to go.
             self._drop(book, order)
             self._owner.on_residents_changed(book)
 
         def on_outcome(outcome: engine_control.OrderOutcome) -> None:
-            self._busy.discard(book.record.server_id)
             self._log.write(
                 "order",
                 server=book.record.server_id,
@@ -160,19 +182,31 @@
     ) -> None:
         if outcome is _Outcome.FENCED:
             book.queue.clear()
+            self._lose_track(book)
             self._owner.on_fenced()
         elif outcome in (_Outcome.ACCEPTED, _Outcome.ALREADY_TRUE):
+            book.conflicts = 0
             if book.queue and book.queue[0] is order:
                 book.queue.pop(0)
             self._apply(book, order, outcome)
-        elif outcome in (_Outcome.REJECTED, _Outcome.WRONG_SERVER):
-            book.queue.clear()
-            book.is_fresh = False
-            self._clock.call_later(RETRY_INTERVAL_MS, self._read, book)
+        elif outcome is _Outcome.CONFLICT:
+            self._wait_busy(book)
         else:
-            # The state is not known: busy, another count, or no answer.
-            book.is_fresh = False
-            self._clock.call_later(RETRY_INTERVAL_MS, self._read, book)
+            if outcome in (_Outcome.REJECTED, _Outcome.WRONG_SERVER):
+                book.queue.clear()
+            self._lose_track(book)
+
+    def _wait_busy(self, book: engine_book.EngineBook) -> None:
+        """Try again: an unload before the order waits for its requests."""
+        book.state = _State.BUSY
+        pause_ms = FIRST_CONFLICT_PAUSE_MS * 2 ** min(8, book.conflicts)
+        book.conflicts += 1
+        is_check_due = book.conflicts % CONFLICTS_TO_CHECK == 0
+        self._schedule(
+            book,
+            min(MAX_CONFLICT_PAUSE_MS, pause_ms),
+            self._compare_count if is_check_due else self._be_ready,
+        )
 
     def _apply(
         self,
@@ -180,27 +214,30 @@
         order: engine_control.Order,
         outcome: engine_control.OrderOutcome,
     ) -> None:
-        if order.adapter:
+        is_unload = order.kind is _Kind.UNLOAD
+        if outcome is _Outcome.ACCEPTED or (order.adapter and is_unload):
+            # The unload of an idle adapter is answered as already true.
             book.order_count += 1
-            self._apply_adapter(book, order)
-            self.run(book)
-            return
-        if outcome is _Outcome.ALREADY_TRUE:
-            book.is_fresh = False
-            self._clock.call_later(REPORT_LAG_MS, self._read, book)
-            return
-        book.order_count += 1
-        if order.kind is _Kind.LOAD:
-            self._follow_load(book, order.model)
-        elif book.queue:
-            # Without running requests the unload is over at once; the engine
-            # refuses the next order while it is not.
-            self._clock.call_later(UNLOAD_MS, self.run, book)
+        if order.adapter:
+            if not is_unload:
+                self._follow_adapter(book, order)
+            self._be_ready(book)
+        elif outcome is _Outcome.ALREADY_TRUE:
+            self._lose_track(book)
+        elif is_unload:
+            book.state = _State.BUSY
+            # The engine refuses the next order while the unload waits.
+            self._schedule(book, UNLOAD_MS, self._be_ready)
         else:
-            self._clock.call_later(REPORT_LAG_MS, self._read, book)
+            self._follow_load(book, order.model)
+
+    def _be_ready(self, book: engine_book.EngineBook) -> None:
+        book.state = _State.READY
+        self.run(book)
 
     def _follow_load(self, book: engine_book.EngineBook, model: str) -> None:
-        """Expect the end of a load, and read the state if it comes late."""
+        """Expect the end of a load."""
+        book.state = _State.LOADING
         book.loading = model
         is_from_store = model not in book.at_hand
         self.loads += is_from_store
@@ -211,27 +248,21 @@
             is_from_store=is_from_store,
         )
         delay_ms = self._load_ms(book, model) + LOAD_MARGIN_MS
-        if is_from_store:
-            # Its time grows with the number of loads in all engines.
-            delay_ms += REPORT_LAG_MS
-            self._clock.call_later(delay_ms, self._read, book)
-        else:
-            self._clock.call_later(delay_ms, self._on_loaded, book, model)
+        # The time of a load from the store grows with the number of loads in
+        # all engines; one from the VM's own copy takes its time.
+        step = self._poll_load if is_from_store else self._on_loaded
+        self._schedule(book, delay_ms, step)
 
-    def _on_loaded(self, book: engine_book.EngineBook, model: str) -> None:
-        """Take a load from the VM's own copy as complete."""
-        if book.loading != model or not book.is_fresh:
-            return
-        book.loading = ""
+    def _on_loaded(self, book: engine_book.EngineBook) -> None:
+        model, book.loading = book.loading, ""
         book.models.setdefault(model, set())
+        book.at_hand.add(model)
         self._owner.on_residents_changed(book)
-        self._clock.call_later(REPORT_LAG_MS, self._read, book)
+        self._be_ready(book)
 
-    def _apply_adapter(
+    def _follow_adapter(
         self, book: engine_book.EngineBook, order: engine_control.Order
     ) -> None:
-        if order.kind is _Kind.UNLOAD:
-            return
         key = (order.model, order.adapter)
         book.arriving.add(key)
         self._clock.call_later(
@@ -266,26 +297,73 @@
             return spec.warm_ms
         return spec.disk_ms if model in book.at_hand else spec.load_ms
 
-    def _read(self, book: engine_book.EngineBook) -> None:
+    # Reports
+
+    def _read(
+        self,
+        book: engine_book.EngineBook,
+        retry: Callable[[engine_book.EngineBook], None],
+        on_report: Callable[[engine_control.EngineReport], None],
+    ) -> None:
+        """Read a report; try again while there is none."""
         if not self._owner.fencing_token:
             return
-        if book.record.server_id in self._busy:
-            return
-        self._busy.add(book.record.server_id)
-
-        def on_report(report: engine_control.EngineReport | None) -> None:
-            self._busy.discard(book.record.server_id)
-            self._on_report(book, report)
+        state = book.state
+
+        def on_answer(report: engine_control.EngineReport | None) -> None:
+            if book.state is not state:
+                return
+            if report is None:
+                self._schedule(book, RETRY_INTERVAL_MS, retry)
+            else:
+                on_report(report)
+
+        self._control.read_report(book.record, on_answer)
+
+    def _read_state(self, book: engine_book.EngineBook) -> None:
+        def on_report(report: engine_control.EngineReport) -> None:
+            if not self._is_steady(book, report):
+                self._schedule(book, POLL_INTERVAL_MS, self._read_state)
+                return
+            book.conflicts = 0
+            book.adopt(report)
+            self._owner.on_residents_changed(book)
+            self._be_ready(book)
 
-        self._control.read_report(book.record, on_report)
+        self._read(book, self._read_state, on_report)
 
-    def _on_report(
+    def _is_steady(
         self,
         book: engine_book.EngineBook,
-        report: engine_control.EngineReport | None,
-    ) -> None:
-        if report is None or not book.adopt(report):
-            self._clock.call_later(POLL_INTERVAL_MS, self._read, book)
-            return
-        self._owner.on_residents_changed(book)
-        self.run(book)
+        report: engine_control.EngineReport,
+    ) -> bool:
+        """Tell whether the models in a report are those of its count."""
+        now_ms = self._clock.now_ms()
+        is_changed = report.order_count != book.order_count
+        book.order_count = report.order_count
+        if report.is_busy or is_changed or book.steady_since_ms is None:
+            # What a busy engine will hold is not in the report.
+            book.steady_since_ms = None if report.is_busy else now_ms
+            return False
+        return now_ms - book.steady_since_ms >= SETTLE_MS
+
+    def _compare_count(self, book: engine_book.EngineBook) -> None:
+        def on_report(report: engine_control.EngineReport) -> None:
+            if report.order_count != book.order_count:
+                # An order that had no answer was carried out after all.
+                self._lose_track(book)
+            else:
+                self._be_ready(book)
+
+        self._read(book, self._compare_count, on_report)
+
+    def _poll_load(self, book: engine_book.EngineBook) -> None:
+        def on_report(report: engine_control.EngineReport) -> None:
+            if report.is_busy:
+                self._schedule(book, POLL_INTERVAL_MS, self._poll_load)
+            elif report.order_count == book.order_count:
+                self._on_loaded(book)
+            else:
+                self._lose_track(book)
+
+        self._read(book, self._poll_load, on_report)
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -17,7 +18,7 @@
 _Kind = engine_control.OrderKind
 # All costs and gains are in requests that are delayed.
 # A load from the weight store takes seconds and one of its permits.
-STORE_LOAD_COST = 1.5
+STORE_LOAD_COST = 2.5
 DISK_LOAD_COST = 0.1
 # Time for which the requests of a model without a copy are delayed.
 RELOAD_S = 1.5
@@ -31,14 +32,15 @@
 # rare models get their turn. Both are bounded: a backlog must not push out a
 # model that is asked for more often, whose own backlog would follow.
 MAX_WAITING_GAIN = 2.0
-MAX_WAITED_GAIN_S = 1.5
+MAX_WAITED_GAIN_S = 2.5
 # A model that was just loaded stays for the requests that wait for it.
 MIN_STAY_MS = 800
-RECENT_USE_MS = 1_500
 # Share of the slots below which models are loaded without a request, and the
 # gain of such a load: less than that of keeping a model that is asked for.
 QUIET_LOAD = 0.1
-RESERVE_GAIN = 2.2
+RESERVE_GAIN = 3.0
+# VMs that should have a model at hand.
+RESERVE_COPIES = 2
 # Share of the slots above which a model gets one more copy, and by how much
 # less busy the engine for it must be. Below, a batch costs little time.
 SPREAD_LOAD = 0.75
@@ -88,15 +90,18 @@
     ) -> Plan | None:
         """Plan one more copy of the model whose engines are busiest."""
         loads = self._loads(books)
+        running = self._demand.running()
         holders = _holders(books)
         pressures = []
         for model, rows in holders.items():
-            if self._demand.idle_ms(model) > RECENT_USE_MS:
-                continue
             least = min(loads[book.record.server_id] for book in rows)
-            if least > SPREAD_LOAD:
-                slots = rows[0].spec.slots * len(rows)
-                pressures.append(((least - SPREAD_LOAD) * slots, model))
+            if least <= SPREAD_LOAD:
+                continue
+            open_requests = sum(
+                running.get((book.record.server_id, model), 0) for book in rows
+            )
+            excess = open_requests * (1 - SPREAD_LOAD / least)
+            pressures.append((excess, model))
         for gain, model in sorted(pressures, reverse=True):
             least = min(
                 loads[book.record.server_id] for book in holders[model]
@@ -118,22 +123,23 @@
         """Plan a load of a model that no VM has at hand, while it is quiet.
 
         A load from the VM's own disk takes a fourth of the time of one from
-        the weight store, and needs no permit. A model that makes way stays at
-        hand on its VM.
+        the weight store, and needs no permit. The engine goes back to what
+        it held, which was chosen for the demand of an earlier time.
         """
         if not books or max(self._loads(books).values()) > QUIET_LOAD:
             return None
-        at_hand = {
+        at_hand = collections.Counter(
             name
             for book in books
-            for name in (*book.at_hand, *book.coming_models())
-        }
-        for model in books[0].spec.models:
-            if model not in at_hand:
-                return self._cheapest(
-                    books, books, model, now_ms, RESERVE_GAIN
-                )
-        return None
+            for name in book.at_hand | book.coming_models()
+        )
+        models = list(books[0].spec.models)
+        model = min(models, key=lambda name: at_hand[name], default="")
+        if not model or at_hand[model] >= RESERVE_COPIES:
+            return None
+        others = [book for book in books if model not in book.at_hand]
+        plan = self._cheapest(others, books, model, now_ms, RESERVE_GAIN)
+        return None if plan is None else _restoring(plan)
 
     def plan_adapter(
         self,
@@ -169,7 +175,7 @@
         """Return the load that costs least, if it costs less than it gains."""
         best: tuple[float, engine_book.EngineBook, list[str]] | None = None
         loads = self._loads(candidates)
-        copies = _copies(books)
+        copies = _ready_copies(books)
         for book in candidates:
             if not book.is_idle or book.will_hold(model):
                 continue
@@ -195,7 +201,7 @@
         book: engine_book.EngineBook,
         model: str,
         now_ms: int,
-        copies: dict[str, int],
+        copies: collections.Counter[str],
     ) -> tuple[float, list[str]] | None:
         """Return the models that make way, with the cost of dropping them."""
         spec = book.spec.models.get(model)
@@ -226,11 +232,11 @@
         self,
         book: engine_book.EngineBook,
         model: str,
-        copies: dict[str, int],
+        copies: collections.Counter[str],
         running: dict[tuple[str, str], int],
     ) -> float:
         cost = self._demand.rate(model) * RELOAD_S
-        if copies.get(model, 1) > 1:
+        if copies[model] > 1:
             cost *= SPARE_COPY_PART
         if running.get((book.record.server_id, model)):
             cost += RUNNING_COST
@@ -247,6 +253,17 @@
         }
 
 
+def _restoring(plan: Plan) -> Plan:
+    """Return a plan that ends with the models that were there before."""
+    *unloads, load = plan.orders
+    orders = [*plan.orders]
+    if unloads:
+        orders.append(engine_control.Order(_Kind.UNLOAD, load.model))
+    for unload in unloads:
+        orders.append(engine_control.Order(_Kind.LOAD, unload.model))
+    return Plan(plan.book, tuple(orders), plan.cost, plan.gain)
+
+
 def _holders(
     books: Iterable[engine_book.EngineBook],
 ) -> dict[str, list[engine_book.EngineBook]]:
@@ -257,8 +274,10 @@
     return found
 
 
-def _copies(books: Iterable[engine_book.EngineBook]) -> dict[str, int]:
-    return {name: len(rows) for name, rows in _holders(books).items()}
+def _ready_copies(
+    books: Iterable[engine_book.EngineBook],
+) -> collections.Counter[str]:
+    return collections.Counter(name for book in books for name in book.models)
 
 
 def _oldest_adapter(
