--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -246,7 +246,9 @@
         now_ms = self._clock.now_ms()
         waiting = self._demand.waiting()
         for wanted in sorted(
-            waiting, key=self._demand.waited_ms, reverse=True
+            waiting,
+            key=lambda row: self._planner.gain(row, waiting[row]),
+            reverse=True,
         ):
             self._on_wanted(wanted, waiting[wanted])
         for service in self._engine_services():
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -17,22 +17,29 @@
 
 _Kind = engine_control.OrderKind
 # All costs and gains are in requests that are delayed.
-# A load from the weight store takes seconds and one of its permits.
-STORE_LOAD_COST = 2.5
+# Time for which a change is weighed; busy models change within seconds.
+HORIZON_S = 4.0
+# Part of the horizon for which the requests of a dropped model are delayed.
+DROPPED_PART = 0.8
+# Price of a load from the weight store and of one of its permits, beside the
+# time that it takes.
+STORE_LOAD_COST = 1.2
 DISK_LOAD_COST = 0.1
-# Time for which the requests of a model without a copy are delayed.
-RELOAD_S = 1.5
 # Dropping one of several copies delays nobody while the others have room.
 SPARE_COPY_PART = 0.15
-# An unload waits for the requests that run, up to several seconds, in which
-# nothing uses the place.
-RUNNING_COST = 4.0
+# An unload waits for the requests that run. Nothing uses the place meanwhile.
+RUNNING_COST = 3.0
+RUNNING_WAIT_S = 2.5
 BUSY_COST = 0.3
 # Waiting requests and the time that they have waited add to a gain, so that
 # rare models get their turn. Both are bounded: a backlog must not push out a
 # model that is asked for more often, whose own backlog would follow.
 MAX_WAITING_GAIN = 2.0
 MAX_WAITED_GAIN_S = 2.5
+# Models that are asked for less than this use a part of the engines' time for
+# changes only; the rest is left for models whose demand rises.
+RARE_RATE = 1.5
+RARE_PART = 0.45
 # A model that was just loaded stays for the requests that wait for it.
 MIN_STAY_MS = 800
 # Share of the slots below which models are loaded without a request, and the
@@ -79,11 +86,19 @@
         now_ms: int,
     ) -> Plan | None:
         """Plan the first copy of a model that requests wait for."""
+        changing = sum(1 for book in books if not book.is_idle)
+        is_rare = self._demand.rate(wanted.model) < RARE_RATE
+        if is_rare and changing >= max(1, RARE_PART * len(books)):
+            return None
+        gain = self.gain(wanted, count)
+        return self._cheapest(books, books, wanted.model, now_ms, gain)
+
+    def gain(self, wanted: residency_waits.Wanted, count: int) -> float:
+        """Return the gain of a first copy."""
         gain = min(MAX_WAITING_GAIN, float(max(1, count)))
-        gain += self._demand.rate(wanted.model) * RELOAD_S
+        gain += self._demand.rate(wanted.model) * HORIZON_S
         waited_s = self._demand.waited_ms(wanted) / 1_000
-        gain += min(MAX_WAITED_GAIN_S, waited_s)
-        return self._cheapest(books, books, wanted.model, now_ms, gain)
+        return gain + min(MAX_WAITED_GAIN_S, waited_s)
 
     def plan_spread(
         self, books: list[engine_book.EngineBook], now_ms: int
@@ -183,8 +198,7 @@
             if found is None:
                 continue
             cost, victims = found
-            is_at_hand = model in book.at_hand
-            cost += DISK_LOAD_COST if is_at_hand else STORE_LOAD_COST
+            cost += self._load_cost(book, model, victims)
             cost += BUSY_COST * loads[book.record.server_id]
             if best is None or cost < best[0]:
                 best = (cost, book, victims)
@@ -196,6 +210,22 @@
         orders.append(engine_control.Order(_Kind.LOAD, model))
         return Plan(best[1], tuple(orders), best[0], gain)
 
+    def _load_cost(
+        self,
+        book: engine_book.EngineBook,
+        model: str,
+        victims: list[str],
+    ) -> float:
+        """Return the cost of a load, and of the time until it is over."""
+        spec = book.spec.models[model]
+        running = self._demand.running()
+        is_at_hand = model in book.at_hand
+        delay_s = (spec.disk_ms if is_at_hand else spec.load_ms) / 1_000
+        if any((book.record.server_id, name) in running for name in victims):
+            delay_s += RUNNING_WAIT_S
+        cost = DISK_LOAD_COST if is_at_hand else STORE_LOAD_COST
+        return cost + self._demand.rate(model) * delay_s
+
     def _victims(
         self,
         book: engine_book.EngineBook,
@@ -235,7 +265,7 @@
         copies: collections.Counter[str],
         running: dict[tuple[str, str], int],
     ) -> float:
-        cost = self._demand.rate(model) * RELOAD_S
+        cost = self._demand.rate(model) * HORIZON_S * DROPPED_PART
         if copies[model] > 1:
             cost *= SPARE_COPY_PART
         if running.get((book.record.server_id, model)):
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -25,6 +25,8 @@
 # changes must be in force.
 WATCH_WAIT_MS = 1_500
 WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 700
+# Pause after events, so that changes that come close together share a call.
+GATHER_MS = 250
 READ_TIMEOUT_MS = 1_500
 MIN_BACKOFF_MS = 60
 MAX_BACKOFF_MS = 400
@@ -243,7 +245,10 @@
         revision = rows.get("current_rev")
         if type(revision) is int:
             self._revision = max(self._revision, revision)
-        self._watch()
+        if rows.get("events"):
+            self._timer = self._clock.call_later(GATHER_MS, self._watch)
+        else:
+            self._watch()
 
     def _take(self, item: key_value_service.KeyValue) -> None:
         """Deliver an item that is newer than the known one."""
