Spread busy models by slots and prompts, and bound what a copy saves

Cause: first tokens were late where an engine had more requests than slots (72 of 100 with over 42 open requests, 3 of 100 below 24), while other engines were nearly idle: a copy seemed to save nothing once an engine was full.

--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import residency_waits
+from balsamwall.gateway import server_choice
 
 if TYPE_CHECKING:
     from balsamwall.coordination import messages_fleet
@@ -14,6 +15,7 @@
 
 # A busy model may fall silent within a few seconds.
 RATE_WINDOW_MS = 3_000
+PREFILL_TOKENS_PER_S = 1_000 * server_choice.PREFILL_TOKENS_PER_MS
 # Reports come several times a second; one that is older says nothing.
 REPORT_LIFE_MS = 1_500
 
@@ -23,17 +25,21 @@
 
     __slots__ = (
         "_clock",
+        "_open",
         "_rates",
         "_reports",
         "_updated_ms",
         "_used_ms",
         "_waiting_since_ms",
+        "_work",
     )
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self._reports: dict[str, tuple[int, messages_fleet.DemandReport]] = {}
         self._rates: dict[str, float] = {}
+        self._work: dict[str, float] = {}
+        self._open: dict[str, int] = {}
         self._updated_ms = clock.now_ms()
         self._used_ms: dict[str, int] = {}
         self._waiting_since_ms: dict[residency_waits.Wanted, int] = {}
@@ -42,9 +48,12 @@
         """Take the open requests of an entry."""
         now_ms = self._clock.now_ms()
         self._reports[vm] = (now_ms, report)
-        for model, count in report.arrivals.items():
-            per_s = count * 1_000 / RATE_WINDOW_MS
-            self._rates[model] = self._rates.get(model, 0.0) + per_s
+        for model, (count, tokens) in report.arrivals.items():
+            per_s = 1_000 / RATE_WINDOW_MS
+            rate = self._rates.get(model, 0.0)
+            self._rates[model] = rate + count * per_s
+            work = self._work.get(model, 0.0)
+            self._work[model] = work + tokens * per_s / PREFILL_TOKENS_PER_S
             self._used_ms[model] = now_ms
 
     def forget(self, vm: str) -> None:
@@ -59,7 +68,14 @@
         kept = math.exp(-passed_ms / RATE_WINDOW_MS)
         for model in self._rates:
             self._rates[model] *= kept
+            self._work[model] *= kept
         waiting = self.waiting()
+        self._open = {}
+        for row in self._running_rows():
+            self._open[row[1]] = self._open.get(row[1], 0) + row[3]
+        for wanted, count in waiting.items():
+            known = self._open.get(wanted.model, 0)
+            self._open[wanted.model] = known + count
         self._waiting_since_ms = {
             wanted: self._waiting_since_ms.get(wanted, now_ms)
             for wanted in waiting
@@ -69,6 +85,14 @@
         """Return the requests for a model per second."""
         return self._rates.get(model, 0.0)
 
+    def work(self, model: str) -> float:
+        """Return the engines that the prompts of a model keep busy."""
+        return self._work.get(model, 0.0)
+
+    def open_requests(self, model: str) -> int:
+        """Return the running and waiting requests for a model."""
+        return self._open.get(model, 0)
+
     def top_rates(self, count: int) -> list[tuple[str, float]]:
         """Return the models that are asked for most."""
         return heapq.nlargest(
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -54,7 +54,7 @@
         vm: str,
         directory: backend_directory.BackendDirectory,
         count_running: Callable[[], list[list[object]]],
-        take_arrivals: Callable[[], dict[str, int]],
+        take_arrivals: Callable[[], dict[str, list[int]]],
         dial: Callable[[str], Link | None],
         on_entries: Callable[[int], None],
         log: decision_log.DecisionLog,
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -20,12 +20,13 @@
 
     A row of running has the server, the model and the number of requests; a
     row of waiting has the service, the model, the adapter and the number.
-    Arrivals are counted by model since the last report.
+    Arrivals have the requests and their prompt tokens by model since the
+    last report.
     """
 
     running: list[list[Any]]
     waiting: list[list[Any]]
-    arrivals: dict[str, int]
+    arrivals: dict[str, list[int]]
 
 
 @message.register(102)
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -48,6 +48,21 @@
 RESERVE_GAIN = 3.0
 # VMs that should have a model at hand.
 RESERVE_COPIES = 2
+# Utilisation above which a model gets one more copy, and the one at which
+# every request is delayed. Arrivals come in groups, so that the delayed share
+# grows with the square of the utilisation.
+SPREAD_LOAD = 0.3
+FULL_DELAY_LOAD = 0.8
+MAX_DELAY = 16.0
+# Slots are taken for the whole time of a request and delay nobody until all
+# are taken, so that their share counts less than that of the prompts.
+SLOT_WEIGHT = 0.8
+# Share of the slots below which models are loaded without a request, and the
+# gain of such a load: less than that of keeping a model that is asked for.
+QUIET_LOAD = 0.1
+RESERVE_GAIN = 3.0
+# VMs that should have a model at hand.
+RESERVE_COPIES = 2
 # Share of the slots above which a model gets one more copy, and by how much
 # less busy the engine for it must be. Below, a batch costs little time.
 SPREAD_LOAD = 0.75
@@ -103,35 +118,71 @@
     def plan_spread(
         self, books: list[engine_book.EngineBook], now_ms: int
     ) -> Plan | None:
-        """Plan one more copy of the model whose engines are busiest."""
-        loads = self._loads(books)
-        running = self._demand.running()
+        """Plan one more copy of the model that gains most by it."""
         holders = _holders(books)
+        used = self._utilisation(books, holders)
         pressures = []
         for model, rows in holders.items():
-            least = min(loads[book.record.server_id] for book in rows)
-            if least <= SPREAD_LOAD:
-                continue
-            open_requests = sum(
-                running.get((book.record.server_id, model), 0) for book in rows
-            )
-            excess = open_requests * (1 - SPREAD_LOAD / least)
-            pressures.append((excess, model))
+            gain = self._spread_gain(model, rows, used)
+            if gain > 0:
+                pressures.append((gain, model))
         for gain, model in sorted(pressures, reverse=True):
-            least = min(
-                loads[book.record.server_id] for book in holders[model]
+            share = self._work(model, holders[model][0]) / (
+                len(holders[model]) + 1
             )
+            worst = max(used[book.record.server_id] for book in holders[model])
             free = [
                 book
                 for book in books
                 if not book.will_hold(model)
-                and loads[book.record.server_id] < least - SPREAD_MARGIN
+                and used[book.record.server_id] + share < worst
             ]
             plan = self._cheapest(free, books, model, now_ms, gain)
             if plan is not None:
                 return plan
         return None
 
+    def _spread_gain(
+        self,
+        model: str,
+        rows: list[engine_book.EngineBook],
+        used: dict[str, float],
+    ) -> float:
+        """Return the requests that one more copy saves from delay."""
+        count = len(rows)
+        work = self._work(model, rows[0])
+        relief = work / count - work / (count + 1)
+        before = sum(used[book.record.server_id] for book in rows) / count
+        if before < SPREAD_LOAD:
+            return 0.0
+        saved = _delay(before) - _delay(before - relief)
+        # No more requests are saved than there are.
+        saved = min(1.0, saved)
+        return self._demand.rate(model) * HORIZON_S * saved
+
+    def _work(self, model: str, book: engine_book.EngineBook) -> float:
+        """Return the engines that a model keeps busy.
+
+        Either the time for prompts or the slots bind first.
+        """
+        slots = max(1, book.spec.slots)
+        by_slots = self._demand.open_requests(model) / slots
+        return max(self._demand.work(model), SLOT_WEIGHT * by_slots)
+
+    def _utilisation(
+        self,
+        books: list[engine_book.EngineBook],
+        holders: dict[str, list[engine_book.EngineBook]],
+    ) -> dict[str, float]:
+        """Return the share of time in which each engine reads prompts."""
+        return {
+            book.record.server_id: sum(
+                self._work(model, book) / len(holders[model])
+                for model in book.coming_models()
+            )
+            for book in books
+        }
+
     def plan_reserve(
         self, books: list[engine_book.EngineBook], now_ms: int
     ) -> Plan | None:
@@ -283,6 +334,14 @@
         }
 
 
+def _delay(utilisation: float) -> float:
+    """Return the delay of a request, 1.0 at full delay.
+
+    Beyond it a backlog grows, so that relief counts there as well.
+    """
+    return min(MAX_DELAY, (utilisation / FULL_DELAY_LOAD) ** 2)
+
+
 def _restoring(plan: Plan) -> Plan:
     """Return a plan that ends with the models that were there before."""
     *unloads, load = plan.orders
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -214,8 +214,9 @@
     def _note_load(self, head: incoming_request.AnswerHead) -> None:
         if head.running is None:
             return
-        load = head.running + (head.waiting or 0)
-        self.server.on_report(load, self._clock.now_ms())
+        self.server.on_report(
+            head.running, head.waiting or 0, self._clock.now_ms()
+        )
 
     def _fail(self, failure: AttemptFailure, detail: str) -> None:
         listener, self._listener = self._listener, None
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -11,6 +11,8 @@
 
 # Requests last a few seconds, so an older report says nothing of the present.
 REPORT_LIFE_MS = 3_000
+# Prompts are read within some hundred milliseconds.
+WAITING_LIFE_MS = 300
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -41,6 +43,8 @@
         "is_leaving",
         "is_tracked",
         "joined_ms",
+        "pending_tokens",
+        "reported_waiting",
         "models",
         "quarantined_until_ms",
         "record",
@@ -61,6 +65,9 @@
         self.reported_load = 0
         self.reported_ms = 0
         self.sent_since_report = 0
+        # Prompts of this process whose answers have not begun.
+        self.pending_tokens = 0
+        self.reported_waiting = 0
         self.failure_share = 0.0
         self.quarantined_until_ms = 0
 
@@ -91,9 +98,16 @@
         self.in_flight -= 1
         self.sent_since_report -= 1
 
-    def on_report(self, load: int, now_ms: int) -> None:
+    def waiting(self, now_ms: int) -> float:
+        """Return the requests that have not begun, as last reported."""
+        age_ms = now_ms - self.reported_ms
+        share = max(0.0, 1.0 - age_ms / WAITING_LIFE_MS)
+        return self.reported_waiting * share
+
+    def on_report(self, running: int, waiting: int, now_ms: int) -> None:
         """Take the load that the server has stated in an answer."""
-        self.reported_load = load
+        self.reported_load = running + waiting
+        self.reported_waiting = waiting
         self.reported_ms = now_ms
         self.sent_since_report = 0
 
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -57,7 +57,7 @@
         self._random = random_source
         self._runs: set[request_run.RequestRun] = set()
         self._connections: set[caller_connection.CallerConnection] = set()
-        self._arrivals: dict[str, int] = {}
+        self._arrivals: dict[str, list[int]] = {}
         self._drain_since_ms: int | None = None
         self._drain_ms = 0
         self._on_drained: Callable[[], None] | None = None
@@ -100,8 +100,8 @@
                 counts[key] = counts.get(key, 0) + 1
         return [[*key, count] for key, count in counts.items()]
 
-    def take_arrivals(self) -> dict[str, int]:
-        """Return the requests by model since the last call."""
+    def take_arrivals(self) -> dict[str, list[int]]:
+        """Return requests and prompt tokens by model since the last call."""
         arrivals, self._arrivals = self._arrivals, {}
         return arrivals
 
@@ -147,8 +147,9 @@
         )
         self._runs.add(run)
         if request.model:
-            count = self._arrivals.get(request.model, 0)
-            self._arrivals[request.model] = count + 1
+            counts = self._arrivals.setdefault(request.model, [0, 0])
+            counts[0] += 1
+            counts[1] += request.prompt_tokens
         run.start()
 
     def _refuse(
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -12,6 +12,14 @@
     from balsamwall.gateway import http_fields
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PromptPart:
+    """Part of a prompt that requests may share."""
+
+    part_id: str
+    tokens: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class IncomingRequest:
     """What decisions need to know of a request."""
@@ -23,7 +31,7 @@
     adapter: str = ""
     prompt_tokens: int = 0
     max_output_tokens: int = 0
-    prompt_parts: tuple[str, ...] = ()  # identifiers, shared parts first
+    shared_parts: tuple[PromptPart, ...] = ()  # in the order of the prompt
     resumes_after: bytes | None = None  # last event that the caller has
 
 
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -221,5 +221,12 @@
             detail=detail,
             server=server.server_id if server else None,
             duration_ms=duration_ms,
+            expected_ms=run.choice.expected_ms if run.choice else None,
+            server_load=run.choice.load if run.choice else None,
+            candidates=run.choice.candidates if run.choice else None,
+            prompt_tokens=run.request.prompt_tokens,
+            waited_ms=run.waited_ms,
+            first_data_ms=run.first_data_ms,
+            longest_gap_ms=run.longest_gap_ms,
             configuration=current.version if current else None,
         )
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -43,15 +43,22 @@
         "_has_begun",
         "_history",
         "_is_over",
+        "_last_data_ms",
         "_on_over",
         "_parts",
+        "_pending_tokens",
         "_relay",
         "_retry_timer",
         "_service",
+        "_wait_since_ms",
         "_wait_timer",
         "_wanted",
+        "choice",
+        "first_data_ms",
+        "longest_gap_ms",
         "request",
         "route",
+        "waited_ms",
     )
 
     def __init__(
@@ -74,6 +81,13 @@
         self._attempt: attempt_module.Attempt | None = None
         self._wanted: residency_waits.Wanted | None = None
         self._has_begun = False
+        self._last_data_ms = 0
+        self._pending_tokens = 0
+        self.choice: server_choice.Choice | None = None
+        self.first_data_ms: int | None = None
+        self.longest_gap_ms = 0
+        self.waited_ms = 0
+        self._wait_since_ms = 0
         self._is_over = False
         self._relay: event_relay.EventRelay | None = None
         if route.is_resumable:
@@ -131,6 +145,7 @@
             self._service, self.request, self._parts.zone, self._excluded
         )
         if choice.server is not None:
+            self.choice = choice
             self._send(choice.server)
         elif self._excluded:
             # Every other server was tried; one of them may have room again.
@@ -149,6 +164,7 @@
             self._service, self.request.model, self.request.adapter
         )
         self._wanted = wanted
+        self._wait_since_ms = self._parts.clock.now_ms()
         limit_ms = min(
             self.route.patience_ms * WAIT_PART // 100,
             self.left_ms - retry_policy.MIN_LEFT_MS,
@@ -173,6 +189,7 @@
             self._wait_timer = None
         wanted, self._wanted = self._wanted, None
         if wanted is not None:
+            self.waited_ms += self._parts.clock.now_ms() - self._wait_since_ms
             self._parts.waits.remove(wanted, self)
 
     # Sending
@@ -201,6 +218,8 @@
         )
         self._attempt = attempt
         server.on_sent()
+        self._pending_tokens = self.request.prompt_tokens
+        server.pending_tokens += self._pending_tokens
         self._parts.choice.note_sent(server, self.request)
         # A kept connection may be closing; a request that may not be repeated
         # would end with an unknown outcome.
@@ -231,6 +250,7 @@
             self._dispatch()
             return
         self._has_begun = True
+        self._prompt_over()
         self._parts.on_first_answer(self, attempt, status)
         self._exchange.begin(
             status,
@@ -247,8 +267,19 @@
         if self._relay is not None and attempt.status == 200:
             data = self._relay.feed(data)
         if data:
+            self._note_data()
             self._exchange.write(data)
 
+    def _note_data(self) -> None:
+        """Measure the time to the first part and the longest pause."""
+        now_ms = self._parts.clock.now_ms()
+        if self.first_data_ms is None:
+            self.first_data_ms = now_ms - self.arrived_ms
+        else:
+            gap_ms = now_ms - self._last_data_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._last_data_ms = now_ms
+
     def on_done(self, attempt: attempt_module.Attempt) -> None:
         """Finish a whole answer."""
         if attempt is not self._attempt:
@@ -290,6 +321,12 @@
         else:
             self._give_up(_Code.BACKEND_DOWN, f"{failure.value}: {detail}")
 
+    def _prompt_over(self) -> None:
+        """Take the prompt off the tokens that wait at the server."""
+        if self._attempt is not None:
+            self._attempt.server.pending_tokens -= self._pending_tokens
+        self._pending_tokens = 0
+
     def _may_repeat(self, failure: attempt_module.AttemptFailure) -> bool:
         self._history.note(failure)
         return self._parts.retry_policy.may_send_again(
@@ -310,9 +347,11 @@
 
     def _attempt_over(self, is_failure: bool) -> None:
         """Count the end of the present send."""
-        attempt, self._attempt = self._attempt, None
+        attempt = self._attempt
         if attempt is None:
             return
+        self._prompt_over()
+        self._attempt = None
         attempt.server.on_ended()
         self._parts.health.on_outcome(attempt.server, is_failure)
 
@@ -334,6 +373,7 @@
         """Cancel what may be cancelled."""
         attempt = self._attempt
         if attempt is not None:
+            self._prompt_over()
             attempt.server.on_ended()
             self._attempt = None
             if self.route.is_stream or self.route.is_repeatable:
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -15,15 +15,24 @@
     from balsamwall.gateway import incoming_request
     from balsamwall.timing import clock as clock_module
 
-# Shares of a full server by which a candidate counts as busier.
-OTHER_ZONE_PENALTY = 0.08
-FAILURE_PENALTY = 2.0
-# Prompt parts that a server has read lately save it a part of the prefill.
-PREFIX_BONUS = 0.04
+# Tokens of a prompt that an engine reads in a millisecond. Prompts of other
+# requests are read between the tokens of an answer, so that a backlog of
+# prompts delays the first token of a request and the events of all others.
+PREFILL_TOKENS_PER_MS = 35.0
+# Time that a waiting request of another entry is assumed to need.
+OTHER_PROMPT_MS = 25.0
+# Time by which a candidate in another zone must be faster.
+OTHER_ZONE_MS = 12.0
+# Time by which a full batch slows an engine down, in proportion below.
+FULL_BATCH_MS = 40.0
+# Time until a slot is free, for each request beyond the slots.
+SLOT_WAIT_MS = 50.0
+# Time that a server with only failures counts as slower.
+FAILURE_MS = 500.0
 PREFIX_LIFE_MS = 20_000
 MAX_PREFIXES = 4_096
 # Random part that separates equal candidates.
-TIE_BREAK = 0.01
+TIE_BREAK_MS = 3.0
 
 
 class Missing(enum.Enum):
@@ -39,6 +48,9 @@
 
     server: backend_directory.BackendServer | None
     missing: Missing | None = None
+    expected_ms: int = 0  # time to the first token
+    load: int = 0  # requests at the server before this one
+    candidates: int = 0
 
 
 class ServerChoice:
@@ -86,10 +98,14 @@
             if not holders:
                 return Choice(None, Missing.NOT_RESIDENT)
         usable = self._health.usable(holders)
-        best = min(
-            usable, key=lambda server: self._score(server, request, zone)
-        )
-        return Choice(best)
+        scores = [
+            (self._score(server, request, zone), index)
+            for index, server in enumerate(usable)
+        ]
+        score, index = min(scores)
+        best = usable[index]
+        load = int(best.load(self._clock.now_ms()))
+        return Choice(best, None, int(score), load, len(usable))
 
     def note_sent(
         self,
@@ -100,8 +116,9 @@
         if len(self._prefixes) > MAX_PREFIXES:
             self._prefixes.clear()
         now_ms = self._clock.now_ms()
-        for part in request.prompt_parts:
-            self._prefixes[request.model, part] = (server.server_id, now_ms)
+        for part in request.shared_parts:
+            key = (request.model, part.part_id)
+            self._prefixes[key] = (server.server_id, now_ms)
 
     def _score(
         self,
@@ -109,16 +126,34 @@
         request: incoming_request.IncomingRequest,
         zone: str,
     ) -> float:
+        """Return the expected time to the first token in milliseconds."""
         now_ms = self._clock.now_ms()
         slots = max(1, server.record.slots)
-        score = server.load(now_ms) / slots
-        score += FAILURE_PENALTY * server.failure_share
+        load = server.load(now_ms)
+        tokens = server.pending_tokens
+        tokens -= self._cached_tokens(server, request, now_ms)
+        score = tokens / PREFILL_TOKENS_PER_MS
+        score += OTHER_PROMPT_MS * server.waiting(now_ms)
+        score += FULL_BATCH_MS * load / slots
+        score += SLOT_WAIT_MS * max(0.0, load + 1 - slots)
+        score += FAILURE_MS * server.failure_share
         if server.record.availability_zone != zone:
-            score += OTHER_ZONE_PENALTY
-        for part in request.prompt_parts:
-            known = self._prefixes.get((request.model, part))
+            score += OTHER_ZONE_MS
+        return score + TIE_BREAK_MS * self._random.random()
+
+    def _cached_tokens(
+        self,
+        server: backend_directory.BackendServer,
+        request: incoming_request.IncomingRequest,
+        now_ms: int,
+    ) -> int:
+        """Return the tokens at the start of a prompt that a server keeps."""
+        cached = 0
+        for part in request.shared_parts:
+            known = self._prefixes.get((request.model, part.part_id))
             if known is None or known[0] != server.server_id:
-                continue
-            if now_ms - known[1] < PREFIX_LIFE_MS:
-                score -= PREFIX_BONUS
-        return score + TIE_BREAK * self._random.random()
+                break
+            if now_ms - known[1] > PREFIX_LIFE_MS:
+                break
+            cached += part.tokens
+        return cached
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -76,7 +76,7 @@
             max_output_tokens=(_number(usage[1]) or 0)
             if len(usage) > 1
             else 0,
-            prompt_parts=_prompt_parts(fields.get(PROMPT_PREFIX, b"")),
+            shared_parts=_shared_parts(fields.get(PROMPT_PREFIX, b"")),
             resumes_after=fields.get(LAST_EVENT_ID),
         )
 
@@ -137,10 +137,17 @@
     return min(most, int(text))
 
 
-def _prompt_parts(raw: bytes) -> tuple[str, ...]:
-    """Return the identifiers of the shared parts.
+def _shared_parts(raw: bytes) -> tuple[incoming_request.PromptPart, ...]:
+    """Return the shared parts, written as ID:TOKENS.
 
     The last part belongs to one request or session.
     """
-    rows = raw.decode("latin-1").split(",")
-    return tuple(row.partition(":")[0].strip() for row in rows[:-1])
+    parts = []
+    for row in raw.split(b",")[:-1]:
+        part_id, _, tokens = row.partition(b":")
+        parts.append(
+            incoming_request.PromptPart(
+                part_id.strip().decode("latin-1"), _number(tokens) or 0
+            )
+        )
+    return tuple(parts)
