--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -54,6 +54,9 @@
 SPREAD_LOAD = 0.3
 FULL_DELAY_LOAD = 0.8
 MAX_DELAY = 16.0
+# A request that a full engine delays is still served, unlike one whose model
+# has no copy, so that it counts as a part of one.
+SPREAD_PART = 0.6
 # Slots are taken for the whole time of a request and delay nobody until all
 # are taken, so that their share counts less than that of the prompts.
 SLOT_WEIGHT = 0.8
@@ -158,7 +161,7 @@
         saved = _delay(before) - _delay(before - relief)
         # No more requests are saved than there are.
         saved = min(1.0, saved)
-        return self._demand.rate(model) * HORIZON_S * saved
+        return self._demand.rate(model) * HORIZON_S * saved * SPREAD_PART
 
     def _work(self, model: str, book: engine_book.EngineBook) -> float:
         """Return the engines that a model keeps busy.
--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -79,6 +79,7 @@
         self._is_lost = False
         self._is_answering = False
         self._is_reading_paused = False
+        self._is_closing = False
 
     # Reading
 
@@ -91,6 +92,8 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse what arrived."""
+        if self._is_closing:
+            return
         if self._arrived_ms is None:
             self._arrived_ms = self._site.clock.now_ms()
             self._set_timer(
@@ -113,7 +116,9 @@
 
     def _read_events(self) -> None:
         try:
-            while not self._is_answering and not self._is_lost:
+            while not (
+                self._is_answering or self._is_lost or self._is_closing
+            ):
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
@@ -312,6 +317,7 @@
         self._cancel_timer()
         if self._is_lost:
             return
+        self._is_closing = True
         # A registered producer would keep the transport from closing.
         self.transport.unregisterProducer()
         self.transport.loseConnection()
--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,228 @@
+"""Tests of the HTTP connections on both sides, without sockets."""
+
+from __future__ import annotations
+
+import unittest
+
+from twisted.internet import error
+from twisted.python import failure
+
+from balsamwall.gateway import backend_connection
+from balsamwall.gateway import caller_connection
+from balsamwall.gateway import gateway_configuration
+from balsamwall.timing import virtual_clock
+from tests.fixtures import recording_transport
+
+HEAD = b"POST /a/1 HTTP/1.1\r\nHost: h\r\n"
+
+
+class RecordingSite:
+    """Owner of caller connections that records what arrives."""
+
+    def __init__(self):
+        self.clock = virtual_clock.VirtualClock(start_ms=1_000)
+        self.limits = gateway_configuration.CallerLimits(1_024, 1_000)
+        self.is_closing = False
+        self.requests = []
+        self.rejected = []
+
+    def on_opened(self, connection):
+        pass
+
+    def on_closed(self, connection):
+        pass
+
+    def on_request(self, exchange):
+        self.requests.append((exchange.head, exchange.body))
+        self.exchange = exchange
+
+    def on_rejected(self, status, reason):
+        self.rejected.append(status)
+
+
+class CallerConnectionTest(unittest.TestCase):
+    """Only unambiguous requests reach the gateway."""
+
+    def setUp(self):
+        self.site = RecordingSite()
+        self.transport = recording_transport.RecordingTransport()
+        self.connection = caller_connection.CallerConnection(self.site)
+        self.connection.makeConnection(self.transport)
+
+    def answer(self, body=b"ok"):
+        self.site.exchange.begin(200, [], len(body))
+        self.site.exchange.write(body)
+        self.site.exchange.finish()
+
+    def assert_rejected(self, data, status=400):
+        self.connection.dataReceived(data)
+        self.assertEqual(self.site.requests, [])
+        self.assertEqual(self.site.rejected, [status])
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_length_and_coding_are_rejected(self):
+        """Guards against a request smuggled in a body."""
+        self.assert_rejected(
+            HEAD + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"0\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+        )
+
+    def test_two_lengths_are_rejected(self):
+        """Guards against two readers that disagree on the body."""
+        self.assert_rejected(
+            HEAD + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd"
+        )
+
+    def test_space_before_the_colon_is_rejected(self):
+        """Guards against a field that one reader overlooks."""
+        self.assert_rejected(
+            HEAD + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"
+        )
+
+    def test_unknown_coding_is_rejected(self):
+        """Guards against a body whose end is not known."""
+        self.assert_rejected(
+            HEAD + b"Transfer-Encoding: xchunked\r\n\r\nabc", 501
+        )
+
+    def test_large_head_is_rejected(self):
+        """Guards against unbounded memory for one head."""
+        self.assert_rejected(HEAD + b"X: " + b"a" * 4_000, 431)
+
+    def test_large_body_is_rejected(self):
+        """Guards against unbounded memory for one body."""
+        self.assert_rejected(HEAD + b"Content-Length: 1001\r\n\r\n", 413)
+
+    def test_slow_head_is_rejected(self):
+        """Guards against connections that never send a request."""
+        self.connection.dataReceived(HEAD)
+        self.site.clock.advance(3_001)
+        self.assertEqual(self.site.rejected, [408])
+
+    def test_chunked_body_is_read_in_whole(self):
+        """Guards against forwarding a part of a body."""
+        self.connection.dataReceived(
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+        )
+        self.assertEqual(self.site.requests, [])
+        self.connection.dataReceived(b"1\r\nc\r\n0\r\n\r\n")
+        self.assertEqual(self.site.requests[0][1], b"abc")
+
+    def test_next_request_waits_for_the_answer(self):
+        """Guards against an answer to another request."""
+        request = HEAD + b"Content-Length: 0\r\n\r\n"
+        self.connection.dataReceived(request + request)
+        self.assertEqual(len(self.site.requests), 1)
+        self.answer()
+        self.assertEqual(len(self.site.requests), 2)
+        self.assertEqual(self.transport.value().count(b"HTTP/1.1 200"), 1)
+
+    def test_answer_in_a_drain_closes_the_connection(self):
+        """Guards against callers that stay on a process that ends."""
+        self.connection.dataReceived(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.site.is_closing = True
+        self.answer()
+        self.assertIn(b"connection: close", self.transport.value().lower())
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_cut_answer_has_no_end(self):
+        """Guards against a cut answer that looks complete."""
+        self.connection.dataReceived(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.site.exchange.begin(200, [], None)
+        self.site.exchange.write(b"part")
+        self.site.exchange.cut()
+        self.assertNotIn(b"0\r\n\r\n", self.transport.value())
+        self.assertTrue(self.transport.disconnecting)
+
+
+class RecordingReceiver:
+    """Receiver of one answer."""
+
+    def __init__(self, attempt_id):
+        self.attempt_id = attempt_id
+        self.events = []
+
+    def on_head(self, status, fields):
+        self.events.append(status)
+
+    def on_data(self, data):
+        self.events.append(data)
+
+    def on_end(self):
+        self.events.append("end")
+
+    def on_broken(self, reason, detail):
+        self.events.append(reason)
+
+
+class BackendConnectionTest(unittest.TestCase):
+    """Answers reach the request that they belong to, or nobody."""
+
+    def setUp(self):
+        self.idle = []
+        self.transport = recording_transport.RecordingTransport()
+        self.connection = backend_connection.BackendConnection(
+            b"x-id", self.idle.append, lambda connection: None
+        )
+        # The options of the socket are not part of these tests.
+        self.connection.connectionMade = lambda: None
+        self.connection.makeConnection(self.transport)
+        self.receiver = RecordingReceiver(b"q1")
+        fields = [(b"host", b"h"), (b"content-length", b"2")]
+        self.connection.send(b"POST", b"/a", fields, b"ab", self.receiver)
+
+    def receive(self, data):
+        self.connection.dataReceived(data)
+
+    def lose(self, kind):
+        self.connection.connectionLost(failure.Failure(kind()))
+
+    def test_whole_answer_frees_the_connection(self):
+        """Guards against opening a connection for each request."""
+        self.receive(b"HTTP/1.1 200 OK\r\nx-id: q1\r\ncontent-length: 2\r\n")
+        self.receive(b"\r\nok")
+        self.assertEqual(self.receiver.events, [200, b"ok", "end"])
+        self.assertEqual(self.idle, [self.connection])
+
+    def test_extra_bytes_end_the_connection(self):
+        """Guards against bytes that the next request would receive."""
+        self.receive(
+            b"HTTP/1.1 200 OK\r\nx-id: q1\r\ncontent-length: 2\r\n\r\nokHTTP"
+        )
+        self.assertEqual(self.receiver.events, [200, b"ok", "end"])
+        self.assertEqual(self.idle, [])
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_answer_of_an_earlier_request_is_skipped(self):
+        """Guards against the answer of another request."""
+        self.receive(
+            b"HTTP/1.1 200 OK\r\nx-id: q0\r\ncontent-length: 3\r\n\r\nold"
+            b"HTTP/1.1 200 OK\r\nx-id: q1\r\ncontent-length: 3\r\n\r\nnew"
+        )
+        self.assertEqual(self.receiver.events, [200, b"new", "end"])
+
+    def test_clean_close_ends_an_answer_without_length(self):
+        """Guards against failing an answer that is complete."""
+        self.receive(b"HTTP/1.1 200 OK\r\nx-id: q1\r\n\r\nok")
+        self.lose(error.ConnectionDone)
+        self.assertEqual(self.receiver.events, [200, b"ok", "end"])
+
+    def test_reset_breaks_an_answer_without_length(self):
+        """Guards against a cut answer that counts as complete."""
+        self.receive(b"HTTP/1.1 200 OK\r\nx-id: q1\r\n\r\nok")
+        self.lose(error.ConnectionLost)
+        self.assertEqual(
+            self.receiver.events[-1], backend_connection.BreakReason.CLOSED
+        )
+
+    def test_bytes_that_are_no_answer_are_invalid(self):
+        """Guards against forwarding garbage."""
+        self.receive(b"\x00\x01garbage\r\n\r\n")
+        self.assertEqual(
+            self.receiver.events, [backend_connection.BreakReason.INVALID]
+        )
+
+    def test_early_answer_leaves_the_body_in_order(self):
+        """Guards against other bytes where the rest of a body is due."""
+        sent = self.transport.value()
+        self.assertTrue(sent.endswith(b"\r\n\r\nab"))
--- /dev/null
+++ b/tests/logs/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of limits."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform/test_header_codec.py
@@ -0,0 +1,78 @@
+"""Tests of the header fields on the platform."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.gateway import caller_exchange
+from balsamwall.platform import header_codec
+from tests.fixtures import gateway_world
+
+
+def head(*fields):
+    return caller_exchange.RequestHead(b"POST", b"/a", list(fields))
+
+
+class HeaderCodecTest(unittest.TestCase):
+    """Callers can't set what only the system sets."""
+
+    def setUp(self):
+        self.codec = header_codec.HeaderCodec()
+
+    def test_system_fields_are_dropped(self):
+        """Guards against callers that steer the servers."""
+        sent = head(
+            (b"host", b"h"),
+            (b"balsamwall-hold", b"1"),
+            (b"kv-from", b"10.0.0.1:80/x"),
+            (b"kv-fetch", b"10.0.0.1:80"),
+            (b"balsamwall-pin-ms", b"9"),
+            (b"balsamwall-kv-backup", b"10.0.0.1:80"),
+            (b"balsamwall-request-priority", b"0"),
+            (b"balsamwall-expect-instance", b"i-9"),
+            (b"x-own", b"kept"),
+        )
+        names = [name for name, _ in self.codec.forwarded_fields(sent)]
+        self.assertEqual(names, [b"host", b"x-own"])
+
+    def test_connection_options_are_dropped_but_not_the_request(self):
+        """Guards against a request whose model is removed on the way."""
+        sent = head(
+            (b"host", b"h"),
+            (b"connection", b"close, x-hop, Host, balsamwall-model"),
+            (b"x-hop", b"1"),
+            (b"balsamwall-model", b"m1/a2"),
+        )
+        names = [name for name, _ in self.codec.forwarded_fields(sent)]
+        self.assertEqual(names, [b"host", b"balsamwall-model"])
+
+    def test_request_is_decoded(self):
+        """Guards against an adapter that is taken for a model."""
+        request = self.codec.decode(
+            head(
+                (b"host", b"h:8080"),
+                (b"balsamwall-model", b"m1/a2"),
+                (b"balsamwall-token-usage", b"1460,80"),
+                (b"balsamwall-prompt-prefix", b"5c:800,91:410,e4:250"),
+            )
+        )
+        self.assertEqual((request.model, request.adapter), ("m1", "a2"))
+        self.assertEqual(request.prompt_tokens, 1_460)
+        parts = [(part.part_id, part.tokens) for part in request.shared_parts]
+        self.assertEqual(parts, [("5c", 800), ("91", 410)])
+        self.assertEqual(request.host, "h")
+
+    def test_unreadable_numbers_are_absent(self):
+        """Guards against a request that fails on an odd number."""
+        for raw in (b"", b"-5", b"1e9", b"9" * 40, b"\xb2"):
+            with self.subTest(raw=raw):
+                sent = head((b"balsamwall-deadline-ms", raw))
+                self.assertIsNone(self.codec.decode(sent).deadline_ms)
+
+    def test_send_names_its_server(self):
+        """Guards against another server at a reused address."""
+        record = gateway_world.make_record("i-7")
+        fields = dict(self.codec.attempt_fields(record, 900, 3, b"5"))
+        self.assertEqual(fields[header_codec.EXPECT_SERVER], b"i-7")
+        self.assertEqual(fields[header_codec.DEADLINE], b"900")
+        self.assertEqual(fields[header_codec.LAST_EVENT_ID], b"5")
--- /dev/null
+++ b/tests/platform/test_node_settings.py
@@ -0,0 +1,77 @@
+"""Tests of the platform's settings file."""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import io
+import pathlib
+import tempfile
+import unittest
+
+from balsamwall.platform import daemon
+from balsamwall.platform import node_settings
+
+ROWS = {
+    "node": "front-1",
+    "zone": "z1",
+    "ip": "127.0.0.1",
+    "internal_ports": [7_380, 7_395],
+    "a_field_of_later": 1,
+    "listen": {"front": "127.0.0.1:81", "ready": "127.0.0.1:82"},
+    "bounds": {
+        "grace_s": 8,
+        "lease_ms": 3_000,
+        "retry_budget_ratio": 0.2,
+        "budget_extra": 58,
+        "budget_window_s": 10,
+        "ceiling_window_s": 5,
+        "ceiling_overshoot": 1.1,
+    },
+    "platform": {"address": "127.0.0.1:83", "ttl_min_ms": 1_000},
+}
+
+
+class NodeSettingsTest(unittest.TestCase):
+    """Errors name the field; unknown fields are ignored."""
+
+    def parse_without(self, path, value=...):
+        rows = copy.deepcopy(ROWS)
+        table = rows
+        *tables, name = path.split(".")
+        for part in tables:
+            table = table[part]
+        if value is ...:
+            del table[name]
+        else:
+            table[name] = value
+        with self.assertRaises(node_settings.NodeSettingsError) as caught:
+            node_settings.parse(rows)
+        self.assertTrue(str(caught.exception).startswith(path))
+
+    def test_whole_file(self):
+        """Guards against units that are mixed up."""
+        settings = node_settings.parse(ROWS)
+        self.assertEqual(settings.grace_ms, 8_000)
+        self.assertEqual(settings.first_internal_port, 7_380)
+
+    def test_missing_and_wrong_fields(self):
+        """Guards against a process that fails later and elsewhere."""
+        self.parse_without("node")
+        self.parse_without("listen.front")
+        self.parse_without("platform")
+        self.parse_without("bounds.grace_s", "8")
+        self.parse_without("bounds.grace_s", True)
+        self.parse_without("listen.ready", "127.0.0.1")
+        self.parse_without("internal_ports", [7_380])
+
+    def test_daemon_ends_with_one_line(self):
+        """Guards against a traceback instead of an error."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "local.toml")
+            path.write_text('node = "front-1"\n')
+            errors = io.StringIO()
+            with contextlib.redirect_stderr(errors):
+                code = daemon.main(["--settings", str(path)])
+        self.assertEqual(code, daemon.EXIT_SETTINGS_INVALID)
+        self.assertEqual(len(errors.getvalue().splitlines()), 1)
