--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -295,6 +295,7 @@
                 model: round(rate, 1)
                 for model, rate in self._demand.top_rates(MAX_LOGGED_MODELS)
             },
+            queued=self._demand.queued(),
             waiting={
                 f"{wanted.model}/{wanted.adapter}": count
                 for wanted, count in waiting.items()
--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -73,6 +73,8 @@
         self._open = {}
         for row in self._running_rows():
             self._open[row[1]] = self._open.get(row[1], 0) + row[3]
+        for model, count in self.queued().items():
+            self._open[model] = self._open.get(model, 0) + count
         for wanted, count in waiting.items():
             known = self._open.get(wanted.model, 0)
             self._open[wanted.model] = known + count
@@ -136,6 +138,14 @@
                 found[wanted] = found.get(wanted, 0) + row[3]
         return found
 
+    def queued(self) -> dict[str, int]:
+        """Return the requests that wait for room at an engine, by model."""
+        found: dict[str, int] = {}
+        for report in self._fresh_reports():
+            for model, count in report.queued.items():
+                found[model] = found.get(model, 0) + count
+        return found
+
     def _fresh_reports(self) -> list[messages_fleet.DemandReport]:
         oldest_ms = self._clock.now_ms() - REPORT_LIFE_MS
         return [
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -35,6 +35,7 @@
 
     __slots__ = (
         "_clock",
+        "_count_queued",
         "_count_running",
         "_dial",
         "_directory",
@@ -55,6 +56,7 @@
         directory: backend_directory.BackendDirectory,
         count_running: Callable[[], list[list[object]]],
         take_arrivals: Callable[[], dict[str, list[int]]],
+        count_queued: Callable[[], dict[str, int]],
         dial: Callable[[str], Link | None],
         on_entries: Callable[[int], None],
         log: decision_log.DecisionLog,
@@ -64,6 +66,7 @@
         self._directory = directory
         self._count_running = count_running
         self._take_arrivals = take_arrivals
+        self._count_queued = count_queued
         self._dial = dial
         self._on_entries = on_entries
         self._log = log
@@ -169,6 +172,9 @@
         ]
         self._link.send(
             messages_fleet.DemandReport(
-                self._count_running(), waiting, self._take_arrivals()
+                self._count_running(),
+                waiting,
+                self._count_queued(),
+                self._take_arrivals(),
             )
         )
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -20,12 +20,14 @@
 
     A row of running has the server, the model and the number of requests; a
     row of waiting has the service, the model, the adapter and the number.
+    Queued requests are counted by model; they wait for room at an engine.
     Arrivals have the requests and their prompt tokens by model since the
     last report.
     """
 
     running: list[list[Any]]
     waiting: list[list[Any]]
+    queued: dict[str, int]
     arrivals: dict[str, list[int]]
 
 
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -51,7 +51,7 @@
 # Utilisation above which a model gets one more copy, and the one at which
 # every request is delayed. Arrivals come in groups, so that the delayed share
 # grows with the square of the utilisation.
-SPREAD_LOAD = 0.3
+SPREAD_LOAD = 0.75
 FULL_DELAY_LOAD = 0.8
 MAX_DELAY = 16.0
 # A request that a full engine delays is still served, unlike one whose model
@@ -60,16 +60,6 @@
 # Slots are taken for the whole time of a request and delay nobody until all
 # are taken, so that their share counts less than that of the prompts.
 SLOT_WEIGHT = 0.8
-# Share of the slots below which models are loaded without a request, and the
-# gain of such a load: less than that of keeping a model that is asked for.
-QUIET_LOAD = 0.1
-RESERVE_GAIN = 3.0
-# VMs that should have a model at hand.
-RESERVE_COPIES = 2
-# Share of the slots above which a model gets one more copy, and by how much
-# less busy the engine for it must be. Below, a batch costs little time.
-SPREAD_LOAD = 0.75
-SPREAD_MARGIN = 0.3
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -126,10 +116,10 @@
         used = self._utilisation(books, holders)
         pressures = []
         for model, rows in holders.items():
-            gain = self._spread_gain(model, rows, used)
-            if gain > 0:
-                pressures.append((gain, model))
-        for gain, model in sorted(pressures, reverse=True):
+            saved_per_s = self._saved_by_spread(model, rows, used)
+            if saved_per_s > 0:
+                pressures.append((saved_per_s, model))
+        for saved_per_s, model in sorted(pressures, reverse=True):
             share = self._work(model, holders[model][0]) / (
                 len(holders[model]) + 1
             )
@@ -140,18 +130,19 @@
                 if not book.will_hold(model)
                 and used[book.record.server_id] + share < worst
             ]
+            gain = saved_per_s * HORIZON_S
             plan = self._cheapest(free, books, model, now_ms, gain)
             if plan is not None:
                 return plan
         return None
 
-    def _spread_gain(
+    def _saved_by_spread(
         self,
         model: str,
         rows: list[engine_book.EngineBook],
         used: dict[str, float],
     ) -> float:
-        """Return the requests that one more copy saves from delay."""
+        """Return the requests per second that one more copy helps."""
         count = len(rows)
         work = self._work(model, rows[0])
         relief = work / count - work / (count + 1)
@@ -161,7 +152,7 @@
         saved = _delay(before) - _delay(before - relief)
         # No more requests are saved than there are.
         saved = min(1.0, saved)
-        return self._demand.rate(model) * HORIZON_S * saved * SPREAD_PART
+        return self._demand.rate(model) * saved * SPREAD_PART
 
     def _work(self, model: str, book: engine_book.EngineBook) -> float:
         """Return the engines that a model keeps busy.
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -100,6 +100,13 @@
                 counts[key] = counts.get(key, 0) + 1
         return [[*key, count] for key, count in counts.items()]
 
+    def count_queued(self) -> dict[str, int]:
+        """Return the requests that wait for room, by model."""
+        counts: dict[str, int] = {}
+        for (_, model, _), count in self._parts.room.counts().items():
+            counts[model] = counts.get(model, 0) + count
+        return counts
+
     def take_arrivals(self) -> dict[str, list[int]]:
         """Return requests and prompt tokens by model since the last call."""
         arrivals, self._arrivals = self._arrivals, {}
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import admission as admission_module
 from balsamwall.gateway import refusal
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
+from balsamwall.gateway import room_queue
 from balsamwall.limits import retry_budget as retry_budget_module
 
 if TYPE_CHECKING:
@@ -49,6 +51,7 @@
         "_configuration",
         "_entries",
         "_retry_terms",
+        "admission",
         "choice",
         "clock",
         "codec",
@@ -58,6 +61,7 @@
         "metrics",
         "pool",
         "retry_policy",
+        "room",
         "waits",
         "want",
         "zone",
@@ -96,6 +100,8 @@
         self.log = log
         self.metrics = metrics
         self.retry_policy = retry_policy_module.RetryPolicy()
+        self.admission = admission_module.Admission(clock)
+        self.room = room_queue.RoomQueue(clock)
         self._configuration = configuration
         self._retry_terms = retry_terms
         self._entries = max(1, entries)
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -42,6 +42,7 @@
         "_exchange",
         "_has_begun",
         "_history",
+        "_is_in_queue",
         "_is_over",
         "_last_data_ms",
         "_on_over",
@@ -89,6 +90,7 @@
         self.waited_ms = 0
         self._wait_since_ms = 0
         self._is_over = False
+        self._is_in_queue = False
         self._relay: event_relay.EventRelay | None = None
         if route.is_resumable:
             self._relay = event_relay.EventRelay(request.resumes_after)
@@ -105,6 +107,11 @@
         """Return the rank, 0 first."""
         return self.route.priority
 
+    @property
+    def target(self) -> tuple[str, str, str]:
+        """Return service, model and adapter."""
+        return self._service, self.request.model, self.request.adapter
+
     @property
     def request_name(self) -> str:
         """Return the identifier of the request for logs."""
@@ -146,7 +153,10 @@
         )
         if choice.server is not None:
             self.choice = choice
-            self._send(choice.server)
+            if self._may_send_now(choice.server):
+                self._send(choice.server)
+            else:
+                self._wait_for_room()
         elif self._excluded:
             # Every other server was tried; one of them may have room again.
             self._excluded = frozenset()
@@ -156,6 +166,36 @@
         else:
             self._give_up(_Code.NO_REPLICA, "no ready server")
 
+    def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
+        is_queued = self._parts.room.has_waiting(self.target)
+        return not is_queued and self._parts.admission.has_room(
+            server, self.request, self.priority
+        )
+
+    def _wait_for_room(self) -> None:
+        self._is_in_queue = True
+        self._start_wait()
+        self._parts.room.add(self)
+
+    def try_send(self) -> bool:
+        """Send if there is room; tell whether the wait is over."""
+        choice = self._parts.choice.choose(
+            self._service, self.request, self._parts.zone, self._excluded
+        )
+        server = choice.server
+        if server is None:
+            self._stop_waiting()
+            self._dispatch()
+            return True
+        if not self._parts.admission.has_room(
+            server, self.request, self.priority
+        ):
+            return False
+        self.choice = choice
+        self._stop_waiting()
+        self._send(server)
+        return True
+
     def _wait_for_model(self) -> None:
         if not self._parts.is_model_known(self._service, self.request):
             self._give_up(_Code.NO_REPLICA, "unknown model or adapter")
@@ -164,15 +204,19 @@
             self._service, self.request.model, self.request.adapter
         )
         self._wanted = wanted
+        self._start_wait()
+        self._parts.waits.add(wanted, self)
+
+    def _start_wait(self) -> None:
+        """Wait for a part of the caller's patience at most, in all waits."""
         self._wait_since_ms = self._parts.clock.now_ms()
         limit_ms = min(
-            self.route.patience_ms * WAIT_PART // 100,
+            self.route.patience_ms * WAIT_PART // 100 - self.waited_ms,
             self.left_ms - retry_policy.MIN_LEFT_MS,
         )
         self._wait_timer = self._parts.clock.call_later(
             limit_ms, self._on_wait_over
         )
-        self._parts.waits.add(wanted, self)
 
     def on_resident(self) -> None:
         """Send now that a server may hold the model."""
@@ -180,17 +224,26 @@
         self._dispatch()
 
     def _on_wait_over(self) -> None:
+        if self._is_in_queue:
+            code, detail = _Code.QUEUE_FULL, "no server had room in time"
+        else:
+            code, detail = _Code.NO_REPLICA, "the model was not loaded in time"
         self._stop_waiting()
-        self._give_up(_Code.NO_REPLICA, "the model was not loaded in time")
+        self._give_up(code, detail)
 
     def _stop_waiting(self) -> None:
         if self._wait_timer is not None:
             self._wait_timer.cancel()
             self._wait_timer = None
         wanted, self._wanted = self._wanted, None
+        if wanted is None and not self._is_in_queue:
+            return
+        self.waited_ms += self._parts.clock.now_ms() - self._wait_since_ms
         if wanted is not None:
-            self.waited_ms += self._parts.clock.now_ms() - self._wait_since_ms
             self._parts.waits.remove(wanted, self)
+        if self._is_in_queue:
+            self._is_in_queue = False
+            self._parts.room.remove(self)
 
     # Sending
 
--- /dev/null
+++ b/src/balsamwall/gateway/room_queue.py
@@ -0,0 +1,85 @@
+"""Requests that wait at the entry for room at a server."""
+
+from __future__ import annotations
+
+import bisect
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamwall.timing import clock as clock_module
+
+# Short against the time between two ends of requests at a full engine.
+RETRY_INTERVAL_MS = 20
+
+
+class RoomWaiter(Protocol):
+    """Request that waits for room."""
+
+    @property
+    def priority(self) -> int:
+        """Return the rank, 0 first."""
+
+    @property
+    def arrived_ms(self) -> int:
+        """Return when the request arrived."""
+
+    @property
+    def target(self) -> tuple[str, str, str]:
+        """Return service, model and adapter."""
+
+    def try_send(self) -> bool:
+        """Send if there is room; tell whether the wait is over."""
+
+
+class RoomQueue:
+    """Urgent requests first, then in the order of arrival."""
+
+    __slots__ = ("_clock", "_rows", "_timer")
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._rows: list[RoomWaiter] = []
+        self._timer: clock_module.Timer | None = None
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def has_waiting(self, target: tuple[str, str, str]) -> bool:
+        """Tell whether a request for the same target waits already."""
+        return any(row.target == target for row in self._rows)
+
+    def add(self, waiter: RoomWaiter) -> None:
+        """Wait for room."""
+        bisect.insort(
+            self._rows, waiter, key=lambda row: (row.priority, row.arrived_ms)
+        )
+        if self._timer is None:
+            self._schedule()
+
+    def remove(self, waiter: RoomWaiter) -> None:
+        """Stop waiting."""
+        if waiter in self._rows:
+            self._rows.remove(waiter)
+
+    def counts(self) -> dict[tuple[str, str, str], int]:
+        """Return the number of waiting requests by target."""
+        counts: dict[tuple[str, str, str], int] = {}
+        for row in self._rows:
+            counts[row.target] = counts.get(row.target, 0) + 1
+        return counts
+
+    def _schedule(self) -> None:
+        self._timer = self._clock.call_later(RETRY_INTERVAL_MS, self._run)
+
+    def _run(self) -> None:
+        """Send what finds room; the first of a target speaks for all."""
+        self._timer = None
+        full: set[tuple[str, str, str]] = set()
+        for row in list(self._rows):
+            if row.target in full or row not in self._rows:
+                continue
+            if not row.try_send():
+                full.add(row.target)
+        if self._rows:
+            self._schedule()
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -125,6 +125,7 @@
             self._directory,
             self._gateway.count_running,
             self._gateway.take_arrivals,
+            self._gateway.count_queued,
             self._dial_holder,
             self._parts.set_entries,
             self._log,
