--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -10,6 +10,7 @@
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
 from balsamwall.coordination import residency_planner
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import residency_waits
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
         "_books",
         "_clock",
         "_configuration",
+        "_crashes",
         "_demand",
         "_engines_changed_ms",
         "_directory",
@@ -84,6 +86,7 @@
         self._links = links
         self._log = log
         self._books: dict[str, engine_book.EngineBook] = {}
+        self._crashes = crash_suspects.CrashCounter(clock)
         self._demand = demand_module.Demand(clock)
         self._planner = residency_planner.ResidencyPlanner(self._demand)
         self._runner = order_runner.OrderRunner(clock, control, self, log)
@@ -121,6 +124,8 @@
         if isinstance(item, messages_fleet.DemandReport):
             self._demand.on_report(vm, item)
             self._note_use(item)
+        elif isinstance(item, messages_fleet.CrashReport):
+            self._on_crash(item.content)
         elif isinstance(item, messages_fleet.LoadWanted):
             self._check_residents(item)
             wanted = residency_waits.Wanted(
@@ -128,6 +133,11 @@
             )
             self._on_wanted(wanted, 1)
 
+    def _on_crash(self, content: bytes) -> None:
+        if self._crashes.add(content):
+            self._log.write("quarantine", content=content.hex())
+            self._links.broadcast(messages_fleet.Quarantine(content))
+
     def _note_use(self, report: messages_fleet.DemandReport) -> None:
         now_ms = self._clock.now_ms()
         for server_id, model, adapter, _ in report.running:
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -44,6 +44,7 @@
         "_link",
         "_log",
         "_on_entries",
+        "_on_quarantine",
         "_take_arrivals",
         "_vm",
         "_waits",
@@ -59,6 +60,7 @@
         count_queued: Callable[[], dict[str, int]],
         dial: Callable[[str], Link | None],
         on_entries: Callable[[int], None],
+        on_quarantine: Callable[[bytes], None],
         log: decision_log.DecisionLog,
     ) -> None:
         self._clock = clock
@@ -69,6 +71,7 @@
         self._count_queued = count_queued
         self._dial = dial
         self._on_entries = on_entries
+        self._on_quarantine = on_quarantine
         self._log = log
         self._waits: residency_waits.ResidencyWaits | None = None
         self._holder = ""
@@ -107,6 +110,12 @@
                 )
             )
 
+    def report_crash(self, content: bytes) -> None:
+        """Report a request whose server crashed."""
+        self._log.write("crash_attributed", content=content.hex())
+        if self._link is not None:
+            self._link.send(messages_fleet.CrashReport(content))
+
     def on_message(self, item: message.Message) -> None:
         """Take a message of the holder."""
         if isinstance(item, messages_fleet.ServerModels):
@@ -118,6 +127,8 @@
                     for model, adapters in item.models.items()
                 },
             )
+        elif isinstance(item, messages_fleet.Quarantine):
+            self._on_quarantine(item.content)
         elif isinstance(item, messages_fleet.FleetState):
             self._on_entries(item.entries)
             for server in self._directory.all_servers():
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -49,6 +49,20 @@
     models: dict[str, list[str]]
 
 
+@message.register(105)
+class CrashReport(message.Message):
+    """Report the content of a request whose server crashed."""
+
+    content: bytes
+
+
+@message.register(106)
+class Quarantine(message.Message):
+    """Tell all entries to refuse a request by its content."""
+
+    content: bytes
+
+
 @message.register(104)
 class FleetState(message.Message):
     """Tell the number of entries and the load of the servers.
--- /dev/null
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -0,0 +1,99 @@
+"""Requests whose servers crashed while they ran."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.gateway import caller_exchange
+    from balsamwall.timing import clock as clock_module
+
+# A crash shows as broken answers first and as a lost server later.
+CONFIRM_MS = 3_000
+# Requests that ran beside the one at fault are blamed as well; the same
+# content on three servers that crashed is no coincidence.
+CRASHES_TO_QUARANTINE = 3
+QUARANTINE_MS = 300_000
+MAX_FINGERPRINTS = 10_000
+FINGERPRINT_BYTES = 16
+
+
+def fingerprint(head: caller_exchange.RequestHead, body: bytes) -> bytes:
+    """Return a digest of what a resend of a request has in common with it."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (head.method, head.target, body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+class CrashSuspects:
+    """Attribute crashes to requests, and refuse those that repeat.
+
+    Load pattern: one request crashes each server that runs it, and its caller
+    sends it again, through any entry.
+    """
+
+    __slots__ = ("_broken", "_clock", "_on_crash", "_quarantined")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        on_crash: Callable[[bytes], None],
+    ) -> None:
+        self._clock = clock
+        self._on_crash = on_crash
+        # Broken requests by server, with the time of the break.
+        self._broken: dict[str, list[tuple[int, bytes]]] = {}
+        self._quarantined: dict[bytes, int] = {}
+
+    def on_broken(self, server_id: str, content: bytes) -> None:
+        """Note a request whose answer broke off."""
+        rows = self._broken.setdefault(server_id, [])
+        rows.append((self._clock.now_ms(), content))
+
+    def on_server_lost(self, server_id: str) -> None:
+        """Blame the requests that broke off just before."""
+        oldest_ms = self._clock.now_ms() - CONFIRM_MS
+        for broken_ms, content in self._broken.pop(server_id, []):
+            if broken_ms >= oldest_ms:
+                self._on_crash(content)
+
+    def quarantine(self, content: bytes) -> None:
+        """Refuse a request from now on."""
+        if len(self._quarantined) >= MAX_FINGERPRINTS:
+            self._quarantined.clear()
+        self._quarantined[content] = self._clock.now_ms() + QUARANTINE_MS
+
+    def is_quarantined(self, content: bytes) -> bool:
+        """Tell whether a request must not reach a server."""
+        until_ms = self._quarantined.get(content)
+        if until_ms is None:
+            return False
+        if self._clock.now_ms() < until_ms:
+            return True
+        del self._quarantined[content]
+        return False
+
+
+class CrashCounter:
+    """Crashes by content, counted over all entries."""
+
+    __slots__ = ("_clock", "_counts")
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._counts: dict[bytes, tuple[int, int]] = {}
+
+    def add(self, content: bytes) -> bool:
+        """Count a crash; tell whether the content is to be refused."""
+        now_ms = self._clock.now_ms()
+        if len(self._counts) >= MAX_FINGERPRINTS:
+            self._counts.clear()
+        count, until_ms = self._counts.get(content, (0, 0))
+        count = count + 1 if now_ms < until_ms else 1
+        self._counts[content] = (count, now_ms + QUARANTINE_MS)
+        return count >= CRASHES_TO_QUARANTINE
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import admission as admission_module
+from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import refusal
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
@@ -14,7 +16,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamwall.gateway import attempt as attempt_module
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import configuration_holder
@@ -62,6 +63,7 @@
         "pool",
         "retry_policy",
         "room",
+        "suspects",
         "waits",
         "want",
         "zone",
@@ -87,7 +89,9 @@
         entries: int,
         directory: backend_directory.BackendDirectory,
         want: Callable[[residency_waits.Wanted], None],
+        report_crash: Callable[[bytes], None],
     ) -> None:
+        self.suspects = crash_suspects.CrashSuspects(clock, report_crash)
         self.directory = directory
         self.want = want
         self.clock = clock
@@ -195,6 +199,10 @@
         """Log a send that gave no answer."""
         self.metrics.count_attempt(failure.value)
         server = attempt.server
+        if failure is attempt_module.AttemptFailure.BROKEN:
+            self.suspects.on_broken(server.server_id, run.content)
+        elif failure is attempt_module.AttemptFailure.NOT_CONNECTED:
+            self.suspects.on_server_lost(server.server_id)
         self.log.write(
             "attempt_failed",
             request=run.request_name,
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy
@@ -107,6 +108,13 @@
         """Return the rank, 0 first."""
         return self.route.priority
 
+    @property
+    def content(self) -> bytes:
+        """Return a digest of the request that its resends share."""
+        return crash_suspects.fingerprint(
+            self._exchange.head, self._exchange.body
+        )
+
     @property
     def target(self) -> tuple[str, str, str]:
         """Return service, model and adapter."""
@@ -135,6 +143,9 @@
     def start(self) -> None:
         """Send the request, or wait, or refuse it."""
         self._exchange.set_listener(self)
+        if self._parts.suspects.is_quarantined(self.content):
+            self._give_up(_Code.QUARANTINED, "servers crashed on it")
+            return
         self._deadline_timer = self._parts.clock.call_later(
             self.left_ms, self._on_deadline
         )
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -101,6 +101,7 @@
             entries=ASSUMED_ENTRIES,
             directory=self._directory,
             want=self._want,
+            report_crash=self._report_crash,
         )
         self._gateway = gateway_module.Gateway(
             self._parts, self._configuration, self._random
@@ -128,6 +129,7 @@
             self._gateway.count_queued,
             self._dial_holder,
             self._parts.set_entries,
+            self._parts.suspects.quarantine,
             self._log,
         )
         self._fleet_client.set_waits(self._waits)
@@ -246,6 +248,10 @@
 
     def _on_server_gone(self, server: backend_directory.BackendServer) -> None:
         self._pool.forget(server.server_id)
+        self._parts.suspects.on_server_lost(server.server_id)
+
+    def _report_crash(self, content: bytes) -> None:
+        self._fleet_client.report_crash(content)
 
     # Holder of the orders
 
--- /dev/null
+++ b/tests/console/test_log_trace.py
@@ -0,0 +1,53 @@
+"""Tests of the way from a request to its cause."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from balsamwall.console import log_trace
+
+
+def line(time_s, event, **fields):
+    return json.dumps({"timestamp": time_s, "message_type": event, **fields})
+
+
+class LogTraceTest(unittest.TestCase):
+    """Lines of the request, its server and its model are shown."""
+
+    def trace(self, request, *lines):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "front-1.log")
+            path.write_text("\n".join([*lines, "no json {", "{}"]))
+            found = log_trace.trace(log_trace.read_lines([str(path)]), request)
+        return [item.event for item in found]
+
+    def test_cause_is_shown_with_the_outcome(self):
+        """Guards against an outcome without what led to it."""
+        events = self.trace(
+            "q1",
+            line(9.0, "attempt_failed", request="q1", server="s1"),
+            line(9.5, "request_over", request="q1", model="m1"),
+            line(8.0, "server_record", server="s1"),
+            line(8.5, "order", server="s2", model="m1"),
+            line(8.6, "order", server="s2", model="m2"),
+            line(7.0, "store_lost", status=0),
+            line(1.0, "server_record", server="s1"),
+            line(9.1, "request_over", request="q2", server="s1"),
+        )
+        self.assertEqual(
+            events,
+            [
+                "store_lost",
+                "server_record",
+                "order",
+                "attempt_failed",
+                "request_over",
+            ],
+        )
+
+    def test_unknown_request_has_no_lines(self):
+        """Guards against lines of other requests."""
+        self.assertEqual(self.trace("q9", line(1, "order", server="s")), [])
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -158,6 +158,40 @@
         self.assertEqual(exchange.status, 504)
 
 
+class CrashTest(unittest.TestCase):
+    """A request that crashes its servers reaches three of them."""
+
+    def test_content_that_crashes_servers_is_refused(self):
+        """Guards against a request that takes down all servers in turn."""
+        world = world_module.GatewayWorld(
+            world_module.make_route(kind=Kind.NON_IDEMPOTENT)
+        )
+        names = [f"s{number}" for number in range(8)]
+        world.add_servers(*names)
+        statuses = []
+        for _ in names:
+            sent = len(world.pool.connections)
+            exchange = world.ask(method=b"POST", body=b"poison")
+            if len(world.pool.connections) > sent:
+                server_id = world.last.server_id
+                world.last.receiver.on_broken(CLOSED, "reset")
+                world.parts.suspects.on_server_lost(server_id)
+                world.directory.remove(server_id)
+            statuses.append(exchange.status)
+        self.assertEqual(statuses, [502] * 3 + [503] * 5)
+
+    def test_cut_connection_alone_blames_nobody(self):
+        """Guards against refusing requests after network faults."""
+        world = world_module.GatewayWorld(
+            world_module.make_route(kind=Kind.NON_IDEMPOTENT)
+        )
+        world.add_servers("s1", "s2")
+        for _ in range(6):
+            exchange = world.ask(method=b"POST", body=b"fine")
+            world.last.receiver.on_broken(CLOSED, "reset")
+        self.assertEqual(exchange.status, 502)
+
+
 class StreamTest(unittest.TestCase):
     """Streams are relayed in order, resumed in place, or cut visibly."""
 
