Go on with orders while the store is away, and log true durations

Cause: in an 8 s outage of the store the holder's lease ran out, and 840 requests were refused because nothing was loaded; nobody could have taken the lease. Durations of finished requests were counted from zero, because the connection had already turned to its next request.

Change: orders go on while the store is away and most entries stay with the holder; engines still refuse older tokens. A lease that the store has kept is renewed instead of given up.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -14,6 +14,8 @@
 from balsamwall.gateway import residency_waits
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamwall.coordination import engine_control
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import configuration_holder
@@ -30,6 +32,8 @@
 RESERVE_INTERVAL_MS = 300
 ENGINES_SETTLE_MS = 1_000
 MAX_LOGGED_MODELS = 12
+# Longer outages than this are taken for a cut of this VM alone.
+MAX_WITHOUT_LEASE_MS = 30_000
 
 
 class FleetLinks(Protocol):
@@ -57,8 +61,11 @@
         "_demand",
         "_engines_changed_ms",
         "_directory",
+        "_entries_with_lease",
+        "_held_ms",
         "_is_active",
         "_is_fenced",
+        "_is_store_connected",
         "_lease",
         "_links",
         "_log",
@@ -78,6 +85,7 @@
         control: engine_control.EngineControl,
         links: FleetLinks,
         log: decision_log.DecisionLog,
+        is_store_connected: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._configuration = configuration
@@ -92,6 +100,9 @@
         self._runner = order_runner.OrderRunner(clock, control, self, log)
         self._is_active = False
         self._is_fenced = False
+        self._is_store_connected = is_store_connected
+        self._held_ms = 0
+        self._entries_with_lease = 0
         self._state_ms = 0
         self._summary_ms = 0
         self._next_reserve_ms = 0
@@ -100,10 +111,26 @@
 
     @property
     def fencing_token(self) -> int:
-        """Return the token of the present holder, 0 without the lease."""
-        if not self._lease.is_held or self._is_fenced:
+        """Return the token of the present holder, 0 without the lease.
+
+        The lease only avoids wasted work: engines refuse orders with a token
+        below one that they have seen. While the store is away nobody can take
+        the lease, and the orders go on as long as the entries stay here.
+        """
+        if self._is_fenced:
             return 0
-        return self._lease.revision
+        if self._lease.is_held or self._may_go_on():
+            return self._lease.revision
+        return 0
+
+    def _may_go_on(self) -> bool:
+        """Tell whether orders go on although the lease has run out."""
+        if not self._is_active or self._is_store_connected():
+            return False
+        # Entries that reach the store follow a newer holder and leave.
+        if self._links.count * 2 <= self._entries_with_lease:
+            return False
+        return self._clock.now_ms() - self._held_ms < MAX_WITHOUT_LEASE_MS
 
     @property
     def is_active(self) -> bool:
@@ -190,7 +217,10 @@
     # Lease
 
     def _follow_lease(self) -> None:
-        if not self._lease.is_held:
+        if self._lease.is_held:
+            self._held_ms = self._clock.now_ms()
+            self._entries_with_lease = self._links.count
+        else:
             self._is_fenced = False
         is_active = bool(self.fencing_token)
         if is_active == self._is_active:
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -36,6 +36,7 @@
     """Chooses a server, sends, repeats where allowed, and relays."""
 
     __slots__ = (
+        "_arrived_ms",
         "_attempt",
         "_deadline_timer",
         "_end_ms",
@@ -98,7 +99,8 @@
         wait_ms = route.timeout_ms
         if request.deadline_ms is not None:
             wait_ms = min(wait_ms, request.deadline_ms)
-        self._end_ms = exchange.arrived_ms + wait_ms
+        self._arrived_ms = exchange.arrived_ms
+        self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
         self._wait_timer: clock_module.Timer | None = None
         self._retry_timer: clock_module.Timer | None = None
@@ -128,7 +130,7 @@
     @property
     def arrived_ms(self) -> int:
         """Return when the first byte of the request was read."""
-        return self._exchange.arrived_ms
+        return self._arrived_ms
 
     @property
     def server_id(self) -> str:
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -131,7 +131,8 @@
         self._timer = self._clock.call_later(self._times.renew_ms, self.start)
         if not self._is_candidate():
             self._give_up()
-        elif self._lease_id and self.is_held:
+        elif self._lease_id:
+            # A service that was away may have kept the lease all the while.
             self._renew()
         else:
             self._give_up()
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -156,6 +156,7 @@
             engine_calls.EngineCalls(http, settings.vm),
             self._fleet_server,
             self._log,
+            lambda: self._store.feed.is_connected,
         )
         self._fleet_server.set_coordinator(self._coordinator)
 
