Answer every open request before the process ends

Urgent requests waited behind others for the same model, and a lost coordinator left its last load figures in force.

--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -131,8 +131,10 @@
             self._on_quarantine(item.content)
         elif isinstance(item, messages_fleet.FleetState):
             self._on_entries(item.entries)
+            now_ms = self._clock.now_ms()
             for server in self._directory.all_servers():
-                server.fleet_load = item.loads.get(server.server_id, 0)
+                load = item.loads.get(server.server_id, 0)
+                server.set_fleet_load(load, now_ms)
 
     # Stream to another process
 
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -11,6 +11,9 @@
 
 # Requests last a few seconds, so an older report says nothing of the present.
 REPORT_LIFE_MS = 3_000
+# The coordinator tells the load several times a second; when it is lost, its
+# last word must not keep a server full.
+FLEET_LIFE_MS = 1_000
 # Prompts are read within some hundred milliseconds.
 WAITING_LIFE_MS = 300
 
@@ -37,8 +40,9 @@
     """Backend server with the traffic that this process sends to it."""
 
     __slots__ = (
+        "_fleet_load",
+        "_fleet_ms",
         "failure_share",
-        "fleet_load",
         "in_flight",
         "is_leaving",
         "is_tracked",
@@ -60,7 +64,8 @@
         # The order issuer knows the models sooner than the record tells.
         self.is_tracked = False
         self.joined_ms = now_ms
-        self.fleet_load = 0
+        self._fleet_load = 0
+        self._fleet_ms = now_ms
         self.in_flight = 0
         self.reported_load = 0
         self.reported_ms = 0
@@ -86,7 +91,14 @@
         age_ms = now_ms - self.reported_ms
         share = max(0.0, 1.0 - age_ms / REPORT_LIFE_MS)
         estimate = self.reported_load * share + self.sent_since_report
-        return max(float(self.in_flight), estimate, float(self.fleet_load))
+        if now_ms - self._fleet_ms <= FLEET_LIFE_MS:
+            estimate = max(estimate, float(self._fleet_load))
+        return max(float(self.in_flight), estimate)
+
+    def set_fleet_load(self, load: int, now_ms: int) -> None:
+        """Take the open requests of all entries."""
+        self._fleet_load = load
+        self._fleet_ms = now_ms
 
     def on_sent(self) -> None:
         """Count a request that this process sends."""
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -27,6 +27,8 @@
 # The platform needs two missed probes, one a second, to send no new callers.
 MIN_DRAIN_MS = 2_500
 DRAIN_POLL_MS = 50
+# Time in which the last answers leave the process.
+FLUSH_MS = 150
 # Time before the kill in which the process ends by itself.
 KILL_MARGIN_MS = 500
 
@@ -215,8 +217,14 @@
             if not self._runs and not self._connections:
                 self._finish_drain()
                 return
+        if since_ms >= LAST_STREAM_MS:
+            # Their callers still have the time to ask another entry.
+            for run in list(self._runs):
+                run.end_unsent()
         if since_ms >= self._drain_ms:
-            self._finish_drain()
+            for run in list(self._runs):
+                run.end_now()
+            self.clock.call_later(FLUSH_MS, self._finish_drain)
             return
         self.clock.call_later(DRAIN_POLL_MS, self._poll_drain)
 
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -180,7 +180,8 @@
             self._give_up(_Code.NO_REPLICA, "no ready server")
 
     def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
-        is_queued = self._parts.room.has_waiting(self.target)
+        room = self._parts.room
+        is_queued = room.has_waiting(self.target, self.priority)
         return not is_queued and self._parts.admission.has_room(
             server, self.request, self.priority
         )
@@ -435,6 +436,25 @@
         else:
             self._give_up(_Code.DEADLINE_EXCEEDED, "deadline")
 
+    def end_unsent(self) -> None:
+        """Refuse a request that waits, because this process is leaving."""
+        if self._attempt is None and not self._has_begun:
+            self._stop_waiting()
+            self._give_up(_Code.LEAVING, "this entry is leaving")
+
+    def end_now(self) -> None:
+        """Answer at the end of the process, whatever state it is in."""
+        attempt = self._attempt
+        if attempt is not None:
+            if attempt.is_sent:
+                self._history.note(attempt_module.AttemptFailure.ABANDONED)
+            self._attempt_over(False)
+            attempt.abandon()
+        if self._has_begun:
+            self._cut(_Code.ANSWER_INTERRUPTED, "end of the process")
+        else:
+            self._give_up(_Code.LEAVING, "end of the process")
+
     def on_caller_gone(self) -> None:
         """Cancel what may be cancelled."""
         attempt = self._attempt
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -45,9 +45,12 @@
     def __len__(self) -> int:
         return len(self._rows)
 
-    def has_waiting(self, target: tuple[str, str, str]) -> bool:
-        """Tell whether a request for the same target waits already."""
-        return any(row.target == target for row in self._rows)
+    def has_waiting(self, target: tuple[str, str, str], priority: int) -> bool:
+        """Tell whether an equally urgent request for a target waits."""
+        return any(
+            row.target == target and row.priority <= priority
+            for row in self._rows
+        )
 
     def add(self, waiter: RoomWaiter) -> None:
         """Wait for room."""
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -319,6 +319,37 @@
 class DrainTest(unittest.TestCase):
     """A process that is told to stop finishes what it has read."""
 
+    def drain(self, world):
+        ended = []
+        world.gateway.begin_drain(8_000, lambda: ended.append(True))
+        return ended
+
+    def test_waiting_request_is_refused_in_time(self):
+        """Guards against a request that waits until the process ends."""
+        route = world_module.make_route(
+            kind=Kind.STREAMING,
+            timeout_ms=20_000,
+            first_answer_target_ms=3_000,
+        )
+        engine = world_module.make_engine("m1")
+        world = world_module.GatewayWorld(route, engine=engine)
+        world.add_servers("s1")
+        exchange = world.ask(fields=MODEL, deadline_ms=20_000)
+        self.drain(world)
+        world.clock.advance(3_000)
+        self.assertEqual(exchange.status, 503)
+
+    def test_silent_server_ends_in_an_answer(self):
+        """Guards against a connection that closes without any answer."""
+        route = world_module.make_route(kind=Kind.STREAMING, timeout_ms=20_000)
+        world = world_module.GatewayWorld(route)
+        world.add_servers("s1")
+        exchange = world.ask(method=b"POST", deadline_ms=20_000)
+        ended = self.drain(world)
+        world.clock.advance(8_000)
+        self.assertEqual(exchange.status, 502)
+        self.assertEqual(ended, [True])
+
     def test_streams_that_come_late_are_refused(self):
         """Guards against a stream that the end of the process would cut."""
         route = world_module.make_route(kind=Kind.STREAMING, timeout_ms=12_000)
