--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -19,6 +19,10 @@
 # All costs and gains are in requests that are delayed.
 # Time for which a change is weighed; busy models change within seconds.
 HORIZON_S = 4.0
+# A backlog that grows lasts until the demand moves on, so that one more copy
+# is weighed over a longer time. An engine that is only busy may be idle before
+# the copy is there.
+SPREAD_HORIZON_S = 8.0
 # Part of the horizon for which the requests of a dropped model are delayed.
 DROPPED_PART = 0.8
 # Price of a load from the weight store and of one of its permits, beside the
@@ -53,6 +57,10 @@
 # grows with the square of the utilisation.
 SPREAD_LOAD = 0.75
 FULL_DELAY_LOAD = 0.8
+# Utilisation above which more requests come than an engine can answer.
+BACKLOG_LOAD = 1.4
+# A model that nobody has asked for in this time is not missed at once.
+RECENT_USE_MS = 5_000
 MAX_DELAY = 16.0
 # A request that a full engine delays is still served, unlike one whose model
 # has no copy, so that it counts as a part of one.
@@ -130,12 +138,39 @@
                 if not book.will_hold(model)
                 and used[book.record.server_id] + share < worst
             ]
-            gain = saved_per_s * HORIZON_S
-            plan = self._cheapest(free, books, model, now_ms, gain)
+            kept = self._kept_from_spread(holders, worst)
+            if worst < BACKLOG_LOAD:
+                gain = saved_per_s * HORIZON_S
+                lost_per_s = self._demand.rate(model)
+            else:
+                gain = saved_per_s * SPREAD_HORIZON_S
+                lost_per_s = saved_per_s
+            plan = self._cheapest(
+                free, books, model, now_ms, gain, lost_per_s, kept
+            )
             if plan is not None:
                 return plan
         return None
 
+    def _kept_from_spread(
+        self, holders: dict[str, list[engine_book.EngineBook]], worst: float
+    ) -> frozenset[str]:
+        """Return the models whose only copy does not make way.
+
+        A request at a full engine is late, one without a copy is lost. Only a
+        backlog that grows is worth the copy of a model that is asked for
+        rarely.
+        """
+        kept = set()
+        for name, rows in holders.items():
+            if len(rows) > 1:
+                continue
+            is_busy = self._demand.rate(name) >= RARE_RATE
+            is_wanted = self._demand.idle_ms(name) < RECENT_USE_MS
+            if is_busy or (is_wanted and worst < BACKLOG_LOAD):
+                kept.add(name)
+        return frozenset(kept)
+
     def _saved_by_spread(
         self,
         model: str,
@@ -231,45 +266,57 @@
         model: str,
         now_ms: int,
         gain: float,
+        lost_per_s: float = 0.0,
+        kept: frozenset[str] = frozenset(),
     ) -> Plan | None:
-        """Return the load that costs least, if it costs less than it gains."""
-        best: tuple[float, engine_book.EngineBook, list[str]] | None = None
+        """Return the load that costs least, if it costs less than it gains.
+
+        The gain shrinks by a loss for each second until the load is over. A
+        model without any copy loses nothing by waiting: the wait is the same
+        wherever it is loaded, but for the time that the engines differ in.
+        """
+        best: tuple[float, float, engine_book.EngineBook, list[str]] | None
+        best = None
         loads = self._loads(candidates)
         copies = _ready_copies(books)
+        rate = self._demand.rate(model)
         for book in candidates:
             if not book.is_idle or book.will_hold(model):
                 continue
-            found = self._victims(book, model, now_ms, copies)
+            found = self._victims(book, model, now_ms, copies, kept)
             if found is None:
                 continue
             cost, victims = found
-            cost += self._load_cost(book, model, victims)
+            delay_s = self._delay_s(book, model, victims)
+            is_at_hand = model in book.at_hand
+            cost += DISK_LOAD_COST if is_at_hand else STORE_LOAD_COST
             cost += BUSY_COST * loads[book.record.server_id]
-            if best is None or cost < best[0]:
-                best = (cost, book, victims)
-        if best is None or best[0] > gain:
+            cost += lost_per_s * delay_s
+            rank = cost + rate * delay_s
+            if best is None or rank < best[0]:
+                best = (rank, cost, book, victims)
+        if best is None or best[1] > gain:
             return None
         orders = [
-            engine_control.Order(_Kind.UNLOAD, victim) for victim in best[2]
+            engine_control.Order(_Kind.UNLOAD, victim) for victim in best[3]
         ]
         orders.append(engine_control.Order(_Kind.LOAD, model))
-        return Plan(best[1], tuple(orders), best[0], gain)
+        return Plan(best[2], tuple(orders), best[1], gain)
 
-    def _load_cost(
+    def _delay_s(
         self,
         book: engine_book.EngineBook,
         model: str,
         victims: list[str],
     ) -> float:
-        """Return the cost of a load, and of the time until it is over."""
+        """Return the time until a model is loaded."""
         spec = book.spec.models[model]
         running = self._demand.running()
         is_at_hand = model in book.at_hand
         delay_s = (spec.disk_ms if is_at_hand else spec.load_ms) / 1_000
         if any((book.record.server_id, name) in running for name in victims):
             delay_s += RUNNING_WAIT_S
-        cost = DISK_LOAD_COST if is_at_hand else STORE_LOAD_COST
-        return cost + self._demand.rate(model) * delay_s
+        return delay_s
 
     def _victims(
         self,
@@ -277,6 +324,7 @@
         model: str,
         now_ms: int,
         copies: collections.Counter[str],
+        kept: frozenset[str],
     ) -> tuple[float, list[str]] | None:
         """Return the models that make way, with the cost of dropping them."""
         spec = book.spec.models.get(model)
@@ -289,7 +337,8 @@
         costs = sorted(
             (self._drop_cost(book, name, copies, running), name)
             for name in book.models
-            if now_ms - book.changed_ms.get(name, 0) >= MIN_STAY_MS
+            if name not in kept
+            and now_ms - book.changed_ms.get(name, 0) >= MIN_STAY_MS
         )
         chosen: list[str] = []
         total = 0.0
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -170,3 +170,24 @@
         plan = world.planner.plan_adapter(world.books, "hot1", "a9")
         orders = [(order.kind.value, order.adapter) for order in plan.orders]
         self.assertEqual(orders, [("unload", "a3"), ("load", "a9")])
+
+    def test_slow_load_is_worth_it_for_a_full_engine(self):
+        """Guards against one full engine for as long as demand lasts."""
+        world = PlannerWorld(["hot1", "rare1"], ["rare2", "rare3"])
+        for book in world.books:
+            book.at_hand = set()
+        world.report(
+            {"hot1": 50, "rare2": 0.5, "rare3": 0.3},
+            running=[("e0", "hot1", "", 120), ("e1", "rare2", "", 1)],
+        )
+        plan = world.plan_spread()
+        self.assertEqual(names(plan)[-1], ("load", "hot1"))
+
+    def test_slow_load_is_worth_it_for_a_model_without_a_copy(self):
+        """Guards against a busy model that is never loaded."""
+        world = PlannerWorld(["rare1", "rare2"])
+        world.books[0].at_hand = set()
+        world.report(
+            {"hot1": 50, "rare1": 0.5, "rare2": 0.3}, waiting=[("hot1", 90)]
+        )
+        self.assertIsNotNone(world.plan_model("hot1", 90))
--- a/tests/system/test_console_commands.py
+++ b/tests/system/test_console_commands.py
@@ -88,6 +88,7 @@
         self.assertIn(revision, [row["revision"] for row in kept])
         self._check_callers()
         self._check_fleet()
+        self._check_trace()
         application.load_commands()
         self.assertEqual(set(command_registry.registered()), self.used)
 
@@ -121,6 +122,14 @@
         )
         self.assertEqual(first, again)
 
+    def _check_trace(self) -> None:
+        log = self.folder / "front-1.log"
+        row = {"timestamp": 1.0, "message_type": "order", "request": "q1"}
+        log.write_text(json.dumps(row) + "\n")
+        found = self._run(0, "trace", "q1", str(log))
+        self.assertEqual(1, len(found["lines"]))
+        self._run(1, "trace", "q2", str(log))
+
     def _check_fleet(self) -> None:
         vms = self._run(0, "vms")["vms"]
         expected = {row[1] for row in sample.VMS if row[0] == "kovacevic"}
