Move the wiring of an entry out of the adapter, and the waits of a request

Change: composition/gateway_unit.py wires an entry behind ports; platform/ reads the settings and gives the adapters. Waits have a class of their own. The store client reads prefixes and reports unreadable items as a failure.

--- /dev/null
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -0,0 +1,355 @@
+"""Wiring of an entry that forwards straight to backend servers."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import eliot
+
+import balsamwall
+from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import fleet_client
+from balsamwall.coordination import fleet_server
+from balsamwall.coordination import fleet_stream
+from balsamwall.gateway import backend_directory
+from balsamwall.gateway import configuration_holder
+from balsamwall.gateway import connection_pool
+from balsamwall.gateway import gateway as gateway_module
+from balsamwall.gateway import gateway_metrics
+from balsamwall.gateway import listeners
+from balsamwall.gateway import request_parts
+from balsamwall.gateway import residency_waits
+from balsamwall.gateway import server_choice
+from balsamwall.gateway import server_feed
+from balsamwall.gateway import server_health
+from balsamwall.logs import decision_log
+from balsamwall.placement import lease_keeper
+from balsamwall.settings import address as address_module
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from balsamwall.coordination import engine_control
+    from balsamwall.gateway import gateway_configuration
+    from balsamwall.gateway import gateway_settings
+    from balsamwall.gateway import incoming_request
+    from balsamwall.infrastructure import key_value_service
+    from balsamwall.protocol import message
+    from balsamwall.timing import clock as clock_module
+
+# Entries that share the retry budget before their number is known.
+ASSUMED_ENTRIES = 8
+# Key of the lease under which one entry gives orders to the engines.
+HOLDER_KEY = "balsamwall/order-holder"
+LEASE_RENEW_MS = 700
+# The holder stops this long before the store may give the lease away.
+LEASE_MARGIN_MS = 500
+HOLDER_CONNECT_TIMEOUT_MS = 500
+
+
+class StoreConnection(Protocol):
+    """State of the connection to the store."""
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether the last call was answered."""
+
+    @property
+    def is_synced(self) -> bool:
+        """Tell whether all keys have been read once."""
+
+    def add_state_listener(self, listener: Callable[[bool], None]) -> None:
+        """Call a function when the store is lost and when it is back."""
+
+    def start(self) -> None:
+        """Read all keys and follow the changes."""
+
+    def stop(self) -> None:
+        """Make no further call."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GatewayPorts:
+    """Outside systems of an entry, each behind its adapter.
+
+    Readers raise ValueError for documents that can't be read.
+    """
+
+    store: key_value_service.KeyValueService
+    connection: StoreConnection
+    engines: engine_control.EngineControl
+    codec: incoming_request.RequestCodec
+    read_configuration: Callable[
+        [bytes], gateway_configuration.GatewayConfiguration
+    ]
+    read_server: server_feed.RecordReader
+    configuration_key: str
+    servers_prefix: str
+
+
+class GatewayUnit:
+    """Parts of one entry and their wiring."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        reactor: Any,
+        clock: clock_module.Clock,
+        random_source: random.Random,
+        ports: GatewayPorts,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        self._random = random_source
+        self._ports = ports
+        self._is_stopping = False
+        self._log = decision_log.DecisionLog(self._clock)
+        self._metrics = gateway_metrics.GatewayMetrics()
+        self._configuration = configuration_holder.ConfigurationHolder()
+        self._directory = backend_directory.BackendDirectory(
+            self._clock.now_ms
+        )
+        self._pool = connection_pool.ConnectionPool(
+            reactor, self._clock, ports.codec.echo_field
+        )
+        self._waits = residency_waits.ResidencyWaits(self._want)
+        health = server_health.ServerHealth(self._clock)
+        self._parts = request_parts.RequestParts(
+            clock=self._clock,
+            zone=settings.availability_zone,
+            configuration=self._configuration,
+            choice=server_choice.ServerChoice(
+                self._clock, self._random, self._directory, health
+            ),
+            health=health,
+            pool=self._pool,
+            codec=ports.codec,
+            waits=self._waits,
+            log=self._log,
+            metrics=self._metrics,
+            retry_terms=request_parts.RetryTerms(
+                settings.retry_share,
+                settings.retry_extra,
+                settings.retry_window_ms,
+            ),
+            entries=ASSUMED_ENTRIES,
+            directory=self._directory,
+            want=self._want,
+            report_crash=self._report_crash,
+        )
+        self._gateway = gateway_module.Gateway(
+            self._parts, self._configuration, self._random
+        )
+        self._servers = server_feed.ServerFeed(
+            self._clock, self._directory, ports.read_server, self._log
+        )
+        self._directory.add_listener(
+            self._waits.on_server_changed, self._on_server_gone
+        )
+        self._build_coordination()
+
+    def _build_coordination(self) -> None:
+        settings = self._settings
+        self._own_address = str(
+            address_module.Address(settings.ip, settings.fleet_port)
+        )
+        self._holder_seen = ""
+        self._fleet_client = fleet_client.FleetClient(
+            self._clock,
+            settings.vm,
+            self._directory,
+            self._gateway.count_running,
+            self._gateway.take_arrivals,
+            self._gateway.count_queued,
+            self._dial_holder,
+            self._parts.set_entries,
+            self._parts.suspects.quarantine,
+            self._log,
+        )
+        self._fleet_client.set_waits(self._waits)
+        self._fleet_server = fleet_server.FleetServer(
+            settings.vm, self._fleet_client.on_message
+        )
+        self._lease = lease_keeper.LeaseKeeper(
+            self._clock,
+            self._ports.store,
+            HOLDER_KEY,
+            self._own_address,
+            self._is_candidate,
+            lease_keeper.LeaseTimes(
+                max(settings.lease_ms, settings.min_lease_ms),
+                LEASE_RENEW_MS,
+                LEASE_MARGIN_MS,
+            ),
+        )
+        self._coordinator = coordinator_module.Coordinator(
+            self._clock,
+            self._configuration,
+            self._directory,
+            self._lease,
+            self._ports.engines,
+            self._fleet_server,
+            self._log,
+            lambda: self._ports.connection.is_connected,
+        )
+        self._fleet_server.set_coordinator(self._coordinator)
+
+    def start(self) -> None:
+        """Open the ports and follow the store."""
+        settings = self._settings
+        self._log.start()
+        self._pool.start()
+        self._follow_store()
+        self._lease.start()
+        self._coordinator.start()
+        self._fleet_client.start()
+        self._listen()
+        eliot.log_message(
+            "daemon_started",
+            version=balsamwall.__version__,
+            vm=settings.vm,
+            availability_zone=settings.availability_zone,
+            callers=str(settings.callers),
+        )
+
+    def _follow_store(self) -> None:
+        ports = self._ports
+        ports.connection.add_state_listener(self._servers.on_store_state)
+        ports.store.watch(ports.configuration_key, self._on_configuration)
+        ports.store.watch(
+            ports.servers_prefix, self._on_server, is_prefix=True
+        )
+        ports.store.watch(HOLDER_KEY, self._on_holder)
+        ports.connection.start()
+
+    def _listen(self) -> None:
+        settings = self._settings
+        self._reactor.listenTCP(
+            settings.fleet_port,
+            fleet_stream.FleetStreamFactory(self._fleet_server, self._clock),
+            interface=settings.ip,
+        )
+        self._reactor.listenTCP(
+            settings.callers.port,
+            listeners.CallerFactory(self._gateway),
+            backlog=listeners.CALLER_BACKLOG,
+            interface=settings.callers.host,
+        )
+        self._reactor.listenTCP(
+            settings.probes.port,
+            listeners.text_site({"ready": self._ready_page}),
+            backlog=listeners.PROBE_BACKLOG,
+            interface=settings.probes.host,
+        )
+        self._reactor.listenTCP(
+            settings.metrics_port,
+            listeners.text_site({"metrics": self._metrics_page}),
+            interface=settings.ip,
+        )
+
+    def stop(self) -> None:
+        """Finish the open requests, then end the process."""
+        self._is_stopping = True
+        eliot.log_message(
+            "daemon_stopping", requests=self._gateway.active_runs
+        )
+        self._gateway.begin_drain(self._settings.grace_ms, self._on_drained)
+
+    def _on_drained(self) -> None:
+        eliot.log_message("daemon_stopped", requests=self._gateway.active_runs)
+        self._ports.connection.stop()
+        self._reactor.stop()
+
+    def _ready_page(self) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self._gateway.is_ready else (503, b"\n")
+
+    def _metrics_page(self) -> tuple[int, bytes]:
+        return 200, self._metrics.render()
+
+    def _on_configuration(self, item: key_value_service.KeyValue) -> None:
+        if item.value is None:
+            return
+        try:
+            configuration = self._ports.read_configuration(item.value)
+        except ValueError as error:
+            eliot.log_message(
+                "configuration_unreadable",
+                revision=item.revision,
+                reason=str(error)[:200],
+            )
+            return
+        if self._configuration.offer(configuration):
+            eliot.log_message(
+                "configuration_in_force",
+                version=configuration.version,
+                revision=item.revision,
+            )
+
+    def _on_server(self, item: key_value_service.KeyValue) -> None:
+        server_id = item.key.removeprefix(self._ports.servers_prefix)
+        self._servers.on_record(server_id, item.value)
+
+    def _on_server_gone(self, server: backend_directory.BackendServer) -> None:
+        self._pool.forget(server.server_id)
+        self._parts.suspects.on_server_lost(server.server_id)
+
+    def _report_crash(self, content: bytes) -> None:
+        self._fleet_client.report_crash(content)
+
+    # Holder of the orders
+
+    def _want(self, wanted: residency_waits.Wanted) -> None:
+        self._log.write(
+            "load_wanted",
+            service=wanted.service,
+            model=wanted.model,
+            adapter=wanted.adapter,
+        )
+        self._fleet_client.want(wanted)
+
+    def _is_candidate(self) -> bool:
+        """Tell whether this entry may hold the orders."""
+        if self._is_stopping or not self._ports.connection.is_synced:
+            return False
+        return self._lease.is_held or not self._holder_seen
+
+    def _on_holder(self, item: key_value_service.KeyValue) -> None:
+        self._holder_seen = (item.value or b"").decode("utf-8", "replace")
+        self._fleet_client.on_holder(self._holder_seen)
+
+    def _dial_holder(self, address: str) -> fleet_client.Link | None:
+        """Connect to the holder; return a link if it is in this process."""
+        if address == self._own_address:
+            return _LocalLink(self._fleet_server)
+        found = address_module.parse(address)
+        factory = fleet_stream.FleetStreamFactory(
+            self._fleet_client, self._clock, self._fleet_client.on_dial_failed
+        )
+        self._reactor.connectTCP(
+            found.host,
+            found.port,
+            factory,
+            timeout=HOLDER_CONNECT_TIMEOUT_MS / 1_000,
+        )
+        return None
+
+
+class _LocalLink:
+    """Link to the holder in the same process."""
+
+    __slots__ = ("_server",)
+
+    def __init__(self, server: fleet_server.FleetServer) -> None:
+        self._server = server
+
+    def send(self, item: message.Message) -> None:
+        """Hand a message over."""
+        self._server.send_local(item)
+
+    def close(self) -> None:
+        """Do nothing: there is no connection."""
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -7,6 +7,7 @@
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
+from balsamwall.gateway import request_wait
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy
 from balsamwall.gateway import server_choice
@@ -27,9 +28,6 @@
 SERVER_ERROR_STATUS = 500
 # Pause before a send after a refusal, so that a full server gets room.
 RETRY_PAUSE_MS = 15
-# Percentage of a caller's patience that a request waits for a load; then the
-# caller is told when to come back instead.
-WAIT_PART = 70
 
 
 class RequestRun:
@@ -44,7 +42,6 @@
         "_exchange",
         "_has_begun",
         "_history",
-        "_is_in_queue",
         "_is_over",
         "_last_data_ms",
         "_on_over",
@@ -53,15 +50,12 @@
         "_relay",
         "_retry_timer",
         "_service",
-        "_wait_since_ms",
-        "_wait_timer",
-        "_wanted",
+        "_wait",
         "choice",
         "first_data_ms",
         "longest_gap_ms",
         "request",
         "route",
-        "waited_ms",
     )
 
     def __init__(
@@ -82,17 +76,13 @@
         self._history = retry_policy.SendHistory()
         self._excluded: frozenset[str] = frozenset()
         self._attempt: attempt_module.Attempt | None = None
-        self._wanted: residency_waits.Wanted | None = None
         self._has_begun = False
         self._last_data_ms = 0
         self._pending_tokens = 0
         self.choice: server_choice.Choice | None = None
         self.first_data_ms: int | None = None
         self.longest_gap_ms = 0
-        self.waited_ms = 0
-        self._wait_since_ms = 0
         self._is_over = False
-        self._is_in_queue = False
         self._relay: event_relay.EventRelay | None = None
         if route.is_resumable:
             self._relay = event_relay.EventRelay(request.resumes_after)
@@ -102,7 +92,13 @@
         self._arrived_ms = exchange.arrived_ms
         self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
-        self._wait_timer: clock_module.Timer | None = None
+        self._wait = request_wait.RequestWait(
+            parts.clock,
+            parts.waits,
+            parts.room,
+            route.patience_ms,
+            self._on_wait_over,
+        )
         self._retry_timer: clock_module.Timer | None = None
 
     @property
@@ -137,6 +133,16 @@
         """Return the server that works on the request, if there is one."""
         return self._attempt.server.server_id if self._attempt else ""
 
+    @property
+    def waited_ms(self) -> int:
+        """Return the time before the request was sent."""
+        return self._wait.waited_ms
+
+    @property
+    def _useful_ms(self) -> int:
+        """Return the time for which a wait may still end in an answer."""
+        return self.left_ms - retry_policy.MIN_LEFT_MS
+
     @property
     def left_ms(self) -> int:
         """Return the time left for the answer."""
@@ -169,7 +175,7 @@
             if self._may_send_now(choice.server):
                 self._send(choice.server)
             else:
-                self._wait_for_room()
+                self._wait.for_room(self, self._useful_ms)
         elif self._excluded:
             # Every other server was tried; one of them may have room again.
             self._excluded = frozenset()
@@ -186,11 +192,6 @@
             server, self.request, self.priority
         )
 
-    def _wait_for_room(self) -> None:
-        self._is_in_queue = True
-        self._start_wait()
-        self._parts.room.add(self)
-
     def try_send(self) -> bool:
         """Send if there is room; tell whether the wait is over."""
         choice = self._parts.choice.choose(
@@ -198,7 +199,7 @@
         )
         server = choice.server
         if server is None:
-            self._stop_waiting()
+            self._wait.stop(self)
             self._dispatch()
             return True
         if not self._parts.admission.has_room(
@@ -206,7 +207,7 @@
         ):
             return False
         self.choice = choice
-        self._stop_waiting()
+        self._wait.stop(self)
         self._send(server)
         return True
 
@@ -214,50 +215,20 @@
         if not self._parts.is_model_known(self._service, self.request):
             self._give_up(_Code.NO_REPLICA, "unknown model or adapter")
             return
-        wanted = residency_waits.Wanted(
-            self._service, self.request.model, self.request.adapter
-        )
-        self._wanted = wanted
-        self._start_wait()
-        self._parts.waits.add(wanted, self)
-
-    def _start_wait(self) -> None:
-        """Wait for a part of the caller's patience at most, in all waits."""
-        self._wait_since_ms = self._parts.clock.now_ms()
-        limit_ms = min(
-            self.route.patience_ms * WAIT_PART // 100 - self.waited_ms,
-            self.left_ms - retry_policy.MIN_LEFT_MS,
-        )
-        self._wait_timer = self._parts.clock.call_later(
-            limit_ms, self._on_wait_over
-        )
+        wanted = residency_waits.Wanted(*self.target)
+        self._wait.for_model(self, wanted, self._useful_ms)
 
     def on_resident(self) -> None:
         """Send now that a server may hold the model."""
-        self._stop_waiting()
+        self._wait.stop(self)
         self._dispatch()
 
-    def _on_wait_over(self) -> None:
-        if self._is_in_queue:
-            code, detail = _Code.QUEUE_FULL, "no server had room in time"
+    def _on_wait_over(self, is_for_room: bool) -> None:
+        self._wait.stop(self)
+        if is_for_room:
+            self._give_up(_Code.QUEUE_FULL, "no server had room in time")
         else:
-            code, detail = _Code.NO_REPLICA, "the model was not loaded in time"
-        self._stop_waiting()
-        self._give_up(code, detail)
-
-    def _stop_waiting(self) -> None:
-        if self._wait_timer is not None:
-            self._wait_timer.cancel()
-            self._wait_timer = None
-        wanted, self._wanted = self._wanted, None
-        if wanted is None and not self._is_in_queue:
-            return
-        self.waited_ms += self._parts.clock.now_ms() - self._wait_since_ms
-        if wanted is not None:
-            self._parts.waits.remove(wanted, self)
-        if self._is_in_queue:
-            self._is_in_queue = False
-            self._parts.room.remove(self)
+            self._give_up(_Code.NO_REPLICA, "the model was not loaded in time")
 
     # Sending
 
@@ -439,7 +410,7 @@
     def end_unsent(self) -> None:
         """Refuse a request that waits, because this process is leaving."""
         if self._attempt is None and not self._has_begun:
-            self._stop_waiting()
+            self._wait.stop(self)
             self._give_up(_Code.LEAVING, "this entry is leaving")
 
     def end_now(self) -> None:
@@ -498,7 +469,7 @@
         if self._is_over:
             return
         self._is_over = True
-        self._stop_waiting()
+        self._wait.stop(self)
         for timer in (self._deadline_timer, self._retry_timer):
             if timer is not None:
                 timer.cancel()
--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import tomllib
 from typing import Any
 
+from balsamwall.gateway import gateway_settings
 from balsamwall.settings import address as address_module
 
 DEFAULT_PATH = "/etc/balsamwall/local.toml"
@@ -16,28 +16,6 @@
     """Field of the settings file that is missing or wrong."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class NodeSettings:
-    """Settings in the terms of the project; times in milliseconds."""
-
-    vm: str
-    availability_zone: str
-    ip: str
-    callers: address_module.Address  # field listen.front
-    probes: address_module.Address  # field listen.ready
-    store: address_module.Address
-    first_internal_port: int
-    last_internal_port: int
-    grace_ms: int
-    lease_ms: int
-    min_lease_ms: int
-    retry_share: float
-    retry_extra: float  # retries allowed in a window beside the share
-    retry_window_ms: int
-    load_window_ms: int
-    load_overshoot: float
-
-
 class _Table:
     """Part of the file that names its fields in errors."""
 
@@ -96,7 +74,7 @@
         return f"{self._name}.{name}" if self._name else name
 
 
-def load(path: str) -> NodeSettings:
+def load(path: str) -> gateway_settings.GatewaySettings:
     """Read and check the file; raise NodeSettingsError."""
     try:
         with open(path, "rb") as file:
@@ -106,28 +84,26 @@
     return parse(rows)
 
 
-def parse(rows: dict[str, Any]) -> NodeSettings:
+def parse(rows: dict[str, Any]) -> gateway_settings.GatewaySettings:
     """Check the fields; raise NodeSettingsError with the field's name."""
     root = _Table("", rows)
     listen = root.table("listen")
     bounds = root.table("bounds")
     store = root.table("platform")
     ports = root.port_range("internal_ports")
-    return NodeSettings(
+    return gateway_settings.GatewaySettings(
         vm=root.text("node"),
         availability_zone=root.text("zone"),
         ip=root.text("ip"),
         callers=listen.address("front"),
         probes=listen.address("ready"),
         store=store.address("address"),
-        first_internal_port=ports[0],
-        last_internal_port=ports[1],
+        fleet_port=ports[0],
+        metrics_port=ports[1],
         grace_ms=int(bounds.number("grace_s") * 1_000),
         lease_ms=int(bounds.number("lease_ms")),
         min_lease_ms=int(store.number("ttl_min_ms")),
         retry_share=bounds.number("retry_budget_ratio"),
         retry_extra=bounds.number("budget_extra"),
         retry_window_ms=int(bounds.number("budget_window_s") * 1_000),
-        load_window_ms=int(bounds.number("ceiling_window_s") * 1_000),
-        load_overshoot=bounds.number("ceiling_overshoot"),
     )
--- a/src/balsamwall/platform/store_client.py
+++ b/src/balsamwall/platform/store_client.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 import urllib.parse
 
+import eliot
 from returns.result import Failure
 from returns.result import Success
 
@@ -68,19 +69,56 @@
         """Read a key; None when it is absent."""
 
         def on_answer(answer: http_client.HttpAnswer) -> None:
-            rows = _body(answer)
             if answer.status == 404:
                 callback(Success(None))
-            elif answer.status == 200 and rows is not None:
-                callback(Success(store_feed.decode_item(rows)))
-            else:
+                return
+            items = _items([_body(answer)]) if answer.status == 200 else None
+            if items is None:
                 callback(Failure(_Code.PLATFORM_UNAVAILABLE))
+            else:
+                callback(Success(items[0]))
 
         query = urllib.parse.urlencode({"key": key})
         self.request(
             "GET", f"/kv-key?{query}", None, CALL_TIMEOUT_MS, on_answer
         )
 
+    def get_prefix(
+        self,
+        prefix: str,
+        callback: Callable[[key_value_service.ListResult], None],
+    ) -> None:
+        """Read all keys that start with a prefix, in key order."""
+        self._read_pages(prefix, "", [], callback)
+
+    def _read_pages(
+        self,
+        prefix: str,
+        after: str,
+        found: list[key_value_service.KeyValue],
+        callback: Callable[[key_value_service.ListResult], None],
+    ) -> None:
+        query = {"path_prefix": prefix}
+        if after:
+            query["after"] = after
+
+        def on_answer(answer: http_client.HttpAnswer) -> None:
+            rows = _body(answer)
+            items = None
+            if answer.status == 200 and rows is not None:
+                items = _items(rows.get("items", []))
+            if rows is None or items is None:
+                callback(Failure(_Code.PLATFORM_UNAVAILABLE))
+                return
+            found.extend(items)
+            if rows.get("truncated") and items:
+                self._read_pages(prefix, items[-1].key, found, callback)
+            else:
+                callback(Success(tuple(found)))
+
+        path = f"/kv-range?{urllib.parse.urlencode(query)}"
+        self.request("GET", path, None, CALL_TIMEOUT_MS, on_answer)
+
     def put(
         self,
         key: str,
@@ -201,6 +239,15 @@
         self.request(method, path, body, CALL_TIMEOUT_MS, on_answer)
 
 
+def _items(rows: list[Any]) -> list[key_value_service.KeyValue] | None:
+    """Return the items of an answer, None if one can't be read."""
+    try:
+        return [store_feed.decode_item(row) for row in rows]
+    except (AttributeError, ValueError) as error:
+        eliot.log_message("store_answer_unreadable", reason=str(error)[:200])
+        return None
+
+
 def _write(key: str, value: bytes, lease_id: int) -> dict[str, Any]:
     encoded = base64.b64encode(value).decode()
     return {"key": key, "value": encoded, "lease": lease_id}
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -25,8 +25,6 @@
         "retry_budget_ratio": 0.2,
         "budget_extra": 58,
         "budget_window_s": 10,
-        "ceiling_window_s": 5,
-        "ceiling_overshoot": 1.1,
     },
     "platform": {"address": "127.0.0.1:83", "ttl_min_ms": 1_000},
 }
@@ -53,7 +51,7 @@
         """Guards against units that are mixed up."""
         settings = node_settings.parse(ROWS)
         self.assertEqual(settings.grace_ms, 8_000)
-        self.assertEqual(settings.first_internal_port, 7_380)
+        self.assertEqual(settings.fleet_port, 7_380)
 
     def test_missing_and_wrong_fields(self):
         """Guards against a process that fails later and elsewhere."""
