Drop unused names, and ask an engine's book one way what is coming

Cause: the read-through found a field and a constant that nothing used, and will_hold repeated the search of coming_models.

Change: both are removed; will_hold calls coming_models and compares orders.

Result: no change of behaviour; 114 tests of gateway, coordination and platform, ruff and mypy pass.

--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -76,17 +76,15 @@
 
     def will_hold(self, model: str, adapter: str = "") -> bool:
         """Tell whether a model or adapter is resident or about to be."""
-        if any(
-            order.model == model
-            and order.adapter == adapter
-            and order.kind is engine_control.OrderKind.LOAD
-            for order in self.queue
-        ):
-            return True
         if not adapter:
-            return model in self.models or model == self.loading
+            return model in self.coming_models()
         is_held = adapter in self.models.get(model, ())
-        return is_held or (model, adapter) in self.arriving
+        load = engine_control.Order(
+            engine_control.OrderKind.LOAD, model, adapter
+        )
+        return (
+            is_held or (model, adapter) in self.arriving or load in self.queue
+        )
 
     def coming_models(self) -> set[str]:
         """Return the models that are resident or about to be."""
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -46,7 +46,6 @@
         "in_flight",
         "is_leaving",
         "is_tracked",
-        "joined_ms",
         "pending_tokens",
         "reported_waiting",
         "models",
@@ -63,7 +62,6 @@
         self.is_leaving = record.is_draining
         # The order issuer knows the models sooner than the record tells.
         self.is_tracked = False
-        self.joined_ms = now_ms
         self._fleet_load = 0
         self._fleet_ms = now_ms
         self.in_flight = 0
--- a/src/balsamwall/gateway/event_relay.py
+++ b/src/balsamwall/gateway/event_relay.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-MAX_EVENT_BYTES = 1_048_576
-
 
 class EventRelay:
     """Forward whole events and remember the identifier of the last one.
