Share the store's calls between the entries, and notice a lost store by the lease

Cause: every entry made a watch for each change of the store, so that 28 entries made 5,660 calls in a minute; and a holder that was cut off stopped giving orders, because its lease ended before the silent watch did. Change: the pause after changes grows with the number of entries, from 200 ms to 900 ms; a renewal without an answer in 900 ms counts as a lost store.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -65,6 +65,9 @@
     def add_state_listener(self, listener: Callable[[bool], None]) -> None:
         """Call a function when the store is lost and when it is back."""
 
+    def set_readers(self, count: int) -> None:
+        """Set the number of processes that follow the store."""
+
     def start(self) -> None:
         """Read all keys and follow the changes."""
 
@@ -167,7 +170,7 @@
             self._gateway.take_arrivals,
             self._gateway.count_queued,
             self._dial_holder,
-            self._parts.set_entries,
+            self._on_entries,
             self._parts.suspects.quarantine,
             self._log,
         )
@@ -195,7 +198,7 @@
             self._ports.engines,
             self._fleet_server,
             self._log,
-            lambda: self._ports.connection.is_connected,
+            self._is_store_answering,
         )
         self._fleet_server.set_coordinator(self._coordinator)
 
@@ -298,6 +301,11 @@
         self._pool.forget(server.server_id)
         self._parts.suspects.on_server_lost(server.server_id)
 
+    def _on_entries(self, count: int) -> None:
+        """Share the limits of the whole fleet with the other entries."""
+        self._parts.set_entries(count)
+        self._ports.connection.set_readers(count)
+
     def _report_crash(self, content: bytes) -> None:
         self._fleet_client.report_crash(content)
 
@@ -318,6 +326,15 @@
             return False
         return self._lease.is_held or not self._holder_seen
 
+    def _is_store_answering(self) -> bool:
+        """Tell whether the store can say who holds the orders.
+
+        A renewal that fails shows the loss of the store sooner than the
+        watch, which is silent most of the time.
+        """
+        connection = self._ports.connection
+        return connection.is_connected and not self._lease.is_renewal_failing
+
     def _on_holder(self, item: key_value_service.KeyValue) -> None:
         self._holder_seen = (item.value or b"").decode("utf-8", "replace")
         self._fleet_client.on_holder(self._holder_seen)
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
@@ -74,6 +75,7 @@
         "_attempt",
         "_clock",
         "_is_candidate",
+        "_is_renewal_failing",
         "_key",
         "_lease_id",
         "_owner",
@@ -105,6 +107,7 @@
         self._valid_until_ms: int | None = None
         self._taken_ms: int | None = None
         self._attempt = 0
+        self._is_renewal_failing = False
         self._timer: clock_module.Timer | None = None
 
     @property
@@ -126,6 +129,14 @@
         """
         return self._revision
 
+    @property
+    def is_renewal_failing(self) -> bool:
+        """Tell whether the last renewal had no answer in time.
+
+        A service that says that the lease has ended has answered.
+        """
+        return self._is_renewal_failing
+
     def start(self) -> None:
         """Try to take the lease, then renew it, until stopped."""
         self._timer = self._clock.call_later(self._times.renew_ms, self.start)
@@ -147,6 +158,7 @@
 
     def _give_up(self) -> None:
         self._attempt += 1
+        self._is_renewal_failing = False
         lease_id, self._lease_id = self._lease_id, 0
         self._valid_until_ms = None
         self._taken_ms = None
@@ -190,9 +202,13 @@
         def on_renewed(result: StoreResult) -> None:
             if attempt != self._attempt:
                 return
+            is_ended = result == Failure(result_code.ResultCode.COMPARE_FAILED)
+            self._is_renewal_failing = not (
+                isinstance(result, Success) or is_ended
+            )
             if isinstance(result, Success):
                 self._extend(sent_ms)
-            elif result.failure() is result_code.ResultCode.COMPARE_FAILED:
+            elif is_ended:
                 self._give_up()
 
         self._store.keep_alive(self._lease_id, on_renewed)
--- a/src/balsamwall/platform/store_client.py
+++ b/src/balsamwall/platform/store_client.py
@@ -26,6 +26,8 @@
 _Code = result_code.ResultCode
 # The store answers within some milliseconds; a slow one within a few hundred.
 CALL_TIMEOUT_MS = 1_500
+# A renewal without an answer must be known before the lease can have ended.
+RENEW_TIMEOUT_MS = 900
 UNAVAILABLE_STATUSES = (429, 503)
 
 
@@ -171,7 +173,9 @@
     ) -> None:
         """Renew a lease; return its time, COMPARE_FAILED if it is gone."""
         path = f"/kv-keep/{lease_id}"
-        self._lease_call("POST", path, None, "ttl_ms", callback)
+        self._lease_call(
+            "POST", path, None, "ttl_ms", callback, RENEW_TIMEOUT_MS
+        )
 
     def revoke(
         self,
@@ -221,6 +225,7 @@
         body: object,
         field: str,
         callback: Callable[[key_value_service.LeaseResult], None],
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> None:
         def on_answer(answer: http_client.HttpAnswer) -> None:
             if answer.status == 404:
@@ -236,7 +241,7 @@
                 return
             callback(Success(number))
 
-        self.request(method, path, body, CALL_TIMEOUT_MS, on_answer)
+        self.request(method, path, body, timeout_ms, on_answer)
 
 
 def _items(rows: list[Any]) -> list[key_value_service.KeyValue] | None:
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -26,7 +26,11 @@
 WATCH_WAIT_MS = 1_500
 WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 700
 # Pause after events, so that changes that come close together share a call.
-GATHER_MS = 250
+# Every reader makes a call for each change, so that the pause grows with their
+# number. The longest leaves time to apply a change within a second.
+GATHER_PER_READER_MS = 30
+MIN_GATHER_MS = 200
+MAX_GATHER_MS = 900
 READ_TIMEOUT_MS = 1_500
 MIN_BACKOFF_MS = 60
 MAX_BACKOFF_MS = 400
@@ -90,6 +94,7 @@
         "_on_state",
         "_pages",
         "_random",
+        "_readers",
         "_request",
         "_revision",
         "_timer",
@@ -111,6 +116,7 @@
         self._known: dict[str, key_value_service.KeyValue] = {}
         self._pages: dict[str, key_value_service.KeyValue] = {}
         self._revision = 0
+        self._readers = 1
         self._backoff_ms = MIN_BACKOFF_MS
         self._is_stopped = False
         self._timer: clock_module.Timer | None = None
@@ -142,6 +148,16 @@
         """Call a function when the store is lost and when it is back."""
         self._on_state.append(listener)
 
+    @property
+    def gather_ms(self) -> int:
+        """Return the pause between changes and the next watch."""
+        pause_ms = GATHER_PER_READER_MS * self._readers
+        return min(MAX_GATHER_MS, max(MIN_GATHER_MS, pause_ms))
+
+    def set_readers(self, count: int) -> None:
+        """Set the number of processes that follow the store."""
+        self._readers = count
+
     def start(self) -> None:
         """Read all keys and follow the changes."""
         self._pages = {}
@@ -246,7 +262,7 @@
         if type(revision) is int:
             self._revision = max(self._revision, revision)
         if rows.get("events"):
-            self._timer = self._clock.call_later(GATHER_MS, self._watch)
+            self._timer = self._clock.call_later(self.gather_ms, self._watch)
         else:
             self._watch()
 
--- /dev/null
+++ b/tests/placement/test_lease_keeper.py
@@ -0,0 +1,76 @@
+"""Tests of the lease of a background task."""
+
+from __future__ import annotations
+
+import unittest
+
+from returns.result import Failure
+from returns.result import Success
+
+from balsamwall.placement import lease_keeper
+from balsamwall.results import result_code
+from balsamwall.timing import virtual_clock
+
+_Code = result_code.ResultCode
+TIMES = lease_keeper.LeaseTimes(ttl_ms=3_000, renew_ms=700, margin_ms=500)
+
+
+class ScriptedStore:
+    """Store that grants one lease; a test gives the result of renewals."""
+
+    def __init__(self):
+        self.renewal = Success(3_000)
+
+    def lease(self, ttl_ms, callback):
+        callback(Success(1))
+
+    def compare_and_swap(self, key, revision, value, callback, lease_id=0):
+        callback(Success(9))
+
+    def keep_alive(self, lease_id, callback):
+        callback(self.renewal)
+
+    def revoke(self, lease_id, callback):
+        callback(Success(0))
+
+
+class LeaseKeeperTest(unittest.TestCase):
+    """The holder knows at any time whether it may go on."""
+
+    def setUp(self):
+        self.clock = virtual_clock.VirtualClock()
+        self.store = ScriptedStore()
+        self.is_candidate = True
+        self.keeper = lease_keeper.LeaseKeeper(
+            self.clock,
+            self.store,
+            "task",
+            "a",
+            lambda: self.is_candidate,
+            TIMES,
+        )
+        self.keeper.start()
+
+    def test_failed_renewal_is_known_before_the_lease_ends(self):
+        """Guards against orders that stop for a moment in an outage."""
+        self.store.renewal = Failure(_Code.PLATFORM_UNAVAILABLE)
+        self.clock.advance(TIMES.renew_ms)
+        self.assertTrue(self.keeper.is_held)
+        self.assertTrue(self.keeper.is_renewal_failing)
+        self.store.renewal = Success(3_000)
+        self.clock.advance(TIMES.renew_ms)
+        self.assertFalse(self.keeper.is_renewal_failing)
+
+    def test_ended_lease_is_no_failed_renewal(self):
+        """Guards against a holder that goes on after its lease was taken."""
+        self.is_candidate = False
+        self.store.renewal = Failure(_Code.COMPARE_FAILED)
+        self.clock.advance(TIMES.renew_ms)
+        self.assertFalse(self.keeper.is_held)
+        self.assertFalse(self.keeper.is_renewal_failing)
+
+    def test_lease_ends_by_the_clock_of_the_holder(self):
+        """Guards against a holder that trusts a lease without renewals."""
+        self.store.renewal = Failure(_Code.PLATFORM_OUTCOME_UNKNOWN)
+        self.clock.advance(TIMES.ttl_ms - TIMES.margin_ms)
+        self.assertFalse(self.keeper.is_held)
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -112,3 +112,14 @@
         bad = {"key": "s/a", "value": "%%%", "revision": 5}
         self.read(bad, row("s/b", "1", 6))
         self.assertEqual(self.seen, [("s/b", "1")])
+
+    def test_pause_after_changes_grows_with_the_fleet(self):
+        """Guards against calls that grow with the square of the fleet."""
+        self.read()
+        self.feed.set_readers(28)
+        self.store.answer(events=[row("s/a", "1", 11)], current_rev=11)
+        calls = len(self.store.calls)
+        self.clock.advance(store_feed.MIN_GATHER_MS)
+        self.assertEqual(len(self.store.calls), calls)
+        self.clock.advance(store_feed.MAX_GATHER_MS)
+        self.assertEqual(len(self.store.calls), calls + 1)
