Take no permit for a refused load, resend lost orders, plan by gain

Cause: a load that an engine refused because its unload still waited took a permit of the weight store each time, so that more than half of the permits were lost and engines stood with an empty place; an order without an answer cost 0.7 s and a read of the state; a request for an absent model was planned when it came, before models that gain more. Change: a permit goes back unless the load may have begun; an order without an answer in 0.4 s is given again under the same expected count, twice at most; what is asked for within 40 ms is planned in one pass, in the order of gain; the sums over the reports are made once a pass.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -27,6 +27,8 @@
 
 TICK_INTERVAL_MS = 100
 STATE_INTERVAL_MS = 250
+# Time in which requests for absent models are gathered before a plan.
+PLAN_DELAY_MS = 40
 SUMMARY_INTERVAL_MS = 1_000
 # Loads without a request must leave permits for those with one.
 RESERVE_INTERVAL_MS = 300
@@ -70,6 +72,7 @@
         "_links",
         "_log",
         "_next_reserve_ms",
+        "_plan_timer",
         "_planner",
         "_runner",
         "_state_ms",
@@ -103,6 +106,7 @@
         self._is_store_connected = is_store_connected
         self._held_ms = 0
         self._entries_with_lease = 0
+        self._plan_timer: clock_module.Timer | None = None
         self._state_ms = 0
         self._summary_ms = 0
         self._next_reserve_ms = 0
@@ -158,7 +162,8 @@
             wanted = residency_waits.Wanted(
                 item.service, item.model, item.adapter
             )
-            self._on_wanted(wanted, 1)
+            self._demand.note_wanted(wanted)
+            self._plan_soon()
 
     def _on_crash(self, content: bytes) -> None:
         if self._crashes.add(content):
@@ -281,9 +286,27 @@
 
     # Planning
 
-    def _tick(self) -> None:
+    def _plan_soon(self) -> None:
+        """Plan for what has just been asked for.
+
+        Requests that come close together are planned in one pass, so that an
+        idle engine goes to the one that gains most.
+        """
+        if self._plan_timer is None:
+            self._plan_timer = self._clock.call_later(
+                PLAN_DELAY_MS, self._on_plan_due
+            )
+
+    def _on_plan_due(self) -> None:
+        self._plan_timer = None
+        if self._is_active:
+            self._plan_waiting()
+
+    def _plan_waiting(self) -> None:
+        """Plan for waiting requests, those first that gain most."""
         self._demand.update()
-        now_ms = self._clock.now_ms()
+        if not any(book.is_idle for book in self._books.values()):
+            return
         waiting = self._demand.waiting()
         for wanted in sorted(
             waiting,
@@ -291,6 +314,10 @@
             reverse=True,
         ):
             self._on_wanted(wanted, waiting[wanted])
+
+    def _tick(self) -> None:
+        self._plan_waiting()
+        now_ms = self._clock.now_ms()
         for service in self._engine_services():
             books = self._usable_books(service)
             self._carry_out(self._planner.plan_spread(books, now_ms))
@@ -299,7 +326,7 @@
                 self._carry_out(self._planner.plan_reserve(books, now_ms))
         if now_ms - self._summary_ms >= SUMMARY_INTERVAL_MS:
             self._summary_ms = now_ms
-            self._log_summary(waiting)
+            self._log_summary(self._demand.waiting())
         if now_ms - self._state_ms >= STATE_INTERVAL_MS:
             self._state_ms = now_ms
             self._links.broadcast(
--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -18,18 +18,25 @@
 PREFILL_TOKENS_PER_S = 1_000 * server_choice.PREFILL_TOKENS_PER_MS
 # Reports come several times a second; one that is older says nothing.
 REPORT_LIFE_MS = 1_500
+# Time until the next report of an entry counts its waiting requests.
+NOTED_LIFE_MS = 400
 
 
 class Demand:
     """Arrival rates, and running and waiting requests."""
 
     __slots__ = (
+        "_adapters_in_use",
         "_clock",
+        "_loads",
+        "_noted_ms",
         "_open",
         "_rates",
         "_reports",
+        "_running",
         "_updated_ms",
         "_used_ms",
+        "_waiting",
         "_waiting_since_ms",
         "_work",
     )
@@ -40,6 +47,11 @@
         self._rates: dict[str, float] = {}
         self._work: dict[str, float] = {}
         self._open: dict[str, int] = {}
+        self._loads: dict[str, int] = {}
+        self._running: dict[tuple[str, str], int] = {}
+        self._adapters_in_use: set[tuple[str, str, str]] = set()
+        self._waiting: dict[residency_waits.Wanted, int] = {}
+        self._noted_ms: dict[residency_waits.Wanted, int] = {}
         self._updated_ms = clock.now_ms()
         self._used_ms: dict[str, int] = {}
         self._waiting_since_ms: dict[residency_waits.Wanted, int] = {}
@@ -56,12 +68,16 @@
             self._work[model] = work + tokens * per_s / PREFILL_TOKENS_PER_S
             self._used_ms[model] = now_ms
 
+    def note_wanted(self, wanted: residency_waits.Wanted) -> None:
+        """Count a request that waits until the next report of its entry."""
+        self._noted_ms[wanted] = self._clock.now_ms()
+
     def forget(self, vm: str) -> None:
         """Drop an entry that is gone."""
         self._reports.pop(vm, None)
 
     def update(self) -> None:
-        """Let the rates decay up to now."""
+        """Let the rates decay, and sum the reports up."""
         now_ms = self._clock.now_ms()
         passed_ms = max(0, now_ms - self._updated_ms)
         self._updated_ms = now_ms
@@ -69,20 +85,46 @@
         for model in self._rates:
             self._rates[model] *= kept
             self._work[model] *= kept
-        waiting = self.waiting()
-        self._open = {}
-        for row in self._running_rows():
-            self._open[row[1]] = self._open.get(row[1], 0) + row[3]
+        self._sum_running()
+        self._sum_waiting()
         for model, count in self.queued().items():
             self._open[model] = self._open.get(model, 0) + count
-        for wanted, count in waiting.items():
+        for wanted, count in self._waiting.items():
             known = self._open.get(wanted.model, 0)
             self._open[wanted.model] = known + count
         self._waiting_since_ms = {
             wanted: self._waiting_since_ms.get(wanted, now_ms)
-            for wanted in waiting
+            for wanted in self._waiting
         }
 
+    def _sum_running(self) -> None:
+        self._open = {}
+        self._loads = {}
+        self._running = {}
+        self._adapters_in_use = set()
+        for report in self._fresh_reports():
+            for server_id, model, adapter, count in report.running:
+                key = (server_id, model)
+                self._open[model] = self._open.get(model, 0) + count
+                self._loads[server_id] = self._loads.get(server_id, 0) + count
+                self._running[key] = self._running.get(key, 0) + count
+                self._adapters_in_use.add((server_id, model, adapter))
+
+    def _sum_waiting(self) -> None:
+        self._waiting = {}
+        for report in self._fresh_reports():
+            for service, model, adapter, count in report.waiting:
+                wanted = residency_waits.Wanted(service, model, adapter)
+                self._waiting[wanted] = self._waiting.get(wanted, 0) + count
+        oldest_ms = self._clock.now_ms() - NOTED_LIFE_MS
+        self._noted_ms = {
+            wanted: noted_ms
+            for wanted, noted_ms in self._noted_ms.items()
+            if noted_ms >= oldest_ms
+        }
+        for wanted in self._noted_ms:
+            self._waiting.setdefault(wanted, 1)
+
     def rate(self, model: str) -> float:
         """Return the requests for a model per second."""
         return self._rates.get(model, 0.0)
@@ -112,31 +154,19 @@
 
     def loads(self) -> dict[str, int]:
         """Return the running requests by engine."""
-        loads: dict[str, int] = {}
-        for row in self._running_rows():
-            loads[row[0]] = loads.get(row[0], 0) + row[3]
-        return loads
+        return self._loads
 
     def running(self) -> dict[tuple[str, str], int]:
         """Return the running requests by engine and model."""
-        found: dict[tuple[str, str], int] = {}
-        for row in self._running_rows():
-            key = (row[0], row[1])
-            found[key] = found.get(key, 0) + row[3]
-        return found
+        return self._running
 
     def adapters_in_use(self) -> set[tuple[str, str, str]]:
         """Return the engine, model and adapter of all running requests."""
-        return {(row[0], row[1], row[2]) for row in self._running_rows()}
+        return self._adapters_in_use
 
     def waiting(self) -> dict[residency_waits.Wanted, int]:
         """Return the waiting requests by what they want."""
-        found: dict[residency_waits.Wanted, int] = {}
-        for report in self._fresh_reports():
-            for row in report.waiting:
-                wanted = residency_waits.Wanted(row[0], row[1], row[2])
-                found[wanted] = found.get(wanted, 0) + row[3]
-        return found
+        return self._waiting
 
     def queued(self) -> dict[str, int]:
         """Return the requests that wait for room at an engine, by model."""
@@ -153,6 +183,3 @@
             for seen_ms, report in self._reports.values()
             if seen_ms >= oldest_ms
         ]
-
-    def _running_rows(self) -> list[list]:  # type: ignore[type-arg]
-        return [row for item in self._fresh_reports() for row in item.running]
--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -31,11 +31,13 @@
         "at_hand",
         "changed_ms",
         "conflicts",
+        "has_permit",
         "loading",
         "models",
         "order_count",
         "queue",
         "record",
+        "resends",
         "spec",
         "state",
         "steady_since_ms",
@@ -65,6 +67,9 @@
         self.timer: clock_module.Timer | None = None
         self.steady_since_ms: int | None = None
         self.conflicts = 0
+        self.resends = 0
+        # A permit of the weight store was taken for the order being sent.
+        self.has_permit = False
         self.queue: list[engine_control.Order] = []
         self.used_ms: dict[tuple[str, str], int] = {}
         self.changed_ms: dict[str, int] = {}
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -30,6 +30,8 @@
 # tries, which doubles, and the longest one.
 FIRST_CONFLICT_PAUSE_MS = 40
 MAX_CONFLICT_PAUSE_MS = 320
+# Orders without an answer that are given again before the state is read.
+MAX_RESENDS = 2
 # Refusals in a row after which the order count is compared.
 CONFLICTS_TO_CHECK = 4
 # An adapter arrives within some milliseconds of its order.
@@ -115,12 +117,34 @@
             )
             book.queue.clear()
             return
-        if self._is_store_load(book, order) and not self._load_bucket.take():
+        if not self._has_permit(book, order):
             wait_ms = self._load_bucket.wait_ms()
             self._schedule(book, wait_ms, self.run)
             return
         self._send(book, order, token)
 
+    def _has_permit(
+        self, book: engine_book.EngineBook, order: engine_control.Order
+    ) -> bool:
+        """Take a permit of the weight store, if the order needs one."""
+        if book.has_permit or not self._is_store_load(book, order):
+            return True
+        book.has_permit = self._load_bucket.take()
+        return book.has_permit
+
+    def _settle_permit(
+        self,
+        book: engine_book.EngineBook,
+        outcome: engine_control.OrderOutcome,
+    ) -> None:
+        """Give a permit back unless a load has begun or may have."""
+        if outcome is _Outcome.UNKNOWN:
+            return
+        may_have_begun = outcome is _Outcome.ACCEPTED or book.resends
+        if book.has_permit and not may_have_begun:
+            self._load_bucket.put_back()
+        book.has_permit = False
+
     def _schedule(
         self,
         book: engine_book.EngineBook,
@@ -135,6 +159,8 @@
     def _lose_track(self, book: engine_book.EngineBook) -> None:
         """Read the state until it is steady."""
         book.state = _State.UNKNOWN
+        book.resends = 0
+        book.has_permit = False
         book.steady_since_ms = None
         self._schedule(book, 0, self._read_state)
 
@@ -180,15 +206,25 @@
         order: engine_control.Order,
         outcome: engine_control.OrderOutcome,
     ) -> None:
+        self._settle_permit(book, outcome)
         if outcome is _Outcome.FENCED:
             book.queue.clear()
             self._lose_track(book)
             self._owner.on_fenced()
         elif outcome in (_Outcome.ACCEPTED, _Outcome.ALREADY_TRUE):
             book.conflicts = 0
+            book.resends = 0
             if book.queue and book.queue[0] is order:
                 book.queue.pop(0)
             self._apply(book, order, outcome)
+        elif outcome is _Outcome.UNKNOWN and book.resends < MAX_RESENDS:
+            # The engine carries out one of the two at most, because both
+            # expect the same number of orders before them.
+            book.resends += 1
+            self._be_ready(book)
+        elif outcome is _Outcome.CONFLICT and book.resends:
+            book.resends = 0
+            self._compare_count(book)
         elif outcome is _Outcome.CONFLICT:
             self._wait_busy(book)
         else:
--- a/src/balsamwall/limits/token_bucket.py
+++ b/src/balsamwall/limits/token_bucket.py
@@ -37,6 +37,11 @@
         self._tokens -= 1.0
         return True
 
+    def put_back(self) -> None:
+        """Return a token whose use did not take place."""
+        self._refill()
+        self._tokens = min(self._burst, self._tokens + 1.0)
+
     def wait_ms(self) -> int:
         """Return the time until a token is there, in milliseconds."""
         self._refill()
--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -17,7 +17,10 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.infrastructure import http_client
 
-CALL_TIMEOUT_MS = 700
+REPORT_TIMEOUT_MS = 700
+# An engine answers an order within some milliseconds. A second one with the
+# same expected order count does no harm.
+ORDER_TIMEOUT_MS = 400
 EXPECT_SERVER = "Balsamwall-Expect-Instance"
 
 _Outcome = engine_control.OrderOutcome
@@ -65,7 +68,7 @@
             f"http://{record.host}:{record.port}/report",
             {EXPECT_SERVER: record.server_id},
             b"",
-            CALL_TIMEOUT_MS,
+            REPORT_TIMEOUT_MS,
             on_answer,
         )
 
@@ -101,7 +104,7 @@
             f"http://{record.host}:{record.port}/order",
             headers,
             json.dumps(body).encode(),
-            CALL_TIMEOUT_MS,
+            ORDER_TIMEOUT_MS,
             on_answer,
         )
 
--- /dev/null
+++ b/tests/coordination/test_order_of_plans.py
@@ -0,0 +1,93 @@
+"""Tests of the order in which absent models get the idle engines."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import engine_control
+from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import residency_planner
+from balsamwall.gateway import backend_directory
+from balsamwall.gateway import configuration_holder
+from balsamwall.logs import decision_log
+from balsamwall.timing import virtual_clock
+from tests.coordination import test_coordinator
+from tests.fixtures import gateway_world
+
+
+class AcceptingEngine:
+    """Engine that holds one model and accepts every order."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.orders = []
+
+    def read_report(self, record, callback):
+        report = engine_control.EngineReport(
+            len(self.orders), False, {"m1": frozenset()}, frozenset(), 0, 0
+        )
+        self.clock.call_later(1, callback, report)
+
+    def send_order(self, record, order, order_count, token, callback):
+        self.orders.append((order.kind.value, order.model))
+        accepted = engine_control.OrderOutcome.ACCEPTED
+        self.clock.call_later(1, callback, accepted)
+
+
+class OrderOfPlansTest(unittest.TestCase):
+    """Load pattern: many absent models, and one engine that has a place."""
+
+    def setUp(self):
+        self.clock = virtual_clock.VirtualClock(start_ms=5_000)
+        configuration = configuration_holder.ConfigurationHolder()
+        engine = gateway_world.make_engine(
+            "m1", "busy", "rare", weights_mb=40_000.0
+        )
+        configuration.offer(
+            gateway_world.make_configuration(
+                1, gateway_world.make_route(), engine=engine
+            )
+        )
+        self.directory = backend_directory.BackendDirectory(self.clock.now_ms)
+        lease = test_coordinator.FakeLease()
+        lease.is_held, lease.revision = True, 7
+        self.engine = AcceptingEngine(self.clock)
+        self.coordinator = coordinator_module.Coordinator(
+            self.clock,
+            configuration,
+            self.directory,
+            lease,
+            self.engine,
+            test_coordinator.FakeLinks(),
+            decision_log.DecisionLog(self.clock),
+            lambda: True,
+        )
+        record = gateway_world.make_record(
+            "e1", models={"m1": ()}, on_disk=frozenset({"rare"})
+        )
+        self.directory.put(record)
+        self.coordinator.start()
+        self.clock.advance(900)
+
+    def want(self, model):
+        self.coordinator.on_message(
+            "f1", messages_fleet.LoadWanted("app", model, "")
+        )
+
+    def test_place_goes_to_the_model_that_is_asked_for_most(self):
+        """Guards against a rare model that takes the place of a busy one."""
+        # An engine that is not quiet gets no load without a request.
+        running = [["e1", "other", "", 8]]
+        arrivals = {"busy": [60, 0]}
+        self.coordinator.on_message(
+            "f1", messages_fleet.DemandReport(running, [], {}, arrivals)
+        )
+        self.clock.advance(residency_planner.MIN_STAY_MS)
+        self.want("rare")
+        self.clock.advance(1)
+        self.want("busy")
+        self.clock.advance(500)
+        self.assertEqual(
+            self.engine.orders, [("unload", "m1"), ("load", "busy")]
+        )
--- a/tests/coordination/test_order_runner.py
+++ b/tests/coordination/test_order_runner.py
@@ -144,6 +144,32 @@
         self.clock.advance(6_000)
         self.assertEqual(self.engine.models, {"m2", "m4"})
 
+    def test_order_that_was_lost_is_given_again_at_once(self):
+        """Guards against a place that stays empty while a state is read."""
+        send = self.engine.send_order
+
+        def lose(record, order, order_count, token, callback):
+            self.engine.send_order = send
+            self.clock.call_later(1, callback, Outcome.UNKNOWN)
+
+        self.engine.send_order = lose
+        self.swap("m1", "m3")
+        self.clock.advance(order_runner.SETTLE_MS // 2)
+        self.assertEqual(
+            self.engine.orders, [("unload", "m1"), ("load", "m3")]
+        )
+
+    def test_refused_load_takes_no_permit(self):
+        """Guards against a store that idles while an unload waits."""
+        self.engine.apply(Order(Kind.UNLOAD, "m1"), 0)
+        self.engine.busy_until_ms = self.clock.now_ms() + 3_000
+        self.book.order_count = 1
+        self.book.models.pop("m1")
+        self.book.queue.append(Order(Kind.LOAD, "m3"))
+        self.runner.run(self.book)
+        self.clock.advance(1_000)
+        self.assertTrue(self.runner._load_bucket.take())
+
     def test_load_that_does_not_fit_is_not_sent(self):
         """Guards against an engine that is ordered beyond its memory."""
         self.book.queue.append(Order(Kind.LOAD, "m3"))
