Rank further copies and first copies in one order

Cause: models that requests wait for were planned first, so that rare ones took every engine that became idle, and busy models queued at full engines. Change: one list of needs in the order of their gain; which models gain is a module of its own, apart from where they go.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -300,30 +300,41 @@
     def _on_plan_due(self) -> None:
         self._plan_timer = None
         if self._is_active:
-            self._plan_waiting()
+            self._plan()
 
-    def _plan_waiting(self) -> None:
-        """Plan for waiting requests, those first that gain most."""
+    def _plan(self) -> None:
+        """Plan what gains most, for waiting requests and full engines."""
         self._demand.update()
-        if not any(book.is_idle for book in self._books.values()):
-            return
-        waiting = self._demand.waiting()
-        for wanted in sorted(
-            waiting,
-            key=lambda row: self._planner.gain(row, waiting[row]),
-            reverse=True,
-        ):
-            self._on_wanted(wanted, waiting[wanted])
-
-    def _tick(self) -> None:
-        self._plan_waiting()
         now_ms = self._clock.now_ms()
+        waiting = self._demand.waiting()
         for service in self._engine_services():
             books = self._usable_books(service)
-            self._carry_out(self._planner.plan_spread(books, now_ms))
+            if not any(book.is_idle for book in books):
+                continue
+            asked = {
+                wanted: count
+                for wanted, count in waiting.items()
+                if self._is_plannable(service, wanted)
+            }
+            for need in self._planner.needs(books, asked):
+                self._carry_out(self._planner.plan(need, books, now_ms))
             if self._is_reserve_due(now_ms):
                 self._next_reserve_ms = now_ms + RESERVE_INTERVAL_MS
                 self._carry_out(self._planner.plan_reserve(books, now_ms))
+
+    def _is_plannable(
+        self, service: str, wanted: residency_waits.Wanted
+    ) -> bool:
+        engine = self._engine_of(service)
+        return (
+            wanted.service == service
+            and engine is not None
+            and wanted.model in engine.models
+        )
+
+    def _tick(self) -> None:
+        self._plan()
+        now_ms = self._clock.now_ms()
         if now_ms - self._summary_ms >= SUMMARY_INTERVAL_MS:
             self._summary_ms = now_ms
             self._log_summary(self._demand.waiting())
@@ -379,29 +390,6 @@
             if spec.engine is not None
         ]
 
-    def _on_wanted(self, wanted: residency_waits.Wanted, count: int) -> None:
-        service, model, adapter = (
-            wanted.service,
-            wanted.model,
-            wanted.adapter,
-        )
-        engine = self._engine_of(service)
-        if engine is None or model not in engine.models:
-            return
-        books = self._usable_books(service)
-        if any(book.will_hold(model, adapter) for book in books):
-            return
-        has_base = any(book.will_hold(model) for book in books)
-        if adapter and has_base:
-            plan = self._planner.plan_adapter(books, model, adapter)
-        elif not has_base:
-            plan = self._planner.plan_model(
-                books, wanted, count, self._clock.now_ms()
-            )
-        else:
-            plan = None
-        self._carry_out(plan)
-
     def _carry_out(self, plan: residency_planner.Plan | None) -> None:
         if plan is None:
             return
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -52,13 +52,24 @@
             self.demand.update()
 
     def plan_model(self, model, count=1):
-        wanted = residency_waits.Wanted("app", model, "")
-        return self.planner.plan_model(
-            self.books, wanted, count, self.clock.now_ms()
-        )
+        return self.first_plan({self.wanted(model): count})
 
     def plan_spread(self):
-        return self.planner.plan_spread(self.books, self.clock.now_ms())
+        return self.first_plan({})
+
+    def plan_adapter(self, model, adapter):
+        return self.first_plan({self.wanted(model, adapter): 1})
+
+    @staticmethod
+    def wanted(model, adapter=""):
+        return residency_waits.Wanted("app", model, adapter)
+
+    def first_plan(self, waiting):
+        for need in self.planner.needs(self.books, waiting):
+            plan = self.planner.plan(need, self.books, self.clock.now_ms())
+            if plan is not None:
+                return plan
+        return None
 
 
 def names(plan):
@@ -157,7 +168,7 @@
     def test_adapter_goes_to_an_engine_with_its_model(self):
         """Guards against adapters without their base model."""
         world = PlannerWorld(["hot1"], ["hot2"])
-        plan = world.planner.plan_adapter(world.books, "hot2", "a1")
+        plan = world.plan_adapter("hot2", "a1")
         self.assertEqual(plan.book, world.books[1])
 
     def test_full_adapter_places_give_up_the_one_used_last(self):
@@ -167,7 +178,7 @@
         book.models["hot1"] = {"a1", "a2", "a3", "a4"}
         for index, name in enumerate(["a3", "a1", "a2", "a4"]):
             book.used_ms["hot1", name] = 1_000 + index
-        plan = world.planner.plan_adapter(world.books, "hot1", "a9")
+        plan = world.plan_adapter("hot1", "a9")
         orders = [(order.kind.value, order.adapter) for order in plan.orders]
         self.assertEqual(orders, [("unload", "a3"), ("load", "a9")])
 
@@ -191,3 +202,14 @@
             {"hot1": 50, "rare1": 0.5, "rare2": 0.3}, waiting=[("hot1", 90)]
         )
         self.assertIsNotNone(world.plan_model("hot1", 90))
+
+    def test_full_engine_goes_before_a_rare_model(self):
+        """Guards against rare models that take every idle engine."""
+        world = PlannerWorld(["hot1", "rare1"], ["rare2", "rare3"])
+        world.report(
+            {"hot1": 30, "rare2": 0.1, "rare3": 0.1, "rare4": 0.5},
+            running=[("e0", "hot1", "", 120)],
+            waiting=[("rare4", 3)],
+        )
+        plan = world.plan_model("rare4", 3)
+        self.assertEqual(names(plan)[-1], ("load", "hot1"))
