--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -240,6 +240,7 @@
             candidates=run.choice.candidates if run.choice else None,
             prompt_tokens=run.request.prompt_tokens,
             waited_ms=run.waited_ms,
+            room_waited_ms=run.room_waited_ms,
             first_data_ms=run.first_data_ms,
             longest_gap_ms=run.longest_gap_ms,
             configuration=current.version if current else None,
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -138,6 +138,11 @@
         """Return the time before the request was sent."""
         return self._wait.waited_ms
 
+    @property
+    def room_waited_ms(self) -> int:
+        """Return the part of the wait that was for room at a server."""
+        return self._wait.room_waited_ms
+
     @property
     def _useful_ms(self) -> int:
         """Return the time for which a wait may still end in an answer."""
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -30,6 +30,7 @@
         "_timer",
         "_waits",
         "_wanted",
+        "room_waited_ms",
         "waited_ms",
     )
 
@@ -51,6 +52,7 @@
         self._since_ms = 0
         self._timer: clock_module.Timer | None = None
         self.waited_ms = 0
+        self.room_waited_ms = 0
 
     def for_model(
         self,
@@ -75,12 +77,14 @@
             return
         self._timer.cancel()
         self._timer = None
-        self.waited_ms += self._clock.now_ms() - self._since_ms
+        waited_ms = self._clock.now_ms() - self._since_ms
+        self.waited_ms += waited_ms
         wanted, self._wanted = self._wanted, None
         if wanted is not None:
             self._waits.remove(wanted, run)
         if self._is_for_room:
             self._is_for_room = False
+            self.room_waited_ms += waited_ms
             self._room.remove(run)
 
     def _begin(self, left_ms: int) -> None:
