Wait only for loads that are planned, and refuse queues that are too long at once

Cause: a request for a model that nobody was loading was held for 1.4 s of the 2 s that its caller waits, and then refused; callers returned after 0.5 s, before the model was there. Change: the coordinator tells when models that are on their way are due, and how many requests wait for room. A request waits if its model is due in time; without a plan it waits a quarter of the caller's patience; a queue that takes longer than callers wait refuses at once. Retry-After says when the model is due, spread by half. Refused callers count as waiting until they return.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -120,7 +120,7 @@
         self._pool = connection_pool.ConnectionPool(
             reactor, self._clock, ports.codec.echo_field
         )
-        self._waits = residency_waits.ResidencyWaits(self._want)
+        self._waits = residency_waits.ResidencyWaits(self._clock, self._want)
         health = server_health.ServerHealth(self._clock)
         self._parts = request_parts.RequestParts(
             clock=self._clock,
@@ -144,6 +144,7 @@
             directory=self._directory,
             want=self._want,
             report_crash=self._report_crash,
+            random_source=self._random,
         )
         self._gateway = gateway_module.Gateway(
             self._parts, self._configuration, self._random
@@ -171,6 +172,7 @@
             self._gateway.count_queued,
             self._dial_holder,
             self._on_entries,
+            self._parts.forecast,
             self._parts.suspects.quarantine,
             self._log,
         )
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -7,6 +7,7 @@
 
 from balsamwall.coordination import demand as demand_module
 from balsamwall.coordination import engine_book
+from balsamwall.coordination import load_forecast
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
 from balsamwall.coordination import residency_planner
@@ -342,7 +343,10 @@
             self._state_ms = now_ms
             self._links.broadcast(
                 messages_fleet.FleetState(
-                    self._links.count, self._demand.loads()
+                    self._links.count,
+                    self._demand.loads(),
+                    self._demand.queued(),
+                    load_forecast.expected_loads(self._books.values(), now_ms),
                 )
             )
 
--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -32,6 +32,7 @@
         "changed_ms",
         "conflicts",
         "has_permit",
+        "loaded_at_ms",
         "loading",
         "models",
         "order_count",
@@ -61,6 +62,7 @@
             *record.models,
         }
         self.loading: str = ""
+        self.loaded_at_ms = 0
         self.arriving: set[tuple[str, str]] = set()
         self.order_count = 0
         self.state = EngineState.UNKNOWN
@@ -122,6 +124,15 @@
             total += self._adapter_mb(model)
         return total
 
+    def load_ms(self, model: str) -> int:
+        """Return the time of a load from where the VM has the weights."""
+        spec = self.spec.models.get(model)
+        if spec is None:
+            return 0
+        if model in self.record.in_memory:
+            return spec.warm_ms
+        return spec.disk_ms if model in self.at_hand else spec.load_ms
+
     def free_mb(self) -> float:
         """Return the memory that is left for weights."""
         return self.spec.weights_mb - self.charged_mb()
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -13,6 +13,7 @@
     from balsamwall.coordination import fleet_stream
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import residency_waits
+    from balsamwall.gateway import wait_forecast
     from balsamwall.logs import decision_log
     from balsamwall.protocol import message
     from balsamwall.timing import clock as clock_module
@@ -43,6 +44,7 @@
         "_is_dialling",
         "_link",
         "_log",
+        "_forecast",
         "_on_entries",
         "_on_quarantine",
         "_take_arrivals",
@@ -60,6 +62,7 @@
         count_queued: Callable[[], dict[str, int]],
         dial: Callable[[str], Link | None],
         on_entries: Callable[[int], None],
+        forecast: wait_forecast.WaitForecast,
         on_quarantine: Callable[[bytes], None],
         log: decision_log.DecisionLog,
     ) -> None:
@@ -71,6 +74,7 @@
         self._count_queued = count_queued
         self._dial = dial
         self._on_entries = on_entries
+        self._forecast = forecast
         self._on_quarantine = on_quarantine
         self._log = log
         self._waits: residency_waits.ResidencyWaits | None = None
@@ -131,6 +135,7 @@
             self._on_quarantine(item.content)
         elif isinstance(item, messages_fleet.FleetState):
             self._on_entries(item.entries)
+            self._forecast.on_state(item.loads_due, item.queued)
             now_ms = self._clock.now_ms()
             for server in self._directory.all_servers():
                 load = item.loads.get(server.server_id, 0)
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -65,10 +65,14 @@
 
 @message.register(104)
 class FleetState(message.Message):
-    """Tell the number of entries and the load of the servers.
+    """Tell the number of entries and the state of the servers.
 
-    The load of a server counts the requests of all entries.
+    The load of a server counts the requests of all entries. Queued requests
+    are counted by model; they wait for room at an engine. The loads due have
+    the time in ms until a model that is on its way can be used.
     """
 
     entries: int
     loads: dict[str, int]
+    queued: dict[str, int]
+    loads_due: dict[str, int]
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -283,7 +283,8 @@
             model=model,
             is_from_store=is_from_store,
         )
-        delay_ms = self._load_ms(book, model) + LOAD_MARGIN_MS
+        delay_ms = book.load_ms(model) + LOAD_MARGIN_MS
+        book.loaded_at_ms = self._clock.now_ms() + delay_ms
         # The time of a load from the store grows with the number of loads in
         # all engines; one from the VM's own copy takes its time.
         step = self._poll_load if is_from_store else self._on_loaded
@@ -324,15 +325,6 @@
         else:
             book.models.pop(order.model, None)
 
-    @staticmethod
-    def _load_ms(book: engine_book.EngineBook, model: str) -> int:
-        spec = book.spec.models.get(model)
-        if spec is None:
-            return RETRY_INTERVAL_MS
-        if model in book.record.in_memory:
-            return spec.warm_ms
-        return spec.disk_ms if model in book.at_hand else spec.load_ms
-
     # Reports
 
     def _read(
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -218,10 +218,8 @@
         victims: list[str],
     ) -> float:
         """Return the time until a model is loaded."""
-        spec = book.spec.models[model]
         running = self._demand.running()
-        is_at_hand = model in book.at_hand
-        delay_s = (spec.disk_ms if is_at_hand else spec.load_ms) / 1_000
+        delay_s = book.load_ms(model) / 1_000
         if any((book.record.server_id, name) in running for name in victims):
             delay_s += RUNNING_WAIT_S
         return delay_s
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -167,6 +167,16 @@
         known = self._by_service.get(service, {})
         return [server for server in known.values() if not server.is_leaving]
 
+    def holders(
+        self, service: str, model: str, adapter: str
+    ) -> list[BackendServer]:
+        """Return the ready servers that have a model and its adapter."""
+        return [
+            server
+            for server in self.ready_servers(service)
+            if server.has(model, adapter)
+        ]
+
     def put(self, record: ServerRecord) -> None:
         """Add a server or take its newer record."""
         server = self._servers.get(record.server_id)
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -11,10 +11,13 @@
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
 from balsamwall.gateway import room_queue
+from balsamwall.gateway import wait_forecast
+from balsamwall.gateway import wait_policy
 from balsamwall.limits import retry_budget as retry_budget_module
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    import random
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
@@ -57,6 +60,7 @@
         "clock",
         "codec",
         "directory",
+        "forecast",
         "health",
         "log",
         "metrics",
@@ -64,6 +68,7 @@
         "retry_policy",
         "room",
         "suspects",
+        "wait_policy",
         "waits",
         "want",
         "zone",
@@ -90,6 +95,7 @@
         directory: backend_directory.BackendDirectory,
         want: Callable[[residency_waits.Wanted], None],
         report_crash: Callable[[bytes], None],
+        random_source: random.Random,
     ) -> None:
         self.suspects = crash_suspects.CrashSuspects(clock, report_crash)
         self.directory = directory
@@ -106,6 +112,8 @@
         self.retry_policy = retry_policy_module.RetryPolicy()
         self.admission = admission_module.Admission(clock)
         self.room = room_queue.RoomQueue(clock)
+        self.forecast = wait_forecast.WaitForecast(clock)
+        self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
         self._retry_terms = retry_terms
         self._entries = max(1, entries)
@@ -224,6 +232,9 @@
         """Log the outcome of a request."""
         duration_ms = self.clock.now_ms() - run.arrived_ms
         self.metrics.observe_end(run.route.name, code, duration_ms)
+        if server is not None and run.route.is_stream:
+            served_ms = duration_ms - run.waited_ms
+            self.forecast.on_stream_over(server.record.service, served_ms)
         current = self._configuration.current
         self.log.write(
             "request_over",
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import admission
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
+from balsamwall.gateway import refusal
 from balsamwall.gateway import request_wait
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy
@@ -96,6 +98,8 @@
             parts.clock,
             parts.waits,
             parts.room,
+            parts.wait_policy,
+            parts.forecast,
             route.patience_ms,
             self._on_wait_over,
         )
@@ -180,7 +184,7 @@
             if self._may_send_now(choice.server):
                 self._send(choice.server)
             else:
-                self._wait.for_room(self, self._useful_ms)
+                self._wait_for_room()
         elif self._excluded:
             # Every other server was tried; one of them may have room again.
             self._excluded = frozenset()
@@ -216,6 +220,25 @@
         self._send(server)
         return True
 
+    def _wait_for_room(self) -> None:
+        parts = self._parts
+        holders = parts.directory.holders(*self.target)
+        expected_ms = parts.forecast.until_room_ms(
+            self._service, self.request.model, holders
+        )
+        is_urgent = self.priority <= admission.URGENT_PRIORITY
+        is_too_long = parts.wait_policy.is_queue_too_long(
+            self.route.patience_ms, expected_ms
+        )
+        if is_too_long and not is_urgent:
+            self._give_up(
+                _Code.QUEUE_FULL,
+                "the queue is longer than callers wait",
+                parts.wait_policy.return_ms(expected_ms),
+            )
+        else:
+            self._wait.for_room(self, self._useful_ms)
+
     def _wait_for_model(self) -> None:
         if not self._parts.is_model_known(self._service, self.request):
             self._give_up(_Code.NO_REPLICA, "unknown model or adapter")
@@ -230,10 +253,21 @@
 
     def _on_wait_over(self, is_for_room: bool) -> None:
         self._wait.stop(self)
+        parts = self._parts
         if is_for_room:
-            self._give_up(_Code.QUEUE_FULL, "no server had room in time")
-        else:
-            self._give_up(_Code.NO_REPLICA, "the model was not loaded in time")
+            self._give_up(
+                _Code.QUEUE_FULL,
+                "no server had room in time",
+                parts.wait_policy.return_ms(None),
+            )
+            return
+        wanted = residency_waits.Wanted(*self.target)
+        due_ms = parts.forecast.until_loaded_ms(wanted.model)
+        return_ms = parts.wait_policy.return_ms(due_ms)
+        parts.waits.expect_return(wanted, return_ms)
+        self._give_up(
+            _Code.NO_REPLICA, f"the model is due in {due_ms} ms", return_ms
+        )
 
     # Sending
 
@@ -450,7 +484,12 @@
         if self._attempt is not None:
             self._attempt.set_blocked(is_blocked)
 
-    def _give_up(self, code: _Code, detail: str) -> None:
+    def _give_up(
+        self,
+        code: _Code,
+        detail: str,
+        retry_after_ms: int = refusal.RETRY_AFTER_MS,
+    ) -> None:
         """Answer with a failure that says whether the request has run."""
         if self._history.may_have_run and code.is_certified_not_run:
             code = _Code.OUTCOME_UNKNOWN
@@ -458,7 +497,7 @@
             not self._history.may_have_run
         ):
             code = _Code.DEADLINE_UNREACHABLE
-        self._parts.refuse(self._exchange, code, detail)
+        self._parts.refuse(self._exchange, code, detail, retry_after_ms)
         self._over(code, detail, None)
 
     def _cut(self, code: _Code, detail: str) -> None:
--- a/src/balsamwall/gateway/residency_waits.py
+++ b/src/balsamwall/gateway/residency_waits.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.timing import clock as clock_module
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -35,10 +36,17 @@
 class ResidencyWaits:
     """Wake the waiting requests of a model, the most urgent first."""
 
-    __slots__ = ("_on_wanted", "_waiting")
+    __slots__ = ("_clock", "_on_wanted", "_returning", "_waiting")
 
-    def __init__(self, on_wanted: Callable[[Wanted], None]) -> None:
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        on_wanted: Callable[[Wanted], None],
+    ) -> None:
+        self._clock = clock
         self._on_wanted = on_wanted
+        # Callers that were told to return, by the time of their return.
+        self._returning: dict[Wanted, list[int]] = {}
         self._waiting: dict[Wanted, list[Waiter]] = {}
 
     def add(self, wanted: Wanted, waiter: Waiter) -> None:
@@ -57,9 +65,23 @@
         if not rows:
             del self._waiting[wanted]
 
+    def expect_return(self, wanted: Wanted, after_ms: int) -> None:
+        """Count a refused caller as waiting until it returns."""
+        at_ms = self._clock.now_ms() + after_ms
+        self._returning.setdefault(wanted, []).append(at_ms)
+
     def counts(self) -> dict[Wanted, int]:
         """Return the number of waiting requests by what they want."""
-        return {wanted: len(rows) for wanted, rows in self._waiting.items()}
+        now_ms = self._clock.now_ms()
+        counts = {wanted: len(rows) for wanted, rows in self._waiting.items()}
+        for wanted, times in list(self._returning.items()):
+            times = [at_ms for at_ms in times if at_ms > now_ms]
+            if not times:
+                del self._returning[wanted]
+                continue
+            self._returning[wanted] = times
+            counts[wanted] = counts.get(wanted, 0) + len(times)
+        return counts
 
     def on_server_changed(
         self, server: backend_directory.BackendServer
