Add a fault soak of real entries

Change: soak/ has stand-ins of the store and of servers, a loopback proxy that delays, resets, cuts and silences, callers that keep their connections, faults in series drawn from a seed, and checks of what callers and servers see. The first run found a traceback when a port is taken; the entry now ends with one line and code 5.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
-.PHONY: install run test lint format scenarios mutations bench bench-system
+.PHONY: install run test lint format scenarios mutations bench bench-system soak
 
 install: .venv/installed
 
@@ -25,7 +25,7 @@
 lint: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 src standins tests scenarios bench tools
+	$(BIN)/flake8 src standins tests scenarios bench tools soak
 	$(BIN)/mypy
 
 # make scenarios FILE=scenarios/drain.feature runs one file.
@@ -40,6 +40,12 @@
 bench: install
 	$(BIN)/python -m bench
 
+# make soak SEEDS=1:50 runs real entries under faults.
+SEEDS ?= 1:10
+
+soak: install
+	$(BIN)/python -m soak many --seeds $(SEEDS)
+
 # Cost of running daemons: processor time per token and request, memory,
 # control traffic; it starts the whole system.
 bench-system: install
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real entries as processes, with faults from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,71 @@
+"""Command line of the soak: `python -m soak --seeds 1:50`."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import fire
+
+from soak import run as run_module
+
+DEFAULT_SECONDS = 6.0
+TIMEOUT_S = 120
+EXIT_VIOLATION = 1
+
+
+def one(seed: int, seconds: float = DEFAULT_SECONDS, keep: str = "") -> None:
+    """Run one seed and print its report as JSON; keep the logs in a folder."""
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = pathlib.Path(keep or scratch)
+        folder.mkdir(parents=True, exist_ok=True)
+        report = run_module.run(seed, seconds, folder)
+    print(json.dumps(dataclasses.asdict(report)))
+
+
+def many(
+    seeds: str = "1:10", seconds: float = DEFAULT_SECONDS, jobs: int = 2
+) -> int:
+    """Run the seeds FIRST:LAST; return 1 if one broke a promise."""
+    first, last = (int(part) for part in str(seeds).split(":"))
+    failed = 0
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        numbers = range(first, last + 1)
+        for report in pool.map(lambda seed: _run(seed, seconds), numbers):
+            failed += bool(report.violations)
+            print(_line(report), flush=True)
+    print(f"{last - first + 1} seeds, {failed} with violations")
+    return EXIT_VIOLATION if failed else 0
+
+
+def _run(seed: int, seconds: float) -> run_module.Report:
+    command = [sys.executable, "-m", "soak", "one"]
+    command += [str(seed), f"--seconds={seconds}"]
+    done = subprocess.run(
+        command, capture_output=True, text=True, timeout=TIMEOUT_S
+    )
+    try:
+        rows = json.loads(done.stdout.splitlines()[-1])
+    except (IndexError, ValueError):
+        text = f"no report: {done.stderr[-300:]}"
+        return run_module.Report(seed, [], 0, 0, [text])
+    return run_module.Report(**rows)
+
+
+def _line(report: run_module.Report) -> str:
+    line = (
+        f"seed={report.seed} faults={len(report.faults)} "
+        f"asked={report.asked} served={report.served} "
+        f"violations={len(report.violations)}"
+    )
+    return "\n  ".join([line, *report.violations[:10]])
+
+
+if __name__ == "__main__":
+    found = fire.Fire({"one": one, "many": many}, serialize=lambda item: None)
+    sys.exit(found if isinstance(found, int) else 0)
--- /dev/null
+++ b/soak/entry.py
@@ -0,0 +1,131 @@
+"""Real entries as processes."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+from typing import Any
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+GRACE_S = 6
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
+LEASE_MS = 2_000
+
+
+def free_port(random_source: random.Random) -> int:
+    """Return a port that nobody listens on now.
+
+    Ports of outgoing connections come from a higher range, so that none of
+    them takes the port while its entry is down.
+    """
+    while True:
+        port = random_source.randint(LOWEST_PORT, HIGHEST_PORT)
+        with socket.socket() as found:
+            try:
+                found.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+
+
+class Entry:
+    """One entry; only its own process is ever signalled."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        store_port: int,
+        folder: pathlib.Path,
+        random_source: random.Random,
+    ) -> None:
+        self.name = name
+        self.callers_port = free_port(random_source)
+        self.ready_port = free_port(random_source)
+        self._folder = folder
+        self._settings = folder / f"{name}.toml"
+        self._store_port = store_port
+        self._zone = zone
+        self._internal_ports = [free_port(random_source) for _ in range(2)]
+        self._process: subprocess.Popen[bytes] | None = None
+        self.is_stopping = False
+        self.is_frozen = False
+        self.exits: list[str] = []
+        self._write_settings()
+
+    def _write_settings(self) -> None:
+        bounds: dict[str, Any] = {
+            "grace_s": GRACE_S,
+            "lease_ms": LEASE_MS,
+            "retry_budget_ratio": 0.2,
+            "budget_extra": 50,
+            "budget_window_s": 10,
+        }
+        lines = [
+            f'node = "{self.name}"',
+            f'zone = "{self._zone}"',
+            'ip = "127.0.0.1"',
+            f"internal_ports = {self._internal_ports}",
+            "[listen]",
+            f'front = "127.0.0.1:{self.callers_port}"',
+            f'ready = "127.0.0.1:{self.ready_port}"',
+            "[platform]",
+            f'address = "127.0.0.1:{self._store_port}"',
+            "ttl_min_ms = 1000",
+            "[bounds]",
+            *(f"{key} = {json.dumps(bounds[key])}" for key in bounds),
+        ]
+        self._settings.write_text("\n".join(lines) + "\n")
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        self.is_stopping = False
+        self.is_frozen = False
+        log = (self._folder / f"{self.name}.log").open("ab")
+        with log:
+            self._process = subprocess.Popen(
+                [
+                    sys.executable,
+                    str(ROOT / "src" / "platform_daemon.py"),
+                    "--settings",
+                    str(self._settings),
+                ],
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Signal the process, if it is there."""
+        if self.is_running and self._process is not None:
+            self._process.send_signal(number)
+
+    def check(self) -> None:
+        """Note a process that has ended by itself."""
+        process = self._process
+        if process is None or process.poll() is None:
+            return
+        code = process.returncode
+        self._process = None
+        if not self.is_stopping:
+            self.exits.append(f"{self.name} ended by itself with {code}")
+        elif code not in (0, -signal.SIGKILL):
+            self.exits.append(f"{self.name} ended with {code}")
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.is_stopping = True
+        self.send_signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+        self.check()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,183 @@
+"""Faults of a soak, drawn from a seed."""
+
+from __future__ import annotations
+
+import random
+import signal
+from typing import TYPE_CHECKING
+
+from twisted.internet import reactor
+
+from soak import entry as entry_module
+from soak import proxy as proxy_module
+from soak import store as store_module
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from soak import run as run_module
+
+LinkFault = proxy_module.LinkFault
+StoreFault = store_module.StoreFault
+FaultKind = "Callable[[run_module.Soak, float], None]"
+_UNPLANNED: dict[str, Callable[[run_module.Soak, float], None]] = {}
+_PLANNED: dict[str, Callable[[run_module.Soak, float], None]] = {}
+
+
+def unplanned(
+    function: Callable[[run_module.Soak, float], None],
+) -> Callable[[run_module.Soak, float], None]:
+    """Register a fault that may cut requests off."""
+    _UNPLANNED[function.__name__] = function
+    return function
+
+
+def planned(
+    function: Callable[[run_module.Soak, float], None],
+) -> Callable[[run_module.Soak, float], None]:
+    """Register work that must cut no request off."""
+    _PLANNED[function.__name__] = function
+    return function
+
+
+def draw(
+    random_source: random.Random, is_planned_only: bool
+) -> tuple[str, Callable[[run_module.Soak, float], None]]:
+    """Return the next fault."""
+    table = dict(_PLANNED) if is_planned_only else {**_PLANNED, **_UNPLANNED}
+    name = random_source.choice(sorted(table))
+    return name, table[name]
+
+
+def _later(
+    delay_s: float, function: Callable[..., None], *args: object
+) -> None:
+    reactor.callLater(delay_s, function, *args)
+
+
+@unplanned
+def kill_entry(soak: run_module.Soak, duration_s: float) -> None:
+    """Kill an entry and start it again."""
+    entry = soak.random.choice(soak.entries)
+    entry.kill()
+    _later(duration_s / 2, soak.start_entry, entry)
+
+
+@unplanned
+def kill_all_entries(soak: run_module.Soak, duration_s: float) -> None:
+    """Kill all entries at the same moment."""
+    for entry in soak.entries:
+        entry.kill()
+        _later(duration_s / 2, soak.start_entry, entry)
+
+
+@unplanned
+def freeze_entry(soak: run_module.Soak, duration_s: float) -> None:
+    """Stop the processor of an entry for a time."""
+    entry = soak.random.choice(soak.entries)
+    entry.send_signal(signal.SIGSTOP)
+    entry.is_frozen = True
+    _later(duration_s, _thaw, entry)
+
+
+def _thaw(entry: entry_module.Entry) -> None:
+    entry.is_frozen = False
+    entry.send_signal(signal.SIGCONT)
+
+
+@unplanned
+def harm_link_of_server(soak: run_module.Soak, duration_s: float) -> None:
+    """Harm the connections to a backend server."""
+    proxy = soak.random.choice(soak.workers).proxy
+    fault = soak.random.choice([item for item in LinkFault][1:])
+    if proxy is not None:
+        _harm(proxy, fault, duration_s)
+
+
+@unplanned
+def harm_link_to_store(soak: run_module.Soak, duration_s: float) -> None:
+    """Harm the connections of one entry to the store."""
+    proxy = soak.random.choice(list(soak.store_proxies.values()))
+    fault = soak.random.choice([item for item in LinkFault][1:])
+    _harm(proxy, fault, duration_s)
+
+
+def _harm(
+    proxy: proxy_module.Proxy, fault: LinkFault, duration_s: float
+) -> None:
+    proxy.set_fault(fault)
+    _later(duration_s, proxy.set_fault, LinkFault.NONE)
+
+
+@unplanned
+def fault_of_store(soak: run_module.Soak, duration_s: float) -> None:
+    """Let the store misbehave towards all."""
+    soak.site.fault = soak.random.choice([item for item in StoreFault][1:])
+    _later(duration_s, _mend_store, soak)
+
+
+def _mend_store(soak: run_module.Soak) -> None:
+    soak.site.fault = StoreFault.NONE
+
+
+@unplanned
+def crash_server(soak: run_module.Soak, duration_s: float) -> None:
+    """Crash a backend server; it comes back empty."""
+    soak.random.choice(soak.workers).crash()
+
+
+@planned
+def forget_history(soak: run_module.Soak, duration_s: float) -> None:
+    """Let the store forget all changes."""
+    soak.data.compact()
+
+
+@planned
+def write_unreadable_record(soak: run_module.Soak, duration_s: float) -> None:
+    """Let another writer register what can't be read."""
+    value = soak.random.choice([b"\xff\xfe", b"[]", b'{"service": 3}', b"{"])
+    soak.data.put("servers/unreadable", value)
+    _later(duration_s, soak.data.remove, "servers/unreadable")
+
+
+@planned
+def new_configuration(soak: run_module.Soak, duration_s: float) -> None:
+    """Write the next version, with the same routes."""
+    soak.write_configuration()
+
+
+@planned
+def replace_entry(soak: run_module.Soak, duration_s: float) -> None:
+    """Stop an entry in good order and start it again."""
+    running = [
+        entry
+        for entry in soak.entries
+        if entry.is_running and not entry.is_stopping and not entry.is_frozen
+    ]
+    if len(running) < 2:
+        return
+    entry = soak.random.choice(running)
+    entry.is_stopping = True
+    entry.send_signal(signal.SIGTERM)
+    soak.start_when_ended(entry)
+
+
+@planned
+def reload_entry(soak: run_module.Soak, duration_s: float) -> None:
+    """Tell an entry that its settings have changed."""
+    soak.random.choice(soak.entries).send_signal(signal.SIGHUP)
+
+
+@planned
+def drain_server(soak: run_module.Soak, duration_s: float) -> None:
+    """Take a plain server out and bring it back as a new process."""
+    usable = [
+        worker
+        for worker in soak.workers
+        if not worker.is_engine and worker.state == "ready" and worker.is_up
+    ]
+    if len(usable) < 2:
+        return
+    worker = soak.random.choice(usable)
+    worker.drain()
+    soak.end_drain_later(worker)
--- /dev/null
+++ b/soak/worker.py
@@ -0,0 +1,314 @@
+"""Stand-ins of backend servers that record what they run."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.web import resource
+from twisted.web import server
+
+from soak import ledger as ledger_module
+from soak import proxy as proxy_module
+from soak import store as store_module
+
+EVENT_INTERVAL_S = 0.03
+WORK_S = 0.02
+RESTART_S = 0.8
+LOAD_S = 0.25
+REPORT_TTL_MS = 2_000
+HEARTBEAT_S = 0.5
+WEIGHTS_MB = 100.0
+MODEL_MB = 40.0
+ERROR_SHARE = 0.03
+REJECT_SHARE = 0.03
+BREAK_SHARE = 0.02
+MODELS = ("m1", "m2", "m3", "m4")
+
+
+class OrderError(Exception):
+    """Order that breaks a promise of the holder."""
+
+
+class Worker:
+    """One backend server with a proxy before it."""
+
+    def __init__(
+        self,
+        server_id: str,
+        service: str,
+        zone: str,
+        data: store_module.StoreData,
+        ledger: ledger_module.Ledger,
+        random_source: random.Random,
+        break_share: float = BREAK_SHARE,
+    ) -> None:
+        self.break_share = break_share
+        self.server_id = server_id
+        self.service = service
+        self.zone = zone
+        self._data = data
+        self.ledger = ledger
+        self.random = random_source
+        self.models: set[str] = set()
+        self.order_count = 0
+        self.busy_until_s = 0.0
+        self.fences: dict[int, str] = {}
+        self.violations: list[str] = []
+        self.state = "ready"
+        self.draining_since_ms: int | None = None
+        self.born = 0
+        self._lease = 0
+        self._open: set[server.Request] = set()
+        self._listener: Any = None
+        self._heartbeat: Any = None
+        self.is_up = False
+        self._port = 0
+        self.proxy: proxy_module.Proxy | None = None
+        self._address = ""
+
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether this server holds models."""
+        return self.service == "models"
+
+    def start(self) -> None:
+        """Listen and register; also after a crash."""
+        site = server.Site(_WorkerSite(self))
+        self._listener = reactor.listenTCP(
+            self._port, site, interface="127.0.0.1"
+        )
+        self._port = self._listener.getHost().port
+        if self.proxy is None:
+            self.proxy = proxy_module.Proxy("127.0.0.1", self._port)
+            self._address = f"127.0.0.1:{self.proxy.listen()}"
+        self.born = int(time.time() * 1_000)
+        self.models = set()
+        self.order_count = 0
+        self.busy_until_s = 0.0
+        self.fences = {}
+        self.is_up = True
+        self._beat()
+
+    def _beat(self) -> None:
+        if not self.is_up:
+            return
+        if self._data.renew(self._lease) is None:
+            self._lease = self._data.grant(REPORT_TTL_MS)
+            self.register()
+        self._heartbeat = reactor.callLater(HEARTBEAT_S, self._beat)
+
+    def register(self) -> None:
+        """Write what this server says of itself."""
+        rows: dict[str, Any] = {
+            "service": self.service,
+            "address": self._address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 16,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "seq": self.order_count,
+            "born": self.born,
+        }
+        if self.is_engine:
+            rows["models"] = self._model_rows()
+        key = f"servers/{self.server_id}"
+        self._data.put(key, json.dumps(rows).encode(), self._lease)
+
+    def _model_rows(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": 1, "adapters": []}
+            for name in sorted(self.models)
+        ]
+
+    def drain(self) -> None:
+        """Say that no new requests should come."""
+        self.state = "draining"
+        self.register()
+        self.draining_since_ms = ledger_module.now_ms()
+
+    def undrain(self) -> None:
+        """Come back as a new process."""
+        self.crash()
+        self.state = "ready"
+        self.draining_since_ms = None
+
+    def crash(self) -> None:
+        """End all connections and come back empty under the same name."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self._heartbeat.cancel()
+        self._listener.stopListening()
+        for request in list(self._open):
+            request.channel.forceAbortClient()
+        self._open.clear()
+        self._data.end_lease(self._lease)
+        reactor.callLater(RESTART_S, self._start_again)
+
+    def _start_again(self) -> None:
+        if not self.is_up:
+            self.start()
+
+    def stop(self) -> None:
+        """End for good."""
+        self.is_up = False
+        if self._heartbeat is not None and self._heartbeat.active():
+            self._heartbeat.cancel()
+        if self._listener is not None:
+            self._listener.stopListening()
+
+    def opened(self, request: server.Request) -> None:
+        """Follow a request until it ends."""
+        self._open.add(request)
+        request.notifyFinish().addBoth(
+            lambda result: self._open.discard(request)
+        )
+
+    # Orders
+
+    def take_order(self, body: dict[str, Any]) -> int:
+        """Carry an order out and return the status."""
+        holder, token = body["holder"], body["fencing_token"]
+        if self.fences.setdefault(token, holder) != holder:
+            self.violations.append(f"two holders with the token {token}")
+        if token < max(self.fences):
+            return 412
+        is_busy = time.monotonic() < self.busy_until_s
+        if is_busy or body.get("precondition") != self.order_count:
+            return 409
+        name, is_load = body["model"], body["op"] == "load"
+        if (name in self.models) is is_load:
+            return 200
+        self.order_count += 1
+        if not is_load:
+            self.models.discard(name)
+        elif (len(self.models) + 1) * MODEL_MB > WEIGHTS_MB:
+            self.violations.append(f"{self.server_id}: beyond its weights")
+        else:
+            self.busy_until_s = time.monotonic() + LOAD_S
+            reactor.callLater(LOAD_S, self._on_loaded, name, self.born)
+        return 202
+
+    def _on_loaded(self, name: str, born: int) -> None:
+        if self.is_up and self.born == born:
+            self.models.add(name)
+            self.register()
+
+    def report(self) -> dict[str, Any]:
+        """Return the state that an order needs."""
+        return {
+            "stage": self.state,
+            "models": self._model_rows(),
+            "busy": time.monotonic() < self.busy_until_s,
+            "seq": self.order_count,
+            "queued": 0,
+            "active": len(self._open),
+            "kv_used": 0,
+            "kv_total": 1_000,
+            "coming": [],
+            "born": self.born,
+        }
+
+
+class _WorkerSite(resource.Resource):  # type: ignore[misc]
+    """HTTP interface of a backend server."""
+
+    isLeaf = True
+
+    def __init__(self, worker: Worker) -> None:
+        super().__init__()
+        self._worker = worker
+
+    def render(self, request: server.Request) -> Any:
+        """Answer a call or run a request."""
+        worker = self._worker
+        expected = request.getHeader("balsamwall-expect-instance")
+        if expected not in (None, worker.server_id):
+            return self._not_run(request, 421)
+        if request.path == b"/report":
+            return json.dumps(worker.report()).encode()
+        if request.path == b"/order":
+            request.setResponseCode(
+                worker.take_order(json.loads(request.content.read()))
+            )
+            return b"{}"
+        model = request.getHeader("balsamwall-model")
+        if worker.is_engine and model not in worker.models:
+            return self._not_run(request, 421)
+        if worker.random.random() < REJECT_SHARE:
+            return self._not_run(request, 503)
+        _Run(worker, request)
+        return server.NOT_DONE_YET
+
+    @staticmethod
+    def _not_run(request: server.Request, status: int) -> bytes:
+        request.setResponseCode(status)
+        request.setHeader("Balsamwall-Not-Executed", "1")
+        return b"not run"
+
+
+class _Run:
+    """One run of a request."""
+
+    def __init__(self, worker: Worker, request: server.Request) -> None:
+        self._request = request
+        self._worker = worker
+        self._is_over = False
+        self._id = request.getHeader("balsamwall-request-id") or ""
+        last = request.getHeader("last-event-id")
+        self._next = int(last) + 1 if last else 1
+        worker.opened(request)
+        request.notifyFinish().addBoth(lambda result: self._end())
+        worker.ledger.on_run(
+            self._id,
+            ledger_module.Run(
+                worker.server_id, ledger_module.now_ms(), self._next
+            ),
+        )
+        request.setHeader("Balsamwall-Request-Id", self._id)
+        request.setHeader(
+            "Balsamwall-Response-Signature", f"{worker.server_id}.{self._id}"
+        )
+        self._events = int(request.getHeader("x-events") or 0)
+        step = self._send_event if self._events else self._answer
+        reactor.callLater(WORK_S, step)
+
+    def _end(self) -> None:
+        self._is_over = True
+
+    def _answer(self) -> None:
+        if self._is_over:
+            return
+        body = ledger_module.expected_body(self._id)
+        if self._worker.random.random() < ERROR_SHARE:
+            self._request.setResponseCode(500)
+        elif self._worker.random.random() < self._worker.break_share:
+            self._request.setHeader("Content-Length", str(len(body)))
+            self._request.write(body[: len(body) // 2])
+            self._request.channel.loseConnection()
+            return
+        self._request.setHeader("Content-Length", str(len(body)))
+        self._request.write(body)
+        self._request.finish()
+
+    def _send_event(self) -> None:
+        if self._is_over:
+            return
+        if self._next > self._events:
+            self._request.finish()
+            return
+        if self._next == 1:
+            self._request.setHeader("Content-Type", "text/event-stream")
+        data = ledger_module.event(self._id, self._next)
+        if self._worker.random.random() < self._worker.break_share / 10:
+            self._request.write(data[: len(data) // 2])
+            self._request.channel.loseConnection()
+            return
+        self._request.write(data)
+        self._next += 1
+        reactor.callLater(EVENT_INTERVAL_S, self._send_event)
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -25,6 +25,7 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS_INVALID = 4
+EXIT_CANNOT_LISTEN = 5
 
 
 def build(
@@ -84,6 +85,7 @@
 
 
 def _run(settings: gateway_settings.GatewaySettings, path: str) -> int:
+    from twisted.internet import error
     from twisted.internet import reactor
 
     reactor_clock.use_steady_time(reactor)
@@ -91,7 +93,12 @@
     eliot.to_file(line_writer.LineWriter(sys.stdout.fileno()))
     _log_failures()
     daemon = build(settings, reactor)
-    daemon.start()
+    try:
+        daemon.start()
+    except error.CannotListenError as failure:
+        eliot.log_message("cannot_listen", reason=str(failure))
+        print(f"balsamwall-entry: {failure}", file=sys.stderr)
+        return EXIT_CANNOT_LISTEN
     reload = _Reload(path, settings)
 
     def on_stop(number: int, frame: object) -> None:
--- /dev/null
+++ b/tests/platform/test_daemon_process.py
@@ -0,0 +1,56 @@
+"""Tests of the platform's entry as a process."""
+
+from __future__ import annotations
+
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from balsamwall.platform import daemon
+from tests.platform import test_node_settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+LIMIT_S = 20
+
+
+def as_toml(rows: dict, name: str = "") -> str:
+    """Return a settings file with one table level."""
+    plain = {key: row for key, row in rows.items() if type(row) is not dict}
+    text = f"[{name}]\n" if name else ""
+    for key, row in plain.items():
+        text += f"{key} = {row!r}\n".replace("'", '"')
+    for key, row in rows.items():
+        if type(row) is dict:
+            text += as_toml(row, key)
+    return text
+
+
+class DaemonProcessTest(unittest.TestCase):
+    """A process that can't work says why and ends."""
+
+    def test_port_in_use_ends_with_one_line(self):
+        """Guards against a traceback when a port is taken."""
+        with socket.socket() as taken, tempfile.TemporaryDirectory() as folder:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            listen = {"front": f"127.0.0.1:{port}", "ready": "127.0.0.1:0"}
+            rows = {**test_node_settings.ROWS, "listen": listen}
+            rows["internal_ports"] = [port, port]
+            path = pathlib.Path(folder, "local.toml")
+            path.write_text(as_toml(rows))
+            done = subprocess.run(
+                [
+                    sys.executable,
+                    str(ROOT / "src" / "platform_daemon.py"),
+                    f"--settings={path}",
+                ],
+                capture_output=True,
+                text=True,
+                timeout=LIMIT_S,
+            )
+        self.assertEqual(done.returncode, daemon.EXIT_CANNOT_LISTEN)
+        self.assertEqual(len(done.stderr.splitlines()), 1, done.stderr)
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -14,7 +14,16 @@
 LINT_COMMANDS = (
     ("ruff", "format", "--check", "."),
     ("ruff", "check", "."),
-    ("flake8", "src", "standins", "tests", "scenarios", "bench", "tools"),
+    (
+        "flake8",
+        "src",
+        "standins",
+        "tests",
+        "scenarios",
+        "bench",
+        "tools",
+        "soak",
+    ),
     ("mypy",),
 )
 
