Count the crash of a server process once

Cause: each entry reported each request that broke off in a crash, so that one crash under three equal requests refused their content everywhere for five minutes. Change: a report names the process of the server; a content is refused when three processes have crashed under it.

--- a/soak/entry.py
+++ b/soak/entry.py
@@ -18,14 +18,14 @@
 LEASE_MS = 2_000
 
 
-def free_port(random_source: random.Random) -> int:
+def free_port() -> int:
     """Return a port that nobody listens on now.
 
     Ports of outgoing connections come from a higher range, so that none of
     them takes the port while its entry is down.
     """
     while True:
-        port = random_source.randint(LOWEST_PORT, HIGHEST_PORT)
+        port = random.randint(LOWEST_PORT, HIGHEST_PORT)
         with socket.socket() as found:
             try:
                 found.bind(("127.0.0.1", port))
@@ -43,16 +43,15 @@
         zone: str,
         store_port: int,
         folder: pathlib.Path,
-        random_source: random.Random,
     ) -> None:
         self.name = name
-        self.callers_port = free_port(random_source)
-        self.ready_port = free_port(random_source)
+        self.callers_port = free_port()
+        self.ready_port = free_port()
         self._folder = folder
         self._settings = folder / f"{name}.toml"
         self._store_port = store_port
         self._zone = zone
-        self._internal_ports = [free_port(random_source) for _ in range(2)]
+        self._internal_ports = [free_port() for _ in range(2)]
         self._process: subprocess.Popen[bytes] | None = None
         self.is_stopping = False
         self.is_frozen = False
--- a/soak/run.py
+++ b/soak/run.py
@@ -90,7 +90,6 @@
                     zone,
                     proxy.listen(),
                     folder,
-                    random.Random(f"{seed}/ports/{number}"),
                 )
             )
         self.workers = [
--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -308,8 +308,8 @@
         self._parts.set_entries(count)
         self._ports.connection.set_readers(count)
 
-    def _report_crash(self, content: bytes) -> None:
-        self._fleet_client.report_crash(content)
+    def _report_crash(self, content: bytes, process: str) -> None:
+        self._fleet_client.report_crash(content, process)
 
     # Holder of the orders
 
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -157,7 +157,7 @@
             self._demand.on_report(vm, item)
             self._note_use(item)
         elif isinstance(item, messages_fleet.CrashReport):
-            self._on_crash(item.content)
+            self._on_crash(item.content, item.process)
         elif isinstance(item, messages_fleet.LoadWanted):
             self._check_residents(item)
             wanted = residency_waits.Wanted(
@@ -166,8 +166,8 @@
             self._demand.note_wanted(wanted)
             self._plan_soon()
 
-    def _on_crash(self, content: bytes) -> None:
-        if self._crashes.add(content):
+    def _on_crash(self, content: bytes, process: str) -> None:
+        if self._crashes.add(content, process):
             self._log.write("quarantine", content=content.hex())
             self._links.broadcast(messages_fleet.Quarantine(content))
 
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -114,11 +114,13 @@
                 )
             )
 
-    def report_crash(self, content: bytes) -> None:
+    def report_crash(self, content: bytes, process: str) -> None:
         """Report a request whose server crashed."""
-        self._log.write("crash_attributed", content=content.hex())
+        self._log.write(
+            "crash_attributed", content=content.hex(), process=process
+        )
         if self._link is not None:
-            self._link.send(messages_fleet.CrashReport(content))
+            self._link.send(messages_fleet.CrashReport(content, process))
 
     def on_message(self, item: message.Message) -> None:
         """Take a message of the holder."""
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -51,9 +51,10 @@
 
 @message.register(105)
 class CrashReport(message.Message):
-    """Report the content of a request whose server crashed."""
+    """Report the content of a request and the server process it crashed."""
 
     content: bytes
+    process: str
 
 
 @message.register(106)
--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.timing import clock as clock_module
 
@@ -42,25 +43,29 @@
     def __init__(
         self,
         clock: clock_module.Clock,
-        on_crash: Callable[[bytes], None],
+        on_crash: Callable[[bytes, str], None],
     ) -> None:
         self._clock = clock
         self._on_crash = on_crash
-        # Broken requests by server, with the time of the break.
-        self._broken: dict[str, list[tuple[int, bytes]]] = {}
+        # Broken requests by server, with the time of the break and the
+        # process of the server.
+        self._broken: dict[str, list[tuple[int, bytes, str]]] = {}
         self._quarantined: dict[bytes, int] = {}
 
-    def on_broken(self, server_id: str, content: bytes) -> None:
+    def on_broken(
+        self, record: backend_directory.ServerRecord, content: bytes
+    ) -> None:
         """Note a request whose answer broke off."""
-        rows = self._broken.setdefault(server_id, [])
-        rows.append((self._clock.now_ms(), content))
+        process = f"{record.server_id}@{record.started_ms}"
+        rows = self._broken.setdefault(record.server_id, [])
+        rows.append((self._clock.now_ms(), content, process))
 
     def on_server_lost(self, server_id: str) -> None:
         """Blame the requests that broke off just before."""
         oldest_ms = self._clock.now_ms() - CONFIRM_MS
-        for broken_ms, content in self._broken.pop(server_id, []):
+        for broken_ms, content, process in self._broken.pop(server_id, []):
             if broken_ms >= oldest_ms:
-                self._on_crash(content)
+                self._on_crash(content, process)
 
     def quarantine(self, content: bytes) -> None:
         """Refuse a request from now on."""
@@ -80,20 +85,29 @@
 
 
 class CrashCounter:
-    """Crashes by content, counted over all entries."""
+    """Crashes by content, counted over all entries.
+
+    A server process crashes once, however many requests of the same content
+    it runs and however many entries see it.
+    """
 
-    __slots__ = ("_clock", "_counts")
+    __slots__ = ("_clock", "_crashed")
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
-        self._counts: dict[bytes, tuple[int, int]] = {}
+        # Server processes by content, with the time until they count.
+        self._crashed: dict[bytes, dict[str, int]] = {}
 
-    def add(self, content: bytes) -> bool:
+    def add(self, content: bytes, process: str) -> bool:
         """Count a crash; tell whether the content is to be refused."""
         now_ms = self._clock.now_ms()
-        if len(self._counts) >= MAX_FINGERPRINTS:
-            self._counts.clear()
-        count, until_ms = self._counts.get(content, (0, 0))
-        count = count + 1 if now_ms < until_ms else 1
-        self._counts[content] = (count, now_ms + QUARANTINE_MS)
-        return count >= CRASHES_TO_QUARANTINE
+        if len(self._crashed) >= MAX_FINGERPRINTS:
+            self._crashed.clear()
+        rows = {
+            name: until_ms
+            for name, until_ms in self._crashed.get(content, {}).items()
+            if now_ms < until_ms
+        }
+        rows[process] = now_ms + QUARANTINE_MS
+        self._crashed[content] = rows
+        return len(rows) >= CRASHES_TO_QUARANTINE
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -94,7 +94,7 @@
         entries: int,
         directory: backend_directory.BackendDirectory,
         want: Callable[[residency_waits.Wanted], None],
-        report_crash: Callable[[bytes], None],
+        report_crash: Callable[[bytes, str], None],
         random_source: random.Random,
     ) -> None:
         self.suspects = crash_suspects.CrashSuspects(clock, report_crash)
@@ -208,7 +208,7 @@
         self.metrics.count_attempt(failure.value)
         server = attempt.server
         if failure is attempt_module.AttemptFailure.BROKEN:
-            self.suspects.on_broken(server.server_id, run.content)
+            self.suspects.on_broken(server.record, run.content)
         elif failure is attempt_module.AttemptFailure.NOT_CONNECTED:
             self.suspects.on_server_lost(server.server_id)
         self.log.write(
--- /dev/null
+++ b/tests/gateway/test_crash_suspects.py
@@ -0,0 +1,48 @@
+"""Tests of the requests that crash their servers, and of the innocent."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.gateway import crash_suspects
+from balsamwall.timing import virtual_clock
+from tests.fixtures import gateway_world
+
+CONTENT = b"c" * crash_suspects.FINGERPRINT_BYTES
+
+
+class CrashSuspectsTest(unittest.TestCase):
+    """Three crashed processes refuse a content, one does not."""
+
+    def setUp(self):
+        self.clock = virtual_clock.VirtualClock(start_ms=10_000)
+        self.counter = crash_suspects.CrashCounter(self.clock)
+        self.results = []
+        self.entries = [
+            crash_suspects.CrashSuspects(self.clock, self.report)
+            for _ in range(3)
+        ]
+
+    def report(self, content, process):
+        self.results.append(self.counter.add(content, process))
+
+    def crash(self, server_id, started_ms=1, requests=1):
+        record = gateway_world.make_record(server_id, started_ms=started_ms)
+        for entry in self.entries:
+            for _ in range(requests):
+                entry.on_broken(record, CONTENT)
+            entry.on_server_lost(server_id)
+
+    def test_one_crash_under_many_equal_requests_refuses_nobody(self):
+        """Guards against a crash that bars a popular request everywhere."""
+        self.crash("s1", requests=5)
+        self.assertEqual(len(self.results), 15)
+        self.assertNotIn(True, self.results)
+
+    def test_third_crashed_process_refuses(self):
+        """Guards against a request that crashes server after server."""
+        self.crash("s1")
+        self.crash("s2")
+        self.assertNotIn(True, self.results)
+        self.crash("s1", started_ms=2)
+        self.assertIn(True, self.results)
