--- a/soak/entry.py
+++ b/soak/entry.py
@@ -11,11 +11,14 @@
 import sys
 from typing import Any
 
+from soak import ledger as ledger_module
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_S = 6
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 32_000
 LEASE_MS = 2_000
+START_MS = 2_500
 
 
 def free_port() -> int:
@@ -53,6 +56,7 @@
         self._zone = zone
         self._internal_ports = [free_port() for _ in range(2)]
         self._process: subprocess.Popen[bytes] | None = None
+        self.started_ms = 0
         self.is_stopping = False
         self.is_frozen = False
         self.exits: list[str] = []
@@ -87,8 +91,15 @@
         """Tell whether the process is there."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the process has had time to take signals."""
+        age_ms = ledger_module.now_ms() - self.started_ms
+        return self.is_running and age_ms >= START_MS
+
     def start(self) -> None:
         """Start the process."""
+        self.started_ms = ledger_module.now_ms()
         self.is_stopping = False
         self.is_frozen = False
         log = (self._folder / f"{self.name}.log").open("ab")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -152,7 +152,7 @@
     running = [
         entry
         for entry in soak.entries
-        if entry.is_running and not entry.is_stopping and not entry.is_frozen
+        if entry.has_started and not entry.is_stopping and not entry.is_frozen
     ]
     if len(running) < 2:
         return
@@ -165,7 +165,9 @@
 @planned
 def reload_entry(soak: run_module.Soak, duration_s: float) -> None:
     """Tell an entry that its settings have changed."""
-    soak.random.choice(soak.entries).send_signal(signal.SIGHUP)
+    started = [entry for entry in soak.entries if entry.has_started]
+    if started:
+        soak.random.choice(started).send_signal(signal.SIGHUP)
 
 
 @planned
