--- a/soak/run.py
+++ b/soak/run.py
@@ -286,5 +286,10 @@
     """Run one soak in this process; a process runs one only."""
     soak = Soak(seed, duration_s, folder)
     reactor.callWhenRunning(soak.start)
-    reactor.run()
+    try:
+        reactor.run()
+    finally:
+        # Also when the soak itself is stopped.
+        for entry in soak.entries:
+            entry.kill()
     return soak.report()
