Take the copies at hand from the VM's record, and bound an event

Cause: the book of an engine kept each copy that the VM had ever had. Once the VM had dropped it, a load took 4.2 s from the weight store, but was taken for one of 0.8 s from the disk: the model was announced 3.4 s early, entries got 421, and the load took no permit. An event without an end was kept for ever. Change: the record replaces what is known of the copies; an event has 256 KiB at most.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -265,9 +265,7 @@
             return
         known = self._books.get(record.server_id)
         if known is not None:
-            known.at_hand.update(record.in_memory, record.on_disk)
-            known.record = record
-            known.spec = engine
+            known.follow(record, engine)
             return
         book = engine_book.EngineBook(record, engine)
         self._books[record.server_id] = book
--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -56,11 +56,8 @@
         self.models: dict[str, set[str]] = {
             name: set(adapters) for name, adapters in record.models.items()
         }
-        self.at_hand: set[str] = {
-            *record.in_memory,
-            *record.on_disk,
-            *record.models,
-        }
+        self.at_hand: set[str] = set()
+        self._note_at_hand()
         self.loading: str = ""
         self.loaded_at_ms = 0
         self.arriving: set[tuple[str, str]] = set()
@@ -76,6 +73,21 @@
         self.used_ms: dict[tuple[str, str], int] = {}
         self.changed_ms: dict[str, int] = {}
 
+    def follow(
+        self,
+        record: backend_directory.ServerRecord,
+        spec: gateway_configuration.EngineSpec,
+    ) -> None:
+        """Take a newer record of the same process."""
+        self.record = record
+        self.spec = spec
+        self._note_at_hand()
+
+    def _note_at_hand(self) -> None:
+        """Take the copies on the VM; it drops those not used for long."""
+        record = self.record
+        self.at_hand = {*record.in_memory, *record.on_disk, *self.models}
+
     @property
     def is_idle(self) -> bool:
         """Tell whether a new sequence of orders may be given."""
--- a/src/balsamwall/gateway/event_relay.py
+++ b/src/balsamwall/gateway/event_relay.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+# Events of engines have some hundred bytes. A stream without an end of an
+# event must not fill the memory.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class EventTooLongError(Exception):
+    """Event that is longer than an entry keeps."""
+
 
 class EventRelay:
     """Forward whole events and remember the identifier of the last one.
@@ -17,9 +25,14 @@
         self.last_event_id = last_event_id
 
     def feed(self, data: bytes) -> bytes:
-        """Take a part of the stream; return the whole events."""
+        """Take a part of the stream; return the whole events.
+
+        Raise EventTooLongError for an event without an end.
+        """
         buffer = self._buffer + data
         end = _end_of_events(buffer)
+        if len(buffer) - end > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"event of over {MAX_EVENT_BYTES} bytes")
         if not end:
             self._buffer = buffer
             return b""
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -342,7 +342,13 @@
         if attempt is not self._attempt:
             return
         if self._relay is not None and attempt.status == 200:
-            data = self._relay.feed(data)
+            try:
+                data = self._relay.feed(data)
+            except event_relay.EventTooLongError as error:
+                self._attempt_over(True)
+                attempt.abandon()
+                self._cut(_Code.ANSWER_INTERRUPTED, str(error))
+                return
         if data:
             self._note_data()
             self._exchange.write(data)
--- a/tests/coordination/test_order_runner.py
+++ b/tests/coordination/test_order_runner.py
@@ -170,6 +170,17 @@
         self.clock.advance(1_000)
         self.assertTrue(self.runner._load_bucket.take())
 
+    def test_copy_that_the_vm_has_dropped_is_loaded_from_the_store(self):
+        """Guards against a model that is announced before it is loaded."""
+        record = gateway_world.make_record(
+            "e1", models={"m1": ()}, on_disk=frozenset({"m3"})
+        )
+        self.book.follow(record, self.book.spec)
+        self.assertEqual(self.book.load_ms("m3"), 500)
+        record = gateway_world.make_record("e1", models={"m1": ()})
+        self.book.follow(record, self.book.spec)
+        self.assertEqual(self.book.load_ms("m3"), 2_000)
+
     def test_load_that_does_not_fit_is_not_sent(self):
         """Guards against an engine that is ordered beyond its memory."""
         self.book.queue.append(Order(Kind.LOAD, "m3"))
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -5,6 +5,7 @@
 import unittest
 
 from balsamwall.gateway import backend_connection
+from balsamwall.gateway import event_relay
 from tests.fixtures import gateway_world as world_module
 
 Kind = world_module.Kind
@@ -228,6 +229,14 @@
         )
         self.assertEqual(exchange.end, "finished")
 
+    def test_event_without_an_end_is_cut(self):
+        """Guards against a stream that fills the memory."""
+        world = self.make(is_resumable=True)
+        exchange = world.ask(method=b"POST")
+        world.last.begin()
+        world.last.receiver.on_data(b"x" * (event_relay.MAX_EVENT_BYTES + 1))
+        self.assertEqual(exchange.end, "cut")
+
     def test_refused_resume_cuts_the_stream(self):
         """Guards against an error body inside a stream."""
         world = self.make(is_resumable=True)
