Scale the rates of a new holder of the orders up to the whole

Change: demand begins anew with each term, and a mean is scaled by the part of its window that has passed.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -243,6 +243,7 @@
             self._links.close_all()
 
     def _begin(self) -> None:
+        self._demand.restart()
         self._books.clear()
         for server in self._directory.all_servers():
             self._on_server(server)
--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -15,6 +15,8 @@
 
 # A busy model may fall silent within a few seconds.
 RATE_WINDOW_MS = 3_000
+# Part of a mean that must be known before it is scaled up to the whole.
+MIN_KNOWN_PART = 0.2
 PREFILL_TOKENS_PER_S = 1_000 * server_choice.PREFILL_TOKENS_PER_MS
 # Reports come several times a second; one that is older says nothing.
 REPORT_LIFE_MS = 1_500
@@ -35,6 +37,7 @@
         "_reports",
         "_running",
         "_updated_ms",
+        "_since_ms",
         "_used_ms",
         "_waiting",
         "_waiting_since_ms",
@@ -53,9 +56,18 @@
         self._waiting: dict[residency_waits.Wanted, int] = {}
         self._noted_ms: dict[residency_waits.Wanted, int] = {}
         self._updated_ms = clock.now_ms()
+        self._since_ms = self._updated_ms
         self._used_ms: dict[str, int] = {}
         self._waiting_since_ms: dict[residency_waits.Wanted, int] = {}
 
+    def restart(self) -> None:
+        """Forget all: reports come to the holder of the orders only."""
+        self._reports.clear()
+        self._rates.clear()
+        self._work.clear()
+        self._noted_ms.clear()
+        self._since_ms = self._updated_ms = self._clock.now_ms()
+
     def on_report(self, vm: str, report: messages_fleet.DemandReport) -> None:
         """Take the open requests of an entry."""
         now_ms = self._clock.now_ms()
@@ -125,13 +137,23 @@
         for wanted in self._noted_ms:
             self._waiting.setdefault(wanted, 1)
 
+    @property
+    def _start_factor(self) -> float:
+        """Return what a mean that began at zero lacks.
+
+        A new holder of the orders knows nothing of the time before.
+        """
+        age_ms = self._clock.now_ms() - self._since_ms
+        known = 1.0 - math.exp(-age_ms / RATE_WINDOW_MS)
+        return 1.0 / max(MIN_KNOWN_PART, known)
+
     def rate(self, model: str) -> float:
         """Return the requests for a model per second."""
-        return self._rates.get(model, 0.0)
+        return self._rates.get(model, 0.0) * self._start_factor
 
     def work(self, model: str) -> float:
         """Return the engines that the prompts of a model keep busy."""
-        return self._work.get(model, 0.0)
+        return self._work.get(model, 0.0) * self._start_factor
 
     def open_requests(self, model: str) -> int:
         """Return the running and waiting requests for a model."""
