--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
-.PHONY: install run test lint format scenarios mutations bench bench-system soak
+.PHONY: install run test unit lint format scenarios mutations bench bench-system soak
 
 install: .venv/installed
 
@@ -16,6 +16,9 @@
 	exec $(BIN)/python -m balsamwall_standins.sample
 
 test: install
+	$(BIN)/python -m tools.verify
+
+unit: install
 	$(BIN)/python -m tools.run_tests
 
 format: install
--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -204,6 +204,10 @@
         )
         self._fleet_server.set_coordinator(self._coordinator)
 
+    def watch_log(self, count_dropped: Callable[[], int]) -> None:
+        """Export the log lines that a slow reader has cost."""
+        self._metrics.watch_log(count_dropped)
+
     def start(self) -> None:
         """Open the ports and follow the store."""
         settings = self._settings
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -8,6 +8,8 @@
 from prometheus_client import registry as registry_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamwall.results import result_code
 
 _SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
@@ -21,6 +23,7 @@
 
     __slots__ = (
         "_attempts",
+        "_dropped_lines",
         "_durations",
         "_first_answers",
         "_registry",
@@ -45,6 +48,11 @@
             ("failure",),
             registry=self._registry,
         )
+        self._dropped_lines = prometheus_client.Gauge(
+            "balsamwall_log_dropped_lines",
+            "Log lines that were dropped because nobody read them",
+            registry=self._registry,
+        )
         self._first_answers = self._histogram(
             "balsamwall_gateway_first_answer_seconds",
             "Time from the first byte of a request to the head of its answer",
@@ -54,6 +62,10 @@
             "Time from the first byte of a request to the end of its answer",
         )
 
+    def watch_log(self, count_dropped: Callable[[], int]) -> None:
+        """Export the log lines that a slow reader has cost."""
+        self._dropped_lines.set_function(count_dropped)
+
     def _histogram(self, name: str, text: str) -> prometheus_client.Histogram:
         return prometheus_client.Histogram(
             name, text, ("route",), buckets=_SECONDS, registry=self._registry
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -90,9 +90,11 @@
 
     reactor_clock.use_steady_time(reactor)
     os.set_blocking(sys.stdout.fileno(), False)
-    eliot.to_file(line_writer.LineWriter(sys.stdout.fileno()))
+    writer = line_writer.LineWriter(sys.stdout.fileno())
+    eliot.to_file(writer)
     _log_failures()
     daemon = build(settings, reactor)
+    daemon.watch_log(lambda: writer.dropped)
     try:
         daemon.start()
     except error.CannotListenError as failure:
