Split the life of a request, and keep one token bucket

Change: waits and the refusals that end them in request_wait.py, the pace of an answer in stream_progress.py, the request to a server beside its type in attempt.py, the summary line of the coordinator in residency_log.py; sessions and keys use limits/token_bucket.py.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -10,6 +10,7 @@
 from balsamwall.coordination import load_forecast
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
+from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import residency_waits
@@ -34,7 +35,6 @@
 # Loads without a request must leave permits for those with one.
 RESERVE_INTERVAL_MS = 300
 ENGINES_SETTLE_MS = 1_000
-MAX_LOGGED_MODELS = 12
 # Longer outages than this are taken for a cut of this VM alone.
 MAX_WITHOUT_LEASE_MS = 30_000
 
@@ -337,7 +337,7 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._summary_ms >= SUMMARY_INTERVAL_MS:
             self._summary_ms = now_ms
-            self._log_summary(self._demand.waiting())
+            residency_log.write(self._log, self._books.values(), self._demand)
         if now_ms - self._state_ms >= STATE_INTERVAL_MS:
             self._state_ms = now_ms
             self._links.broadcast(
@@ -358,31 +358,6 @@
         is_settled = now_ms - self._engines_changed_ms >= ENGINES_SETTLE_MS
         return is_settled and now_ms >= self._next_reserve_ms
 
-    def _log_summary(self, waiting: dict[residency_waits.Wanted, int]) -> None:
-        """Log what the engines hold and what is asked for."""
-        loads = self._demand.loads()
-        self._log.write(
-            "residency",
-            engines={
-                book.record.server_id: [
-                    loads.get(book.record.server_id, 0),
-                    *sorted(book.models),
-                    f"+{book.loading}" if book.loading else "",
-                    len(book.queue),
-                ]
-                for book in self._books.values()
-            },
-            rates={
-                model: round(rate, 1)
-                for model, rate in self._demand.top_rates(MAX_LOGGED_MODELS)
-            },
-            queued=self._demand.queued(),
-            waiting={
-                f"{wanted.model}/{wanted.adapter}": count
-                for wanted, count in waiting.items()
-            },
-        )
-
     def _engine_services(self) -> list[str]:
         current = self._configuration.current
         if current is None:
--- a/src/balsamwall/entry/key_table.py
+++ b/src/balsamwall/entry/key_table.py
@@ -7,7 +7,7 @@
 import hmac
 from typing import TYPE_CHECKING
 
-from balsamwall.protocol import rate_limiter
+from balsamwall.limits import token_bucket
 from balsamwall.results import exceptions
 from balsamwall.results import result_code
 
@@ -33,21 +33,21 @@
         self._clock = clock
         self._per_second = per_second
         self._buckets: collections.OrderedDict[
-            str, rate_limiter.RateLimiter
+            str, token_bucket.TokenBucket
         ] = collections.OrderedDict()
 
     def reject(self, address: str) -> int:
         """Count a rejected key; return the wait in ms above the limit."""
         bucket = self._buckets.get(address)
         if bucket is None:
-            bucket = rate_limiter.RateLimiter(
+            bucket = token_bucket.TokenBucket(
                 self._clock, self._per_second, BURST_SECONDS * self._per_second
             )
             self._buckets[address] = bucket
             if len(self._buckets) > MAX_ADDRESSES:
                 self._buckets.popitem(last=False)
         self._buckets.move_to_end(address)
-        return bucket.take()
+        return bucket.take_or_wait_ms()
 
 
 class KeyTable:
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import http_fields
     from balsamwall.gateway import incoming_request
@@ -20,6 +21,8 @@
 
 # Statuses by which a server certifies that it did not run a request.
 WRONG_SERVER_STATUS = 421
+# Requests with these methods state the length of their body, also of none.
+METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 
 
 class AttemptFailure(enum.Enum):
@@ -48,6 +51,20 @@
     attempt_id: bytes
 
 
+def plan_send(
+    codec: incoming_request.RequestCodec,
+    exchange: caller_exchange.CallerExchange,
+    own_fields: http_fields.Fields,
+    attempt_id: bytes,
+) -> SendPlan:
+    """Return the request of a caller with the fields of one send."""
+    head, body = exchange.head, exchange.body
+    fields = codec.forwarded_fields(head) + own_fields
+    if body or head.method in METHODS_WITH_BODY:
+        fields.append((b"content-length", str(len(body)).encode()))
+    return SendPlan(head.method, head.target, fields, body, attempt_id)
+
+
 class AttemptListener(Protocol):
     """Owner of a send; one of on_done and on_failed ends it."""
 
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -252,7 +252,7 @@
             prompt_tokens=run.request.prompt_tokens,
             waited_ms=run.waited_ms,
             room_waited_ms=run.room_waited_ms,
-            first_data_ms=run.first_data_ms,
-            longest_gap_ms=run.longest_gap_ms,
+            first_data_ms=run.progress.first_data_ms,
+            longest_gap_ms=run.progress.longest_gap_ms,
             configuration=current.version if current else None,
         )
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -4,15 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from balsamwall.gateway import admission
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_wait
-from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy
 from balsamwall.gateway import server_choice
+from balsamwall.gateway import stream_progress
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -45,7 +44,6 @@
         "_has_begun",
         "_history",
         "_is_over",
-        "_last_data_ms",
         "_on_over",
         "_parts",
         "_pending_tokens",
@@ -54,8 +52,7 @@
         "_service",
         "_wait",
         "choice",
-        "first_data_ms",
-        "longest_gap_ms",
+        "progress",
         "request",
         "route",
     )
@@ -79,11 +76,9 @@
         self._excluded: frozenset[str] = frozenset()
         self._attempt: attempt_module.Attempt | None = None
         self._has_begun = False
-        self._last_data_ms = 0
         self._pending_tokens = 0
         self.choice: server_choice.Choice | None = None
-        self.first_data_ms: int | None = None
-        self.longest_gap_ms = 0
+        self.progress = stream_progress.StreamProgress()
         self._is_over = False
         self._relay: event_relay.EventRelay | None = None
         if route.is_resumable:
@@ -94,15 +89,7 @@
         self._arrived_ms = exchange.arrived_ms
         self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
-        self._wait = request_wait.RequestWait(
-            parts.clock,
-            parts.waits,
-            parts.room,
-            parts.wait_policy,
-            parts.forecast,
-            route.patience_ms,
-            self._on_wait_over,
-        )
+        self._wait = request_wait.RequestWait(parts, self, self._give_up)
         self._retry_timer: clock_module.Timer | None = None
 
     @property
@@ -176,119 +163,72 @@
         if self.left_ms < retry_policy.MIN_LEFT_MS:
             self._on_deadline()
             return
-        choice = self._parts.choice.choose(
-            self._service, self.request, self._parts.zone, self._excluded
-        )
+        choice = self._choose()
         if choice.server is not None:
-            self.choice = choice
             if self._may_send_now(choice.server):
                 self._send(choice.server)
             else:
-                self._wait_for_room()
+                self._wait.for_room(self._useful_ms)
         elif self._excluded:
             # Every other server was tried; one of them may have room again.
             self._excluded = frozenset()
             self._pause_before_retry()
         elif choice.missing is server_choice.Missing.NOT_RESIDENT:
-            self._wait_for_model()
+            self._wait.for_model(self._useful_ms)
         else:
             self._give_up(_Code.NO_REPLICA, "no ready server")
 
+    def _choose(self) -> server_choice.Choice:
+        choice = self._parts.choice.choose(
+            self._service, self.request, self._parts.zone, self._excluded
+        )
+        if choice.server is not None:
+            self.choice = choice
+        return choice
+
+    def _has_room(self, server: backend_directory.BackendServer) -> bool:
+        return self._parts.admission.has_room(
+            server, self.request, self.priority
+        )
+
     def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
         room = self._parts.room
         is_queued = room.has_waiting(self.target, self.priority)
-        return not is_queued and self._parts.admission.has_room(
-            server, self.request, self.priority
-        )
+        return not is_queued and self._has_room(server)
 
     def try_send(self) -> bool:
         """Send if there is room; tell whether the wait is over."""
-        choice = self._parts.choice.choose(
-            self._service, self.request, self._parts.zone, self._excluded
-        )
-        server = choice.server
+        server = self._choose().server
         if server is None:
-            self._wait.stop(self)
+            self._wait.stop()
             self._dispatch()
             return True
-        if not self._parts.admission.has_room(
-            server, self.request, self.priority
-        ):
+        if not self._has_room(server):
             return False
-        self.choice = choice
-        self._wait.stop(self)
+        self._wait.stop()
         self._send(server)
         return True
 
-    def _wait_for_room(self) -> None:
-        parts = self._parts
-        holders = parts.directory.holders(*self.target)
-        expected_ms = parts.forecast.until_room_ms(
-            self._service, self.request.model, holders
-        )
-        is_urgent = self.priority <= admission.URGENT_PRIORITY
-        is_too_long = parts.wait_policy.is_queue_too_long(
-            self.route.patience_ms, expected_ms
-        )
-        if is_too_long and not is_urgent:
-            self._give_up(
-                _Code.QUEUE_FULL,
-                "the queue is longer than callers wait",
-                parts.wait_policy.return_ms(expected_ms),
-            )
-        else:
-            self._wait.for_room(self, self._useful_ms)
-
-    def _wait_for_model(self) -> None:
-        if not self._parts.is_model_known(self._service, self.request):
-            self._give_up(_Code.NO_REPLICA, "unknown model or adapter")
-            return
-        wanted = residency_waits.Wanted(*self.target)
-        self._wait.for_model(self, wanted, self._useful_ms)
-
     def on_resident(self) -> None:
         """Send now that a server may hold the model."""
-        self._wait.stop(self)
+        self._wait.stop()
         self._dispatch()
 
-    def _on_wait_over(self, is_for_room: bool) -> None:
-        self._wait.stop(self)
-        parts = self._parts
-        if is_for_room:
-            self._give_up(
-                _Code.QUEUE_FULL,
-                "no server had room in time",
-                parts.wait_policy.return_ms(None),
-            )
-            return
-        wanted = residency_waits.Wanted(*self.target)
-        due_ms = parts.forecast.until_loaded_ms(wanted.model)
-        return_ms = parts.wait_policy.return_ms(due_ms)
-        parts.waits.expect_return(wanted, return_ms)
-        self._give_up(
-            _Code.NO_REPLICA, f"the model is due in {due_ms} ms", return_ms
-        )
-
     # Sending
 
     def _send(self, server: backend_directory.BackendServer) -> None:
-        head = self._exchange.head
-        codec = self._parts.codec
         last_event_id = self.request.resumes_after
         if self._relay is not None:
             last_event_id = self._relay.last_event_id
-        fields = codec.forwarded_fields(head)
-        fields += codec.attempt_fields(
+        codec = self._parts.codec
+        own_fields = codec.attempt_fields(
             server.record,
             self.left_ms,
             self._parts.priority_for(self.route),
             last_event_id,
         )
-        body = self._exchange.body
-        if body or head.method in (b"POST", b"PUT", b"PATCH"):
-            fields.append((b"content-length", str(len(body)).encode()))
-        plan = attempt_module.SendPlan(
-            head.method, head.target, fields, body, self.request.attempt_id
+        plan = attempt_module.plan_send(
+            codec, self._exchange, own_fields, self.request.attempt_id
         )
         attempt = attempt_module.Attempt(
             server, codec, plan, self, self._parts.clock
@@ -350,19 +290,10 @@
                 self._cut(_Code.ANSWER_INTERRUPTED, str(error))
                 return
         if data:
-            self._note_data()
+            now_ms = self._parts.clock.now_ms()
+            self.progress.note(now_ms, self._arrived_ms)
             self._exchange.write(data)
 
-    def _note_data(self) -> None:
-        """Measure the time to the first part and the longest pause."""
-        now_ms = self._parts.clock.now_ms()
-        if self.first_data_ms is None:
-            self.first_data_ms = now_ms - self.arrived_ms
-        else:
-            gap_ms = now_ms - self._last_data_ms
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self._last_data_ms = now_ms
-
     def on_done(self, attempt: attempt_module.Attempt) -> None:
         """Finish a whole answer."""
         if attempt is not self._attempt:
@@ -455,7 +386,7 @@
     def end_unsent(self) -> None:
         """Refuse a request that waits, because this process is leaving."""
         if self._attempt is None and not self._has_begun:
-            self._wait.stop(self)
+            self._wait.stop()
             self._give_up(_Code.LEAVING, "this entry is leaving")
 
     def end_now(self) -> None:
@@ -519,7 +450,7 @@
         if self._is_over:
             return
         self._is_over = True
-        self._wait.stop(self)
+        self._wait.stop()
         for timer in (self._deadline_timer, self._retry_timer):
             if timer is not None:
                 timer.cancel()
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -1,19 +1,22 @@
-"""Wait of one request before it is sent."""
+"""Wait of one request before it is sent, and the refusal that may end it."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import admission
+from balsamwall.gateway import residency_waits
+from balsamwall.results import result_code
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import request_parts
     from balsamwall.gateway import request_run
-    from balsamwall.gateway import residency_waits
-    from balsamwall.gateway import room_queue
-    from balsamwall.gateway import wait_forecast
-    from balsamwall.gateway import wait_policy
     from balsamwall.timing import clock as clock_module
 
+_Code = result_code.ResultCode
+
 
 class RequestWait:
     """Waits for a model to be loaded, or for room at a server that has it."""
@@ -21,15 +24,12 @@
     __slots__ = (
         "_clock",
         "_end_ms",
-        "_forecast",
         "_is_for_room",
-        "_on_over",
-        "_patience_ms",
-        "_policy",
-        "_room",
+        "_on_refused",
+        "_parts",
+        "_run",
         "_since_ms",
         "_timer",
-        "_waits",
         "_wanted",
         "room_waited_ms",
         "waited_ms",
@@ -37,21 +37,14 @@
 
     def __init__(
         self,
-        clock: clock_module.Clock,
-        waits: residency_waits.ResidencyWaits,
-        room: room_queue.RoomQueue,
-        policy: wait_policy.WaitPolicy,
-        forecast: wait_forecast.WaitForecast,
-        patience_ms: int,
-        on_over: Callable[[bool], None],
+        parts: request_parts.RequestParts,
+        run: request_run.RequestRun,
+        on_refused: Callable[[result_code.ResultCode, str, int], None],
     ) -> None:
-        self._clock = clock
-        self._waits = waits
-        self._room = room
-        self._policy = policy
-        self._forecast = forecast
-        self._patience_ms = patience_ms
-        self._on_over = on_over
+        self._parts = parts
+        self._clock = parts.clock
+        self._run = run
+        self._on_refused = on_refused
         self._wanted: residency_waits.Wanted | None = None
         self._is_for_room = False
         self._since_ms = 0
@@ -60,24 +53,42 @@
         self.waited_ms = 0
         self.room_waited_ms = 0
 
-    def for_model(
-        self,
-        run: request_run.RequestRun,
-        wanted: residency_waits.Wanted,
-        left_ms: int,
-    ) -> None:
-        """Wait until a server holds a model."""
-        self._wanted = wanted
+    def for_model(self, left_ms: int) -> None:
+        """Wait until a server holds the model, if it is configured."""
+        run = self._run
+        service, model, _ = run.target
+        if not self._parts.is_model_known(service, run.request):
+            detail = f"unknown model {model} or adapter"
+            self._refuse(_Code.NO_REPLICA, detail, None)
+            return
+        self._wanted = residency_waits.Wanted(*run.target)
         self._begin(left_ms)
-        self._waits.add(wanted, run)
+        self._parts.waits.add(self._wanted, run)
+
+    def for_room(self, left_ms: int) -> None:
+        """Wait until a server that holds the model has room.
 
-    def for_room(self, run: request_run.RequestRun, left_ms: int) -> None:
-        """Wait until a server that holds the model has room."""
+        A queue that is longer than callers wait refuses at once; urgent
+        requests pass it.
+        """
+        run, parts = self._run, self._parts
+        service, model, _ = run.target
+        expected_ms = parts.forecast.until_room_ms(
+            service, model, parts.directory.holders(*run.target)
+        )
+        is_urgent = run.priority <= admission.URGENT_PRIORITY
+        is_too_long = parts.wait_policy.is_queue_too_long(
+            run.route.patience_ms, expected_ms
+        )
+        if is_too_long and not is_urgent:
+            detail = f"the queue takes {expected_ms} ms"
+            self._refuse(_Code.QUEUE_FULL, detail, expected_ms)
+            return
         self._is_for_room = True
         self._begin(left_ms)
-        self._room.add(run)
+        parts.room.add(run)
 
-    def stop(self, run: request_run.RequestRun) -> None:
+    def stop(self) -> None:
         """End the wait; do nothing without one."""
         if self._timer is None:
             return
@@ -87,14 +98,14 @@
         self.waited_ms += waited_ms
         wanted, self._wanted = self._wanted, None
         if wanted is not None:
-            self._waits.remove(wanted, run)
+            self._parts.waits.remove(wanted, self._run)
         if self._is_for_room:
             self._is_for_room = False
             self.room_waited_ms += waited_ms
-            self._room.remove(run)
+            self._parts.room.remove(self._run)
 
     @property
-    def waited_so_far_ms(self) -> int:
+    def _waited_so_far_ms(self) -> int:
         """Return the time of all waits, the present one included."""
         if self._timer is None:
             return self.waited_ms
@@ -107,20 +118,43 @@
 
     def _step_ms(self) -> int:
         """Return the time until the wait is over or is judged anew."""
+        policy = self._parts.wait_policy
+        patience_ms = self._run.route.patience_ms
         left_ms = self._end_ms - self._clock.now_ms()
         if self._wanted is None:
-            longest_ms = self._policy.longest_ms(self._patience_ms)
-            return max(0, min(left_ms, longest_ms - self.waited_so_far_ms))
-        step_ms = self._policy.model_wait_ms(
-            self._patience_ms,
-            self.waited_so_far_ms,
-            self._forecast.until_loaded_ms(self._wanted.model),
-        )
+            step_ms = policy.longest_ms(patience_ms) - self._waited_so_far_ms
+        else:
+            due_ms = self._parts.forecast.until_loaded_ms(self._wanted.model)
+            step_ms = policy.model_wait_ms(
+                patience_ms, self._waited_so_far_ms, due_ms
+            )
         return max(0, min(left_ms, step_ms))
 
     def _on_step(self) -> None:
         step_ms = self._step_ms()
         if step_ms > 0:
             self._timer = self._clock.call_later(step_ms, self._on_step)
+        elif self._wanted is None:
+            self.stop()
+            detail = "no server had room in time"
+            self._refuse(_Code.QUEUE_FULL, detail, None)
+        else:
+            self._refuse_model(self._wanted)
+
+    def _refuse_model(self, wanted: residency_waits.Wanted) -> None:
+        self.stop()
+        due_ms = self._parts.forecast.until_loaded_ms(wanted.model)
+        if due_ms is None:
+            detail = "no engine loads the model"
         else:
-            self._on_over(self._is_for_room)
+            detail = f"the model is due in {due_ms} ms"
+        return_ms = self._refuse(_Code.NO_REPLICA, detail, due_ms)
+        self._parts.waits.expect_return(wanted, return_ms)
+
+    def _refuse(
+        self, code: result_code.ResultCode, detail: str, due_ms: int | None
+    ) -> int:
+        """Refuse; return the time after which the caller returns."""
+        return_ms = self._parts.wait_policy.return_ms(due_ms)
+        self._on_refused(code, detail, return_ms)
+        return return_ms
--- /dev/null
+++ b/src/balsamwall/gateway/stream_progress.py
@@ -0,0 +1,23 @@
+"""Pace of one answer, as its caller sees it."""
+
+from __future__ import annotations
+
+
+class StreamProgress:
+    """Time to the first part of an answer and the longest pause after it."""
+
+    __slots__ = ("_last_ms", "first_data_ms", "longest_gap_ms")
+
+    def __init__(self) -> None:
+        self._last_ms = 0
+        self.first_data_ms: int | None = None
+        self.longest_gap_ms = 0
+
+    def note(self, now_ms: int, arrived_ms: int) -> None:
+        """Record a part that goes to the caller."""
+        if self.first_data_ms is None:
+            self.first_data_ms = now_ms - arrived_ms
+        else:
+            gap_ms = now_ms - self._last_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._last_ms = now_ms
--- a/src/balsamwall/limits/token_bucket.py
+++ b/src/balsamwall/limits/token_bucket.py
@@ -14,7 +14,7 @@
     __slots__ = ("_burst", "_clock", "_rate", "_tokens", "_updated_ms")
 
     def __init__(
-        self, clock: clock_module.Clock, rate_per_s: float, burst: int
+        self, clock: clock_module.Clock, rate_per_s: float, burst: float
     ) -> None:
         self._clock = clock
         self._rate = rate_per_s
@@ -22,7 +22,7 @@
         self._tokens = self._burst
         self._updated_ms = clock.now_ms()
 
-    def change(self, rate_per_s: float, burst: int) -> None:
+    def change(self, rate_per_s: float, burst: float) -> None:
         """Take a new rate and burst and keep the tokens that fit."""
         self._refill()
         self._rate = rate_per_s
@@ -37,6 +37,10 @@
         self._tokens -= 1.0
         return True
 
+    def take_or_wait_ms(self) -> int:
+        """Take one token; return 0, or the time until one is there."""
+        return 0 if self.take() else max(1, self.wait_ms())
+
     def put_back(self) -> None:
         """Return a token whose use did not take place."""
         self._refill()
--- a/src/balsamwall/protocol/session.py
+++ b/src/balsamwall/protocol/session.py
@@ -7,11 +7,11 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.limits import token_bucket
 from balsamwall.protocol import codec
 from balsamwall.protocol import exceptions
 from balsamwall.protocol import frame_reader
 from balsamwall.protocol import messages_session
-from balsamwall.protocol import rate_limiter
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -150,7 +150,7 @@
         self._hello = identity.hello(nonce)
         self._state = _State.NEW
         self._reader = frame_reader.FrameReader(MAX_HANDSHAKE_FRAME_BYTES)
-        self._limiter = rate_limiter.RateLimiter(
+        self._limiter = token_bucket.TokenBucket(
             clock, frames_per_second, 2 * frames_per_second
         )
         self._last_frame_ms = clock.now_ms()
@@ -236,7 +236,7 @@
                     return
                 self._last_frame_ms = self._clock.now_ms()
                 self._handler[self._state](codec.decode(frame))
-                wait_ms = self._limiter.take()
+                wait_ms = self._limiter.take_or_wait_ms()
                 if wait_ms:
                     self._pause(wait_ms)
                     return
