Dial a holder that closes at once less often

Cause: entries dialled an entry that had lost the lease every 200 ms, with two log lines each time. Change: pauses between dials grow from 200 ms to 800 ms until a holder has answered; a new holder is dialled at once.

--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -19,6 +19,9 @@
     from balsamwall.timing import clock as clock_module
 
 REPORT_INTERVAL_MS = 200
+# An entry that holds the orders no longer closes the stream at once; pauses
+# between two dials grow up to this until a holder has answered.
+MAX_REDIAL_MS = 800
 
 
 class Link(Protocol):
@@ -40,13 +43,15 @@
         "_count_running",
         "_dial",
         "_directory",
+        "_forecast",
         "_holder",
         "_is_dialling",
         "_link",
         "_log",
-        "_forecast",
+        "_next_dial_ms",
         "_on_entries",
         "_on_quarantine",
+        "_redial_ms",
         "_take_arrivals",
         "_vm",
         "_waits",
@@ -81,6 +86,8 @@
         self._holder = ""
         self._link: Link | None = None
         self._is_dialling = False
+        self._redial_ms = REPORT_INTERVAL_MS
+        self._next_dial_ms = 0
 
     def set_waits(self, waits: residency_waits.ResidencyWaits) -> None:
         """Set the requests that wait for loads."""
@@ -100,6 +107,7 @@
             return
         self._log.write("holder_changed", holder=address)
         self._holder = address
+        self._next_dial_ms = 0
         link, self._link = self._link, None
         if link is not None:
             link.close()
@@ -136,6 +144,7 @@
         elif isinstance(item, messages_fleet.Quarantine):
             self._on_quarantine(item.content)
         elif isinstance(item, messages_fleet.FleetState):
+            self._redial_ms = REPORT_INTERVAL_MS
             self._on_entries(item.entries)
             self._forecast.on_state(item.loads_due, item.queued)
             now_ms = self._clock.now_ms()
@@ -173,9 +182,14 @@
         self._is_dialling = False
 
     def _connect(self) -> None:
+        now_ms = self._clock.now_ms()
         if not self._holder or self._is_dialling:
             return
+        if now_ms < self._next_dial_ms:
+            return
         self._is_dialling = True
+        self._next_dial_ms = now_ms + self._redial_ms
+        self._redial_ms = min(MAX_REDIAL_MS, 2 * self._redial_ms)
         link = self._dial(self._holder)
         if link is not None:
             # The holder is in this process.
