Break the import circles of execution, composition, configuration, gateway

Cause: listeners, handlers and waits named the class that owns them, which imports them. Change: each states what it needs of its owner as a protocol; the handlers of the administration API share a context module. Types only, no change of behaviour.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from twisted.internet import reactor
@@ -15,26 +16,50 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from soak import run as run_module
+    from soak import worker as worker_module
 
 LinkFault = proxy_module.LinkFault
 StoreFault = store_module.StoreFault
-FaultKind = "Callable[[run_module.Soak, float], None]"
-_UNPLANNED: dict[str, Callable[[run_module.Soak, float], None]] = {}
-_PLANNED: dict[str, Callable[[run_module.Soak, float], None]] = {}
+
+
+class World(Protocol):
+    """What faults may harm, and how it comes back."""
+
+    random: random.Random
+    data: store_module.StoreData
+    site: store_module.StoreSite
+    entries: list[entry_module.Entry]
+    workers: list[worker_module.Worker]
+    store_proxies: dict[str, proxy_module.Proxy]
+
+    def start_entry(self, entry: entry_module.Entry) -> None:
+        """Start an entry that is not running."""
+
+    def start_when_ended(self, entry: entry_module.Entry) -> None:
+        """Start an entry again once its process is gone."""
+
+    def end_drain_later(self, worker: worker_module.Worker) -> None:
+        """Check a drain, then bring the server back."""
+
+    def write_configuration(self) -> None:
+        """Write the next version of the configuration."""
+
+
+_UNPLANNED: dict[str, Callable[[World, float], None]] = {}
+_PLANNED: dict[str, Callable[[World, float], None]] = {}
 
 
 def unplanned(
-    function: Callable[[run_module.Soak, float], None],
-) -> Callable[[run_module.Soak, float], None]:
+    function: Callable[[World, float], None],
+) -> Callable[[World, float], None]:
     """Register a fault that may cut requests off."""
     _UNPLANNED[function.__name__] = function
     return function
 
 
 def planned(
-    function: Callable[[run_module.Soak, float], None],
-) -> Callable[[run_module.Soak, float], None]:
+    function: Callable[[World, float], None],
+) -> Callable[[World, float], None]:
     """Register work that must cut no request off."""
     _PLANNED[function.__name__] = function
     return function
@@ -42,7 +67,7 @@
 
 def draw(
     random_source: random.Random, is_planned_only: bool
-) -> tuple[str, Callable[[run_module.Soak, float], None]]:
+) -> tuple[str, Callable[[World, float], None]]:
     """Return the next fault."""
     table = dict(_PLANNED) if is_planned_only else {**_PLANNED, **_UNPLANNED}
     name = random_source.choice(sorted(table))
@@ -56,7 +81,7 @@
 
 
 @unplanned
-def kill_entry(soak: run_module.Soak, duration_s: float) -> None:
+def kill_entry(soak: World, duration_s: float) -> None:
     """Kill an entry and start it again."""
     entry = soak.random.choice(soak.entries)
     entry.kill()
@@ -64,7 +89,7 @@
 
 
 @unplanned
-def kill_all_entries(soak: run_module.Soak, duration_s: float) -> None:
+def kill_all_entries(soak: World, duration_s: float) -> None:
     """Kill all entries at the same moment."""
     for entry in soak.entries:
         entry.kill()
@@ -72,7 +97,7 @@
 
 
 @unplanned
-def freeze_entry(soak: run_module.Soak, duration_s: float) -> None:
+def freeze_entry(soak: World, duration_s: float) -> None:
     """Stop the processor of an entry for a time."""
     entry = soak.random.choice(soak.entries)
     entry.send_signal(signal.SIGSTOP)
@@ -86,7 +111,7 @@
 
 
 @unplanned
-def harm_link_of_server(soak: run_module.Soak, duration_s: float) -> None:
+def harm_link_of_server(soak: World, duration_s: float) -> None:
     """Harm the connections to a backend server."""
     proxy = soak.random.choice(soak.workers).proxy
     fault = soak.random.choice([item for item in LinkFault][1:])
@@ -95,7 +120,7 @@
 
 
 @unplanned
-def harm_link_to_store(soak: run_module.Soak, duration_s: float) -> None:
+def harm_link_to_store(soak: World, duration_s: float) -> None:
     """Harm the connections of one entry to the store."""
     proxy = soak.random.choice(list(soak.store_proxies.values()))
     fault = soak.random.choice([item for item in LinkFault][1:])
@@ -110,30 +135,30 @@
 
 
 @unplanned
-def fault_of_store(soak: run_module.Soak, duration_s: float) -> None:
+def fault_of_store(soak: World, duration_s: float) -> None:
     """Let the store misbehave towards all."""
     soak.site.fault = soak.random.choice([item for item in StoreFault][1:])
     _later(duration_s, _mend_store, soak)
 
 
-def _mend_store(soak: run_module.Soak) -> None:
+def _mend_store(soak: World) -> None:
     soak.site.fault = StoreFault.NONE
 
 
 @unplanned
-def crash_server(soak: run_module.Soak, duration_s: float) -> None:
+def crash_server(soak: World, duration_s: float) -> None:
     """Crash a backend server; it comes back empty."""
     soak.random.choice(soak.workers).crash()
 
 
 @planned
-def forget_history(soak: run_module.Soak, duration_s: float) -> None:
+def forget_history(soak: World, duration_s: float) -> None:
     """Let the store forget all changes."""
     soak.data.compact()
 
 
 @planned
-def write_unreadable_record(soak: run_module.Soak, duration_s: float) -> None:
+def write_unreadable_record(soak: World, duration_s: float) -> None:
     """Let another writer register what can't be read."""
     value = soak.random.choice([b"\xff\xfe", b"[]", b'{"service": 3}', b"{"])
     soak.data.put("servers/unreadable", value)
@@ -141,13 +166,13 @@
 
 
 @planned
-def new_configuration(soak: run_module.Soak, duration_s: float) -> None:
+def new_configuration(soak: World, duration_s: float) -> None:
     """Write the next version, with the same routes."""
     soak.write_configuration()
 
 
 @planned
-def replace_entry(soak: run_module.Soak, duration_s: float) -> None:
+def replace_entry(soak: World, duration_s: float) -> None:
     """Stop an entry in good order and start it again."""
     running = [
         entry
@@ -163,7 +188,7 @@
 
 
 @planned
-def reload_entry(soak: run_module.Soak, duration_s: float) -> None:
+def reload_entry(soak: World, duration_s: float) -> None:
     """Tell an entry that its settings have changed."""
     started = [entry for entry in soak.entries if entry.has_started]
     if started:
@@ -171,7 +196,7 @@
 
 
 @planned
-def drain_server(soak: run_module.Soak, duration_s: float) -> None:
+def drain_server(soak: World, duration_s: float) -> None:
     """Take a plain server out and bring it back as a new process."""
     usable = [
         worker
--- a/src/balsamwall/composition/demand_listener.py
+++ b/src/balsamwall/composition/demand_listener.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamwall.composition import entry_unit
     from balsamwall.dispatch import caller_request
+    from balsamwall.results import result_code
+
+
+class RefusalCounter(Protocol):
+    """Owner of the demand that refused requests show."""
+
+    def on_refused(
+        self,
+        request: caller_request.CallerRequest,
+        code: result_code.ResultCode,
+    ) -> None:
+        """Count a refused request."""
 
 
 class DemandListener:
@@ -18,7 +30,7 @@
 
     def __init__(
         self,
-        unit: entry_unit.EntryUnit,
+        unit: RefusalCounter,
         request: caller_request.CallerRequest,
         listener: caller_request.AnswerListener,
     ) -> None:
--- a/src/balsamwall/configuration/administration_configuration.py
+++ b/src/balsamwall/configuration/administration_configuration.py
@@ -20,11 +20,11 @@
 
     from returns.result import Result
 
-    from balsamwall.configuration import administration
+    from balsamwall.configuration import administration_context
     from balsamwall.configuration import configuration_document
     from balsamwall.configuration import tenant_configuration
 
-    Context = administration.Administration
+    Context = administration_context.AdministrationContext
     Document = configuration_document.ConfigurationDocument
     Request = administration_types.AdministrationRequest
     Respond = administration_types.Respond
--- a/src/balsamwall/configuration/administration_fleet.py
+++ b/src/balsamwall/configuration/administration_fleet.py
@@ -10,10 +10,10 @@
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
-    from balsamwall.configuration import administration
+    from balsamwall.configuration import administration_context
     from balsamwall.configuration import tenant_configuration
 
-    Context = administration.Administration
+    Context = administration_context.AdministrationContext
     Request = administration_types.AdministrationRequest
     Respond = administration_types.Respond
 
--- a/src/balsamwall/execution/run_listener.py
+++ b/src/balsamwall/execution/run_listener.py
@@ -2,22 +2,50 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from balsamwall.execution import run as run_module
-    from balsamwall.execution import run_control
     from balsamwall.results import result_code
 
 
+class ReadingOwner(Protocol):
+    """Receiver of all readings, each with its generation."""
+
+    def on_data(
+        self, run: run_module.Run, generation: int, offset: int, data: bytes
+    ) -> None:
+        """Receive a part of an answer."""
+
+    def on_end(
+        self,
+        run: run_module.Run,
+        generation: int,
+        http_status: int,
+        headers: dict[str, str],
+        total_bytes: int,
+        output_tokens: int,
+    ) -> None:
+        """Receive the end of a whole answer."""
+
+    def on_error(
+        self,
+        run: run_module.Run,
+        generation: int,
+        code: result_code.ResultCode,
+        detail: str,
+        is_crash: bool,
+    ) -> None:
+        """Receive a failure."""
+
+
 class RunListener:
     """Receiver for one reading of a stream; older readings are ignored."""
 
     __slots__ = ("_control", "_generation", "_run")
 
-    def __init__(
-        self, control: run_control.RunControl, run: run_module.Run
-    ) -> None:
+    def __init__(self, control: ReadingOwner, run: run_module.Run) -> None:
         self._control = control
         self._run = run
         self._generation = run.generation
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import admission as admission_module
@@ -25,10 +26,10 @@
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import incoming_request
-    from balsamwall.gateway import request_run
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
     from balsamwall.gateway import server_health
+    from balsamwall.gateway import stream_progress
     from balsamwall.logs import decision_log
     from balsamwall.results import result_code
     from balsamwall.timing import clock as clock_module
@@ -36,6 +37,35 @@
 MAX_PRIORITY = 9
 
 
+class RequestOutcome(Protocol):
+    """What the log and the metrics tell of a request."""
+
+    route: route_module.Route
+    request: incoming_request.IncomingRequest
+    choice: server_choice.Choice | None
+    progress: stream_progress.StreamProgress
+
+    @property
+    def request_name(self) -> str:
+        """Return the identifier of the request for logs."""
+
+    @property
+    def content(self) -> bytes:
+        """Return a digest of the request that its resends share."""
+
+    @property
+    def arrived_ms(self) -> int:
+        """Return when the first byte of the request was read."""
+
+    @property
+    def waited_ms(self) -> int:
+        """Return the time before the request was sent."""
+
+    @property
+    def room_waited_ms(self) -> int:
+        """Return the part of the wait that was for room at a server."""
+
+
 class RetryTerms:
     """Budget of retries that all entries share."""
 
@@ -189,7 +219,7 @@
 
     def on_first_answer(
         self,
-        run: request_run.RequestRun,
+        run: RequestOutcome,
         attempt: attempt_module.Attempt,
         status: int,
     ) -> None:
@@ -199,7 +229,7 @@
 
     def on_attempt_failed(
         self,
-        run: request_run.RequestRun,
+        run: RequestOutcome,
         attempt: attempt_module.Attempt,
         failure: attempt_module.AttemptFailure,
         detail: str,
@@ -224,7 +254,7 @@
 
     def on_over(
         self,
-        run: request_run.RequestRun,
+        run: RequestOutcome,
         code: result_code.ResultCode,
         detail: str,
         server: backend_directory.BackendServer | None,
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -2,22 +2,37 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import admission
 from balsamwall.gateway import residency_waits
+from balsamwall.gateway import room_queue
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_parts
-    from balsamwall.gateway import request_run
+    from balsamwall.gateway import route as route_module
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
 
 
+class WaitingRequest(residency_waits.Waiter, room_queue.RoomWaiter, Protocol):
+    """Request that may wait for a model and for room."""
+
+    @property
+    def request(self) -> incoming_request.IncomingRequest:
+        """Return what the caller asks for."""
+
+    @property
+    def route(self) -> route_module.Route:
+        """Return the route, with the patience of its callers."""
+
+
 class RequestWait:
     """Waits for a model to be loaded, or for room at a server that has it."""
 
@@ -38,7 +53,7 @@
     def __init__(
         self,
         parts: request_parts.RequestParts,
-        run: request_run.RequestRun,
+        run: WaitingRequest,
         on_refused: Callable[[result_code.ResultCode, str, int], None],
     ) -> None:
         self._parts = parts
