Cut a stream that can't be resumed instead of answering twice

Cause: a resumable stream that broke off, and found no server or no engine with its model for the rest, was refused with a second head within its answer; h11 raises then, and the caller saw neither an end nor a cut until its deadline. Found by reading the code. Change: what has begun is cut. Result: test_resume_without_a_server_cuts_the_stream fails without the change.

--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -427,7 +427,13 @@
         detail: str,
         retry_after_ms: int = refusal.RETRY_AFTER_MS,
     ) -> None:
-        """Answer with a failure that says whether the request has run."""
+        """Answer with a failure that says whether the request has run.
+
+        An answer that has begun, and can't be resumed, is cut off instead.
+        """
+        if self._has_begun:
+            self._cut(_Code.ANSWER_INTERRUPTED, detail)
+            return
         if self._history.may_have_run and code.is_certified_not_run:
             code = _Code.OUTCOME_UNKNOWN
         elif code is _Code.DEADLINE_EXCEEDED and (
--- a/tests/gateway/test_request_run.py
+++ b/tests/gateway/test_request_run.py
@@ -229,6 +229,19 @@
         )
         self.assertEqual(exchange.end, "finished")
 
+    def test_resume_without_a_server_cuts_the_stream(self):
+        """Guards against an error body inside a stream."""
+        world = self.make(is_resumable=True)
+        exchange = world.ask(method=b"POST")
+        world.last.begin()
+        world.last.receiver.on_data(b"id: 1\ndata: a\n\n")
+        for name in ("s1", "s2", "s3"):
+            world.directory.remove(name)
+        world.last.receiver.on_broken(CLOSED, "reset")
+        world.clock.advance(2_500)
+        self.assertEqual(exchange.end, "cut")
+        self.assertEqual(exchange.data, b"id: 1\ndata: a\n\n")
+
     def test_event_without_an_end_is_cut(self):
         """Guards against a stream that fills the memory."""
         world = self.make(is_resumable=True)
