Check in the soak that each answer ends, and know its own stalls

Cause: a caller that saw neither an end nor a cut was counted as one that had left. Change: an answer without an end in 2.5 s is a violation under planned work; entries are signalled once their log shows a store; deadlines and crossed closes are no cuts; times in which the soak itself stood still are reported and left out.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -84,6 +84,7 @@
             self._entry.name if self._entry else "",
             ledger_module.now_ms(),
             events,
+            deadline_ms=DEADLINE_MS,
         )
         self._ledger.begin(ask)
         connection.send(ask, self._fields(ask))
@@ -142,7 +143,7 @@
         """Send a request."""
         self._ask = ask
         self._answer = ask.answer = ledger_module.Answer()
-        self._timer = reactor.callLater(PATIENCE_S, self.abandon, ask)
+        self._timer = reactor.callLater(PATIENCE_S, self._give_up, ask)
         head = h11.Request(
             method=METHODS.get(ask.kind, b"POST"),
             target=f"/{ask.kind.value}/x",
@@ -153,6 +154,11 @@
         )
         self.transport.write(data)
 
+    def _give_up(self, ask: ledger_module.Ask) -> None:
+        if self._ask is ask:
+            ask.has_no_end = True
+        self.abandon(ask)
+
     def abandon(self, ask: ledger_module.Ask) -> None:
         """Leave without the rest of the answer."""
         if self._ask is ask:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,10 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Time from the store's acknowledgement until no new request comes.
 DRAIN_MS = 3_000
+# A request may cross the close of its connection for this long.
+LOST_SLACK_MS = 200
+# Share of the deadline after which its end is no fault of planned work.
+DEADLINE_PART = 0.7
 # Times of requests that the routes allow beside the first one.
 MAX_RUNS = {Kind.READ: 2, Kind.PLACE: 1, Kind.LIVE: 1, Kind.NIGHT: 2}
 
@@ -113,14 +117,42 @@
 
 
 def cut_violations(
-    ledger: ledger_module.Ledger, after_ms: int, until_ms: int
+    ledger: ledger_module.Ledger, stalls: list[tuple[int, int]]
 ) -> list[str]:
-    """Return the requests that planned work has cut off."""
-    return [
-        f"{ask.request_id} at {ask.entry}: {ask.kind.value} cut off"
-        for ask in ledger.asks.values()
-        if after_ms <= ask.sent_ms <= until_ms
-        and not ask.is_abandoned
-        and ask.over_ms is not None
-        and (ask.answer is None or not ask.answer.is_complete)
-    ]
+    """Return the requests that planned work has cut off or left open."""
+    found = []
+    for ask in ledger.asks.values():
+        if ask.over_ms is None or _is_stalled(ask, stalls):
+            continue
+        name = f"{ask.request_id} at {ask.entry}: {ask.kind.value}"
+        if ask.has_no_end:
+            found.append(f"{name} without an end")
+        elif _is_cut(ask) and not _is_excused(ask, ledger):
+            found.append(f"{name} cut off after {ask.duration_ms} ms")
+    return found
+
+
+def _is_cut(ask: ledger_module.Ask) -> bool:
+    if ask.is_abandoned:
+        return False
+    return ask.answer is None or not ask.answer.is_complete
+
+
+def _is_excused(ask: ledger_module.Ask, ledger: ledger_module.Ledger) -> bool:
+    """Tell whether the deadline, or a close that it crossed, ended a request.
+
+    A request that an entry has not passed on may cross the close of its
+    connection within LOST_SLACK_MS.
+    """
+    is_at_deadline = ask.duration_ms >= DEADLINE_PART * ask.deadline_ms
+    has_run = ask.request_id in ledger.runs
+    has_crossed = not has_run and ask.duration_ms <= LOST_SLACK_MS
+    return is_at_deadline or has_crossed
+
+
+def _is_stalled(ask: ledger_module.Ask, stalls: list[tuple[int, int]]) -> bool:
+    """Tell whether the soak itself stood still while a request was open."""
+    return any(
+        begin <= (ask.over_ms or 0) and ask.sent_ms <= end
+        for begin, end in stalls
+    )
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -11,14 +11,11 @@
 import sys
 from typing import Any
 
-from soak import ledger as ledger_module
-
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_S = 6
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 32_000
 LEASE_MS = 2_000
-START_MS = 2_500
 
 
 def free_port() -> int:
@@ -50,13 +47,13 @@
         self.name = name
         self.callers_port = free_port()
         self.ready_port = free_port()
-        self._folder = folder
         self._settings = folder / f"{name}.toml"
         self._store_port = store_port
         self._zone = zone
         self._internal_ports = [free_port() for _ in range(2)]
         self._process: subprocess.Popen[bytes] | None = None
-        self.started_ms = 0
+        self._log = folder / f"{name}.log"
+        self._log_begin = 0
         self.is_stopping = False
         self.is_frozen = False
         self.exits: list[str] = []
@@ -93,17 +90,19 @@
 
     @property
     def has_started(self) -> bool:
-        """Tell whether the process has had time to take signals."""
-        age_ms = ledger_module.now_ms() - self.started_ms
-        return self.is_running and age_ms >= START_MS
+        """Tell whether the process has reached its event loop."""
+        if not self.is_running:
+            return False
+        # A process under load may need seconds until it takes signals.
+        written = self._log.read_bytes()[self._log_begin :]
+        return b"store_connected" in written
 
     def start(self) -> None:
         """Start the process."""
-        self.started_ms = ledger_module.now_ms()
         self.is_stopping = False
         self.is_frozen = False
-        log = (self._folder / f"{self.name}.log").open("ab")
-        with log:
+        with self._log.open("ab") as log:
+            self._log_begin = log.tell()
             self._process = subprocess.Popen(
                 [
                     sys.executable,
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -45,8 +45,15 @@
     sent_ms: int
     events: int = 0  # events of a whole stream
     is_abandoned: bool = False
+    has_no_end: bool = False  # neither an end nor a cut in the caller's time
     answer: Answer | None = None
     over_ms: int | None = None
+    deadline_ms: int = 0
+
+    @property
+    def duration_ms(self) -> int:
+        """Return the time to the end, or to the cut."""
+        return (self.over_ms or self.sent_ms) - self.sent_ms
 
 
 @dataclasses.dataclass(slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,9 @@
 MAX_FAULT_S = 2.5
 MAX_PAUSE_S = 1.2
 POLL_S = 0.05
+# A poll that is later than this shows that the VM is too busy for the times
+# that a soak checks.
+STALL_MS = 400
 # A drained server has finished what it had taken before it ends.
 DRAIN_S = 4.5
 # Each fifth seed has planned work only, which must cut nothing off.
@@ -53,6 +56,7 @@
     asked: int
     served: int
     violations: list[str]
+    stalls: int = 0
 
 
 class Soak:
@@ -72,6 +76,9 @@
         self._faults: list[str] = []
         self._excused: list[tuple[int, int]] = []
         self._violations: list[str] = []
+        # Times in which this process itself did not run.
+        self._stalls: list[tuple[int, int]] = []
+        self._polled_ms = ledger_module.now_ms()
         self._is_planned_only = seed % PLANNED_ONLY_PERIOD == 0
         self._listener = reactor.listenTCP(
             0, server.Site(self.site), interface="127.0.0.1"
@@ -126,7 +133,6 @@
         _later(START_S, self._start_traffic)
 
     def _start_traffic(self) -> None:
-        self._begun_ms = ledger_module.now_ms()
         for caller in self._callers:
             caller.start()
         self._next_fault()
@@ -171,7 +177,7 @@
         self._violations += checks.violations(self.ledger, self.workers)
         if self._is_planned_only:
             self._violations += checks.cut_violations(
-                self.ledger, self._begun_ms, ledger_module.now_ms()
+                self.ledger, self._stalls
             )
         asks = [
             ask
@@ -189,7 +195,12 @@
         asks = self.ledger.asks.values()
         served = sum(1 for ask in asks if _is_served(ask))
         return Report(
-            self._seed, self._faults, len(asks), served, self._violations
+            self._seed,
+            self._faults,
+            len(asks),
+            served,
+            self._violations,
+            len(self._stalls),
         )
 
     # What faults use
@@ -225,6 +236,10 @@
         self.data.put("op/config", json.dumps(rows).encode())
 
     def _watch(self) -> None:
+        now_ms = ledger_module.now_ms()
+        if now_ms - self._polled_ms > STALL_MS:
+            self._stalls.append((self._polled_ms, now_ms))
+        self._polled_ms = now_ms
         for entry in self.entries:
             entry.check()
         _later(POLL_S, self._watch)
