Remove what the gateway never reads, and decode a refused request once

Cause: the pool counted connections that nobody asked for, an attempt kept its answer's head, the configuration had listeners that nobody registered; a refused request was decoded a second time for its log line; the length of a body was read in three ways; the deadline and the end of the process cancelled a send in two copies of the same lines; RequestParts passed refusals on. Change: the dead state and the second decoding are gone, http_fields has the one content_length, and one method cancels a send.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -34,11 +34,6 @@
     INVALID = "invalid"  # it may have run
     ABANDONED = "abandoned"  # given up by this process after it was sent
 
-    @property
-    def is_certified_not_run(self) -> bool:
-        """Tell whether the request has not run and never will."""
-        return self in (AttemptFailure.NOT_CONNECTED, AttemptFailure.NOT_RUN)
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SendPlan:
@@ -96,8 +91,6 @@
         "_listener",
         "_plan",
         "_refusal",
-        "has_head",
-        "head",
         "sent_ms",
         "server",
         "status",
@@ -116,9 +109,7 @@
         self.sent_ms = clock.now_ms()
         self._clock = clock
         self.status = 0
-        self.has_head = False
         self.was_reused = False
-        self.head: incoming_request.AnswerHead | None = None
         self._codec = codec
         self._plan = plan
         self._listener: AttemptListener | None = listener
@@ -185,9 +176,7 @@
     def on_head(self, status: int, fields: http_fields.Fields) -> None:
         """Check the head and hand it on."""
         head = self._codec.decode_answer(fields, self.attempt_id)
-        self.head = head
         self.status = status
-        self.has_head = True
         self._note_load(head)
         if status == WRONG_SERVER_STATUS or head.is_certified_not_run:
             self._refusal = f"status {status}"
--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -211,11 +211,9 @@
         assert self._request is not None
         # The request is on its way; the new parser only takes note of it.
         self._parser.send(self._request)
-        length = http_fields.value(
-            list(self._request.headers), b"content-length"
-        )
-        if length and int(length):
-            self._parser.send(h11.Data(data=b"\0" * int(length)))
+        length = http_fields.content_length(list(self._request.headers))
+        if length:
+            self._parser.send(h11.Data(data=b"\0" * length))
         self._parser.send(h11.EndOfMessage())
         if rest:
             self._parser.receive_data(rest)
--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -142,9 +142,9 @@
         if fault:
             self._reject(400, fault)
             return
-        length = http_fields.value(fields, b"content-length")
-        if length and int(length) > self._site.limits.max_body_bytes:
-            self._reject(413, f"body of {int(length)} bytes")
+        length = http_fields.content_length(fields) or 0
+        if length > self._site.limits.max_body_bytes:
+            self._reject(413, f"body of {length} bytes")
             return
         self._head = caller_exchange.RequestHead(
             bytes(event.method), bytes(event.target), fields
@@ -192,11 +192,6 @@
         """Return when the first byte of the request was read."""
         return self._arrived_ms or 0
 
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the answer can still be written."""
-        return not self._is_lost and self._is_answering
-
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is being read or answered."""
--- a/src/balsamwall/gateway/caller_exchange.py
+++ b/src/balsamwall/gateway/caller_exchange.py
@@ -51,10 +51,6 @@
     def arrived_ms(self) -> int:
         """Return when the first byte of the request was read."""
 
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the answer can still be written."""
-
     def set_listener(self, listener: ExchangeListener) -> None:
         """Set the owner of the request."""
 
--- a/src/balsamwall/gateway/configuration_holder.py
+++ b/src/balsamwall/gateway/configuration_holder.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from balsamwall.gateway import gateway_configuration
 
 
@@ -16,26 +14,16 @@
     Watches, pages and single reads may deliver versions out of order.
     """
 
-    __slots__ = ("_current", "_listeners")
+    __slots__ = ("_current",)
 
     def __init__(self) -> None:
         self._current: gateway_configuration.GatewayConfiguration | None = None
-        self._listeners: list[
-            Callable[[gateway_configuration.GatewayConfiguration], None]
-        ] = []
 
     @property
     def current(self) -> gateway_configuration.GatewayConfiguration | None:
         """Return the configuration in force, None before the first one."""
         return self._current
 
-    def add_listener(
-        self,
-        listener: Callable[[gateway_configuration.GatewayConfiguration], None],
-    ) -> None:
-        """Call a function after each change."""
-        self._listeners.append(listener)
-
     def offer(
         self, configuration: gateway_configuration.GatewayConfiguration
     ) -> bool:
@@ -44,6 +32,4 @@
         if current is not None and configuration.version <= current.version:
             return False
         self._current = configuration
-        for listener in self._listeners:
-            listener(configuration)
         return True
--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -78,7 +78,6 @@
         self, connector: object, reason: Any
     ) -> None:
         """Report that no connection was made."""
-        self._pool.on_connect_ended(self._server_id)
         waiter, self._waiter = self._waiter, None
         if waiter is not None:
             waiter.on_not_connected(reason.getErrorMessage())
@@ -91,7 +90,6 @@
     def _hand_over(
         self, connection: backend_connection.BackendConnection
     ) -> None:
-        self._pool.on_connect_ended(self._server_id)
         waiter, self._waiter = self._waiter, None
         if connection.is_lost:
             if waiter is not None:
@@ -107,12 +105,9 @@
 
     __slots__ = (
         "_clock",
-        "_connecting",
         "_echo_field",
         "_idle",
-        "_open",
         "_reactor",
-        "opened",
     )
 
     def __init__(
@@ -122,9 +117,6 @@
         self._clock = clock
         self._echo_field = echo_field
         self._idle: dict[str, list[_Idle]] = {}
-        self._open: dict[str, int] = {}
-        self._connecting: dict[str, int] = {}
-        self.opened = 0
 
     def start(self) -> None:
         """Close expired connections from now on."""
@@ -139,11 +131,6 @@
                     kept.append(row)
             self._idle[server_id] = kept
 
-    def open_count(self, server_id: str) -> int:
-        """Return the connections to a server, those being opened included."""
-        opened = self._open.get(server_id, 0)
-        return opened + self._connecting.get(server_id, 0)
-
     def acquire(
         self,
         record: backend_directory.ServerRecord,
@@ -187,15 +174,10 @@
         for row in self._idle.pop(server_id, []):
             row.connection.close()
 
-    def close(self) -> None:
-        """Close all free connections."""
-        for server_id in list(self._idle):
-            self.forget(server_id)
-
     def make_connection(
         self, server_id: str
     ) -> backend_connection.BackendConnection:
-        """Return a connection that is counted for a server."""
+        """Return a connection that comes back here when it is free."""
 
         def on_idle(item: backend_connection.BackendConnection) -> None:
             self.on_idle(server_id, item)
@@ -203,8 +185,6 @@
         def on_lost(item: backend_connection.BackendConnection) -> None:
             self._on_lost(server_id, item)
 
-        self._open[server_id] = self._open.get(server_id, 0) + 1
-        self.opened += 1
         return backend_connection.BackendConnection(
             self._echo_field, on_idle, on_lost
         )
@@ -213,18 +193,12 @@
         """Run a function in the next turn of the reactor."""
         self._reactor.callLater(0, function, *args)
 
-    def on_connect_ended(self, server_id: str) -> None:
-        """Note that an attempt to connect has ended."""
-        self._connecting[server_id] = self._connecting.get(server_id, 1) - 1
-
     def _connect(
         self,
         record: backend_directory.ServerRecord,
         waiter: ConnectionWaiter,
     ) -> Callable[[], None]:
-        server_id = record.server_id
-        self._connecting[server_id] = self._connecting.get(server_id, 0) + 1
-        factory = _Connector(self, server_id, waiter)
+        factory = _Connector(self, record.server_id, waiter)
         factory.connector = self._reactor.connectTCP(
             record.host,
             record.port,
@@ -238,7 +212,6 @@
         server_id: str,
         connection: backend_connection.BackendConnection,
     ) -> None:
-        self._open[server_id] = self._open.get(server_id, 1) - 1
         rows = self._idle.get(server_id, [])
         rows[:] = [row for row in rows if row.connection is not connection]
 
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -16,6 +16,7 @@
     from balsamwall.gateway import caller_connection
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import configuration_holder
+    from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_parts
     from balsamwall.gateway import route as route_module
     from balsamwall.timing import clock as clock_module
@@ -135,19 +136,26 @@
         request = self._parts.codec.decode(exchange.head)
         current = self._configuration.current
         if not request.attempt_id:
-            self._refuse(exchange, _Code.MALFORMED_REQUEST, "no identifier")
+            self._refuse(
+                exchange, request, _Code.MALFORMED_REQUEST, "no identifier"
+            )
             return
         if current is None:
             self._refuse(
-                exchange, _Code.CONFIGURATION_UNAVAILABLE, "no configuration"
+                exchange,
+                request,
+                _Code.CONFIGURATION_UNAVAILABLE,
+                "no configuration",
             )
             return
         route = current.find_route(request.host, exchange.head.path)
         if route is None:
-            self._refuse(exchange, _Code.UNKNOWN_PATH, "no route")
+            self._refuse(exchange, request, _Code.UNKNOWN_PATH, "no route")
             return
         if self._is_too_late(route):
-            self._refuse(exchange, _Code.LEAVING, "this entry is leaving")
+            self._refuse(
+                exchange, request, _Code.LEAVING, "this entry is leaving"
+            )
             return
         service = self._pick_service(route)
         self._parts.budget_of(service).on_request()
@@ -164,10 +172,10 @@
     def _refuse(
         self,
         exchange: caller_exchange.CallerExchange,
+        request: incoming_request.IncomingRequest,
         code: _Code,
         detail: str,
     ) -> None:
-        request = self._parts.codec.decode(exchange.head)
         self._parts.log.write(
             "request_refused",
             request=request.attempt_id.decode("latin-1"),
--- a/src/balsamwall/gateway/http_fields.py
+++ b/src/balsamwall/gateway/http_fields.py
@@ -29,6 +29,14 @@
     return None
 
 
+def content_length(fields: Fields) -> int | None:
+    """Return the stated length of a body, None without one."""
+    content = value(fields, b"content-length")
+    if content is None or not content.isdigit():
+        return None
+    return int(content)
+
+
 def is_repeated(fields: Fields, name: bytes) -> bool:
     """Tell whether a field occurs more than once."""
     return sum(1 for found, _ in fields if found == name) > 1
--- a/src/balsamwall/gateway/request_parts.py
+++ b/src/balsamwall/gateway/request_parts.py
@@ -8,7 +8,6 @@
 from balsamwall.gateway import admission as admission_module
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
-from balsamwall.gateway import refusal
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
 from balsamwall.gateway import room_queue
@@ -21,7 +20,6 @@
     import random
 
     from balsamwall.gateway import backend_directory
-    from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import gateway_metrics
@@ -193,16 +191,6 @@
         rank = 2 * route.priority + int(route.is_resumable)
         return min(MAX_PRIORITY, rank)
 
-    def refuse(
-        self,
-        exchange: caller_exchange.CallerExchange,
-        code: result_code.ResultCode,
-        detail: str,
-        retry_after_ms: int = refusal.RETRY_AFTER_MS,
-    ) -> None:
-        """Answer with a failure of this process."""
-        refusal.write(exchange, code, detail, retry_after_ms)
-
     def on_missing(
         self,
         service: str,
@@ -217,12 +205,7 @@
             residency_waits.Wanted(service, request.model, request.adapter)
         )
 
-    def on_first_answer(
-        self,
-        run: RequestOutcome,
-        attempt: attempt_module.Attempt,
-        status: int,
-    ) -> None:
+    def on_first_answer(self, run: RequestOutcome) -> None:
         """Record the time to the head of the answer."""
         waited_ms = self.clock.now_ms() - run.arrived_ms
         self.metrics.observe_first_answer(run.route.name, waited_ms)
--- a/src/balsamwall/gateway/request_run.py
+++ b/src/balsamwall/gateway/request_run.py
@@ -7,6 +7,7 @@
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
+from balsamwall.gateway import http_fields
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_wait
 from balsamwall.gateway import retry_policy
@@ -19,7 +20,6 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
-    from balsamwall.gateway import http_fields
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_parts
     from balsamwall.gateway import route as route_module
@@ -268,11 +268,11 @@
             return
         self._has_begun = True
         self._prompt_over()
-        self._parts.on_first_answer(self, attempt, status)
+        self._parts.on_first_answer(self)
         self._exchange.begin(
             status,
             self._parts.codec.answer_fields(fields),
-            _content_length(fields),
+            http_fields.content_length(fields),
         )
 
     def on_answer_data(
@@ -371,13 +371,18 @@
 
     # Ends
 
-    def _on_deadline(self) -> None:
+    def _abandon_attempt(self, is_failure: bool) -> None:
+        """Cancel the present send, if there is one."""
         attempt = self._attempt
-        if attempt is not None:
-            if attempt.is_sent:
-                self._history.note(attempt_module.AttemptFailure.ABANDONED)
-            self._attempt_over(not self._has_begun)
-            attempt.abandon()
+        if attempt is None:
+            return
+        if attempt.is_sent:
+            self._history.note(attempt_module.AttemptFailure.ABANDONED)
+        self._attempt_over(is_failure)
+        attempt.abandon()
+
+    def _on_deadline(self) -> None:
+        self._abandon_attempt(is_failure=not self._has_begun)
         if self._has_begun:
             self._cut(_Code.DEADLINE_EXCEEDED, "deadline within the answer")
         else:
@@ -391,16 +396,8 @@
 
     def end_now(self) -> None:
         """Answer at the end of the process, whatever state it is in."""
-        attempt = self._attempt
-        if attempt is not None:
-            if attempt.is_sent:
-                self._history.note(attempt_module.AttemptFailure.ABANDONED)
-            self._attempt_over(False)
-            attempt.abandon()
-        if self._has_begun:
-            self._cut(_Code.ANSWER_INTERRUPTED, "end of the process")
-        else:
-            self._give_up(_Code.LEAVING, "end of the process")
+        self._abandon_attempt(is_failure=False)
+        self._give_up(_Code.LEAVING, "end of the process")
 
     def on_caller_gone(self) -> None:
         """Cancel what may be cancelled."""
@@ -440,7 +437,7 @@
             not self._history.may_have_run
         ):
             code = _Code.DEADLINE_UNREACHABLE
-        self._parts.refuse(self._exchange, code, detail, retry_after_ms)
+        refusal.write(self._exchange, code, detail, retry_after_ms)
         self._over(code, detail, None)
 
     def _cut(self, code: _Code, detail: str) -> None:
@@ -462,10 +459,3 @@
                 timer.cancel()
         self._parts.on_over(self, code, detail, server)
         self._on_over(self)
-
-
-def _content_length(fields: http_fields.Fields) -> int | None:
-    for name, value in fields:
-        if name == b"content-length" and value.isdigit():
-            return int(value)
-    return None
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -42,9 +42,6 @@
         self._rows: list[RoomWaiter] = []
         self._timer: clock_module.Timer | None = None
 
-    def __len__(self) -> int:
-        return len(self._rows)
-
     def has_waiting(self, target: tuple[str, str, str], priority: int) -> bool:
         """Tell whether an equally urgent request for a target waits."""
         return any(
