Sum up the fleet once a planning pass

Cause: a pass listed the holders of each model twice, weighed the models that keep their place once for each busy model, looked the engine of a service up for each wanted model, and computed the start of the mean rates for every rate that it read; whether an engine holds a model was written four times; the waits were set on the fleet client after its construction for no reason. Change: each is computed once a pass or written once (EngineBook.holds). The rates in the residency line are now those that the plans use; they lacked the factor of a new holder. No other change of behaviour.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -172,11 +172,11 @@
             self._gateway.count_queued,
             self._dial_holder,
             self._on_entries,
+            self._waits,
             self._parts.forecast,
             self._parts.suspects.quarantine,
             self._log,
         )
-        self._fleet_client.set_waits(self._waits)
         self._fleet_server = fleet_server.FleetServer(
             settings.vm, self._fleet_client.on_message
         )
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -181,11 +181,7 @@
     def _check_residents(self, item: messages_fleet.LoadWanted) -> None:
         """Read an engine again that should hold what an entry misses."""
         for book in self._usable_books(item.service):
-            adapters = book.models.get(item.model)
-            is_held = adapters is not None and (
-                not item.adapter or item.adapter in adapters
-            )
-            if is_held and book.is_idle:
+            if book.is_idle and book.holds(item.model, item.adapter):
                 self._runner.refresh(book)
 
     def on_entry_up(self) -> list[message.Message]:
@@ -307,14 +303,14 @@
         self._demand.update()
         now_ms = self._clock.now_ms()
         waiting = self._demand.waiting()
-        for service in self._engine_services():
+        for service, engine in self._engines():
             books = self._usable_books(service)
             if not any(book.is_idle for book in books):
                 continue
             asked = {
                 wanted: count
                 for wanted, count in waiting.items()
-                if self._is_plannable(service, wanted)
+                if wanted.service == service and wanted.model in engine.models
             }
             for need in self._planner.needs(books, asked):
                 self._carry_out(self._planner.plan(need, books, now_ms))
@@ -322,16 +318,6 @@
                 self._next_reserve_ms = now_ms + RESERVE_INTERVAL_MS
                 self._carry_out(self._planner.plan_reserve(books, now_ms))
 
-    def _is_plannable(
-        self, service: str, wanted: residency_waits.Wanted
-    ) -> bool:
-        engine = self._engine_of(service)
-        return (
-            wanted.service == service
-            and engine is not None
-            and wanted.model in engine.models
-        )
-
     def _tick(self) -> None:
         self._plan()
         now_ms = self._clock.now_ms()
@@ -358,12 +344,15 @@
         is_settled = now_ms - self._engines_changed_ms >= ENGINES_SETTLE_MS
         return is_settled and now_ms >= self._next_reserve_ms
 
-    def _engine_services(self) -> list[str]:
+    def _engines(
+        self,
+    ) -> list[tuple[str, gateway_configuration.EngineSpec]]:
+        """Return the services that run engines."""
         current = self._configuration.current
         if current is None:
             return []
         return [
-            spec.name
+            (spec.name, spec.engine)
             for spec in current.services.values()
             if spec.engine is not None
         ]
--- a/src/balsamwall/coordination/copy_demand.py
+++ b/src/balsamwall/coordination/copy_demand.py
@@ -109,12 +109,21 @@
         books: list[engine_book.EngineBook],
         holders: dict[str, list[engine_book.EngineBook]],
     ) -> list[Need]:
-        used = self.utilisation(books)
+        used = self._utilisation(books, holders)
+        saved = {
+            model: self._saved_by_spread(model, rows, used)
+            for model, rows in holders.items()
+        }
+        pressed = [model for model in holders if saved[model] > 0]
+        if not pressed:
+            return []
+        kept = {
+            is_backlog: self._kept_from_spread(holders, is_backlog)
+            for is_backlog in (False, True)
+        }
         found = []
-        for model, rows in holders.items():
-            saved_per_s = self._saved_by_spread(model, rows, used)
-            if saved_per_s <= 0:
-                continue
+        for model in pressed:
+            rows, saved_per_s = holders[model], saved[model]
             worst = max(used[book.record.server_id] for book in rows)
             is_backlog = worst >= BACKLOG_LOAD
             horizon_s = SPREAD_HORIZON_S if is_backlog else HORIZON_S
@@ -128,7 +137,7 @@
                     lost_per_s=(
                         saved_per_s if is_backlog else self._demand.rate(model)
                     ),
-                    kept=self._kept_from_spread(holders, is_backlog),
+                    kept=kept[is_backlog],
                 )
             )
         return found
@@ -184,8 +193,15 @@
         self, books: list[engine_book.EngineBook]
     ) -> dict[str, float]:
         """Return the share of time in which each engine reads prompts."""
+        return self._utilisation(books, _holders(books))
+
+    def _utilisation(
+        self,
+        books: list[engine_book.EngineBook],
+        holders: dict[str, list[engine_book.EngineBook]],
+    ) -> dict[str, float]:
         used = {book.record.server_id: 0.0 for book in books}
-        for model, rows in _holders(books).items():
+        for model, rows in holders.items():
             share = self._work(model, rows[0]) / len(rows)
             for book in rows:
                 used[book.record.server_id] += share
--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -36,8 +36,9 @@
         "_rates",
         "_reports",
         "_running",
-        "_updated_ms",
         "_since_ms",
+        "_start_factor",
+        "_updated_ms",
         "_used_ms",
         "_waiting",
         "_waiting_since_ms",
@@ -57,6 +58,7 @@
         self._noted_ms: dict[residency_waits.Wanted, int] = {}
         self._updated_ms = clock.now_ms()
         self._since_ms = self._updated_ms
+        self._start_factor = self._find_start_factor(self._since_ms)
         self._used_ms: dict[str, int] = {}
         self._waiting_since_ms: dict[residency_waits.Wanted, int] = {}
 
@@ -93,6 +95,7 @@
         now_ms = self._clock.now_ms()
         passed_ms = max(0, now_ms - self._updated_ms)
         self._updated_ms = now_ms
+        self._start_factor = self._find_start_factor(now_ms)
         kept = math.exp(-passed_ms / RATE_WINDOW_MS)
         for model in self._rates:
             self._rates[model] *= kept
@@ -137,14 +140,12 @@
         for wanted in self._noted_ms:
             self._waiting.setdefault(wanted, 1)
 
-    @property
-    def _start_factor(self) -> float:
+    def _find_start_factor(self, now_ms: int) -> float:
         """Return what a mean that began at zero lacks.
 
         A new holder of the orders knows nothing of the time before.
         """
-        age_ms = self._clock.now_ms() - self._since_ms
-        known = 1.0 - math.exp(-age_ms / RATE_WINDOW_MS)
+        known = 1.0 - math.exp(-(now_ms - self._since_ms) / RATE_WINDOW_MS)
         return 1.0 / max(MIN_KNOWN_PART, known)
 
     def rate(self, model: str) -> float:
@@ -161,9 +162,8 @@
 
     def top_rates(self, count: int) -> list[tuple[str, float]]:
         """Return the models that are asked for most."""
-        return heapq.nlargest(
-            count, self._rates.items(), key=lambda row: row[1]
-        )
+        rates = [(model, self.rate(model)) for model in self._rates]
+        return heapq.nlargest(count, rates, key=lambda row: row[1])
 
     def idle_ms(self, model: str) -> int:
         """Return how long no request for a model has come."""
--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -93,17 +93,20 @@
         """Tell whether a new sequence of orders may be given."""
         return self.state is EngineState.READY and not self.queue
 
+    def holds(self, model: str, adapter: str = "") -> bool:
+        """Tell whether a model, and its adapter if given, is resident."""
+        adapters = self.models.get(model)
+        return adapters is not None and (not adapter or adapter in adapters)
+
     def will_hold(self, model: str, adapter: str = "") -> bool:
         """Tell whether a model or adapter is resident or about to be."""
         if not adapter:
             return model in self.coming_models()
-        is_held = adapter in self.models.get(model, ())
         load = engine_control.Order(
             engine_control.OrderKind.LOAD, model, adapter
         )
-        return (
-            is_held or (model, adapter) in self.arriving or load in self.queue
-        )
+        is_arriving = (model, adapter) in self.arriving
+        return self.holds(model, adapter) or is_arriving or load in self.queue
 
     def coming_models(self) -> set[str]:
         """Return the models that are resident or about to be."""
@@ -177,10 +180,7 @@
         self.queue = [order for order in self.queue if self._is_open(order)]
 
     def _is_open(self, order: engine_control.Order) -> bool:
-        held = self.models.get(order.model)
-        is_held = held is not None and (
-            not order.adapter or order.adapter in held
-        )
+        is_held = self.holds(order.model, order.adapter)
         return is_held is (order.kind is engine_control.OrderKind.UNLOAD)
 
     def resident(self) -> dict[str, list[str]]:
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -67,6 +67,7 @@
         count_queued: Callable[[], dict[str, int]],
         dial: Callable[[str], Link | None],
         on_entries: Callable[[int], None],
+        waits: residency_waits.ResidencyWaits,
         forecast: wait_forecast.WaitForecast,
         on_quarantine: Callable[[bytes], None],
         log: decision_log.DecisionLog,
@@ -82,17 +83,13 @@
         self._forecast = forecast
         self._on_quarantine = on_quarantine
         self._log = log
-        self._waits: residency_waits.ResidencyWaits | None = None
+        self._waits = waits
         self._holder = ""
         self._link: Link | None = None
         self._is_dialling = False
         self._redial_ms = REPORT_INTERVAL_MS
         self._next_dial_ms = 0
 
-    def set_waits(self, waits: residency_waits.ResidencyWaits) -> None:
-        """Set the requests that wait for loads."""
-        self._waits = waits
-
     def start(self) -> None:
         """Report at a steady pace."""
         self._clock.call_later(REPORT_INTERVAL_MS, self.start)
@@ -198,7 +195,7 @@
             self._report()
 
     def _report(self) -> None:
-        if self._link is None or self._waits is None:
+        if self._link is None:
             return
         waiting = [
             [wanted.service, wanted.model, wanted.adapter, count]
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -71,7 +71,6 @@
         "_load_bucket",
         "_log",
         "_owner",
-        "loads",
     )
 
     def __init__(
@@ -86,7 +85,6 @@
         self._owner = owner
         self._log = log
         self._load_bucket = token_bucket.TokenBucket(clock, 0.0, LOAD_BURST)
-        self.loads = 0
 
     def set_load_rate(self, loads_per_s: float) -> None:
         """Take the rate of the weight store, over all engines."""
@@ -276,7 +274,6 @@
         book.state = _State.LOADING
         book.loading = model
         is_from_store = model not in book.at_hand
-        self.loads += is_from_store
         self._log.write(
             "load_started",
             server=book.record.server_id,
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -42,13 +42,11 @@
             dict,
             self.dial,
             self.entries.append,
+            residency_waits.ResidencyWaits(self.clock, lambda wanted: None),
             wait_forecast.WaitForecast(self.clock),
             lambda content: None,
             decision_log.DecisionLog(self.clock),
         )
-        self.client.set_waits(
-            residency_waits.ResidencyWaits(self.clock, lambda wanted: None)
-        )
         self.client.start()
 
     def dial(self, address):
