End the steps of an engine that the coordinator has dropped

Cause: a server that was gone, or a term that had ended, dropped the book of an engine, but not its timer: a book that waited for a report asked the old address four times a second for ever, and one that was dropped at the end of a term could give orders beside its successor in the next. Found by reading the change. Change: the runner forgets a book: its timer is cancelled, and an answer that is still due changes nothing.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -235,12 +235,11 @@
         if is_active:
             self._begin()
         else:
-            self._books.clear()
+            self._drop_books()
             self._links.close_all()
 
     def _begin(self) -> None:
         self._demand.restart()
-        self._books.clear()
         for server in self._directory.all_servers():
             self._on_server(server)
 
@@ -271,7 +270,15 @@
         self._runner.refresh(book)
 
     def _on_server_gone(self, server: backend_directory.BackendServer) -> None:
-        self._books.pop(server.server_id, None)
+        book = self._books.pop(server.server_id, None)
+        if book is not None:
+            self._runner.forget(book)
+
+    def _drop_books(self) -> None:
+        """End all steps, so that a later term begins with the reports."""
+        for book in self._books.values():
+            self._runner.forget(book)
+        self._books.clear()
 
     def _usable_books(self, service: str) -> list[engine_book.EngineBook]:
         return [
--- a/src/balsamwall/coordination/engine_book.py
+++ b/src/balsamwall/coordination/engine_book.py
@@ -21,6 +21,7 @@
     ORDERING = "ordering"  # an order has no answer yet
     BUSY = "busy"  # the engine carries out an unload
     LOADING = "loading"
+    GONE = "gone"  # the holder has dropped it
 
 
 class EngineBook:
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -95,6 +95,13 @@
         if book.state in (_State.UNKNOWN, _State.READY) and not book.queue:
             self._lose_track(book)
 
+    def forget(self, book: engine_book.EngineBook) -> None:
+        """End all steps of an engine that is followed no longer."""
+        book.state = _State.GONE
+        book.queue.clear()
+        if book.timer is not None:
+            book.timer.cancel()
+
     def run(self, book: engine_book.EngineBook) -> None:
         """Send the next queued order, if the engine is free."""
         if book.state is not _State.READY or not book.queue:
@@ -192,7 +199,8 @@
                 fencing_token=token,
                 outcome=outcome.value,
             )
-            self._on_outcome(book, order, outcome)
+            if book.state is _State.ORDERING:
+                self._on_outcome(book, order, outcome)
 
         self._control.send_order(
             book.record, order, book.order_count, token, on_outcome
--- a/tests/coordination/test_order_of_plans.py
+++ b/tests/coordination/test_order_of_plans.py
@@ -91,3 +91,20 @@
         self.assertEqual(
             self.engine.orders, [("unload", "m1"), ("load", "busy")]
         )
+
+    def test_engine_that_is_gone_is_asked_nothing_more(self):
+        """Guards against calls to an address that another server may use."""
+        calls = []
+
+        def read_report(record, callback):
+            calls.append(self.clock.now_ms())
+            self.clock.call_later(1, callback, None)
+
+        self.engine.read_report = read_report
+        self.want("m1")
+        self.clock.advance(1_000)
+        self.assertGreater(len(calls), 1)
+        self.directory.remove("e1")
+        seen = len(calls)
+        self.clock.advance(5_000)
+        self.assertEqual(len(calls), seen)
--- a/tests/coordination/test_order_runner.py
+++ b/tests/coordination/test_order_runner.py
@@ -225,3 +225,26 @@
             begun.append(engine)
         started = sum(bool(engine.orders) for engine in begun)
         self.assertLessEqual(started, order_runner.LOAD_BURST)
+
+    def test_engine_that_is_gone_is_not_asked_again(self):
+        """Guards against calls to an address that nobody or another uses."""
+        self.engine.read_report = self.count_report
+        self.reports = 0
+        self.runner.refresh(self.book)
+        self.clock.advance(1_000)
+        self.assertGreater(self.reports, 1)
+        self.runner.forget(self.book)
+        seen = self.reports
+        self.clock.advance(5_000)
+        self.assertEqual(self.reports, seen)
+
+    def test_answer_after_an_engine_is_gone_gives_no_order(self):
+        """Guards against two books that order one engine."""
+        self.swap("m1", "m3")
+        self.runner.forget(self.book)
+        self.clock.advance(5_000)
+        self.assertEqual(self.engine.orders, [("unload", "m1")])
+
+    def count_report(self, record, callback):
+        self.reports += 1
+        self.clock.call_later(1, callback, None)
