Read the store's answers in one place, and take no missing number for zero

Cause: the feed and the client each read the object of an answer, both without a log line for bytes that can't be read; a lease or a revision that was missing from a success counted as 0. Change: store_feed.read_object serves both and logs; a success without its number is an unknown outcome. Result: test_success_without_its_number_is_an_unknown_outcome fails without the change.

--- a/src/balsamwall/platform/store_client.py
+++ b/src/balsamwall/platform/store_client.py
@@ -10,6 +10,7 @@
 
 import eliot
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from balsamwall.infrastructure import key_value_service
@@ -74,7 +75,8 @@
             if answer.status == 404:
                 callback(Success(None))
                 return
-            items = _items([_body(answer)]) if answer.status == 200 else None
+            rows = store_feed.read_object(answer)
+            items = None if rows is None else _items([rows])
             if items is None:
                 callback(Failure(_Code.PLATFORM_UNAVAILABLE))
             else:
@@ -105,10 +107,8 @@
             query["after"] = after
 
         def on_answer(answer: http_client.HttpAnswer) -> None:
-            rows = _body(answer)
-            items = None
-            if answer.status == 200 and rows is not None:
-                items = _items(rows.get("items", []))
+            rows = store_feed.read_object(answer)
+            items = None if rows is None else _items(rows.get("items", []))
             if rows is None or items is None:
                 callback(Failure(_Code.PLATFORM_UNAVAILABLE))
                 return
@@ -203,13 +203,10 @@
         callback: Callable[[key_value_service.RevisionResult], None],
     ) -> None:
         def on_answer(answer: http_client.HttpAnswer) -> None:
-            rows = _body(answer)
-            if answer.status == 200 and rows is not None:
-                callback(Success(int(rows.get("revision", 0))))
-            elif answer.status in (404, 412):
+            if answer.status in (404, 412):
                 callback(Failure(_Code.COMPARE_FAILED))
             else:
-                callback(Failure(_failure(answer)))
+                callback(_number(answer, "revision"))
 
         body = {
             "precondition": conditions,
@@ -231,15 +228,10 @@
             if answer.status == 404:
                 callback(Failure(_Code.COMPARE_FAILED))
                 return
-            if answer.status != 200:
-                callback(Failure(_failure(answer)))
-                return
-            rows = _body(answer) or {}
-            number = rows.get(field, 0)
-            if field and type(number) is not int:
-                callback(Failure(_Code.PLATFORM_OUTCOME_UNKNOWN))
-                return
-            callback(Success(number))
+            if answer.status == 200 and not field:
+                callback(Success(0))
+            else:
+                callback(_number(answer, field))
 
         self.request(method, path, body, timeout_ms, on_answer)
 
@@ -258,17 +250,24 @@
     return {"key": key, "value": encoded, "lease": lease_id}
 
 
+def _number(
+    answer: http_client.HttpAnswer, field: str
+) -> Result[int, result_code.ResultCode]:
+    """Return a field of a successful write, or how the write failed."""
+    rows = store_feed.read_object(answer)
+    if rows is None:
+        return Failure(_failure(answer))
+    number = rows.get(field)
+    if type(number) is not int:
+        eliot.log_message(
+            "store_answer_unreadable", reason=f"{field}: found {number!r}"
+        )
+        return Failure(_Code.PLATFORM_OUTCOME_UNKNOWN)
+    return Success(number)
+
+
 def _failure(answer: http_client.HttpAnswer) -> _Code:
     """Return whether a write without a success may have taken effect."""
     if not answer.was_sent or answer.status in UNAVAILABLE_STATUSES:
         return _Code.PLATFORM_UNAVAILABLE
     return _Code.PLATFORM_OUTCOME_UNKNOWN
-
-
-def _body(answer: http_client.HttpAnswer) -> dict[str, Any] | None:
-    """Return the object of an answer, None when it can't be read."""
-    try:
-        rows = json.loads(answer.body)
-    except ValueError:
-        return None
-    return rows if type(rows) is dict else None
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -190,7 +190,7 @@
     def _on_page(
         self, answer: http_client.HttpAnswer, first_revision: int
     ) -> None:
-        rows = _object(answer)
+        rows = read_object(answer)
         if rows is None:
             self._retry(self.start, answer)
             return
@@ -249,7 +249,7 @@
             eliot.log_message("store_history_lost", revision=self._revision)
             self.start()
             return
-        rows = _object(answer)
+        rows = read_object(answer)
         if rows is None:
             self._retry(self._watch, answer)
             return
@@ -304,13 +304,14 @@
             listener(is_connected)
 
 
-def _object(answer: http_client.HttpAnswer) -> dict[str, Any] | None:
-    """Return the object of a successful answer."""
+def read_object(answer: http_client.HttpAnswer) -> dict[str, Any] | None:
+    """Return the object of a successful answer, None if it can't be read."""
     if answer.status != 200:
         return None
     try:
         rows = json.loads(answer.body)
-    except ValueError:
+    except ValueError as error:
+        eliot.log_message("store_answer_unreadable", reason=str(error)[:200])
         return None
     return rows if type(rows) is dict else None
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -83,6 +83,17 @@
         self.store.keep_alive(7, self.results.append)
         self.assertEqual(self.results, [Failure(_Code.COMPARE_FAILED)])
 
+    def test_success_without_its_number_is_an_unknown_outcome(self):
+        """Guards against a lease or a fencing token that is taken for 0."""
+        unknown = Failure(_Code.PLATFORM_OUTCOME_UNKNOWN)
+        for rows in ({}, {"revision": "9", "lease": None}):
+            self.results.clear()
+            self.answer(200, rows)
+            self.store.compare_and_swap("k", 0, b"v", self.results.append)
+            self.answer(200, rows)
+            self.store.lease(3_000, self.results.append)
+            self.assertEqual(self.results, [unknown, unknown])
+
     def test_prefix_is_read_in_pages(self):
         """Guards against keys beyond the first page."""
         self.answer(200, {"items": [item("a")], "truncated": True})
