--- a/soak/worker.py
+++ b/soak/backend_server.py
@@ -29,11 +29,7 @@
 MODELS = ("m1", "m2", "m3", "m4")
 
 
-class OrderError(Exception):
-    """Order that breaks a promise of the holder."""
-
-
-class Worker:
+class BackendServer:
     """One backend server with a proxy before it."""
 
     def __init__(
@@ -77,7 +73,7 @@
 
     def start(self) -> None:
         """Listen and register; also after a crash."""
-        site = server.Site(_WorkerSite(self))
+        site = server.Site(_BackendSite(self))
         self._listener = reactor.listenTCP(
             self._port, site, interface="127.0.0.1"
         )
@@ -215,34 +211,34 @@
         }
 
 
-class _WorkerSite(resource.Resource):  # type: ignore[misc]
+class _BackendSite(resource.Resource):  # type: ignore[misc]
     """HTTP interface of a backend server."""
 
     isLeaf = True
 
-    def __init__(self, worker: Worker) -> None:
+    def __init__(self, backend: BackendServer) -> None:
         super().__init__()
-        self._worker = worker
+        self._backend = backend
 
     def render(self, request: server.Request) -> Any:
         """Answer a call or run a request."""
-        worker = self._worker
+        backend = self._backend
         expected = request.getHeader("balsamwall-expect-instance")
-        if expected not in (None, worker.server_id):
+        if expected not in (None, backend.server_id):
             return self._not_run(request, 421)
         if request.path == b"/report":
-            return json.dumps(worker.report()).encode()
+            return json.dumps(backend.report()).encode()
         if request.path == b"/order":
             request.setResponseCode(
-                worker.take_order(json.loads(request.content.read()))
+                backend.take_order(json.loads(request.content.read()))
             )
             return b"{}"
         model = request.getHeader("balsamwall-model")
-        if worker.is_engine and model not in worker.models:
+        if backend.is_engine and model not in backend.models:
             return self._not_run(request, 421)
-        if worker.random.random() < REJECT_SHARE:
+        if backend.random.random() < REJECT_SHARE:
             return self._not_run(request, 503)
-        _Run(worker, request)
+        _Run(backend, request)
         return server.NOT_DONE_YET
 
     @staticmethod
@@ -255,24 +251,24 @@
 class _Run:
     """One run of a request."""
 
-    def __init__(self, worker: Worker, request: server.Request) -> None:
+    def __init__(
+        self, backend: BackendServer, request: server.Request
+    ) -> None:
         self._request = request
-        self._worker = worker
+        self._backend = backend
         self._is_over = False
         self._id = request.getHeader("balsamwall-request-id") or ""
         last = request.getHeader("last-event-id")
         self._next = int(last) + 1 if last else 1
-        worker.opened(request)
+        backend.opened(request)
         request.notifyFinish().addBoth(lambda result: self._end())
-        worker.ledger.on_run(
+        backend.ledger.on_run(
             self._id,
-            ledger_module.Run(
-                worker.server_id, ledger_module.now_ms(), self._next
-            ),
+            ledger_module.Run(backend.server_id, ledger_module.now_ms()),
         )
         request.setHeader("Balsamwall-Request-Id", self._id)
         request.setHeader(
-            "Balsamwall-Response-Signature", f"{worker.server_id}.{self._id}"
+            "Balsamwall-Response-Signature", f"{backend.server_id}.{self._id}"
         )
         self._events = int(request.getHeader("x-events") or 0)
         step = self._send_event if self._events else self._answer
@@ -285,9 +281,9 @@
         if self._is_over:
             return
         body = ledger_module.expected_body(self._id)
-        if self._worker.random.random() < ERROR_SHARE:
+        if self._backend.random.random() < ERROR_SHARE:
             self._request.setResponseCode(500)
-        elif self._worker.random.random() < self._worker.break_share:
+        elif self._backend.random.random() < self._backend.break_share:
             self._request.setHeader("Content-Length", str(len(body)))
             self._request.write(body[: len(body) // 2])
             self._request.channel.loseConnection()
@@ -305,7 +301,7 @@
         if self._next == 1:
             self._request.setHeader("Content-Type", "text/event-stream")
         data = ledger_module.event(self._id, self._next)
-        if self._worker.random.random() < self._worker.break_share / 10:
+        if self._backend.random.random() < self._backend.break_share / 10:
             self._request.write(data[: len(data) // 2])
             self._request.channel.loseConnection()
             return
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -10,9 +10,9 @@
 from twisted.internet import protocol
 from twisted.internet import reactor
 
+from soak import backend_server
 from soak import entry as entry_module
 from soak import ledger as ledger_module
-from soak import worker as worker_module
 
 Kind = ledger_module.Kind
 HOST = "soak.example"
@@ -100,7 +100,7 @@
             ("Balsamwall-Deadline-Ms", str(DEADLINE_MS)),
         ]
         if ask.events:
-            model = self._random.choice(worker_module.MODELS)
+            model = self._random.choice(backend_server.MODELS)
             fields += [
                 ("Balsamwall-Model", model),
                 ("Balsamwall-Token-Usage", "100,20"),
@@ -108,6 +108,12 @@
             ]
         return fields
 
+    def on_stray_answer(self) -> None:
+        """Record bytes that belong to no request."""
+        self._ledger.stray_answers.append(
+            self._entry.name if self._entry else ""
+        )
+
     def on_over(self) -> None:
         """Go on with the next request."""
         self._pause(self._random.random() * MAX_PAUSE_S)
@@ -128,7 +134,6 @@
         self._answer = ledger_module.Answer()
         self._timer: Any = None
         self._is_lost = False
-        self.stray_bytes = b""
 
     @property
     def is_usable(self) -> bool:
@@ -169,7 +174,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Read a part of an answer."""
         if self._ask is None:
-            self.stray_bytes += data
+            self._caller.on_stray_answer()
             self.transport.abortConnection()
             return
         self._http.receive_data(data)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from soak import worker as worker_module
+    from soak import backend_server
 
 Kind = ledger_module.Kind
 # Statuses that say that a request has not run and never will.
@@ -25,18 +25,21 @@
 
 
 def violations(
-    ledger: ledger_module.Ledger, workers: Iterable[worker_module.Worker]
+    ledger: ledger_module.Ledger,
+    backends: Iterable[backend_server.BackendServer],
 ) -> list[str]:
     """Return all broken promises, one line each."""
-    found = []
+    found = [
+        f"{entry}: bytes without a request" for entry in ledger.stray_answers
+    ]
     for request_id, runs in ledger.runs.items():
         if request_id not in ledger.asks:
             found.append(f"{request_id}: run, but never asked")
         found += _too_many_runs(ledger.asks.get(request_id), runs)
     for ask in ledger.asks.values():
         found += _answer_faults(ask, ledger.runs.get(ask.request_id, []))
-    for worker in workers:
-        found += worker.violations
+    for backend in backends:
+        found += backend.violations
     return found
 
 
@@ -95,18 +98,18 @@
 
 def drain_violations(
     ledger: ledger_module.Ledger,
-    worker: worker_module.Worker,
+    backend: backend_server.BackendServer,
     excused: list[tuple[int, int]],
 ) -> list[str]:
     """Return the new requests at a server that has been draining for long."""
-    since_ms = worker.draining_since_ms
+    since_ms = backend.draining_since_ms
     if since_ms is None:
         return []
     late = [
         request_id
         for request_id, runs in ledger.runs.items()
         for run in runs
-        if run.server_id == worker.server_id
+        if run.server_id == backend.server_id
         and run.begun_ms > since_ms + DRAIN_MS
         and not any(
             begin - DRAIN_MS <= run.begun_ms <= end + DRAIN_MS
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from soak import worker as worker_module
+    from soak import backend_server
 
 LinkFault = proxy_module.LinkFault
 StoreFault = store_module.StoreFault
@@ -29,7 +29,7 @@
     data: store_module.StoreData
     site: store_module.StoreSite
     entries: list[entry_module.Entry]
-    workers: list[worker_module.Worker]
+    backends: list[backend_server.BackendServer]
     store_proxies: dict[str, proxy_module.Proxy]
 
     def start_entry(self, entry: entry_module.Entry) -> None:
@@ -38,7 +38,7 @@
     def start_when_ended(self, entry: entry_module.Entry) -> None:
         """Start an entry again once its process is gone."""
 
-    def end_drain_later(self, worker: worker_module.Worker) -> None:
+    def end_drain_later(self, backend: backend_server.BackendServer) -> None:
         """Check a drain, then bring the server back."""
 
     def write_configuration(self) -> None:
@@ -74,18 +74,12 @@
     return name, table[name]
 
 
-def _later(
-    delay_s: float, function: Callable[..., None], *args: object
-) -> None:
-    reactor.callLater(delay_s, function, *args)
-
-
 @unplanned
 def kill_entry(soak: World, duration_s: float) -> None:
     """Kill an entry and start it again."""
     entry = soak.random.choice(soak.entries)
     entry.kill()
-    _later(duration_s / 2, soak.start_entry, entry)
+    reactor.callLater(duration_s / 2, soak.start_entry, entry)
 
 
 @unplanned
@@ -93,7 +87,7 @@
     """Kill all entries at the same moment."""
     for entry in soak.entries:
         entry.kill()
-        _later(duration_s / 2, soak.start_entry, entry)
+        reactor.callLater(duration_s / 2, soak.start_entry, entry)
 
 
 @unplanned
@@ -102,7 +96,7 @@
     entry = soak.random.choice(soak.entries)
     entry.send_signal(signal.SIGSTOP)
     entry.is_frozen = True
-    _later(duration_s, _thaw, entry)
+    reactor.callLater(duration_s, _thaw, entry)
 
 
 def _thaw(entry: entry_module.Entry) -> None:
@@ -113,7 +107,7 @@
 @unplanned
 def harm_link_of_server(soak: World, duration_s: float) -> None:
     """Harm the connections to a backend server."""
-    proxy = soak.random.choice(soak.workers).proxy
+    proxy = soak.random.choice(soak.backends).proxy
     fault = soak.random.choice([item for item in LinkFault][1:])
     if proxy is not None:
         _harm(proxy, fault, duration_s)
@@ -131,14 +125,14 @@
     proxy: proxy_module.Proxy, fault: LinkFault, duration_s: float
 ) -> None:
     proxy.set_fault(fault)
-    _later(duration_s, proxy.set_fault, LinkFault.NONE)
+    reactor.callLater(duration_s, proxy.set_fault, LinkFault.NONE)
 
 
 @unplanned
 def fault_of_store(soak: World, duration_s: float) -> None:
     """Let the store misbehave towards all."""
     soak.site.fault = soak.random.choice([item for item in StoreFault][1:])
-    _later(duration_s, _mend_store, soak)
+    reactor.callLater(duration_s, _mend_store, soak)
 
 
 def _mend_store(soak: World) -> None:
@@ -148,7 +142,7 @@
 @unplanned
 def crash_server(soak: World, duration_s: float) -> None:
     """Crash a backend server; it comes back empty."""
-    soak.random.choice(soak.workers).crash()
+    soak.random.choice(soak.backends).crash()
 
 
 @planned
@@ -162,7 +156,7 @@
     """Let another writer register what can't be read."""
     value = soak.random.choice([b"\xff\xfe", b"[]", b'{"service": 3}', b"{"])
     soak.data.put("servers/unreadable", value)
-    _later(duration_s, soak.data.remove, "servers/unreadable")
+    reactor.callLater(duration_s, soak.data.remove, "servers/unreadable")
 
 
 @planned
@@ -199,12 +193,12 @@
 def drain_server(soak: World, duration_s: float) -> None:
     """Take a plain server out and bring it back as a new process."""
     usable = [
-        worker
-        for worker in soak.workers
-        if not worker.is_engine and worker.state == "ready" and worker.is_up
+        backend
+        for backend in soak.backends
+        if not backend.is_engine and backend.state == "ready" and backend.is_up
     ]
     if len(usable) < 2:
         return
-    worker = soak.random.choice(usable)
-    worker.drain()
-    soak.end_drain_later(worker)
+    backend = soak.random.choice(usable)
+    backend.drain()
+    soak.end_drain_later(backend)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -62,15 +62,16 @@
 
     server_id: str
     begun_ms: int
-    first_event: int = 1
 
 
 class Ledger:
     """All attempts and runs of one soak."""
 
-    __slots__ = ("asks", "runs")
+    __slots__ = ("asks", "runs", "stray_answers")
 
     def __init__(self) -> None:
+        # Entries that sent bytes on a connection without a request.
+        self.stray_answers: list[str] = []
         self.asks: dict[str, Ask] = {}
         self.runs: dict[str, list[Run]] = {}
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from twisted.internet import reactor
 from twisted.web import server
 
+from soak import backend_server
 from soak import caller as caller_module
 from soak import checks
 from soak import entry as entry_module
@@ -18,7 +19,6 @@
 from soak import ledger as ledger_module
 from soak import proxy as proxy_module
 from soak import store as store_module
-from soak import worker as worker_module
 
 ENTRIES = 3
 SERVERS = 3
@@ -99,15 +99,15 @@
                     folder,
                 )
             )
-        self.workers = [
-            worker_module.Worker(
+        self.backends = [
+            backend_server.BackendServer(
                 f"{service}-{number}",
                 service,
                 ZONES[number % len(ZONES)],
                 self.data,
                 self.ledger,
                 random.Random(f"{seed}/{service}/{number}"),
-                0.0 if self._is_planned_only else worker_module.BREAK_SHARE,
+                0.0 if self._is_planned_only else backend_server.BREAK_SHARE,
             )
             for service in ("app", "models")
             for number in range(SERVERS)
@@ -125,18 +125,18 @@
     def start(self) -> None:
         """Start all, then the callers and the faults."""
         self.write_configuration()
-        for worker in self.workers:
-            worker.start()
+        for backend in self.backends:
+            backend.start()
         for entry in self.entries:
             self.start_entry(entry)
         self._watch()
-        _later(START_S, self._start_traffic)
+        reactor.callLater(START_S, self._start_traffic)
 
     def _start_traffic(self) -> None:
         for caller in self._callers:
             caller.start()
         self._next_fault()
-        _later(self._duration_s, self._end_faults)
+        reactor.callLater(self._duration_s, self._end_faults)
 
     def _next_fault(self) -> None:
         if self._is_over:
@@ -147,20 +147,22 @@
         now_ms = ledger_module.now_ms()
         self._excused.append((now_ms, now_ms + int(length_s * 1_000)))
         function(self, length_s)
-        _later(self.random.uniform(0.0, MAX_PAUSE_S), self._next_fault)
+        reactor.callLater(
+            self.random.uniform(0.0, MAX_PAUSE_S), self._next_fault
+        )
 
     def _end_faults(self) -> None:
         self._is_over = True
-        _later(MAX_FAULT_S + RECOVERY_S, self._begin_probe)
+        reactor.callLater(MAX_FAULT_S + RECOVERY_S, self._begin_probe)
 
     def _begin_probe(self) -> None:
         self._probe_ms = ledger_module.now_ms()
-        _later(PROBE_S, self._stop_callers)
+        reactor.callLater(PROBE_S, self._stop_callers)
 
     def _stop_callers(self) -> None:
         for caller in self._callers:
             caller.stop()
-        _later(caller_module.PATIENCE_S, self._finish)
+        reactor.callLater(caller_module.PATIENCE_S, self._finish)
 
     def _finish(self) -> None:
         for entry in self.entries:
@@ -168,13 +170,13 @@
             self._violations += entry.exits
             entry.kill()
         self._judge()
-        for worker in self.workers:
-            worker.stop()
+        for backend in self.backends:
+            backend.stop()
         self.data.stop()
         reactor.stop()
 
     def _judge(self) -> None:
-        self._violations += checks.violations(self.ledger, self.workers)
+        self._violations += checks.violations(self.ledger, self.backends)
         if self._is_planned_only:
             self._violations += checks.cut_violations(
                 self.ledger, self._stalls
@@ -213,21 +215,21 @@
     def start_when_ended(self, entry: entry_module.Entry) -> None:
         """Start an entry again once its process is gone."""
         if entry.is_running:
-            _later(POLL_S, self.start_when_ended, entry)
+            reactor.callLater(POLL_S, self.start_when_ended, entry)
             return
         entry.check()
         self.start_entry(entry)
 
-    def end_drain_later(self, worker: worker_module.Worker) -> None:
+    def end_drain_later(self, backend: backend_server.BackendServer) -> None:
         """Check a drain, then bring the server back."""
-        _later(DRAIN_S, self._end_drain, worker)
+        reactor.callLater(DRAIN_S, self._end_drain, backend)
 
-    def _end_drain(self, worker: worker_module.Worker) -> None:
+    def _end_drain(self, backend: backend_server.BackendServer) -> None:
         excused = [] if self._is_planned_only else self._excused
         self._violations += checks.drain_violations(
-            self.ledger, worker, excused
+            self.ledger, backend, excused
         )
-        worker.undrain()
+        backend.undrain()
 
     def write_configuration(self) -> None:
         """Write the next version of the configuration."""
@@ -242,7 +244,7 @@
         self._polled_ms = now_ms
         for entry in self.entries:
             entry.check()
-        _later(POLL_S, self._watch)
+        reactor.callLater(POLL_S, self._watch)
 
 
 def _is_served(ask: ledger_module.Ask) -> bool:
@@ -274,16 +276,16 @@
     engine = {
         "slots": 16,
         "kv_capacity": 100_000,
-        "weights_mb": worker_module.WEIGHTS_MB,
+        "weights_mb": backend_server.WEIGHTS_MB,
         "adapter_slots": 0,
         "loads_per_s": 20.0,
         "models": [
             {
                 "name": name,
-                "weights_mb": worker_module.MODEL_MB,
-                "load_s": worker_module.LOAD_S,
+                "weights_mb": backend_server.MODEL_MB,
+                "load_s": backend_server.LOAD_S,
             }
-            for name in worker_module.MODELS
+            for name in backend_server.MODELS
         ],
     }
     services = [
@@ -293,10 +295,6 @@
     return {"version": version, "routes": routes, "services": services}
 
 
-def _later(delay_s: float, function: Any, *arguments: Any) -> None:
-    reactor.callLater(delay_s, function, *arguments)
-
-
 def run(seed: int, duration_s: float, folder: pathlib.Path) -> Report:
     """Run one soak in this process; a process runs one only."""
     soak = Soak(seed, duration_s, folder)
