Take a fencing token only from a written lease

Cause: reading found that a renewal of the bare lease, while the first compare-and-swap was still out, made LeaseKeeper.is_held true with the revision of an earlier term. The store client raised on items of another type and on deep JSON.

Change: a lease is held only once its key is written; JSON of the platform is decoded in one place, with RecursionError and wrong types as failures.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -14,6 +14,7 @@
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
+from balsamwall.coordination import store_relay
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
 from balsamwall.gateway import connection_pool
@@ -34,6 +35,7 @@
     import random
 
     from balsamwall.coordination import engine_control
+    from balsamwall.coordination import messages_fleet
     from balsamwall.gateway import gateway_configuration
     from balsamwall.gateway import gateway_settings
     from balsamwall.gateway import incoming_request
@@ -68,6 +70,17 @@
     def set_readers(self, count: int) -> None:
         """Set the number of processes that watch the store."""
 
+    def add_update_listener(
+        self, listener: Callable[[key_value_service.StoreUpdate], None]
+    ) -> None:
+        """Call back with each response of the store to a read or a watch."""
+
+    def apply_update(self, update: key_value_service.StoreUpdate) -> None:
+        """Apply an update that another process has read."""
+
+    def stop_relay(self) -> None:
+        """Read the store again, since no more updates are relayed."""
+
     def start(self) -> None:
         """Read all keys, then watch for changes."""
 
@@ -177,6 +190,8 @@
             self._waits,
             self._request_dependencies.forecast,
             self._request_dependencies.suspects.quarantine,
+            self._on_store_changes,
+            self._dependencies.connection.stop_relay,
             self._log,
         )
         self._fleet_server = fleet_server.FleetServer(
@@ -205,6 +220,11 @@
             self._is_store_available,
         )
         self._fleet_server.set_coordinator(self._coordinator)
+        self._relay = store_relay.StoreRelay(
+            self._dependencies.servers_prefix,
+            self._dependencies.read_server,
+            self._fleet_server.broadcast,
+        )
 
     def watch_log(self, count_dropped: Callable[[], int]) -> None:
         """Export the number of log lines dropped because of a slow reader."""
@@ -233,6 +253,7 @@
         dependencies.connection.add_state_listener(
             self._server_feed.on_store_state
         )
+        dependencies.connection.add_update_listener(self._on_store_update)
         dependencies.store.watch(
             dependencies.configuration_key, self._on_configuration
         )
@@ -318,7 +339,29 @@
     def _on_entries(self, count: int) -> None:
         """Update the number of entries that share the fleet-wide limits."""
         self._request_dependencies.set_entries(count)
-        self._dependencies.connection.set_readers(count)
+        # The coordinator reads for all entries.
+        readers = 1 if self._coordinator.is_active else count
+        self._dependencies.connection.set_readers(readers)
+
+    def _on_store_update(self, update: key_value_service.StoreUpdate) -> None:
+        """Relay what the coordinator has read to the other entries."""
+        if self._coordinator.is_active:
+            self._relay.on_update(update)
+        else:
+            self._relay.reset()
+
+    def _on_store_changes(self, changes: messages_fleet.StoreChanges) -> None:
+        """Apply what the coordinator relays, unless it is this process."""
+        if self._coordinator.is_active:
+            return
+        try:
+            update = store_relay.decode_changes(changes)
+        except ValueError as error:
+            eliot.log_message(
+                "store_changes_unreadable", reason=str(error)[:200]
+            )
+            return
+        self._dependencies.connection.apply_update(update)
 
     def _report_crash(self, content: bytes, process: str) -> None:
         self._fleet_client.report_crash(content, process)
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -10,6 +10,7 @@
 from balsamwall.coordination import load_forecast
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
+from balsamwall.coordination import prefetch_planner
 from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
 from balsamwall.gateway import crash_suspects
@@ -35,9 +36,6 @@
 PLAN_BATCH_DELAY_MS = 40
 # Interval of the summary of residents and demand in the decision log.
 SUMMARY_INTERVAL_MS = 1_000
-# Least time between prefetches, which must leave load permits of the weight
-# store for requested loads.
-PREFETCH_INTERVAL_MS = 300
 # No model is prefetched for this time after an engine was added, as not all
 # engines may be known yet.
 ENGINE_DISCOVERY_MS = 1_000
@@ -77,14 +75,14 @@
         "_entries_with_lease",
         "_lease_held_ms",
         "_is_active",
-        "_is_fenced",
+        "_fenced_revision",
         "_is_store_connected",
         "_lease",
         "_links",
         "_log",
-        "_next_prefetch_ms",
         "_plan_timer",
         "_planner",
+        "_prefetch",
         "_runner",
         "_last_state_ms",
         "_last_summary_ms",
@@ -111,16 +109,17 @@
         self._crashes = crash_suspects.CrashCounter(clock)
         self._demand = demand_module.Demand(clock)
         self._planner = residency_planner.ResidencyPlanner(self._demand)
+        self._prefetch = prefetch_planner.PrefetchPlanner(self._demand)
         self._runner = order_runner.OrderRunner(clock, control, self, log)
         self._is_active = False
-        self._is_fenced = False
+        # Newest token that an engine has rejected, 0 for none.
+        self._fenced_revision = 0
         self._is_store_connected = is_store_connected
         self._lease_held_ms = 0
         self._entries_with_lease = 0
         self._plan_timer: clock_module.Timer | None = None
         self._last_state_ms = 0
         self._last_summary_ms = 0
-        self._next_prefetch_ms = 0
         self._engine_added_ms = 0
         directory.add_listener(self._on_server, self._on_server_removed)
 
@@ -133,7 +132,7 @@
         entry can take the lease, and this one keeps sending orders as long as
         most entries stay connected to it.
         """
-        if self._is_fenced:
+        if self._lease.revision <= self._fenced_revision:
             return 0
         if self._lease.is_held or self._may_continue_without_lease():
             return self._lease.revision
@@ -237,7 +236,7 @@
     def on_fenced(self) -> None:
         """Stop sending orders: an engine has seen a newer fencing token."""
         self._log.write("orders_fenced", token=self._lease.revision)
-        self._is_fenced = True
+        self._fenced_revision = self._lease.revision
 
     # Lease
 
@@ -245,8 +244,6 @@
         if self._lease.is_held:
             self._lease_held_ms = self._clock.now_ms()
             self._entries_with_lease = self._links.count
-        else:
-            self._is_fenced = False
         is_active = bool(self.fencing_token)
         if is_active == self._is_active:
             return
@@ -348,9 +345,7 @@
             }
             for need in self._planner.needs(trackers, waiting_requests):
                 self._execute(self._planner.plan(need, trackers, now_ms))
-            if self._is_prefetch_due(now_ms):
-                self._next_prefetch_ms = now_ms + PREFETCH_INTERVAL_MS
-                self._execute(self._planner.plan_prefetch(trackers, now_ms))
+            self._start_prefetches(service, engine, trackers)
 
     def _tick(self) -> None:
         self._plan()
@@ -373,16 +368,22 @@
                 )
             )
 
-    def _is_prefetch_due(self, now_ms: int) -> bool:
-        """Return whether models may be loaded without a request.
+    def _start_prefetches(
+        self,
+        service: str,
+        engine: gateway_configuration.EngineSpec,
+        trackers: list[engine_tracker.EngineTracker],
+    ) -> None:
+        """Load models without a request, unless engines may be unknown.
 
         Just after a start or a change of coordinator not all engines are
         known, and a model that seems absent may be resident on another one.
         """
-        is_discovery_over = (
-            now_ms - self._engine_added_ms >= ENGINE_DISCOVERY_MS
-        )
-        return is_discovery_over and now_ms >= self._next_prefetch_ms
+        now_ms = self._clock.now_ms()
+        if now_ms - self._engine_added_ms < ENGINE_DISCOVERY_MS:
+            return
+        while self._prefetch.is_due(service, engine.loads_per_s, now_ms):
+            self._execute(self._prefetch.plan(trackers))
 
     def _engine_services(
         self,
--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import heapq
-import math
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import arrival_rate
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import server_choice
 
@@ -13,11 +13,6 @@
     from balsamwall.coordination import messages_fleet
     from balsamwall.timing import clock as clock_module
 
-# Time constant of the averages of arrivals. It is short, as requests for a
-# busy model may stop within a few seconds.
-RATE_WINDOW_MS = 3_000
-# Least filled fraction of the rate window that the startup correction assumes.
-MIN_WINDOW_FRACTION = 0.2
 PREFILL_TOKENS_PER_S = 1_000 * server_choice.PREFILL_TOKENS_PER_MS
 # Entries report several times a second; an older report is stale.
 REPORT_MAX_AGE_MS = 1_500
@@ -40,23 +35,22 @@
         "_loads",
         "_wanted_ms",
         "_open_requests",
+        "_per_s",
         "_rates",
         "_reports",
         "_running",
         "_term_started_ms",
-        "_startup_correction",
         "_updated_ms",
         "_last_arrival_ms",
         "_waiting",
         "_waiting_since_ms",
-        "_prefill_utilisation",
     )
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self._reports: dict[str, tuple[int, messages_fleet.DemandReport]] = {}
-        self._rates: dict[str, float] = {}
-        self._prefill_utilisation: dict[str, float] = {}
+        self._rates: dict[str, arrival_rate.ArrivalRate] = {}
+        self._per_s: dict[str, float] = {}
         self._open_requests: dict[str, int] = {}
         self._loads: dict[str, int] = {}
         self._running: dict[tuple[str, str], int] = {}
@@ -65,9 +59,6 @@
         self._wanted_ms: dict[residency_waits.WantedModel, int] = {}
         self._updated_ms = clock.now_ms()
         self._term_started_ms = self._updated_ms
-        self._startup_correction = self._startup_correction_at(
-            self._term_started_ms
-        )
         self._last_arrival_ms: dict[str, int] = {}
         self._waiting_since_ms: dict[residency_waits.WantedModel, int] = {}
 
@@ -79,7 +70,7 @@
         """
         self._reports.clear()
         self._rates.clear()
-        self._prefill_utilisation.clear()
+        self._per_s.clear()
         self._wanted_ms.clear()
         self._term_started_ms = self._updated_ms = self._clock.now_ms()
 
@@ -88,13 +79,10 @@
         now_ms = self._clock.now_ms()
         self._reports[vm] = (now_ms, report)
         for model, (count, tokens) in report.arrivals.items():
-            per_s = 1_000 / RATE_WINDOW_MS
-            rate = self._rates.get(model, 0.0)
-            self._rates[model] = rate + count * per_s
-            work = self._prefill_utilisation.get(model, 0.0)
-            self._prefill_utilisation[model] = (
-                work + tokens * per_s / PREFILL_TOKENS_PER_S
-            )
+            rate = self._rates.get(model)
+            if rate is None:
+                rate = self._rates[model] = arrival_rate.ArrivalRate()
+            rate.add(count, tokens)
             self._last_arrival_ms[model] = now_ms
 
     def record_wanted(self, wanted: residency_waits.WantedModel) -> None:
@@ -110,11 +98,10 @@
         now_ms = self._clock.now_ms()
         elapsed_ms = max(0, now_ms - self._updated_ms)
         self._updated_ms = now_ms
-        self._startup_correction = self._startup_correction_at(now_ms)
-        decay = math.exp(-elapsed_ms / RATE_WINDOW_MS)
-        for model in self._rates:
-            self._rates[model] *= decay
-            self._prefill_utilisation[model] *= decay
+        counted_ms = now_ms - self._term_started_ms
+        for model, rate in self._rates.items():
+            rate.decay(elapsed_ms)
+            self._per_s[model] = rate.per_s(counted_ms)
         self._sum_running()
         self._sum_waiting()
         for model, count in self.queued().items():
@@ -159,27 +146,21 @@
         for wanted in self._wanted_ms:
             self._waiting.setdefault(wanted, 1)
 
-    def _startup_correction_at(self, now_ms: int) -> float:
-        """Return the factor that corrects averages for a recent start.
-
-        The moving averages start at zero with each term of a coordinator and
-        underestimate the rates until the window has filled.
-        """
-        filled_fraction = 1.0 - math.exp(
-            -(now_ms - self._term_started_ms) / RATE_WINDOW_MS
-        )
-        return 1.0 / max(MIN_WINDOW_FRACTION, filled_fraction)
+    @property
+    def has_arrivals(self) -> bool:
+        """Return whether any request has arrived during this term."""
+        return bool(self._rates)
 
     def rate(self, model: str) -> float:
         """Return the arrival rate of a model in requests per second."""
-        return self._rates.get(model, 0.0) * self._startup_correction
+        return self._per_s.get(model, 0.0)
 
     def prefill_utilisation(self, model: str) -> float:
         """Return the number of engines kept busy by prefill of a model."""
-        return (
-            self._prefill_utilisation.get(model, 0.0)
-            * self._startup_correction
-        )
+        rate = self._rates.get(model)
+        if rate is None:
+            return 0.0
+        return self.rate(model) * rate.mean_tokens / PREFILL_TOKENS_PER_S
 
     def open_requests(self, model: str) -> int:
         """Return the number of running, queued and waiting requests."""
@@ -187,8 +168,9 @@
 
     def top_rates(self, count: int) -> list[tuple[str, float]]:
         """Return the most requested models with their rates per second."""
-        rates = [(model, self.rate(model)) for model in self._rates]
-        return heapq.nlargest(count, rates, key=lambda row: row[1])
+        return heapq.nlargest(
+            count, self._per_s.items(), key=lambda row: row[1]
+        )
 
     def idle_ms(self, model: str) -> int:
         """Return the time in ms since the last reported arrival for a model.
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -51,7 +51,9 @@
         "_log",
         "_next_connect_ms",
         "_on_entry_count",
+        "_on_link_lost",
         "_on_quarantine",
+        "_on_store_changes",
         "_reconnect_ms",
         "_take_arrivals",
         "_vm",
@@ -71,6 +73,8 @@
         waits: residency_waits.ResidencyWaits,
         forecast: wait_forecast.WaitForecast,
         on_quarantine: Callable[[bytes], None],
+        on_store_changes: Callable[[messages_fleet.StoreChanges], None],
+        on_link_lost: Callable[[], None],
         log: decision_log.DecisionLog,
     ) -> None:
         self._clock = clock
@@ -83,6 +87,8 @@
         self._on_entry_count = on_entry_count
         self._forecast = forecast
         self._on_quarantine = on_quarantine
+        self._on_store_changes = on_store_changes
+        self._on_link_lost = on_link_lost
         self._log = log
         self._waits = waits
         self._coordinator_address = ""
@@ -109,6 +115,7 @@
         link, self._link = self._link, None
         if link is not None:
             link.close()
+            self._on_link_lost()
         self._connect()
 
     def request_load(self, wanted: residency_waits.WantedModel) -> None:
@@ -144,6 +151,8 @@
             )
         elif isinstance(item, messages_fleet.Quarantine):
             self._on_quarantine(item.content)
+        elif isinstance(item, messages_fleet.StoreChanges):
+            self._on_store_changes(item)
         elif isinstance(item, messages_fleet.FleetState):
             self._reconnect_ms = REPORT_INTERVAL_MS
             self._on_entry_count(item.entries)
@@ -180,6 +189,7 @@
         self._link = None
         self._log.write("holder_lost", holder=self._coordinator_address)
         self._directory.use_record_models()
+        self._on_link_lost()
 
     def on_connect_failed(self) -> None:
         """Allow the next connection attempt."""
--- a/src/balsamwall/coordination/fleet_server.py
+++ b/src/balsamwall/coordination/fleet_server.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import fleet_stream
 from balsamwall.coordination import messages_fleet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from balsamwall.coordination import coordinator as coordinator_module
-    from balsamwall.coordination import fleet_stream
     from balsamwall.protocol import message
 
 
@@ -41,8 +41,9 @@
     def broadcast(self, item: message.Message) -> None:
         """Send a message to all entries."""
         self._deliver_local(item)
+        frame = fleet_stream.encode_frame(item)
         for stream in self._streams:
-            stream.send(item)
+            stream.send_frame(frame)
 
     def close_all(self) -> None:
         """Close the streams of the other entries."""
--- a/src/balsamwall/coordination/fleet_stream.py
+++ b/src/balsamwall/coordination/fleet_stream.py
@@ -27,6 +27,11 @@
 MAX_FRAME_BYTES = 1_048_576
 
 
+def encode_frame(item: message.Message) -> bytes:
+    """Encode a message with its length prefix."""
+    return frame_reader.add_prefix(codec.encode(item))
+
+
 class StreamOwner(TypingProtocol):
     """Listener for the events of a stream."""
 
@@ -85,7 +90,11 @@
 
     def send(self, item: message.Message) -> None:
         """Encode a message and write it as one frame."""
-        self.transport.write(frame_reader.add_prefix(codec.encode(item)))
+        self.send_frame(encode_frame(item))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Write a message that is already encoded."""
+        self.transport.write(frame)
 
     def close(self) -> None:
         """Abort the connection without flushing unsent data."""
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -76,3 +76,17 @@
     loads: dict[str, int]
     queued: dict[str, int]
     loads_due: dict[str, int]
+
+
+@message.register(107)
+class StoreChanges(message.Message):
+    """Relay the changes in the store between two revisions.
+
+    Each row of items holds key, value and revision; the value of a deleted
+    key is nil. Changes that are not complete must be read from the store.
+    """
+
+    after_revision: int
+    revision: int
+    items: list[list[Any]]
+    is_complete: bool
--- a/src/balsamwall/coordination/replica_demand.py
+++ b/src/balsamwall/coordination/replica_demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,13 +12,9 @@
     from balsamwall.gateway import residency_waits
 
 # Gains are measured in delayed requests that a change avoids.
-# Time over which a change is valued. Demand for busy models shifts within
-# seconds.
-HORIZON_S = 4.0
-# A growing backlog lasts until the demand shifts, so that a replica against it
-# is valued over a longer time. An engine that is merely busy may be idle again
-# before the replica has loaded.
-BACKLOG_HORIZON_S = 8.0
+# Mean time for which the demand for a model lasts. A replica that takes longer
+# to load meets less of the demand that it was planned for.
+DEMAND_LIFETIME_S = 8.0
 # Waiting requests and their waiting time add to the gain, so that rare models
 # are not starved. Both are bounded: a backlog must not evict a model that is
 # requested more often, as that model would build up a backlog in turn.
@@ -26,20 +23,20 @@
 # Models requested less often than this may occupy only a part of the engines
 # with loads. The other engines stay free for models whose demand rises.
 RARE_RATE_PER_S = 1.5
+# Time for which a rare model stays absent after an eviction, or stays after a
+# load. Rare models take turns at an engine, so that it is shorter than the
+# time for which their demand lasts.
+RARE_TURN_S = 3.5
 # Utilisation above which a model gets one more replica, and the one at which
 # every request is delayed. Arrivals are bursty, so that the delayed share
 # grows with the square of the utilisation.
-SCALE_OUT_UTILISATION = 0.75
-FULL_DELAY_UTILISATION = 0.8
-# Utilisation above which requests arrive faster than an engine serves them.
-BACKLOG_UTILISATION = 1.4
-# A model without a request for this time is unlikely to get one soon.
-RECENT_REQUEST_MS = 5_000
+SCALE_OUT_UTILISATION = 0.6
+FULL_DELAY_UTILISATION = 0.9
 # Limit of the relative delay, which is 1.0 when every request is delayed.
 MAX_RELATIVE_DELAY = 16.0
 # A request that a full engine delays is still served, unlike one whose model
 # has no replica, so that it counts only in part.
-SCALE_OUT_WEIGHT = 0.6
+BUSY_DELAY_WEIGHT = 0.6
 # A request occupies its slot until it ends, but delays no other request until
 # all slots are taken. Slot use therefore weighs less than prefill time.
 SLOT_WEIGHT = 0.8
@@ -57,10 +54,16 @@
     max_utilisation: float = 0.0
     # Utilisation that the new replica adds to its engine.
     added_utilisation: float = 0.0
-    # Gain that is lost for each second until the replica is loaded.
-    gain_loss_per_s: float = 0.0
-    # Models that must not be evicted for it.
-    protected_models: frozenset[str] = frozenset()
+
+    def remaining_gain(self, delay_s: float) -> float:
+        """Return the gain of a replica that is usable after a delay.
+
+        Requests for a model without a replica wait for it, so that a delay
+        does not reduce its gain.
+        """
+        if not self.replicas:
+            return self.gain
+        return self.gain * math.exp(-delay_s / DEMAND_LIFETIME_S)
 
 
 class ReplicaDemand:
@@ -100,7 +103,7 @@
         trackers_by_model: dict[str, list[engine_tracker.EngineTracker]],
     ) -> PlacementNeed:
         gain = min(MAX_WAITING_REQUESTS_GAIN, float(max(1, count)))
-        gain += self._demand.rate(wanted.model) * HORIZON_S
+        gain += self._absence_loss(wanted.model)
         waited_s = self._demand.waited_ms(wanted) / 1_000
         gain += min(MAX_WAITING_TIME_GAIN, waited_s)
         replicas = len(trackers_by_model.get(wanted.model, ()))
@@ -112,96 +115,74 @@
         trackers_by_model: dict[str, list[engine_tracker.EngineTracker]],
     ) -> list[PlacementNeed]:
         utilisation = self._engine_utilisation(trackers, trackers_by_model)
-        saved = {
-            model: self._scale_out_relief(model, model_trackers, utilisation)
-            for model, model_trackers in trackers_by_model.items()
-        }
-        overloaded = [model for model in trackers_by_model if saved[model] > 0]
-        if not overloaded:
-            return []
-        protected_models = {
-            is_backlog: self._protected_from_scale_out(
-                trackers_by_model, is_backlog
-            )
-            for is_backlog in (False, True)
-        }
         found = []
-        for model in overloaded:
-            model_trackers, saved_per_s = (
-                trackers_by_model[model],
-                saved[model],
-            )
-            highest = max(
+        for model, model_trackers in trackers_by_model.items():
+            count = len(model_trackers)
+            used = [
                 utilisation[tracker.record.server_id]
                 for tracker in model_trackers
+            ]
+            if sum(used) / count < SCALE_OUT_UTILISATION:
+                continue
+            saved_per_s = self._delay_change(
+                model, model_trackers, utilisation, count + 1
             )
-            is_backlog = highest >= BACKLOG_UTILISATION
-            horizon_s = BACKLOG_HORIZON_S if is_backlog else HORIZON_S
+            added = self._required_engines(model, model_trackers[0])
             found.append(
                 PlacementNeed(
                     model,
-                    saved_per_s * horizon_s,
-                    replicas=len(model_trackers),
-                    max_utilisation=highest,
-                    added_utilisation=self._required_engines(
-                        model, model_trackers[0]
-                    )
-                    / (len(model_trackers) + 1),
-                    gain_loss_per_s=(
-                        saved_per_s if is_backlog else self._demand.rate(model)
-                    ),
-                    protected_models=protected_models[is_backlog],
+                    saved_per_s * DEMAND_LIFETIME_S,
+                    replicas=count,
+                    max_utilisation=max(used),
+                    added_utilisation=added / (count + 1),
                 )
             )
         return found
 
-    def _protected_from_scale_out(
-        self,
-        trackers_by_model: dict[str, list[engine_tracker.EngineTracker]],
-        is_backlog: bool,
-    ) -> frozenset[str]:
-        """Return the models whose only replica must not be evicted.
+    def eviction_losses(
+        self, trackers: list[engine_tracker.EngineTracker]
+    ) -> dict[str, float]:
+        """Return the gain that is lost if a model loses one replica.
 
-        A request at a full engine is late, but one without a replica is lost.
-        Only a growing backlog justifies evicting the last replica of a rarely
-        requested model.
+        Without its last replica, all requests for a model are delayed.
         """
-        protected_models = set()
-        for name, model_trackers in trackers_by_model.items():
-            if len(model_trackers) > 1:
-                continue
-            is_recently_requested = (
-                self._demand.idle_ms(name) < RECENT_REQUEST_MS
-            )
-            if not self.is_rare(name) or (
-                is_recently_requested and not is_backlog
-            ):
-                protected_models.add(name)
-        return frozenset(protected_models)
+        trackers_by_model = _trackers_by_model(trackers)
+        utilisation = self._engine_utilisation(trackers, trackers_by_model)
+        losses = {}
+        for model, model_trackers in trackers_by_model.items():
+            count = len(model_trackers) - 1
+            if count:
+                lost_per_s = self._delay_change(
+                    model, model_trackers, utilisation, count
+                )
+                losses[model] = lost_per_s * DEMAND_LIFETIME_S
+            else:
+                losses[model] = self._absence_loss(model)
+        return losses
+
+    def _absence_loss(self, model: str) -> float:
+        """Return the requests that are delayed while a model is absent."""
+        absent_s = RARE_TURN_S if self.is_rare(model) else DEMAND_LIFETIME_S
+        return self._demand.rate(model) * absent_s
 
-    def _scale_out_relief(
+    def _delay_change(
         self,
         model: str,
         model_trackers: list[engine_tracker.EngineTracker],
         utilisation: dict[str, float],
+        new_count: int,
     ) -> float:
-        """Return the delayed requests per second that a replica avoids."""
+        """Return by how many delayed requests a second two counts differ."""
         count = len(model_trackers)
         work = self._required_engines(model, model_trackers[0])
-        relief = work / count - work / (count + 1)
-        before = (
-            sum(
-                utilisation[tracker.record.server_id]
-                for tracker in model_trackers
-            )
-            / count
+        used = sum(
+            utilisation[tracker.record.server_id] for tracker in model_trackers
         )
-        if before < SCALE_OUT_UTILISATION:
-            return 0.0
-        saved = _relative_delay(before) - _relative_delay(before - relief)
-        # The relief can't exceed the requests that arrive.
-        saved = min(1.0, saved)
-        return self._demand.rate(model) * saved * SCALE_OUT_WEIGHT
+        before = used / count
+        after = before - work / count + work / new_count
+        change = abs(_relative_delay(after) - _relative_delay(before))
+        # No more requests can be delayed than arrive.
+        return self._demand.rate(model) * min(1.0, change) * BUSY_DELAY_WEIGHT
 
     def _required_engines(
         self, model: str, tracker: engine_tracker.EngineTracker
@@ -243,7 +224,7 @@
     It grows beyond 1.0, up to MAX_RELATIVE_DELAY, as a replica saves more
     when the backlog is larger.
     """
-    return min(MAX_RELATIVE_DELAY, (utilisation / FULL_DELAY_UTILISATION) ** 2)
+    return min(MAX_RELATIVE_DELAY, (utilisation / FULL_DELAY_UTILISATION) ** 4)
 
 
 def _trackers_by_model(
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -18,15 +17,10 @@
 
 _Kind = engine_control.OrderKind
 # All costs and gains are measured in delayed requests.
-# Fraction of the horizon during which requests for an evicted model wait.
-EVICTED_DELAY_FRACTION = 0.8
 # Cost of a load from the weight store, which uses one of its permits, and of
 # one from the VM's disk. The load time is charged separately.
 STORE_LOAD_COST = 1.2
 DISK_LOAD_COST = 0.1
-# Evicting one of several replicas delays no request while the others have
-# capacity.
-SPARE_REPLICA_FACTOR = 0.15
 # Cost and expected time in seconds of an unload that waits for running
 # requests. Its memory is unused meanwhile.
 RUNNING_COST = 3.0
@@ -38,12 +32,6 @@
 RARE_ENGINE_FRACTION = 0.45
 # A model stays for this time after a load, to serve the requests that wait.
 MIN_RESIDENCE_MS = 800
-# Highest slot use of any engine at which models are prefetched, and the gain
-# of a prefetch: less than that of keeping a model in demand.
-PREFETCH_MAX_LOAD = 0.1
-PREFETCH_GAIN = 3.0
-# Number of VMs that should have the weights of each model.
-PREFETCH_REPLICAS = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -56,6 +44,16 @@
     gain: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Candidate:
+    """Engine that may load a model, with the models to evict for it."""
+
+    rank: float  # cost with the delay of requests that wait
+    cost: float
+    tracker: engine_tracker.EngineTracker
+    victims: list[str]
+
+
 class ResidencyPlanner:
     """Plan one change at a time from trackers and demand, without state.
 
@@ -126,38 +124,6 @@
         ]
         return self._cheapest_plan(free, trackers, need, now_ms)
 
-    def plan_prefetch(
-        self, trackers: list[engine_tracker.EngineTracker], now_ms: int
-    ) -> Plan | None:
-        """Plan the prefetch of a model onto one more VM, under low load.
-
-        A load from the VM's own disk takes a quarter of the time of one from
-        the weight store and needs no permit. The engine then restores its
-        previous models, as they were chosen for actual demand.
-        """
-        if (
-            not trackers
-            or max(self._slot_use(trackers).values()) > PREFETCH_MAX_LOAD
-        ):
-            return None
-        local_models = collections.Counter(
-            name
-            for tracker in trackers
-            for name in tracker.local_models | tracker.expected_models()
-        )
-        models = list(trackers[0].spec.models)
-        model = min(models, key=lambda name: local_models[name], default="")
-        if not model or local_models[model] >= PREFETCH_REPLICAS:
-            return None
-        others = [
-            tracker
-            for tracker in trackers
-            if model not in tracker.local_models
-        ]
-        need = replica_demand.PlacementNeed(model, PREFETCH_GAIN)
-        plan = self._cheapest_plan(others, trackers, need, now_ms)
-        return None if plan is None else _with_restored_models(plan)
-
     def _plan_adapter(
         self,
         trackers: list[engine_tracker.EngineTracker],
@@ -194,24 +160,17 @@
     ) -> Plan | None:
         """Return the cheapest plan, or None if it costs more than it gains.
 
-        Each second until the load ends reduces the gain by gain_loss_per_s.
-        That is 0 for a model without a replica, as its requests wait wherever
-        it is loaded; the load time then only ranks the engines.
+        For a model without a replica the load time only ranks the engines.
         """
-        best: (
-            tuple[float, float, engine_tracker.EngineTracker, list[str]] | None
-        )
-        best = None
+        best: _Candidate | None = None
         model = need.model
         loads = self._slot_use(candidates)
-        replicas = _resident_replicas(trackers)
+        losses = self._replica_demand.eviction_losses(trackers)
         rate = self._demand.rate(model)
         for tracker in candidates:
             if not tracker.is_idle or tracker.will_hold(model):
                 continue
-            eviction = self._victims(
-                tracker, model, now_ms, replicas, need.protected_models
-            )
+            eviction = self._victims(tracker, model, now_ms, losses)
             if eviction is None:
                 continue
             cost, victims = eviction
@@ -219,17 +178,18 @@
             is_local = model in tracker.local_models
             cost += DISK_LOAD_COST if is_local else STORE_LOAD_COST
             cost += BUSY_COST * loads[tracker.record.server_id]
-            cost += need.gain_loss_per_s * delay_s
+            cost += need.gain - need.remaining_gain(delay_s)
             rank = cost + rate * delay_s
-            if best is None or rank < best[0]:
-                best = (rank, cost, tracker, victims)
-        if best is None or best[1] > need.gain:
+            if best is None or rank < best.rank:
+                best = _Candidate(rank, cost, tracker, victims)
+        if best is None or best.cost > need.gain:
             return None
         orders = [
-            engine_control.Order(_Kind.UNLOAD, victim) for victim in best[3]
+            engine_control.Order(_Kind.UNLOAD, victim)
+            for victim in best.victims
         ]
         orders.append(engine_control.Order(_Kind.LOAD, model))
-        return Plan(best[2], tuple(orders), best[1], need.gain)
+        return Plan(best.tracker, tuple(orders), best.cost, need.gain)
 
     def _load_delay_s(
         self,
@@ -251,8 +211,7 @@
         tracker: engine_tracker.EngineTracker,
         model: str,
         now_ms: int,
-        replicas: collections.Counter[str],
-        protected_models: frozenset[str],
+        losses: dict[str, float],
     ) -> tuple[float, list[str]] | None:
         """Return the cost of eviction and the models to evict.
 
@@ -266,10 +225,9 @@
             return 0.0, []
         running = self._demand.running()
         costs = sorted(
-            (self._eviction_cost(tracker, name, replicas, running), name)
+            (self._eviction_cost(tracker, name, losses, running), name)
             for name in tracker.models
-            if name not in protected_models
-            and now_ms - tracker.resident_since_ms.get(name, 0)
+            if now_ms - tracker.resident_since_ms.get(name, 0)
             >= MIN_RESIDENCE_MS
         )
         chosen: list[str] = []
@@ -288,16 +246,10 @@
         self,
         tracker: engine_tracker.EngineTracker,
         model: str,
-        replicas: collections.Counter[str],
+        losses: dict[str, float],
         running: dict[tuple[str, str], int],
     ) -> float:
-        cost = (
-            self._demand.rate(model)
-            * replica_demand.HORIZON_S
-            * EVICTED_DELAY_FRACTION
-        )
-        if replicas[model] > 1:
-            cost *= SPARE_REPLICA_FACTOR
+        cost = losses.get(model, 0.0)
         if running.get((tracker.record.server_id, model)):
             cost += RUNNING_COST
         return cost
@@ -313,25 +265,6 @@
         }
 
 
-def _with_restored_models(plan: Plan) -> Plan:
-    """Return the plan extended by orders that restore the former models."""
-    *unloads, load = plan.orders
-    orders = [*plan.orders]
-    if unloads:
-        orders.append(engine_control.Order(_Kind.UNLOAD, load.model))
-    for unload in unloads:
-        orders.append(engine_control.Order(_Kind.LOAD, unload.model))
-    return Plan(plan.tracker, tuple(orders), plan.cost, plan.gain)
-
-
-def _resident_replicas(
-    trackers: Iterable[engine_tracker.EngineTracker],
-) -> collections.Counter[str]:
-    return collections.Counter(
-        name for tracker in trackers for name in tracker.models
-    )
-
-
 def _least_recently_used_adapter(
     tracker: engine_tracker.EngineTracker, in_use: set[tuple[str, str, str]]
 ) -> tuple[str, str] | None:
--- a/src/balsamwall/infrastructure/key_value_service.py
+++ b/src/balsamwall/infrastructure/key_value_service.py
@@ -26,6 +26,16 @@
     lease_id: int = 0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreUpdate:
+    """Changes between two revisions of the service, the later included."""
+
+    after_revision: int
+    revision: int
+    items: tuple[KeyValue, ...]
+    is_complete: bool = True  # whether the items hold all relevant changes
+
+
 RevisionResult = Result[int, result_code.ResultCode]
 GetResult = Result[KeyValue | None, result_code.ResultCode]
 ListResult = Result[tuple[KeyValue, ...], result_code.ResultCode]
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -117,9 +117,15 @@
 
     @property
     def is_held(self) -> bool:
-        """Return whether the lease is valid by the local clock."""
+        """Return whether the lease is valid by the local clock.
+
+        A lease whose key has not been written yet elects nobody, although the
+        service may already have renewed it.
+        """
         end_ms = self._valid_until_ms
-        return end_ms is not None and self._clock.now_ms() < end_ms
+        if self._acquired_ms is None or end_ms is None:
+            return False
+        return self._clock.now_ms() < end_ms
 
     @property
     def held_since_ms(self) -> int | None:
--- a/src/balsamwall/platform/documents.py
+++ b/src/balsamwall/platform/documents.py
@@ -24,7 +24,8 @@
     """Document that is not valid JSON or has a missing or invalid field."""
 
 
-def _decode_object(raw: bytes) -> dict[str, Any]:
+def decode_object(raw: bytes) -> dict[str, Any]:
+    """Decode a JSON object; raise DocumentError if it is none."""
     try:
         found = json.loads(raw)
     except (ValueError, RecursionError) as error:
@@ -58,7 +59,7 @@
     raw: bytes,
 ) -> gateway_configuration.GatewayConfiguration:
     """Decode a configuration; raise DocumentError if it is invalid."""
-    fields = _decode_object(raw)
+    fields = decode_object(raw)
     limits = _optional(fields, "limits", {}, dict)
     defaults = gateway_configuration.CallerLimits()
     return gateway_configuration.GatewayConfiguration(
@@ -150,7 +151,7 @@
     server_id: str, raw: bytes
 ) -> backend_directory.ServerRecord:
     """Decode a server record; raise DocumentError if it is invalid."""
-    fields = _decode_object(raw)
+    fields = decode_object(raw)
     host, _, port = _field(fields, "address", str).rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65_536:
         raise DocumentError(
--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -113,9 +113,7 @@
 
 def decode_report(raw: bytes) -> engine_control.EngineReport:
     """Decode a report; raise ValueError if it is invalid."""
-    document = json.loads(raw)
-    if type(document) is not dict:
-        raise ValueError("expected a JSON object")
+    document = documents.decode_object(raw)
     return engine_control.EngineReport(
         order_count=_integer_field(document, "seq"),
         is_busy=bool(document.get("busy")),
--- a/src/balsamwall/platform/store_client.py
+++ b/src/balsamwall/platform/store_client.py
@@ -261,7 +261,7 @@
     """Decode the items of a response; return None if one is invalid."""
     try:
         return [store_feed.decode_item(row) for row in raw_items]
-    except (AttributeError, ValueError) as error:
+    except (AttributeError, TypeError, ValueError) as error:
         eliot.log_message("store_answer_unreadable", reason=str(error)[:200])
         return None
 
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -4,7 +4,7 @@
 
 import base64
 import binascii
-import json
+import dataclasses
 from typing import Any
 from typing import TYPE_CHECKING
 import urllib.parse
@@ -12,6 +12,7 @@
 import eliot
 
 from balsamwall.infrastructure import key_value_service
+from balsamwall.platform import documents
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +33,13 @@
 MIN_BATCH_DELAY_MS = 200
 MAX_BATCH_DELAY_MS = 900
 READ_TIMEOUT_MS = 1_500
+# Without an update relayed by the coordinator for this time, the feed reads the
+# store itself. The coordinator relays several times a second, and a change
+# must take effect within two seconds.
+RELAY_TIMEOUT_MS = 1_000
+# Random delay before the feed reads a change that was relayed in part, so that
+# not all entries call the store at the same moment.
+RELAY_READ_JITTER_MS = 100
 # The delay after a failed call starts at the first value and doubles up to the
 # second. Each delay is reduced at random by up to half.
 MIN_BACKOFF_MS = 60
@@ -56,6 +64,16 @@
     return key_value_service.KeyValue(key, value, revision, lease_id)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StorePage:
+    """Items or events of one response, with the store's revision."""
+
+    items: tuple[key_value_service.KeyValue, ...]
+    revision: int
+    is_truncated: bool = False  # whether further pages follow
+    has_rows: bool = False  # whether there were any, readable or not
+
+
 class FeedWatch:
     """Handle of a watch on a key or a prefix."""
 
@@ -98,9 +116,11 @@
         "_pages",
         "_random",
         "_readers",
+        "_relayed_ms",
         "_request",
         "_revision",
         "_timer",
+        "_update_listeners",
         "_watches",
         "is_connected",
         "is_synced",
@@ -125,6 +145,11 @@
         self._timer: clock_module.Timer | None = None
         self._cancel_call: Callable[[], None] | None = None
         self._state_listeners: list[Callable[[bool], None]] = []
+        self._update_listeners: list[
+            Callable[[key_value_service.StoreUpdate], None]
+        ] = []
+        # When an update was relayed that left no gap, None for never.
+        self._relayed_ms: int | None = None
         # False before the first complete read, and after a failed call until
         # the next complete read or response to a watch.
         self.is_connected = False
@@ -161,6 +186,51 @@
         """
         self._state_listeners.append(listener)
 
+    def add_update_listener(
+        self, listener: Callable[[key_value_service.StoreUpdate], None]
+    ) -> None:
+        """Call a function with each response of the store to this feed."""
+        self._update_listeners.append(listener)
+
+    def apply_update(self, update: key_value_service.StoreUpdate) -> None:
+        """Apply an update that the coordinator has read from the store.
+
+        While such updates leave no gap, the feed does not call the store. A
+        value never replaces a newer one, whoever has read it.
+        """
+        if self._is_stopped or not self.is_synced:
+            return
+        has_gap = update.after_revision > self._revision
+        if not has_gap and update.is_complete:
+            self._set_connected(True)
+            self._revision = max(self._revision, update.revision)
+            self._relayed_ms = self._clock.now_ms()
+        for item in update.items:
+            self._deliver(item)
+        if self._timer is None:
+            # A call is in progress, and its response has the changes.
+            return
+        if has_gap or not update.is_complete:
+            self._watch_soon()
+            return
+        self._timer.cancel()
+        self._timer = self._clock.call_later(RELAY_TIMEOUT_MS, self._watch)
+
+    def _watch_soon(self) -> None:
+        """Replace the pending call by one after a short random delay."""
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_ms = int(RELAY_READ_JITTER_MS * self._random.random())
+        self._timer = self._clock.call_later(delay_ms, self._watch)
+
+    def stop_relay(self) -> None:
+        """Call the store again, since no more updates are relayed."""
+        if self._relayed_ms is None:
+            return
+        self._relayed_ms = None
+        if self._timer is not None:
+            self._watch_soon()
+
     @property
     def batch_delay_ms(self) -> int:
         """Return the delay between events and the next watch call."""
@@ -203,29 +273,24 @@
     def _on_page(
         self, answer: http_client.HttpResponse, first_revision: int
     ) -> None:
-        document = read_object(answer)
-        if document is None:
+        page = read_page(answer, "items")
+        if page is None or (page.is_truncated and not page.items):
             self._retry(self.start, answer)
             return
-        items = [item for item in document.get("items", []) if item]
-        for row in items:
-            item = _decode_or_log(row)
-            if item is not None:
-                self._pages[item.key] = item
-        revision = document.get("current_rev", 0)
+        for item in page.items:
+            self._pages[item.key] = item
         # Pages are not an atomic snapshot, so the watch starts at the revision
         # of the first page.
-        first_revision = first_revision or revision
-        if document.get("truncated") and items:
-            self._read_page(items[-1]["key"], first_revision)
+        first_revision = first_revision or page.revision
+        if page.is_truncated:
+            self._read_page(page.items[-1].key, first_revision)
             return
         self._on_snapshot_read(first_revision)
 
     def _on_snapshot_read(self, revision: int) -> None:
         self._set_connected(True)
         pages, self._pages = self._pages, {}
-        for item in pages.values():
-            self._deliver(item)
+        changes = [*pages.values()]
         for key, known in list(self._items.items()):
             if known.value is None:
                 # No older event follows this read, so the tombstone is not
@@ -233,12 +298,15 @@
                 del self._items[key]
             elif key not in pages and known.revision <= revision:
                 deleted_revision = max(revision, known.revision + 1)
-                self._deliver(
+                changes.append(
                     key_value_service.KeyValue(key, None, deleted_revision)
                 )
-        self._revision = revision
+        for item in changes:
+            self._deliver(item)
+        after_revision, self._revision = self._revision, revision
         self.is_synced = True
-        self._watch()
+        self._on_update(after_revision, tuple(changes))
+        self._schedule_watch(0)
 
     # Following changes
 
@@ -266,22 +334,36 @@
             eliot.log_message("store_history_lost", revision=self._revision)
             self.start()
             return
-        document = read_object(answer)
-        if document is None:
+        page = read_page(answer, "events")
+        if page is None:
             self._retry(self._watch, answer)
             return
         self._set_connected(True)
-        for row in document.get("events", []):
-            item = _decode_or_log(row)
-            if item is not None:
-                self._deliver(item)
-        revision = document.get("current_rev")
-        if type(revision) is int:
-            self._revision = max(self._revision, revision)
-        if document.get("events"):
-            self._timer = self._clock.call_later(
-                self.batch_delay_ms, self._watch
-            )
+        for item in page.items:
+            self._deliver(item)
+        after_revision = self._revision
+        self._revision = max(self._revision, page.revision)
+        self._on_update(after_revision, page.items)
+        self._schedule_watch(self.batch_delay_ms if page.has_rows else 0)
+
+    def _on_update(
+        self,
+        after_revision: int,
+        items: tuple[key_value_service.KeyValue, ...],
+    ) -> None:
+        update = key_value_service.StoreUpdate(
+            after_revision, self._revision, items
+        )
+        for listener in self._update_listeners:
+            listener(update)
+
+    def _schedule_watch(self, delay_ms: int) -> None:
+        """Make the next call after a delay, or when the relay has ended."""
+        if self._relayed_ms is not None:
+            silent_ms = self._clock.now_ms() - self._relayed_ms
+            delay_ms = max(delay_ms, RELAY_TIMEOUT_MS - silent_ms)
+        if delay_ms > 0:
+            self._timer = self._clock.call_later(delay_ms, self._watch)
         else:
             self._watch()
 
@@ -328,11 +410,34 @@
     if answer.status != 200:
         return None
     try:
-        document = json.loads(answer.body)
-    except ValueError as error:
+        return documents.decode_object(answer.body)
+    except documents.DocumentError as error:
         eliot.log_message("store_answer_unreadable", reason=str(error)[:200])
         return None
-    return document if type(document) is dict else None
+
+
+def read_page(
+    answer: http_client.HttpResponse, rows_field: str
+) -> StorePage | None:
+    """Decode a page of items or events; None on error or bad status.
+
+    Rows that can't be decoded are logged and left out.
+    """
+    document = read_object(answer)
+    if document is None:
+        return None
+    rows = document.get(rows_field, [])
+    revision = document.get("current_rev")
+    if type(rows) is not list or type(revision) is not int:
+        eliot.log_message(
+            "store_answer_unreadable",
+            reason=f"{rows_field} or current_rev is missing or invalid",
+        )
+        return None
+    decoded = [_decode_or_log(row) for row in rows]
+    items = tuple(item for item in decoded if item is not None)
+    is_truncated = bool(document.get("truncated"))
+    return StorePage(items, revision, is_truncated, bool(rows))
 
 
 def _decode_or_log(row: object) -> key_value_service.KeyValue | None:
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -99,3 +99,25 @@
         self.expire_lease()
         self.clock.advance(coordinator_module.MAX_WITHOUT_LEASE_MS)
         self.assertEqual(self.coordinator.fencing_token, 0)
+
+    def test_rejected_token_is_not_used_again_without_the_lease(self):
+        """Guards against orders after a newer coordinator has given some.
+
+        The store is away, and this process would go on without its lease.
+        """
+        self.is_connected = False
+        self.expire_lease()
+        self.assertEqual(self.coordinator.fencing_token, 7)
+        self.coordinator.on_fenced()
+        for _ in range(5):
+            self.clock.advance(coordinator_module.TICK_INTERVAL_MS)
+            self.assertEqual(self.coordinator.fencing_token, 0)
+
+    def test_next_term_after_a_rejected_token_has_orders(self):
+        """Guards against an entry that never coordinates again."""
+        self.coordinator.on_fenced()
+        self.clock.advance(500)
+        self.expire_lease()
+        self.lease.is_held, self.lease.revision = True, 11
+        self.clock.advance(500)
+        self.assertEqual(self.coordinator.fencing_token, 11)
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -45,6 +45,8 @@
             residency_waits.ResidencyWaits(self.clock, lambda wanted: None),
             wait_forecast.WaitForecast(self.clock),
             lambda content: None,
+            lambda changes: None,
+            lambda: None,
             decision_log.DecisionLog(self.clock),
         )
         self.client.start()
--- a/tests/placement/test_lease_keeper.py
+++ b/tests/placement/test_lease_keeper.py
@@ -74,3 +74,23 @@
         self.store.renewal = Failure(_Code.PLATFORM_OUTCOME_UNKNOWN)
         self.clock.advance(TIMES.ttl_ms - TIMES.margin_ms)
         self.assertFalse(self.keeper.is_held)
+
+    def test_renewal_before_the_key_is_written_gives_no_lease(self):
+        """Guards against a fencing token of an earlier term.
+
+        The compare-and-swap is slower than the renewal of the bare lease.
+        """
+        pending = []
+        self.store.compare_and_swap = (
+            lambda key, revision, value, callback, lease_id=0: pending.append(
+                callback
+            )
+        )
+        self.is_candidate = False
+        self.clock.advance(TIMES.renew_ms)
+        self.is_candidate = True
+        self.clock.advance(3 * TIMES.renew_ms)
+        self.assertFalse(self.keeper.is_held)
+        pending[-1](Success(12))
+        self.assertTrue(self.keeper.is_held)
+        self.assertEqual(self.keeper.revision, 12)
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -9,6 +9,7 @@
 import urllib.parse
 
 from balsamwall.infrastructure import http_client
+from balsamwall.infrastructure import key_value_service
 from balsamwall.platform import store_feed
 from balsamwall.timing import virtual_clock
 
@@ -40,8 +41,8 @@
         return self.calls[-1][:2]
 
 
-class StoreFeedTest(unittest.TestCase):
-    """Each change is delivered once, in the order of revisions."""
+class FeedTestCase(unittest.TestCase):
+    """Feed of a scripted store, with the changes that it delivered."""
 
     def setUp(self):
         self.clock = virtual_clock.VirtualClock()
@@ -64,6 +65,10 @@
             items=list(items), truncated=False, current_rev=revision
         )
 
+
+class StoreFeedTest(FeedTestCase):
+    """Each change is delivered once, in the order of revisions."""
+
     def test_watch_starts_at_the_first_page(self):
         """Guards against losing changes between two pages."""
         first = row("s/a", "1", 5)
@@ -123,3 +128,121 @@
         self.assertEqual(len(self.store.calls), calls)
         self.clock.advance(store_feed.MAX_BATCH_DELAY_MS)
         self.assertEqual(len(self.store.calls), calls + 1)
+
+    def test_page_without_a_list_of_items_is_read_again(self):
+        """Guards against an exception that ends the feed for ever."""
+        for items in (None, 7, {"key": "s/a"}):
+            self.store.answer(items=items, truncated=False, current_rev=3)
+            self.clock.advance(store_feed.MAX_BACKOFF_MS)
+        self.read(row("s/a", "1", 5))
+        self.assertEqual(self.seen, [("s/a", "1")])
+
+    def test_invalid_items_are_skipped(self):
+        """Guards against one writer that hides the items of the others."""
+        invalid = [{"value": "", "revision": 5}, "text", None]
+        items = [row("s/a", "1", 5), *invalid]
+        self.store.answer(items=items, truncated=True, current_rev=10)
+        self.assertEqual(self.store.last[1]["after"], "s/a")
+
+    def test_revision_of_another_type_is_not_followed(self):
+        """Guards against a watch from a revision that no store has."""
+        self.store.answer(items=[], truncated=False, current_rev="12")
+        self.clock.advance(store_feed.MAX_BACKOFF_MS)
+        self.assertEqual(self.store.last[0], "/kv-range")
+
+    def test_events_of_another_type_are_read_again(self):
+        """Guards against an exception that ends the watch for ever."""
+        self.read()
+        self.store.answer(events=7, current_rev=11)
+        self.clock.advance(store_feed.MAX_BACKOFF_MS)
+        path, query = self.store.last
+        self.assertEqual((path, query["after"]), ("/kv-watch", "10"))
+
+    def test_deeply_nested_response_is_read_again(self):
+        """Guards against a RecursionError that ends the feed for ever."""
+        body = b"[" * 100_000
+        response = http_client.HttpResponse(200, {}, body, True, "")
+        self.store.calls[-1][2](response)
+        self.clock.advance(store_feed.MAX_BACKOFF_MS)
+        self.read(row("s/a", "1", 5))
+        self.assertEqual(self.seen, [("s/a", "1")])
+
+
+def update(after_revision, revision, *items, is_complete=True):
+    rows = tuple(
+        key_value_service.KeyValue(key, value.encode(), item_revision)
+        for key, value, item_revision in items
+    )
+    return key_value_service.StoreUpdate(
+        after_revision, revision, rows, is_complete
+    )
+
+
+class RelayedFeedTest(FeedTestCase):
+    """Load pattern: many entries, one of which reads for all of them."""
+
+    def setUp(self):
+        super().setUp()
+        self.read()
+        self.store.answer(events=[row("s/a", "1", 11)], current_rev=11)
+
+    def relay(self, *updates):
+        """Apply updates, one each 200 ms; return the calls to the store."""
+        calls = len(self.store.calls)
+        for item in updates:
+            self.feed.apply_update(item)
+            self.clock.advance(200)
+        return len(self.store.calls) - calls
+
+    def test_relayed_feed_does_not_call_the_store(self):
+        """Guards against calls that grow with entries times changes."""
+        updates = [update(11 + i, 12 + i) for i in range(50)]
+        self.assertEqual(self.relay(*updates), 0)
+
+    def test_relayed_change_is_delivered(self):
+        """Guards against a drain that is not seen."""
+        self.relay(update(11, 14, ("s/a", "2", 13)))
+        self.assertEqual(self.seen[-1], ("s/a", "2"))
+
+    def test_silent_relay_is_replaced_by_a_call(self):
+        """Guards against news missed after the coordinator lost the store."""
+        self.assertEqual(self.relay(update(11, 14)), 0)
+        self.clock.advance(store_feed.RELAY_TIMEOUT_MS)
+        path, query = self.store.last
+        self.assertEqual((path, query["after"]), ("/kv-watch", "14"))
+
+    def test_lost_relay_is_replaced_by_a_call(self):
+        """Guards against a wait for a coordinator whose stream has ended."""
+        self.relay(update(11, 14))
+        self.feed.stop_relay()
+        self.clock.advance(store_feed.RELAY_READ_JITTER_MS)
+        self.assertEqual(self.store.last[0], "/kv-watch")
+
+    def test_gap_between_updates_is_read(self):
+        """Guards against a change between two coordinators."""
+        self.assertEqual(self.relay(update(15, 17)), 1)
+        self.assertEqual(self.store.last[1]["after"], "11")
+
+    def test_change_that_is_not_relayed_is_read(self):
+        """Guards against a large configuration that no entry applies."""
+        self.assertEqual(self.relay(update(11, 14, is_complete=False)), 1)
+        self.assertEqual(self.store.last[1]["after"], "11")
+
+    def test_relayed_value_never_replaces_a_newer_one(self):
+        """Guards against a lagging coordinator that reverts a version."""
+        self.relay(update(0, 9, ("s/a", "0", 9)))
+        self.assertEqual(self.seen, [("s/a", "1")])
+        self.clock.advance(2 * store_feed.RELAY_TIMEOUT_MS)
+        self.assertEqual(self.store.last[1]["after"], "11")
+
+    def test_relay_after_an_outage_connects_before_it_delivers(self):
+        """Guards against removals without grace just after an outage."""
+        self.clock.advance(store_feed.MAX_BATCH_DELAY_MS)
+        self.store.answer(status=503)
+        states = []
+        self.feed.add(
+            "s/a", lambda item: states.append(self.feed.is_connected), False
+        )
+        states.clear()
+        self.relay(update(11, 14, ("s/a", "2", 13)))
+        self.assertEqual(states, [True])
