--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -48,6 +48,9 @@
 # Key of the lease whose holder, the coordinator, sends orders to engines.
 COORDINATOR_KEY = "balsamwall/order-holder"
 LEASE_RENEW_INTERVAL_MS = 700
+# All entries start together. The first attempts to acquire the lease are
+# spread over this time, so that most entries see a holder before they try.
+ELECTION_SPREAD_MS = 400
 # The coordinator stops this long before its lease may expire in the store.
 LEASE_MARGIN_MS = 500
 COORDINATOR_CONNECT_TIMEOUT_MS = 500
@@ -236,7 +239,9 @@
         self._log.start()
         self._pool.start()
         self._follow_store()
-        self._lease.start()
+        self._clock.call_later(
+            int(ELECTION_SPREAD_MS * self._random.random()), self._lease.start
+        )
         self._coordinator.start()
         self._fleet_client.start()
         self._listen()
--- a/src/balsamwall/coordination/prefetch_planner.py
+++ b/src/balsamwall/coordination/prefetch_planner.py
@@ -15,8 +15,9 @@
 _Kind = engine_control.OrderKind
 # Number of VMs that should have the weights of each model.
 PREFETCH_REPLICAS = 2
-# Prefetches start only for this time after the first engine was found. Requests
-# may arrive soon after a start, and a slow load would then occupy its engine.
+# Prefetches start only for this time after the first engine was found.
+# Requests may arrive soon after a start, and a slow load would then occupy its
+# engine.
 START_PERIOD_MS = 6_000
 # Prefetches that fell due within this time, about the interval of planning,
 # start together.
--- a/src/balsamwall/coordination/replica_demand.py
+++ b/src/balsamwall/coordination/replica_demand.py
@@ -28,10 +28,11 @@
 # time for which their demand lasts.
 RARE_TURN_S = 3.5
 # Utilisation above which a model gets one more replica, and the one at which
-# every request is delayed. Arrivals are bursty, so that the delayed share
-# grows with the square of the utilisation.
-SCALE_OUT_UTILISATION = 0.6
-FULL_DELAY_UTILISATION = 0.9
+# every request is delayed. A queue forms only near full use, so that the
+# delayed share grows with a high power of the utilisation.
+SCALE_OUT_UTILISATION = 0.65
+FULL_DELAY_UTILISATION = 0.95
+DELAY_EXPONENT = 6
 # Limit of the relative delay, which is 1.0 when every request is delayed.
 MAX_RELATIVE_DELAY = 16.0
 # A request that a full engine delays is still served, unlike one whose model
@@ -56,13 +57,7 @@
     added_utilisation: float = 0.0
 
     def remaining_gain(self, delay_s: float) -> float:
-        """Return the gain of a replica that is usable after a delay.
-
-        Requests for a model without a replica wait for it, so that a delay
-        does not reduce its gain.
-        """
-        if not self.replicas:
-            return self.gain
+        """Return the gain of a replica that is usable after a delay."""
         return self.gain * math.exp(-delay_s / DEMAND_LIFETIME_S)
 
 
@@ -103,7 +98,8 @@
         trackers_by_model: dict[str, list[engine_tracker.EngineTracker]],
     ) -> PlacementNeed:
         gain = min(MAX_WAITING_REQUESTS_GAIN, float(max(1, count)))
-        gain += self._absence_loss(wanted.model)
+        # Some requests wait already, so that the model is not idle now.
+        gain += self._demand.rate(wanted.model) * DEMAND_LIFETIME_S
         waited_s = self._demand.waited_ms(wanted) / 1_000
         gain += min(MAX_WAITING_TIME_GAIN, waited_s)
         replicas = len(trackers_by_model.get(wanted.model, ()))
@@ -224,7 +220,10 @@
     It grows beyond 1.0, up to MAX_RELATIVE_DELAY, as a replica saves more
     when the backlog is larger.
     """
-    return min(MAX_RELATIVE_DELAY, (utilisation / FULL_DELAY_UTILISATION) ** 4)
+    return min(
+        MAX_RELATIVE_DELAY,
+        (utilisation / FULL_DELAY_UTILISATION) ** DELAY_EXPONENT,
+    )
 
 
 def _trackers_by_model(
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -22,8 +22,9 @@
 STORE_LOAD_COST = 1.2
 DISK_LOAD_COST = 0.1
 # Cost and expected time in seconds of an unload that waits for running
-# requests. Its memory is unused meanwhile.
-RUNNING_COST = 3.0
+# requests. Meanwhile its memory is unused, and its engine serves one model
+# less and takes no other order.
+RUNNING_COST = 10.0
 UNLOAD_WAIT_S = 2.5
 # Cost of a load on an engine whose slots are all used; it is proportional to
 # the fraction of used slots.
@@ -48,7 +49,6 @@
 class _Candidate:
     """Engine that may load a model, with the models to evict for it."""
 
-    rank: float  # cost with the delay of requests that wait
     cost: float
     tracker: engine_tracker.EngineTracker
     victims: list[str]
@@ -158,15 +158,11 @@
         need: replica_demand.PlacementNeed,
         now_ms: int,
     ) -> Plan | None:
-        """Return the cheapest plan, or None if it costs more than it gains.
-
-        For a model without a replica the load time only ranks the engines.
-        """
+        """Return the cheapest plan, or None if it costs more than it gains."""
         best: _Candidate | None = None
         model = need.model
         loads = self._slot_use(candidates)
         losses = self._replica_demand.eviction_losses(trackers)
-        rate = self._demand.rate(model)
         for tracker in candidates:
             if not tracker.is_idle or tracker.will_hold(model):
                 continue
@@ -179,9 +175,8 @@
             cost += DISK_LOAD_COST if is_local else STORE_LOAD_COST
             cost += BUSY_COST * loads[tracker.record.server_id]
             cost += need.gain - need.remaining_gain(delay_s)
-            rank = cost + rate * delay_s
-            if best is None or rank < best.rank:
-                best = _Candidate(rank, cost, tracker, victims)
+            if best is None or cost < best.cost:
+                best = _Candidate(cost, tracker, victims)
         if best is None or best.cost > need.gain:
             return None
         orders = [
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -33,8 +33,8 @@
 MIN_BATCH_DELAY_MS = 200
 MAX_BATCH_DELAY_MS = 900
 READ_TIMEOUT_MS = 1_500
-# Without an update relayed by the coordinator for this time, the feed reads the
-# store itself. The coordinator relays several times a second, and a change
+# Without an update relayed by the coordinator for this time, the feed reads
+# the store itself. The coordinator relays several times a second, and a change
 # must take effect within two seconds.
 RELAY_TIMEOUT_MS = 1_000
 # Random delay before the feed reads a change that was relayed in part, so that
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from balsamwall.coordination import demand as demand_module
@@ -217,3 +218,65 @@
         )
         plan = fixture.plan_model("rare4", 3)
         self.assertEqual(order_names(plan)[-1], ("load", "hot1"))
+
+
+class SlowLoadsTest(unittest.TestCase):
+    """Load pattern: loads of 6 s, and rare models on every engine."""
+
+    def setUp(self):
+        self.fixture = PlannerFixture(
+            ["hot1", "rare1"],
+            ["hot1", "rare2"],
+            ["hot2", "rare3"],
+            ["hot2", "rare4"],
+        )
+        engine = gateway_harness.make_engine(*MODELS)
+        models = {
+            name: dataclasses.replace(model, load_ms=6_400, disk_ms=1_300)
+            for name, model in engine.models.items()
+        }
+        for tracker in self.fixture.trackers:
+            tracker.spec = dataclasses.replace(engine, models=models)
+            tracker.local_models = set(tracker.models)
+
+    def report(self, **rates):
+        rare = dict.fromkeys(["rare1", "rare2", "rare3", "rare4"], 0.8)
+        running = [("e0", "hot1", "", 52), ("e1", "hot1", "", 52)]
+        self.fixture.report({**rare, **rates}, running=running)
+
+    def test_busy_model_gets_a_replica_beside_rare_ones(self):
+        """Guards against two full engines while the others are idle.
+
+        Each engine has a rare model that was requested within seconds.
+        """
+        self.report(hot1=36, hot2=2)
+        plan = self.fixture.plan_scale_out()
+        self.assertIn(plan.tracker, self.fixture.trackers[2:])
+        self.assertEqual(order_names(plan)[-1], ("load", "hot1"))
+
+    def test_spare_replica_of_a_busy_model_is_kept(self):
+        """Guards against a rare model that overloads a busy one."""
+        self.report(hot1=36, hot2=2)
+        for tracker in self.fixture.trackers[2:]:
+            tracker.state = engine_tracker.EngineState.LOADING
+        plan = self.fixture.plan_model("rare3")
+        if plan is not None:
+            self.assertNotIn(("unload", "hot1"), order_names(plan))
+
+
+class UnloadWaitTest(unittest.TestCase):
+    """Load pattern: more models in demand than memory, with long streams."""
+
+    def test_victim_without_running_requests_is_preferred(self):
+        """Guards against engines that wait for streams before an unload.
+
+        The idle victim is requested more often than the running one.
+        """
+        fixture = PlannerFixture(["hot1", "rare1"], ["hot2", "rare2"])
+        fixture.report(
+            {"hot1": 8, "hot2": 8, "rare1": 0.1, "rare2": 1.2, "rare3": 1.4},
+            running=[("e0", "rare1", "", 2)],
+            waiting=[("rare3", 3)],
+        )
+        plan = fixture.plan_model("rare3", 3)
+        self.assertEqual(order_names(plan)[0], ("unload", "rare2"))
--- a/tests/coordination/test_store_relay.py
+++ b/tests/coordination/test_store_relay.py
@@ -54,7 +54,9 @@
         rows = self.write_server(seq=2, models=models, at_hand=at_hand)
         self.assertEqual(rows, [])
         progress = self.sent[-1]
-        self.assertEqual((progress.after_revision, progress.revision), (11, 12))
+        self.assertEqual(
+            (progress.after_revision, progress.revision), (11, 12)
+        )
 
     def test_drain_and_restart_are_relayed(self):
         """Guards against requests to a server that has left."""
@@ -63,7 +65,9 @@
         self.assertEqual(len(self.write_server(born=6, state="draining")), 1)
         removal = {"born": 6, "state": "draining", "remaining_ms": 900}
         self.assertEqual(len(self.write_server(**removal)), 1)
-        self.assertEqual(self.write_server(**removal | {"remaining_ms": 4}), [])
+        self.assertEqual(
+            self.write_server(**removal | {"remaining_ms": 4}), []
+        )
         self.assertEqual(len(self.write("servers/i-1", None)), 1)
         self.assertEqual(len(self.write_server(**removal)), 1)
 
