Assign prompts to engines by the load of all entries

Requests that waited for a model were all sent in the moment in which it was loaded. Half of the engines waited for unloads that waited for streams.

Change: with 8 entries or more, an entry asks the coordinator for the server of a prompt; the coordinator weighs what it has assigned and the prompts without a first token that all entries report, and leaves the choice to the entry when all replicas are overloaded. Entries that get no response within 40 ms choose by themselves. Released requests are spread over the time of their prefill. An unload that waits for streams costs more.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -21,6 +21,7 @@
 from balsamwall.gateway import gateway as gateway_module
 from balsamwall.gateway import gateway_metrics
 from balsamwall.gateway import listeners
+from balsamwall.gateway import release_pacing
 from balsamwall.gateway import request_dependencies
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import server_choice
@@ -137,7 +138,9 @@
             reactor, self._clock, dependencies.codec.echo_field
         )
         self._waits = residency_waits.ResidencyWaits(
-            self._clock, self._request_load
+            self._clock,
+            self._request_load,
+            release_pacing.ReleasePacing(random_source),
         )
         health = server_health.ServerHealth(self._clock)
         self._request_dependencies = request_dependencies.RequestDependencies(
@@ -184,6 +187,8 @@
         self._fleet_client = fleet_client.FleetClient(
             self._clock,
             settings.vm,
+            settings.availability_zone,
+            self._request_dependencies.assignments,
             self._directory,
             self._gateway.count_running,
             self._gateway.take_arrivals,
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -11,6 +11,7 @@
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
 from balsamwall.coordination import prefetch_planner
+from balsamwall.coordination import prompt_scheduler
 from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
 from balsamwall.gateway import crash_suspects
@@ -54,6 +55,9 @@
     def broadcast(self, item: message.Message) -> None:
         """Send a message to all entries."""
 
+    def send(self, vm: str, item: message.Message) -> None:
+        """Send a message to one entry, if it is connected."""
+
     def close_all(self) -> None:
         """Close the streams of the other entries."""
 
@@ -84,6 +88,7 @@
         "_planner",
         "_prefetch",
         "_runner",
+        "_scheduler",
         "_last_state_ms",
         "_last_summary_ms",
     )
@@ -109,6 +114,7 @@
         self._crashes = crash_suspects.CrashCounter(clock)
         self._demand = demand_module.Demand(clock)
         self._planner = residency_planner.ResidencyPlanner(self._demand)
+        self._scheduler = prompt_scheduler.PromptScheduler(clock)
         self._prefetch = prefetch_planner.PrefetchPlanner(self._demand)
         self._runner = order_runner.OrderRunner(clock, control, self, log)
         self._is_active = False
@@ -168,6 +174,8 @@
         if isinstance(item, messages_fleet.DemandReport):
             self._demand.on_report(vm, item)
             self._record_adapter_use(item)
+        elif isinstance(item, messages_fleet.PromptQuery):
+            self._links.send(vm, self._assign(item))
         elif isinstance(item, messages_fleet.CrashReport):
             self._on_crash(item.content, item.process)
         elif isinstance(item, messages_fleet.LoadWanted):
@@ -178,6 +186,27 @@
             self._demand.record_wanted(wanted)
             self._schedule_plan()
 
+    def _assign(
+        self, query: messages_fleet.PromptQuery
+    ) -> messages_fleet.PromptAssignment:
+        """Assign a prompt to one of the engines that hold its model."""
+        holders = [
+            tracker
+            for tracker in self._ready_trackers(query.service)
+            if tracker.holds(query.model, query.adapter)
+            and tracker.loading_model != query.model
+        ]
+        prompt = prompt_scheduler.Prompt(
+            query.tokens, query.zone, query.cached_at, query.cached_tokens
+        )
+        server_id = self._scheduler.assign(
+            holders,
+            self._demand.loads(),
+            self._demand.pending_tokens(),
+            prompt,
+        )
+        return messages_fleet.PromptAssignment(query.number, server_id)
+
     def _on_crash(self, content: bytes, process: str) -> None:
         if self._crashes.add(content, process):
             self._log.write("quarantine", content=content.hex())
@@ -209,7 +238,7 @@
         if not self._is_active:
             return []
         return [
-            _server_models_message(tracker)
+            self._server_models(tracker)
             for tracker in self._trackers.values()
             if tracker.state is not engine_tracker.EngineState.UNKNOWN
         ]
@@ -231,7 +260,22 @@
         for model in list(tracker.resident_since_ms):
             if model not in tracker.models:
                 del tracker.resident_since_ms[model]
-        self._links.broadcast(_server_models_message(tracker))
+        self._links.broadcast(self._server_models(tracker))
+
+    def _server_models(
+        self, tracker: engine_tracker.EngineTracker
+    ) -> messages_fleet.ServerModels:
+        models = tracker.usable_models()
+        waiting: dict[str, int] = {}
+        for wanted, count in self._demand.waiting().items():
+            if wanted.model in models:
+                waiting[wanted.model] = waiting.get(wanted.model, 0) + count
+        return messages_fleet.ServerModels(
+            tracker.record.server_id,
+            tracker.record.started_ms,
+            models,
+            waiting,
+        )
 
     def on_fenced(self) -> None:
         """Stop sending orders: an engine has seen a newer fencing token."""
@@ -295,6 +339,7 @@
         tracker = self._trackers.pop(server.server_id, None)
         if tracker is not None:
             self._runner.stop_tracking(tracker)
+            self._scheduler.forget(server.server_id)
 
     def _drop_trackers(self) -> None:
         """Stop tracking, so that the next term begins with fresh reports."""
@@ -413,13 +458,3 @@
         )
         plan.tracker.queue.extend(plan.orders)
         self._runner.run(plan.tracker)
-
-
-def _server_models_message(
-    tracker: engine_tracker.EngineTracker,
-) -> messages_fleet.ServerModels:
-    return messages_fleet.ServerModels(
-        tracker.record.server_id,
-        tracker.record.started_ms,
-        tracker.usable_models(),
-    )
--- a/src/balsamwall/coordination/demand.py
+++ b/src/balsamwall/coordination/demand.py
@@ -35,6 +35,7 @@
         "_loads",
         "_wanted_ms",
         "_open_requests",
+        "_pending_tokens",
         "_per_s",
         "_rates",
         "_reports",
@@ -53,6 +54,7 @@
         self._per_s: dict[str, float] = {}
         self._open_requests: dict[str, int] = {}
         self._loads: dict[str, int] = {}
+        self._pending_tokens: dict[str, int] = {}
         self._running: dict[tuple[str, str], int] = {}
         self._adapters_in_use: set[tuple[str, str, str]] = set()
         self._waiting: dict[residency_waits.WantedModel, int] = {}
@@ -119,6 +121,7 @@
     def _sum_running(self) -> None:
         self._open_requests = {}
         self._loads = {}
+        self._pending_tokens = {}
         self._running = {}
         self._adapters_in_use = set()
         for report in self._fresh_reports():
@@ -130,6 +133,9 @@
                 self._loads[server_id] = self._loads.get(server_id, 0) + count
                 self._running[key] = self._running.get(key, 0) + count
                 self._adapters_in_use.add((server_id, model, adapter))
+            for server_id, tokens in report.pending_tokens.items():
+                pending = self._pending_tokens.get(server_id, 0)
+                self._pending_tokens[server_id] = pending + tokens
 
     def _sum_waiting(self) -> None:
         self._waiting = {}
@@ -188,6 +194,10 @@
         """Return the running requests by server, as last updated."""
         return self._loads
 
+    def pending_tokens(self) -> dict[str, int]:
+        """Return the prompt tokens without a first token, by server."""
+        return self._pending_tokens
+
     def running(self) -> dict[tuple[str, str], int]:
         """Return the running requests by server and model, as last updated."""
         return self._running
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from balsamwall.coordination import fleet_stream
+    from balsamwall.gateway import assignment_client
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import residency_waits
     from balsamwall.gateway import wait_forecast
@@ -39,6 +40,7 @@
     """Report demand, request loads and receive the state of the fleet."""
 
     __slots__ = (
+        "_assignments",
         "_clock",
         "_count_queued",
         "_count_running",
@@ -58,12 +60,15 @@
         "_take_arrivals",
         "_vm",
         "_waits",
+        "_zone",
     )
 
     def __init__(
         self,
         clock: clock_module.Clock,
         vm: str,
+        zone: str,
+        assignments: assignment_client.AssignmentClient,
         directory: backend_directory.BackendDirectory,
         count_running: Callable[[], list[list[object]]],
         take_arrivals: Callable[[], dict[str, list[int]]],
@@ -79,6 +84,9 @@
     ) -> None:
         self._clock = clock
         self._vm = vm
+        self._zone = zone
+        self._assignments = assignments
+        assignments.set_link(self)
         self._directory = directory
         self._count_running = count_running
         self._take_arrivals = take_arrivals
@@ -118,6 +126,26 @@
             self._on_link_lost()
         self._connect()
 
+    def send_query(
+        self, number: int, query: assignment_client.PromptQuery
+    ) -> bool:
+        """Ask for the server of a prompt; return False if not connected."""
+        if self._link is None:
+            return False
+        self._link.send(
+            messages_fleet.PromptQuery(
+                number,
+                query.service,
+                query.model,
+                query.adapter,
+                self._zone,
+                query.tokens,
+                query.cached_at,
+                query.cached_tokens,
+            )
+        )
+        return True
+
     def request_load(self, wanted: residency_waits.WantedModel) -> None:
         """Request the load of a model or adapter, if connected."""
         if self._link is not None:
@@ -141,6 +169,7 @@
     def on_message(self, item: message.Message) -> None:
         """Apply a message from the coordinator."""
         if isinstance(item, messages_fleet.ServerModels):
+            self._waits.set_fleet_counts(item.waiting)
             self._directory.set_models(
                 item.server_id,
                 item.started_ms,
@@ -149,6 +178,8 @@
                     for model, adapters in item.models.items()
                 },
             )
+        elif isinstance(item, messages_fleet.PromptAssignment):
+            self._assignments.on_response(item.number, item.server_id)
         elif isinstance(item, messages_fleet.Quarantine):
             self._on_quarantine(item.content)
         elif isinstance(item, messages_fleet.StoreChanges):
@@ -224,5 +255,10 @@
                 waiting,
                 self._count_queued(),
                 self._take_arrivals(),
+                {
+                    server.server_id: server.pending_tokens
+                    for server in self._directory.all_servers()
+                    if server.pending_tokens
+                },
             )
         )
--- a/src/balsamwall/coordination/fleet_server.py
+++ b/src/balsamwall/coordination/fleet_server.py
@@ -17,7 +17,13 @@
 class FleetServer:
     """Accept streams of other entries and serve the entry in this process."""
 
-    __slots__ = ("_coordinator", "_deliver_local", "_streams", "_vm")
+    __slots__ = (
+        "_coordinator",
+        "_deliver_local",
+        "_stream_by_vm",
+        "_streams",
+        "_vm",
+    )
 
     def __init__(
         self, vm: str, deliver_local: Callable[[message.Message], None]
@@ -26,6 +32,8 @@
         self._deliver_local = deliver_local
         self._coordinator: coordinator_module.Coordinator | None = None
         self._streams: set[fleet_stream.FleetStream] = set()
+        # The newest stream of each entry that has identified itself.
+        self._stream_by_vm: dict[str, fleet_stream.FleetStream] = {}
 
     def set_coordinator(
         self, coordinator: coordinator_module.Coordinator
@@ -36,7 +44,7 @@
     @property
     def count(self) -> int:
         """Return the number of connected entries, including this one."""
-        return 1 + len({stream.vm for stream in self._streams if stream.vm})
+        return 1 + len(self._stream_by_vm)
 
     def broadcast(self, item: message.Message) -> None:
         """Send a message to all entries."""
@@ -45,6 +53,13 @@
         for stream in self._streams:
             stream.send_frame(frame)
 
+    def send(self, vm: str, item: message.Message) -> None:
+        """Send a message to one entry, if it is connected."""
+        if vm == self._vm:
+            self._deliver_local(item)
+        elif vm in self._stream_by_vm:
+            self._stream_by_vm[vm].send(item)
+
     def close_all(self) -> None:
         """Close the streams of the other entries."""
         for stream in list(self._streams):
@@ -65,15 +80,19 @@
             return
         if isinstance(item, messages_fleet.FleetHello):
             stream.vm = item.vm
+            self._stream_by_vm[item.vm] = stream
             for known in coordinator.on_entry_connected():
                 stream.send(known)
             return
         coordinator.on_message(stream.vm, item)
 
     def on_stream_closed(self, stream: fleet_stream.FleetStream) -> None:
-        """Unregister a stream and its entry."""
+        """Unregister a stream, and its entry if it has no newer stream."""
         self._streams.discard(stream)
-        if self._coordinator is not None and stream.vm:
+        if self._stream_by_vm.get(stream.vm) is not stream:
+            return
+        del self._stream_by_vm[stream.vm]
+        if self._coordinator is not None:
             self._coordinator.on_entry_disconnected(stream.vm)
 
     def on_local_message(self, item: message.Message) -> None:
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -21,13 +21,15 @@
     Each row of running holds server, model, adapter and number of requests,
     each row of waiting service, model, adapter and number. Queued counts by
     model the requests that wait for engine capacity. Arrivals holds by model
-    the requests and prompt tokens since the last report.
+    the requests and prompt tokens since the last report, pending tokens by
+    server the prompts that were sent and have no first token yet.
     """
 
     running: list[list[Any]]
     waiting: list[list[Any]]
     queued: dict[str, int]
     arrivals: dict[str, list[int]]
+    pending_tokens: dict[str, int]
 
 
 @message.register(102)
@@ -41,11 +43,40 @@
 
 @message.register(103)
 class ServerModels(message.Message):
-    """Announce the resident models of a server, with their adapters."""
+    """Announce the resident models of a server, with their adapters.
+
+    Waiting counts the requests that all entries hold, by resident model.
+    """
 
     server_id: str
     started_ms: int
     models: dict[str, list[str]]
+    waiting: dict[str, int]
+
+
+@message.register(108)
+class PromptQuery(message.Message):
+    """Ask for the server that shall prefill a prompt.
+
+    Some of its tokens are probably cached at one of the servers.
+    """
+
+    number: int
+    service: str
+    model: str
+    adapter: str
+    zone: str
+    tokens: int
+    cached_at: str
+    cached_tokens: int
+
+
+@message.register(109)
+class PromptAssignment(message.Message):
+    """Assign a prompt to a server, or to none with an empty identifier."""
+
+    number: int
+    server_id: str
 
 
 @message.register(105)
--- /dev/null
+++ b/src/balsamwall/coordination/prompt_scheduler.py
@@ -0,0 +1,142 @@
+"""Choice of the engine that prefills each prompt, for all entries."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import server_choice
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamwall.coordination import engine_tracker
+    from balsamwall.timing import clock as clock_module
+
+# Backlog of the best engine above which no server is assigned. All replicas
+# are overloaded then, and the queues of the entries decide what is sent.
+MAX_BACKLOG_MS = 300
+# Entries report the requests that they have sent within this time.
+REPORT_DELAY_MS = 300
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Prompt:
+    """Prompt of a request, as far as the choice of its engine needs it."""
+
+    tokens: int
+    zone: str  # of the entry that sends it
+    # Server that has probably cached a part of it.
+    cached_at: str = ""
+    cached_tokens: int = 0
+
+    def prefill_ms(self, server_id: str) -> float:
+        """Return the time that its prefill takes at a server."""
+        tokens = self.tokens
+        if server_id == self.cached_at:
+            tokens -= self.cached_tokens
+        return tokens / server_choice.PREFILL_TOKENS_PER_MS
+
+
+class _EngineBacklog:
+    """Prompts that were assigned to one engine."""
+
+    __slots__ = ("assigned_ms", "prefilled_at_ms")
+
+    def __init__(self) -> None:
+        self.prefilled_at_ms = 0.0
+        # Times of the assignments that reports may not include yet.
+        self.assigned_ms: collections.deque[int] = collections.deque()
+
+
+class PromptScheduler:
+    """Assign each prompt to the engine that prefills it first.
+
+    Load pattern: many entries send prompts to the same few engines, and each
+    knows only its own. Prompts that meet at one engine pause all streams that
+    run there, while other replicas are idle.
+    """
+
+    __slots__ = ("_backlogs", "_clock")
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._backlogs: dict[str, _EngineBacklog] = {}
+
+    def forget(self, server_id: str) -> None:
+        """Drop the backlog of a server that has left."""
+        self._backlogs.pop(server_id, None)
+
+    def assign(
+        self,
+        holders: Iterable[engine_tracker.EngineTracker],
+        loads: dict[str, int],
+        pending_tokens: dict[str, int],
+        prompt: Prompt,
+    ) -> str:
+        """Return the server for a prompt, or an empty string for none.
+
+        `loads` has the requests at each server as all entries report them,
+        `pending_tokens` the prompts that have no first token yet.
+        """
+        now_ms = self._clock.now_ms()
+        best: tuple[float, float, str] | None = None
+        for tracker in holders:
+            server_id = tracker.record.server_id
+            backlog_ms = self._backlog_ms(server_id, pending_tokens, now_ms)
+            score = backlog_ms + self._score(tracker, loads, prompt, now_ms)
+            if best is None or score < best[0]:
+                best = (score, backlog_ms, server_id)
+        if best is None or best[1] > MAX_BACKLOG_MS:
+            return ""
+        self._record(best[2], prompt, now_ms)
+        return best[2]
+
+    def _record(self, server_id: str, prompt: Prompt, now_ms: int) -> None:
+        backlog = self._backlogs.setdefault(server_id, _EngineBacklog())
+        start_ms = max(backlog.prefilled_at_ms, now_ms)
+        backlog.prefilled_at_ms = start_ms + prompt.prefill_ms(server_id)
+        backlog.assigned_ms.append(now_ms)
+
+    def _score(
+        self,
+        tracker: engine_tracker.EngineTracker,
+        loads: dict[str, int],
+        prompt: Prompt,
+        now_ms: int,
+    ) -> float:
+        """Return the expected time to the first token with penalties."""
+        record = tracker.record
+        load = loads.get(record.server_id, 0)
+        score = prompt.prefill_ms(record.server_id)
+        backlog = self._backlogs.get(record.server_id)
+        if backlog is not None:
+            _drop_reported(backlog, now_ms)
+            load += len(backlog.assigned_ms)
+        score += server_choice.load_penalty_ms(load, max(1, record.slots))
+        if record.availability_zone != prompt.zone:
+            score += server_choice.CROSS_ZONE_PENALTY_MS
+        return score
+
+    def _backlog_ms(
+        self, server_id: str, pending_tokens: dict[str, int], now_ms: int
+    ) -> float:
+        """Return the time until an engine has prefilled its prompts.
+
+        The assignments are known at once, and the reports show an engine that
+        prefills more slowly than expected.
+        """
+        reported = pending_tokens.get(server_id, 0)
+        reported_ms = reported / server_choice.PREFILL_TOKENS_PER_MS
+        backlog = self._backlogs.get(server_id)
+        if backlog is None:
+            return reported_ms
+        return max(reported_ms, backlog.prefilled_at_ms - now_ms)
+
+
+def _drop_reported(backlog: _EngineBacklog, now_ms: int) -> None:
+    """Drop the assignments that the reports of the entries include."""
+    assigned_ms = backlog.assigned_ms
+    while assigned_ms and now_ms - assigned_ms[0] > REPORT_DELAY_MS:
+        assigned_ms.popleft()
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -24,7 +24,7 @@
 # Cost and expected time in seconds of an unload that waits for running
 # requests. Meanwhile its memory is unused, and its engine serves one model
 # less and takes no other order.
-RUNNING_COST = 10.0
+RUNNING_COST = 20.0
 UNLOAD_WAIT_S = 2.5
 # Cost of a load on an engine whose slots are all used; it is proportional to
 # the fraction of used slots.
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import admission as admission_module
+from balsamwall.gateway import assignment_client
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import residency_waits
@@ -89,6 +90,7 @@
         "_entries",
         "_retry_settings",
         "admission",
+        "assignments",
         "choice",
         "clock",
         "codec",
@@ -143,6 +145,7 @@
         self.log = log
         self.metrics = metrics
         self.retry_policy = retry_policy_module.RetryPolicy()
+        self.assignments = assignment_client.AssignmentClient(clock)
         self.admission = admission_module.Admission(clock)
         self.room = room_queue.RoomQueue(clock)
         self.forecast = wait_forecast.WaitForecast(clock)
@@ -155,6 +158,7 @@
     def set_entries(self, entries: int) -> None:
         """Set the number of entries that share the retry budget."""
         self._entries = max(1, entries)
+        self.assignments.set_entries(entries)
         for budget in self._budgets.values():
             budget.set_min_per_s(self._min_retries_per_s())
 
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import assignment_client
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
@@ -54,7 +55,7 @@
         "_dependencies",
         "_pending_tokens",
         "_relay",
-        "_retry_timer",
+        "_dispatch_timer",
         "_service",
         "_wait",
         "choice",
@@ -96,7 +97,7 @@
         self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
         self._wait = request_wait.RequestWait(dependencies, self, self._refuse)
-        self._retry_timer: clock_module.Timer | None = None
+        self._dispatch_timer: clock_module.Timer | None = None
 
     @property
     def priority(self) -> int:
@@ -174,14 +175,14 @@
         choice = self._choose()
         if choice.server is not None:
             if self._may_send_now(choice.server):
-                self._send(choice.server)
+                self._assign_or_send(choice.server)
             else:
                 self._wait.wait_for_room(self._max_wait_ms)
         elif self._excluded:
             # All servers were tried. One of them may have room by now, so
             # they are all considered again.
             self._excluded = frozenset()
-            self._pause_before_retry()
+            self._dispatch_later(RETRY_PAUSE_MS)
         elif (
             choice.no_server_reason
             is server_choice.NoServerReason.NOT_RESIDENT
@@ -224,13 +225,50 @@
         if not self._has_room(server):
             return False
         self._wait.stop()
-        self._send(server)
+        self._assign_or_send(server)
         return True
 
-    def on_resident(self) -> None:
-        """End the wait for the model and choose a server again."""
+    def _assign_or_send(self, server: backend_directory.BackendServer) -> None:
+        """Let the coordinator choose the server, else send to the given one.
+
+        A repeated request avoids servers that the coordinator does not know.
+        """
+        request = self.request
+        query = assignment_client.PromptQuery(
+            *self.target,
+            request.prompt_tokens,
+            server.server_id,
+            self._dependencies.choice.cached_tokens(server, request),
+        )
+        is_first = not self._excluded and not self._has_begun
+        if not is_first or not self._dependencies.assignments.query(
+            query, self._send_assigned
+        ):
+            self._send(server)
+
+    def _send_assigned(self, server_id: str) -> None:
+        """Send to the assigned server, or to another if it can't be used."""
+        if self._is_finished:
+            return
+        service, model, adapter = self.target
+        holders = self._dependencies.directory.holders(service, model, adapter)
+        for server in self._dependencies.health.usable(holders):
+            if server.server_id == server_id:
+                self._send(server)
+                return
+        found = self._choose().server
+        if found is None:
+            self._dispatch()
+        else:
+            self._send(found)
+
+    def on_resident(self, delay_ms: int) -> None:
+        """End the wait for the model and choose a server after a delay."""
         self._wait.stop()
-        self._dispatch()
+        if delay_ms > 0:
+            self._dispatch_later(delay_ms)
+        else:
+            self._dispatch()
 
     # Sending
 
@@ -353,7 +391,7 @@
             self._relay.drop_partial()
         if self._may_retry(failure):
             if failure is attempt_module.AttemptFailure.NOT_RUN:
-                self._pause_before_retry()
+                self._dispatch_later(RETRY_PAUSE_MS)
             else:
                 self._dispatch()
         elif self._has_begun:
@@ -377,9 +415,9 @@
             self._dependencies.retry_budget_for(self._service),
         )
 
-    def _pause_before_retry(self) -> None:
-        self._retry_timer = self._dependencies.clock.call_later(
-            RETRY_PAUSE_MS, self._dispatch
+    def _dispatch_later(self, delay_ms: int) -> None:
+        self._dispatch_timer = self._dependencies.clock.call_later(
+            delay_ms, self._dispatch
         )
 
     def _exclude(self, server: backend_directory.BackendServer) -> None:
@@ -492,7 +530,7 @@
             return
         self._is_finished = True
         self._wait.stop()
-        for timer in (self._deadline_timer, self._retry_timer):
+        for timer in (self._deadline_timer, self._dispatch_timer):
             if timer is not None:
                 timer.cancel()
         self._dependencies.on_finished(self, code, detail, server)
--- a/src/balsamwall/gateway/residency_waits.py
+++ b/src/balsamwall/gateway/residency_waits.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import release_pacing
     from balsamwall.timing import clock as clock_module
 
 
@@ -29,8 +30,8 @@
     def priority(self) -> int:
         """Return the priority, 0 is the most urgent."""
 
-    def on_resident(self) -> None:
-        """Handle that a server may hold the model now."""
+    def on_resident(self, delay_ms: int) -> None:
+        """Handle that a server holds the model; send after a delay."""
 
 
 class ResidencyWaits:
@@ -39,14 +40,25 @@
     The most urgent requests are released first.
     """
 
-    __slots__ = ("_clock", "_on_wanted", "_refused", "_waiting")
+    __slots__ = (
+        "_clock",
+        "_fleet_counts",
+        "_on_wanted",
+        "_pacing",
+        "_refused",
+        "_waiting",
+    )
 
     def __init__(
         self,
         clock: clock_module.Clock,
         on_wanted: Callable[[WantedModel], None],
+        pacing: release_pacing.ReleasePacing,
     ) -> None:
         self._clock = clock
+        self._pacing = pacing
+        # By model: requests that all entries hold.
+        self._fleet_counts: dict[str, int] = {}
         self._on_wanted = on_wanted
         # By model: the times at which refused callers are due to retry.
         self._refused: dict[WantedModel, list[int]] = {}
@@ -91,6 +103,10 @@
             counts[wanted] = counts.get(wanted, 0) + len(times)
         return counts
 
+    def set_fleet_counts(self, counts: dict[str, int]) -> None:
+        """Set how many requests all entries hold, by model."""
+        self._fleet_counts = counts
+
     def on_server_changed(
         self, server: backend_directory.BackendServer
     ) -> None:
@@ -107,5 +123,8 @@
                 continue
             waiters = self._waiting.pop(wanted, [])
             waiters.sort(key=lambda waiter: waiter.priority)
-            for waiter in waiters:
-                waiter.on_resident()
+            delays_ms = self._pacing.delays_ms(
+                len(waiters), self._fleet_counts.get(wanted.model, 0)
+            )
+            for waiter, delay_ms in zip(waiters, delays_ms, strict=True):
+                waiter.on_resident(delay_ms)
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -57,6 +57,12 @@
     candidates: int = 0  # servers that were compared
 
 
+def load_penalty_ms(load: float, slots: int) -> float:
+    """Return the delay that the requests at a server cause for one more."""
+    penalty = FULL_BATCH_PENALTY_MS * load / slots
+    return penalty + SLOT_WAIT_MS * max(0.0, load + 1 - slots)
+
+
 class ServerChoice:
     """Choose the server with the lowest expected time to the first token.
 
@@ -143,23 +149,22 @@
         slots = max(1, server.record.slots)
         load = server.load(now_ms)
         tokens = server.pending_tokens
-        tokens -= self._cached_tokens(server, request, now_ms)
+        tokens -= self.cached_tokens(server, request)
         score = tokens / PREFILL_TOKENS_PER_MS
         score += WAITING_REQUEST_MS * server.waiting(now_ms)
-        score += FULL_BATCH_PENALTY_MS * load / slots
-        score += SLOT_WAIT_MS * max(0.0, load + 1 - slots)
+        score += load_penalty_ms(load, slots)
         score += FAILURE_PENALTY_MS * server.failure_share
         if server.record.availability_zone != zone:
             score += CROSS_ZONE_PENALTY_MS
         return score + TIE_BREAK_MS * self._random.random()
 
-    def _cached_tokens(
+    def cached_tokens(
         self,
         server: backend_directory.BackendServer,
         request: incoming_request.IncomingRequest,
-        now_ms: int,
     ) -> int:
         """Return the expected length of the cached prompt prefix in tokens."""
+        now_ms = self._clock.now_ms()
         cached = 0
         for part in request.shared_parts:
             known = self._prefixes.get((request.model, part.part_id))
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -29,6 +29,9 @@
     def broadcast(self, item):
         self.sent.append(item)
 
+    def send(self, vm, item):
+        self.sent.append(item)
+
     def close_all(self):
         self.count = 1
 
--- a/tests/coordination/test_demand.py
+++ b/tests/coordination/test_demand.py
@@ -23,7 +23,7 @@
             self.clock.advance(REPORT_MS)
             arrivals = {"m1": [per_s * REPORT_MS / 1_000, 0]}
             self.demand.on_report(
-                "v1", messages_fleet.DemandReport([], [], {}, arrivals)
+                "v1", messages_fleet.DemandReport([], [], {}, arrivals, {})
             )
             self.demand.update()
 
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import messages_fleet
+from balsamwall.gateway import assignment_client
 from balsamwall.gateway import backend_directory
+from balsamwall.gateway import release_pacing
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import wait_forecast
 from balsamwall.logs import decision_log
@@ -36,13 +39,19 @@
         self.client = fleet_client.FleetClient(
             self.clock,
             "f1",
+            "z1",
+            assignment_client.AssignmentClient(self.clock),
             backend_directory.BackendDirectory(self.clock.now_ms),
             list,
             dict,
             dict,
             self.open_link,
             self.entry_counts.append,
-            residency_waits.ResidencyWaits(self.clock, lambda wanted: None),
+            residency_waits.ResidencyWaits(
+                self.clock,
+                lambda wanted: None,
+                release_pacing.ReleasePacing(random.Random(1)),
+            ),
             wait_forecast.WaitForecast(self.clock),
             lambda content: None,
             lambda changes: None,
--- a/tests/coordination/test_order_of_plans.py
+++ b/tests/coordination/test_order_of_plans.py
@@ -81,7 +81,7 @@
         running = [["e1", "other", "", 8]]
         arrivals = {"busy": [60, 0]}
         self.coordinator.on_message(
-            "f1", messages_fleet.DemandReport(running, [], {}, arrivals)
+            "f1", messages_fleet.DemandReport(running, [], {}, arrivals, {})
         )
         self.clock.advance(residency_planner.MIN_RESIDENCE_MS)
         self.request_model("rare")
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -47,7 +47,7 @@
             self.demand.on_report(
                 "v1",
                 messages_fleet.DemandReport(
-                    [list(row) for row in running], rows, {}, arrivals
+                    [list(row) for row in running], rows, {}, arrivals, {}
                 ),
             )
             self.demand.update()
