Name the end of the prefetch period in its condition

Cause: the flag read as if the prefetches had not begun.

Change: a local name in PrefetchPlanner.is_due.

Result: tests.coordination.test_prefetch_planner passes.

--- a/src/balsamwall/coordination/prefetch_planner.py
+++ b/src/balsamwall/coordination/prefetch_planner.py
@@ -49,8 +49,8 @@
         """
         due_ms = self._next_ms.get(service, 0.0)
         start_ms = self._start_ms.setdefault(service, now_ms)
-        is_started = now_ms - start_ms >= START_PERIOD_MS
-        if is_started or now_ms < due_ms or loads_per_s <= 0:
+        is_period_over = now_ms - start_ms >= START_PERIOD_MS
+        if is_period_over or now_ms < due_ms or loads_per_s <= 0:
             return False
         earliest_ms = now_ms - MAX_CATCH_UP_MS
         self._next_ms[service] = max(due_ms, earliest_ms) + 1_000 / loads_per_s
