Log the limits of servers and the number of sends of a request

Change: Server-Limit is decoded into ResponseHead; a line server_limit and a gauge show each change, request_over has the number of sends, and a counter splits sends into first, retry and resume. No decision changes.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -17,6 +17,7 @@
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import http_fields
     from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
 
 # Status (Misdirected Request) that certifies that the request was not run.
@@ -92,6 +93,7 @@
         "_clock",
         "_codec",
         "_connection",
+        "_limits",
         "_listener",
         "_outgoing",
         "_refusal",
@@ -108,6 +110,7 @@
         outgoing: OutgoingRequest,
         listener: AttemptListener,
         clock: clock_module.Clock,
+        limits: server_limits.ServerLimits,
     ) -> None:
         self.server = server
         self.sent_ms = clock.now_ms()
@@ -115,6 +118,7 @@
         self.status = 0
         self.was_reused = False
         self._codec = codec
+        self._limits = limits
         self._outgoing = outgoing
         self._listener: AttemptListener | None = listener
         self._refusal = ""
@@ -193,6 +197,7 @@
         head = self._codec.decode_response(fields, self.attempt_id)
         self.status = status
         self._record_load(head)
+        self._limits.on_response(self.server, head)
         if status == WRONG_SERVER_STATUS or head.is_certified_not_run:
             self._refusal = f"status {status}"
             return
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -30,6 +30,8 @@
         "_registry",
         "_requests",
         "_routes",
+        "_sends",
+        "_server_limits",
     )
 
     def __init__(self) -> None:
@@ -49,6 +51,18 @@
             ("failure",),
             registry=self._registry,
         )
+        self._sends = prometheus_client.Counter(
+            "balsamwall_gateway_sends",
+            "Requests sent to backend servers, by first, retry or resume",
+            ("reason",),
+            registry=self._registry,
+        )
+        self._server_limits = prometheus_client.Gauge(
+            "balsamwall_gateway_server_limit",
+            "Requests per second that a backend server accepts in total",
+            ("server",),
+            registry=self._registry,
+        )
         self._dropped_lines = prometheus_client.Gauge(
             "balsamwall_log_dropped_lines",
             "Log lines that were dropped because nobody read them",
@@ -82,6 +96,17 @@
         """Count a failed attempt by the value of its AttemptFailure."""
         self._attempts.labels(failure).inc()
 
+    def count_send(self, reason: str) -> None:
+        """Count a request that is sent to a server."""
+        self._sends.labels(reason).inc()
+
+    def set_server_limit(self, server_id: str, per_s: float | None) -> None:
+        """Export the limit of a server; None removes it."""
+        if per_s is None:
+            self._server_limits.remove(server_id)
+        else:
+            self._server_limits.labels(server_id).set(per_s)
+
     def observe_first_response(self, route: str, time_ms: int) -> None:
         """Record the time to the head of a response."""
         self._first_responses.labels(self._label(route)).observe(
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -47,6 +47,9 @@
     is_encoded: bool
     running: int | None = None  # running requests that the server reports
     waiting: int | None = None  # queued requests that the server reports
+    # Requests per second that the server accepts from all entries together;
+    # None if it names no limit.
+    limit_per_s: float | None = None
 
 
 class RequestCodec(Protocol):
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -12,6 +12,7 @@
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
 from balsamwall.gateway import room_queue
+from balsamwall.gateway import server_limits
 from balsamwall.gateway import wait_forecast
 from balsamwall.gateway import wait_policy
 from balsamwall.limits import retry_budget as retry_budget_module
@@ -44,6 +45,7 @@
     request: incoming_request.IncomingRequest
     choice: server_choice.Choice | None
     progress: stream_progress.StreamProgress
+    sends: int  # times that the request was sent to a server
 
     @property
     def request_id(self) -> str:
@@ -97,6 +99,7 @@
         "directory",
         "forecast",
         "health",
+        "limits",
         "log",
         "metrics",
         "pool",
@@ -149,6 +152,7 @@
         self.admission = admission_module.Admission(clock)
         self.room = room_queue.RoomQueue(clock)
         self.forecast = wait_forecast.WaitForecast(clock)
+        self.limits = server_limits.ServerLimits(log, metrics)
         self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
         self._retry_settings = retry_settings
@@ -286,6 +290,7 @@
             server_load=handler.choice.load if handler.choice else None,
             candidates=handler.choice.candidates if handler.choice else None,
             prompt_tokens=handler.request.prompt_tokens,
+            sends=handler.sends,
             waited_ms=handler.waited_ms,
             room_waited_ms=handler.room_waited_ms,
             first_data_ms=handler.progress.first_data_ms,
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -62,6 +62,7 @@
         "progress",
         "request",
         "route",
+        "sends",
     )
 
     def __init__(
@@ -86,6 +87,7 @@
         self._pending_tokens = 0
         self.choice: server_choice.Choice | None = None
         self.progress = stream_progress.StreamProgress()
+        self.sends = 0
         self._is_finished = False
         self._relay: event_relay.EventRelay | None = None
         if route.is_resumable:
@@ -287,8 +289,15 @@
             codec, self._exchange, attempt_fields, self.request.attempt_id
         )
         attempt = attempt_module.Attempt(
-            server, codec, outgoing, self, self._dependencies.clock
+            server,
+            codec,
+            outgoing,
+            self,
+            self._dependencies.clock,
+            self._dependencies.limits,
         )
+        self._dependencies.metrics.count_send(self._send_reason())
+        self.sends += 1
         self._attempt = attempt
         server.on_sent()
         self._pending_tokens = self.request.prompt_tokens
@@ -299,6 +308,12 @@
         is_fresh = not self.route.is_repeatable and not self.route.is_stream
         attempt.start(self._dependencies.pool, is_fresh)
 
+    def _send_reason(self) -> str:
+        """Return why the request is sent, as a metric label."""
+        if self._has_begun:
+            return "resume"
+        return "retry" if self.sends else "first"
+
     def on_response_head(
         self,
         attempt: attempt_module.Attempt,
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import http_fields
@@ -22,6 +23,7 @@
 SIGNATURE = b"balsamwall-response-signature"
 NOT_EXECUTED = b"balsamwall-not-executed"
 SERVER_LOAD = b"balsamwall-server-load"
+SERVER_LIMIT = b"server-limit"
 CONTENT_ENCODING = b"content-encoding"
 
 # Fields reserved for the system; they are removed from requests of callers.
@@ -127,6 +129,9 @@
             is_encoded=CONTENT_ENCODING in found,
             running=_parse_integer(load[0]),
             waiting=_parse_integer(load[1]) if len(load) > 1 else None,
+            limit_per_s=decode_limit(
+                [value for name, value in fields if name == SERVER_LIMIT]
+            ),
         )
 
     def response_fields(
@@ -136,6 +141,26 @@
         return http_fields.end_to_end(fields, frozenset())
 
 
+def decode_limit(values: list[bytes]) -> float | None:
+    """Return the announced request rate, or None without a valid one.
+
+    The lowest of several values counts. A value that is not a finite decimal
+    number of at least 0 is ignored.
+    """
+    return min(
+        (rate for rate in map(_parse_rate, values) if rate is not None),
+        default=None,
+    )
+
+
+def _parse_rate(raw: bytes) -> float | None:
+    try:
+        rate = float(raw.strip().decode("ascii"))
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _parse_integer(raw: bytes, maximum: int = 10**9) -> int | None:
     """Return a non-negative integer capped at a maximum, or None."""
     text = raw.strip()
--- a/tests/platform/test_header_codec.py
+++ b/tests/platform/test_header_codec.py
@@ -76,3 +76,22 @@
         self.assertEqual(fields[header_codec.EXPECT_SERVER], b"i-7")
         self.assertEqual(fields[header_codec.DEADLINE], b"900")
         self.assertEqual(fields[header_codec.LAST_EVENT_ID], b"5")
+
+    def test_limit_of_a_server_is_decoded(self):
+        """Guards against a limit that is missed, or one of no meaning."""
+        rows = (
+            ([b"1.6"], 1.6),
+            ([b" 0 "], 0.0),
+            ([b"5", b"3"], 3.0),
+            ([], None),
+            ([b"-1"], None),
+            ([b"nan"], None),
+            ([b"inf"], None),
+            ([b"soon"], None),
+            ([b"\xb2"], None),
+        )
+        for raw, expected in rows:
+            with self.subTest(raw=raw):
+                fields = [(header_codec.SERVER_LIMIT, item) for item in raw]
+                found = self.codec.decode_response(fields, b"q1")
+                self.assertEqual(found.limit_per_s, expected)
