Share the announced limit of a server among all entries

Even when read, a limit that each entry keeps alone is exceeded by their sum: one request of each of 25 entries passes a limit of 1.6 a second. It is a limit of the fleet that no process owns.

Change: LimitBook keeps the newest observation of each server, and the coordinator spreads it. Each request to a limited server takes a permit of the coordinator (PermitIssuer), on every path: first send, retry, resume, queue, assignment; its own reports and orders are charged too. Without the coordinator an entry uses turns of its own, a share by the highest number of entries counted lately, also for the retry budget. Models of a limited engine get replicas elsewhere, and queues that a limit makes too long are refused at once. Queries are in one class; a coordinator's own entry no longer waits 40 ms for each assignment, since its response came before the query was recorded.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -14,6 +14,8 @@
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
+from balsamwall.coordination import limited_engine_control
+from balsamwall.coordination import permit_issuer
 from balsamwall.coordination import store_relay
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
@@ -27,6 +29,8 @@
 from balsamwall.gateway import server_choice
 from balsamwall.gateway import server_feed
 from balsamwall.gateway import server_health
+from balsamwall.gateway import server_limits
+from balsamwall.limits import fleet_size
 from balsamwall.logs import decision_log
 from balsamwall.placement import lease_keeper
 from balsamwall.settings import address as address_module
@@ -46,6 +50,9 @@
 
 # Number of entries that share the retry budget until the fleet reports it.
 ASSUMED_ENTRIES = 8
+# Number of entries that share the limits of servers until the fleet reports
+# it. A lower number than the true one would exceed a limit.
+ASSUMED_ENTRIES_OF_LIMITS = 100
 # Key of the lease whose holder, the coordinator, sends orders to engines.
 COORDINATOR_KEY = "balsamwall/order-holder"
 LEASE_RENEW_INTERVAL_MS = 700
@@ -143,12 +150,26 @@
             release_pacing.ReleasePacing(random_source),
         )
         health = server_health.ServerHealth(self._clock)
+        self._fleet_size = fleet_size.FleetSize(
+            self._clock, ASSUMED_ENTRIES_OF_LIMITS
+        )
+        self._limits = server_limits.ServerLimits(
+            self._clock,
+            random_source,
+            self._fleet_size,
+            self._log,
+            self._metrics,
+        )
         self._request_dependencies = request_dependencies.RequestDependencies(
             clock=self._clock,
             zone=settings.availability_zone,
             configuration=self._configuration,
             choice=server_choice.ServerChoice(
-                self._clock, self._random, self._directory, health
+                self._clock,
+                self._random,
+                self._directory,
+                health,
+                self._limits,
             ),
             health=health,
             pool=self._pool,
@@ -163,6 +184,7 @@
             ),
             entries=ASSUMED_ENTRIES,
             directory=self._directory,
+            limits=self._limits,
             request_load=self._request_load,
             report_crash=self._report_crash,
             random_source=self._random,
@@ -189,6 +211,7 @@
             settings.vm,
             settings.availability_zone,
             self._request_dependencies.assignments,
+            self._limits,
             self._directory,
             self._gateway.count_running,
             self._gateway.take_arrivals,
@@ -217,15 +240,23 @@
                 LEASE_MARGIN_MS,
             ),
         )
+        permits = permit_issuer.PermitIssuer(
+            self._clock, self._limits, self._fleet_size
+        )
         self._coordinator = coordinator_module.Coordinator(
             self._clock,
             self._configuration,
             self._directory,
             self._lease,
-            self._dependencies.engines,
+            limited_engine_control.LimitedEngineControl(
+                self._clock, self._dependencies.engines, self._limits, permits
+            ),
             self._fleet_server,
             self._log,
             self._is_store_available,
+            self._limits,
+            permits,
+            self._fleet_size,
         )
         self._fleet_server.set_coordinator(self._coordinator)
         self._relay = store_relay.StoreRelay(
@@ -348,7 +379,8 @@
 
     def _on_entries(self, count: int) -> None:
         """Update the number of entries that share the fleet-wide limits."""
-        self._request_dependencies.set_entries(count)
+        self._fleet_size.observe(count)
+        self._request_dependencies.set_entries(self._fleet_size.count)
         # The coordinator reads for all entries.
         readers = 1 if self._coordinator.is_active else count
         self._dependencies.connection.set_readers(readers)
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -7,6 +7,7 @@
 
 from balsamwall.coordination import demand as demand_module
 from balsamwall.coordination import engine_tracker
+from balsamwall.coordination import limit_rows
 from balsamwall.coordination import load_forecast
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
@@ -21,9 +22,12 @@
     from collections.abc import Callable
 
     from balsamwall.coordination import engine_control
+    from balsamwall.coordination import permit_issuer
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import gateway_configuration
+    from balsamwall.gateway import server_limits
+    from balsamwall.limits import fleet_size as fleet_size_module
     from balsamwall.logs import decision_log
     from balsamwall.placement import lease_keeper
     from balsamwall.protocol import message
@@ -77,13 +81,16 @@
         "_engine_added_ms",
         "_directory",
         "_entries_with_lease",
+        "_fleet_size",
         "_lease_held_ms",
         "_is_active",
         "_fenced_revision",
         "_is_store_connected",
         "_lease",
+        "_limits",
         "_links",
         "_log",
+        "_permits",
         "_plan_timer",
         "_planner",
         "_prefetch",
@@ -103,6 +110,9 @@
         links: FleetLinks,
         log: decision_log.DecisionLog,
         is_store_connected: Callable[[], bool],
+        limits: server_limits.ServerLimits,
+        permits: permit_issuer.PermitIssuer,
+        fleet_size: fleet_size_module.FleetSize,
     ) -> None:
         self._clock = clock
         self._configuration = configuration
@@ -110,6 +120,9 @@
         self._lease = lease
         self._links = links
         self._log = log
+        self._limits = limits
+        self._permits = permits
+        self._fleet_size = fleet_size
         self._trackers: dict[str, engine_tracker.EngineTracker] = {}
         self._crashes = crash_suspects.CrashCounter(clock)
         self._demand = demand_module.Demand(clock)
@@ -176,6 +189,13 @@
             self._record_adapter_use(item)
         elif isinstance(item, messages_fleet.PromptQuery):
             self._links.send(vm, self._assign(item))
+        elif isinstance(item, messages_fleet.PermitQuery):
+            wait_ms = self._permits.take(item.server_id)
+            self._links.send(
+                vm, messages_fleet.PermitDecision(item.number, wait_ms)
+            )
+        elif isinstance(item, messages_fleet.LimitReport):
+            self._on_limit_report(vm, item)
         elif isinstance(item, messages_fleet.CrashReport):
             self._on_crash(item.content, item.process)
         elif isinstance(item, messages_fleet.LoadWanted):
@@ -189,12 +209,16 @@
     def _assign(
         self, query: messages_fleet.PromptQuery
     ) -> messages_fleet.PromptAssignment:
-        """Assign a prompt to one of the engines that hold its model."""
+        """Assign a prompt to one of the engines that hold its model.
+
+        The assignment to an engine with a limit includes a permit.
+        """
         holders = [
             tracker
             for tracker in self._ready_trackers(query.service)
             if tracker.holds(query.model, query.adapter)
             and tracker.loading_model != query.model
+            and not self._permits.wait_ms(tracker.record.server_id)
         ]
         prompt = prompt_scheduler.Prompt(
             query.tokens, query.zone, query.cached_at, query.cached_tokens
@@ -205,8 +229,23 @@
             self._demand.pending_tokens(),
             prompt,
         )
+        if server_id:
+            self._permits.take(server_id)
         return messages_fleet.PromptAssignment(query.number, server_id)
 
+    def _on_limit_report(
+        self, vm: str, report: messages_fleet.LimitReport
+    ) -> None:
+        try:
+            observations = limit_rows.decode(report, self._clock.now_ms())
+        except ValueError as error:
+            self._log.write(
+                "limit_report_invalid", vm=vm, reason=str(error)[:200]
+            )
+            return
+        for found in observations:
+            self._limits.on_observation(found)
+
     def _on_crash(self, content: bytes, process: str) -> None:
         if self._crashes.add(content, process):
             self._log.write("quarantine", content=content.hex())
@@ -304,6 +343,7 @@
 
     def _start_term(self) -> None:
         self._demand.restart()
+        self._permits.restart()
         for server in self._directory.all_servers():
             self._on_server(server)
 
@@ -383,6 +423,10 @@
             trackers = self._ready_trackers(service)
             if not any(tracker.is_idle for tracker in trackers):
                 continue
+            for tracker in trackers:
+                tracker.capacity = self._permits.capacity(
+                    tracker.record.server_id, engine.slots
+                )
             waiting_requests = {
                 wanted: count
                 for wanted, count in waiting.items()
@@ -393,6 +437,8 @@
             self._start_prefetches(service, engine, trackers)
 
     def _tick(self) -> None:
+        self._fleet_size.observe(self._links.count)
+        self._permits.set_connected(self._links.count)
         self._plan()
         now_ms = self._clock.now_ms()
         if now_ms - self._last_summary_ms >= SUMMARY_INTERVAL_MS:
@@ -412,6 +458,9 @@
                     ),
                 )
             )
+            observations = self._limits.book.observations()
+            if observations:
+                self._links.broadcast(limit_rows.encode(observations, now_ms))
 
     def _start_prefetches(
         self,
--- a/src/balsamwall/coordination/engine_control.py
+++ b/src/balsamwall/coordination/engine_control.py
@@ -54,6 +54,8 @@
     pending_adapters: frozenset[tuple[str, str]]  # model and adapter
     running: int
     waiting: int
+    # Requests per second that the engine accepts, None without a limit.
+    limit_per_s: float | None = None
 
 
 class EngineControl(Protocol):
--- a/src/balsamwall/coordination/engine_tracker.py
+++ b/src/balsamwall/coordination/engine_tracker.py
@@ -45,6 +45,7 @@
         "stable_since_ms",
         "timer",
         "adapter_used_ms",
+        "capacity",
     )
 
     def __init__(
@@ -73,6 +74,8 @@
         # Whether the order being sent holds a load permit of the weight store.
         self.has_permit = False
         self.queue: list[engine_control.Order] = []
+        # Part of the slots that the limit of the engine leaves to requests.
+        self.capacity = 1.0
         self.adapter_used_ms: dict[tuple[str, str], int] = {}
         self.resident_since_ms: dict[str, int] = {}
 
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
 
 if TYPE_CHECKING:
@@ -14,7 +15,9 @@
     from balsamwall.gateway import assignment_client
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import residency_waits
+    from balsamwall.gateway import server_limits
     from balsamwall.gateway import wait_forecast
+    from balsamwall.limits import limit_book
     from balsamwall.logs import decision_log
     from balsamwall.protocol import message
     from balsamwall.timing import clock as clock_module
@@ -49,6 +52,7 @@
         "_forecast",
         "_coordinator_address",
         "_is_connecting",
+        "_limits",
         "_link",
         "_log",
         "_next_connect_ms",
@@ -69,6 +73,7 @@
         vm: str,
         zone: str,
         assignments: assignment_client.AssignmentClient,
+        limits: server_limits.ServerLimits,
         directory: backend_directory.BackendDirectory,
         count_running: Callable[[], list[list[object]]],
         take_arrivals: Callable[[], dict[str, list[int]]],
@@ -87,6 +92,8 @@
         self._zone = zone
         self._assignments = assignments
         assignments.set_link(self)
+        self._limits = limits
+        limits.set_link(self)
         self._directory = directory
         self._count_running = count_running
         self._take_arrivals = take_arrivals
@@ -146,6 +153,18 @@
         )
         return True
 
+    def send_permit_query(self, number: int, server_id: str) -> bool:
+        """Ask for a permit for a server; return False if not connected."""
+        if self._link is None:
+            return False
+        self._link.send(messages_fleet.PermitQuery(number, server_id))
+        return True
+
+    def report_limits(self, found: list[limit_book.LimitObservation]) -> None:
+        """Report limits of servers, if connected."""
+        if self._link is not None:
+            self._link.send(limit_rows.encode(found, self._clock.now_ms()))
+
     def request_load(self, wanted: residency_waits.WantedModel) -> None:
         """Request the load of a model or adapter, if connected."""
         if self._link is not None:
@@ -180,6 +199,10 @@
             )
         elif isinstance(item, messages_fleet.PromptAssignment):
             self._assignments.on_response(item.number, item.server_id)
+        elif isinstance(item, messages_fleet.PermitDecision):
+            self._limits.on_permit(item.number, item.wait_ms)
+        elif isinstance(item, messages_fleet.LimitReport):
+            self._on_limits(item)
         elif isinstance(item, messages_fleet.Quarantine):
             self._on_quarantine(item.content)
         elif isinstance(item, messages_fleet.StoreChanges):
@@ -193,6 +216,15 @@
                 load = item.loads.get(server.server_id, 0)
                 server.set_fleet_load(load, now_ms)
 
+    def _on_limits(self, report: messages_fleet.LimitReport) -> None:
+        try:
+            observations = limit_rows.decode(report, self._clock.now_ms())
+        except ValueError as error:
+            self._log.write("limit_report_invalid", reason=str(error)[:200])
+            return
+        for found in observations:
+            self._limits.on_observation(found)
+
     # Stream to another process
 
     def on_stream_opened(self, stream: fleet_stream.FleetStream) -> None:
@@ -201,7 +233,7 @@
         self._link = stream
         stream.send(messages_fleet.FleetHello(self._vm))
         self._log.write("holder_connected", holder=self._coordinator_address)
-        self._report()
+        self._introduce()
 
     def on_stream_message(
         self, stream: fleet_stream.FleetStream, item: message.Message
@@ -240,11 +272,19 @@
             # The coordinator is in this process.
             self._is_connecting = False
             self._link = link
-            self._report()
+            self._introduce()
+
+    def _introduce(self) -> None:
+        """Send all that a new coordinator needs to know of this entry."""
+        observations = self._limits.book.observations()
+        if observations:
+            self.report_limits(observations)
+        self._report()
 
     def _report(self) -> None:
         if self._link is None:
             return
+        self._limits.report_changes()
         waiting = [
             [wanted.service, wanted.model, wanted.adapter, count]
             for wanted, count in self._waits.counts().items()
--- /dev/null
+++ b/src/balsamwall/coordination/limited_engine_control.py
@@ -0,0 +1,111 @@
+"""Calls of the coordinator to engines that limit what they accept."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import engine_control
+from balsamwall.limits import limit_book
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.coordination import permit_issuer
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import server_limits
+    from balsamwall.timing import clock as clock_module
+
+
+class LimitedEngineControl:
+    """Count reports and orders against the limit of their engine.
+
+    Load pattern: an engine in need is polled while a model loads, which alone
+    would use up its limit. Reports are spaced, and orders, which free a place
+    for many requests, are sent at once; both delay later requests.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_control",
+        "_last_report_ms",
+        "_limits",
+        "_permits",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        control: engine_control.EngineControl,
+        limits: server_limits.ServerLimits,
+        permits: permit_issuer.PermitIssuer,
+    ) -> None:
+        self._clock = clock
+        self._control = control
+        self._limits = limits
+        self._permits = permits
+        # By limited server; others are not recorded.
+        self._last_report_ms: dict[str, int] = {}
+
+    def read_report(
+        self,
+        record: backend_directory.ServerRecord,
+        callback: Callable[[engine_control.EngineReport | None], None],
+    ) -> None:
+        """Request a report, later if the last one is too recent."""
+        delay_ms = self._report_delay_ms(record.server_id)
+        if delay_ms > 0:
+            self._clock.call_later(
+                delay_ms, self.read_report, record, callback
+            )
+            return
+
+        def on_report(report: engine_control.EngineReport | None) -> None:
+            self._observe(record, report)
+            callback(report)
+
+        self._permits.charge(record.server_id)
+        self._control.read_report(record, on_report)
+
+    def send_order(
+        self,
+        record: backend_directory.ServerRecord,
+        order: engine_control.Order,
+        order_count: int,
+        fencing_token: int,
+        callback: Callable[[engine_control.OrderOutcome], None],
+    ) -> None:
+        """Send an order that is valid only for the expected order count."""
+        self._permits.charge(record.server_id)
+        self._control.send_order(
+            record, order, order_count, fencing_token, callback
+        )
+
+    def _report_delay_ms(self, server_id: str) -> int:
+        """Return the time until a report may be read; 0 reserves it."""
+        interval_ms = self._permits.report_interval_ms(server_id)
+        if not interval_ms:
+            self._last_report_ms.pop(server_id, None)
+            return 0
+        now_ms = self._clock.now_ms()
+        last_ms = self._last_report_ms.get(server_id)
+        if last_ms is not None and now_ms - last_ms < interval_ms:
+            return interval_ms - (now_ms - last_ms)
+        self._last_report_ms[server_id] = now_ms
+        return 0
+
+    def _observe(
+        self,
+        record: backend_directory.ServerRecord,
+        report: engine_control.EngineReport | None,
+    ) -> None:
+        """Record a limit in a report; a report without one ends none."""
+        if report is None or report.limit_per_s is None:
+            return
+        self._limits.on_observation(
+            limit_book.LimitObservation(
+                record.server_id,
+                record.started_ms,
+                report.limit_per_s,
+                self._clock.now_ms(),
+            )
+        )
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -79,6 +79,33 @@
     server_id: str
 
 
+@message.register(110)
+class LimitReport(message.Message):
+    """Report the request rates that servers accept from all entries.
+
+    Each row holds server, start time of its process, requests per second and
+    age of the observation in ms. The rate is nil once the limit has ended.
+    """
+
+    rows: list[list[Any]]
+
+
+@message.register(111)
+class PermitQuery(message.Message):
+    """Ask for a permit for one request to a server with a limit."""
+
+    number: int
+    server_id: str
+
+
+@message.register(112)
+class PermitDecision(message.Message):
+    """Grant a permit, or give the time in ms until the next one."""
+
+    number: int
+    wait_ms: int
+
+
 @message.register(105)
 class CrashReport(message.Message):
     """Report the content of a request and the server process it crashed."""
--- a/src/balsamwall/coordination/replica_demand.py
+++ b/src/balsamwall/coordination/replica_demand.py
@@ -120,8 +120,9 @@
             ]
             if sum(used) / count < SCALE_OUT_UTILISATION:
                 continue
+            capacity = _capacity(model_trackers)
             saved_per_s = self._delay_change(
-                model, model_trackers, utilisation, count + 1
+                model, model_trackers, utilisation, capacity + 1
             )
             added = self._required_engines(model, model_trackers[0])
             found.append(
@@ -130,7 +131,7 @@
                     saved_per_s * DEMAND_LIFETIME_S,
                     replicas=count,
                     max_utilisation=max(used),
-                    added_utilisation=added / (count + 1),
+                    added_utilisation=added / (capacity + 1),
                 )
             )
         return found
@@ -148,8 +149,9 @@
         for model, model_trackers in trackers_by_model.items():
             count = len(model_trackers) - 1
             if count:
+                remaining = _capacity(model_trackers) * count / (count + 1)
                 lost_per_s = self._delay_change(
-                    model, model_trackers, utilisation, count
+                    model, model_trackers, utilisation, remaining
                 )
                 losses[model] = lost_per_s * DEMAND_LIFETIME_S
             else:
@@ -166,16 +168,21 @@
         model: str,
         model_trackers: list[engine_tracker.EngineTracker],
         utilisation: dict[str, float],
-        new_count: int,
+        new_capacity: float,
     ) -> float:
-        """Return by how many delayed requests a second two counts differ."""
+        """Return by how many delayed requests a second the capacities differ.
+
+        A capacity is the number of engines without a limit that the replicas
+        are worth.
+        """
         count = len(model_trackers)
+        capacity = _capacity(model_trackers)
         work = self._required_engines(model, model_trackers[0])
         used = sum(
             utilisation[tracker.record.server_id] for tracker in model_trackers
         )
         before = used / count
-        after = before - work / count + work / new_count
+        after = before - work / capacity + work / new_capacity
         change = abs(_relative_delay(after) - _relative_delay(before))
         # No more requests can be delayed than arrive.
         return self._demand.rate(model) * min(1.0, change) * BUSY_DELAY_WEIGHT
@@ -206,9 +213,8 @@
     ) -> dict[str, float]:
         utilisation = {tracker.record.server_id: 0.0 for tracker in trackers}
         for model, model_trackers in trackers_by_model.items():
-            share = self._required_engines(model, model_trackers[0]) / len(
-                model_trackers
-            )
+            share = self._required_engines(model, model_trackers[0])
+            share /= _capacity(model_trackers)
             for tracker in model_trackers:
                 utilisation[tracker.record.server_id] += share
         return utilisation
@@ -226,6 +232,11 @@
     )
 
 
+def _capacity(trackers: list[engine_tracker.EngineTracker]) -> float:
+    """Return how many engines without a limit some engines are worth."""
+    return sum(tracker.capacity for tracker in trackers)
+
+
 def _trackers_by_model(
     trackers: list[engine_tracker.EngineTracker],
 ) -> dict[str, list[engine_tracker.EngineTracker]]:
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -105,7 +105,10 @@
             1, RARE_ENGINE_FRACTION * len(trackers)
         ):
             return None
-        return self._cheapest_plan(trackers, trackers, need, now_ms)
+        unlimited = [tracker for tracker in trackers if tracker.capacity >= 1]
+        return self._cheapest_plan(
+            unlimited or trackers, trackers, need, now_ms
+        )
 
     def _plan_additional_replica(
         self,
@@ -113,12 +116,16 @@
         trackers: list[engine_tracker.EngineTracker],
         now_ms: int,
     ) -> Plan | None:
-        """Plan a replica on an engine that stays below the busiest one."""
+        """Plan a replica on an engine that stays below the busiest one.
+
+        An engine with a limit has no room for further demand.
+        """
         used = self._replica_demand.utilisation(trackers)
         free = [
             tracker
             for tracker in trackers
             if not tracker.will_hold(need.model)
+            and tracker.capacity >= 1.0
             and used[tracker.record.server_id] + need.added_utilisation
             < need.max_utilisation
         ]
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -197,7 +197,7 @@
         head = self._codec.decode_response(fields, self.attempt_id)
         self.status = status
         self._record_load(head)
-        self._limits.on_response(self.server, head)
+        self._limits.on_response(self.server, status, head)
         if status == WRONG_SERVER_STATUS or head.is_certified_not_run:
             self._refusal = f"status {status}"
             return
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -174,12 +174,14 @@
     def holders(
         self, service: str, model: str, adapter: str
     ) -> list[BackendServer]:
-        """Return the ready servers that hold a model and its adapter."""
-        return [
-            server
-            for server in self.ready_servers(service)
-            if server.has(model, adapter)
-        ]
+        """Return the ready servers that hold a model and its adapter.
+
+        Without a model, they are all ready servers.
+        """
+        ready = self.ready_servers(service)
+        if not model:
+            return ready
+        return [server for server in ready if server.has(model, adapter)]
 
     def put(self, record: ServerRecord) -> None:
         """Add a server or update its record.
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -108,10 +108,15 @@
         return [[*key, count] for key, count in counts.items()]
 
     def count_queued(self) -> dict[str, int]:
-        """Return the number of requests that wait for room, by model."""
+        """Return the number of requests that wait for room.
+
+        It is by model, or by service for requests without a model.
+        """
         counts: dict[str, int] = {}
-        for (_, model, _), count in self._dependencies.room.counts().items():
-            counts[model] = counts.get(model, 0) + count
+        for target, count in self._dependencies.room.counts().items():
+            service, model, _ = target
+            name = model or service
+            counts[name] = counts.get(name, 0) + count
         return counts
 
     def take_arrivals(self) -> dict[str, list[int]]:
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -28,6 +28,7 @@
         "_durations",
         "_first_responses",
         "_registry",
+        "_permits",
         "_requests",
         "_routes",
         "_sends",
@@ -57,6 +58,12 @@
             ("reason",),
             registry=self._registry,
         )
+        self._permits = prometheus_client.Counter(
+            "balsamwall_gateway_permits",
+            "Decisions on requests to servers with a limit",
+            ("decision",),
+            registry=self._registry,
+        )
         self._server_limits = prometheus_client.Gauge(
             "balsamwall_gateway_server_limit",
             "Requests per second that a backend server accepts in total",
@@ -100,6 +107,10 @@
         """Count a request that is sent to a server."""
         self._sends.labels(reason).inc()
 
+    def count_permit(self, is_granted: bool) -> None:
+        """Count a decision on a request to a server with a limit."""
+        self._permits.labels("granted" if is_granted else "denied").inc()
+
     def set_server_limit(self, server_id: str, per_s: float | None) -> None:
         """Export the limit of a server; None removes it."""
         if per_s is None:
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -12,7 +12,6 @@
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
 from balsamwall.gateway import room_queue
-from balsamwall.gateway import server_limits
 from balsamwall.gateway import wait_forecast
 from balsamwall.gateway import wait_policy
 from balsamwall.limits import retry_budget as retry_budget_module
@@ -29,6 +28,7 @@
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
     from balsamwall.gateway import server_health
+    from balsamwall.gateway import server_limits
     from balsamwall.gateway import stream_progress
     from balsamwall.logs import decision_log
     from balsamwall.results import result_code
@@ -131,6 +131,7 @@
         retry_settings: RetryBudgetSettings,
         entries: int,
         directory: backend_directory.BackendDirectory,
+        limits: server_limits.ServerLimits,
         request_load: Callable[[residency_waits.WantedModel], None],
         report_crash: Callable[[bytes, str], None],
         random_source: random.Random,
@@ -152,7 +153,7 @@
         self.admission = admission_module.Admission(clock)
         self.room = room_queue.RoomQueue(clock)
         self.forecast = wait_forecast.WaitForecast(clock)
-        self.limits = server_limits.ServerLimits(log, metrics)
+        self.limits = limits
         self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
         self._retry_settings = retry_settings
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -27,6 +27,7 @@
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
+_NoServerReason = server_choice.NoServerReason
 # A response with this status or a higher one is a failure of the server.
 SERVER_ERROR_STATUS = 500
 # Delay before the next attempt after a server refused one, so that a full
@@ -185,11 +186,10 @@
             # they are all considered again.
             self._excluded = frozenset()
             self._dispatch_later(RETRY_PAUSE_MS)
-        elif (
-            choice.no_server_reason
-            is server_choice.NoServerReason.NOT_RESIDENT
-        ):
+        elif choice.no_server_reason is _NoServerReason.NOT_RESIDENT:
             self._wait.wait_for_model(self._max_wait_ms)
+        elif choice.no_server_reason is _NoServerReason.LIMITED:
+            self._wait.wait_for_room(self._max_wait_ms)
         else:
             self._refuse(_Code.NO_REPLICA, "no server of the service is ready")
 
@@ -219,7 +219,12 @@
 
         Return whether the request has left the queue.
         """
-        server = self._choose().server
+        choice = self._choose()
+        server = choice.server
+        if choice.no_server_reason is _NoServerReason.LIMITED:
+            # The servers tried before may have room by now.
+            self._excluded = frozenset()
+            return False
         if server is None:
             self._wait.stop()
             self._dispatch()
@@ -246,10 +251,13 @@
         if not is_first or not self._dependencies.assignments.query(
             query, self._send_assigned
         ):
-            self._send(server)
+            self._request_permit(server)
 
     def _send_assigned(self, server_id: str) -> None:
-        """Send to the assigned server, or to another if it can't be used."""
+        """Send to the assigned server, or to another if it can't be used.
+
+        The assignment includes a permit if the server has a limit.
+        """
         if self._is_finished:
             return
         service, model, adapter = self.target
@@ -262,7 +270,22 @@
         if found is None:
             self._dispatch()
         else:
-            self._send(found)
+            self._request_permit(found)
+
+    def _request_permit(self, server: backend_directory.BackendServer) -> None:
+        """Send to a server once its limit permits it."""
+        self._dependencies.limits.request_permit(server, self._on_permit)
+
+    def _on_permit(
+        self, server: backend_directory.BackendServer, is_granted: bool
+    ) -> None:
+        """Send the request, or choose again without a permit."""
+        if self._is_finished:
+            return
+        if is_granted:
+            self._send(server)
+        else:
+            self._dispatch()
 
     def on_resident(self, delay_ms: int) -> None:
         """End the wait for the model and choose a server after a delay."""
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -93,7 +93,10 @@
         handler, dependencies = self._handler, self._dependencies
         service, model, _ = handler.target
         expected_ms = dependencies.forecast.until_room_ms(
-            service, model, dependencies.directory.holders(*handler.target)
+            service,
+            model or service,
+            dependencies.directory.holders(*handler.target),
+            dependencies.limits.rate_of_process,
         )
         is_urgent = handler.priority <= admission.URGENT_PRIORITY
         is_too_long = dependencies.wait_policy.is_queue_too_long(
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -13,6 +13,7 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
 
 # Prefill rate of an engine. It prefills queued prompts between decode steps,
@@ -44,6 +45,7 @@
 
     NO_SERVER = "no_server"
     NOT_RESIDENT = "not_resident"
+    LIMITED = "limited"  # the limits of all servers are used up
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -71,7 +73,14 @@
     so that a busy local server loses against an idle remote one.
     """
 
-    __slots__ = ("_clock", "_directory", "_health", "_prefixes", "_random")
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_health",
+        "_limits",
+        "_prefixes",
+        "_random",
+    )
 
     def __init__(
         self,
@@ -79,11 +88,13 @@
         random_source: random.Random,
         directory: backend_directory.BackendDirectory,
         health: server_health.ServerHealth,
+        limits: server_limits.ServerLimits,
     ) -> None:
         self._clock = clock
         self._random = random_source
         self._directory = directory
         self._health = health
+        self._limits = limits
         self._prefixes: dict[tuple[str, str], tuple[str, int]] = {}
 
     def choose(
@@ -112,7 +123,13 @@
             ]
             if not holders:
                 return Choice(None, NoServerReason.NOT_RESIDENT)
-        usable = self._health.usable(holders)
+        usable = [
+            server
+            for server in self._health.usable(holders)
+            if self._limits.is_open(server)
+        ]
+        if not usable:
+            return Choice(None, NoServerReason.LIMITED)
         scores = [
             (self._score(server, request, zone), index)
             for index, server in enumerate(usable)
--- a/src/balsamwall/gateway/wait_forecast.py
+++ b/src/balsamwall/gateway/wait_forecast.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from balsamwall.gateway import backend_directory
@@ -71,18 +72,24 @@
         service: str,
         model: str,
         holders: Iterable[backend_directory.BackendServer],
+        limit_of: Callable[[backend_directory.BackendServer], float | None],
     ) -> int:
-        """Return the expected time until all requests for a model have a slot.
+        """Return the expected time until all requests for a model have room.
 
-        It covers the requests that the coordinator reports as queued.
-        The time is 0 without a recent report of the coordinator or without
-        slots on the servers that hold the model.
+        It covers the requests that the coordinator reports as queued, at the
+        rate of the servers that hold the model: that of their slots, or their
+        limit if it is lower. The time is 0 without a recent report of the
+        coordinator or without slots.
         """
-        slots = sum(server.record.slots for server in holders)
-        if not self._is_fresh or slots <= 0:
-            return 0
         stream_ms = self._mean_stream_ms.get(service, DEFAULT_STREAM_MS)
-        return int(self._queued.get(model, 0) * stream_ms / slots)
+        per_s = 0.0
+        for server in holders:
+            rate = server.record.slots * 1_000 / max(1.0, stream_ms)
+            limit = limit_of(server)
+            per_s += rate if limit is None else min(rate, limit)
+        if not self._is_fresh or per_s <= 0:
+            return 0
+        return int(self._queued.get(model, 0) * 1_000 / per_s)
 
     @property
     def _is_fresh(self) -> bool:
--- a/src/balsamwall/limits/token_bucket.py
+++ b/src/balsamwall/limits/token_bucket.py
@@ -47,6 +47,16 @@
         """
         return 0 if self.take() else max(1, self.wait_ms())
 
+    def charge(self) -> None:
+        """Take one token even if there is none; later tokens pay for it."""
+        self._refill()
+        self._tokens -= 1.0
+
+    def drain(self) -> None:
+        """Drop all tokens."""
+        self._refill()
+        self._tokens = min(0.0, self._tokens)
+
     def put_back(self) -> None:
         """Return a token that was taken but not used."""
         self._refill()
--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -10,6 +10,7 @@
 
 from balsamwall.coordination import engine_control
 from balsamwall.platform import documents
+from balsamwall.platform import header_codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,8 +56,9 @@
         def on_answer(answer: http_client.HttpResponse) -> None:
             report = None
             if answer.status == 200:
+                limit = answer.headers.get(header_codec.SERVER_LIMIT.decode())
                 try:
-                    report = decode_report(answer.body)
+                    report = decode_report(answer.body, limit)
                 except ValueError as error:
                     eliot.log_message(
                         "report_unreadable",
@@ -111,8 +113,10 @@
         )
 
 
-def decode_report(raw: bytes) -> engine_control.EngineReport:
-    """Decode a report; raise ValueError if it is invalid."""
+def decode_report(
+    raw: bytes, limit: str | None = None
+) -> engine_control.EngineReport:
+    """Decode a report and its limit field; raise ValueError if invalid."""
     document = documents.decode_object(raw)
     return engine_control.EngineReport(
         order_count=_integer_field(document, "seq"),
@@ -123,6 +127,9 @@
         ),
         running=_integer_field(document, "active"),
         waiting=_integer_field(document, "queued"),
+        limit_per_s=header_codec.decode_limit(
+            [] if limit is None else [limit.encode("latin-1", "replace")]
+        ),
     )
 
 
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -9,6 +9,7 @@
 from balsamwall.gateway import configuration_holder
 from balsamwall.logs import decision_log
 from balsamwall.timing import virtual_clock
+from tests.fixtures import gateway_harness
 
 
 class FakeLease:
@@ -53,6 +54,7 @@
             self.links,
             decision_log.DecisionLog(self.clock),
             lambda: self.is_connected,
+            *gateway_harness.make_limits(self.clock),
         )
         self.coordinator.start()
         self.lease.is_held, self.lease.revision = True, 7
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -14,6 +14,7 @@
 from balsamwall.gateway import wait_forecast
 from balsamwall.logs import decision_log
 from balsamwall.timing import virtual_clock
+from tests.fixtures import gateway_harness
 
 
 class FakeStream:
@@ -41,6 +42,7 @@
             "f1",
             "z1",
             assignment_client.AssignmentClient(self.clock),
+            gateway_harness.make_limits(self.clock)[0],
             backend_directory.BackendDirectory(self.clock.now_ms),
             list,
             dict,
--- a/tests/coordination/test_order_of_plans.py
+++ b/tests/coordination/test_order_of_plans.py
@@ -62,6 +62,7 @@
             test_coordinator.FakeLinks(),
             decision_log.DecisionLog(self.clock),
             lambda: True,
+            *gateway_harness.make_limits(self.clock),
         )
         record = gateway_harness.make_record(
             "e1", models={"m1": ()}, on_disk=frozenset({"rare"})
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -280,3 +280,27 @@
         )
         plan = fixture.plan_model("rare3", 3)
         self.assertEqual(order_names(plan)[0], ("unload", "rare2"))
+
+
+class LimitedEngineTest(unittest.TestCase):
+    """Load pattern: an engine in need serves a part of its usual demand."""
+
+    def plan(self, capacity):
+        fixture = PlannerFixture(("hot1",), ("rare1",), ())
+        fixture.trackers[0].capacity = capacity
+        fixture.report({"hot1": 4.0}, running=[["e0", "hot1", "", 10]])
+        return fixture.plan_scale_out()
+
+    def test_its_models_get_replicas_elsewhere(self):
+        """Guards against requests that wait for a limit for lack of others."""
+        self.assertIsNone(self.plan(1.0))
+        plan = self.plan(0.125)
+        self.assertIn(plan.tracker.record.server_id, ("e1", "e2"))
+
+    def test_it_gets_no_first_replica_beside_others(self):
+        """Guards against a model whose only replica is on such an engine."""
+        fixture = PlannerFixture((), ())
+        fixture.trackers[0].capacity = 0.125
+        fixture.report({"rare1": 0.5})
+        plan = fixture.plan_model("rare1")
+        self.assertEqual(plan.tracker.record.server_id, "e1")
--- a/tests/gateway/test_assignment_client.py
+++ b/tests/gateway/test_assignment_client.py
@@ -5,6 +5,7 @@
 import unittest
 
 from balsamwall.gateway import assignment_client
+from balsamwall.gateway import coordinator_queries
 from balsamwall.timing import virtual_clock
 
 TOKENS = assignment_client.MIN_QUERY_TOKENS
@@ -50,16 +51,16 @@
     def test_missing_response_ends_the_wait(self):
         """Guards against requests that wait for a frozen coordinator."""
         self.query()
-        self.clock.advance(assignment_client.QUERY_TIMEOUT_MS)
+        self.clock.advance(coordinator_queries.QUERY_TIMEOUT_MS)
         self.assertEqual(self.assigned, [""])
 
     def test_silent_coordinator_is_not_asked_for_some_time(self):
         """Guards against a short wait of every request in an outage."""
-        for _ in range(assignment_client.MAX_TIMEOUTS):
+        for _ in range(coordinator_queries.MAX_TIMEOUTS):
             self.query()
-            self.clock.advance(assignment_client.QUERY_TIMEOUT_MS)
+            self.clock.advance(coordinator_queries.QUERY_TIMEOUT_MS)
         self.assertFalse(self.query())
-        self.clock.advance(assignment_client.SUSPENSION_MS)
+        self.clock.advance(coordinator_queries.SUSPENSION_MS)
         self.assertTrue(self.query())
 
     def test_entry_without_a_coordinator_chooses_by_itself(self):
@@ -75,3 +76,13 @@
         """Guards against a choice by older knowledge than the entry has."""
         self.client.set_entries(assignment_client.MIN_ENTRIES - 1)
         self.assertFalse(self.query())
+
+    def test_response_within_the_call_is_delivered(self):
+        """Guards against a timeout of each query in the coordinator itself."""
+        self.link.send_query = lambda number, query: (
+            self.client.on_response(number, "e1") or True
+        )
+        self.assertTrue(self.query())
+        self.assertEqual(self.assigned, ["e1"])
+        self.clock.advance(coordinator_queries.QUERY_TIMEOUT_MS)
+        self.assertEqual(self.assigned, ["e1"])
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from balsamwall.limits import limit_book
 from tests.fixtures import gateway_harness as harness_module
 
 MODEL = [(b"balsamwall-model", b"m1")]
@@ -95,6 +96,19 @@
         refused = self.send_request()
         self.assertEqual(refused.status, 503)
 
+    def test_queue_of_a_limited_server_refuses_at_once(self):
+        """Guards against requests that wait for permits until they expire."""
+        harness = self.harness
+        found = limit_book.LimitObservation("s1", 1, 1.0, 0)
+        harness.limits.book.observe(found)
+        self.report(queued={"m2": 1})
+        fields = [(b"balsamwall-model", b"m2")]
+        waiting = harness.send_request(fields=fields, deadline_ms=9_000)
+        self.report(queued={"m2": 10})
+        refused = harness.send_request(fields=fields, deadline_ms=9_000)
+        self.assertEqual((waiting.status, refused.status), (None, 503))
+        self.assertGreaterEqual(self.retry_after_ms(refused), 10_000)
+
     def test_old_report_does_not_refuse(self):
         """Guards against refusals by the last report of a lost coordinator."""
         self.harness.add_servers("s1", models={"m1": ()}, slots=4)
