Send a request again on a new connection only

Cause: all sends of a request bear the caller's identifier. A server that answers twice sends the second copy of its refusal when the next send is already on the same connection, and the pool prefers the connection that was used last. The copy has the right identifier, so that it passed for the refusal of a send that the server then ran.

Change: a request that was sent before goes out on a new connection. A copy that arrives on the old one finds no open request and ends it.

Result: test_refusal_that_comes_twice_counts_once saw three sends of one stream before and sees two now. The record of the users is cut off before the lines of its requests, so that this is a cause that gives their symptom, not one that is proved for their run.

--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -327,8 +327,13 @@
         server.pending_tokens += self._pending_tokens
         self._dependencies.choice.record_sent(server, self.request)
         # The server may be closing an idle connection, and a request that must
-        # not be repeated would then end with an unknown outcome.
-        is_fresh = not self.route.is_repeatable and not self.route.is_stream
+        # not be repeated would then end with an unknown outcome. All sends of
+        # a request bear one identifier, so that on a reused connection a late
+        # response to an earlier send would be taken for that of this one.
+        is_unrepeatable = (
+            not self.route.is_repeatable and not self.route.is_stream
+        )
+        is_fresh = is_unrepeatable or self.sends > 1
         attempt.start(self._dependencies.pool, is_fresh)
 
     def _send_reason(self) -> str:
--- a/src/balsamwall/gateway/server_limits.py
+++ b/src/balsamwall/gateway/server_limits.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import attempt
 from balsamwall.gateway import coordinator_queries
 from balsamwall.limits import limit_book
 from balsamwall.limits import paced_share
@@ -20,8 +21,6 @@
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
-# Status of a response that may come from another server at the same address.
-WRONG_SERVER_STATUS = 421
 # Rate for a server that accepts nothing, so that a response tells when its
 # limit has ended.
 MIN_RATE_PER_S = 0.25
@@ -122,7 +121,8 @@
         is_from_server = head.is_echoed and (
             head.is_signed or head.is_certified_not_run
         )
-        if status == WRONG_SERVER_STATUS:
+        if status == attempt.WRONG_SERVER_STATUS:
+            # It may come from another server at the same address.
             return
         if head.limit_per_s is None and not is_from_server:
             return
--- /dev/null
+++ b/tests/gateway/test_certified_refusal.py
@@ -0,0 +1,79 @@
+"""Tests that a refusal is believed only if it is of this very send."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.gateway import connection_pool
+from balsamwall.platform import header_codec
+from balsamwall.timing import virtual_clock
+from tests.fixtures import gateway_harness
+from tests.fixtures import recording_transport
+
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"%sBalsamwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+ECHO = b"Balsamwall-Request-Id: q1\r\n"
+
+
+class FakeReactor:
+    """Reactor whose connections succeed at once and record what is sent."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.connections = []
+
+    def callLater(self, delay_s, function, *arguments):  # noqa: N802
+        self._clock.call_later(int(delay_s * 1_000), function, *arguments)
+
+    def connectTCP(self, host, port, factory, timeout):  # noqa: N802
+        connection = factory.buildProtocol(None)
+        # The recording transport has no socket to configure.
+        connection.connectionMade = lambda: None
+        transport = recording_transport.RecordingTransport()
+        connection.makeConnection(transport)
+        self.connections.append(connection)
+        return transport
+
+
+class CertifiedRefusalTest(unittest.TestCase):
+    """A stream that may not be repeated, at the only engine of its model."""
+
+    def setUp(self):
+        self.clock = virtual_clock.VirtualClock(start_ms=10_000)
+        self.reactor = FakeReactor(self.clock)
+        pool = connection_pool.ConnectionPool(
+            self.reactor, self.clock, header_codec.REQUEST_ID
+        )
+        self.harness = gateway_harness.GatewayHarness(
+            gateway_harness.make_route(kind=gateway_harness.Kind.STREAMING),
+            clock=self.clock,
+            pool=pool,
+        )
+        self.harness.add_servers("s1")
+        self.exchange = self.harness.send_request(method=b"POST")
+        self.clock.advance(1)
+
+    @property
+    def sends(self):
+        """Return how often the request was written to the server."""
+        return sum(
+            connection.transport.value().count(b"POST /a/1")
+            for connection in self.reactor.connections
+        )
+
+    def last_send(self):
+        return self.reactor.connections[-1]
+
+    def test_refusal_that_comes_twice_counts_once(self):
+        """Guards against a second copy that is taken for the next send's."""
+        first = self.last_send()
+        first.dataReceived(REFUSAL % ECHO)
+        self.clock.advance(100)
+        self.assertEqual(self.sends, 2)
+        # The server runs the second send; a copy of its refusal is late.
+        first.dataReceived(REFUSAL % ECHO)
+        self.clock.advance(300)
+        self.assertIsNone(self.exchange.status)
+        self.assertEqual(self.sends, 2)
