Believe a refusal only if it names the request

Cause: a response with Balsamwall-Not-Executed or status 421 was taken as proof that the request had not run, also without the request's identifier. Such a response may belong to another request.

Change: without the identifier it counts as an unusable response, after which a request that may not be repeated ends with 502.

Result: test_refusal_without_the_identifier_is_no_proof failed before (the request was sent again) and passes.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -198,7 +198,9 @@
         self.status = status
         self._record_load(head)
         self._limits.on_response(self.server, status, head)
-        if status == WRONG_SERVER_STATUS or head.is_certified_not_run:
+        is_refusal = status == WRONG_SERVER_STATUS or head.is_certified_not_run
+        # Without the identifier it may be the refusal of another request.
+        if is_refusal and head.is_echoed:
             self._refusal = f"status {status}"
             return
         if not head.is_signed or not head.is_echoed or head.is_encoded:
--- a/tests/gateway/test_certified_refusal.py
+++ b/tests/gateway/test_certified_refusal.py
@@ -15,6 +15,7 @@
     b"%sBalsamwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
 ECHO = b"Balsamwall-Request-Id: q1\r\n"
+BROKEN_OUTCOME_STATUS = 502
 
 
 class FakeReactor:
@@ -77,3 +78,10 @@
         self.clock.advance(300)
         self.assertIsNone(self.exchange.status)
         self.assertEqual(self.sends, 2)
+
+    def test_refusal_without_the_identifier_is_no_proof(self):
+        """Guards against a refusal of another request on the connection."""
+        self.last_send().dataReceived(REFUSAL % b"")
+        self.clock.advance(300)
+        self.assertEqual(self.exchange.status, BROKEN_OUTCOME_STATUS)
+        self.assertEqual(self.sends, 1)
