Replace statuses of servers that falsely promise not run

Cause: a signed 408, 421, 429 or 503 of a server was passed on also without the server's certificate, for requests that must not be repeated. To the caller these statuses promise that the request has not run, and only a certified refusal shows that.

Change: for such routes they become 502, the outcome is unknown, without the server's signature. Repeatable requests get the server's response.

Result: test_uncertified_status_is_no_promise failed before and passes.

--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -30,6 +30,8 @@
 _NoServerReason = server_choice.NoServerReason
 # A response with this status or a higher one is a failure of the server.
 SERVER_ERROR_STATUS = 500
+# Statuses that promise callers that the request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Delay before the next attempt after a server refused one, so that a full
 # server can finish a request.
 RETRY_PAUSE_MS = 15
@@ -371,6 +373,9 @@
             self._exclude(attempt.server)
             self._dispatch()
             return
+        if status in NOT_RUN_STATUSES and not self.route.is_repeatable:
+            self._replace_false_promise(attempt, status)
+            return
         self._has_begun = True
         self._release_pending_tokens()
         self._dependencies.on_first_response(self)
@@ -380,6 +385,21 @@
             http_fields.content_length(fields),
         )
 
+    def _replace_false_promise(
+        self, attempt: attempt_module.Attempt, status: int
+    ) -> None:
+        """Answer with an unknown outcome in place of a server's status.
+
+        Callers repeat a request after this status, and the server has not
+        certified that the request did not run.
+        """
+        self._finish_attempt(True)
+        attempt.detach()
+        self._history.record_failure(attempt_module.AttemptFailure.INVALID)
+        self._refuse(
+            _Code.OUTCOME_UNKNOWN, f"uncertified status {status} of the server"
+        )
+
     def on_response_data(
         self, attempt: attempt_module.Attempt, data: bytes
     ) -> None:
--- a/tests/gateway/test_certified_refusal.py
+++ b/tests/gateway/test_certified_refusal.py
@@ -79,6 +79,19 @@
         self.assertIsNone(self.exchange.status)
         self.assertEqual(self.sends, 2)
 
+    def test_uncertified_status_is_no_promise(self):
+        """Guards against a server's own 503 that callers take as a promise."""
+        for status in (b"408", b"429", b"503"):
+            self.setUp()
+            self.last_send().dataReceived(
+                b"HTTP/1.1 %s Busy\r\n%s"
+                b"Balsamwall-Response-Signature: s1\r\n"
+                b"Content-Length: 0\r\n\r\n" % (status, ECHO)
+            )
+            self.assertEqual(self.exchange.status, BROKEN_OUTCOME_STATUS)
+            names = [name for name, _ in self.exchange.fields]
+            self.assertNotIn(b"balsamwall-response-signature", names)
+
     def test_refusal_without_the_identifier_is_no_proof(self):
         """Guards against a refusal of another request on the connection."""
         self.last_send().dataReceived(REFUSAL % b"")
