Let servers of the soak limit their requests

Cause: no soak kind announced a limit, so that none could find an entry that passes it.

Change: the planned fault limit_server announces 0 to 4 requests a second for some seconds, and the soak checks the arrivals of entries that were told, except around their restarts, freezes and harmed links. Refusals of the stand-ins echo the request's identifier, as those of the platform do.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -13,6 +13,7 @@
 
 from soak import ledger as ledger_module
 from soak import proxy as proxy_module
+from soak import server_limit
 from soak import store as store_module
 
 EVENT_INTERVAL_S = 0.03
@@ -65,6 +66,9 @@
         self._port = 0
         self.proxy: proxy_module.Proxy | None = None
         self._address = ""
+        self.limit = server_limit.AnnouncedLimit()
+        # Times in which the link to this server was harmed.
+        self.harmed_ms: list[tuple[int, int]] = []
 
     @property
     def is_engine(self) -> bool:
@@ -232,6 +236,8 @@
             return self._reject_unexecuted(request, 421)
         if request.path == b"/report":
             return json.dumps(backend.report()).encode()
+        if request.path != b"/order":
+            self._announce_limit(request)
         if request.path == b"/order":
             request.setResponseCode(
                 backend.apply_order(json.loads(request.content.read()))
@@ -245,10 +251,22 @@
         _Run(backend, request)
         return server.NOT_DONE_YET
 
+    def _announce_limit(self, request: server.Request) -> None:
+        """Record a caller's request and add the limit to its response."""
+        backend = self._backend
+        request_id = request.getHeader("balsamwall-request-id") or ""
+        known = backend.ledger.requests.get(request_id)
+        limit = backend.limit.on_request(known.entry if known else "")
+        if limit is not None:
+            request.setHeader("Server-Limit", limit)
+
     @staticmethod
     def _reject_unexecuted(request: server.Request, status: int) -> bytes:
         request.setResponseCode(status)
         request.setHeader("Balsamwall-Not-Executed", "1")
+        request_id = request.getHeader("balsamwall-request-id")
+        if request_id:
+            request.setHeader("Balsamwall-Request-Id", request_id)
         return b"not run"
 
 
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -11,11 +11,15 @@
 import sys
 from typing import Any
 
+from soak import ledger as ledger_module
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_S = 6
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 32_000
 LEASE_MS = 2_000
+# Time that a process needs until it is connected to the others.
+START_MS = 2_000
 
 
 def free_port() -> int:
@@ -56,6 +60,8 @@
         self._log_begin = 0
         self.is_stopping = False
         self.is_frozen = False
+        # Times in which the process was frozen or started again.
+        self.disturbed_ms: list[tuple[int, int]] = []
         self.unexpected_exits: list[str] = []
         self._write_settings()
 
@@ -99,6 +105,8 @@
 
     def start(self) -> None:
         """Start the process and append its output to the log."""
+        now_ms = ledger_module.now_ms()
+        self.disturbed_ms.append((now_ms, now_ms + START_MS))
         self.is_stopping = False
         self.is_frozen = False
         with self._log.open("ab") as log:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from twisted.internet import reactor
 
 from soak import entry as entry_module
+from soak import ledger as ledger_module
 from soak import proxy as proxy_module
 from soak import store as store_module
 
@@ -18,6 +19,9 @@
 
     from soak import backend_server
 
+# A limit binds some seconds after its announcement only.
+LIMIT_S = 4.5
+MAX_LIMIT_PER_S = 4.0
 LinkFault = proxy_module.LinkFault
 StoreFault = store_module.StoreFault
 
@@ -98,6 +102,8 @@
     entry = soak.random.choice(soak.entries)
     entry.send_signal(signal.SIGSTOP)
     entry.is_frozen = True
+    now_ms = ledger_module.now_ms()
+    entry.disturbed_ms.append((now_ms, now_ms + int(duration_s * 1_000)))
     reactor.callLater(duration_s, _resume, entry)
 
 
@@ -109,9 +115,13 @@
 @unplanned
 def harm_link_of_server(soak: SoakTarget, duration_s: float) -> None:
     """Inject a link fault between the entries and a backend server."""
-    proxy = soak.random.choice(soak.backends).proxy
+    backend = soak.random.choice(soak.backends)
+    proxy = backend.proxy
     fault = soak.random.choice([item for item in LinkFault][1:])
     if proxy is not None:
+        now_ms = ledger_module.now_ms()
+        until_ms = now_ms + int(duration_s * 1_000)
+        backend.harmed_ms.append((now_ms, until_ms))
         _set_link_fault(proxy, fault, duration_s)
 
 
@@ -191,6 +201,14 @@
         soak.random.choice(started).send_signal(signal.SIGHUP)
 
 
+@planned
+def limit_server(soak: SoakTarget, duration_s: float) -> None:
+    """Let a server limit the requests that it accepts from all entries."""
+    backend = soak.random.choice(soak.backends)
+    backend.limit.begin(soak.random.uniform(0.0, MAX_LIMIT_PER_S))
+    reactor.callLater(LIMIT_S + duration_s, backend.limit.end)
+
+
 @planned
 def drain_server(soak: SoakTarget, duration_s: float) -> None:
     """Drain a server without an engine, then restart it."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -156,6 +156,8 @@
 
     def _end_faults(self) -> None:
         self._have_faults_ended = True
+        for backend in self.backends:
+            backend.limit.end()
         reactor.callLater(MAX_FAULT_S + RECOVERY_S, self._begin_probe)
 
     def _begin_probe(self) -> None:
@@ -180,6 +182,14 @@
 
     def _check_promises(self) -> None:
         self._violations += checks.violations(self.ledger, self.backends)
+        for backend in self.backends:
+            disturbed = {
+                entry.name: entry.disturbed_ms for entry in self.entries
+            }
+            disturbed[""] = backend.harmed_ms
+            self._violations += backend.limit.violations(
+                backend.server_id, disturbed
+            )
         if self._is_planned_only:
             self._violations += checks.truncation_violations(
                 self.ledger, self._stalls
