Part the choice of a server from the life of a request

Change: RequestDispatch chooses a server, waits for its model, room or permit, and hands the request over; RequestHandler sends, relays, retries and ends. No behaviour changes.

--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -43,10 +43,13 @@
 
     route: route_module.Route
     request: incoming_request.IncomingRequest
-    choice: server_choice.Choice | None
     progress: stream_progress.StreamProgress
     sends: int  # times that the request was sent to a server
 
+    @property
+    def choice(self) -> server_choice.Choice | None:
+        """Return the last choice of a server."""
+
     @property
     def request_id(self) -> str:
         """Return the caller's request identifier as text for logs."""
--- /dev/null
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -0,0 +1,291 @@
+"""Find the server for one request, or queue the request until there is one."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import assignment_client
+from balsamwall.gateway import refusal
+from balsamwall.gateway import request_wait
+from balsamwall.gateway import retry_policy
+from balsamwall.gateway import server_choice
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import request_dependencies
+    from balsamwall.gateway import route as route_module
+    from balsamwall.timing import clock as clock_module
+
+_Code = result_code.ResultCode
+_NoServerReason = server_choice.NoServerReason
+# Delay before the next attempt after a server refused one, so that a full
+# server can finish a request.
+RETRY_PAUSE_MS = 15
+
+
+class DispatchedRequest(Protocol):
+    """Represent the request that a dispatch finds a server for."""
+
+    request: incoming_request.IncomingRequest
+    route: route_module.Route
+
+    @property
+    def arrived_ms(self) -> int:
+        """Return when the first byte of the request was read."""
+
+    @property
+    def left_ms(self) -> int:
+        """Return the time left until the deadline of the response."""
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether the request has ended in any way."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a part of the response was relayed."""
+
+    def send(self, server: backend_directory.BackendServer) -> None:
+        """Send the request to a server."""
+
+    def on_deadline(self) -> None:
+        """End the request, since no response can arrive in time."""
+
+
+class RequestDispatch:
+    """Choose a server with room and a permit, as often as a request is sent.
+
+    A request is sent at most once for each call of `dispatch`.
+    """
+
+    __slots__ = (
+        "_dependencies",
+        "_excluded",
+        "_handler",
+        "_on_refused",
+        "_service",
+        "_timer",
+        "_wait",
+        "choice",
+    )
+
+    def __init__(
+        self,
+        dependencies: request_dependencies.RequestDependencies,
+        handler: DispatchedRequest,
+        service: str,
+        on_refused: Callable[[result_code.ResultCode, str, int], None],
+    ) -> None:
+        self._dependencies = dependencies
+        self._handler = handler
+        self._service = service
+        self._on_refused = on_refused
+        # Servers that the request was sent to and that did not serve it.
+        self._excluded: frozenset[str] = frozenset()
+        self._timer: clock_module.Timer | None = None
+        self._wait = request_wait.RequestWait(dependencies, self, on_refused)
+        self.choice: server_choice.Choice | None = None
+
+    @property
+    def request(self) -> incoming_request.IncomingRequest:
+        """Return the decoded request."""
+        return self._handler.request
+
+    @property
+    def route(self) -> route_module.Route:
+        """Return the route of the request."""
+        return self._handler.route
+
+    @property
+    def priority(self) -> int:
+        """Return the priority, 0 is the most urgent."""
+        return self.route.priority
+
+    @property
+    def arrived_ms(self) -> int:
+        """Return when the first byte of the request was read."""
+        return self._handler.arrived_ms
+
+    @property
+    def target(self) -> tuple[str, str, str]:
+        """Return service, model and adapter."""
+        return self._service, self.request.model, self.request.adapter
+
+    @property
+    def waited_ms(self) -> int:
+        """Return the total time that the request was queued before sending."""
+        return self._wait.waited_ms
+
+    @property
+    def room_waited_ms(self) -> int:
+        """Return the part of waited_ms spent waiting for room at a server."""
+        return self._wait.room_waited_ms
+
+    @property
+    def _max_wait_ms(self) -> int:
+        """Return the longest wait that leaves time for a response."""
+        return self._handler.left_ms - retry_policy.MIN_REMAINING_MS
+
+    def dispatch(self) -> None:
+        """Send, queue or refuse the request."""
+        if self._handler.is_finished:
+            return
+        if self._handler.left_ms < retry_policy.MIN_REMAINING_MS:
+            self._handler.on_deadline()
+            return
+        choice = self._choose()
+        if choice.server is not None:
+            if self._may_send_now(choice.server):
+                self._assign_or_send(choice.server)
+            else:
+                self._wait.wait_for_room(self._max_wait_ms)
+        elif self._excluded:
+            # All servers were tried. One of them may have room by now, so
+            # they are all considered again.
+            self._excluded = frozenset()
+            self._dispatch_after(RETRY_PAUSE_MS)
+        else:
+            self._wait_or_refuse(choice)
+
+    def dispatch_later(self) -> None:
+        """Send the request again after a short pause."""
+        self._dispatch_after(RETRY_PAUSE_MS)
+
+    def exclude(self, server: backend_directory.BackendServer) -> None:
+        """Prefer other servers the next time."""
+        self._excluded |= {server.server_id}
+
+    def stop_wait(self) -> None:
+        """End the wait, if there is one."""
+        self._wait.stop()
+
+    def stop(self) -> None:
+        """End the wait and cancel a pending dispatch."""
+        self._wait.stop()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _wait_or_refuse(self, choice: server_choice.Choice) -> None:
+        """Queue the request, unless the service has no server at all."""
+        if choice.no_server_reason is _NoServerReason.NOT_RESIDENT:
+            self._wait.wait_for_model(self._max_wait_ms)
+        elif choice.no_server_reason is _NoServerReason.LIMITED:
+            self._wait.wait_for_room(self._max_wait_ms)
+        else:
+            self._on_refused(
+                _Code.NO_REPLICA,
+                "no server of the service is ready",
+                refusal.RETRY_AFTER_MS,
+            )
+
+    def _dispatch_after(self, delay_ms: int) -> None:
+        self._timer = self._dependencies.clock.call_later(
+            delay_ms, self.dispatch
+        )
+
+    def _choose(self) -> server_choice.Choice:
+        choice = self._dependencies.choice.choose(
+            self._service,
+            self.request,
+            self._dependencies.zone,
+            self._excluded,
+        )
+        if choice.server is not None:
+            self.choice = choice
+        return choice
+
+    def _has_room(self, server: backend_directory.BackendServer) -> bool:
+        return self._dependencies.admission.has_room(
+            server, self.request, self.priority
+        )
+
+    def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
+        room = self._dependencies.room
+        is_queued = room.has_waiting(self.target, self.priority)
+        return not is_queued and self._has_room(server)
+
+    def try_send(self) -> bool:
+        """Send the request if a server has room.
+
+        Return whether the request has left the queue.
+        """
+        choice = self._choose()
+        server = choice.server
+        if choice.no_server_reason is _NoServerReason.LIMITED:
+            # The servers tried before may have room by now.
+            self._excluded = frozenset()
+            return False
+        if server is None:
+            self._wait.stop()
+            self.dispatch()
+            return True
+        if not self._has_room(server):
+            return False
+        self._wait.stop()
+        self._assign_or_send(server)
+        return True
+
+    def _assign_or_send(self, server: backend_directory.BackendServer) -> None:
+        """Let the coordinator choose the server, else send to the given one.
+
+        A repeated request avoids servers that the coordinator does not know.
+        """
+        request = self.request
+        query = assignment_client.PromptQuery(
+            *self.target,
+            request.prompt_tokens,
+            server.server_id,
+            self._dependencies.choice.cached_tokens(server, request),
+        )
+        is_first = not self._excluded and not self._handler.has_begun
+        if not is_first or not self._dependencies.assignments.query(
+            query, self._send_assigned
+        ):
+            self._request_permit(server)
+
+    def _send_assigned(self, server_id: str) -> None:
+        """Send to the assigned server, or to another if it can't be used.
+
+        The assignment includes a permit if the server has a limit.
+        """
+        if self._handler.is_finished:
+            return
+        service, model, adapter = self.target
+        holders = self._dependencies.directory.holders(service, model, adapter)
+        for server in self._dependencies.health.usable(holders):
+            if server.server_id == server_id:
+                self._handler.send(server)
+                return
+        found = self._choose().server
+        if found is None:
+            self.dispatch()
+        else:
+            self._request_permit(found)
+
+    def _request_permit(self, server: backend_directory.BackendServer) -> None:
+        """Send to a server once its limit permits it."""
+        self._dependencies.limits.request_permit(server, self._on_permit)
+
+    def _on_permit(
+        self, server: backend_directory.BackendServer, is_granted: bool
+    ) -> None:
+        """Send the request, or choose again without a permit."""
+        if self._handler.is_finished:
+            return
+        if is_granted:
+            self._handler.send(server)
+        else:
+            self.dispatch()
+
+    def on_resident(self, delay_ms: int) -> None:
+        """End the wait for the model and choose a server after a delay."""
+        self._wait.stop()
+        if delay_ms > 0:
+            self._dispatch_after(delay_ms)
+        else:
+            self.dispatch()
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -4,15 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from balsamwall.gateway import assignment_client
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import refusal
-from balsamwall.gateway import request_wait
+from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import retry_policy
-from balsamwall.gateway import server_choice
 from balsamwall.gateway import stream_progress
 from balsamwall.results import result_code
 
@@ -24,17 +22,14 @@
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import server_choice
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
-_NoServerReason = server_choice.NoServerReason
 # A response with this status or a higher one is a failure of the server.
 SERVER_ERROR_STATUS = 500
 # Statuses that promise callers that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Delay before the next attempt after a server refused one, so that a full
-# server can finish a request.
-RETRY_PAUSE_MS = 15
 
 
 class RequestHandler:
@@ -49,7 +44,7 @@
         "_attempt",
         "_deadline_timer",
         "_end_ms",
-        "_excluded",
+        "_dispatch",
         "_exchange",
         "_has_begun",
         "_history",
@@ -58,10 +53,7 @@
         "_dependencies",
         "_pending_tokens",
         "_relay",
-        "_dispatch_timer",
         "_service",
-        "_wait",
-        "choice",
         "progress",
         "request",
         "route",
@@ -84,11 +76,9 @@
         self._service = service
         self._on_finished = on_finished
         self._history = retry_policy.AttemptHistory()
-        self._excluded: frozenset[str] = frozenset()
         self._attempt: attempt_module.Attempt | None = None
         self._has_begun = False
         self._pending_tokens = 0
-        self.choice: server_choice.Choice | None = None
         self.progress = stream_progress.StreamProgress()
         self.sends = 0
         self._is_finished = False
@@ -101,13 +91,9 @@
         self._arrived_ms = exchange.arrived_ms
         self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
-        self._wait = request_wait.RequestWait(dependencies, self, self._refuse)
-        self._dispatch_timer: clock_module.Timer | None = None
-
-    @property
-    def priority(self) -> int:
-        """Return the priority, 0 is the most urgent."""
-        return self.route.priority
+        self._dispatch = request_dispatch.RequestDispatch(
+            dependencies, self, service, self._refuse
+        )
 
     @property
     def fingerprint(self) -> bytes:
@@ -117,9 +103,19 @@
         )
 
     @property
-    def target(self) -> tuple[str, str, str]:
-        """Return service, model and adapter."""
-        return self._service, self.request.model, self.request.adapter
+    def choice(self) -> server_choice.Choice | None:
+        """Return the last choice of a server."""
+        return self._dispatch.choice
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether the request has ended in any way."""
+        return self._is_finished
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a part of the response was relayed."""
+        return self._has_begun
 
     @property
     def request_id(self) -> str:
@@ -139,17 +135,12 @@
     @property
     def waited_ms(self) -> int:
         """Return the total time that the request was queued before sending."""
-        return self._wait.waited_ms
+        return self._dispatch.waited_ms
 
     @property
     def room_waited_ms(self) -> int:
         """Return the part of waited_ms spent waiting for room at a server."""
-        return self._wait.room_waited_ms
-
-    @property
-    def _max_wait_ms(self) -> int:
-        """Return the longest wait that leaves time for a response."""
-        return self.left_ms - retry_policy.MIN_REMAINING_MS
+        return self._dispatch.room_waited_ms
 
     @property
     def left_ms(self) -> int:
@@ -165,141 +156,14 @@
             )
             return
         self._deadline_timer = self._dependencies.clock.call_later(
-            self.left_ms, self._on_deadline
-        )
-        self._dispatch()
-
-    # Server choice
-
-    def _dispatch(self) -> None:
-        if self._is_finished:
-            return
-        if self.left_ms < retry_policy.MIN_REMAINING_MS:
-            self._on_deadline()
-            return
-        choice = self._choose()
-        if choice.server is not None:
-            if self._may_send_now(choice.server):
-                self._assign_or_send(choice.server)
-            else:
-                self._wait.wait_for_room(self._max_wait_ms)
-        elif self._excluded:
-            # All servers were tried. One of them may have room by now, so
-            # they are all considered again.
-            self._excluded = frozenset()
-            self._dispatch_later(RETRY_PAUSE_MS)
-        elif choice.no_server_reason is _NoServerReason.NOT_RESIDENT:
-            self._wait.wait_for_model(self._max_wait_ms)
-        elif choice.no_server_reason is _NoServerReason.LIMITED:
-            self._wait.wait_for_room(self._max_wait_ms)
-        else:
-            self._refuse(_Code.NO_REPLICA, "no server of the service is ready")
-
-    def _choose(self) -> server_choice.Choice:
-        choice = self._dependencies.choice.choose(
-            self._service,
-            self.request,
-            self._dependencies.zone,
-            self._excluded,
-        )
-        if choice.server is not None:
-            self.choice = choice
-        return choice
-
-    def _has_room(self, server: backend_directory.BackendServer) -> bool:
-        return self._dependencies.admission.has_room(
-            server, self.request, self.priority
-        )
-
-    def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
-        room = self._dependencies.room
-        is_queued = room.has_waiting(self.target, self.priority)
-        return not is_queued and self._has_room(server)
-
-    def try_send(self) -> bool:
-        """Send the request if a server has room.
-
-        Return whether the request has left the queue.
-        """
-        choice = self._choose()
-        server = choice.server
-        if choice.no_server_reason is _NoServerReason.LIMITED:
-            # The servers tried before may have room by now.
-            self._excluded = frozenset()
-            return False
-        if server is None:
-            self._wait.stop()
-            self._dispatch()
-            return True
-        if not self._has_room(server):
-            return False
-        self._wait.stop()
-        self._assign_or_send(server)
-        return True
-
-    def _assign_or_send(self, server: backend_directory.BackendServer) -> None:
-        """Let the coordinator choose the server, else send to the given one.
-
-        A repeated request avoids servers that the coordinator does not know.
-        """
-        request = self.request
-        query = assignment_client.PromptQuery(
-            *self.target,
-            request.prompt_tokens,
-            server.server_id,
-            self._dependencies.choice.cached_tokens(server, request),
+            self.left_ms, self.on_deadline
         )
-        is_first = not self._excluded and not self._has_begun
-        if not is_first or not self._dependencies.assignments.query(
-            query, self._send_assigned
-        ):
-            self._request_permit(server)
-
-    def _send_assigned(self, server_id: str) -> None:
-        """Send to the assigned server, or to another if it can't be used.
-
-        The assignment includes a permit if the server has a limit.
-        """
-        if self._is_finished:
-            return
-        service, model, adapter = self.target
-        holders = self._dependencies.directory.holders(service, model, adapter)
-        for server in self._dependencies.health.usable(holders):
-            if server.server_id == server_id:
-                self._send(server)
-                return
-        found = self._choose().server
-        if found is None:
-            self._dispatch()
-        else:
-            self._request_permit(found)
-
-    def _request_permit(self, server: backend_directory.BackendServer) -> None:
-        """Send to a server once its limit permits it."""
-        self._dependencies.limits.request_permit(server, self._on_permit)
-
-    def _on_permit(
-        self, server: backend_directory.BackendServer, is_granted: bool
-    ) -> None:
-        """Send the request, or choose again without a permit."""
-        if self._is_finished:
-            return
-        if is_granted:
-            self._send(server)
-        else:
-            self._dispatch()
-
-    def on_resident(self, delay_ms: int) -> None:
-        """End the wait for the model and choose a server after a delay."""
-        self._wait.stop()
-        if delay_ms > 0:
-            self._dispatch_later(delay_ms)
-        else:
-            self._dispatch()
+        self._dispatch.dispatch()
 
     # Sending
 
-    def _send(self, server: backend_directory.BackendServer) -> None:
+    def send(self, server: backend_directory.BackendServer) -> None:
+        """Send the request to a server."""
         last_event_id = self.request.resumes_after
         if self._relay is not None:
             last_event_id = self._relay.last_event_id
@@ -370,8 +234,8 @@
         ):
             self._finish_attempt(True)
             attempt.detach()
-            self._exclude(attempt.server)
-            self._dispatch()
+            self._dispatch.exclude(attempt.server)
+            self._dispatch.dispatch()
             return
         if status in NOT_RUN_STATUSES and not self.route.is_repeatable:
             self._replace_false_promise(attempt, status)
@@ -441,7 +305,7 @@
         if attempt is not self._attempt:
             return
         self._finish_attempt(True)
-        self._exclude(attempt.server)
+        self._dispatch.exclude(attempt.server)
         self._dependencies.on_attempt_failed(self, attempt, failure, detail)
         if attempt.status == attempt_module.WRONG_SERVER_STATUS:
             self._dependencies.on_model_missing(
@@ -454,9 +318,9 @@
             self._relay.drop_partial()
         if self._may_retry(failure):
             if failure is attempt_module.AttemptFailure.NOT_RUN:
-                self._dispatch_later(RETRY_PAUSE_MS)
+                self._dispatch.dispatch_later()
             else:
-                self._dispatch()
+                self._dispatch.dispatch()
         elif self._has_begun:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
         else:
@@ -478,14 +342,6 @@
             self._dependencies.retry_budget_for(self._service),
         )
 
-    def _dispatch_later(self, delay_ms: int) -> None:
-        self._dispatch_timer = self._dependencies.clock.call_later(
-            delay_ms, self._dispatch
-        )
-
-    def _exclude(self, server: backend_directory.BackendServer) -> None:
-        self._excluded |= {server.server_id}
-
     def _finish_attempt(self, is_failure: bool) -> None:
         """Record the outcome of the current attempt and clear it."""
         attempt = self._attempt
@@ -510,7 +366,8 @@
         self._finish_attempt(is_failure)
         attempt.abandon()
 
-    def _on_deadline(self) -> None:
+    def on_deadline(self) -> None:
+        """End the request with what is known of its outcome."""
         self._abandon_attempt(is_failure=not self._has_begun)
         if self._has_begun:
             self._cut(
@@ -527,7 +384,7 @@
         response that has begun are left alone.
         """
         if self._attempt is None and not self._has_begun:
-            self._wait.stop()
+            self._dispatch.stop_wait()
             self._refuse(_Code.LEAVING, "this entry is shutting down")
 
     def terminate(self) -> None:
@@ -592,9 +449,8 @@
         if self._is_finished:
             return
         self._is_finished = True
-        self._wait.stop()
-        for timer in (self._deadline_timer, self._dispatch_timer):
-            if timer is not None:
-                timer.cancel()
+        self._dispatch.stop()
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
         self._dependencies.on_finished(self, code, detail, server)
         self._on_finished(self)
