Ask for a permit again after half a second at the latest

Cause: an entry that was denied a permit did not ask before the time that the coordinator had named. Just after a change of the coordinator that is up to a minute, since its part of the limit grows only as entries connect. A limit without an observation for ten minutes also stayed in the metrics.

Change: a denial lasts 500 ms at most; a forgotten limit is logged and leaves the gauge.

--- a/src/balsamwall/gateway/server_limits.py
+++ b/src/balsamwall/gateway/server_limits.py
@@ -31,6 +31,9 @@
 MAX_OPEN_QUERIES = 4
 # Shortest time after a denial until the next query for the same server.
 MIN_BLOCK_MS = 20
+# Longest time after a denial. The limit may rise, and a new coordinator may
+# have more permits, before a longer wait ends.
+MAX_BLOCK_MS = 500
 
 
 class PermitLink(Protocol):
@@ -254,8 +257,7 @@
     ) -> None:
         is_granted = wait_ms <= 0
         if not is_granted:
-            known.blocked_until_ms = self._clock.now_ms() + max(
-                MIN_BLOCK_MS, wait_ms
-            )
+            block_ms = min(MAX_BLOCK_MS, max(MIN_BLOCK_MS, wait_ms))
+            known.blocked_until_ms = self._clock.now_ms() + block_ms
         self._metrics.count_permit(is_granted)
         on_decided(server, is_granted)
--- a/src/balsamwall/limits/limit_book.py
+++ b/src/balsamwall/limits/limit_book.py
@@ -79,9 +79,16 @@
         """Return all remembered observations and drop outdated ones."""
         for found in list(self._newest.values()):
             if self._is_outdated(found):
-                del self._newest[found.server_id]
+                self._forget(found)
         return list(self._newest.values())
 
+    def _forget(self, found: LimitObservation) -> None:
+        del self._newest[found.server_id]
+        if found.per_s is not None:
+            self._on_change(
+                dataclasses.replace(found, per_s=None), found.per_s
+            )
+
     def _is_outdated(self, found: LimitObservation) -> bool:
         age_ms = self._clock.now_ms() - found.observed_ms
         if found.per_s is None:
--- a/tests/limits/test_fleet_limits.py
+++ b/tests/limits/test_fleet_limits.py
@@ -47,6 +47,13 @@
         self.assertFalse(self.observe(None, 100))
         self.assertEqual(self.book.observations(), [])
 
+    def test_limit_of_a_lost_server_ends(self):
+        """Guards against a limit that stays in the metrics for good."""
+        self.observe(2.0, 50_000)
+        self.clock.advance(limit_book.LIMIT_MEMORY_MS + 1)
+        self.assertEqual(self.book.observations(), [])
+        self.assertEqual(self.changes, [2.0, None])
+
     def test_ended_limit_is_forgotten_later(self):
         """Guards against reports of limits that have long ended."""
         self.observe(2.0, 49_000)
