--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,33 +19,43 @@
 EXIT_VIOLATION = 1
 
 
-def one(seed: int, seconds: float = DEFAULT_SECONDS, keep: str = "") -> None:
+def one(
+    seed: int,
+    seconds: float = DEFAULT_SECONDS,
+    keep: str = "",
+    entries: int = run_module.ENTRIES,
+) -> None:
     """Run one seed and print its report as JSON; keep logs in `keep`."""
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        report = run_module.run(seed, seconds, folder)
+        report = run_module.run(seed, seconds, folder, entries)
     print(json.dumps(dataclasses.asdict(report)))
 
 
 def many(
-    seeds: str = "1:10", seconds: float = DEFAULT_SECONDS, jobs: int = 2
+    seeds: str = "1:10",
+    seconds: float = DEFAULT_SECONDS,
+    jobs: int = 2,
+    entries: int = run_module.ENTRIES,
 ) -> int:
     """Run the seeds FIRST:LAST; return 1 if any has violations."""
     first, last = (int(part) for part in str(seeds).split(":"))
     failed = 0
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
         numbers = range(first, last + 1)
-        for report in pool.map(lambda seed: _run(seed, seconds), numbers):
+        for report in pool.map(
+            lambda seed: _run(seed, seconds, entries), numbers
+        ):
             failed += bool(report.violations)
             print(_line(report), flush=True)
     print(f"{last - first + 1} seeds, {failed} with violations")
     return EXIT_VIOLATION if failed else 0
 
 
-def _run(seed: int, seconds: float) -> run_module.Report:
+def _run(seed: int, seconds: float, entries: int) -> run_module.Report:
     command = [sys.executable, "-m", "soak", "one"]
-    command += [str(seed), f"--seconds={seconds}"]
+    command += [str(seed), f"--seconds={seconds}", f"--entries={entries}"]
     done = subprocess.run(
         command, capture_output=True, text=True, timeout=TIMEOUT_S
     )
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,6 +25,7 @@
 CALLERS = 12
 ZONES = ("z1", "z2")
 START_DELAY_S = 2.5
+START_DELAY_OF_ENTRY_S = 0.2
 RECOVERY_S = 5.0
 # Requests sent after the recovery show whether service is fully restored.
 PROBE_S = 2.0
@@ -64,7 +65,11 @@
     """Store, backend servers, entries and callers of one seed."""
 
     def __init__(
-        self, seed: int, duration_s: float, folder: pathlib.Path
+        self,
+        seed: int,
+        duration_s: float,
+        folder: pathlib.Path,
+        entries: int = ENTRIES,
     ) -> None:
         self.random = random.Random(seed)
         self._seed = seed
@@ -87,7 +92,7 @@
         store_port = self._listener.getHost().port
         self.store_proxies: dict[str, proxy_module.Proxy] = {}
         self.entries = []
-        for number in range(ENTRIES):
+        for number in range(entries):
             name = f"front-{number}"
             proxy = proxy_module.Proxy("127.0.0.1", store_port)
             self.store_proxies[name] = proxy
@@ -133,7 +138,9 @@
         for entry in self.entries:
             self.start_entry(entry)
         self._poll_processes()
-        reactor.callLater(START_DELAY_S, self._start_traffic)
+        # The processes of a large run compete for the processors.
+        delay_s = START_DELAY_S + START_DELAY_OF_ENTRY_S * len(self.entries)
+        reactor.callLater(delay_s, self._start_traffic)
 
     def _start_traffic(self) -> None:
         for caller in self._callers:
@@ -311,9 +318,14 @@
     return {"version": version, "routes": routes, "services": services}
 
 
-def run(seed: int, duration_s: float, folder: pathlib.Path) -> Report:
+def run(
+    seed: int,
+    duration_s: float,
+    folder: pathlib.Path,
+    entries: int = ENTRIES,
+) -> Report:
     """Run one soak; the reactor allows only one per process."""
-    soak = Soak(seed, duration_s, folder)
+    soak = Soak(seed, duration_s, folder, entries)
     reactor.callWhenRunning(soak.start)
     try:
         reactor.run()
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -6,6 +6,7 @@
 
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import event_relay
+from balsamwall.limits import limit_book
 from tests.fixtures import gateway_harness as harness_module
 
 Kind = harness_module.Kind
@@ -244,6 +245,23 @@
         )
         self.assertEqual(exchange.end, "finished")
 
+    def test_resume_keeps_the_limit_of_a_server(self):
+        """Guards against resumes that pass a limit."""
+        harness = self.make(is_resumable=True)
+        exchange = harness.send_request()
+        first = harness.last_connection
+        first.begin()
+        first.receiver.on_data(b"id: 1\n\n")
+        other = "s2" if first.server_id == "s1" else "s1"
+        harness.limits.book.observe(
+            limit_book.LimitObservation(other, 1, 1.0, 0)
+        )
+        first.receiver.on_broken(CLOSED, "reset")
+        harness.clock.advance(100)
+        names = [item.server_id for item in harness.pool.connections]
+        self.assertEqual(names, [first.server_id] * 2)
+        self.assertEqual(exchange.end, "")
+
     def test_resume_without_a_server_cuts_the_stream(self):
         """Guards against an error body inside a stream."""
         harness = self.make(is_resumable=True)
