--- a/soak/entry.py
+++ b/soak/entry.py
@@ -18,6 +18,8 @@
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 32_000
 LEASE_MS = 2_000
+# Ports of this soak, on some of which no process listens at the moment.
+_PORTS_IN_USE: set[int] = set()
 # Time that a process needs until it is connected to the others.
 START_MS = 2_000
 
@@ -30,11 +32,14 @@
     """
     while True:
         port = random.randint(LOWEST_PORT, HIGHEST_PORT)
+        if port in _PORTS_IN_USE:
+            continue
         with socket.socket() as found:
             try:
                 found.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        _PORTS_IN_USE.add(port)
         return port
 
 
