--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,7 +21,8 @@
 
 # A limit binds some seconds after its announcement only.
 LIMIT_S = 4.5
-MAX_LIMIT_PER_S = 4.0
+# Well below what each server gets in a soak, so that it binds.
+MAX_LIMIT_PER_S = 1.0
 LinkFault = proxy_module.LinkFault
 StoreFault = store_module.StoreFault
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -145,6 +145,9 @@
     def _start_traffic(self) -> None:
         for caller in self._callers:
             caller.start()
+        # The limit binds only after some seconds, so that one begins early.
+        self._faults.append(faults.limit_server.__name__)
+        faults.limit_server(self, MAX_FAULT_S)
         self._next_fault()
         reactor.callLater(self._duration_s, self._end_faults)
 
