Apply reports of limits in one place, and read engines in time

Cause: coordinator and client decoded reports of limits with the same lines; at a limit near zero an engine was read once in 8 s, so that it got no order for half a minute.

Change: limit_rows.apply serves both; the time between reports is 2 s at most. An unused method of the permits is gone.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -195,7 +195,9 @@
                 vm, messages_fleet.PermitDecision(item.number, wait_ms)
             )
         elif isinstance(item, messages_fleet.LimitReport):
-            self._on_limit_report(vm, item)
+            limit_rows.apply(
+                item, self._clock.now_ms(), self._limits, self._log
+            )
         elif isinstance(item, messages_fleet.CrashReport):
             self._on_crash(item.content, item.process)
         elif isinstance(item, messages_fleet.LoadWanted):
@@ -233,19 +235,6 @@
             self._permits.take(server_id)
         return messages_fleet.PromptAssignment(query.number, server_id)
 
-    def _on_limit_report(
-        self, vm: str, report: messages_fleet.LimitReport
-    ) -> None:
-        try:
-            observations = limit_rows.decode(report, self._clock.now_ms())
-        except ValueError as error:
-            self._log.write(
-                "limit_report_invalid", vm=vm, reason=str(error)[:200]
-            )
-            return
-        for found in observations:
-            self._limits.on_observation(found)
-
     def _on_crash(self, content: bytes, process: str) -> None:
         if self._crashes.add(content, process):
             self._log.write("quarantine", content=content.hex())
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -202,7 +202,9 @@
         elif isinstance(item, messages_fleet.PermitDecision):
             self._limits.on_permit(item.number, item.wait_ms)
         elif isinstance(item, messages_fleet.LimitReport):
-            self._on_limits(item)
+            limit_rows.apply(
+                item, self._clock.now_ms(), self._limits, self._log
+            )
         elif isinstance(item, messages_fleet.Quarantine):
             self._on_quarantine(item.content)
         elif isinstance(item, messages_fleet.StoreChanges):
@@ -216,15 +218,6 @@
                 load = item.loads.get(server.server_id, 0)
                 server.set_fleet_load(load, now_ms)
 
-    def _on_limits(self, report: messages_fleet.LimitReport) -> None:
-        try:
-            observations = limit_rows.decode(report, self._clock.now_ms())
-        except ValueError as error:
-            self._log.write("limit_report_invalid", reason=str(error)[:200])
-            return
-        for found in observations:
-            self._limits.on_observation(found)
-
     # Stream to another process
 
     def on_stream_opened(self, stream: fleet_stream.FleetStream) -> None:
--- a/src/balsamwall/coordination/limit_rows.py
+++ b/src/balsamwall/coordination/limit_rows.py
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from balsamwall.gateway import server_limits
+    from balsamwall.logs import decision_log
+
 
 def encode(
     observations: Iterable[limit_book.LimitObservation], now_ms: int
@@ -29,14 +32,24 @@
     )
 
 
-def decode(
-    report: messages_fleet.LimitReport, now_ms: int
-) -> list[limit_book.LimitObservation]:
-    """Return the observations; raise ValueError if a row is invalid."""
-    return [_decode_row(row, now_ms) for row in report.rows]
+def apply(
+    report: messages_fleet.LimitReport,
+    now_ms: int,
+    limits: server_limits.ServerLimits,
+    log: decision_log.DecisionLog,
+) -> None:
+    """Record the observations of another process, if all are valid."""
+    try:
+        observations = [_decode_row(row, now_ms) for row in report.rows]
+    except ValueError as error:
+        log.write("limit_report_invalid", reason=str(error)[:200])
+        return
+    for found in observations:
+        limits.on_observation(found)
 
 
 def _decode_row(row: list[object], now_ms: int) -> limit_book.LimitObservation:
+    """Return the observation in a row; raise ValueError if it is invalid."""
     if len(row) != 4:
         raise ValueError(f"limit row: expected 4 values, found {len(row)}")
     server_id, started_ms, per_s, age_ms = row
--- a/src/balsamwall/coordination/permit_issuer.py
+++ b/src/balsamwall/coordination/permit_issuer.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from balsamwall.gateway import server_limits
 from balsamwall.limits import token_bucket
 
 if TYPE_CHECKING:
+    from balsamwall.gateway import server_limits
     from balsamwall.limits import fleet_size
     from balsamwall.timing import clock as clock_module
 
@@ -17,6 +17,9 @@
 REQUESTS_PER_SLOT_S = 0.4
 # Part of a limit that reading the state of an engine may use.
 REPORT_FRACTION = 0.5
+# Longest time between reports, even if a limit leaves hardly any request: an
+# engine whose state is not known gets no order.
+MAX_REPORT_INTERVAL_MS = 2_000
 
 
 class _ServerPermits:
@@ -62,10 +65,6 @@
         """
         self._connected = count
 
-    def is_limited(self, server_id: str) -> bool:
-        """Return whether a server has a limit."""
-        return self._limits.rate_of(server_id) is not None
-
     def take(self, server_id: str) -> int:
         """Take a permit and return 0, or return the wait in milliseconds."""
         permits = self._permits(server_id)
@@ -85,7 +84,11 @@
     def report_interval_ms(self, server_id: str) -> int:
         """Return the shortest time between reports of an engine."""
         rate = self._limits.rate_of(server_id)
-        return 0 if rate is None else int(1_000 / (rate * REPORT_FRACTION))
+        if rate is None:
+            return 0
+        return min(
+            MAX_REPORT_INTERVAL_MS, int(1_000 / (rate * REPORT_FRACTION))
+        )
 
     def capacity(self, server_id: str, slots: int) -> float:
         """Return the part of its slots that a server can use, at most 1."""
--- a/src/balsamwall/gateway/coordinator_queries.py
+++ b/src/balsamwall/gateway/coordinator_queries.py
@@ -80,7 +80,7 @@
         if send(number):
             return True
         timer.cancel()
-        del self._pending[number]
+        self._pending.pop(number, None)
         return False
 
     def resolve(self, number: int, response: Response) -> None:
