Ignore signals once the loop of an entry has ended

Cause: the interpreter resets its signal handlers before it ends, so that a late SIGHUP has its default action.

Change: after the loop SIGTERM, SIGINT and SIGHUP are ignored; ignored signals are not reset.

--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -113,6 +113,9 @@
     signal.signal(signal.SIGINT, on_stop)
     signal.signal(signal.SIGHUP, on_reload)
     reactor.run(installSignalHandlers=False)
+    # The interpreter resets handlers before it ends, but not ignored signals.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     return EXIT_OK
 
 
--- a/tests/platform/test_daemon_process.py
+++ b/tests/platform/test_daemon_process.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 
 from balsamwall.platform import daemon
@@ -14,6 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROCESS_TIMEOUT_S = 20
+SIGNAL_INTERVAL_S = 0.0005
 
 
 def as_toml(rows: dict, name: str = "") -> str:
@@ -57,3 +60,39 @@
             )
         self.assertEqual(result.returncode, daemon.EXIT_CANNOT_LISTEN)
         self.assertEqual(len(result.stderr.splitlines()), 1, result.stderr)
+
+
+def free_port() -> int:
+    """Return a port on which no process listens now."""
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+class ReloadWhileStoppingTest(unittest.TestCase):
+    """A reload signal may come at any moment of a stop."""
+
+    def test_reload_signals_do_not_end_a_stopping_process(self):
+        """Guards against an exit by SIGHUP while the interpreter ends."""
+        rows = {**test_node_settings.ROWS, "ip": "127.0.0.1"}
+        rows["listen"] = {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"}
+        rows["internal_ports"] = [free_port(), free_port()]
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "local.toml")
+            path.write_text(as_toml(rows))
+            command = [
+                sys.executable,
+                str(ROOT / "src" / "platform_daemon.py"),
+                f"--settings={path}",
+            ]
+            with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+                # The handlers are installed right after this line.
+                self.assertIn(b"daemon_started", process.stdout.readline())
+                time.sleep(1)
+                process.send_signal(signal.SIGTERM)
+                limit_s = time.monotonic() + PROCESS_TIMEOUT_S
+                while process.poll() is None and time.monotonic() < limit_s:
+                    process.send_signal(signal.SIGHUP)
+                    time.sleep(SIGNAL_INTERVAL_S)
+                process.kill()
+        self.assertEqual(process.returncode, daemon.EXIT_OK)
