--- a/src/balsamwall/coordination/limited_engine_control.py
+++ b/src/balsamwall/coordination/limited_engine_control.py
@@ -19,9 +19,9 @@
 class LimitedEngineControl:
     """Count reports and orders against the limit of their engine.
 
-    Load pattern: an engine in need is polled while a model loads, which alone
-    would use up its limit. Reports are spaced, and orders, which free a place
-    for many requests, are sent at once; both delay later requests.
+    Load pattern: an overloaded engine is polled while a model loads, which
+    alone would use up its limit. Reports are spaced, and orders, which free a
+    place for many requests, are sent at once; both delay later requests.
     """
 
     __slots__ = (
--- a/src/balsamwall/coordination/permit_issuer.py
+++ b/src/balsamwall/coordination/permit_issuer.py
@@ -36,8 +36,8 @@
 class PermitIssuer:
     """Issue the permits of each limited server to all entries together.
 
-    Load pattern: one request of each of 25 entries exceeds a limit of 1.6 a
-    second for some seconds, so that no entry may decide by itself.
+    Load pattern: a single request of each entry together exceeds a low limit
+    for some seconds, so that no entry may decide by itself.
     """
 
     __slots__ = ("_clock", "_connected", "_fleet_size", "_limits", "_servers")
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -28,7 +28,7 @@
 _Code = result_code.ResultCode
 # A response with this status or a higher one is a failure of the server.
 SERVER_ERROR_STATUS = 500
-# Statuses that promise callers that the request has not run.
+# Statuses that certify to callers that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -238,7 +238,7 @@
             self._dispatch.dispatch()
             return
         if status in NOT_RUN_STATUSES and not self.route.is_repeatable:
-            self._replace_false_promise(attempt, status)
+            self._replace_uncertified_status(attempt, status)
             return
         self._has_begun = True
         self._release_pending_tokens()
@@ -249,7 +249,7 @@
             http_fields.content_length(fields),
         )
 
-    def _replace_false_promise(
+    def _replace_uncertified_status(
         self, attempt: attempt_module.Attempt, status: int
     ) -> None:
         """Answer with an unknown outcome in place of a server's status.
--- a/src/balsamwall/gateway/server_limits.py
+++ b/src/balsamwall/gateway/server_limits.py
@@ -60,7 +60,7 @@
 class ServerLimits:
     """Decide whether a request may be sent to a server with a limit.
 
-    Load pattern: a server in need limits the requests of all entries
+    Load pattern: an overloaded server limits the requests of all entries
     together. Each request takes a permit of the coordinator. Without a
     coordinator the entry uses a share by the number of entries.
     """
