Log how a server marks the end of its response

Cause: the log can't tell whether an interrupted stream that looked complete had a length, chunks or only the end of its connection, and whether it stopped inside an event.

Change: request_over has the fields framing and is_inside_event. The framing is determined in one place, and streams that can't be resumed are followed by the bytes at their end. What callers get is unchanged.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import backend_connection
+from balsamwall.gateway import body_framing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -97,6 +98,7 @@
         "_listener",
         "_outgoing",
         "_refusal",
+        "framing",
         "sent_ms",
         "server",
         "status",
@@ -116,6 +118,7 @@
         self.sent_ms = clock.now_ms()
         self._clock = clock
         self.status = 0
+        self.framing: body_framing.BodyFraming | None = None
         self.was_reused = False
         self._codec = codec
         self._limits = limits
@@ -187,7 +190,12 @@
 
     # ResponseReceiver
 
-    def on_head(self, status: int, fields: http_fields.Fields) -> None:
+    def on_head(
+        self,
+        status: int,
+        fields: http_fields.Fields,
+        framing: body_framing.BodyFraming,
+    ) -> None:
         """Validate the head of the response and pass it to the listener.
 
         A response that is not signed, does not echo the attempt or has a
@@ -196,6 +204,7 @@
         """
         head = self._codec.decode_response(fields, self.attempt_id)
         self.status = status
+        self.framing = framing
         self._record_load(head)
         self._limits.on_response(self.server, status, head)
         is_refusal = status == WRONG_SERVER_STATUS or head.is_certified_not_run
--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -12,6 +12,7 @@
 from twisted.internet import error
 from twisted.internet import protocol
 
+from balsamwall.gateway import body_framing
 from balsamwall.gateway import http_fields
 
 if TYPE_CHECKING:
@@ -40,7 +41,12 @@
     def attempt_id(self) -> bytes:
         """Return the identifier that the response must echo."""
 
-    def on_head(self, status: int, fields: http_fields.Fields) -> None:
+    def on_head(
+        self,
+        status: int,
+        fields: http_fields.Fields,
+        framing: body_framing.BodyFraming,
+    ) -> None:
         """Handle the status and the header fields, names in lower case."""
 
     def on_data(self, data: bytes) -> None:
@@ -69,7 +75,7 @@
         self._receiver: ResponseReceiver | None = None
         self._request: h11.Request | None = None
         self._is_stale_response = False
-        self._is_close_delimited = False
+        self._framing = body_framing.BodyFraming.LENGTH
         self.is_lost = False
         self.idle_limit_ms: int | None = None
         self.is_reused = False
@@ -150,7 +156,8 @@
         detail = reason.getErrorMessage() if reason is not None else ""
         # Only a clean close completes a response without a length; after a
         # reset the response may be truncated.
-        if self._is_close_delimited and reason.check(error.ConnectionDone):
+        is_close_delimited = self._framing is body_framing.BodyFraming.CLOSE
+        if is_close_delimited and reason.check(error.ConnectionDone):
             try:
                 self._parser.receive_data(b"")
                 self._read_events()
@@ -182,11 +189,13 @@
         self._is_stale_response = bool(echoed) and echoed != expected
         if self._is_stale_response:
             return
-        self._is_close_delimited = _is_delimited_by_close(
-            int(event.status_code), fields
+        assert self._request is not None
+        status = int(event.status_code)
+        self._framing = body_framing.of_response(
+            self._request.method, status, fields
         )
         self.idle_limit_ms = http_fields.keep_alive_ms(fields)
-        self._receiver.on_head(int(event.status_code), fields)
+        self._receiver.on_head(status, fields, self._framing)
 
     def _on_end(self) -> None:
         if self._is_stale_response:
@@ -227,11 +236,3 @@
         self.close()
         if receiver is not None:
             receiver.on_broken(reason, detail)
-
-
-def _is_delimited_by_close(status: int, fields: http_fields.Fields) -> bool:
-    if status < 200 or status in (204, 304):
-        return False
-    has_length = http_fields.value(fields, b"content-length") is not None
-    coding = http_fields.value(fields, b"transfer-encoding")
-    return not has_length and coding is None
--- a/src/balsamwall/gateway/event_relay.py
+++ b/src/balsamwall/gateway/event_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from balsamwall.gateway import event_tail
+
 # Events of engines have a few hundred bytes. The limit bounds the buffer for a
 # stream in which an event never ends.
 MAX_EVENT_BYTES = 256 * 1024
@@ -18,19 +20,26 @@
     stream after the last complete event.
     """
 
-    __slots__ = ("_buffer", "last_event_id")
+    __slots__ = ("_buffer", "has_data", "last_event_id")
 
     def __init__(self, last_event_id: bytes | None) -> None:
         self._buffer = b""
+        self.has_data = False  # in the stream of the current server
         self.last_event_id = last_event_id
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the last event is incomplete."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Add a part of the stream; return the events completed by it.
 
         Raises EventTooLongError if an incomplete event exceeds the limit.
         """
+        self.has_data = True
         buffer = self._buffer + data
-        end = _end_of_events(buffer)
+        end = event_tail.end_of_events(buffer)
         if len(buffer) - end > MAX_EVENT_BYTES:
             raise EventTooLongError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         if not end:
@@ -51,13 +60,3 @@
         """Remove and return the bytes after the last complete event."""
         rest, self._buffer = self._buffer, b""
         return rest
-
-
-def _end_of_events(buffer: bytes) -> int:
-    """Return the position after the last blank line, or 0 without one."""
-    end = 0
-    for mark in (b"\n\n", b"\r\n\r\n"):
-        found = buffer.rfind(mark)
-        if found >= 0:
-            end = max(end, found + len(mark))
-    return end
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -21,6 +21,7 @@
     import random
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import body_framing
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import gateway_metrics
@@ -45,6 +46,7 @@
     request: incoming_request.IncomingRequest
     progress: stream_progress.StreamProgress
     sends: int  # times that the request was sent to a server
+    framing: body_framing.BodyFraming | None  # of the last response, if any
 
     @property
     def choice(self) -> server_choice.Choice | None:
@@ -54,6 +56,10 @@
     def request_id(self) -> str:
         """Return the caller's request identifier as text for logs."""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the stream has stopped inside an event."""
+
     @property
     def fingerprint(self) -> bytes:
         """Return a digest that is equal for all resends of the request."""
@@ -295,6 +301,8 @@
             candidates=handler.choice.candidates if handler.choice else None,
             prompt_tokens=handler.request.prompt_tokens,
             sends=handler.sends,
+            framing=handler.framing.value if handler.framing else None,
+            is_inside_event=handler.is_inside_event,
             waited_ms=handler.waited_ms,
             room_waited_ms=handler.room_waited_ms,
             first_data_ms=handler.progress.first_data_ms,
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import body_framing
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
+from balsamwall.gateway import event_tail
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_dispatch
@@ -54,6 +56,8 @@
         "_pending_tokens",
         "_relay",
         "_service",
+        "_tail",
+        "framing",
         "progress",
         "request",
         "route",
@@ -82,9 +86,13 @@
         self.progress = stream_progress.StreamProgress()
         self.sends = 0
         self._is_finished = False
+        self.framing: body_framing.BodyFraming | None = None
         self._relay: event_relay.EventRelay | None = None
+        self._tail: event_tail.EventTail | None = None
         if route.is_resumable:
             self._relay = event_relay.EventRelay(request.resumes_after)
+        elif route.is_stream:
+            self._tail = event_tail.EventTail()
         wait_ms = route.timeout_ms
         if request.deadline_ms is not None:
             wait_ms = min(wait_ms, request.deadline_ms)
@@ -107,6 +115,12 @@
         """Return the last choice of a server."""
         return self._dispatch.choice
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the stream has stopped inside an event."""
+        events = self._relay or self._tail
+        return events is not None and events.is_inside_event
+
     @property
     def is_finished(self) -> bool:
         """Return whether the request has ended in any way."""
@@ -220,6 +234,7 @@
         """
         if attempt is not self._attempt:
             return
+        self.framing = attempt.framing
         if self._has_begun:
             if status != 200:
                 self._finish_attempt(True)
@@ -278,6 +293,8 @@
                 attempt.abandon()
                 self._cut(_Code.ANSWER_INTERRUPTED, str(error))
                 return
+        elif self._tail is not None and attempt.status == 200:
+            self._tail.feed(data)
         if data:
             now_ms = self._dependencies.clock.now_ms()
             self.progress.record(now_ms, self._arrived_ms)
