Take a stream for whole only at the end of an event

Cause: a server that crashes ends its chunks or its connection in good order, as it does after the last event. The entry took that for the end of every stream that can't be resumed and wrote a last chunk of its own. A length that it passed on ended the stream by itself, and a response without any framing got a certain end that no server had given.

Change: a stream that stops inside an event, or ends with its connection before any event, counts as broken: it is resumed where the route allows and cut otherwise. A response that ends with its connection is passed on in the same framing, so that callers keep the doubt, and is reset when it is known to be incomplete, after what was received has been sent. Streams have no length for callers.

In DrainTest the stand-in sent two letters as a stream; it sends an event now.

--- a/src/balsamwall/gateway/event_relay.py
+++ b/src/balsamwall/gateway/event_relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from balsamwall.gateway import event_tail
+from balsamwall.infrastructure import event_tail
 
 # Events of engines have a few hundred bytes. The limit bounds the buffer for a
 # stream in which an event never ends.
@@ -52,11 +52,7 @@
                 self.last_event_id = content.strip()
         return complete
 
-    def drop_partial(self) -> None:
-        """Discard an incomplete event before the stream is resumed."""
+    def prepare_resume(self) -> None:
+        """Discard an incomplete event before another server resumes."""
         self._buffer = b""
-
-    def take_partial(self) -> bytes:
-        """Remove and return the bytes after the last complete event."""
-        rest, self._buffer = self._buffer, b""
-        return rest
+        self.has_data = False
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -8,12 +8,12 @@
 from balsamwall.gateway import body_framing
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
-from balsamwall.gateway import event_tail
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import retry_policy
 from balsamwall.gateway import stream_progress
+from balsamwall.infrastructure import event_tail
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -46,6 +46,7 @@
         "_attempt",
         "_deadline_timer",
         "_end_ms",
+        "_events",
         "_dispatch",
         "_exchange",
         "_has_begun",
@@ -56,7 +57,6 @@
         "_pending_tokens",
         "_relay",
         "_service",
-        "_tail",
         "framing",
         "progress",
         "request",
@@ -88,11 +88,11 @@
         self._is_finished = False
         self.framing: body_framing.BodyFraming | None = None
         self._relay: event_relay.EventRelay | None = None
-        self._tail: event_tail.EventTail | None = None
+        self._events: event_relay.EventRelay | event_tail.EventTail | None
+        self._events = event_tail.EventTail() if route.is_stream else None
         if route.is_resumable:
             self._relay = event_relay.EventRelay(request.resumes_after)
-        elif route.is_stream:
-            self._tail = event_tail.EventTail()
+            self._events = self._relay
         wait_ms = route.timeout_ms
         if request.deadline_ms is not None:
             wait_ms = min(wait_ms, request.deadline_ms)
@@ -118,8 +118,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Return whether the stream has stopped inside an event."""
-        events = self._relay or self._tail
-        return events is not None and events.is_inside_event
+        return self._events is not None and self._events.is_inside_event
 
     @property
     def is_finished(self) -> bool:
@@ -255,15 +254,32 @@
         if status in NOT_RUN_STATUSES and not self.route.is_repeatable:
             self._replace_uncertified_status(attempt, status)
             return
+        self._begin(attempt, fields)
+
+    def _begin(
+        self, attempt: attempt_module.Attempt, fields: http_fields.Fields
+    ) -> None:
+        """Begin the response to the caller.
+
+        An event stream has no length for the caller, since the length would
+        end it before its last event is known to be complete.
+        """
         self._has_begun = True
         self._release_pending_tokens()
         self._dependencies.on_first_response(self)
+        length = None
+        if not self._is_event_stream(attempt):
+            length = http_fields.content_length(fields)
         self._exchange.begin(
-            status,
+            attempt.status,
             self._dependencies.codec.response_fields(fields),
-            http_fields.content_length(fields),
+            length,
+            attempt.framing is body_framing.BodyFraming.CLOSE,
         )
 
+    def _is_event_stream(self, attempt: attempt_module.Attempt) -> bool:
+        return self._events is not None and attempt.status == 200
+
     def _replace_uncertified_status(
         self, attempt: attempt_module.Attempt, status: int
     ) -> None:
@@ -285,33 +301,48 @@
         """Relay a part of the response body."""
         if attempt is not self._attempt:
             return
-        if self._relay is not None and attempt.status == 200:
+        if self._events is not None and self._is_event_stream(attempt):
             try:
-                data = self._relay.feed(data)
+                data = self._events.feed(data)
             except event_relay.EventTooLongError as error:
                 self._finish_attempt(True)
                 attempt.abandon()
                 self._cut(_Code.ANSWER_INTERRUPTED, str(error))
                 return
-        elif self._tail is not None and attempt.status == 200:
-            self._tail.feed(data)
         if data:
             now_ms = self._dependencies.clock.now_ms()
             self.progress.record(now_ms, self._arrived_ms)
             self._exchange.write(data)
 
     def on_done(self, attempt: attempt_module.Attempt) -> None:
-        """Finish a complete response."""
+        """Finish a complete response, or handle a stream that is not whole."""
         if attempt is not self._attempt:
             return
-        self._finish_attempt(attempt.status >= SERVER_ERROR_STATUS)
-        if self._relay is not None and self._relay.take_partial():
-            # The HTTP framing was complete, but the last event was not.
-            self._cut(_Code.ANSWER_INTERRUPTED, "stream ended inside an event")
+        fault = self._stream_fault(attempt)
+        if fault:
+            self.on_failed(
+                attempt, attempt_module.AttemptFailure.BROKEN, fault
+            )
             return
+        self._finish_attempt(attempt.status >= SERVER_ERROR_STATUS)
         self._exchange.finish()
         self._finish(_Code.OK, f"status {attempt.status}", attempt.server)
 
+    def _stream_fault(self, attempt: attempt_module.Attempt) -> str:
+        """Return why a stream that has ended is not whole, if it is not.
+
+        A server that crashes may end its chunks or its connection in the same
+        way as after the last event.
+        """
+        if self._events is None or not self._is_event_stream(attempt):
+            return ""
+        if self._events.is_inside_event:
+            return "the stream ended inside an event"
+        is_close_delimited = attempt.framing is body_framing.BodyFraming.CLOSE
+        if is_close_delimited and not self._events.has_data:
+            return "the stream ended with its connection before any event"
+        return ""
+
     def on_failed(
         self,
         attempt: attempt_module.Attempt,
@@ -332,7 +363,7 @@
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
             return
         if self._relay is not None:
-            self._relay.drop_partial()
+            self._relay.prepare_resume()
         if self._may_retry(failure):
             if failure is attempt_module.AttemptFailure.NOT_RUN:
                 self._dispatch.dispatch_later()
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -428,7 +428,7 @@
         late = harness.send_request(method=b"POST")
         self.assertEqual(late.status, 503)
         self.assertEqual(ended, [])
-        harness.last_connection.respond()
+        harness.last_connection.respond(200, b"id: 1\ndata: a\n\n")
         self.assertEqual(early.end, "finished")
         harness.clock.advance(100)
         self.assertEqual(ended, [True])
--- a/tests/gateway/test_response_end.py
+++ b/tests/gateway/test_response_end.py
@@ -217,3 +217,16 @@
         harness = self.check(View.CLOSED, b"", b"ok", error.ConnectionDone)
         harness.clock.advance(caller_connection.CLOSE_TIMEOUT_MS + 1)
         self.assertTrue(harness.transport.is_aborted)
+
+
+class AbortTest(unittest.TestCase):
+    """What has been received reaches the caller before an abort."""
+
+    def test_head_is_sent_before_the_abort(self):
+        """Guards against a close without any response."""
+        harness = make()
+        harness.respond(b"", FIRST + PART)
+        harness.close()
+        self.assertFalse(harness.transport.is_aborted)
+        self.assertIn(FIRST, harness.transport.value())
+        self.assertEqual(harness.view(), (View.BROKEN, FIRST + PART))
