Check the end of event streams on the agents' paths too

The clients of engines and services took the last chunk of a crashed server for the end of its stream.

Change: a response of the type text/event-stream that stops inside an event ends with ANSWER_INTERRUPTED.

Result: one test for each client, both failed before.

--- a/src/balsamwall/backend/engine_response.py
+++ b/src/balsamwall/backend/engine_response.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.backend import http_headers
+from balsamwall.infrastructure import event_tail
 from balsamwall.infrastructure import http_client
 from balsamwall.results import result_code
 
@@ -66,6 +67,7 @@
         "_deadline_timer",
         "_delay_ms",
         "_error_body",
+        "_events",
         "_has_response_head",
         "_headers",
         "_idle_timeout_ms",
@@ -104,6 +106,7 @@
         self._deadline_timer: clock_module.Timer | None = None
         self._delay_ms = RESUME_DELAY_MIN_MS
         self._error_body = b""
+        self._events = event_tail.EventTail()
         self._has_response_head = False
         self._headers: dict[str, str] = {}
         self._is_resuming = False
@@ -163,6 +166,7 @@
         offset = self._offset
         self._offset += len(data)
         self._tail = (self._tail + data)[-TAIL_BYTES:]
+        self._events.feed(data)
         self._listener.on_data(offset, data)
 
     def on_close(
@@ -170,7 +174,7 @@
     ) -> None:
         """Receive the end of the current connection."""
         if is_complete and self._status == 200:
-            self._succeed(200)
+            self._on_complete()
         elif is_complete and self._is_resuming:
             self._on_resume_status(boot)
         elif is_complete:
@@ -184,6 +188,19 @@
             # is_crash would make it a suspect.
             self._fail(_Code.BACKEND_DOWN, reason)
 
+    def _on_complete(self) -> None:
+        """Succeed, unless an event stream stopped inside an event.
+
+        An engine that crashes may end its chunks in good order.
+        """
+        is_stream = event_tail.is_event_stream(self._headers)
+        if is_stream and self._events.is_inside_event:
+            self._fail(
+                _Code.ANSWER_INTERRUPTED, "the stream ended inside an event"
+            )
+        else:
+            self._succeed(200)
+
     def _next_connection(self) -> _ConnectionReceiver:
         self._close_connection()
         self._status = 0
--- a/src/balsamwall/backend/service_client.py
+++ b/src/balsamwall/backend/service_client.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 from balsamwall.backend import http_headers
+from balsamwall.infrastructure import event_tail
 from balsamwall.infrastructure import http_client
 from balsamwall.results import result_code
 
@@ -26,6 +27,7 @@
 
     __slots__ = (
         "_client",
+        "_events",
         "_headers",
         "_listener",
         "_status",
@@ -43,6 +45,7 @@
     ) -> None:
         self._client = client
         self._listener: backend_server.BackendListener | None = listener
+        self._events = event_tail.EventTail()
         self._headers: dict[str, str] = {}
         self._status = 0
         self.abort: Callable[[], None] | None = None
@@ -63,11 +66,17 @@
     def on_data(self, data: bytes) -> None:
         offset = self.offset
         self.offset += len(data)
+        self._events.feed(data)
         if self._listener is not None:
             self._listener.on_data(offset, data)
 
     def on_close(self, is_complete: bool, was_sent: bool, reason: str) -> None:
-        if is_complete:
+        is_stream = event_tail.is_event_stream(self._headers)
+        if is_complete and is_stream and self._events.is_inside_event:
+            self.fail(
+                _Code.ANSWER_INTERRUPTED, "the stream ended inside an event"
+            )
+        elif is_complete:
             listener = self._end()
             if listener is not None:
                 listener.on_end(self._status, self._headers, self.offset, 0)
--- a/src/balsamwall/infrastructure/event_tail.py
+++ b/src/balsamwall/infrastructure/event_tail.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 # A blank line ends an event; lines end in LF, CR LF or CR.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _TAIL_BYTES = max(len(mark) for mark in _EVENT_ENDS)
@@ -17,6 +22,12 @@
     return end
 
 
+def is_event_stream(headers: Mapping[str, str]) -> bool:
+    """Return whether headers, with lower-case names, are of a stream."""
+    kind = headers.get("content-type", "").split(";", 1)[0]
+    return kind.strip().lower() == "text/event-stream"
+
+
 class EventTail:
     """Forward a stream as it arrives and track whether it ends an event."""
 
--- a/tests/backend/test_engine_response.py
+++ b/tests/backend/test_engine_response.py
@@ -69,11 +69,18 @@
             )
         )
 
-    def _head(self, connection, status=200, boot="7") -> None:
+    def _head(self, connection, status=200, boot="7", **headers) -> None:
         self.transport.connections[connection].on_head(
-            status, {"x-engine-boot": boot}
+            status, {"x-engine-boot": boot, **headers}
         )
 
+    def test_stream_that_stops_inside_an_event_is_not_complete(self) -> None:
+        """A crash may end the chunks in the same way as the last event."""
+        self._head(0, **{"content-type": "text/event-stream"})
+        self.transport.connections[0].on_data(b"data: a\n\nda")
+        self.transport.connections[0].on_close(True, True, "")
+        self.assertEqual(Code.ANSWER_INTERRUPTED, self.listener.error[0])
+
     def test_idle_connection_is_resumed_at_the_offset(self) -> None:
         """A stream that stalls for ever would block its caller."""
         self._head(0)
--- a/tests/backend/test_service_client.py
+++ b/tests/backend/test_service_client.py
@@ -64,6 +64,15 @@
             ),
         )
 
+    def test_stream_that_stops_inside_an_event_is_not_complete(self) -> None:
+        """A crash may end the chunks in the same way as the last event."""
+        listener = recording_listener.RecordingListener(lambda found: None)
+        response = service_client._ServiceResponse(self.client, "s1", listener)
+        response.on_head(200, {"content-type": "text/event-stream"})
+        response.on_data(b"data: a\n\nda")
+        response.on_close(True, True, "")
+        self.assertEqual(Code.ANSWER_INTERRUPTED, listener.error[0])
+
     def test_lost_response_is_unknown_and_not_retried(self) -> None:
         """Taking a lost response for a failure would run the request twice."""
         self.service.set_faults(lost_answers=1, path="/lookups")
