Bound the bytes that are read for nobody

Cause: a refusal was acted on only at the end of its body, and a response whose caller had gone, or that was replaced by a retry, was read to its end. A server that sends bytes without end held the request until its deadline, and the connection for ever.

Change: 64 KiB and 0.2 s for the body of a refusal, 64 KiB and the request's deadline for a response that nobody receives; then the connection is closed. Endless heads and informational responses were bounded already and have tests.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -23,6 +23,11 @@
 
 # Status (Misdirected Request) that certifies that the request was not run.
 WRONG_SERVER_STATUS = 421
+# The rest of a refusal or of a response that nobody receives is read, so that
+# the connection can be reused, but only up to these limits: a faulty server
+# may send bytes without end.
+MAX_DISCARDED_BYTES = 65_536
+REFUSAL_BODY_TIMEOUT_MS = 200
 # Requests with these methods carry Content-Length even for an empty body.
 METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 
@@ -94,6 +99,8 @@
         "_clock",
         "_codec",
         "_connection",
+        "_discard_timer",
+        "_discarded_bytes",
         "_limits",
         "_listener",
         "_outgoing",
@@ -125,6 +132,8 @@
         self._outgoing = outgoing
         self._listener: AttemptListener | None = listener
         self._refusal = ""
+        self._discarded_bytes = 0
+        self._discard_timer: clock_module.Timer | None = None
         self._connection: backend_connection.BackendConnection | None = None
         self._cancel_connect: Callable[[], None] | None = None
 
@@ -149,14 +158,16 @@
     def abandon(self) -> None:
         """Close the connection; the listener is not called again."""
         self._listener = None
+        self._cancel_discard_timer()
         if self._connection is not None:
             self._connection.close()
         elif self._cancel_connect is not None:
             self._cancel_connect()
 
-    def detach(self) -> None:
+    def detach(self, timeout_ms: int) -> None:
         """Let the server finish; the listener is not called again."""
         self._listener = None
+        self._limit_discarding(timeout_ms)
 
     def set_blocked(self, is_blocked: bool) -> None:
         """Pause or resume reading the response."""
@@ -211,6 +222,7 @@
         # Without the identifier it may be the refusal of another request.
         if is_refusal and head.is_echoed:
             self._refusal = f"status {status}"
+            self._limit_discarding(REFUSAL_BODY_TIMEOUT_MS)
             return
         if not head.is_signed or not head.is_echoed or head.is_encoded:
             connection = self._connection
@@ -229,9 +241,14 @@
         """Pass a part of the body to the listener, unless it is a refusal."""
         if self._listener is not None and not self._refusal:
             self._listener.on_response_data(self, data)
+            return
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._stop_discarding()
 
     def on_end(self) -> None:
         """Report the end of the response."""
+        self._cancel_discard_timer()
         if self._refusal:
             self._fail(AttemptFailure.NOT_RUN, self._refusal)
             return
@@ -243,6 +260,7 @@
         self, reason: backend_connection.BreakReason, detail: str
     ) -> None:
         """Report an incomplete or malformed response."""
+        self._cancel_discard_timer()
         if self._refusal:
             self._fail(AttemptFailure.NOT_RUN, self._refusal)
         elif reason is backend_connection.BreakReason.INVALID:
@@ -250,6 +268,28 @@
         else:
             self._fail(AttemptFailure.BROKEN, detail)
 
+    def _limit_discarding(self, timeout_ms: int) -> None:
+        """Close the connection if the response has not ended by then."""
+        self._cancel_discard_timer()
+        self._discard_timer = self._clock.call_later(
+            max(0, timeout_ms), self._stop_discarding
+        )
+
+    def _stop_discarding(self) -> None:
+        """Close the connection; report a refusal."""
+        self._cancel_discard_timer()
+        if self._connection is not None:
+            self._connection.close()
+        elif self._cancel_connect is not None:
+            self._cancel_connect()
+        if self._refusal:
+            self._fail(AttemptFailure.NOT_RUN, self._refusal)
+
+    def _cancel_discard_timer(self) -> None:
+        if self._discard_timer is not None:
+            self._discard_timer.cancel()
+            self._discard_timer = None
+
     def _record_load(self, head: incoming_request.ResponseHead) -> None:
         if head.running is None:
             return
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -247,7 +247,7 @@
             attempt_module.AttemptFailure.INVALID
         ):
             self._finish_attempt(True)
-            attempt.detach()
+            attempt.detach(self.left_ms)
             self._dispatch.exclude(attempt.server)
             self._dispatch.dispatch()
             return
@@ -289,7 +289,7 @@
         certified that the request did not run.
         """
         self._finish_attempt(True)
-        attempt.detach()
+        attempt.detach(self.left_ms)
         self._history.record_failure(attempt_module.AttemptFailure.INVALID)
         self._refuse(
             _Code.OUTCOME_UNKNOWN, f"uncertified status {status} of the server"
@@ -452,7 +452,7 @@
             else:
                 # The outcome matters although the caller is gone, so the
                 # server is left to finish the request.
-                attempt.detach()
+                attempt.detach(self.left_ms)
         self._finish(
             _Code.CALLER_GONE, "the caller closed the connection", None
         )
--- a/tests/gateway/test_response_end.py
+++ b/tests/gateway/test_response_end.py
@@ -5,7 +5,10 @@
 import unittest
 
 from twisted.internet import error
+from twisted.python import failure
 
+from balsamwall.gateway import attempt
+from balsamwall.gateway import backend_connection
 from balsamwall.gateway import caller_connection
 from tests.fixtures import gateway_harness
 from tests.fixtures import wire_harness
@@ -230,3 +233,50 @@
         self.assertFalse(harness.transport.is_aborted)
         self.assertIn(FIRST, harness.transport.value())
         self.assertEqual(harness.view(), (View.BROKEN, FIRST + PART))
+
+
+class EndlessResponseTest(unittest.TestCase):
+    """Bytes without end hold neither a request nor a connection for ever."""
+
+    REFUSAL = b"balsamwall-not-executed: 1\r\n"
+
+    def refuse(self, data):
+        harness = make(Kind.NON_IDEMPOTENT)
+        harness.respond(self.REFUSAL, data)
+        return harness
+
+    def test_endless_refusal_is_sent_to_another_server(self):
+        """Guards against a request that waits for the end of a refusal."""
+        for data in (b"x", b"x" * (attempt.MAX_DISCARDED_BYTES + 1)):
+            with self.subTest(size=len(data)):
+                harness = self.refuse(data)
+                harness.clock.advance(300)
+                first, second = harness.pool.connections
+                self.assertTrue(first.transport.disconnecting)
+                harness.respond(length(2), b"ok")
+                self.assertEqual(harness.view(), (View.COMPLETE, b"ok"))
+
+    def test_endless_response_without_a_caller_is_closed(self):
+        """Guards against connections that are read for ever."""
+        harness = make(Kind.NON_IDEMPOTENT)
+        harness.caller.connectionLost(failure.Failure(RESET()))
+        self.assertFalse(harness.server.transport.disconnecting)
+        harness.clock.advance(9_000)
+        self.assertTrue(harness.server.transport.disconnecting)
+
+    def test_endless_head_is_broken_off(self):
+        """Guards against unbounded memory for a head."""
+        harness = make(Kind.NON_IDEMPOTENT)
+        size = backend_connection.MAX_RESPONSE_HEAD_BYTES
+        harness.server.dataReceived(b"HTTP/1.1 200 OK\r\nx: " + b"a" * size)
+        self.assertTrue(harness.server.transport.disconnecting)
+        self.assertIn(b"HTTP/1.1 502", harness.transport.value())
+
+    def test_endless_informational_responses_end_at_the_deadline(self):
+        """Guards against a request that never ends."""
+        harness = make(Kind.NON_IDEMPOTENT)
+        for _ in range(90):
+            harness.server.dataReceived(b"HTTP/1.1 102 Processing\r\n\r\n")
+            harness.clock.advance(100)
+        self.assertTrue(harness.server.transport.disconnecting)
+        self.assertIn(b"HTTP/1.1 504", harness.transport.value())
