Write the timeline of the prompt part that crashes servers

Change: timeline and three hypotheses, before any change of the logic. attempt_failed says whether a head and data of the response had arrived.

--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -268,6 +268,8 @@
             failure=failure.value,
             detail=detail,
             after_ms=self.clock.now_ms() - attempt.sent_ms,
+            status=attempt.status,
+            has_data=handler.progress.first_data_ms is not None,
             was_reused=attempt.was_reused,
             failure_share=round(server.failure_share, 2),
         )
