Hold back the part of prompts that crashes servers

Cause: crashes were counted by a digest of the whole request. Requests that share the part at fault are all different, so nothing was ever counted twice. Evidence was also dropped when a crash was confirmed after 3 s, and with each change of the coordinator.

Change: a request has a fingerprint for its whole content and one for each shared part. Entries report at once which requests broke before their response was proven (250 ms after its first data, or its end), and which processes no longer accept connections; the coordinator joins both. Content is held back when suspects with it crash three processes, not all at once, and no response to it was proven since the first crash; it asks the entries for such a proof after the second. Content that was seen only together is held back only together. Open and waiting requests end at once, the refusal tells how long it lasts. Entries repeat their reports and the quarantine to a new coordinator.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -186,7 +186,6 @@
             directory=self._directory,
             limits=self._limits,
             request_load=self._request_load,
-            report_crash=self._report_crash,
             random_source=self._random,
         )
         self._gateway = gateway_module.Gateway(
@@ -220,7 +219,7 @@
             self._on_entries,
             self._waits,
             self._request_dependencies.forecast,
-            self._request_dependencies.suspects.quarantine,
+            self._request_dependencies.suspects,
             self._on_store_changes,
             self._dependencies.connection.stop_relay,
             self._log,
@@ -375,7 +374,7 @@
 
     def _on_server_gone(self, server: backend_directory.BackendServer) -> None:
         self._pool.close_idle(server.server_id)
-        self._request_dependencies.suspects.on_server_lost(server.server_id)
+        self._request_dependencies.suspects.on_server_lost(server.record)
 
     def _on_entries(self, count: int) -> None:
         """Update the number of entries that share the fleet-wide limits."""
@@ -405,9 +404,6 @@
             return
         self._dependencies.connection.apply_update(update)
 
-    def _report_crash(self, content: bytes, process: str) -> None:
-        self._fleet_client.report_crash(content, process)
-
     # Coordinator
 
     def _request_load(self, wanted: residency_waits.WantedModel) -> None:
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import crash_control
 from balsamwall.coordination import demand as demand_module
 from balsamwall.coordination import engine_tracker
 from balsamwall.coordination import limit_rows
@@ -15,7 +16,6 @@
 from balsamwall.coordination import prompt_scheduler
 from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
-from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import residency_waits
 
 if TYPE_CHECKING:
@@ -124,7 +124,7 @@
         self._permits = permits
         self._fleet_size = fleet_size
         self._trackers: dict[str, engine_tracker.EngineTracker] = {}
-        self._crashes = crash_suspects.CrashCounter(clock)
+        self._crashes = crash_control.CrashControl(clock, links, log)
         self._demand = demand_module.Demand(clock)
         self._planner = residency_planner.ResidencyPlanner(self._demand)
         self._scheduler = prompt_scheduler.PromptScheduler(clock)
@@ -198,8 +198,8 @@
             limit_rows.apply(
                 item, self._clock.now_ms(), self._limits, self._log
             )
-        elif isinstance(item, messages_fleet.CrashReport):
-            self._on_crash(item.content, item.process)
+        elif self._crashes.on_message(item):
+            return
         elif isinstance(item, messages_fleet.LoadWanted):
             self._refresh_engines_with_model(item)
             wanted = residency_waits.WantedModel(
@@ -235,11 +235,6 @@
             self._permits.take(server_id)
         return messages_fleet.PromptAssignment(query.number, server_id)
 
-    def _on_crash(self, content: bytes, process: str) -> None:
-        if self._crashes.add(content, process):
-            self._log.write("quarantine", content=content.hex())
-            self._links.broadcast(messages_fleet.Quarantine(content))
-
     def _record_adapter_use(self, report: messages_fleet.DemandReport) -> None:
         now_ms = self._clock.now_ms()
         for server_id, model, adapter, _ in report.running:
@@ -259,9 +254,11 @@
                 self._runner.refresh(tracker)
 
     def on_entry_connected(self) -> list[message.Message]:
-        """Return the resident models of all known engines for a new entry.
+        """Return what a new entry needs to know of servers and requests.
 
-        The list is empty while this process is not the active coordinator.
+        These are the resident models of all known engines, and the content
+        that is held back. The list is empty while this process is not the
+        active coordinator.
         """
         if not self._is_active:
             return []
@@ -269,7 +266,7 @@
             self._server_models(tracker)
             for tracker in self._trackers.values()
             if tracker.state is not engine_tracker.EngineState.UNKNOWN
-        ]
+        ] + self._crashes.notices()
 
     def on_entry_disconnected(self, vm: str) -> None:
         """Discard the demand reported by a disconnected entry."""
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -10,10 +10,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from balsamwall.coordination import fleet_stream
     from balsamwall.gateway import assignment_client
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import crash_suspects
     from balsamwall.gateway import residency_waits
     from balsamwall.gateway import server_limits
     from balsamwall.gateway import wait_forecast
@@ -58,9 +60,9 @@
         "_next_connect_ms",
         "_on_entry_count",
         "_on_link_lost",
-        "_on_quarantine",
         "_on_store_changes",
         "_reconnect_ms",
+        "_suspects",
         "_take_arrivals",
         "_vm",
         "_waits",
@@ -82,7 +84,7 @@
         on_entry_count: Callable[[int], None],
         waits: residency_waits.ResidencyWaits,
         forecast: wait_forecast.WaitForecast,
-        on_quarantine: Callable[[bytes], None],
+        suspects: crash_suspects.CrashSuspects,
         on_store_changes: Callable[[messages_fleet.StoreChanges], None],
         on_link_lost: Callable[[], None],
         log: decision_log.DecisionLog,
@@ -101,7 +103,8 @@
         self._open_link = open_link
         self._on_entry_count = on_entry_count
         self._forecast = forecast
-        self._on_quarantine = on_quarantine
+        self._suspects = suspects
+        suspects.set_link(self)
         self._on_store_changes = on_store_changes
         self._on_link_lost = on_link_lost
         self._log = log
@@ -174,16 +177,25 @@
                 )
             )
 
-    def report_crash(self, content: bytes, process: str) -> None:
-        """Report the content of a request that crashed a server process.
+    def report_broken(self, broken: crash_suspects.BrokenRequest) -> None:
+        """Report a request that broke at a server process, if connected."""
+        if self._link is not None:
+            age_ms = self._clock.now_ms() - broken.at_ms
+            self._link.send(
+                messages_fleet.BrokenRequestReport(
+                    broken.process, sorted(broken.fingerprints), age_ms
+                )
+            )
 
-        It is logged, and sent only while a coordinator is connected.
-        """
-        self._log.write(
-            "crash_attributed", content=content.hex(), process=process
-        )
+    def report_lost(self, process: str) -> None:
+        """Report the loss of a server process, if connected."""
+        if self._link is not None:
+            self._link.send(messages_fleet.ProcessLost(process))
+
+    def report_proven(self, fingerprints: Iterable[bytes]) -> None:
+        """Report content of a request whose response went on."""
         if self._link is not None:
-            self._link.send(messages_fleet.CrashReport(content, process))
+            self._link.send(messages_fleet.ProofReport(list(fingerprints)))
 
     def on_message(self, item: message.Message) -> None:
         """Apply a message from the coordinator."""
@@ -205,8 +217,13 @@
             limit_rows.apply(
                 item, self._clock.now_ms(), self._limits, self._log
             )
-        elif isinstance(item, messages_fleet.Quarantine):
-            self._on_quarantine(item.content)
+        elif isinstance(item, messages_fleet.ProofQuery):
+            since_ms = self._clock.now_ms() - item.within_ms
+            self._suspects.watch(item.content, since_ms)
+        elif isinstance(item, messages_fleet.QuarantineNotice):
+            self._suspects.hold_back(
+                frozenset(item.fingerprints), item.remaining_ms
+            )
         elif isinstance(item, messages_fleet.StoreChanges):
             self._on_store_changes(item)
         elif isinstance(item, messages_fleet.FleetState):
@@ -272,8 +289,20 @@
         observations = self._limits.book.observations()
         if observations:
             self.report_limits(observations)
+        self._suspects.repeat_reports()
+        for content, left_ms in self._suspects.quarantine.entries():
+            self._send_quarantine(content, left_ms)
         self._report()
 
+    def _send_quarantine(
+        self, content: frozenset[bytes], left_ms: int
+    ) -> None:
+        """Tell a coordinator that may not know it what is held back."""
+        if self._link is not None:
+            self._link.send(
+                messages_fleet.QuarantineNotice(sorted(content), left_ms)
+            )
+
     def _report(self) -> None:
         if self._link is None:
             return
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -106,19 +106,52 @@
     wait_ms: int
 
 
-@message.register(105)
-class CrashReport(message.Message):
-    """Report the content of a request and the server process it crashed."""
+@message.register(113)
+class BrokenRequestReport(message.Message):
+    """Report a request that broke at a server process, some ms ago.
+
+    The response was not proven: the server may have crashed as it began.
+    """
 
-    content: bytes
     process: str
+    fingerprints: list[bytes]
+    age_ms: int
 
 
-@message.register(106)
-class Quarantine(message.Message):
-    """Instruct all entries to reject requests with this content."""
+@message.register(114)
+class ProcessLost(message.Message):
+    """Report a server process that no longer accepts connections."""
+
+    process: str
+
+
+@message.register(115)
+class ProofQuery(message.Message):
+    """Ask for a proof that content does not crash servers.
+
+    A proof is a response to it that has begun within the last ms and went on.
+    """
 
     content: bytes
+    within_ms: int
+
+
+@message.register(116)
+class ProofReport(message.Message):
+    """Report content of a request whose response went on."""
+
+    fingerprints: list[bytes]
+
+
+@message.register(117)
+class QuarantineNotice(message.Message):
+    """Hold back requests with all of these fingerprints for a time.
+
+    No remaining time releases them.
+    """
+
+    fingerprints: list[bytes]
+    remaining_ms: int
 
 
 @message.register(104)
--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -1,128 +1,205 @@
-"""Attribute server crashes to requests and quarantine these."""
+"""Report to the coordinator what an entry knows of crashed servers."""
 
 from __future__ import annotations
 
-import hashlib
+import collections
+from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import quarantine as quarantine_module
+
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from balsamwall.gateway import backend_directory
-    from balsamwall.gateway import caller_exchange
+    from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
-# A crash first breaks the responses; the loss of the server is detected later,
-# within this time.
-CRASH_CONFIRMATION_MS = 3_000
-# Concurrent requests on a crashed server are counted as well as the one at
-# fault. The same fingerprint on three crashed processes is no coincidence.
-CRASHES_TO_QUARANTINE = 3
-QUARANTINE_MS = 300_000
-# When this many fingerprints are held, all of them are discarded.
-MAX_FINGERPRINTS = 10_000
-FINGERPRINT_BYTES = 16
-
-
-def request_fingerprint(
-    head: caller_exchange.RequestHead, body: bytes
-) -> bytes:
-    """Return a digest of method, target and body, equal for all resends."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (head.method, head.target, body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.digest()
+# A response that has gone on for this long after its first data proves that
+# its request does not crash servers when they begin the response.
+PROOF_MS = 250
+# Reports are kept for this time, for a coordinator that is elected later.
+REPORT_MAX_AGE_MS = 30_000
+MAX_REPORTS = 500
+# The loss of one process is reported once in this time.
+LOSS_REPORT_INTERVAL_MS = 5_000
+# Contents whose last proof is remembered. The oldest is dropped beyond this.
+MAX_PROVEN = 5_000
+WATCH_MS = 300_000
+MAX_WATCHED = 2_000
+
+
+class BrokenRequest:
+    """Hold a request whose response broke before it was proven sound."""
+
+    __slots__ = ("at_ms", "fingerprints", "process")
+
+    def __init__(
+        self, process: str, fingerprints: frozenset[bytes], at_ms: int
+    ) -> None:
+        self.process = process
+        self.fingerprints = fingerprints
+        self.at_ms = at_ms
+
+
+class CrashLink(Protocol):
+    """Send reports to the coordinator; they are dropped without one."""
+
+    def report_broken(self, broken: BrokenRequest) -> None:
+        """Report a request that broke at a server process."""
+
+    def report_lost(self, process: str) -> None:
+        """Report a server process that no longer accepts connections."""
+
+    def report_proven(self, fingerprints: Iterable[bytes]) -> None:
+        """Report content of a request whose response went on."""
+
+
+def process_name(record: backend_directory.ServerRecord) -> str:
+    """Return the name of a server process, new with each start."""
+    return f"{record.server_id}@{record.started_ms}"
 
 
 class CrashSuspects:
-    """Report requests that ran on a crashed server; hold the quarantine.
+    """Report broken requests and lost servers; hold the quarantine.
 
-    A request may crash each server that runs it while its caller keeps
-    sending it, through any entry. Crashes are therefore reported to a counter
-    of the whole fleet, which decides on the quarantine.
+    Requests may crash each server that responds to them, through any entry.
+    What they have in common shows only in the reports of all entries, so the
+    coordinator decides on the quarantine.
     """
 
-    __slots__ = ("_broken_responses", "_clock", "_on_crash", "_quarantined")
+    __slots__ = (
+        "_broken",
+        "_clock",
+        "_link",
+        "_log",
+        "_lost_ms",
+        "_on_quarantined",
+        "_proven_ms",
+        "_watched",
+        "quarantine",
+    )
 
     def __init__(
-        self,
-        clock: clock_module.Clock,
-        on_crash: Callable[[bytes, str], None],
+        self, clock: clock_module.Clock, log: decision_log.DecisionLog
     ) -> None:
         self._clock = clock
-        self._on_crash = on_crash
-        # By server: time, request fingerprint and server process of each
-        # broken response.
-        self._broken_responses: dict[str, list[tuple[int, bytes, str]]] = {}
-        self._quarantined: dict[bytes, int] = {}
+        self._log = log
+        self._link: CrashLink | None = None
+        self._on_quarantined: Callable[[], None] | None = None
+        self._broken: collections.deque[BrokenRequest] = collections.deque(
+            maxlen=MAX_REPORTS
+        )
+        # By server process: when its loss was reported.
+        self._lost_ms: dict[str, int] = {}
+        # By fingerprint: when the last response that was proven began.
+        self._proven_ms: collections.OrderedDict[bytes, int]
+        self._proven_ms = collections.OrderedDict()
+        # By fingerprint: when the coordinator stops to wait for a proof.
+        self._watched: dict[bytes, int] = {}
+        self.quarantine = quarantine_module.Quarantine(clock)
+
+    def set_link(self, link: CrashLink) -> None:
+        """Set the link to the coordinator."""
+        self._link = link
+
+    def set_quarantine_listener(self, listener: Callable[[], None]) -> None:
+        """Call back when content was added to the quarantine."""
+        self._on_quarantined = listener
 
     def on_broken_response(
-        self, record: backend_directory.ServerRecord, fingerprint: bytes
+        self,
+        record: backend_directory.ServerRecord,
+        fingerprints: frozenset[bytes],
     ) -> None:
-        """Record a request whose response was cut off."""
-        process = f"{record.server_id}@{record.started_ms}"
-        records = self._pop_recent(record.server_id)
-        records.append((self._clock.now_ms(), fingerprint, process))
-        self._broken_responses[record.server_id] = records
-
-    def on_server_lost(self, server_id: str) -> None:
-        """Report the requests that ran on a lost server.
-
-        These are the ones whose responses were cut off within the last
-        CRASH_CONFIRMATION_MS.
-        """
-        for _, fingerprint, process in self._pop_recent(server_id):
-            self._on_crash(fingerprint, process)
-
-    def _pop_recent(self, server_id: str) -> list[tuple[int, bytes, str]]:
-        """Remove the records of a server; return those not yet expired."""
-        oldest_ms = self._clock.now_ms() - CRASH_CONFIRMATION_MS
-        records = self._broken_responses.pop(server_id, [])
-        return [record for record in records if record[0] >= oldest_ms]
-
-    def quarantine(self, fingerprint: bytes) -> None:
-        """Refuse requests with a fingerprint for QUARANTINE_MS."""
-        if len(self._quarantined) >= MAX_FINGERPRINTS:
-            self._quarantined.clear()
-        self._quarantined[fingerprint] = self._clock.now_ms() + QUARANTINE_MS
-
-    def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Return whether requests with a fingerprint must be refused."""
-        until_ms = self._quarantined.get(fingerprint)
-        if until_ms is None:
-            return False
-        if self._clock.now_ms() < until_ms:
-            return True
-        del self._quarantined[fingerprint]
-        return False
-
-
-class CrashCounter:
-    """Count crashes by request fingerprint over all entries.
-
-    A server process counts once, however many requests with the fingerprint
-    it ran and however many entries report the crash. A crash is counted for
-    QUARANTINE_MS.
-    """
-
-    __slots__ = ("_clock", "_crashes")
-
-    def __init__(self, clock: clock_module.Clock) -> None:
-        self._clock = clock
-        # By fingerprint: crashed server processes with their expiry time.
-        self._crashes: dict[bytes, dict[str, int]] = {}
+        """Report a request whose response was not proven when it broke."""
+        broken = BrokenRequest(
+            process_name(record), fingerprints, self._clock.now_ms()
+        )
+        self._broken.append(broken)
+        if self._link is not None:
+            self._link.report_broken(broken)
+
+    def on_server_lost(self, record: backend_directory.ServerRecord) -> None:
+        """Report the loss of a server process, if it is a new one."""
+        process = process_name(record)
+        now_ms = self._clock.now_ms()
+        last_ms = self._lost_ms.get(process)
+        if last_ms is not None and now_ms - last_ms < LOSS_REPORT_INTERVAL_MS:
+            return
+        self._lost_ms[process] = now_ms
+        self._drop_old_losses(now_ms)
+        if self._link is not None:
+            self._link.report_lost(process)
+
+    def on_proven(
+        self, fingerprints: frozenset[bytes], first_data_ms: int
+    ) -> None:
+        """Record that a response went on, and report what is watched."""
+        for content in fingerprints:
+            self._proven_ms[content] = first_data_ms
+            self._proven_ms.move_to_end(content)
+        while len(self._proven_ms) > MAX_PROVEN:
+            self._proven_ms.popitem(last=False)
+        is_watched = not self._watched.keys().isdisjoint(fingerprints)
+        if self._link is not None and (
+            is_watched or self.quarantine.match(fingerprints)
+        ):
+            for content in fingerprints:
+                self._watched.pop(content, None)
+            self._link.report_proven(fingerprints)
+
+    def watch(self, content: bytes, since_ms: int) -> None:
+        """Report a proof of this content, also an earlier one since a time."""
+        if self._proven_ms.get(content, since_ms - 1) >= since_ms:
+            if self._link is not None:
+                self._link.report_proven([content])
+            return
+        if len(self._watched) >= MAX_WATCHED:
+            self._drop_old_watches()
+        self._watched[content] = self._clock.now_ms() + WATCH_MS
+
+    def hold_back(self, content: frozenset[bytes], remaining_ms: int) -> None:
+        """Quarantine content, or release it if no time remains."""
+        if not remaining_ms:
+            self.quarantine.remove(content)
+            return
+        is_new = self.quarantine.add(content, remaining_ms)
+        if is_new and self._on_quarantined is not None:
+            self._log.write(
+                "quarantine",
+                content=sorted(item.hex() for item in content),
+                remaining_ms=remaining_ms,
+            )
+            self._on_quarantined()
+
+    def repeat_reports(self) -> None:
+        """Report recent events again, to a coordinator that lacks them."""
+        if self._link is None:
+            return
+        now_ms = self._clock.now_ms()
+        for broken in self._broken:
+            if now_ms - broken.at_ms <= REPORT_MAX_AGE_MS:
+                self._link.report_broken(broken)
+        self._drop_old_losses(now_ms)
+        for process in self._lost_ms:
+            self._link.report_lost(process)
+
+    def _drop_old_losses(self, now_ms: int) -> None:
+        oldest_ms = now_ms - REPORT_MAX_AGE_MS
+        self._lost_ms = {
+            process: lost_ms
+            for process, lost_ms in self._lost_ms.items()
+            if lost_ms >= oldest_ms
+        }
 
-    def add(self, fingerprint: bytes, process: str) -> bool:
-        """Count a crash; return whether to quarantine the fingerprint."""
+    def _drop_old_watches(self) -> None:
         now_ms = self._clock.now_ms()
-        if len(self._crashes) >= MAX_FINGERPRINTS:
-            self._crashes.clear()
-        processes = {
-            name: until_ms
-            for name, until_ms in self._crashes.get(fingerprint, {}).items()
-            if now_ms < until_ms
+        self._watched = {
+            content: until_ms
+            for content, until_ms in self._watched.items()
+            if until_ms > now_ms
         }
-        processes[process] = now_ms + QUARANTINE_MS
-        self._crashes[fingerprint] = processes
-        return len(processes) >= CRASHES_TO_QUARANTINE
+        if len(self._watched) >= MAX_WATCHED:
+            self._watched.clear()
--- /dev/null
+++ b/src/balsamwall/gateway/fingerprints.py
@@ -0,0 +1,40 @@
+"""Digests by which requests with equal content are recognised."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import incoming_request
+
+FINGERPRINT_BYTES = 16
+# Prompts share a few parts. The limit bounds the work for one request.
+MAX_PARTS = 64
+
+
+def of_request(
+    head: caller_exchange.RequestHead,
+    body: bytes,
+    parts: Sequence[incoming_request.PromptPart],
+) -> frozenset[bytes]:
+    """Return the digests of the whole request and of its prompt parts.
+
+    The first is equal for all resends of the request, the others for all
+    requests that share a part.
+    """
+    found = {_digest(b"request", head.method, head.target, body)}
+    for part in parts[:MAX_PARTS]:
+        found.add(_digest(b"part", part.part_id.encode("latin-1")))
+    return frozenset(found)
+
+
+def _digest(*values: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for value in values:
+        digest.update(len(value).to_bytes(8, "big"))
+        digest.update(value)
+    return digest.digest()
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -64,6 +64,7 @@
         self._drain_since_ms: int | None = None
         self._drain_ms = 0
         self._on_drained: Callable[[], None] | None = None
+        dependencies.suspects.set_quarantine_listener(self._on_quarantined)
 
     @property
     def clock(self) -> clock_module.Clock:
@@ -193,6 +194,11 @@
             counts[1] += request.prompt_tokens
         handler.start()
 
+    def _on_quarantined(self) -> None:
+        """End the open requests that must not reach servers any more."""
+        for handler in list(self._handlers):
+            handler.refuse_quarantined()
+
     def _refuse(
         self,
         exchange: caller_exchange.CallerExchange,
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -61,8 +61,12 @@
         """Return whether the stream has stopped inside an event."""
 
     @property
-    def fingerprint(self) -> bytes:
-        """Return a digest that is equal for all resends of the request."""
+    def fingerprints(self) -> frozenset[bytes]:
+        """Return digests of the request and of the parts of its prompt."""
+
+    @property
+    def is_proven(self) -> bool:
+        """Return whether the current response went on after its first data."""
 
     @property
     def arrived_ms(self) -> int:
@@ -142,10 +146,9 @@
         directory: backend_directory.BackendDirectory,
         limits: server_limits.ServerLimits,
         request_load: Callable[[residency_waits.WantedModel], None],
-        report_crash: Callable[[bytes, str], None],
         random_source: random.Random,
     ) -> None:
-        self.suspects = crash_suspects.CrashSuspects(clock, report_crash)
+        self.suspects = crash_suspects.CrashSuspects(clock, log)
         self.directory = directory
         self.request_load = request_load
         self.clock = clock
@@ -250,17 +253,20 @@
     ) -> None:
         """Log a failed attempt and report it to the crash attribution.
 
-        A broken response is recorded with the request. A failed connect counts
-        as the loss of the server.
+        A response that broke at its begin makes the request a suspect. A
+        failed connect counts as the loss of the server.
         """
         self.metrics.count_attempt(failure.value)
         server = attempt.server
-        if failure is attempt_module.AttemptFailure.BROKEN:
+        if failure is attempt_module.AttemptFailure.NOT_CONNECTED:
+            self.suspects.on_server_lost(server.record)
+        elif (
+            failure is attempt_module.AttemptFailure.BROKEN
+            and not handler.is_proven
+        ):
             self.suspects.on_broken_response(
-                server.record, handler.fingerprint
+                server.record, handler.fingerprints
             )
-        elif failure is attempt_module.AttemptFailure.NOT_CONNECTED:
-            self.suspects.on_server_lost(server.server_id)
         self.log.write(
             "attempt_failed",
             request=handler.request_id,
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -8,6 +8,7 @@
 from balsamwall.gateway import body_framing
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
+from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_dispatch
@@ -49,9 +50,12 @@
         "_events",
         "_dispatch",
         "_exchange",
+        "_fingerprints",
+        "_first_data_ms",
         "_has_begun",
         "_history",
         "_is_finished",
+        "_is_proven",
         "_on_finished",
         "_dependencies",
         "_pending_tokens",
@@ -86,6 +90,10 @@
         self.progress = stream_progress.StreamProgress()
         self.sends = 0
         self._is_finished = False
+        self._fingerprints: frozenset[bytes] | None = None
+        # When the current response brought its first data.
+        self._first_data_ms: int | None = None
+        self._is_proven = False
         self.framing: body_framing.BodyFraming | None = None
         self._relay: event_relay.EventRelay | None = None
         self._events: event_relay.EventRelay | event_tail.EventTail | None
@@ -104,11 +112,20 @@
         )
 
     @property
-    def fingerprint(self) -> bytes:
-        """Return a digest that is equal for all resends of the request."""
-        return crash_suspects.request_fingerprint(
-            self._exchange.head, self._exchange.body
-        )
+    def fingerprints(self) -> frozenset[bytes]:
+        """Return digests of the request and of the parts of its prompt."""
+        if self._fingerprints is None:
+            self._fingerprints = fingerprints_module.of_request(
+                self._exchange.head,
+                self._exchange.body,
+                self.request.shared_parts,
+            )
+        return self._fingerprints
+
+    @property
+    def is_proven(self) -> bool:
+        """Return whether the current response went on after its first data."""
+        return self._is_proven
 
     @property
     def choice(self) -> server_choice.Choice | None:
@@ -163,20 +180,38 @@
     def start(self) -> None:
         """Send, queue or refuse the request."""
         self._exchange.set_listener(self)
-        if self._dependencies.suspects.is_quarantined(self.fingerprint):
-            self._refuse(
-                _Code.QUARANTINED, "servers crashed while running this request"
-            )
+        if self.refuse_quarantined():
             return
         self._deadline_timer = self._dependencies.clock.call_later(
             self.left_ms, self.on_deadline
         )
         self._dispatch.dispatch()
 
+    def refuse_quarantined(self) -> bool:
+        """End the request if servers crash when they respond to it.
+
+        A response that has been proven goes on. Return whether it has ended.
+        """
+        quarantine = self._dependencies.suspects.quarantine
+        if not quarantine or self._is_proven or self._is_finished:
+            return False
+        content = quarantine.match(self.fingerprints)
+        if not content:
+            return False
+        self._abandon_attempt(is_failure=False)
+        self._refuse(
+            _Code.QUARANTINED,
+            "servers crash when they respond to this content",
+            quarantine.remaining_ms(content),
+        )
+        return True
+
     # Sending
 
     def send(self, server: backend_directory.BackendServer) -> None:
-        """Send the request to a server."""
+        """Send the request to a server, unless it is quarantined."""
+        if self.refuse_quarantined():
+            return
         last_event_id = self.request.resumes_after
         if self._relay is not None:
             last_event_id = self._relay.last_event_id
@@ -200,6 +235,8 @@
         )
         self._dependencies.metrics.count_send(self._send_reason())
         self.sends += 1
+        self._first_data_ms = None
+        self._is_proven = False
         self._attempt = attempt
         server.on_sent()
         self._pending_tokens = self.request.prompt_tokens
@@ -313,6 +350,10 @@
             now_ms = self._dependencies.clock.now_ms()
             self.progress.record(now_ms, self._arrived_ms)
             self._exchange.write(data)
+            if self._first_data_ms is None:
+                self._first_data_ms = now_ms
+            elif now_ms - self._first_data_ms >= crash_suspects.PROOF_MS:
+                self._prove(self._first_data_ms)
 
     def on_done(self, attempt: attempt_module.Attempt) -> None:
         """Finish a complete response, or handle a stream that is not whole."""
@@ -324,10 +365,22 @@
                 attempt, attempt_module.AttemptFailure.BROKEN, fault
             )
             return
-        self._finish_attempt(attempt.status >= SERVER_ERROR_STATUS)
+        is_failure = attempt.status >= SERVER_ERROR_STATUS
+        self._finish_attempt(is_failure)
+        if not is_failure:
+            self._prove(self._first_data_ms)
         self._exchange.finish()
         self._finish(_Code.OK, f"status {attempt.status}", attempt.server)
 
+    def _prove(self, first_data_ms: int | None) -> None:
+        """Record that the request does not crash servers, once a response."""
+        if self._is_proven:
+            return
+        self._is_proven = True
+        if first_data_ms is None:
+            first_data_ms = self._dependencies.clock.now_ms()
+        self._dependencies.suspects.on_proven(self.fingerprints, first_data_ms)
+
     def _stream_fault(self, attempt: attempt_module.Attempt) -> str:
         """Return why a stream that has ended is not whole, if it is not.
 
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -1,59 +1,214 @@
-"""Tests of the attribution of crashes to requests."""
+"""Tests of the attribution of crashes to the content of requests."""
 
 from __future__ import annotations
 
 import unittest
 
+from balsamwall.coordination import crash_evidence
 from balsamwall.gateway import crash_suspects
+from balsamwall.gateway import quarantine
+from balsamwall.logs import decision_log
 from balsamwall.timing import virtual_clock
 from tests.fixtures import gateway_harness
 
-FINGERPRINT = b"c" * crash_suspects.FINGERPRINT_BYTES
+BAD, SOUND, FIRST = b"b" * 16, b"s" * 16, b"f" * 16
 
 
-class CrashSuspectsTest(unittest.TestCase):
-    """Three crashed processes quarantine a fingerprint, fewer do not."""
+class CrashEvidenceTest(unittest.TestCase):
+    """Three crashed processes quarantine content, fewer do not."""
 
     def setUp(self):
         self.clock = virtual_clock.VirtualClock(start_ms=10_000)
-        self.counter = crash_suspects.CrashCounter(self.clock)
-        self.results = []
-        self.entries = [
-            crash_suspects.CrashSuspects(self.clock, self.report)
-            for _ in range(3)
-        ]
-
-    def report(self, fingerprint, process):
-        self.results.append(self.counter.add(fingerprint, process))
-
-    def crash(self, server_id, started_ms=1, requests=1):
-        record = gateway_harness.make_record(server_id, started_ms=started_ms)
-        for entry in self.entries:
-            for _ in range(requests):
-                entry.on_broken_response(record, FINGERPRINT)
-            entry.on_server_lost(server_id)
+        self.evidence = crash_evidence.CrashEvidence(self.clock)
+        self.quarantined = []
+        self.watched = []
+
+    def apply(self, findings):
+        self.quarantined += findings.quarantined
+        self.watched += [watch.content for watch in findings.watches]
+
+    def crash(self, process, *requests, gap_ms=1_000, entries=3):
+        """Let entries report the requests and the loss of a process."""
+        now_ms = self.clock.now_ms()
+        for _ in range(entries):
+            for content in requests:
+                found = self.evidence.on_broken(
+                    process, frozenset(content), now_ms
+                )
+                self.apply(found)
+            self.apply(self.evidence.on_lost(process))
+        self.clock.advance(gap_ms)
 
     def test_one_crash_with_many_equal_requests_does_not_quarantine(self):
         """Guards against quarantining a frequent request after one crash."""
-        self.crash("s1", requests=5)
-        self.assertEqual(len(self.results), 15)
-        self.assertNotIn(True, self.results)
+        self.crash("s1", *[[SOUND]] * 5)
+        self.assertEqual((self.quarantined, self.watched), ([], []))
 
     def test_third_crashed_process_quarantines(self):
         """Guards against a request that crashes further servers."""
-        self.crash("s1")
-        self.crash("s2")
-        self.assertNotIn(True, self.results)
-        self.crash("s1", started_ms=2)
-        self.assertIn(True, self.results)
+        self.crash("s1@1", [BAD])
+        self.crash("s2@1", [BAD])
+        self.assertEqual(self.quarantined, [])
+        self.crash("s1@2", [BAD])
+        self.assertIn(frozenset([BAD]), self.quarantined)
+
+    def test_servers_that_crash_together_count_once(self):
+        """Guards against blaming frequent content for the loss of a zone."""
+        for number in range(6):
+            self.crash(f"s{number}", [SOUND], gap_ms=10)
+        self.assertEqual(self.quarantined, [])
+
+    def test_proven_content_begins_again(self):
+        """Guards against blaming content that servers respond to."""
+        for number in range(6):
+            self.crash(f"s{number}", [SOUND, BAD], [SOUND])
+            self.evidence.on_proven(frozenset([SOUND]))
+        self.assertEqual(set(self.quarantined), {frozenset([BAD])})
+
+    def test_report_from_before_a_proof_is_void(self):
+        """Guards against evidence that a new coordinator gets again."""
+        at_ms = self.clock.now_ms()
+        self.clock.advance(1_000)
+        self.evidence.on_proven(frozenset([SOUND]))
+        for process in ("s1", "s2", "s3"):
+            self.evidence.on_lost(process)
+            self.apply(
+                self.evidence.on_broken(process, frozenset([SOUND]), at_ms)
+            )
+            at_ms += crash_evidence.ROUND_MS
+        self.assertEqual((self.quarantined, self.watched), ([], []))
+
+    def test_content_seen_only_together_is_held_back_together(self):
+        """Guards against a caller that has the content of others refused."""
+        for number in range(3):
+            self.crash(f"s{number}", [BAD, SOUND])
+        self.assertEqual(set(self.quarantined), {frozenset([BAD, SOUND])})
+        self.crash("s3", [BAD])
+        self.assertIn(frozenset([BAD]), self.quarantined)
+        self.assertNotIn(frozenset([SOUND]), self.quarantined)
+
+    def test_loss_without_a_broken_request_is_ignored(self):
+        """Guards against blaming requests that broke long before."""
+        for process in ("s1", "s2", "s3"):
+            now_ms = self.clock.now_ms()
+            self.evidence.on_broken(process, frozenset([SOUND]), now_ms)
+            self.clock.advance(crash_evidence.CONFIRMATION_MS + 1)
+            self.apply(self.evidence.on_lost(process))
+        self.assertEqual(self.quarantined, [])
+
+    def test_loss_may_be_known_before_the_request(self):
+        """Guards against evidence of an entry that learns of it late."""
+        for process in ("s1", "s2", "s3"):
+            self.evidence.on_lost(process)
+            now_ms = self.clock.now_ms()
+            self.clock.advance(400)
+            self.apply(
+                self.evidence.on_broken(process, frozenset([BAD]), now_ms)
+            )
+        self.assertEqual(self.quarantined, [frozenset([BAD])])
 
-    def test_broken_responses_without_a_crash_expire(self):
+    def test_memory_is_bounded(self):
         """Guards against memory growth with each broken connection."""
-        record = gateway_harness.make_record("s1")
-        for _ in range(1_000):
-            self.entries[0].on_broken_response(record, FINGERPRINT)
-            self.clock.advance(1_000)
-        kept = len(self.entries[0]._broken_responses["s1"])
+        for number in range(3 * crash_evidence.MAX_CONTENTS):
+            content = number.to_bytes(16, "big")
+            process = f"s{number // 50}"
+            self.evidence.on_broken(
+                process, frozenset([content]), self.clock.now_ms()
+            )
+            self.evidence.on_lost(process)
+        self.assertLessEqual(
+            len(self.evidence._evidence), crash_evidence.MAX_CONTENTS
+        )
+        self.assertLessEqual(
+            len(self.evidence._processes), crash_evidence.MAX_PROCESSES
+        )
+
+
+class QuarantineTest(unittest.TestCase):
+    """Requests with all fingerprints of a set are held back for a time."""
+
+    def setUp(self):
+        self.clock = virtual_clock.VirtualClock(start_ms=10_000)
+        self.quarantine = quarantine.Quarantine(self.clock)
+
+    def test_only_the_whole_set_matches(self):
+        """Guards against refusing requests that share a part."""
+        content = frozenset([BAD, SOUND])
+        self.quarantine.add(content, 1_000)
+        self.assertFalse(self.quarantine.match(frozenset([SOUND, FIRST])))
+        found = self.quarantine.match(frozenset([BAD, SOUND, FIRST]))
+        self.assertEqual(found, content)
+
+    def test_quarantine_expires(self):
+        """Guards against content that is refused for ever."""
+        self.quarantine.add(frozenset([BAD]), 1_000)
+        self.clock.advance(1_001)
+        self.assertFalse(self.quarantine.match(frozenset([BAD])))
+        self.assertEqual(len(self.quarantine), 0)
+
+    def test_memory_is_bounded(self):
+        """Guards against memory growth with each quarantined content."""
+        for number in range(2 * quarantine.MAX_ENTRIES):
+            content = number.to_bytes(16, "big")
+            self.quarantine.add(frozenset([content]), 1_000)
+        self.assertEqual(len(self.quarantine), quarantine.MAX_ENTRIES)
+
+
+class CrashSuspectsTest(unittest.TestCase):
+    """An entry keeps what a later coordinator needs, and no more."""
+
+    def setUp(self):
+        self.clock = virtual_clock.VirtualClock(start_ms=10_000)
+        self.suspects = crash_suspects.CrashSuspects(
+            self.clock, decision_log.DecisionLog(self.clock)
+        )
+        self.broken, self.lost, self.proven = [], [], []
+        self.suspects.set_link(self)
+        self.report_broken = self.broken.append
+        self.report_lost = self.lost.append
+        self.report_proven = self.proven.append
+        self.record = gateway_harness.make_record("s1")
+
+    def test_reports_are_repeated_to_a_new_coordinator(self):
+        """Guards against evidence that is lost with a coordinator."""
+        self.suspects.on_broken_response(self.record, frozenset([BAD]))
+        self.suspects.on_server_lost(self.record)
+        self.suspects.repeat_reports()
+        self.assertEqual((len(self.broken), len(self.lost)), (2, 2))
+        self.clock.advance(crash_suspects.REPORT_MAX_AGE_MS + 1)
+        self.suspects.repeat_reports()
+        self.assertEqual((len(self.broken), len(self.lost)), (2, 2))
+
+    def test_loss_is_reported_once(self):
+        """Guards against a report for each refused connection."""
+        for _ in range(100):
+            self.suspects.on_server_lost(self.record)
+        self.assertEqual(self.lost, ["s1@1"])
+
+    def test_proof_of_the_past_and_of_the_future(self):
+        """Guards against sound content without a voice."""
+        self.suspects.on_proven(frozenset([SOUND]), 10_500)
+        self.suspects.watch(SOUND, 10_400)
+        self.suspects.watch(FIRST, 10_400)
+        self.assertEqual(self.proven, [[SOUND]])
+        self.suspects.on_proven(frozenset([FIRST]), 10_600)
+        self.assertEqual(self.proven[1:], [frozenset([FIRST])])
+        self.suspects.watch(SOUND, 10_501)
+        self.assertEqual(len(self.proven), 2)
+
+    def test_memory_is_bounded(self):
+        """Guards against memory growth with each request."""
+        for number in range(2 * crash_suspects.MAX_PROVEN):
+            content = frozenset([number.to_bytes(16, "big")])
+            self.suspects.on_proven(content, 1)
+            self.suspects.on_broken_response(self.record, content)
+            self.suspects.watch(number.to_bytes(16, "big"), 100)
+        self.assertEqual(
+            len(self.suspects._proven_ms), crash_suspects.MAX_PROVEN
+        )
+        self.assertEqual(
+            len(self.suspects._broken), crash_suspects.MAX_REPORTS
+        )
         self.assertLessEqual(
-            kept, crash_suspects.CRASH_CONFIRMATION_MS // 1_000 + 1
+            len(self.suspects._watched), crash_suspects.MAX_WATCHED
         )
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from balsamwall.coordination import crash_evidence
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import event_relay
 from balsamwall.limits import limit_book
@@ -189,9 +190,11 @@
             exchange = harness.send_request(method=b"POST", body=b"poison")
             if len(harness.pool.connections) > sent:
                 server_id = harness.last_connection.server_id
+                record = harness.directory.get(server_id).record
                 harness.last_connection.receiver.on_broken(CLOSED, "reset")
-                harness.dependencies.suspects.on_server_lost(server_id)
+                harness.dependencies.suspects.on_server_lost(record)
                 harness.directory.remove(server_id)
+                harness.clock.advance(crash_evidence.ROUND_MS)
             statuses.append(exchange.status)
         self.assertEqual(statuses, [502] * 3 + [503] * 5)
 
