Tell content that crashes servers from content that comes with it

Refused requests also counted as demand, so that models were loaded for them.

Change: a crash speaks twice as much against requests whose response had begun, and against the digest of a whole request. Content with the most evidence is judged first, and crashes that it explains no longer speak against other content. Entries have 200 ms to name proofs. Content that is held back together is released when all of it has been proven.

--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -7,6 +7,7 @@
 
 from balsamwall.coordination import crash_evidence
 from balsamwall.coordination import messages_fleet
+from balsamwall.gateway import fingerprints
 from balsamwall.gateway import quarantine as quarantine_module
 
 if TYPE_CHECKING:
@@ -27,7 +28,14 @@
 class CrashControl:
     """Collect reports, ask for proofs and announce the quarantine."""
 
-    __slots__ = ("_clock", "_evidence", "_links", "_log", "_quarantine")
+    __slots__ = (
+        "_clock",
+        "_evidence",
+        "_links",
+        "_log",
+        "_proven",
+        "_quarantine",
+    )
 
     def __init__(
         self,
@@ -38,18 +46,15 @@
         self._clock = clock
         self._links = links
         self._log = log
-        self._evidence = crash_evidence.CrashEvidence(clock)
         self._quarantine = quarantine_module.Quarantine(clock)
+        self._evidence = crash_evidence.CrashEvidence(clock, self._quarantine)
+        # By content that is held back: what has been proven of it since.
+        self._proven: dict[frozenset[bytes], frozenset[bytes]] = {}
 
     def on_message(self, item: message.Message) -> bool:
         """Handle a message on crashes; return whether it was one."""
         if isinstance(item, messages_fleet.BrokenRequestReport):
-            at_ms = self._clock.now_ms() - max(0, item.age_ms)
-            self._apply(
-                self._evidence.on_broken(
-                    item.process, frozenset(item.fingerprints), at_ms
-                )
-            )
+            self._on_broken(item)
         elif isinstance(item, messages_fleet.ProcessLost):
             self._apply(self._evidence.on_lost(item.process))
         elif isinstance(item, messages_fleet.ProofReport):
@@ -60,6 +65,16 @@
             return False
         return True
 
+    def _on_broken(self, item: messages_fleet.BrokenRequestReport) -> None:
+        broken = crash_evidence.BrokenRequest(
+            fingerprints.RequestFingerprints(
+                item.request, frozenset(item.parts)
+            ),
+            item.has_begun,
+            self._clock.now_ms() - max(0, item.age_ms),
+        )
+        self._apply(self._evidence.on_broken(item.process, broken))
+
     def notices(self) -> list[message.Message]:
         """Return the content that is held back, for a new entry."""
         return [
@@ -76,28 +91,52 @@
                     watch.content, now_ms - watch.since_ms
                 )
             )
+        for undecided in findings.undecided:
+            self._clock.call_later(
+                crash_evidence.PROOF_WAIT_MS, self._judge, undecided
+            )
         for content in findings.quarantined:
             self._hold_back(content, quarantine_module.QUARANTINE_MS)
 
+    def _judge(self, content: bytes) -> None:
+        self._apply(self._evidence.judge([content]))
+
     def _hold_back(self, content: frozenset[bytes], remaining_ms: int) -> None:
         """Announce content that is to be held back, unless it is known."""
         if not self._quarantine.add(content, remaining_ms):
             return
+        self._proven = {
+            known: proven
+            for known, proven in self._proven.items()
+            if self._quarantine.remaining_ms(known)
+        }
         self._links.broadcast(
             messages_fleet.QuarantineNotice(sorted(content), remaining_ms)
         )
 
-    def _on_proven(self, fingerprints: frozenset[bytes]) -> None:
-        """Drop the evidence against proven content, and release it."""
-        self._evidence.on_proven(fingerprints)
-        released = self._quarantine.match(fingerprints)
-        while released:
-            self._quarantine.remove(released)
-            self._log.write("quarantine_released", content=_hex(released))
-            self._links.broadcast(
-                messages_fleet.QuarantineNotice(sorted(released), 0)
-            )
-            released = self._quarantine.match(fingerprints)
+    def _on_proven(self, proven: frozenset[bytes]) -> None:
+        """Drop the evidence against proven content, and release it.
+
+        Content that is held back together is released when all of it is
+        proven, by one response or by several.
+        """
+        self._evidence.on_proven(proven)
+        held_back = [content for content, _ in self._quarantine.entries()]
+        for content in held_back:
+            if content.isdisjoint(proven):
+                continue
+            known = self._proven.get(content, frozenset()) | proven
+            self._proven[content] = known & content
+            if content <= known:
+                self._release(content)
+
+    def _release(self, content: frozenset[bytes]) -> None:
+        self._proven.pop(content, None)
+        self._quarantine.remove(content)
+        self._log.write("quarantine_released", content=_hex(content))
+        self._links.broadcast(
+            messages_fleet.QuarantineNotice(sorted(content), 0)
+        )
 
 
 def _hex(content: Iterable[bytes]) -> list[str]:
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -11,25 +11,45 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamwall.gateway import fingerprints as fingerprints_module
+    from balsamwall.gateway import quarantine as quarantine_module
     from balsamwall.timing import clock as clock_module
 
 # A broken response and the loss of its server are one crash if they are
 # reported within this time. A server's record expires within 4 s.
 CONFIRMATION_MS = 6_000
-# Crashes of different processes on which content is held back.
-CRASHES_TO_QUARANTINE = 3
+# Weight of a crash for content of a request whose response had begun, and for
+# the digest of a whole request. Other requests on the server may have waited.
+STRONG_WEIGHT = 2
+WEAK_WEIGHT = 1
+# Content is held back at this sum of weights: after three crashes with strong
+# evidence.
+QUARANTINE_SCORE = 3 * STRONG_WEIGHT
 # Servers of a failed availability zone crash together. Crashes count as one
 # within this time, in which other servers respond to content that is sound.
 ROUND_MS = 300
-# An entry with a proof is asked for it from this number of crashes on.
-CRASHES_TO_WATCH = 2
-# Crashes of one content are counted together if none is further apart.
+# The entries are asked for a proof from this sum of weights on, and have this
+# time to respond before content is held back.
+WATCH_SCORE = 3
+PROOF_WAIT_MS = 200
+# Crashes of one content are counted together for this time.
 EVIDENCE_MS = 900_000
 MAX_CONTENTS = 20_000
 MAX_PROCESSES = 500
 MAX_BROKEN_PER_PROCESS = 500
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BrokenRequest:
+    """Hold a request that broke on a server process."""
+
+    fingerprints: fingerprints_module.RequestFingerprints
+    has_begun: bool  # whether the head of its response had arrived
+    at_ms: int
+
+
 class _Process:
     """Hold the broken requests of a server process that may have crashed."""
 
@@ -38,41 +58,57 @@
     def __init__(self, now_ms: int) -> None:
         self.seen_ms = now_ms
         self.lost_ms: int | None = None
-        self.broken: list[tuple[frozenset[bytes], int]] = []
+        self.broken: list[BrokenRequest] = []
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Crash:
+    """Hold when a process crashed and how much that says of one content."""
+
+    at_ms: int
+    weight: int
 
 
 class _Evidence:
     """Hold the crashes of one content since its last proof."""
 
-    __slots__ = (
-        "companions",
-        "last_round_ms",
-        "processes",
-        "rounds",
-        "since_ms",
-    )
+    __slots__ = ("companions", "crashes", "since_ms", "watched_ms")
 
     def __init__(self, companions: frozenset[bytes], at_ms: int) -> None:
         self.since_ms = at_ms
-        self.last_round_ms = at_ms - ROUND_MS
-        self.rounds = 0
-        self.processes: set[str] = set()
+        self.watched_ms: int | None = None
+        # By server process.
+        self.crashes: dict[str, _Crash] = {}
         # Content that was present in each request with this one.
         self.companions = companions
 
+    @property
+    def score(self) -> int:
+        """Return the sum of weights, one for all crashes of one round."""
+        total = 0
+        weight = 0
+        round_ms: int | None = None
+        for crash in sorted(self.crashes.values(), key=lambda c: c.at_ms):
+            if round_ms is None or crash.at_ms - round_ms >= ROUND_MS:
+                total += weight
+                weight = 0
+                round_ms = crash.at_ms
+            weight = max(weight, crash.weight)
+        return total + weight
+
+    @property
+    def weight(self) -> tuple[int, int]:
+        """Return the score and, among equal ones, the number of crashes."""
+        return self.score, len(self.crashes)
+
     def add(
-        self, process: str, fingerprints: frozenset[bytes], at_ms: int
-    ) -> bool:
-        """Count a crash; return whether it is one of a new round."""
-        self.companions &= fingerprints
-        if process in self.processes:
-            return False
-        self.processes.add(process)
-        if at_ms - self.last_round_ms < ROUND_MS:
-            return False
-        self.last_round_ms = at_ms
-        self.rounds += 1
-        return True
+        self, process: str, crash: _Crash, companions: frozenset[bytes]
+    ) -> None:
+        """Count a crash; of several reports the strongest one counts."""
+        self.companions &= companions
+        known = self.crashes.get(process)
+        if known is None or known.weight < crash.weight:
+            self.crashes[process] = crash
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -91,6 +127,8 @@
     quarantined: list[frozenset[bytes]] = dataclasses.field(
         default_factory=list
     )
+    # Content to judge again after PROOF_WAIT_MS.
+    undecided: list[bytes] = dataclasses.field(default_factory=list)
 
 
 class CrashEvidence:
@@ -99,25 +137,35 @@
     All requests without a proof on a crashed server are suspects. Content is
     at fault if suspects with it crash three processes, not all at once, and
     no response to it has been proven since the first of them. Sound content
-    proves itself meanwhile, as far as it is in use.
+    proves itself meanwhile, as far as it is in use. Crashes that are explained
+    by content at fault say nothing of other content.
     """
 
-    __slots__ = ("_clock", "_evidence", "_processes", "_proven_ms")
+    __slots__ = (
+        "_clock",
+        "_evidence",
+        "_processes",
+        "_proven_ms",
+        "_quarantine",
+    )
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        quarantine: quarantine_module.Quarantine,
+    ) -> None:
         self._clock = clock
+        self._quarantine = quarantine
         self._processes: dict[str, _Process] = {}
         self._evidence: dict[bytes, _Evidence] = {}
         # By fingerprint: reports of broken requests before this are void.
         self._proven_ms: dict[bytes, int] = {}
 
-    def on_broken(
-        self, process: str, fingerprints: frozenset[bytes], at_ms: int
-    ) -> Findings:
-        """Add a request that broke at a process, at a time of this clock."""
+    def on_broken(self, process: str, broken: BrokenRequest) -> Findings:
+        """Add a request that broke at a process."""
         found = self._process(process)
         if len(found.broken) < MAX_BROKEN_PER_PROCESS:
-            found.broken.append((fingerprints, at_ms))
+            found.broken.append(broken)
         return self._confirm(process, found)
 
     def on_lost(self, process: str) -> Findings:
@@ -135,6 +183,66 @@
             self._evidence.pop(content, None)
             self._proven_ms[content] = now_ms
 
+    def judge(self, contents: Iterable[bytes]) -> Findings:
+        """Decide on contents, those with the most evidence first."""
+        findings = Findings()
+        remaining = {
+            content for content in contents if content in self._evidence
+        }
+        while remaining:
+            content = max(remaining, key=self._rank)
+            remaining.discard(content)
+            self._judge(content, findings)
+        return findings
+
+    def _rank(self, content: bytes) -> tuple[tuple[int, int], bytes]:
+        evidence = self._evidence.get(content)
+        return evidence.weight if evidence else (0, 0), content
+
+    def _judge(self, content: bytes, findings: Findings) -> None:
+        evidence = self._evidence.get(content)
+        if evidence is None or evidence.score < WATCH_SCORE:
+            return
+        now_ms = self._clock.now_ms()
+        if evidence.watched_ms is None:
+            evidence.watched_ms = now_ms
+            findings.watches.append(Watch(content, evidence.since_ms))
+        if evidence.score < QUARANTINE_SCORE:
+            return
+        if now_ms - evidence.watched_ms < PROOF_WAIT_MS:
+            findings.undecided.append(content)
+            return
+        found = self._indistinguishable(evidence)
+        findings.quarantined.append(found)
+        self._discount(found, evidence)
+
+    def _indistinguishable(self, evidence: _Evidence) -> frozenset[bytes]:
+        """Return the content that the same crashes speak against."""
+        return frozenset(
+            other
+            for other in evidence.companions
+            if other in self._evidence
+            and self._evidence[other].score >= evidence.score
+        )
+
+    def _discount(
+        self, found: frozenset[bytes], explanation: _Evidence
+    ) -> None:
+        """Drop crashes that content at fault explains from other evidence.
+
+        Content with as much evidence may be at fault itself.
+        """
+        weight = explanation.weight
+        for content in list(self._evidence):
+            evidence = self._evidence[content]
+            if content in found or evidence.weight >= weight:
+                continue
+            crashes = evidence.crashes
+            for process in explanation.crashes.keys() & crashes.keys():
+                del crashes[process]
+            if not crashes:
+                del self._evidence[content]
+
     def _process(self, process: str) -> _Process:
         found = self._processes.get(process)
         if found is None:
@@ -156,62 +264,47 @@
 
     def _confirm(self, name: str, process: _Process) -> Findings:
         """Count the broken requests of a process that is lost."""
-        findings = Findings()
         if process.lost_ms is None:
-            return findings
+            return Findings()
         broken, process.broken = process.broken, []
         counted: set[bytes] = set()
-        for fingerprints, at_ms in broken:
-            if abs(process.lost_ms - at_ms) > CONFIRMATION_MS:
-                continue
-            for content in fingerprints:
-                if self._count(name, content, fingerprints, at_ms):
-                    counted.add(content)
+        for request in broken:
+            if abs(process.lost_ms - request.at_ms) <= CONFIRMATION_MS:
+                counted |= self._count(name, request)
+        return self.judge(counted)
+
+    def _count(self, process: str, request: BrokenRequest) -> frozenset[bytes]:
+        """Count a crash for the content of a request; return that content."""
+        fingerprints = request.fingerprints
+        explained = self._quarantine.match(fingerprints.all)
+        counted = explained or fingerprints.all
         for content in counted:
-            self._judge(content, findings)
-        return findings
-
-    def _count(
-        self,
-        process: str,
-        content: bytes,
-        fingerprints: frozenset[bytes],
-        at_ms: int,
-    ) -> bool:
-        """Count a crash; return whether it is one of a new round."""
-        if at_ms < self._proven_ms.get(content, at_ms):
-            return False
+            if request.at_ms < self._proven_ms.get(content, request.at_ms):
+                continue
+            is_strong = request.has_begun or content == fingerprints.request
+            weight = STRONG_WEIGHT if is_strong else WEAK_WEIGHT
+            self._evidence_for(content, request).add(
+                process, _Crash(request.at_ms, weight), fingerprints.all
+            )
+        return counted
+
+    def _evidence_for(
+        self, content: bytes, request: BrokenRequest
+    ) -> _Evidence:
         evidence = self._evidence.get(content)
-        if evidence is None or (at_ms - evidence.last_round_ms > EVIDENCE_MS):
+        age_ms = request.at_ms - evidence.since_ms if evidence else 0
+        if evidence is None or age_ms > EVIDENCE_MS:
             if len(self._evidence) >= MAX_CONTENTS:
-                self._drop_old_evidence()
-            evidence = _Evidence(fingerprints, at_ms)
+                self._drop_weak_evidence()
+            evidence = _Evidence(request.fingerprints.all, request.at_ms)
             self._evidence[content] = evidence
-        return evidence.add(process, fingerprints, at_ms)
-
-    def _judge(self, content: bytes, findings: Findings) -> None:
-        evidence = self._evidence.get(content)
-        if evidence is None:
-            return
-        if evidence.rounds == CRASHES_TO_WATCH:
-            findings.watches.append(Watch(content, evidence.since_ms))
-        elif evidence.rounds >= CRASHES_TO_QUARANTINE:
-            findings.quarantined.append(self._indistinguishable(evidence))
-
-    def _indistinguishable(self, evidence: _Evidence) -> frozenset[bytes]:
-        """Return the content that the same crashes speak against."""
-        return frozenset(
-            other
-            for other in evidence.companions
-            if other in self._evidence
-            and self._evidence[other].rounds >= evidence.rounds
-        )
+        return evidence
 
-    def _drop_old_evidence(self) -> None:
-        """Keep the content with several crashes, else the newest."""
+    def _drop_weak_evidence(self) -> None:
+        """Keep the content with several crashes, if that is not too much."""
         kept = {
             content: evidence
             for content, evidence in self._evidence.items()
-            if evidence.rounds >= CRASHES_TO_WATCH
+            if evidence.score >= WATCH_SCORE
         }
         self._evidence = kept if len(kept) < MAX_CONTENTS // 2 else {}
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -183,7 +183,11 @@
             age_ms = self._clock.now_ms() - broken.at_ms
             self._link.send(
                 messages_fleet.BrokenRequestReport(
-                    broken.process, sorted(broken.fingerprints), age_ms
+                    broken.process,
+                    broken.fingerprints.request,
+                    sorted(broken.fingerprints.parts),
+                    broken.has_begun,
+                    age_ms,
                 )
             )
 
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -111,10 +111,13 @@
     """Report a request that broke at a server process, some ms ago.
 
     The response was not proven: the server may have crashed as it began.
+    Fingerprints are those of the whole request and of its prompt parts.
     """
 
     process: str
-    fingerprints: list[bytes]
+    request: bytes
+    parts: list[bytes]
+    has_begun: bool
     age_ms: int
 
 
--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import fingerprints as fingerprints_module
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
@@ -33,13 +34,19 @@
 class BrokenRequest:
     """Hold a request whose response broke before it was proven sound."""
 
-    __slots__ = ("at_ms", "fingerprints", "process")
+    __slots__ = ("at_ms", "fingerprints", "has_begun", "process")
 
     def __init__(
-        self, process: str, fingerprints: frozenset[bytes], at_ms: int
+        self,
+        process: str,
+        fingerprints: fingerprints_module.RequestFingerprints,
+        has_begun: bool,
+        at_ms: int,
     ) -> None:
         self.process = process
         self.fingerprints = fingerprints
+        # Whether the head of its response had arrived.
+        self.has_begun = has_begun
         self.at_ms = at_ms
 
 
@@ -111,11 +118,12 @@
     def on_broken_response(
         self,
         record: backend_directory.ServerRecord,
-        fingerprints: frozenset[bytes],
+        fingerprints: fingerprints_module.RequestFingerprints,
+        has_begun: bool,
     ) -> None:
         """Report a request whose response was not proven when it broke."""
         broken = BrokenRequest(
-            process_name(record), fingerprints, self._clock.now_ms()
+            process_name(record), fingerprints, has_begun, self._clock.now_ms()
         )
         self._broken.append(broken)
         if self._link is not None:
--- a/src/balsamwall/gateway/fingerprints.py
+++ b/src/balsamwall/gateway/fingerprints.py
@@ -16,20 +16,30 @@
 MAX_PARTS = 64
 
 
+class RequestFingerprints:
+    """Hold the digests of one request."""
+
+    __slots__ = ("all", "parts", "request")
+
+    def __init__(self, request: bytes, parts: frozenset[bytes]) -> None:
+        self.request = request  # equal for all resends of the request
+        self.parts = parts  # each equal for all requests that share a part
+        self.all = parts | {request}
+
+
 def of_request(
     head: caller_exchange.RequestHead,
     body: bytes,
     parts: Sequence[incoming_request.PromptPart],
-) -> frozenset[bytes]:
-    """Return the digests of the whole request and of its prompt parts.
-
-    The first is equal for all resends of the request, the others for all
-    requests that share a part.
-    """
-    found = {_digest(b"request", head.method, head.target, body)}
-    for part in parts[:MAX_PARTS]:
-        found.add(_digest(b"part", part.part_id.encode("latin-1")))
-    return frozenset(found)
+) -> RequestFingerprints:
+    """Return the digests of the whole request and of its prompt parts."""
+    return RequestFingerprints(
+        _digest(b"request", head.method, head.target, body),
+        frozenset(
+            _digest(b"part", part.part_id.encode("latin-1"))
+            for part in parts[:MAX_PARTS]
+        ),
+    )
 
 
 def _digest(*values: bytes) -> bytes:
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -187,6 +187,9 @@
             service,
             self._handlers.discard,
         )
+        if handler.refuse_quarantined():
+            # It is no demand for its model.
+            return
         self._handlers.add(handler)
         if request.model:
             counts = self._arrivals.setdefault(request.model, [0, 0])
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -24,6 +24,7 @@
     from balsamwall.gateway import body_framing
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import connection_pool
+    from balsamwall.gateway import fingerprints as fingerprints_module
     from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import route as route_module
@@ -61,7 +62,7 @@
         """Return whether the stream has stopped inside an event."""
 
     @property
-    def fingerprints(self) -> frozenset[bytes]:
+    def fingerprints(self) -> fingerprints_module.RequestFingerprints:
         """Return digests of the request and of the parts of its prompt."""
 
     @property
@@ -265,7 +266,7 @@
             and not handler.is_proven
         ):
             self.suspects.on_broken_response(
-                server.record, handler.fingerprints
+                server.record, handler.fingerprints, attempt.status != 0
             )
         self.log.write(
             "attempt_failed",
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -90,7 +90,8 @@
         self.progress = stream_progress.StreamProgress()
         self.sends = 0
         self._is_finished = False
-        self._fingerprints: frozenset[bytes] | None = None
+        self._fingerprints: fingerprints_module.RequestFingerprints | None
+        self._fingerprints = None
         # When the current response brought its first data.
         self._first_data_ms: int | None = None
         self._is_proven = False
@@ -112,7 +113,7 @@
         )
 
     @property
-    def fingerprints(self) -> frozenset[bytes]:
+    def fingerprints(self) -> fingerprints_module.RequestFingerprints:
         """Return digests of the request and of the parts of its prompt."""
         if self._fingerprints is None:
             self._fingerprints = fingerprints_module.of_request(
@@ -180,8 +181,6 @@
     def start(self) -> None:
         """Send, queue or refuse the request."""
         self._exchange.set_listener(self)
-        if self.refuse_quarantined():
-            return
         self._deadline_timer = self._dependencies.clock.call_later(
             self.left_ms, self.on_deadline
         )
@@ -195,7 +194,7 @@
         quarantine = self._dependencies.suspects.quarantine
         if not quarantine or self._is_proven or self._is_finished:
             return False
-        content = quarantine.match(self.fingerprints)
+        content = quarantine.match(self.fingerprints.all)
         if not content:
             return False
         self._abandon_attempt(is_failure=False)
@@ -379,7 +378,9 @@
         self._is_proven = True
         if first_data_ms is None:
             first_data_ms = self._dependencies.clock.now_ms()
-        self._dependencies.suspects.on_proven(self.fingerprints, first_data_ms)
+        self._dependencies.suspects.on_proven(
+            self.fingerprints.all, first_data_ms
+        )
 
     def _stream_fault(self, attempt: attempt_module.Attempt) -> str:
         """Return why a stream that has ended is not whole, if it is not.
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -6,6 +6,7 @@
 
 from balsamwall.coordination import crash_evidence
 from balsamwall.gateway import crash_suspects
+from balsamwall.gateway import fingerprints
 from balsamwall.gateway import quarantine
 from balsamwall.logs import decision_log
 from balsamwall.timing import virtual_clock
@@ -19,23 +20,42 @@
 
     def setUp(self):
         self.clock = virtual_clock.VirtualClock(start_ms=10_000)
-        self.evidence = crash_evidence.CrashEvidence(self.clock)
+        self.quarantine = quarantine.Quarantine(self.clock)
+        self.evidence = crash_evidence.CrashEvidence(
+            self.clock, self.quarantine
+        )
         self.quarantined = []
         self.watched = []
+        self.requests = 0
 
     def apply(self, findings):
         self.quarantined += findings.quarantined
         self.watched += [watch.content for watch in findings.watches]
+        for content in findings.undecided:
+            self.clock.call_later(
+                crash_evidence.PROOF_WAIT_MS,
+                lambda item: self.apply(self.evidence.judge([item])),
+                content,
+            )
+
+    def break_request(self, process, parts, at_ms, has_begun=True):
+        """Let an entry report a request with these parts."""
+        self.requests += 1
+        found = fingerprints.RequestFingerprints(
+            self.requests.to_bytes(16, "big"), frozenset(parts)
+        )
+        self.apply(
+            self.evidence.on_broken(
+                process, crash_evidence.BrokenRequest(found, has_begun, at_ms)
+            )
+        )
 
-    def crash(self, process, *requests, gap_ms=1_000, entries=3):
-        """Let entries report the requests and the loss of a process."""
+    def crash(self, process, *requests, gap_ms=1_000, has_begun=True):
+        """Let three entries report requests and the loss of a process."""
         now_ms = self.clock.now_ms()
-        for _ in range(entries):
-            for content in requests:
-                found = self.evidence.on_broken(
-                    process, frozenset(content), now_ms
-                )
-                self.apply(found)
+        for _ in range(3):
+            for parts in requests:
+                self.break_request(process, parts, now_ms, has_begun)
             self.apply(self.evidence.on_lost(process))
         self.clock.advance(gap_ms)
 
@@ -72,10 +92,9 @@
         self.evidence.on_proven(frozenset([SOUND]))
         for process in ("s1", "s2", "s3"):
             self.evidence.on_lost(process)
-            self.apply(
-                self.evidence.on_broken(process, frozenset([SOUND]), at_ms)
-            )
+            self.break_request(process, [SOUND], at_ms)
             at_ms += crash_evidence.ROUND_MS
+        self.clock.advance(crash_evidence.PROOF_WAIT_MS)
         self.assertEqual((self.quarantined, self.watched), ([], []))
 
     def test_content_seen_only_together_is_held_back_together(self):
@@ -87,11 +106,31 @@
         self.assertIn(frozenset([BAD]), self.quarantined)
         self.assertNotIn(frozenset([SOUND]), self.quarantined)
 
+    def test_requests_that_waited_need_more_crashes(self):
+        """Guards against blaming content that only waited at the servers."""
+        for number in range(5):
+            self.crash(f"s{number}", [SOUND], has_begun=False)
+        self.assertEqual(self.quarantined, [])
+        self.crash("s5", [SOUND], has_begun=False)
+        self.assertEqual(set(self.quarantined), {frozenset([SOUND])})
+
+    def test_crashes_of_known_content_say_nothing_of_other_content(self):
+        """Guards against blaming content that comes with what is at fault."""
+        for number in range(3):
+            now_ms = self.clock.now_ms()
+            self.break_request(f"s{number}", [SOUND], now_ms, False)
+            self.crash(f"s{number}", [BAD])
+        self.assertEqual(set(self.quarantined), {frozenset([BAD])})
+        self.quarantine.add(frozenset([BAD]), 1_000_000)
+        for number in range(3, 6):
+            self.crash(f"s{number}", [BAD, FIRST, SOUND])
+        self.assertEqual(set(self.quarantined), {frozenset([BAD])})
+
     def test_loss_without_a_broken_request_is_ignored(self):
         """Guards against blaming requests that broke long before."""
         for process in ("s1", "s2", "s3"):
             now_ms = self.clock.now_ms()
-            self.evidence.on_broken(process, frozenset([SOUND]), now_ms)
+            self.break_request(process, [SOUND], now_ms)
             self.clock.advance(crash_evidence.CONFIRMATION_MS + 1)
             self.apply(self.evidence.on_lost(process))
         self.assertEqual(self.quarantined, [])
@@ -102,19 +141,14 @@
             self.evidence.on_lost(process)
             now_ms = self.clock.now_ms()
             self.clock.advance(400)
-            self.apply(
-                self.evidence.on_broken(process, frozenset([BAD]), now_ms)
-            )
+            self.break_request(process, [BAD], now_ms)
         self.assertEqual(self.quarantined, [frozenset([BAD])])
 
     def test_memory_is_bounded(self):
         """Guards against memory growth with each broken connection."""
         for number in range(3 * crash_evidence.MAX_CONTENTS):
-            content = number.to_bytes(16, "big")
             process = f"s{number // 50}"
-            self.evidence.on_broken(
-                process, frozenset([content]), self.clock.now_ms()
-            )
+            self.break_request(process, [], self.clock.now_ms())
             self.evidence.on_lost(process)
         self.assertLessEqual(
             len(self.evidence._evidence), crash_evidence.MAX_CONTENTS
@@ -168,10 +202,11 @@
         self.report_lost = self.lost.append
         self.report_proven = self.proven.append
         self.record = gateway_harness.make_record("s1")
+        self.request = fingerprints.RequestFingerprints(FIRST, frozenset())
 
     def test_reports_are_repeated_to_a_new_coordinator(self):
         """Guards against evidence that is lost with a coordinator."""
-        self.suspects.on_broken_response(self.record, frozenset([BAD]))
+        self.suspects.on_broken_response(self.record, self.request, True)
         self.suspects.on_server_lost(self.record)
         self.suspects.repeat_reports()
         self.assertEqual((len(self.broken), len(self.lost)), (2, 2))
@@ -201,7 +236,7 @@
         for number in range(2 * crash_suspects.MAX_PROVEN):
             content = frozenset([number.to_bytes(16, "big")])
             self.suspects.on_proven(content, 1)
-            self.suspects.on_broken_response(self.record, content)
+            self.suspects.on_broken_response(self.record, self.request, True)
             self.suspects.watch(number.to_bytes(16, "big"), 100)
         self.assertEqual(
             len(self.suspects._proven_ms), crash_suspects.MAX_PROVEN
--- a/tests/gateway/test_prompt_part_crashes.py
+++ b/tests/gateway/test_prompt_part_crashes.py
@@ -23,6 +23,7 @@
             since_ms = crashes_ms[crashes - 1] + CONTACT_MS
             late = fleet.deadly_arrivals_since(since_ms)
             self.assertLessEqual(len(late), MAX_LATE_SENDS)
+        self.assertEqual(fleet.sound_quarantined(), [])
         last_ms = crashes_ms[min(len(crashes_ms), crashes) - 1]
         share = fleet.sound_share(
             last_ms + 2 * CONTACT_MS, fleet.clock.now_ms() - 1_000
@@ -88,9 +89,18 @@
             for server in list(fleet.servers.values())[:4]:
                 server.crash()
         fleet.load(50, 5_000)
-        found = [
-            exchange
-            for _, exchange, _, _ in fleet.sound
-            if b"QUARANTINED" in exchange.data
-        ]
-        self.assertEqual(found, [])
+        self.assertEqual(fleet.sound_quarantined(), [])
+
+    def test_proofs_count_at_a_new_coordinator(self):
+        """Guards against blaming sound content on reports sent again."""
+        for seed in range(10, 14):
+            fleet = crash_harness.CrashFleet(4, servers=9, seed=seed)
+            for _ in range(4):
+                fleet.load(50, 1_500, subjects=6)
+                for server in list(fleet.servers.values())[:3]:
+                    server.crash()
+                fleet.load(50, crash_harness.RESTART_MS, subjects=6)
+            fleet.elect(1)
+            fleet.load(50, 2_000, subjects=6)
+            with self.subTest(f"seed {seed}"):
+                self.assertEqual(fleet.sound_quarantined(), [])
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -198,6 +198,25 @@
             statuses.append(exchange.status)
         self.assertEqual(statuses, [502] * 3 + [503] * 5)
 
+    def test_refused_content_is_no_demand_for_its_model(self):
+        """Guards against loading a model for requests that are refused."""
+        harness = harness_module.GatewayHarness(
+            harness_module.make_route(kind=Kind.STREAMING),
+            engine=harness_module.make_engine("m1"),
+        )
+        harness.add_servers("s1", models={"m1": ()})
+        fields = [*MODEL, (b"balsamwall-prompt-prefix", b"bad:9,own:9")]
+        harness.send_request(method=b"POST", fields=fields)
+        (handler,) = harness.gateway._handlers
+        self.assertEqual(len(harness.gateway.take_arrivals()), 1)
+        suspects = harness.dependencies.suspects
+        suspects.hold_back(handler.fingerprints.parts, 1_000)
+        exchange = harness.send_request(method=b"POST", fields=fields)
+        self.assertEqual(exchange.status, 503)
+        self.assertIn((b"retry-after", b"1.00"), exchange.fields)
+        self.assertEqual(harness.gateway.take_arrivals(), {})
+        self.assertEqual(harness.gateway.active_requests, 0)
+
     def test_broken_connection_alone_quarantines_nothing(self):
         """Guards against refusing requests after network faults."""
         harness = harness_module.GatewayHarness(
