--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -9,6 +9,7 @@
 from balsamwall.coordination import messages_fleet
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import backend_directory
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import release_pacing
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import wait_forecast
@@ -55,7 +56,9 @@
                 release_pacing.ReleasePacing(random.Random(1)),
             ),
             wait_forecast.WaitForecast(self.clock),
-            lambda content: None,
+            crash_suspects.CrashSuspects(
+                self.clock, decision_log.DecisionLog(self.clock)
+            ),
             lambda changes: None,
             lambda: None,
             decision_log.DecisionLog(self.clock),
