Chunk responses without length for callers

Change: such a response is chunked for callers, and gets its last chunk only at a clean end of the server's connection that is also the end of an event. The connection of the caller stays open for the next request. A known incomplete response has no last chunk; for HTTP/1.0 the connection is reset.

--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -74,9 +74,6 @@
             h11.SERVER,
             max_incomplete_event_size=site.limits.max_header_bytes,
         )
-        # Frames the responses: the parser, but for close-delimited ones.
-        self._writer = self._parser
-        self._is_close_delimited = False
         self._head: caller_exchange.RequestHead | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -216,20 +213,16 @@
         status: int,
         fields: Sequence[tuple[bytes, bytes]],
         length: int | None,
-        is_close_delimited: bool = False,
     ) -> None:
         """Write the head of the response.
 
-        Without a length, the body is chunked. For HTTP/1.0, or if it is
-        close-delimited, it ends with the connection.
+        Without a length, the body is chunked or, for HTTP/1.0, ends with the
+        connection.
         """
         headers = list(fields)
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
-        self._is_close_delimited = is_close_delimited
-        if is_close_delimited:
-            self._writer = _new_close_delimited_writer()
-        elif self._site.is_closing:
+        if self._site.is_closing:
             headers.append((b"connection", b"close"))
         self._send(h11.Response(status_code=status, headers=headers))
 
@@ -241,10 +234,6 @@
         """End a complete response."""
         if not self._send(h11.EndOfMessage()):
             return
-        if self._is_close_delimited:
-            self._listener = None
-            self._close()
-            return
         self._next_request()
 
     def cut(self) -> None:
@@ -252,10 +241,9 @@
         self._listener = None
         if self._is_lost:
             return
-        is_http_1_0 = self._parser.their_http_version == b"1.0"
-        if is_http_1_0 or self._is_close_delimited:
-            # Without chunks, a clean close would look like the end of the
-            # body. A reset does not.
+        if self._parser.their_http_version == b"1.0":
+            # HTTP/1.0 has no chunked coding, so a clean close would look like
+            # the end of the body. A reset does not.
             self._is_closing = True
             self._set_timer(FLUSH_BEFORE_ABORT_MS, self.abort)
             return
@@ -297,7 +285,7 @@
     def _send(self, event: Any) -> bool:
         if self._is_lost:
             return False
-        data = self._writer.send(event)
+        data = self._parser.send(event)
         if data:
             self.transport.write(data)
         return True
@@ -361,18 +349,6 @@
             self._timer = None
 
 
-def _new_close_delimited_writer() -> h11.Connection:
-    """Return a writer for one response that ends with the connection.
-
-    h11 uses this framing only for a caller of HTTP/1.0, and chunks otherwise.
-    """
-    writer = h11.Connection(h11.SERVER)
-    writer.receive_data(b"GET / HTTP/1.0\r\n\r\n")
-    while not isinstance(writer.next_event(), h11.EndOfMessage):
-        pass
-    return writer
-
-
 def _framing_fault(fields: http_fields.Fields, version: bytes) -> str:
     """Return why the framing of a request is ambiguous, or an empty string.
 
--- a/src/balsamwall/gateway/caller_exchange.py
+++ b/src/balsamwall/gateway/caller_exchange.py
@@ -59,12 +59,11 @@
         status: int,
         fields: Sequence[tuple[bytes, bytes]],
         length: int | None,
-        is_close_delimited: bool = False,
     ) -> None:
         """Write the head of the response.
 
-        Without a length, the body is chunked. For HTTP/1.0, or if it is
-        close-delimited, it ends with the connection.
+        Without a length, the body is chunked or, for HTTP/1.0, ends with the
+        connection.
         """
 
     def write(self, data: bytes) -> None:
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -298,7 +298,9 @@
         """Begin the response to the caller.
 
         An event stream has no length for the caller, since the length would
-        end it before its last event is known to be complete.
+        end it before its last event is known to be complete. A response that
+        ends with the server's connection is chunked for the caller, so that
+        the loss of this process does not look like its end.
         """
         self._has_begun = True
         self._release_pending_tokens()
@@ -310,7 +312,6 @@
             attempt.status,
             self._dependencies.codec.response_fields(fields),
             length,
-            attempt.framing is body_framing.BodyFraming.CLOSE,
         )
 
     def _is_event_stream(self, attempt: attempt_module.Attempt) -> bool:
