Let servers of the soak end responses with their connection

Cause: no server of the soak sent a response without length and chunks, and its proxies turned each reset into a close in good order.

Change: a quarter of the responses end with their connection, streams that are broken off inside an event among them; a reset stays a reset; callers take a close in good order for the end of such a response.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -27,6 +27,8 @@
 ERROR_SHARE = 0.03
 REJECT_SHARE = 0.03
 TRUNCATED_SHARE = 0.02
+# Share of the responses that end with their connection.
+UNFRAMED_SHARE = 0.25
 MODELS = ("m1", "m2", "m3", "m4")
 
 
@@ -292,6 +294,10 @@
         request.setHeader(
             "Balsamwall-Response-Signature", f"{backend.server_id}.{self._id}"
         )
+        self._is_unframed = backend.random.random() < UNFRAMED_SHARE
+        if self._is_unframed:
+            # Without chunks; the connection is closed at the end.
+            request.clientproto = b"HTTP/1.0"
         self._event_count = int(request.getHeader("x-events") or 0)
         step = self._send_event if self._event_count else self._respond
         reactor.callLater(WORK_S, step)
@@ -303,6 +309,10 @@
         if self._is_finished:
             return
         body = ledger_module.expected_body(self._id)
+        if self._is_unframed:
+            self._request.write(body)
+            self._finish()
+            return
         if self._backend.random.random() < ERROR_SHARE:
             self._request.setResponseCode(500)
         elif self._backend.random.random() < self._backend.truncated_share:
@@ -314,11 +324,17 @@
         self._request.write(body)
         self._request.finish()
 
+    def _finish(self) -> None:
+        channel = self._request.channel
+        self._request.finish()
+        if self._is_unframed:
+            channel.loseConnection()
+
     def _send_event(self) -> None:
         if self._is_finished:
             return
         if self._next_event > self._event_count:
-            self._request.finish()
+            self._finish()
             return
         if self._next_event == 1:
             self._request.setHeader("Content-Type", "text/event-stream")
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -7,6 +7,7 @@
 
 import h11
 from twisted.internet import endpoints
+from twisted.internet import error
 from twisted.internet import protocol
 from twisted.internet import reactor
 
@@ -232,8 +233,14 @@
         self._caller.on_request_finished()
 
     def connectionLost(self, reason: Any = None) -> None:
-        """Finish the request that was in flight."""
+        """Finish the request that was in flight.
+
+        A close in good order ends a response without any other end.
+        """
         self._is_lost = True
+        if self._request is not None and reason.check(error.ConnectionDone):
+            self._http.receive_data(b"")
+            self._read()
         self._finish()
 
     def close(self) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from twisted.internet import endpoints
+from twisted.internet import error
 from twisted.internet import protocol
 from twisted.internet import reactor
 
@@ -143,12 +144,16 @@
         ):
             self._server_side.transport.abortConnection()
 
-    def on_server_closed(self) -> None:
-        """Close the client connection after the bytes received so far."""
+    def on_server_closed(self, is_clean: bool) -> None:
+        """Close the client connection after the bytes received so far.
+
+        A reset by the server becomes a reset of the client connection.
+        """
         if not self._is_closed and not self._proxy.is_dropped(
             is_request=False
         ):
-            reactor.callLater(DELAY_S, self._close)
+            end = self._close if is_clean else self.abort
+            reactor.callLater(DELAY_S, end)
 
     def _close(self) -> None:
         if not self._is_closed:
@@ -176,4 +181,4 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         """Report the close to the client side."""
-        self._client_side.on_server_closed()
+        self._client_side.on_server_closed(reason.check(error.ConnectionDone))
