Let callers of the soak send a prompt part that crashes engines

Cause: nothing in the soak crashed servers by content.

The digest of a whole request covers its model and prompt parts. A crash counts as strong evidence only for responses with a head and no whole event.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -11,6 +11,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+from soak import deadly_part as deadly_part_module
 from soak import ledger as ledger_module
 from soak import proxy as proxy_module
 from soak import server_limit
@@ -43,8 +44,10 @@
         data: store_module.StoreData,
         ledger: ledger_module.Ledger,
         random_source: random.Random,
-        truncated_share: float = TRUNCATED_SHARE,
+        truncated_share: float,
+        deadly_part: deadly_part_module.DeadlyPart,
     ) -> None:
+        self.deadly_part = deadly_part
         self.truncated_share = truncated_share
         self.server_id = server_id
         self.service = service
@@ -139,15 +142,22 @@
         self.state = "ready"
         self.draining_since_ms = None
 
-    def crash(self) -> None:
-        """Abort all connections and restart without models after RESTART_S."""
+    def crash(self, is_clean: bool = False) -> None:
+        """End all connections and restart without models after RESTART_S.
+
+        A clean end inside an event looks like the end of a response.
+        """
         if not self.is_up:
             return
         self.is_up = False
         self._heartbeat.cancel()
         self._listener.stopListening()
         for request in list(self._open_requests):
-            request.channel.forceAbortClient()
+            if is_clean:
+                request.write(b"id: ")
+                request.channel.loseConnection()
+            else:
+                request.channel.forceAbortClient()
         self._open_requests.clear()
         self._data.end_lease(self._lease)
         reactor.callLater(RESTART_S, self._restart)
@@ -171,6 +181,10 @@
             lambda result: self._open_requests.discard(request)
         )
 
+    def forget_request(self, request: server.Request) -> None:
+        """Write nothing more to a request that was broken off."""
+        self._open_requests.discard(request)
+
     # Orders
 
     def apply_order(self, body: dict[str, Any]) -> int:
@@ -298,6 +312,11 @@
         if self._is_unframed:
             # Without chunks; the connection is closed at the end.
             request.clientproto = b"HTTP/1.0"
+        known = backend.ledger.requests.get(self._id)
+        self._is_deadly = backend.deadly_part.on_arrival(
+            request.getHeader("balsamwall-prompt-prefix") or "",
+            known.entry if known else "",
+        )
         self._event_count = int(request.getHeader("x-events") or 0)
         step = self._send_event if self._event_count else self._respond
         reactor.callLater(WORK_S, step)
@@ -330,9 +349,18 @@
         if self._is_unframed:
             channel.loseConnection()
 
+    def _crash(self) -> None:
+        """Crash with the head sent; connections close in good order."""
+        self._request.setHeader("Content-Type", "text/event-stream")
+        self._backend.deadly_part.on_crash()
+        reactor.callLater(0.0, self._backend.crash, is_clean=True)
+
     def _send_event(self) -> None:
         if self._is_finished:
             return
+        if self._is_deadly:
+            self._crash()
+            return
         if self._next_event > self._event_count:
             self._finish()
             return
@@ -341,6 +369,7 @@
         data = ledger_module.event(self._id, self._next_event)
         if self._backend.random.random() < self._backend.truncated_share / 10:
             self._request.write(data[: len(data) // 2])
+            self._backend.forget_request(self._request)
             self._request.channel.loseConnection()
             return
         self._request.write(data)
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -12,6 +12,7 @@
 from twisted.internet import reactor
 
 from soak import backend_server
+from soak import deadly_part as deadly_part_module
 from soak import entry as entry_module
 from soak import ledger as ledger_module
 
@@ -23,6 +24,9 @@
 MAX_EVENTS = 30
 RETRY_PAUSE_S = 0.05
 ABANDON_SHARE = 0.04
+# Share of the streams that hold a part that crashes engines, while one is
+# in use.
+DEADLY_SHARE = 0.15
 METHODS = {Kind.IDEMPOTENT: b"GET"}
 
 
@@ -35,7 +39,9 @@
         entries: list[entry_module.Entry],
         ledger: ledger_module.Ledger,
         random_source: random.Random,
+        deadly_part: deadly_part_module.DeadlyPart,
     ) -> None:
+        self._deadly_part = deadly_part
         self._number = number
         self._entries = entries
         self._ledger = ledger
@@ -87,6 +93,11 @@
             events,
             deadline_ms=DEADLINE_MS,
         )
+        request.is_deadly = bool(
+            events
+            and self._deadly_part.name
+            and self._random.random() < DEADLY_SHARE
+        )
         self._ledger.add_request(request)
         connection.send(request, self._headers(request))
         if self._random.random() < ABANDON_SHARE:
@@ -108,9 +119,18 @@
                 ("Balsamwall-Model", model),
                 ("Balsamwall-Token-Usage", "100,20"),
                 ("X-Events", str(request.events)),
+                ("Balsamwall-Prompt-Prefix", self._prompt(request)),
             ]
         return headers
 
+    def _prompt(self, request: ledger_module.Request) -> str:
+        """Return the parts of a prompt; the last one is the request's own."""
+        parts = [f"first{self._random.randrange(2)}:40"]
+        if request.is_deadly:
+            parts.append(f"{self._deadly_part.name}:20")
+        parts.append(f"second{self._random.randrange(8)}:20")
+        return ",".join([*parts, f"{request.request_id}:20"])
+
     def on_stray_data(self) -> None:
         """Record that bytes arrived without an open request."""
         self._ledger.stray_responses.append(
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 from soak import backend_server
 from soak import caller as caller_module
 from soak import checks
+from soak import deadly_part
 from soak import entry as entry_module
 from soak import faults
 from soak import ledger as ledger_module
@@ -41,6 +42,8 @@
 # Every fifth seed has planned operations only, which must not interrupt any
 # request.
 PLANNED_ONLY_PERIOD = 5
+# Share of the seeds that begin with a part of prompts that crashes engines.
+DEADLY_SHARE = 0.5
 KINDS = {
     ledger_module.Kind.IDEMPOTENT: ("idempotent", "app", False),
     ledger_module.Kind.NON_IDEMPOTENT: ("non_idempotent", "app", False),
@@ -77,6 +80,7 @@
         self.ledger = ledger_module.Ledger()
         self.data = store_module.StoreData()
         self.site = store_module.StoreSite(self.data)
+        self.deadly_part = deadly_part.DeadlyPart()
         self._version = 0
         self._have_faults_ended = False
         self._faults: list[str] = []
@@ -116,6 +120,7 @@
                 0.0
                 if self._is_planned_only
                 else backend_server.TRUNCATED_SHARE,
+                self.deadly_part,
             )
             for service in ("app", "models")
             for number in range(SERVERS)
@@ -126,6 +131,7 @@
                 self.entries,
                 self.ledger,
                 random.Random(f"{seed}/caller/{number}"),
+                self.deadly_part,
             )
             for number in range(CALLERS)
         ]
@@ -148,6 +154,9 @@
         # The limit binds only after some seconds, so that one begins early.
         self._faults.append(faults.limit_server.__name__)
         faults.limit_server(self, MAX_FAULT_S)
+        if not self._is_planned_only and self.random.random() < DEADLY_SHARE:
+            self._faults.append(faults.send_deadly_part.__name__)
+            faults.send_deadly_part(self, MAX_FAULT_S)
         self._next_fault()
         reactor.callLater(self._duration_s, self._end_faults)
 
@@ -190,12 +199,21 @@
         self.data.stop()
         reactor.stop()
 
+    def end_deadly_part(self, name: str) -> None:
+        """Check a part that crashes engines, and use it no longer."""
+        disturbed = self._disturbed_entries()
+        disturbed[""] = self._fault_windows
+        self.deadly_part.end(disturbed, name)
+
+    def _disturbed_entries(self) -> dict[str, list[tuple[int, int]]]:
+        return {entry.name: entry.disturbed_ms for entry in self.entries}
+
     def _check_promises(self) -> None:
+        self.end_deadly_part(self.deadly_part.name)
+        self._violations += self.deadly_part.violations(self.ledger)
         self._violations += checks.violations(self.ledger, self.backends)
         for backend in self.backends:
-            disturbed = {
-                entry.name: entry.disturbed_ms for entry in self.entries
-            }
+            disturbed = self._disturbed_entries()
             disturbed[""] = backend.harmed_ms
             self._violations += backend.limit.violations(
                 backend.server_id, disturbed
--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -70,7 +70,7 @@
             fingerprints.RequestFingerprints(
                 item.request, frozenset(item.parts)
             ),
-            item.has_begun,
+            item.is_at_begin,
             self._clock.now_ms() - max(0, item.age_ms),
         )
         self._apply(self._evidence.on_broken(item.process, broken))
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -20,8 +20,9 @@
 # A broken response and the loss of its server are one crash if they are
 # reported within this time. A server's record expires within 4 s.
 CONFIRMATION_MS = 6_000
-# Weight of a crash for content of a request whose response had begun, and for
-# the digest of a whole request. Other requests on the server may have waited.
+# Weight of a crash for content of a request whose response was at its begin,
+# and for the digest of a whole request. Other requests may have waited, or
+# their responses may have gone on.
 STRONG_WEIGHT = 2
 WEAK_WEIGHT = 1
 # Content is held back at this sum of weights: after three crashes with strong
@@ -46,7 +47,7 @@
     """Hold a request that broke on a server process."""
 
     fingerprints: fingerprints_module.RequestFingerprints
-    has_begun: bool  # whether the head of its response had arrived
+    is_at_begin: bool  # whether its response had a head and nothing after it
     at_ms: int
 
 
@@ -281,7 +282,7 @@
         for content in counted:
             if request.at_ms < self._proven_ms.get(content, request.at_ms):
                 continue
-            is_strong = request.has_begun or content == fingerprints.request
+            is_strong = request.is_at_begin or content == fingerprints.request
             weight = STRONG_WEIGHT if is_strong else WEAK_WEIGHT
             self._evidence_for(content, request).add(
                 process, _Crash(request.at_ms, weight), fingerprints.all
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -186,7 +186,7 @@
                     broken.process,
                     broken.fingerprints.request,
                     sorted(broken.fingerprints.parts),
-                    broken.has_begun,
+                    broken.is_at_begin,
                     age_ms,
                 )
             )
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -110,14 +110,15 @@
 class BrokenRequestReport(message.Message):
     """Report a request that broke at a server process, some ms ago.
 
-    The response was not proven: the server may have crashed as it began.
-    Fingerprints are those of the whole request and of its prompt parts.
+    The response was not proven: the server may have crashed as it began, most
+    probably if it had sent a head and nothing after it. Fingerprints are those
+    of the whole request and of its prompt parts.
     """
 
     process: str
     request: bytes
     parts: list[bytes]
-    has_begun: bool
+    is_at_begin: bool
     age_ms: int
 
 
--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -34,19 +34,19 @@
 class BrokenRequest:
     """Hold a request whose response broke before it was proven sound."""
 
-    __slots__ = ("at_ms", "fingerprints", "has_begun", "process")
+    __slots__ = ("at_ms", "fingerprints", "is_at_begin", "process")
 
     def __init__(
         self,
         process: str,
         fingerprints: fingerprints_module.RequestFingerprints,
-        has_begun: bool,
+        is_at_begin: bool,
         at_ms: int,
     ) -> None:
         self.process = process
         self.fingerprints = fingerprints
-        # Whether the head of its response had arrived.
-        self.has_begun = has_begun
+        # Whether the response had a head and nothing after it.
+        self.is_at_begin = is_at_begin
         self.at_ms = at_ms
 
 
@@ -119,11 +119,14 @@
         self,
         record: backend_directory.ServerRecord,
         fingerprints: fingerprints_module.RequestFingerprints,
-        has_begun: bool,
+        is_at_begin: bool,
     ) -> None:
         """Report a request whose response was not proven when it broke."""
         broken = BrokenRequest(
-            process_name(record), fingerprints, has_begun, self._clock.now_ms()
+            process_name(record),
+            fingerprints,
+            is_at_begin,
+            self._clock.now_ms(),
         )
         self._broken.append(broken)
         if self._link is not None:
--- a/src/balsamwall/gateway/event_relay.py
+++ b/src/balsamwall/gateway/event_relay.py
@@ -20,11 +20,13 @@
     stream after the last complete event.
     """
 
-    __slots__ = ("_buffer", "has_data", "last_event_id")
+    __slots__ = ("_buffer", "has_data", "has_event", "last_event_id")
 
     def __init__(self, last_event_id: bytes | None) -> None:
         self._buffer = b""
-        self.has_data = False  # in the stream of the current server
+        # Of the stream of the current server.
+        self.has_data = False
+        self.has_event = False  # whether an event was complete
         self.last_event_id = last_event_id
 
     @property
@@ -45,6 +47,7 @@
         if not end:
             self._buffer = buffer
             return b""
+        self.has_event = True
         complete, self._buffer = buffer[:end], buffer[end:]
         for line in complete.splitlines():
             name, _, content = line.partition(b":")
@@ -56,3 +59,4 @@
         """Discard an incomplete event before another server resumes."""
         self._buffer = b""
         self.has_data = False
+        self.has_event = False
--- a/src/balsamwall/gateway/fingerprints.py
+++ b/src/balsamwall/gateway/fingerprints.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import incoming_request
 
@@ -30,15 +28,17 @@
 def of_request(
     head: caller_exchange.RequestHead,
     body: bytes,
-    parts: Sequence[incoming_request.PromptPart],
+    request: incoming_request.IncomingRequest,
 ) -> RequestFingerprints:
     """Return the digests of the whole request and of its prompt parts."""
+    part_ids = [
+        part.part_id.encode("latin-1")
+        for part in request.shared_parts[:MAX_PARTS]
+    ]
+    model = f"{request.model}/{request.adapter}".encode("latin-1")
     return RequestFingerprints(
-        _digest(b"request", head.method, head.target, body),
-        frozenset(
-            _digest(b"part", part.part_id.encode("latin-1"))
-            for part in parts[:MAX_PARTS]
-        ),
+        _digest(b"request", head.method, head.target, body, model, *part_ids),
+        frozenset(_digest(b"part", part_id) for part_id in part_ids),
     )
 
 
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -65,6 +65,10 @@
     def fingerprints(self) -> fingerprints_module.RequestFingerprints:
         """Return digests of the request and of the parts of its prompt."""
 
+    @property
+    def has_response_data(self) -> bool:
+        """Return whether the current response brought an event or a body."""
+
     @property
     def is_proven(self) -> bool:
         """Return whether the current response went on after its first data."""
@@ -265,8 +269,9 @@
             failure is attempt_module.AttemptFailure.BROKEN
             and not handler.is_proven
         ):
+            is_at_begin = attempt.status != 0 and not handler.has_response_data
             self.suspects.on_broken_response(
-                server.record, handler.fingerprints, attempt.status != 0
+                server.record, handler.fingerprints, is_at_begin
             )
         self.log.write(
             "attempt_failed",
@@ -276,7 +281,7 @@
             detail=detail,
             after_ms=self.clock.now_ms() - attempt.sent_ms,
             status=attempt.status,
-            has_data=handler.progress.first_data_ms is not None,
+            has_data=handler.has_response_data,
             was_reused=attempt.was_reused,
             failure_share=round(server.failure_share, 2),
         )
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -119,10 +119,17 @@
             self._fingerprints = fingerprints_module.of_request(
                 self._exchange.head,
                 self._exchange.body,
-                self.request.shared_parts,
+                self.request,
             )
         return self._fingerprints
 
+    @property
+    def has_response_data(self) -> bool:
+        """Return whether the current response brought an event or a body."""
+        if self._events is not None:
+            return self._events.has_event
+        return self._first_data_ms is not None
+
     @property
     def is_proven(self) -> bool:
         """Return whether the current response went on after its first data."""
--- a/src/balsamwall/infrastructure/event_tail.py
+++ b/src/balsamwall/infrastructure/event_tail.py
@@ -31,10 +31,11 @@
 class EventTail:
     """Forward a stream as it arrives and track whether it ends an event."""
 
-    __slots__ = ("_tail",)
+    __slots__ = ("_tail", "has_event")
 
     def __init__(self) -> None:
         self._tail = b""
+        self.has_event = False  # whether an event was complete
 
     @property
     def has_data(self) -> bool:
@@ -48,5 +49,7 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add a part of the stream; return what may be forwarded."""
+        if not self.has_event:
+            self.has_event = end_of_events(self._tail + data) > 0
         self._tail = (self._tail + data[-_TAIL_BYTES:])[-_TAIL_BYTES:]
         return data
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -38,7 +38,7 @@
                 content,
             )
 
-    def break_request(self, process, parts, at_ms, has_begun=True):
+    def break_request(self, process, parts, at_ms, is_at_begin=True):
         """Let an entry report a request with these parts."""
         self.requests += 1
         found = fingerprints.RequestFingerprints(
@@ -46,16 +46,17 @@
         )
         self.apply(
             self.evidence.on_broken(
-                process, crash_evidence.BrokenRequest(found, has_begun, at_ms)
+                process,
+                crash_evidence.BrokenRequest(found, is_at_begin, at_ms),
             )
         )
 
-    def crash(self, process, *requests, gap_ms=1_000, has_begun=True):
+    def crash(self, process, *requests, gap_ms=1_000, is_at_begin=True):
         """Let three entries report requests and the loss of a process."""
         now_ms = self.clock.now_ms()
         for _ in range(3):
             for parts in requests:
-                self.break_request(process, parts, now_ms, has_begun)
+                self.break_request(process, parts, now_ms, is_at_begin)
             self.apply(self.evidence.on_lost(process))
         self.clock.advance(gap_ms)
 
@@ -109,9 +110,9 @@
     def test_requests_that_waited_need_more_crashes(self):
         """Guards against blaming content that only waited at the servers."""
         for number in range(5):
-            self.crash(f"s{number}", [SOUND], has_begun=False)
+            self.crash(f"s{number}", [SOUND], is_at_begin=False)
         self.assertEqual(self.quarantined, [])
-        self.crash("s5", [SOUND], has_begun=False)
+        self.crash("s5", [SOUND], is_at_begin=False)
         self.assertEqual(set(self.quarantined), {frozenset([SOUND])})
 
     def test_crashes_of_known_content_say_nothing_of_other_content(self):
