Decide on crashing content once all entries have reported

Cause: content was judged with each report.

Change: decisions wait for 200 ms, in which proofs and the reports of all entries arrive; among equal scores the sum of the weights decides. In the soak, an engine that crashes in good order no longer writes past the end of a stream.

DECISION_DELAY_MS takes the place of PROOF_WAIT_MS; a test of the evidence advances the clock by it before it checks.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -64,7 +64,7 @@
         self.draining_since_ms: int | None = None
         self.started_ms = 0
         self._lease = 0
-        self._open_requests: set[server.Request] = set()
+        self._open_requests: dict[server.Request, _Run] = {}
         self._listener: Any = None
         self._heartbeat: Any = None
         self.is_up = False
@@ -154,8 +154,7 @@
         self._listener.stopListening()
         for request in list(self._open_requests):
             if is_clean:
-                request.write(b"id: ")
-                request.channel.loseConnection()
+                self._open_requests[request].break_off()
             else:
                 request.channel.forceAbortClient()
         self._open_requests.clear()
@@ -174,16 +173,16 @@
         if self._listener is not None:
             self._listener.stopListening()
 
-    def track_request(self, request: server.Request) -> None:
+    def track_request(self, request: server.Request, run: _Run) -> None:
         """Keep a request among the open ones until it ends."""
-        self._open_requests.add(request)
+        self._open_requests[request] = run
         request.notifyFinish().addBoth(
-            lambda result: self._open_requests.discard(request)
+            lambda result: self.forget_request(request)
         )
 
     def forget_request(self, request: server.Request) -> None:
-        """Write nothing more to a request that was broken off."""
-        self._open_requests.discard(request)
+        """Remove a request that has ended or was broken off."""
+        self._open_requests.pop(request, None)
 
     # Orders
 
@@ -298,7 +297,7 @@
         self._id = request.getHeader("balsamwall-request-id") or ""
         last = request.getHeader("last-event-id")
         self._next_event = int(last) + 1 if last else 1
-        backend.track_request(request)
+        backend.track_request(request, self)
         request.notifyFinish().addBoth(lambda result: self._end())
         backend.ledger.on_run(
             self._id,
@@ -349,6 +348,12 @@
         if self._is_unframed:
             channel.loseConnection()
 
+    def break_off(self) -> None:
+        """Close the connection in good order, inside the next event."""
+        if self._next_event <= self._event_count:
+            self._request.write(b"id: ")
+        self._request.channel.loseConnection()
+
     def _crash(self) -> None:
         """Crash with the head sent; connections close in good order."""
         self._request.setHeader("Content-Type", "text/event-stream")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -23,6 +23,8 @@
 # After this share of its deadline, the end of a request is not attributed to
 # a planned operation.
 DEADLINE_SHARE = 0.7
+# Bytes at the end of a wrong body that a violation shows.
+MAX_SHOWN_BYTES = 80
 # Executions of a request that its route allows, the first one included.
 MAX_RUNS = {
     Kind.IDEMPOTENT: 2,
@@ -100,7 +102,8 @@
             f"wrong body: {len(response.body)} of {len(complete)} bytes"
         )
     elif not complete.startswith(response.body):
-        found.append("partial body differs from the server's")
+        tail = response.body[-MAX_SHOWN_BYTES:]
+        found.append(f"partial body differs from the server's: {tail!r}")
     return found
 
 
--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -35,6 +35,7 @@
         "_log",
         "_proven",
         "_quarantine",
+        "_timer",
     )
 
     def __init__(
@@ -47,6 +48,7 @@
         self._links = links
         self._log = log
         self._quarantine = quarantine_module.Quarantine(clock)
+        self._timer: clock_module.Timer | None = None
         self._evidence = crash_evidence.CrashEvidence(clock, self._quarantine)
         # By content that is held back: what has been proven of it since.
         self._proven: dict[frozenset[bytes], frozenset[bytes]] = {}
@@ -91,15 +93,16 @@
                     watch.content, now_ms - watch.since_ms
                 )
             )
-        for undecided in findings.undecided:
-            self._clock.call_later(
-                crash_evidence.PROOF_WAIT_MS, self._judge, undecided
+        if findings.is_decision_due and self._timer is None:
+            self._timer = self._clock.call_later(
+                crash_evidence.DECISION_DELAY_MS, self._decide
             )
         for content in findings.quarantined:
             self._hold_back(content, quarantine_module.QUARANTINE_MS)
 
-    def _judge(self, content: bytes) -> None:
-        self._apply(self._evidence.judge([content]))
+    def _decide(self) -> None:
+        self._timer = None
+        self._apply(self._evidence.decide())
 
     def _hold_back(self, content: frozenset[bytes], remaining_ms: int) -> None:
         """Announce content that is to be held back, unless it is known."""
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -11,8 +11,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from balsamwall.gateway import fingerprints as fingerprints_module
     from balsamwall.gateway import quarantine as quarantine_module
     from balsamwall.timing import clock as clock_module
@@ -31,10 +29,11 @@
 # Servers of a failed availability zone crash together. Crashes count as one
 # within this time, in which other servers respond to content that is sound.
 ROUND_MS = 300
-# The entries are asked for a proof from this sum of weights on, and have this
-# time to respond before content is held back.
+# The entries are asked for a proof from this sum of weights on.
 WATCH_SCORE = 3
-PROOF_WAIT_MS = 200
+# Delay of a decision, for proofs and for reports of other entries on the same
+# crash, which may speak against other content.
+DECISION_DELAY_MS = 200
 # Crashes of one content are counted together for this time.
 EVIDENCE_MS = 900_000
 MAX_CONTENTS = 20_000
@@ -99,8 +98,9 @@
 
     @property
     def weight(self) -> tuple[int, int]:
-        """Return the score and, among equal ones, the number of crashes."""
-        return self.score, len(self.crashes)
+        """Return the score and, if that is equal, the sum of weights."""
+        total = sum(crash.weight for crash in self.crashes.values())
+        return self.score, total
 
     def add(
         self, process: str, crash: _Crash, companions: frozenset[bytes]
@@ -128,8 +128,8 @@
     quarantined: list[frozenset[bytes]] = dataclasses.field(
         default_factory=list
     )
-    # Content to judge again after PROOF_WAIT_MS.
-    undecided: list[bytes] = dataclasses.field(default_factory=list)
+    # Whether to decide after DECISION_DELAY_MS.
+    is_decision_due: bool = False
 
 
 class CrashEvidence:
@@ -143,6 +143,7 @@
     """
 
     __slots__ = (
+        "_candidates",
         "_clock",
         "_evidence",
         "_processes",
@@ -159,6 +160,7 @@
         self._quarantine = quarantine
         self._processes: dict[str, _Process] = {}
         self._evidence: dict[bytes, _Evidence] = {}
+        self._candidates: set[bytes] = set()
         # By fingerprint: reports of broken requests before this are void.
         self._proven_ms: dict[bytes, int] = {}
 
@@ -184,16 +186,15 @@
             self._evidence.pop(content, None)
             self._proven_ms[content] = now_ms
 
-    def judge(self, contents: Iterable[bytes]) -> Findings:
-        """Decide on contents, those with the most evidence first."""
+    def decide(self) -> Findings:
+        """Decide on the candidates, those with the most evidence first."""
         findings = Findings()
-        remaining = {
-            content for content in contents if content in self._evidence
-        }
-        while remaining:
-            content = max(remaining, key=self._rank)
-            remaining.discard(content)
+        candidates, self._candidates = self._candidates, set()
+        while candidates:
+            content = max(candidates, key=self._rank)
+            candidates.discard(content)
             self._judge(content, findings)
+        findings.is_decision_due = bool(self._candidates)
         return findings
 
     def _rank(self, content: bytes) -> tuple[tuple[int, int], bytes]:
@@ -202,16 +203,11 @@
 
     def _judge(self, content: bytes, findings: Findings) -> None:
         evidence = self._evidence.get(content)
-        if evidence is None or evidence.score < WATCH_SCORE:
-            return
-        now_ms = self._clock.now_ms()
-        if evidence.watched_ms is None:
-            evidence.watched_ms = now_ms
-            findings.watches.append(Watch(content, evidence.since_ms))
-        if evidence.score < QUARANTINE_SCORE:
+        if evidence is None or evidence.score < QUARANTINE_SCORE:
             return
-        if now_ms - evidence.watched_ms < PROOF_WAIT_MS:
-            findings.undecided.append(content)
+        watched_ms = evidence.watched_ms or 0
+        if self._clock.now_ms() - watched_ms < DECISION_DELAY_MS:
+            self._candidates.add(content)
             return
         found = self._indistinguishable(evidence)
         findings.quarantined.append(found)
@@ -272,7 +268,23 @@
         for request in broken:
             if abs(process.lost_ms - request.at_ms) <= CONFIRMATION_MS:
                 counted |= self._count(name, request)
-        return self.judge(counted)
+        findings = Findings()
+        for content in counted:
+            self._examine(content, findings)
+        return findings
+
+    def _examine(self, content: bytes, findings: Findings) -> None:
+        """Ask for proofs, or make the content a candidate."""
+        evidence = self._evidence.get(content)
+        if evidence is None:
+            return
+        score = evidence.score
+        if score >= WATCH_SCORE and evidence.watched_ms is None:
+            evidence.watched_ms = self._clock.now_ms()
+            findings.watches.append(Watch(content, evidence.since_ms))
+        if score >= QUARANTINE_SCORE:
+            self._candidates.add(content)
+            findings.is_decision_due = True
 
     def _count(self, process: str, request: BrokenRequest) -> frozenset[bytes]:
         """Count a crash for the content of a request; return that content."""
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -31,11 +31,10 @@
     def apply(self, findings):
         self.quarantined += findings.quarantined
         self.watched += [watch.content for watch in findings.watches]
-        for content in findings.undecided:
+        if findings.is_decision_due:
             self.clock.call_later(
-                crash_evidence.PROOF_WAIT_MS,
-                lambda item: self.apply(self.evidence.judge([item])),
-                content,
+                crash_evidence.DECISION_DELAY_MS,
+                lambda: self.apply(self.evidence.decide()),
             )
 
     def break_request(self, process, parts, at_ms, is_at_begin=True):
@@ -95,7 +94,7 @@
             self.evidence.on_lost(process)
             self.break_request(process, [SOUND], at_ms)
             at_ms += crash_evidence.ROUND_MS
-        self.clock.advance(crash_evidence.PROOF_WAIT_MS)
+        self.clock.advance(crash_evidence.DECISION_DELAY_MS)
         self.assertEqual((self.quarantined, self.watched), ([], []))
 
     def test_content_seen_only_together_is_held_back_together(self):
@@ -143,6 +142,7 @@
             now_ms = self.clock.now_ms()
             self.clock.advance(400)
             self.break_request(process, [BAD], now_ms)
+        self.clock.advance(crash_evidence.DECISION_DELAY_MS)
         self.assertEqual(self.quarantined, [frozenset([BAD])])
 
     def test_memory_is_bounded(self):
--- a/tests/gateway/test_prompt_part_crashes.py
+++ b/tests/gateway/test_prompt_part_crashes.py
@@ -91,6 +91,18 @@
         fleet.load(50, 5_000)
         self.assertEqual(fleet.sound_quarantined(), [])
 
+    def test_outage_of_all_servers_by_one_part(self):
+        """Guards against blaming content whose reports arrive first."""
+        for seed in (31, 37, 43):
+            fleet = crash_harness.CrashFleet(
+                3, servers=3, seed=seed, restart_ms=800
+            )
+            fleet.load(60, 500, subjects=8)
+            fleet.deadly_parts = frozenset(["bad1"])
+            fleet.load(60, 8_000, 0.15, subjects=8)
+            with self.subTest(f"seed {seed}"):
+                self.assertEqual(fleet.sound_quarantined(), [])
+
     def test_proofs_count_at_a_new_coordinator(self):
         """Guards against blaming sound content on reports sent again."""
         for seed in range(10, 14):
