Release content when other content explains its crashes

Cause: an entry that is frozen reports late.

Change: when content is held back that explains crashes better, content that was held back on these crashes is released.

--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -97,6 +97,8 @@
             self._timer = self._clock.call_later(
                 crash_evidence.DECISION_DELAY_MS, self._decide
             )
+        for content in findings.released:
+            self._release(content)
         for content in findings.quarantined:
             self._hold_back(content, quarantine_module.QUARANTINE_MS)
 
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -128,6 +128,8 @@
     quarantined: list[frozenset[bytes]] = dataclasses.field(
         default_factory=list
     )
+    # Content that was held back and is now explained by other content.
+    released: list[frozenset[bytes]] = dataclasses.field(default_factory=list)
     # Whether to decide after DECISION_DELAY_MS.
     is_decision_due: bool = False
 
@@ -211,7 +213,8 @@
             return
         found = self._indistinguishable(evidence)
         findings.quarantined.append(found)
-        self._discount(found, evidence)
+        explained = self._discount(found, evidence)
+        findings.released += self._explained_sets(found, explained)
 
     def _indistinguishable(self, evidence: _Evidence) -> frozenset[bytes]:
         """Return the content that the same crashes speak against."""
@@ -222,23 +225,39 @@
             and self._evidence[other].score >= evidence.score
         )
 
+    def _explained_sets(
+        self, found: frozenset[bytes], explained: set[bytes]
+    ) -> list[frozenset[bytes]]:
+        """Return the sets held back on evidence that has been explained."""
+        return [
+            held_back
+            for held_back, _ in self._quarantine.entries()
+            if held_back <= explained and held_back != found
+        ]
+
     def _discount(
         self, found: frozenset[bytes], explanation: _Evidence
-    ) -> None:
+    ) -> set[bytes]:
         """Drop crashes that content at fault explains from other evidence.
 
-        Content with as much evidence may be at fault itself.
+        Content with as much evidence may be at fault itself. Return the
+        content that may no longer be held back.
         """
         weight = explanation.weight
+        explained: set[bytes] = set()
         for content in list(self._evidence):
             evidence = self._evidence[content]
             if content in found or evidence.weight >= weight:
                 continue
             crashes = evidence.crashes
+            was_at_fault = evidence.score >= QUARANTINE_SCORE
             for process in explanation.crashes.keys() & crashes.keys():
                 del crashes[process]
+            if was_at_fault and evidence.score < QUARANTINE_SCORE:
+                explained.add(content)
             if not crashes:
                 del self._evidence[content]
+        return explained
 
     def _process(self, process: str) -> _Process:
         found = self._processes.get(process)
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -25,11 +25,13 @@
             self.clock, self.quarantine
         )
         self.quarantined = []
+        self.released = []
         self.watched = []
         self.requests = 0
 
     def apply(self, findings):
         self.quarantined += findings.quarantined
+        self.released += findings.released
         self.watched += [watch.content for watch in findings.watches]
         if findings.is_decision_due:
             self.clock.call_later(
@@ -126,6 +128,19 @@
             self.crash(f"s{number}", [BAD, FIRST, SOUND])
         self.assertEqual(set(self.quarantined), {frozenset([BAD])})
 
+    def test_content_is_released_once_other_content_explains_it(self):
+        """Guards against blame that stays when late reports explain it."""
+        for number in range(3):
+            self.crash(f"s{number}", [SOUND])
+        self.assertEqual(set(self.quarantined), {frozenset([SOUND])})
+        self.quarantine.add(frozenset([SOUND]), 1_000_000)
+        for number in range(3):
+            at_ms = 10_000 + 1_000 * number
+            self.break_request(f"s{number}", [BAD], at_ms)
+        self.crash("s3", [BAD])
+        self.assertIn(frozenset([BAD]), self.quarantined)
+        self.assertEqual(self.released, [frozenset([SOUND])])
+
     def test_loss_without_a_broken_request_is_ignored(self):
         """Guards against blaming requests that broke long before."""
         for process in ("s1", "s2", "s3"):
