--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -129,6 +129,13 @@
             self._clock.now_ms(),
         )
         self._broken.append(broken)
+        self._log.write(
+            "crash_suspect",
+            process=broken.process,
+            request=fingerprints.request.hex(),
+            parts=sorted(part.hex() for part in fingerprints.parts),
+            is_at_begin=is_at_begin,
+        )
         if self._link is not None:
             self._link.report_broken(broken)
 
@@ -140,6 +147,7 @@
         if last_ms is not None and now_ms - last_ms < LOSS_REPORT_INTERVAL_MS:
             return
         self._lost_ms[process] = now_ms
+        self._log.write("server_process_lost", process=process)
         self._drop_old_losses(now_ms)
         if self._link is not None:
             self._link.report_lost(process)
