Part the body of a response from the life of a request

Change: gateway/response_body.py follows the body over all attempts. No behaviour is changed but that is_inside_event in the log is kept after the failure of a stream that can be resumed.

--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -17,9 +17,6 @@
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
-# A response that has gone on for this long after its first data proves that
-# its request does not crash servers when they begin the response.
-PROOF_MS = 250
 # Reports are kept for this time, for a coordinator that is elected later.
 REPORT_MAX_AGE_MS = 30_000
 MAX_REPORTS = 500
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -21,12 +21,12 @@
     import random
 
     from balsamwall.gateway import backend_directory
-    from balsamwall.gateway import body_framing
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import fingerprints as fingerprints_module
     from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import response_body
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
     from balsamwall.gateway import server_health
@@ -47,7 +47,7 @@
     request: incoming_request.IncomingRequest
     progress: stream_progress.StreamProgress
     sends: int  # times that the request was sent to a server
-    framing: body_framing.BodyFraming | None  # of the last response, if any
+    body: response_body.ResponseBody
 
     @property
     def choice(self) -> server_choice.Choice | None:
@@ -57,22 +57,10 @@
     def request_id(self) -> str:
         """Return the caller's request identifier as text for logs."""
 
-    @property
-    def is_inside_event(self) -> bool:
-        """Return whether the stream has stopped inside an event."""
-
     @property
     def fingerprints(self) -> fingerprints_module.RequestFingerprints:
         """Return digests of the request and of the parts of its prompt."""
 
-    @property
-    def has_response_data(self) -> bool:
-        """Return whether the current response brought an event or a body."""
-
-    @property
-    def is_proven(self) -> bool:
-        """Return whether the current response went on after its first data."""
-
     @property
     def arrived_ms(self) -> int:
         """Return when the first byte of the request was read."""
@@ -267,9 +255,9 @@
             self.suspects.on_server_lost(server.record)
         elif (
             failure is attempt_module.AttemptFailure.BROKEN
-            and not handler.is_proven
+            and not handler.body.is_proven
         ):
-            is_at_begin = attempt.status != 0 and not handler.has_response_data
+            is_at_begin = attempt.status != 0 and not handler.body.has_data
             self.suspects.on_broken_response(
                 server.record, handler.fingerprints, is_at_begin
             )
@@ -281,7 +269,7 @@
             detail=detail,
             after_ms=self.clock.now_ms() - attempt.sent_ms,
             status=attempt.status,
-            has_data=handler.has_response_data,
+            has_data=handler.body.has_data,
             was_reused=attempt.was_reused,
             failure_share=round(server.failure_share, 2),
         )
@@ -315,8 +303,10 @@
             candidates=handler.choice.candidates if handler.choice else None,
             prompt_tokens=handler.request.prompt_tokens,
             sends=handler.sends,
-            framing=handler.framing.value if handler.framing else None,
-            is_inside_event=handler.is_inside_event,
+            framing=handler.body.framing.value
+            if handler.body.framing
+            else None,
+            is_inside_event=handler.body.is_inside_event,
             waited_ms=handler.waited_ms,
             room_waited_ms=handler.room_waited_ms,
             first_data_ms=handler.progress.first_data_ms,
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -5,16 +5,14 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
-from balsamwall.gateway import body_framing
-from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_dispatch
+from balsamwall.gateway import response_body
 from balsamwall.gateway import retry_policy
 from balsamwall.gateway import stream_progress
-from balsamwall.infrastructure import event_tail
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -47,21 +45,17 @@
         "_attempt",
         "_deadline_timer",
         "_end_ms",
-        "_events",
         "_dispatch",
         "_exchange",
         "_fingerprints",
-        "_first_data_ms",
         "_has_begun",
         "_history",
         "_is_finished",
-        "_is_proven",
         "_on_finished",
         "_dependencies",
         "_pending_tokens",
-        "_relay",
         "_service",
-        "framing",
+        "body",
         "progress",
         "request",
         "route",
@@ -92,16 +86,7 @@
         self._is_finished = False
         self._fingerprints: fingerprints_module.RequestFingerprints | None
         self._fingerprints = None
-        # When the current response brought its first data.
-        self._first_data_ms: int | None = None
-        self._is_proven = False
-        self.framing: body_framing.BodyFraming | None = None
-        self._relay: event_relay.EventRelay | None = None
-        self._events: event_relay.EventRelay | event_tail.EventTail | None
-        self._events = event_tail.EventTail() if route.is_stream else None
-        if route.is_resumable:
-            self._relay = event_relay.EventRelay(request.resumes_after)
-            self._events = self._relay
+        self.body = response_body.ResponseBody(route, request.resumes_after)
         wait_ms = route.timeout_ms
         if request.deadline_ms is not None:
             wait_ms = min(wait_ms, request.deadline_ms)
@@ -123,28 +108,11 @@
             )
         return self._fingerprints
 
-    @property
-    def has_response_data(self) -> bool:
-        """Return whether the current response brought an event or a body."""
-        if self._events is not None:
-            return self._events.has_event
-        return self._first_data_ms is not None
-
-    @property
-    def is_proven(self) -> bool:
-        """Return whether the current response went on after its first data."""
-        return self._is_proven
-
     @property
     def choice(self) -> server_choice.Choice | None:
         """Return the last choice of a server."""
         return self._dispatch.choice
 
-    @property
-    def is_inside_event(self) -> bool:
-        """Return whether the stream has stopped inside an event."""
-        return self._events is not None and self._events.is_inside_event
-
     @property
     def is_finished(self) -> bool:
         """Return whether the request has ended in any way."""
@@ -199,7 +167,7 @@
         A response that has been proven goes on. Return whether it has ended.
         """
         quarantine = self._dependencies.suspects.quarantine
-        if not quarantine or self._is_proven or self._is_finished:
+        if not quarantine or self.body.is_proven or self._is_finished:
             return False
         content = quarantine.match(self.fingerprints.all)
         if not content:
@@ -219,8 +187,8 @@
         if self.refuse_quarantined():
             return
         last_event_id = self.request.resumes_after
-        if self._relay is not None:
-            last_event_id = self._relay.last_event_id
+        if self.body.is_resumable:
+            last_event_id = self.body.last_event_id
         codec = self._dependencies.codec
         attempt_fields = codec.attempt_fields(
             server.record,
@@ -241,8 +209,7 @@
         )
         self._dependencies.metrics.count_send(self._send_reason())
         self.sends += 1
-        self._first_data_ms = None
-        self._is_proven = False
+        self.body.on_sent()
         self._attempt = attempt
         server.on_sent()
         self._pending_tokens = self.request.prompt_tokens
@@ -276,7 +243,7 @@
         """
         if attempt is not self._attempt:
             return
-        self.framing = attempt.framing
+        self.body.on_head(status, attempt.framing)
         if self._has_begun:
             if status != 200:
                 self._finish_attempt(True)
@@ -313,7 +280,7 @@
         self._release_pending_tokens()
         self._dependencies.on_first_response(self)
         length = None
-        if not self._is_event_stream(attempt):
+        if not self.body.is_event_stream:
             length = http_fields.content_length(fields)
         self._exchange.begin(
             attempt.status,
@@ -321,9 +288,6 @@
             length,
         )
 
-    def _is_event_stream(self, attempt: attempt_module.Attempt) -> bool:
-        return self._events is not None and attempt.status == 200
-
     def _replace_uncertified_status(
         self, attempt: attempt_module.Attempt, status: int
     ) -> None:
@@ -345,28 +309,25 @@
         """Relay a part of the response body."""
         if attempt is not self._attempt:
             return
-        if self._events is not None and self._is_event_stream(attempt):
-            try:
-                data = self._events.feed(data)
-            except event_relay.EventTooLongError as error:
-                self._finish_attempt(True)
-                attempt.abandon()
-                self._cut(_Code.ANSWER_INTERRUPTED, str(error))
-                return
+        now_ms = self._dependencies.clock.now_ms()
+        try:
+            data = self.body.feed(data, now_ms)
+        except event_relay.EventTooLongError as error:
+            self._finish_attempt(True)
+            attempt.abandon()
+            self._cut(_Code.ANSWER_INTERRUPTED, str(error))
+            return
         if data:
-            now_ms = self._dependencies.clock.now_ms()
             self.progress.record(now_ms, self._arrived_ms)
             self._exchange.write(data)
-            if self._first_data_ms is None:
-                self._first_data_ms = now_ms
-            elif now_ms - self._first_data_ms >= crash_suspects.PROOF_MS:
-                self._prove(self._first_data_ms)
+            if self.body.has_gone_on(now_ms):
+                self._prove()
 
     def on_done(self, attempt: attempt_module.Attempt) -> None:
         """Finish a complete response, or handle a stream that is not whole."""
         if attempt is not self._attempt:
             return
-        fault = self._stream_fault(attempt)
+        fault = self.body.fault()
         if fault:
             self.on_failed(
                 attempt, attempt_module.AttemptFailure.BROKEN, fault
@@ -375,36 +336,22 @@
         is_failure = attempt.status >= SERVER_ERROR_STATUS
         self._finish_attempt(is_failure)
         if not is_failure:
-            self._prove(self._first_data_ms)
+            self._prove()
         self._exchange.finish()
         self._finish(_Code.OK, f"status {attempt.status}", attempt.server)
 
-    def _prove(self, first_data_ms: int | None) -> None:
+    def _prove(self) -> None:
         """Record that the request does not crash servers, once a response."""
-        if self._is_proven:
+        if self.body.is_proven:
             return
-        self._is_proven = True
+        self.body.is_proven = True
+        first_data_ms = self.body.first_data_ms
         if first_data_ms is None:
             first_data_ms = self._dependencies.clock.now_ms()
         self._dependencies.suspects.on_proven(
             self.fingerprints.all, first_data_ms
         )
 
-    def _stream_fault(self, attempt: attempt_module.Attempt) -> str:
-        """Return why a stream that has ended is not whole, if it is not.
-
-        A server that crashes may end its chunks or its connection in the same
-        way as after the last event.
-        """
-        if self._events is None or not self._is_event_stream(attempt):
-            return ""
-        if self._events.is_inside_event:
-            return "the stream ended inside an event"
-        is_close_delimited = attempt.framing is body_framing.BodyFraming.CLOSE
-        if is_close_delimited and not self._events.has_data:
-            return "the stream ended with its connection before any event"
-        return ""
-
     def on_failed(
         self,
         attempt: attempt_module.Attempt,
@@ -421,11 +368,9 @@
             self._dependencies.on_model_missing(
                 self._service, self.request, attempt.server
             )
-        if self._has_begun and self._relay is None:
+        if self._has_begun and not self.body.is_resumable:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
             return
-        if self._relay is not None:
-            self._relay.prepare_resume()
         if self._may_retry(failure):
             if failure is attempt_module.AttemptFailure.NOT_RUN:
                 self._dispatch.dispatch_later()
