Blame the part at fault, not one that always comes with it

If all requests at fault begin with the same part, both parts have the same evidence, and the one that sound requests share was held back by itself. Requests that were running with it were ended, so that nothing could prove it any more.

Change: among contents with equal evidence the one that is in fewer of the broken requests is judged first, and what it explains no longer counts, also when the weights are equal; only contents that nothing tells apart are kept.

--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -102,6 +102,12 @@
         total = sum(crash.weight for crash in self.crashes.values())
         return self.score, total
 
+    def is_equal(self, other: _Evidence) -> bool:
+        """Return whether nothing tells two contents apart."""
+        return (
+            self.companions == other.companions and self.weight == other.weight
+        )
+
     def add(
         self, process: str, crash: _Crash, companions: frozenset[bytes]
     ) -> None:
@@ -199,9 +205,16 @@
         findings.is_decision_due = bool(self._candidates)
         return findings
 
-    def _rank(self, content: bytes) -> tuple[tuple[int, int], bytes]:
+    def _rank(self, content: bytes) -> tuple[tuple[int, int], int, bytes]:
+        """Return a rank by the evidence and, if equal, by how few it hits.
+
+        A part that is at fault and one that always comes with it have equal
+        evidence, but the latter is also in sound requests.
+        """
         evidence = self._evidence.get(content)
-        return evidence.weight if evidence else (0, 0), content
+        if evidence is None:
+            return (0, 0), 0, content
+        return evidence.weight, len(evidence.companions), content
 
     def _judge(self, content: bytes, findings: Findings) -> None:
         evidence = self._evidence.get(content)
@@ -213,7 +226,7 @@
             return
         found = self._indistinguishable(evidence)
         findings.quarantined.append(found)
-        explained = self._discount(found, evidence)
+        explained = self._discount(content, evidence)
         findings.released += self._explained_sets(found, explained)
 
     def _indistinguishable(self, evidence: _Evidence) -> frozenset[bytes]:
@@ -235,23 +248,24 @@
             if held_back <= explained and held_back != found
         ]
 
-    def _discount(
-        self, found: frozenset[bytes], explanation: _Evidence
-    ) -> set[bytes]:
+    def _discount(self, found: bytes, explanation: _Evidence) -> set[bytes]:
         """Drop crashes that content at fault explains from other evidence.
 
-        Content with as much evidence may be at fault itself. Return the
-        content that may no longer be held back.
+        Content with more evidence may be at fault itself. Return the content
+        that may no longer be held back.
         """
         weight = explanation.weight
         explained: set[bytes] = set()
         for content in list(self._evidence):
             evidence = self._evidence[content]
-            if content in found or evidence.weight >= weight:
-                continue
             crashes = evidence.crashes
+            shared = explanation.crashes.keys() & crashes.keys()
+            if not shared or evidence.weight > weight:
+                continue
+            if content == found or evidence.is_equal(explanation):
+                continue
             was_at_fault = evidence.score >= QUARANTINE_SCORE
-            for process in explanation.crashes.keys() & crashes.keys():
+            for process in shared:
                 del crashes[process]
             if was_at_fault and evidence.score < QUARANTINE_SCORE:
                 explained.add(content)
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -32,6 +32,8 @@
     def apply(self, findings):
         self.quarantined += findings.quarantined
         self.released += findings.released
+        for content in findings.quarantined:
+            self.quarantine.add(content, 1_000_000)
         self.watched += [watch.content for watch in findings.watches]
         if findings.is_decision_due:
             self.clock.call_later(
@@ -128,6 +130,17 @@
             self.crash(f"s{number}", [BAD, FIRST, SOUND])
         self.assertEqual(set(self.quarantined), {frozenset([BAD])})
 
+    def test_part_that_always_comes_with_the_one_at_fault(self):
+        """Guards against refusing all requests that begin in the same way."""
+        for number in range(4):
+            now_ms = self.clock.now_ms()
+            self.break_request(f"s{number}", [FIRST, SOUND], now_ms, False)
+            self.break_request(f"s{number}", [FIRST], now_ms, False)
+            self.crash(f"s{number}", [FIRST, BAD])
+        self.assertEqual(self.quarantined[0], frozenset([FIRST, BAD]))
+        self.assertTrue(all(BAD in content for content in self.quarantined))
+        self.assertFalse(self.quarantine.match(frozenset([FIRST, SOUND])))
+
     def test_content_is_released_once_other_content_explains_it(self):
         """Guards against blame that stays when late reports explain it."""
         for number in range(3):
