Do not resume a stream whose content is held back

Cause: whether a response had brought data was asked of the one that had broken before, so that a resume or retry passed by the quarantine.

Change: it is asked of a running response only.

Result: the new test fails without the change.

--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -164,11 +164,13 @@
     def refuse_quarantined(self) -> bool:
         """End the request if servers crash when they respond to it.
 
-        A response that has brought data goes on, since it may prove that the
+        A running response with data goes on, since it may prove that the
         content is sound. Return whether the request has ended.
         """
         quarantine = self._dependencies.suspects.quarantine
-        if not quarantine or self.body.has_data or self._is_finished:
+        if not quarantine or self._is_finished:
+            return False
+        if self._attempt is not None and self.body.has_data:
             return False
         content = quarantine.match(self.fingerprints.all)
         if not content:
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -217,6 +217,23 @@
         self.assertEqual(harness.gateway.take_arrivals(), {})
         self.assertEqual(harness.gateway.active_requests, 0)
 
+    def test_stream_with_quarantined_content_is_not_resumed(self):
+        """Guards against a resume that crashes a further server."""
+        harness = harness_module.GatewayHarness(
+            harness_module.make_route(kind=Kind.STREAMING, is_resumable=True)
+        )
+        harness.add_servers("s1", "s2")
+        exchange = harness.send_request(method=b"POST")
+        harness.last_connection.begin()
+        harness.last_connection.receiver.on_data(b"id: 1\n\n")
+        (handler,) = harness.gateway._handlers
+        suspects = harness.dependencies.suspects
+        suspects.hold_back(handler.fingerprints.all, 1_000)
+        self.assertEqual(exchange.end, "")
+        harness.last_connection.receiver.on_broken(CLOSED, "reset")
+        self.assertEqual(len(harness.pool.connections), 1)
+        self.assertEqual(exchange.end, "cut")
+
     def test_broken_connection_alone_quarantines_nothing(self):
         """Guards against refusing requests after network faults."""
         harness = harness_module.GatewayHarness(
