Keep what is held back the same at all entries

Cause: content that was held back again while the coordinator knew it extended the time there, but not at the entries, which then let it pass first. An entry that had missed a release told a new stream's coordinator the old notice, which held the content back once more.

Change: the time of known content is not extended; released content is remembered, and an old notice of it is answered with the release.

--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -35,6 +35,7 @@
         "_log",
         "_proven",
         "_quarantine",
+        "_released",
         "_timer",
     )
 
@@ -52,6 +53,8 @@
         self._evidence = crash_evidence.CrashEvidence(clock, self._quarantine)
         # By content that is held back: what has been proven of it since.
         self._proven: dict[frozenset[bytes], frozenset[bytes]] = {}
+        # Released content, the oldest first.
+        self._released: dict[frozenset[bytes], None] = {}
 
     def on_message(self, item: message.Message) -> bool:
         """Handle a message on crashes; return whether it was one."""
@@ -62,7 +65,7 @@
         elif isinstance(item, messages_fleet.ProofReport):
             self._on_proven(frozenset(item.fingerprints))
         elif isinstance(item, messages_fleet.QuarantineNotice):
-            self._hold_back(frozenset(item.fingerprints), item.remaining_ms)
+            self._adopt(frozenset(item.fingerprints), item.remaining_ms)
         else:
             return False
         return True
@@ -106,15 +109,30 @@
         self._timer = None
         self._apply(self._evidence.decide())
 
+    def _adopt(self, content: frozenset[bytes], remaining_ms: int) -> None:
+        """Hold back what an entry knows of an earlier coordinator.
+
+        The entry may have missed that it was released meanwhile.
+        """
+        if content in self._released:
+            self._announce(content, 0)
+        elif remaining_ms > 0:
+            self._hold_back(content, remaining_ms)
+
     def _hold_back(self, content: frozenset[bytes], remaining_ms: int) -> None:
         """Announce content that is to be held back, unless it is known."""
-        if not self._quarantine.add(content, remaining_ms):
+        if self._quarantine.remaining_ms(content):
             return
+        self._quarantine.add(content, remaining_ms)
+        self._released.pop(content, None)
         self._proven = {
             known: proven
             for known, proven in self._proven.items()
             if self._quarantine.remaining_ms(known)
         }
+        self._announce(content, remaining_ms)
+
+    def _announce(self, content: frozenset[bytes], remaining_ms: int) -> None:
         self._links.broadcast(
             messages_fleet.QuarantineNotice(sorted(content), remaining_ms)
         )
@@ -139,9 +157,10 @@
         self._proven.pop(content, None)
         self._quarantine.remove(content)
         self._log.write("quarantine_released", content=_hex(content))
-        self._links.broadcast(
-            messages_fleet.QuarantineNotice(sorted(content), 0)
-        )
+        self._released[content] = None
+        if len(self._released) > quarantine_module.MAX_ENTRIES:
+            del self._released[next(iter(self._released))]
+        self._announce(content, 0)
 
 
 def _hex(content: Iterable[bytes]) -> list[str]:
--- /dev/null
+++ b/tests/coordination/test_crash_control.py
@@ -0,0 +1,50 @@
+"""Tests of the exchange of evidence on crashes with the entries."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.coordination import crash_control
+from balsamwall.coordination import messages_fleet
+from balsamwall.gateway import quarantine
+from balsamwall.logs import decision_log
+from balsamwall.timing import virtual_clock
+
+CONTENT = [b"c" * 16]
+
+
+class CrashControlTest(unittest.TestCase):
+    """What is held back is the same at all entries."""
+
+    def setUp(self):
+        self.clock = virtual_clock.VirtualClock(start_ms=10_000)
+        self.sent = []
+        self.control = crash_control.CrashControl(
+            self.clock, self, decision_log.DecisionLog(self.clock)
+        )
+
+    def broadcast(self, item):
+        self.sent.append(item.remaining_ms)
+
+    def notify(self, remaining_ms):
+        self.control.on_message(
+            messages_fleet.QuarantineNotice(CONTENT, remaining_ms)
+        )
+
+    def test_known_content_is_announced_once_until_it_expires(self):
+        """Guards against entries that forget before the coordinator."""
+        self.notify(quarantine.QUARANTINE_MS)
+        self.clock.advance(1_000)
+        self.notify(quarantine.QUARANTINE_MS)
+        self.assertEqual(self.sent, [quarantine.QUARANTINE_MS])
+        self.clock.advance(quarantine.QUARANTINE_MS - 1_000)
+        self.notify(quarantine.QUARANTINE_MS)
+        self.assertEqual(len(self.sent), 2)
+
+    def test_released_content_is_not_held_back_by_an_old_notice(self):
+        """Guards against an entry that missed the release."""
+        self.notify(5_000)
+        self.control.on_message(messages_fleet.ProofReport(CONTENT))
+        self.notify(4_000)
+        self.assertEqual(self.sent, [5_000, 0, 0])
+        self.assertEqual(self.control.notices(), [])
