--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -350,6 +350,9 @@
 
     def break_off(self) -> None:
         """Close the connection in good order, inside the next event."""
+        if self._is_finished:
+            return
+        self._is_finished = True
         if self._next_event <= self._event_count:
             self._request.write(b"id: ")
         self._request.channel.loseConnection()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -99,7 +99,8 @@
     complete = _complete_body(request)
     if response.is_complete and response.body != complete:
         found.append(
-            f"wrong body: {len(response.body)} of {len(complete)} bytes"
+            f"wrong body: {len(response.body)} of {len(complete)} bytes: "
+            f"{response.body[-MAX_SHOWN_BYTES:]!r}"
         )
     elif not complete.startswith(response.body):
         tail = response.body[-MAX_SHOWN_BYTES:]
