Compare crashes by what each says, not by their number alone

Change: contents are ranked by the mean weight of their crashes before their score. Each crash of content at fault is strong evidence, also while reports are missing.

--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -97,10 +97,16 @@
         return total + weight
 
     @property
-    def weight(self) -> tuple[int, int]:
-        """Return the score and, if that is equal, the sum of weights."""
+    def weight(self) -> tuple[float, int, int]:
+        """Return the mean weight of the crashes, the score and the sum.
+
+        Content at fault crashes a server with the request that it begins, so
+        that all its crashes are strong evidence, also while the reports of an
+        entry are missing. Content that comes with it is often on the server
+        in other requests only.
+        """
         total = sum(crash.weight for crash in self.crashes.values())
-        return self.score, total
+        return total / max(1, len(self.crashes)), self.score, total
 
     def is_equal(self, other: _Evidence) -> bool:
         """Return whether nothing tells two contents apart."""
@@ -205,7 +211,9 @@
         findings.is_decision_due = bool(self._candidates)
         return findings
 
-    def _rank(self, content: bytes) -> tuple[tuple[int, int], int, bytes]:
+    def _rank(
+        self, content: bytes
+    ) -> tuple[tuple[float, int, int], int, bytes]:
         """Return a rank by the evidence and, if equal, by how few it hits.
 
         A part that is at fault and one that always comes with it have equal
@@ -213,7 +221,7 @@
         """
         evidence = self._evidence.get(content)
         if evidence is None:
-            return (0, 0), 0, content
+            return (0.0, 0, 0), 0, content
         return evidence.weight, len(evidence.companions), content
 
     def _judge(self, content: bytes, findings: Findings) -> None:
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -141,6 +141,16 @@
         self.assertTrue(all(BAD in content for content in self.quarantined))
         self.assertFalse(self.quarantine.match(frozenset([FIRST, SOUND])))
 
+    def test_reports_of_one_entry_are_missing(self):
+        """Guards against blame for a part that is in more of the reports."""
+        for number in range(3):
+            now_ms = self.clock.now_ms()
+            self.break_request(f"s{number}", [FIRST], now_ms, False)
+            self.crash(f"s{number}", [FIRST, BAD], gap_ms=50)
+            self.crash(f"t{number}", [FIRST], is_at_begin=False)
+        self.assertEqual(self.quarantined, [frozenset([FIRST, BAD])])
+        self.assertFalse(self.quarantine.match(frozenset([FIRST, SOUND])))
+
     def test_content_is_released_once_other_content_explains_it(self):
         """Guards against blame that stays when late reports explain it."""
         for number in range(3):
