Keep one type for broken requests, and call poison what it is

Change: gateway/broken_request.py holds the type; poison part is the name in the soak and the tests. No behaviour is changed.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -11,8 +11,8 @@
 from twisted.web import resource
 from twisted.web import server
 
-from soak import deadly_part as deadly_part_module
 from soak import ledger as ledger_module
+from soak import poison_part as poison_part_module
 from soak import proxy as proxy_module
 from soak import server_limit
 from soak import store as store_module
@@ -45,9 +45,9 @@
         ledger: ledger_module.Ledger,
         random_source: random.Random,
         truncated_share: float,
-        deadly_part: deadly_part_module.DeadlyPart,
+        poison_part: poison_part_module.PoisonPart,
     ) -> None:
-        self.deadly_part = deadly_part
+        self.poison_part = poison_part
         self.truncated_share = truncated_share
         self.server_id = server_id
         self.service = service
@@ -312,7 +312,7 @@
             # Without chunks; the connection is closed at the end.
             request.clientproto = b"HTTP/1.0"
         known = backend.ledger.requests.get(self._id)
-        self._is_deadly = backend.deadly_part.on_arrival(
+        self._is_poison = backend.poison_part.on_arrival(
             request.getHeader("balsamwall-prompt-prefix") or "",
             known.entry if known else "",
         )
@@ -360,13 +360,13 @@
     def _crash(self) -> None:
         """Crash with the head sent; connections close in good order."""
         self._request.setHeader("Content-Type", "text/event-stream")
-        self._backend.deadly_part.on_crash()
+        self._backend.poison_part.on_crash()
         reactor.callLater(0.0, self._backend.crash, is_clean=True)
 
     def _send_event(self) -> None:
         if self._is_finished:
             return
-        if self._is_deadly:
+        if self._is_poison:
             self._crash()
             return
         if self._next_event > self._event_count:
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -12,9 +12,9 @@
 from twisted.internet import reactor
 
 from soak import backend_server
-from soak import deadly_part as deadly_part_module
 from soak import entry as entry_module
 from soak import ledger as ledger_module
+from soak import poison_part as poison_part_module
 
 Kind = ledger_module.Kind
 HOST = "soak.example"
@@ -26,7 +26,7 @@
 ABANDON_SHARE = 0.04
 # Share of the streams that hold a part that crashes engines, while one is
 # in use.
-DEADLY_SHARE = 0.15
+POISON_SHARE = 0.15
 METHODS = {Kind.IDEMPOTENT: b"GET"}
 
 
@@ -39,9 +39,9 @@
         entries: list[entry_module.Entry],
         ledger: ledger_module.Ledger,
         random_source: random.Random,
-        deadly_part: deadly_part_module.DeadlyPart,
+        poison_part: poison_part_module.PoisonPart,
     ) -> None:
-        self._deadly_part = deadly_part
+        self._poison_part = poison_part
         self._number = number
         self._entries = entries
         self._ledger = ledger
@@ -93,10 +93,10 @@
             events,
             deadline_ms=DEADLINE_MS,
         )
-        request.is_deadly = bool(
+        request.is_poison = bool(
             events
-            and self._deadly_part.name
-            and self._random.random() < DEADLY_SHARE
+            and self._poison_part.name
+            and self._random.random() < POISON_SHARE
         )
         self._ledger.add_request(request)
         connection.send(request, self._headers(request))
@@ -126,8 +126,8 @@
     def _prompt(self, request: ledger_module.Request) -> str:
         """Return the parts of a prompt; the last one is the request's own."""
         parts = [f"first{self._random.randrange(2)}:40"]
-        if request.is_deadly:
-            parts.append(f"{self._deadly_part.name}:20")
+        if request.is_poison:
+            parts.append(f"{self._poison_part.name}:20")
         parts.append(f"second{self._random.randrange(8)}:20")
         return ",".join([*parts, f"{request.request_id}:20"])
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,9 +9,9 @@
 
 from twisted.internet import reactor
 
-from soak import deadly_part as deadly_part_module
 from soak import entry as entry_module
 from soak import ledger as ledger_module
+from soak import poison_part as poison_part_module
 from soak import proxy as proxy_module
 from soak import store as store_module
 
@@ -25,7 +25,7 @@
 # Well below what each server gets in a soak, so that it binds.
 MAX_LIMIT_PER_S = 1.0
 # Time for five crashes of three engines and for what follows them.
-DEADLY_PART_S = 6.0
+POISON_PART_S = 6.0
 LinkFault = proxy_module.LinkFault
 StoreFault = store_module.StoreFault
 
@@ -39,9 +39,9 @@
     entries: list[entry_module.Entry]
     backends: list[backend_server.BackendServer]
     store_proxies: dict[str, proxy_module.Proxy]
-    deadly_part: deadly_part_module.DeadlyPart
+    poison_part: poison_part_module.PoisonPart
 
-    def end_deadly_part(self, name: str) -> None:
+    def end_poison_part(self, name: str) -> None:
         """Check a part that crashes engines, and use it no longer."""
 
     def start_entry(self, entry: entry_module.Entry) -> None:
@@ -166,12 +166,12 @@
 
 
 @unplanned
-def send_deadly_part(soak: SoakTarget, duration_s: float) -> None:
+def send_poison_part(soak: SoakTarget, duration_s: float) -> None:
     """Let callers send a part of prompts that crashes engines."""
-    if not soak.deadly_part.name:
-        soak.deadly_part.begin()
+    if not soak.poison_part.name:
+        soak.poison_part.begin()
         reactor.callLater(
-            DEADLY_PART_S, soak.end_deadly_part, soak.deadly_part.name
+            POISON_PART_S, soak.end_poison_part, soak.poison_part.name
         )
 
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -44,7 +44,7 @@
     entry: str
     sent_ms: int
     events: int = 0  # number in a complete stream
-    is_deadly: bool = False  # crashes the engine that responds to it
+    is_poison: bool = False  # crashes the engine that responds to it
     is_abandoned: bool = False
     has_timed_out: bool = False  # no end, close or reset before the timeout
     response: Response | None = None
--- a/soak/deadly_part.py
+++ b/soak/poison_part.py
@@ -21,7 +21,7 @@
     entry: str
 
 
-class DeadlyPart:
+class PoisonPart:
     """Part that some requests of callers hold while it is in use."""
 
     __slots__ = ("_arrivals", "_count", "_crashes_ms", "_violations", "name")
@@ -65,7 +65,7 @@
         refused = [
             request.request_id
             for request in ledger.requests.values()
-            if not request.is_deadly
+            if not request.is_poison
             and request.response is not None
             and QUARANTINED in request.response.body
         ]
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,10 +14,10 @@
 from soak import backend_server
 from soak import caller as caller_module
 from soak import checks
-from soak import deadly_part
 from soak import entry as entry_module
 from soak import faults
 from soak import ledger as ledger_module
+from soak import poison_part
 from soak import proxy as proxy_module
 from soak import store as store_module
 
@@ -43,7 +43,7 @@
 # request.
 PLANNED_ONLY_PERIOD = 5
 # Share of the seeds that begin with a part of prompts that crashes engines.
-DEADLY_SHARE = 0.5
+POISON_SHARE = 0.5
 KINDS = {
     ledger_module.Kind.IDEMPOTENT: ("idempotent", "app", False),
     ledger_module.Kind.NON_IDEMPOTENT: ("non_idempotent", "app", False),
@@ -80,7 +80,7 @@
         self.ledger = ledger_module.Ledger()
         self.data = store_module.StoreData()
         self.site = store_module.StoreSite(self.data)
-        self.deadly_part = deadly_part.DeadlyPart()
+        self.poison_part = poison_part.PoisonPart()
         self._version = 0
         self._have_faults_ended = False
         self._faults: list[str] = []
@@ -120,7 +120,7 @@
                 0.0
                 if self._is_planned_only
                 else backend_server.TRUNCATED_SHARE,
-                self.deadly_part,
+                self.poison_part,
             )
             for service in ("app", "models")
             for number in range(SERVERS)
@@ -131,7 +131,7 @@
                 self.entries,
                 self.ledger,
                 random.Random(f"{seed}/caller/{number}"),
-                self.deadly_part,
+                self.poison_part,
             )
             for number in range(CALLERS)
         ]
@@ -154,9 +154,9 @@
         # The limit binds only after some seconds, so that one begins early.
         self._faults.append(faults.limit_server.__name__)
         faults.limit_server(self, MAX_FAULT_S)
-        if not self._is_planned_only and self.random.random() < DEADLY_SHARE:
-            self._faults.append(faults.send_deadly_part.__name__)
-            faults.send_deadly_part(self, MAX_FAULT_S)
+        if not self._is_planned_only and self.random.random() < POISON_SHARE:
+            self._faults.append(faults.send_poison_part.__name__)
+            faults.send_poison_part(self, MAX_FAULT_S)
         self._next_fault()
         reactor.callLater(self._duration_s, self._end_faults)
 
@@ -199,18 +199,18 @@
         self.data.stop()
         reactor.stop()
 
-    def end_deadly_part(self, name: str) -> None:
+    def end_poison_part(self, name: str) -> None:
         """Check a part that crashes engines, and use it no longer."""
         disturbed = self._disturbed_entries()
         disturbed[""] = self._fault_windows
-        self.deadly_part.end(disturbed, name)
+        self.poison_part.end(disturbed, name)
 
     def _disturbed_entries(self) -> dict[str, list[tuple[int, int]]]:
         return {entry.name: entry.disturbed_ms for entry in self.entries}
 
     def _check_promises(self) -> None:
-        self.end_deadly_part(self.deadly_part.name)
-        self._violations += self.deadly_part.violations(self.ledger)
+        self.end_poison_part(self.poison_part.name)
+        self._violations += self.poison_part.violations(self.ledger)
         self._violations += checks.violations(self.ledger, self.backends)
         for backend in self.backends:
             disturbed = self._disturbed_entries()
--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -7,6 +7,7 @@
 
 from balsamwall.coordination import crash_evidence
 from balsamwall.coordination import messages_fleet
+from balsamwall.gateway import broken_request
 from balsamwall.gateway import fingerprints
 from balsamwall.gateway import quarantine as quarantine_module
 
@@ -71,14 +72,15 @@
         return True
 
     def _on_broken(self, item: messages_fleet.BrokenRequestReport) -> None:
-        broken = crash_evidence.BrokenRequest(
+        broken = broken_request.BrokenRequest(
+            item.process,
             fingerprints.RequestFingerprints(
                 item.request, frozenset(item.parts)
             ),
             item.is_at_begin,
             self._clock.now_ms() - max(0, item.age_ms),
         )
-        self._apply(self._evidence.on_broken(item.process, broken))
+        self._apply(self._evidence.on_broken(broken))
 
     def notices(self) -> list[message.Message]:
         """Return the content that is held back, for a new entry."""
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from balsamwall.gateway import fingerprints as fingerprints_module
+    from balsamwall.gateway import broken_request
     from balsamwall.gateway import quarantine as quarantine_module
     from balsamwall.timing import clock as clock_module
 
@@ -41,15 +41,6 @@
 MAX_BROKEN_PER_PROCESS = 500
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class BrokenRequest:
-    """Hold a request that broke on a server process."""
-
-    fingerprints: fingerprints_module.RequestFingerprints
-    is_at_begin: bool  # whether its response had a head and nothing after it
-    at_ms: int
-
-
 class _Process:
     """Hold the broken requests of a server process that may have crashed."""
 
@@ -58,7 +49,7 @@
     def __init__(self, now_ms: int) -> None:
         self.seen_ms = now_ms
         self.lost_ms: int | None = None
-        self.broken: list[BrokenRequest] = []
+        self.broken: list[broken_request.BrokenRequest] = []
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -178,18 +169,18 @@
         # By fingerprint: reports of broken requests before this are void.
         self._proven_ms: dict[bytes, int] = {}
 
-    def on_broken(self, process: str, broken: BrokenRequest) -> Findings:
+    def on_broken(self, broken: broken_request.BrokenRequest) -> Findings:
         """Add a request that broke at a process."""
-        found = self._process(process)
+        found = self._process(broken.process)
         if len(found.broken) < MAX_BROKEN_PER_PROCESS:
             found.broken.append(broken)
-        return self._confirm(process, found)
+        return self._confirm(found)
 
     def on_lost(self, process: str) -> Findings:
         """Add the loss of a process."""
         found = self._process(process)
         found.lost_ms = self._clock.now_ms()
-        return self._confirm(process, found)
+        return self._confirm(found)
 
     def on_proven(self, fingerprints: frozenset[bytes]) -> None:
         """Drop the evidence against content that a server responded to."""
@@ -300,7 +291,7 @@
         }
         self._processes = kept if len(kept) < MAX_PROCESSES else {}
 
-    def _confirm(self, name: str, process: _Process) -> Findings:
+    def _confirm(self, process: _Process) -> Findings:
         """Count the broken requests of a process that is lost."""
         if process.lost_ms is None:
             return Findings()
@@ -308,7 +299,7 @@
         counted: set[bytes] = set()
         for request in broken:
             if abs(process.lost_ms - request.at_ms) <= CONFIRMATION_MS:
-                counted |= self._count(name, request)
+                counted |= self._count(request)
         findings = Findings()
         for content in counted:
             self._examine(content, findings)
@@ -327,7 +318,9 @@
             self._candidates.add(content)
             findings.is_decision_due = True
 
-    def _count(self, process: str, request: BrokenRequest) -> frozenset[bytes]:
+    def _count(
+        self, request: broken_request.BrokenRequest
+    ) -> frozenset[bytes]:
         """Count a crash for the content of a request; return that content."""
         fingerprints = request.fingerprints
         explained = self._quarantine.match(fingerprints.all)
@@ -338,12 +331,14 @@
             is_strong = request.is_at_begin or content == fingerprints.request
             weight = STRONG_WEIGHT if is_strong else WEAK_WEIGHT
             self._evidence_for(content, request).add(
-                process, _Crash(request.at_ms, weight), fingerprints.all
+                request.process,
+                _Crash(request.at_ms, weight),
+                fingerprints.all,
             )
         return counted
 
     def _evidence_for(
-        self, content: bytes, request: BrokenRequest
+        self, content: bytes, request: broken_request.BrokenRequest
     ) -> _Evidence:
         evidence = self._evidence.get(content)
         age_ms = request.at_ms - evidence.since_ms if evidence else 0
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -15,6 +15,7 @@
     from balsamwall.coordination import fleet_stream
     from balsamwall.gateway import assignment_client
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import broken_request
     from balsamwall.gateway import crash_suspects
     from balsamwall.gateway import residency_waits
     from balsamwall.gateway import server_limits
@@ -177,7 +178,7 @@
                 )
             )
 
-    def report_broken(self, broken: crash_suspects.BrokenRequest) -> None:
+    def report_broken(self, broken: broken_request.BrokenRequest) -> None:
         """Report a request that broke at a server process, if connected."""
         if self._link is not None:
             age_ms = self._clock.now_ms() - broken.at_ms
--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import broken_request
 from balsamwall.gateway import quarantine as quarantine_module
 
 if TYPE_CHECKING:
@@ -28,29 +29,10 @@
 MAX_WATCHED = 2_000
 
 
-class BrokenRequest:
-    """Hold a request whose response broke before it was proven sound."""
-
-    __slots__ = ("at_ms", "fingerprints", "is_at_begin", "process")
-
-    def __init__(
-        self,
-        process: str,
-        fingerprints: fingerprints_module.RequestFingerprints,
-        is_at_begin: bool,
-        at_ms: int,
-    ) -> None:
-        self.process = process
-        self.fingerprints = fingerprints
-        # Whether the response had a head and nothing after it.
-        self.is_at_begin = is_at_begin
-        self.at_ms = at_ms
-
-
 class CrashLink(Protocol):
     """Send reports to the coordinator; they are dropped without one."""
 
-    def report_broken(self, broken: BrokenRequest) -> None:
+    def report_broken(self, broken: broken_request.BrokenRequest) -> None:
         """Report a request that broke at a server process."""
 
     def report_lost(self, process: str) -> None:
@@ -92,9 +74,8 @@
         self._log = log
         self._link: CrashLink | None = None
         self._on_quarantined: Callable[[], None] | None = None
-        self._broken: collections.deque[BrokenRequest] = collections.deque(
-            maxlen=MAX_REPORTS
-        )
+        self._broken: collections.deque[broken_request.BrokenRequest]
+        self._broken = collections.deque(maxlen=MAX_REPORTS)
         # By server process: when its loss was reported.
         self._lost_ms: dict[str, int] = {}
         # By fingerprint: when the last response that was proven began.
@@ -119,7 +100,7 @@
         is_at_begin: bool,
     ) -> None:
         """Report a request whose response was not proven when it broke."""
-        broken = BrokenRequest(
+        broken = broken_request.BrokenRequest(
             process_name(record),
             fingerprints,
             is_at_begin,
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -5,6 +5,7 @@
 import unittest
 
 from balsamwall.coordination import crash_evidence
+from balsamwall.gateway import broken_request
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import fingerprints
 from balsamwall.gateway import quarantine
@@ -47,12 +48,10 @@
         found = fingerprints.RequestFingerprints(
             self.requests.to_bytes(16, "big"), frozenset(parts)
         )
-        self.apply(
-            self.evidence.on_broken(
-                process,
-                crash_evidence.BrokenRequest(found, is_at_begin, at_ms),
-            )
+        broken = broken_request.BrokenRequest(
+            process, found, is_at_begin, at_ms
         )
+        self.apply(self.evidence.on_broken(broken))
 
     def crash(self, process, *requests, gap_ms=1_000, is_at_begin=True):
         """Let three entries report requests and the loss of a process."""
--- a/tests/gateway/test_prompt_part_crashes.py
+++ b/tests/gateway/test_prompt_part_crashes.py
@@ -21,7 +21,7 @@
         crashes_ms = fleet.crashes_ms
         if len(crashes_ms) >= crashes:
             since_ms = crashes_ms[crashes - 1] + CONTACT_MS
-            late = fleet.deadly_arrivals_since(since_ms)
+            late = fleet.poison_arrivals_since(since_ms)
             self.assertLessEqual(len(late), MAX_LATE_SENDS)
         self.assertEqual(fleet.sound_quarantined(), [])
         last_ms = crashes_ms[min(len(crashes_ms), crashes) - 1]
@@ -33,7 +33,7 @@
     def run_day(self, entries, parts=("bad1",), share=0.06, **changes):
         fleet = crash_harness.CrashFleet(entries, **changes)
         fleet.load(50, 3_000)
-        fleet.deadly_parts = frozenset(parts)
+        fleet.poison_parts = frozenset(parts)
         fleet.load(50, 20_000, share)
         return fleet
 
@@ -55,7 +55,7 @@
         """Guards against evidence that is lost with a process."""
         fleet = crash_harness.CrashFleet(5, seed=6)
         fleet.load(50, 3_000)
-        fleet.deadly_parts = frozenset(["bad1"])
+        fleet.poison_parts = frozenset(["bad1"])
         while len(fleet.crashes_ms) < 2:
             fleet.load(50, 100, 0.06)
         fleet.stop_entry(0)
@@ -65,7 +65,7 @@
         fleet.elect(2)
         since_ms = fleet.clock.now_ms()
         fleet.load(50, 3_000, 0.06)
-        self.assertEqual(fleet.deadly_arrivals_since(since_ms), [])
+        self.assertEqual(fleet.poison_arrivals_since(since_ms), [])
 
     def test_equal_sound_requests_are_not_refused(self):
         """Guards against blaming a frequent request for crashes around it."""
@@ -98,7 +98,7 @@
                 3, servers=3, seed=seed, restart_ms=800
             )
             fleet.load(60, 500, subjects=8)
-            fleet.deadly_parts = frozenset(["bad1"])
+            fleet.poison_parts = frozenset(["bad1"])
             fleet.load(60, 8_000, 0.15, subjects=8)
             with self.subTest(f"seed {seed}"):
                 self.assertEqual(fleet.sound_quarantined(), [])
