Let waiting requests say nothing of a part by itself

Where the head of a response is lost on the way, the part at fault has weaker reports than a part that came with it at the begin of other responses. That shared part was then judged first, and by itself, because sound requests with it that waited at the crashed engines lacked the other one.

Change: what was always present with a content is told by the strong reports only, once there are any. Content with half the score counts as indistinguishable, since reports may be missing.

--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -63,15 +63,23 @@
 class _Evidence:
     """Hold the crashes of one content since its last proof."""
 
-    __slots__ = ("companions", "crashes", "since_ms", "watched_ms")
+    __slots__ = (
+        "_has_strong",
+        "companions",
+        "crashes",
+        "since_ms",
+        "watched_ms",
+    )
 
     def __init__(self, companions: frozenset[bytes], at_ms: int) -> None:
         self.since_ms = at_ms
         self.watched_ms: int | None = None
         # By server process.
         self.crashes: dict[str, _Crash] = {}
-        # Content that was present in each request with this one.
+        # Content that was present in each request with this one, as far as
+        # the requests are strong evidence, if any is.
         self.companions = companions
+        self._has_strong = False
 
     @property
     def score(self) -> int:
@@ -99,6 +107,18 @@
         total = sum(crash.weight for crash in self.crashes.values())
         return total / max(1, len(self.crashes)), self.score, total
 
+    def _narrow(self, companions: frozenset[bytes], is_strong: bool) -> None:
+        """Narrow the companions, by strong evidence only once there is any.
+
+        Sound requests that wait at a server that crashes share a part with
+        the request at fault, but say nothing of that part alone.
+        """
+        if is_strong and not self._has_strong:
+            self._has_strong = True
+            self.companions = companions
+        elif is_strong or not self._has_strong:
+            self.companions &= companions
+
     def is_equal(self, other: _Evidence) -> bool:
         """Return whether nothing tells two contents apart."""
         return (
@@ -109,7 +129,7 @@
         self, process: str, crash: _Crash, companions: frozenset[bytes]
     ) -> None:
         """Count a crash; of several reports the strongest one counts."""
-        self.companions &= companions
+        self._narrow(companions, crash.weight == STRONG_WEIGHT)
         known = self.crashes.get(process)
         if known is None or known.weight < crash.weight:
             self.crashes[process] = crash
@@ -229,12 +249,15 @@
         findings.released += self._explained_sets(found, explained)
 
     def _indistinguishable(self, evidence: _Evidence) -> frozenset[bytes]:
-        """Return the content that the same crashes speak against."""
+        """Return the content that the same crashes speak against.
+
+        Reports of an entry may be missing, so that half the score suffices.
+        """
         return frozenset(
             other
             for other in evidence.companions
             if other in self._evidence
-            and self._evidence[other].score >= evidence.score
+            and 2 * self._evidence[other].score >= evidence.score
         )
 
     def _explained_sets(
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -150,6 +150,16 @@
         self.assertEqual(self.quarantined, [frozenset([FIRST, BAD])])
         self.assertFalse(self.quarantine.match(frozenset([FIRST, SOUND])))
 
+    def test_part_in_waiting_requests_is_held_back_with_the_one_at_fault(self):
+        """Guards against refusing a shared part whose reports are stronger."""
+        self.crash("s9", [BAD], is_at_begin=False)
+        for number in range(3):
+            now_ms = self.clock.now_ms()
+            self.break_request(f"s{number}", [FIRST, SOUND], now_ms, False)
+            self.crash(f"s{number}", [FIRST, BAD])
+        self.assertFalse(self.quarantine.match(frozenset([FIRST, SOUND])))
+        self.assertTrue(self.quarantine.match(frozenset([FIRST, BAD])))
+
     def test_content_is_released_once_other_content_explains_it(self):
         """Guards against blame that stays when late reports explain it."""
         for number in range(3):
