Give the weight of evidence a type of its own

Cause: the last reading found a bare tuple of three numbers whose order decides which content is held back.

Change: an ordered data class with named fields. No behaviour is changed.

--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -60,6 +60,15 @@
     weight: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class _Weight:
+    """Order the evidence against contents, by its fields in this order."""
+
+    mean: float  # weight of a crash on average
+    score: int
+    total: int  # sum of the weights of all crashes
+
+
 class _Evidence:
     """Hold the crashes of one content since its last proof."""
 
@@ -96,8 +105,8 @@
         return total + weight
 
     @property
-    def weight(self) -> tuple[float, int, int]:
-        """Return the mean weight of the crashes, the score and the sum.
+    def weight(self) -> _Weight:
+        """Return how strong the evidence is.
 
         Content at fault crashes a server with the request that it begins, so
         that all its crashes are strong evidence, also while the reports of an
@@ -105,7 +114,8 @@
         in other requests only.
         """
         total = sum(crash.weight for crash in self.crashes.values())
-        return total / max(1, len(self.crashes)), self.score, total
+        mean = total / max(1, len(self.crashes))
+        return _Weight(mean, self.score, total)
 
     def _narrow(self, companions: frozenset[bytes], is_strong: bool) -> None:
         """Narrow the companions, by strong evidence only once there is any.
@@ -222,9 +232,7 @@
         findings.is_decision_due = bool(self._candidates)
         return findings
 
-    def _rank(
-        self, content: bytes
-    ) -> tuple[tuple[float, int, int], int, bytes]:
+    def _rank(self, content: bytes) -> tuple[_Weight, int, bytes]:
         """Return a rank by the evidence and, if equal, by how few it hits.
 
         A part that is at fault and one that always comes with it have equal
@@ -232,7 +240,7 @@
         """
         evidence = self._evidence.get(content)
         if evidence is None:
-            return (0.0, 0, 0), 0, content
+            return _Weight(0.0, 0, 0), 0, content
         return evidence.weight, len(evidence.companions), content
 
     def _judge(self, content: bytes, findings: Findings) -> None:
