--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -9,6 +9,7 @@
 
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import body_framing
+from balsamwall.gateway import incoming_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,12 +18,9 @@
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import http_fields
-    from balsamwall.gateway import incoming_request
     from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
 
-# Status (Misdirected Request) that certifies that the request was not run.
-WRONG_SERVER_STATUS = 421
 # The rest of a refusal or of a response that nobody receives is read, so that
 # the connection can be reused, but only up to these limits: a faulty server
 # may send bytes without end.
@@ -218,7 +216,10 @@
         self.framing = framing
         self._record_load(head)
         self._limits.on_response(self.server, status, head)
-        is_refusal = status == WRONG_SERVER_STATUS or head.is_certified_not_run
+        is_refusal = (
+            status == incoming_request.WRONG_SERVER_STATUS
+            or head.is_certified_not_run
+        )
         # Without the identifier it may be the refusal of another request.
         if is_refusal and head.is_echoed:
             self._refusal = f"status {status}"
--- a/src/balsamwall/gateway/gateway_configuration.py
+++ b/src/balsamwall/gateway/gateway_configuration.py
@@ -10,6 +10,7 @@
     from collections.abc import Mapping
 
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import workspace as workspace_module
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -58,9 +59,18 @@
 
 
 class GatewayConfiguration:
-    """Hold the routes, services and limits of one configuration version."""
+    """Hold the routes, services and limits of one configuration version.
 
-    __slots__ = ("_routes_by_host", "limits", "services", "version")
+    Without workspaces callers need no key.
+    """
+
+    __slots__ = (
+        "_routes_by_host",
+        "limits",
+        "services",
+        "version",
+        "workspaces",
+    )
 
     def __init__(
         self,
@@ -68,8 +78,10 @@
         routes: Iterable[route_module.Route],
         services: Iterable[ServiceSpec],
         limits: CallerLimits,
+        workspaces: workspace_module.WorkspaceTable | None = None,
     ) -> None:
         self.version = version
+        self.workspaces = workspaces
         self.limits = limits
         self.services = {service.name: service for service in services}
         by_host: dict[str, list[route_module.Route]] = {}
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -11,6 +11,9 @@
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import http_fields
 
+# Status (Misdirected Request) that certifies that the request was not run.
+WRONG_SERVER_STATUS = 421
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PromptPart:
@@ -35,6 +38,8 @@
     max_output_tokens: int = 0
     shared_parts: tuple[PromptPart, ...] = ()  # in the order of the prompt
     resumes_after: bytes | None = None  # last event that the caller received
+    has_token_usage: bool = False  # whether the caller states its tokens
+    api_key: bytes = b""  # empty without a valid bearer key
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -50,6 +55,9 @@
     # Requests per second that the server accepts from all entries together;
     # None if it names no limit.
     limit_per_s: float | None = None
+    # How long work takes on the server's VM now, 100 is usual; None if the
+    # server does not report it.
+    work_time_percent: int | None = None
 
 
 class RequestCodec(Protocol):
@@ -73,6 +81,7 @@
         remaining_ms: int,
         priority: int | None,
         last_event_id: bytes | None,
+        workspace: str = "",
     ) -> http_fields.Fields:
         """Return the fields that are specific to one attempt."""
 
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -8,6 +8,7 @@
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
+from balsamwall.gateway import incoming_request
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import response_body
@@ -20,10 +21,10 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
-    from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
+    from balsamwall.gateway import workspace as workspace_module
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
@@ -60,6 +61,7 @@
         "request",
         "route",
         "sends",
+        "workspace",
     )
 
     def __init__(
@@ -70,11 +72,13 @@
         route: route_module.Route,
         service: str,
         on_finished: Callable[[RequestHandler], None],
+        workspace: workspace_module.Workspace | None = None,
     ) -> None:
         self._dependencies = dependencies
         self._exchange = exchange
         self.request = request
         self.route = route
+        self.workspace = workspace
         self._service = service
         self._on_finished = on_finished
         self._history = retry_policy.AttemptHistory()
@@ -198,6 +202,7 @@
             self.left_ms,
             self._dependencies.priority_for(self.route),
             last_event_id,
+            self.workspace.name if self.workspace else "",
         )
         outgoing = attempt_module.build_outgoing_request(
             codec, self._exchange, attempt_fields, self.request.attempt_id
@@ -367,7 +372,7 @@
         self._finish_attempt(True)
         self._dispatch.exclude(attempt.server)
         self._dependencies.on_attempt_failed(self, attempt, failure, detail)
-        if attempt.status == attempt_module.WRONG_SERVER_STATUS:
+        if attempt.status == incoming_request.WRONG_SERVER_STATUS:
             self._dependencies.on_model_missing(
                 self._service, self.request, attempt.server
             )
--- a/src/balsamwall/gateway/route.py
+++ b/src/balsamwall/gateway/route.py
@@ -43,6 +43,7 @@
     attempts: int  # maximum of executions for one request of a caller
     is_resumable: bool = False
     gap_target_ms: int = 0  # target of the gap between events, 0 if unset
+    is_public: bool = False  # whether callers need no key
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/balsamwall/gateway/server_limits.py
+++ b/src/balsamwall/gateway/server_limits.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
-from balsamwall.gateway import attempt
 from balsamwall.gateway import coordinator_queries
+from balsamwall.gateway import incoming_request
 from balsamwall.limits import limit_book
 from balsamwall.limits import paced_share
 
@@ -16,7 +16,6 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import gateway_metrics
-    from balsamwall.gateway import incoming_request
     from balsamwall.limits import fleet_size
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
@@ -124,7 +123,7 @@
         is_from_server = head.is_echoed and (
             head.is_signed or head.is_certified_not_run
         )
-        if status == attempt.WRONG_SERVER_STATUS:
+        if status == incoming_request.WRONG_SERVER_STATUS:
             # It may come from another server at the same address.
             return
         if head.limit_per_s is None and not is_from_server:
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -104,6 +104,7 @@
         remaining_ms: int,
         priority: int | None,
         last_event_id: bytes | None,
+        workspace: str = "",
     ) -> http_fields.Fields:
         """Return the fields that the system adds to one attempt."""
         fields = [
