Ignore relayed values from before the last read of the store

Cause: after a restart an entry reads the store and has no record of the keys that were deleted before. A coordinator that was suspended relays what it had read earlier, and the entry used a server that had left.

Change: StoreFeed keeps the revision of its last complete read, and ignores a relayed value of that revision or an earlier one whose key the read did not contain.

--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -119,6 +119,7 @@
         "_relayed_ms",
         "_request",
         "_revision",
+        "_snapshot_revision",
         "_timer",
         "_update_listeners",
         "_watches",
@@ -139,6 +140,8 @@
         self._items: dict[str, key_value_service.KeyValue] = {}
         self._pages: dict[str, key_value_service.KeyValue] = {}
         self._revision = 0
+        # Revision of the last complete read.
+        self._snapshot_revision = 0
         self._readers = 1
         self._backoff_ms = MIN_BACKOFF_MS
         self._is_stopped = False
@@ -206,7 +209,8 @@
             self._revision = max(self._revision, update.revision)
             self._relayed_ms = self._clock.now_ms()
         for item in update.items:
-            self._deliver(item)
+            if not self._is_deleted(item):
+                self._deliver(item)
         if self._timer is None:
             # A call is in progress, and its response has the changes.
             return
@@ -304,6 +308,7 @@
         for item in changes:
             self._deliver(item)
         after_revision, self._revision = self._revision, revision
+        self._snapshot_revision = revision
         self.is_synced = True
         self._on_update(after_revision, tuple(changes))
         self._schedule_watch(0)
@@ -367,6 +372,15 @@
         else:
             self._watch()
 
+    def _is_deleted(self, item: key_value_service.KeyValue) -> bool:
+        """Return whether a relayed item was deleted before the last read.
+
+        A coordinator that lags may relay a value from before the read, whose
+        key the read did not contain any more.
+        """
+        is_older = item.revision <= self._snapshot_revision
+        return is_older and item.key not in self._items
+
     def _deliver(self, item: key_value_service.KeyValue) -> None:
         """Deliver an item unless the known one is as new or newer."""
         known = self._items.get(item.key)
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -246,3 +246,16 @@
         states.clear()
         self.relay(update(11, 14, ("s/a", "2", 13)))
         self.assertEqual(states, [True])
+
+    def test_relayed_value_of_a_deleted_key_is_ignored(self):
+        """Guards against a server that left being used after a restart.
+
+        A coordinator that was suspended relays what it had read before.
+        """
+        self.relay(update(0, 9, ("s/left", "1", 9)))
+        self.assertEqual(self.seen, [("s/a", "1")])
+
+    def test_relayed_value_of_a_recreated_key_is_delivered(self):
+        """Guards against a server that returns and stays unknown."""
+        self.relay(update(11, 12, ("s/left", "2", 12)))
+        self.assertEqual(self.seen[-1], ("s/left", "2"))
