Ignore a response of the coordinator that is read after a pause

Cause: after a pause of the process, the reactor reads a buffered response before the overdue timeout of its query runs. The entry then used a permit or an assignment that was given seconds earlier.

Change: CoordinatorQueries compares the clock, which includes suspension, with the end of the query, and treats a late response as a timeout. VirtualClock.suspend advances the time without running timers.

Result: the new test failed before the change and passes with it (python -m tools.run_tests tests.gateway.test_assignment_client).

--- a/src/balsamwall/gateway/coordinator_queries.py
+++ b/src/balsamwall/gateway/coordinator_queries.py
@@ -25,15 +25,17 @@
 class _PendingQuery(Generic[Response]):
     """Query without a response so far."""
 
-    __slots__ = ("on_response", "timer")
+    __slots__ = ("expires_ms", "on_response", "timer")
 
     def __init__(
         self,
         on_response: Callable[[Response | None], None],
         timer: clock_module.Timer,
+        expires_ms: int,
     ) -> None:
         self.on_response = on_response
         self.timer = timer
+        self.expires_ms = expires_ms
 
 
 class CoordinatorQueries(Generic[Response]):
@@ -76,7 +78,9 @@
         timer = self._clock.call_later(
             QUERY_TIMEOUT_MS, self._on_timeout, number
         )
-        self._pending[number] = _PendingQuery(on_response, timer)
+        self._pending[number] = _PendingQuery(
+            on_response, timer, self._clock.now_ms() + QUERY_TIMEOUT_MS
+        )
         if send(number):
             return True
         timer.cancel()
@@ -84,11 +88,19 @@
         return False
 
     def resolve(self, number: int, response: Response) -> None:
-        """Deliver a response; one after the timeout is ignored."""
-        pending = self._pending.pop(number, None)
+        """Deliver a response; one after the timeout is ignored.
+
+        After a pause of this process, a response is read before the overdue
+        timer runs. A permission in it may have expired in the meantime.
+        """
+        pending = self._pending.get(number)
         if pending is None:
             return
         pending.timer.cancel()
+        if self._clock.now_ms() > pending.expires_ms:
+            self._on_timeout(number)
+            return
+        del self._pending[number]
         self._timeouts = 0
         pending.on_response(response)
 
--- a/src/balsamwall/timing/virtual_clock.py
+++ b/src/balsamwall/timing/virtual_clock.py
@@ -85,6 +85,10 @@
         """Advance the time by a duration and run the calls due in it."""
         self.run_until(self._now_ms + duration_ms)
 
+    def suspend(self, duration_ms: int) -> None:
+        """Advance the time without running calls, as a suspension does."""
+        self._now_ms += duration_ms
+
     def run_until(self, end_ms: int) -> None:
         """Advance the time to `end_ms` and run the calls due by then."""
         while True:
--- a/tests/gateway/test_assignment_client.py
+++ b/tests/gateway/test_assignment_client.py
@@ -54,6 +54,16 @@
         self.clock.advance(coordinator_queries.QUERY_TIMEOUT_MS)
         self.assertEqual(self.assigned, [""])
 
+    def test_response_read_after_a_pause_is_ignored(self):
+        """Guards against a permission that expired during a suspension.
+
+        The process reads the response before its overdue timer runs.
+        """
+        self.query()
+        self.clock.suspend(3_000)
+        self.client.on_response(self.link.numbers[0], "e1")
+        self.assertEqual(self.assigned, [""])
+
     def test_silent_coordinator_is_not_asked_for_some_time(self):
         """Guards against a short wait of every request in an outage."""
         for _ in range(coordinator_queries.MAX_TIMEOUTS):
