Check the lease before a coordinator answers a message

Cause: after a pause of the process, the coordinator read buffered messages before the next tick checked its lease. It gave permits and assignments, although another entry could have been elected in the meantime.

Change: is_active compares the lease with the clock at each use, instead of relying on the last tick.

Result: the new test failed before the change and passes with it (python -m tools.run_tests tests.coordination.test_coordinator).

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -170,8 +170,12 @@
 
     @property
     def is_active(self) -> bool:
-        """Return whether this process is the active coordinator."""
-        return self._is_active
+        """Return whether this process is the active coordinator.
+
+        After a pause of the process, messages are read before the next tick
+        checks the lease, which may have expired in the meantime.
+        """
+        return self._is_active and bool(self.fencing_token)
 
     def start(self) -> None:
         """Check the lease and plan every TICK_INTERVAL_MS."""
@@ -182,7 +186,7 @@
 
     def on_message(self, vm: str, item: message.Message) -> None:
         """Handle a message from an entry; ignore it while inactive."""
-        if not self._is_active:
+        if not self.is_active:
             return
         if isinstance(item, messages_fleet.DemandReport):
             self._demand.on_report(vm, item)
@@ -260,7 +264,7 @@
         that is held back. The list is empty while this process is not the
         active coordinator.
         """
-        if not self._is_active:
+        if not self.is_active:
             return []
         return [
             self._server_models(tracker)
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -5,6 +5,7 @@
 import unittest
 
 from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import messages_fleet
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
 from balsamwall.logs import decision_log
@@ -126,3 +127,15 @@
         self.lease.is_held, self.lease.revision = True, 11
         self.clock.advance(500)
         self.assertEqual(self.coordinator.fencing_token, 11)
+
+    def test_query_read_after_a_pause_gets_no_permit(self):
+        """Guards against a permit of a coordinator whose lease has expired.
+
+        After a pause, the query is read before the next check of the lease.
+        """
+        self.lease.is_held = False
+        self.clock.suspend(4_000)
+        self.links.sent.clear()
+        self.coordinator.on_message("vm1", messages_fleet.PermitQuery(1, "e1"))
+        self.assertEqual(self.links.sent, [])
+        self.assertEqual(self.coordinator.on_entry_connected(), [])
