Authenticate callers by the keys of workspaces

Cause: callers of the new deployments belong to workspaces, whose keys are added and revoked by new versions of the configuration; the types existed, and nothing read them.

Change: workspaces and public routes are decoded, and a fault rejects the whole version without naming a key. The gateway checks the key before a request counts as demand, again before each send, and for all unsent requests when a version comes into force. Authorization is not forwarded with workspaces, and Balsamwall-Tenant is always set by the entry. Queues and the priority for engines use the workspace's priority before the route's. The feed logs no values of unreadable items. Outgoing requests are built in a module of their own.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -18,6 +18,7 @@
 from balsamwall.coordination import permit_issuer
 from balsamwall.coordination import store_relay
 from balsamwall.gateway import backend_directory
+from balsamwall.gateway import configuration_freshness
 from balsamwall.gateway import configuration_holder
 from balsamwall.gateway import connection_pool
 from balsamwall.gateway import gateway as gateway_module
@@ -67,6 +68,10 @@
 class StoreConnection(Protocol):
     """State of the connection to the store."""
 
+    @property
+    def confirmation(self) -> configuration_freshness.Confirmation:
+        """Return what is known of the age of the copy of the store."""
+
     @property
     def is_connected(self) -> bool:
         """Return whether the last call received a response."""
@@ -187,6 +192,11 @@
             limits=self._limits,
             request_load=self._request_load,
             random_source=self._random,
+            freshness=configuration_freshness.ConfigurationFreshness(
+                self._clock,
+                dependencies.connection.confirmation,
+                settings.revoke_ms if settings.is_revocation_strict else None,
+            ),
         )
         self._gateway = gateway_module.Gateway(
             self._request_dependencies, self._configuration, self._random
@@ -367,6 +377,7 @@
                 version=configuration.version,
                 revision=item.revision,
             )
+            self._gateway.on_configuration()
 
     def _on_server(self, item: key_value_service.KeyValue) -> None:
         server_id = item.key.removeprefix(self._dependencies.servers_prefix)
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -56,10 +56,11 @@
     exchange: caller_exchange.CallerExchange,
     attempt_fields: http_fields.Fields,
     attempt_id: bytes,
+    has_workspaces: bool,
 ) -> OutgoingRequest:
     """Return the caller's request with the header fields of one attempt."""
     head, body = exchange.head, exchange.body
-    fields = codec.forwarded_fields(head) + attempt_fields
+    fields = codec.forwarded_fields(head, has_workspaces) + attempt_fields
     if body or head.method in METHODS_WITH_BODY:
         fields.append((b"content-length", str(len(body)).encode()))
     return OutgoingRequest(head.method, head.target, fields, body, attempt_id)
--- /dev/null
+++ b/src/balsamwall/gateway/authentication.py
@@ -0,0 +1,89 @@
+"""Decide whether a request carries the key that its route needs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import refusal
+from balsamwall.results import result_code
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import configuration_freshness
+    from balsamwall.gateway import configuration_holder
+    from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import workspace as workspace_module
+
+_Code = result_code.ResultCode
+
+
+class AuthenticationError(Exception):
+    """Request without the key that its route needs, or an unusable key."""
+
+    def __init__(
+        self,
+        code: result_code.ResultCode,
+        detail: str,
+        retry_after_ms: int = refusal.RETRY_AFTER_MS,
+    ) -> None:
+        super().__init__(detail)
+        self.code = code
+        self.retry_after_ms = retry_after_ms
+
+
+class Authenticator:
+    """Find the workspace of a request in the configuration in force.
+
+    Load pattern: keys are revoked while their holders keep connections open
+    and requests queued, so a request is checked again before each send.
+    """
+
+    __slots__ = ("_configuration", "_freshness")
+
+    def __init__(
+        self,
+        configuration: configuration_holder.ConfigurationHolder,
+        freshness: configuration_freshness.ConfigurationFreshness
+        | None = None,
+    ) -> None:
+        self._configuration = configuration
+        self._freshness = freshness
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Return whether the configuration in force has workspaces."""
+        current = self._configuration.current
+        return current is not None and current.workspaces is not None
+
+    def authenticate(
+        self,
+        request: incoming_request.IncomingRequest,
+        route: route_module.Route,
+    ) -> workspace_module.Workspace | None:
+        """Return the workspace, or None if the request needs none.
+
+        Raise AuthenticationError if the request must not be served.
+        """
+        current = self._configuration.current
+        if current is None:
+            raise AuthenticationError(
+                _Code.CONFIGURATION_UNAVAILABLE,
+                "no configuration received yet",
+            )
+        workspaces = current.workspaces
+        if workspaces is None:
+            return None
+        found = workspaces.find(request.api_key) if request.api_key else None
+        if route.is_public:
+            return found
+        if self._freshness is not None and not self._freshness.is_usable:
+            raise AuthenticationError(
+                _Code.CONFIGURATION_UNAVAILABLE,
+                "the configuration is not confirmed to be the newest",
+            )
+        if found is None:
+            raise AuthenticationError(
+                _Code.KEY_MISSING_OR_WRONG,
+                "the request has no key that is in force",
+            )
+        return found
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import authentication
 from balsamwall.gateway import gateway_configuration
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_handler
@@ -19,6 +20,7 @@
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import workspace as workspace_module
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
@@ -172,9 +174,23 @@
                 "no route matches the host and path",
             )
             return
+        try:
+            workspace = self._dependencies.authenticator.authenticate(
+                request, route
+            )
+        except authentication.AuthenticationError as error:
+            self._dependencies.metrics.workspaces.count_unauthenticated(
+                error.code
+            )
+            self._refuse(exchange, request, error.code, str(error))
+            return
         if self._may_outlive_process(route):
             self._refuse(
-                exchange, request, _Code.LEAVING, "this entry is shutting down"
+                exchange,
+                request,
+                _Code.LEAVING,
+                "this entry is shutting down",
+                workspace,
             )
             return
         service = self._pick_service(route)
@@ -186,6 +202,7 @@
             route,
             service,
             self._handlers.discard,
+            workspace,
         )
         if handler.refuse_quarantined():
             # It is no demand for its model.
@@ -197,6 +214,11 @@
             counts[1] += request.prompt_tokens
         handler.start()
 
+    def on_configuration(self) -> None:
+        """End the unsent requests whose key is not in force any more."""
+        for handler in list(self._handlers):
+            handler.refuse_unauthenticated()
+
     def _on_quarantined(self) -> None:
         """End the open requests that must not reach servers any more."""
         for handler in list(self._handlers):
@@ -208,12 +230,14 @@
         request: incoming_request.IncomingRequest,
         code: _Code,
         detail: str,
+        workspace: workspace_module.Workspace | None = None,
     ) -> None:
         self._dependencies.log.write(
             "request_refused",
             request=request.attempt_id.decode("latin-1"),
             host=request.host,
             path=exchange.head.path,
+            workspace=workspace.name if workspace else None,
             code=code.name,
             detail=detail,
         )
--- a/src/balsamwall/gateway/gateway_configuration.py
+++ b/src/balsamwall/gateway/gateway_configuration.py
@@ -67,6 +67,7 @@
     __slots__ = (
         "_routes_by_host",
         "limits",
+        "routes",
         "services",
         "version",
         "workspaces",
@@ -84,8 +85,9 @@
         self.workspaces = workspaces
         self.limits = limits
         self.services = {service.name: service for service in services}
+        self.routes = tuple(routes)
         by_host: dict[str, list[route_module.Route]] = {}
-        for route in routes:
+        for route in self.routes:
             by_host.setdefault(route.host.lower(), []).append(route)
         for routes_of_host in by_host.values():
             # Longest prefix first, since find_route returns the first match.
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -7,6 +7,8 @@
 import prometheus_client
 from prometheus_client import registry as registry_module
 
+from balsamwall.gateway import workspace_metrics
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -33,6 +35,7 @@
         "_routes",
         "_sends",
         "_server_limits",
+        "workspaces",
     )
 
     def __init__(self) -> None:
@@ -46,6 +49,7 @@
             ("route", "code"),
             registry=self._registry,
         )
+        self.workspaces = workspace_metrics.WorkspaceMetrics(self._registry)
         self._attempts = prometheus_client.Counter(
             "balsamwall_gateway_failed_attempts",
             "Sends to backend servers that gave no answer",
--- a/src/balsamwall/gateway/gateway_settings.py
+++ b/src/balsamwall/gateway/gateway_settings.py
@@ -27,3 +27,7 @@
     retry_share: float  # fraction of the requests of all entries
     retry_extra: float  # retries allowed in a window on top of the share
     retry_window_ms: int
+    # Whether keys are refused once the configuration is unconfirmed for
+    # revoke_ms.
+    is_revocation_strict: bool = False
+    revoke_ms: int = 5_000
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -39,7 +39,8 @@
     shared_parts: tuple[PromptPart, ...] = ()  # in the order of the prompt
     resumes_after: bytes | None = None  # last event that the caller received
     has_token_usage: bool = False  # whether the caller states its tokens
-    api_key: bytes = b""  # empty without a valid bearer key
+    # Empty without a bearer key; left out of tracebacks and logs.
+    api_key: bytes = dataclasses.field(default=b"", repr=False)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -71,9 +72,12 @@
         """Decode the header fields of a request."""
 
     def forwarded_fields(
-        self, head: caller_exchange.RequestHead
+        self, head: caller_exchange.RequestHead, has_workspaces: bool
     ) -> http_fields.Fields:
-        """Return the caller's fields that are forwarded in every attempt."""
+        """Return the caller's fields that are forwarded in every attempt.
+
+        With workspaces, the key of the caller is not forwarded.
+        """
 
     def attempt_fields(
         self,
--- a/src/balsamwall/gateway/refusal.py
+++ b/src/balsamwall/gateway/refusal.py
@@ -34,6 +34,9 @@
     if status in (429, 503):
         seconds = f"{retry_after_ms / 1_000:.2f}"
         fields.append((b"retry-after", seconds.encode()))
+    if status == 401:
+        # RFC 9110 requires the scheme to use in a response with this status.
+        fields.append((b"www-authenticate", b"Bearer"))
     exchange.begin(status, fields, len(body))
     exchange.write(body)
     exchange.finish()
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -8,7 +8,9 @@
 from balsamwall.gateway import admission as admission_module
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import authentication
 from balsamwall.gateway import crash_suspects
+from balsamwall.gateway import request_priority
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
 from balsamwall.gateway import room_queue
@@ -21,6 +23,7 @@
     import random
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import configuration_freshness
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import fingerprints as fingerprints_module
@@ -32,19 +35,18 @@
     from balsamwall.gateway import server_health
     from balsamwall.gateway import server_limits
     from balsamwall.gateway import stream_progress
+    from balsamwall.gateway import workspace as workspace_module
     from balsamwall.logs import decision_log
     from balsamwall.results import result_code
     from balsamwall.timing import clock as clock_module
 
-# Largest priority number that is sent to an engine, for the least urgent.
-MAX_PRIORITY = 9
-
 
 class RequestOutcome(Protocol):
     """Provide the values of a request that are logged and measured."""
 
     route: route_module.Route
     request: incoming_request.IncomingRequest
+    workspace: workspace_module.Workspace | None
     progress: stream_progress.StreamProgress
     sends: int  # times that the request was sent to a server
     body: response_body.ResponseBody
@@ -96,9 +98,11 @@
         "_budgets",
         "_configuration",
         "_entries",
+        "_priorities",
         "_retry_settings",
         "admission",
         "assignments",
+        "authenticator",
         "choice",
         "clock",
         "codec",
@@ -140,7 +144,13 @@
         limits: server_limits.ServerLimits,
         request_load: Callable[[residency_waits.WantedModel], None],
         random_source: random.Random,
+        freshness: configuration_freshness.ConfigurationFreshness
+        | None = None,
     ) -> None:
+        self.authenticator = authentication.Authenticator(
+            configuration, freshness
+        )
+        self._priorities = request_priority.EnginePriorities()
         self.suspects = crash_suspects.CrashSuspects(clock, log)
         self.directory = directory
         self.request_load = request_load
@@ -205,16 +215,15 @@
             and request.model in spec.engine.models
         )
 
-    def priority_for(self, route: route_module.Route) -> int | None:
-        """Return the priority to send to the engine, None if not a stream.
-
-        Of two streams with equal route priority, the one that can't be resumed
-        goes first.
-        """
-        if not route.is_stream:
-            return None
-        rank = 2 * route.priority + int(route.is_resumable)
-        return min(MAX_PRIORITY, rank)
+    def priority_for(
+        self,
+        route: route_module.Route,
+        workspace: workspace_module.Workspace | None = None,
+    ) -> int | None:
+        """Return the priority to send to the engine, None if not a stream."""
+        return self._priorities.priority(
+            self._configuration.current, route, workspace
+        )
 
     def on_model_missing(
         self,
@@ -284,6 +293,10 @@
         """Log and measure the outcome of a request."""
         duration_ms = self.clock.now_ms() - handler.arrived_ms
         self.metrics.observe_end(handler.route.name, code, duration_ms)
+        if handler.workspace is not None:
+            self.metrics.workspaces.count_end(
+                handler.workspace, handler.request, code, handler.sends > 0
+            )
         if server is not None and handler.route.is_stream:
             served_ms = duration_ms - handler.waited_ms
             self.forecast.on_stream_ended(server.record.service, served_ms)
@@ -292,6 +305,7 @@
             "request_over",
             request=handler.request_id,
             route=handler.route.name,
+            workspace=handler.workspace.name if handler.workspace else None,
             model=handler.request.model,
             adapter=handler.request.adapter,
             code=code.name,
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -7,6 +7,7 @@
 
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import refusal
+from balsamwall.gateway import request_priority
 from balsamwall.gateway import request_wait
 from balsamwall.gateway import retry_policy
 from balsamwall.gateway import server_choice
@@ -19,6 +20,7 @@
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import workspace as workspace_module
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
@@ -33,6 +35,7 @@
 
     request: incoming_request.IncomingRequest
     route: route_module.Route
+    workspace: workspace_module.Workspace | None
 
     @property
     def arrived_ms(self) -> int:
@@ -72,6 +75,7 @@
         "_timer",
         "_wait",
         "choice",
+        "rank",
     )
 
     def __init__(
@@ -83,6 +87,8 @@
     ) -> None:
         self._dependencies = dependencies
         self._handler = handler
+        # Fixed, since the queues are sorted by it.
+        self.rank = request_priority.rank(handler.route, handler.workspace)
         self._service = service
         self._on_refused = on_refused
         # Servers that the request was sent to and that did not serve it.
@@ -104,7 +110,7 @@
     @property
     def priority(self) -> int:
         """Return the priority, 0 is the most urgent."""
-        return self.route.priority
+        return self.rank[0]
 
     @property
     def arrived_ms(self) -> int:
@@ -206,7 +212,7 @@
 
     def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
         room = self._dependencies.room
-        is_queued = room.has_waiting(self.target, self.priority)
+        is_queued = room.has_waiting(self.target, self.rank)
         return not is_queued and self._has_room(server)
 
     def try_send(self) -> bool:
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import authentication
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import incoming_request
+from balsamwall.gateway import outgoing_request
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import response_body
@@ -187,35 +189,40 @@
         )
         return True
 
+    def refuse_unauthenticated(self) -> bool:
+        """End a request that is not sent yet if its key is not in force."""
+        attempt = self._attempt
+        if self._is_finished or (attempt is not None and attempt.is_sent):
+            return False
+        try:
+            self.workspace = self._dependencies.authenticator.authenticate(
+                self.request, self.route
+            )
+        except authentication.AuthenticationError as error:
+            self._abandon_attempt(is_failure=False)
+            self._refuse(error.code, str(error), error.retry_after_ms)
+        return self._is_finished
+
     # Sending
 
     def send(self, server: backend_directory.BackendServer) -> None:
-        """Send the request to a server, unless it is quarantined."""
-        if self.refuse_quarantined():
+        """Send the request to a server, unless it must be refused now."""
+        if self.refuse_quarantined() or self.refuse_unauthenticated():
             return
-        last_event_id = self.request.resumes_after
-        if self.body.is_resumable:
-            last_event_id = self.body.last_event_id
-        codec = self._dependencies.codec
-        attempt_fields = codec.attempt_fields(
-            server.record,
-            self.left_ms,
-            self._dependencies.priority_for(self.route),
-            last_event_id,
-            self.workspace.name if self.workspace else "",
-        )
-        outgoing = attempt_module.build_outgoing_request(
-            codec, self._exchange, attempt_fields, self.request.attempt_id
-        )
         attempt = attempt_module.Attempt(
             server,
-            codec,
-            outgoing,
+            self._dependencies.codec,
+            outgoing_request.build(
+                self._dependencies, self, self._exchange, server
+            ),
             self,
             self._dependencies.clock,
             self._dependencies.limits,
         )
-        self._dependencies.metrics.count_send(self._send_reason())
+        reason = "retry" if self.sends else "first"
+        self._dependencies.metrics.count_send(
+            "resume" if self._has_begun else reason
+        )
         self.sends += 1
         self.body.on_sent()
         self._attempt = attempt
@@ -223,22 +230,11 @@
         self._pending_tokens = self.request.prompt_tokens
         server.pending_tokens += self._pending_tokens
         self._dependencies.choice.record_sent(server, self.request)
-        # The server may be closing an idle connection, and a request that must
-        # not be repeated would then end with an unknown outcome. All sends of
-        # a request bear one identifier, so that on a reused connection a late
-        # response to an earlier send would be taken for that of this one.
-        is_unrepeatable = (
-            not self.route.is_repeatable and not self.route.is_stream
+        is_fresh = outgoing_request.needs_new_connection(
+            self.route, self.sends
         )
-        is_fresh = is_unrepeatable or self.sends > 1
         attempt.start(self._dependencies.pool, is_fresh)
 
-    def _send_reason(self) -> str:
-        """Return why the request is sent, as a metric label."""
-        if self._has_begun:
-            return "resume"
-        return "retry" if self.sends else "first"
-
     def on_response_head(
         self,
         attempt: attempt_module.Attempt,
--- a/src/balsamwall/gateway/residency_waits.py
+++ b/src/balsamwall/gateway/residency_waits.py
@@ -11,6 +11,7 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import release_pacing
+    from balsamwall.gateway import request_priority
     from balsamwall.timing import clock as clock_module
 
 
@@ -26,9 +27,7 @@
 class Waiter(Protocol):
     """Represent a request that waits for a model."""
 
-    @property
-    def priority(self) -> int:
-        """Return the priority, 0 is the most urgent."""
+    rank: request_priority.Rank  # the lowest goes first
 
     def on_resident(self, delay_ms: int) -> None:
         """Handle that a server holds the model; send after a delay."""
@@ -122,7 +121,7 @@
             if not server.has(wanted.model, wanted.adapter):
                 continue
             waiters = self._waiting.pop(wanted, [])
-            waiters.sort(key=lambda waiter: waiter.priority)
+            waiters.sort(key=lambda waiter: waiter.rank)
             delays_ms = self._pacing.delays_ms(
                 len(waiters), self._fleet_counts.get(wanted.model, 0)
             )
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from balsamwall.gateway import request_priority
     from balsamwall.timing import clock as clock_module
 
 # Short compared to the interval between completions at a full engine.
@@ -16,6 +17,8 @@
 class RoomWaiter(Protocol):
     """Represent a request that waits for room at a server."""
 
+    rank: request_priority.Rank  # the lowest goes first
+
     @property
     def priority(self) -> int:
         """Return the priority, 0 is the most urgent."""
@@ -45,13 +48,15 @@
         self._waiters: list[RoomWaiter] = []
         self._timer: clock_module.Timer | None = None
 
-    def has_waiting(self, target: tuple[str, str, str], priority: int) -> bool:
+    def has_waiting(
+        self, target: tuple[str, str, str], rank: request_priority.Rank
+    ) -> bool:
         """Return whether an equally or more urgent request waits.
 
         Only requests with the same target are considered.
         """
         return any(
-            item.target == target and item.priority <= priority
+            item.target == target and item.rank <= rank
             for item in self._waiters
         )
 
@@ -60,7 +65,7 @@
         bisect.insort(
             self._waiters,
             waiter,
-            key=lambda item: (item.priority, item.arrived_ms),
+            key=lambda item: (item.rank, item.arrived_ms),
         )
         if self._timer is None:
             self._schedule()
--- a/src/balsamwall/platform/documents.py
+++ b/src/balsamwall/platform/documents.py
@@ -12,6 +12,7 @@
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import gateway_configuration
 from balsamwall.gateway import route as route_module
+from balsamwall.platform import workspace_documents
 
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
@@ -60,6 +61,20 @@
 ) -> gateway_configuration.GatewayConfiguration:
     """Decode a configuration; raise DocumentError if it is invalid."""
     fields = decode_object(raw)
+    try:
+        return _configuration(fields)
+    except OverflowError as error:
+        raise DocumentError(f"number out of range: {error}") from error
+    except workspace_documents.WorkspaceDocumentError as error:
+        raise DocumentError(str(error)) from error
+
+
+def _configuration(
+    fields: dict[str, Any],
+) -> gateway_configuration.GatewayConfiguration:
+    workspaces = None
+    if "tenants" in fields:
+        workspaces = workspace_documents.decode(fields["tenants"])
     limits = _optional(fields, "limits", {}, dict)
     defaults = gateway_configuration.CallerLimits()
     return gateway_configuration.GatewayConfiguration(
@@ -72,6 +87,7 @@
             _limit(limits, "header_timeout_ms", defaults.header_timeout_ms),
             _limit(limits, "idle_timeout_ms", defaults.idle_timeout_ms),
         ),
+        workspaces,
     )
 
 
@@ -109,6 +125,7 @@
         attempts=_optional(row, "attempts", 1, int),
         is_resumable=_optional(row, "resumable", False, bool),
         gap_target_ms=int(_optional(row, "gap_aim_ms", 0, int, float)),
+        is_public=_optional(row, "public", False, bool),
     )
 
 
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -25,12 +25,15 @@
 SERVER_LOAD = b"balsamwall-server-load"
 SERVER_LIMIT = b"server-limit"
 CONTENT_ENCODING = b"content-encoding"
+AUTHORIZATION = b"authorization"
+WORKSPACE = b"balsamwall-tenant"
 
 # Fields reserved for the system; they are removed from requests of callers.
 _SYSTEM_FIELDS = frozenset(
     (
         EXPECT_SERVER,
         PRIORITY,
+        WORKSPACE,
         b"balsamwall-expect-version",
         b"balsamwall-hold",
         b"balsamwall-pin-ms",
@@ -68,7 +71,10 @@
         name, _, adapter = (
             fields.get(MODEL, b"").decode("latin-1").partition("/")
         )
-        usage = fields.get(TOKEN_USAGE, b"").split(b",")
+        usage = [
+            _parse_integer(part)
+            for part in fields.get(TOKEN_USAGE, b"").split(b",")
+        ]
         return incoming_request.IncomingRequest(
             attempt_id=fields.get(REQUEST_ID, b""),
             host=host.rsplit(":", 1)[0] if ":" in host else host,
@@ -77,18 +83,21 @@
             ),
             model=name,
             adapter=adapter,
-            prompt_tokens=_parse_integer(usage[0]) or 0,
-            max_output_tokens=(_parse_integer(usage[1]) or 0)
-            if len(usage) > 1
-            else 0,
+            prompt_tokens=usage[0] or 0,
+            max_output_tokens=(usage[1] or 0) if len(usage) > 1 else 0,
             shared_parts=_parse_shared_parts(fields.get(PROMPT_PREFIX, b"")),
             resumes_after=fields.get(LAST_EVENT_ID),
+            has_token_usage=len(usage) > 1 and None not in usage[:2],
+            api_key=_bearer_key(head.fields),
         )
 
     def forwarded_fields(
-        self, head: caller_exchange.RequestHead
+        self, head: caller_exchange.RequestHead, has_workspaces: bool
     ) -> http_fields.Fields:
-        """Return the request fields that are forwarded to backend servers."""
+        """Return the request fields that are forwarded to backend servers.
+
+        With workspaces, Authorization has a key, which only the entry reads.
+        """
         return [
             field
             for field in http_fields.end_to_end(
@@ -96,6 +105,7 @@
             )
             if field[0] not in _SYSTEM_FIELDS
             and field[0] not in _REPLACED_FIELDS
+            and not (has_workspaces and field[0] == AUTHORIZATION)
         ]
 
     def attempt_fields(
@@ -115,6 +125,8 @@
             fields.append((PRIORITY, str(priority).encode()))
         if last_event_id is not None:
             fields.append((LAST_EVENT_ID, last_event_id))
+        if workspace:
+            fields.append((WORKSPACE, workspace.encode()))
         return fields
 
     def decode_response(
@@ -142,6 +154,18 @@
         return http_fields.end_to_end(fields, frozenset())
 
 
+def _bearer_key(fields: http_fields.Fields) -> bytes:
+    """Return the key of the only Authorization field, else an empty value.
+
+    Two fields are no key, since it is open which one another system reads.
+    """
+    if http_fields.is_repeated(fields, AUTHORIZATION):
+        return b""
+    content = http_fields.value(fields, AUTHORIZATION) or b""
+    scheme, _, key = content.strip().partition(b" ")
+    return key.strip() if scheme.lower() == b"bearer" else b""
+
+
 def decode_limit(values: list[bytes]) -> float | None:
     """Return the announced request rate, or None without a valid one.
 
--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -9,6 +9,7 @@
 from balsamwall.settings import address as address_module
 
 DEFAULT_PATH = "/etc/balsamwall/local.toml"
+REVOKE_MS = 5_000
 PATH_VARIABLE = "BALSAMWALL_NODE_FILE"
 
 
@@ -36,6 +37,15 @@
             )
         return found
 
+    def optional_number(self, name: str, default: float) -> float:
+        return self.number(name) if name in self._fields else default
+
+    def flag(self, name: str, default: bool) -> bool:
+        if name not in self._fields:
+            return default
+        found: bool = self._value(name, bool, "true or false")
+        return found
+
     def number(self, name: str) -> float:
         found = self._value(name, (int, float), "a number")
         if isinstance(found, bool) or found < 0:
@@ -113,4 +123,6 @@
         retry_share=bounds.number("retry_budget_ratio"),
         retry_extra=bounds.number("budget_extra"),
         retry_window_ms=int(bounds.number("budget_window_s") * 1_000),
+        is_revocation_strict=bounds.flag("strict_revoke", False),
+        revoke_ms=int(bounds.optional_number("revoke_ms", REVOKE_MS)),
     )
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -13,6 +13,7 @@
 
 from balsamwall.infrastructure import key_value_service
 from balsamwall.platform import documents
+from balsamwall.platform import feed_confirmation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,7 +53,10 @@
     """Decode an item or event of the store; raise ValueError if invalid."""
     key, revision = fields.get("key"), fields.get("revision")
     if type(key) is not str or type(revision) is not int:
-        raise ValueError(f"item without valid key or revision: {fields!r}")
+        # The value may hold API keys, which must not be logged.
+        raise ValueError(
+            f"item without valid key or revision, key {str(key)[:80]}"
+        )
     if fields.get("deleted"):
         return key_value_service.KeyValue(key, None, revision)
     try:
@@ -122,6 +126,7 @@
         "_timer",
         "_update_listeners",
         "_watches",
+        "confirmation",
         "is_connected",
         "is_synced",
     )
@@ -142,6 +147,7 @@
         self._readers = 1
         self._backoff_ms = MIN_BACKOFF_MS
         self._is_stopped = False
+        self.confirmation = feed_confirmation.FeedConfirmation(clock)
         self._timer: clock_module.Timer | None = None
         self._cancel_call: Callable[[], None] | None = None
         self._state_listeners: list[Callable[[bool], None]] = []
@@ -189,7 +195,11 @@
     def add_update_listener(
         self, listener: Callable[[key_value_service.StoreUpdate], None]
     ) -> None:
-        """Call a function with each response of the store to this feed."""
+        """Call a function with each response of the store to this feed.
+
+        Responses from before a pause of the process are left out, since
+        others would take them for the present state.
+        """
         self._update_listeners.append(listener)
 
     def apply_update(self, update: key_value_service.StoreUpdate) -> None:
@@ -201,7 +211,9 @@
         if self._is_stopped or not self.is_synced:
             return
         has_gap = update.after_revision > self._revision
-        if not has_gap and update.is_complete:
+        is_whole = not has_gap and update.is_complete
+        is_confirmed = is_whole and self.confirmation.on_relayed()
+        if is_whole:
             self._set_connected(True)
             self._revision = max(self._revision, update.revision)
             self._relayed_ms = self._clock.now_ms()
@@ -210,7 +222,7 @@
         if self._timer is None:
             # A call is in progress, and its response has the changes.
             return
-        if has_gap or not update.is_complete:
+        if not is_confirmed:
             self._watch_soon()
             return
         self._timer.cancel()
@@ -261,6 +273,8 @@
         query = {"path_prefix": ""}
         if after:
             query["after"] = after
+        else:
+            self.confirmation.on_call()
 
         def on_answer(answer: http_client.HttpResponse) -> None:
             self._on_page(answer, first_revision)
@@ -288,6 +302,7 @@
         self._on_snapshot_read(first_revision)
 
     def _on_snapshot_read(self, revision: int) -> None:
+        is_recent = self.confirmation.on_response()
         self._set_connected(True)
         pages, self._pages = self._pages, {}
         changes = [*pages.values()]
@@ -305,7 +320,8 @@
             self._deliver(item)
         after_revision, self._revision = self._revision, revision
         self.is_synced = True
-        self._on_update(after_revision, tuple(changes))
+        if is_recent:
+            self._on_update(after_revision, tuple(changes))
         self._schedule_watch(0)
 
     # Following changes
@@ -314,6 +330,7 @@
         self._timer = None
         if self._is_stopped:
             return
+        self.confirmation.on_call()
         query = urllib.parse.urlencode(
             {
                 "path_prefix": "",
@@ -338,12 +355,14 @@
         if page is None:
             self._retry(self._watch, answer)
             return
+        is_recent = self.confirmation.on_response()
         self._set_connected(True)
         for item in page.items:
             self._deliver(item)
         after_revision = self._revision
         self._revision = max(self._revision, page.revision)
-        self._on_update(after_revision, page.items)
+        if is_recent:
+            self._on_update(after_revision, page.items)
         self._schedule_watch(self.batch_delay_ms if page.has_rows else 0)
 
     def _on_update(
@@ -444,7 +463,7 @@
     """Decode an item; log an invalid one and return None."""
     try:
         if type(row) is not dict:
-            raise ValueError(f"expected a JSON object, found {row!r}")
+            raise ValueError(f"expected a JSON object, found {type(row)}")
         return decode_item(row)
     except ValueError as error:
         eliot.log_message("store_item_unreadable", reason=str(error)[:200])
--- a/tests/platform/test_header_codec.py
+++ b/tests/platform/test_header_codec.py
@@ -32,7 +32,7 @@
             (b"balsamwall-expect-instance", b"i-9"),
             (b"x-own", b"kept"),
         )
-        names = [name for name, _ in self.codec.forwarded_fields(sent)]
+        names = [name for name, _ in self.codec.forwarded_fields(sent, False)]
         self.assertEqual(names, [b"host", b"x-own"])
 
     def test_connection_options_are_dropped_but_not_the_request(self):
@@ -43,7 +43,7 @@
             (b"x-hop", b"1"),
             (b"balsamwall-model", b"m1/a2"),
         )
-        names = [name for name, _ in self.codec.forwarded_fields(sent)]
+        names = [name for name, _ in self.codec.forwarded_fields(sent, False)]
         self.assertEqual(names, [b"host", b"balsamwall-model"])
 
     def test_request_is_decoded(self):
