Learn how long idle connections to a service live

Cause: the pool closed idle connections after 3.3 s, also where servers state more.

Change: IdleTimeout starts at 3.3 s, grows after reuses near its end that succeeded, up to the stated time less 700 ms, and falls below the idle time of a connection that was reset. Only repeatable requests try longer times; others use times that were proven. The pool keeps as many idle connections to a server as its maximum over all entries leaves beside its slots, and closes the least recently used one beyond that.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -142,7 +142,10 @@
             self._clock.now_ms
         )
         self._pool = connection_pool.ConnectionPool(
-            reactor, self._clock, dependencies.codec.echo_field
+            reactor,
+            self._clock,
+            dependencies.codec.echo_field,
+            self._max_idle_connections,
         )
         self._waits = residency_waits.ResidencyWaits(
             self._clock,
@@ -372,6 +375,17 @@
         server_id = item.key.removeprefix(self._dependencies.servers_prefix)
         self._server_feed.on_record(server_id, item.value)
 
+    def _max_idle_connections(
+        self, record: backend_directory.ServerRecord
+    ) -> int:
+        current = self._configuration.current
+        spec = current.services.get(record.service) if current else None
+        if spec is None:
+            return 1
+        return connection_pool.max_idle(
+            spec.max_connections, record.slots, self._fleet_size.count
+        )
+
     def _on_server_gone(self, server: backend_directory.BackendServer) -> None:
         self._pool.close_idle(server.server_id)
         self._request_dependencies.suspects.on_server_lost(server.record)
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -146,10 +146,18 @@
         return self._connection is not None
 
     def start(
-        self, pool: connection_pool.ConnectionPool, is_fresh: bool
+        self,
+        pool: connection_pool.ConnectionPool,
+        is_fresh: bool,
+        is_repeatable: bool = False,
     ) -> None:
-        """Connect and send the request, on a new connection if is_fresh."""
-        cancel = pool.acquire(self.server.record, self, is_fresh)
+        """Connect and send the request, on a new connection if is_fresh.
+
+        A repeatable request may use a connection that could be reset.
+        """
+        cancel = pool.acquire(
+            self.server.record, self, is_fresh, is_repeatable
+        )
         if self._connection is None:
             self._cancel_connect = cancel
 
--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -67,19 +67,27 @@
         echo_field: bytes,
         on_idle: Callable[[BackendConnection], None],
         on_lost: Callable[[BackendConnection], None],
+        on_response: Callable[[BackendConnection], None] | None = None,
     ) -> None:
         self._echo_field = echo_field
         self._on_idle = on_idle
         self._on_lost = on_lost
+        self._on_response = on_response
         self._parser = self._new_parser()
         self._receiver: ResponseReceiver | None = None
         self._request: h11.Request | None = None
         self._is_stale_response = False
+        self._has_response = False
         self._framing = body_framing.BodyFraming.LENGTH
         self.is_lost = False
         self.idle_limit_ms: int | None = None
         self.is_reused = False
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether a request was sent and nothing was received since."""
+        return self._receiver is not None and not self._has_response
+
     @staticmethod
     def _new_parser() -> h11.Connection:
         return h11.Connection(
@@ -110,6 +118,7 @@
         """Write a request; its response goes to the receiver."""
         self._receiver = receiver
         self._is_stale_response = False
+        self._has_response = False
         self._request = h11.Request(
             method=method, target=target, headers=fields
         )
@@ -141,6 +150,10 @@
             # No request is open, so the bytes are not part of any response.
             self.close()
             return
+        if not self._has_response:
+            self._has_response = True
+            if self._on_response is not None:
+                self._on_response(self)
         try:
             self._parser.receive_data(data)
             self._read_events()
--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -9,6 +9,7 @@
 from twisted.internet import protocol
 
 from balsamwall.gateway import backend_connection
+from balsamwall.gateway import idle_timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,17 +17,16 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.timing import clock as clock_module
 
+    MaxIdle = Callable[[backend_directory.ServerRecord], int]
+
 # TCP resends a lost SYN after 1 s; with a shorter timeout, another server is
 # tried before that.
 CONNECT_TIMEOUT_MS = 600
-# Idle timeout of a connection if the server states none in Keep-Alive. A
-# longer one that it states is not used.
-DEFAULT_IDLE_TIMEOUT_MS = 4_000
-# The pool closes connections before the server's idle timeout, so that no
-# request is sent on a connection that the server is closing.
-IDLE_MARGIN_MS = 700
 SWEEP_INTERVAL_MS = 500
 MAX_IDLE_PER_SERVER = 16
+# A reused connection that breaks later than this after a request was sent, and
+# without any response, was not dropped while it was idle.
+RESET_WINDOW_MS = 500
 
 
 class ConnectionWaiter(TypingProtocol):
@@ -42,17 +42,29 @@
 
 
 class _IdleConnection:
-    """Idle connection and the time at which the pool closes it."""
+    """Idle connection to a server, and the time since which it is idle."""
 
-    __slots__ = ("connection", "expires_ms")
+    __slots__ = ("connection", "service", "since_ms")
 
     def __init__(
         self,
         connection: backend_connection.BackendConnection,
-        expires_ms: int,
+        service: str,
+        since_ms: int,
     ) -> None:
         self.connection = connection
-        self.expires_ms = expires_ms
+        self.service = service
+        self.since_ms = since_ms
+
+
+class _Reuse:
+    """Idle time of a connection before its current request."""
+
+    __slots__ = ("at_ms", "idle_ms")
+
+    def __init__(self, at_ms: int, idle_ms: int) -> None:
+        self.at_ms = at_ms
+        self.idle_ms = idle_ms
 
 
 class _Connector(protocol.ClientFactory):  # type: ignore[misc]
@@ -63,17 +75,17 @@
     def __init__(
         self,
         pool: ConnectionPool,
-        server_id: str,
+        record: backend_directory.ServerRecord,
         waiter: ConnectionWaiter,
     ) -> None:
         self._pool = pool
-        self._server_id = server_id
+        self._record = record
         self._waiter: ConnectionWaiter | None = waiter
         self.connector: Any = None
 
     def buildProtocol(self, addr: object) -> Any:  # noqa: N802
         """Create the connection and deliver it in the next reactor turn."""
-        connection = self._pool.make_connection(self._server_id)
+        connection = self._pool.make_connection(self._record)
         self._pool.call_soon(self._deliver, connection)
         return connection
 
@@ -100,83 +112,110 @@
                     "connection closed by the server right after the connect"
                 )
         elif waiter is None:
-            self._pool.on_idle(self._server_id, connection)
+            self._pool.on_idle(self._record, connection)
         else:
             waiter.on_connected(connection)
 
 
 class ConnectionPool:
-    """Keep idle connections by server; reuse the most recently used first."""
+    """Keep idle connections by server; reuse the most recently used first.
+
+    `max_idle` returns how many connections to a server may be idle.
+    """
 
     __slots__ = (
         "_clock",
         "_echo_field",
         "_idle",
+        "_max_idle",
         "_reactor",
+        "_reuses",
+        "_timeouts",
     )
 
     def __init__(
-        self, reactor: Any, clock: clock_module.Clock, echo_field: bytes
+        self,
+        reactor: Any,
+        clock: clock_module.Clock,
+        echo_field: bytes,
+        max_idle: MaxIdle | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._echo_field = echo_field
+        self._max_idle = max_idle or _default_max_idle
         self._idle: dict[str, list[_IdleConnection]] = {}
+        # Connections whose current request has no response yet.
+        self._reuses: dict[backend_connection.BackendConnection, _Reuse] = {}
+        # By service.
+        self._timeouts: dict[str, idle_timeout.IdleTimeout] = {}
 
     def start(self) -> None:
         """Start closing expired idle connections periodically."""
         self._clock.call_later(SWEEP_INTERVAL_MS, self.start)
-        now_ms = self._clock.now_ms()
-        for server_id in list(self._idle):
+        for idle in self._idle.values():
             kept = []
-            for item in self._idle[server_id]:
-                if item.expires_ms <= now_ms:
-                    item.connection.close()
-                else:
+            for item in idle:
+                if self._is_usable(item, is_repeatable=True):
                     kept.append(item)
-            self._idle[server_id] = kept
+                else:
+                    item.connection.close()
+            idle[:] = kept
 
     def acquire(
         self,
         record: backend_directory.ServerRecord,
         waiter: ConnectionWaiter,
         is_fresh: bool = False,
+        is_repeatable: bool = False,
     ) -> Callable[[], None]:
         """Pass a connection to the waiter; return a function that cancels.
 
         If is_fresh is set, a new connection is opened, since the server may be
-        closing an idle one at the same time.
+        closing an idle one at the same time. If is_repeatable is not set, only
+        idle times that are known to be safe are used.
         """
         idle = self._idle.get(record.server_id, [])
-        now_ms = self._clock.now_ms()
         while idle and not is_fresh:
-            item = idle.pop()
-            if item.connection.is_lost or item.expires_ms <= now_ms:
-                item.connection.close()
-                continue
-            item.connection.is_reused = True
-            waiter.on_connected(item.connection)
+            item = idle[-1]
+            if not self._is_usable(item, is_repeatable):
+                # The rest is idle for longer.
+                break
+            idle.pop()
+            now_ms = self._clock.now_ms()
+            connection = item.connection
+            connection.is_reused = True
+            self._reuses[connection] = _Reuse(now_ms, now_ms - item.since_ms)
+            waiter.on_connected(connection)
             return _no_op
         return self._connect(record, waiter)
 
+    def has_idle(self, record: backend_directory.ServerRecord) -> bool:
+        """Return whether a request can be sent without a new connection."""
+        idle = self._idle.get(record.server_id, [])
+        return bool(idle) and self._is_usable(idle[-1], is_repeatable=False)
+
     def on_idle(
         self,
-        server_id: str,
+        record: backend_directory.ServerRecord,
         connection: backend_connection.BackendConnection,
     ) -> None:
         """Keep an idle connection for reuse, or close it.
 
-        It is closed if its idle timeout does not exceed IDLE_MARGIN_MS or if
-        MAX_IDLE_PER_SERVER connections to the server are idle already.
+        It is closed if the server states too short an idle timeout. Beyond the
+        maximum of idle connections, the one that was used least recently is
+        closed.
         """
-        limit_ms = connection.idle_limit_ms or DEFAULT_IDLE_TIMEOUT_MS
-        idle_ms = min(limit_ms, DEFAULT_IDLE_TIMEOUT_MS) - IDLE_MARGIN_MS
-        idle = self._idle.setdefault(server_id, [])
-        if idle_ms <= 0 or len(idle) >= MAX_IDLE_PER_SERVER:
+        item = _IdleConnection(
+            connection, record.service, self._clock.now_ms()
+        )
+        if not self._is_usable(item, is_repeatable=True):
             connection.close()
             return
-        expires_ms = self._clock.now_ms() + idle_ms
-        idle.append(_IdleConnection(connection, expires_ms))
+        idle = self._idle.setdefault(record.server_id, [])
+        idle.append(item)
+        while len(idle) > self._max_idle(record):
+            idle.pop(0).connection.close()
 
     def close_idle(self, server_id: str) -> None:
         """Close the idle connections to a server."""
@@ -184,18 +223,21 @@
             item.connection.close()
 
     def make_connection(
-        self, server_id: str
+        self, record: backend_directory.ServerRecord
     ) -> backend_connection.BackendConnection:
         """Return a connection that returns to the pool when it is idle."""
 
         def on_idle(item: backend_connection.BackendConnection) -> None:
-            self.on_idle(server_id, item)
+            self.on_idle(record, item)
 
         def on_lost(item: backend_connection.BackendConnection) -> None:
-            self._on_lost(server_id, item)
+            self._on_lost(record, item)
+
+        def on_response(item: backend_connection.BackendConnection) -> None:
+            self._on_response(record, item)
 
         return backend_connection.BackendConnection(
-            self._echo_field, on_idle, on_lost
+            self._echo_field, on_idle, on_lost, on_response
         )
 
     def call_soon(self, function: Any, *args: object) -> None:
@@ -207,7 +249,7 @@
         record: backend_directory.ServerRecord,
         waiter: ConnectionWaiter,
     ) -> Callable[[], None]:
-        factory = _Connector(self, record.server_id, waiter)
+        factory = _Connector(self, record, waiter)
         factory.connector = self._reactor.connectTCP(
             record.host,
             record.port,
@@ -216,14 +258,63 @@
         )
         return factory.cancel
 
+    def _timeout(self, service: str) -> idle_timeout.IdleTimeout:
+        timeout = self._timeouts.get(service)
+        if timeout is None:
+            timeout = idle_timeout.IdleTimeout(self._clock)
+            self._timeouts[service] = timeout
+        return timeout
+
+    def _is_usable(self, item: _IdleConnection, is_repeatable: bool) -> bool:
+        connection = item.connection
+        if connection.is_lost:
+            return False
+        limit_ms = self._timeout(item.service).limit_ms(
+            connection.idle_limit_ms, is_repeatable
+        )
+        return self._clock.now_ms() - item.since_ms < limit_ms
+
+    def _on_response(
+        self,
+        record: backend_directory.ServerRecord,
+        connection: backend_connection.BackendConnection,
+    ) -> None:
+        """Learn from a connection that was alive when it was reused."""
+        reuse = self._reuses.pop(connection, None)
+        if reuse is not None:
+            self._timeout(record.service).on_reused(
+                reuse.idle_ms, connection.idle_limit_ms
+            )
+
     def _on_lost(
         self,
-        server_id: str,
+        record: backend_directory.ServerRecord,
         connection: backend_connection.BackendConnection,
     ) -> None:
-        idle = self._idle.get(server_id, [])
+        reuse = self._reuses.pop(connection, None)
+        if reuse is not None and connection.is_awaited:
+            since_ms = self._clock.now_ms() - reuse.at_ms
+            if since_ms <= RESET_WINDOW_MS:
+                self._timeout(record.service).on_reset(
+                    record.server_id, reuse.idle_ms
+                )
+        idle = self._idle.get(record.server_id, [])
         idle[:] = [item for item in idle if item.connection is not connection]
 
 
+def max_idle(max_connections: int, slots: int, entries: int) -> int:
+    """Return how many idle connections an entry may keep to a server.
+
+    The maximum of a server is for all entries together, and as many busy
+    connections as it has slots are left out of it.
+    """
+    spare = (max_connections - slots) // max(1, entries)
+    return max(1, min(MAX_IDLE_PER_SERVER, spare))
+
+
+def _default_max_idle(record: backend_directory.ServerRecord) -> int:
+    return MAX_IDLE_PER_SERVER
+
+
 def _no_op() -> None:
     """Do nothing, since the connection was delivered immediately."""
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -231,7 +231,9 @@
             not self.route.is_repeatable and not self.route.is_stream
         )
         is_fresh = is_unrepeatable or self.sends > 1
-        attempt.start(self._dependencies.pool, is_fresh)
+        attempt.start(
+            self._dependencies.pool, is_fresh, self.route.is_repeatable
+        )
 
     def _send_reason(self) -> str:
         """Return why the request is sent, as a metric label."""
