End streams that send bytes but complete no event

Cause: a server that hangs while it sends a byte or a comment now and then held its stream until the deadline of the request, although another server could resume it, and the caller waits only eight targets of the gap.

The stream is resumed, or cut off. Time in which the caller does not read is left out. A stall is no suspicion of a crash. Routes without a gap target keep the timeout of the route only.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -37,6 +37,7 @@
     NOT_RUN = "not_run"  # the server certified that it did not run
     BROKEN = "broken"  # the connection broke; it may have run
     INVALID = "invalid"  # unusable response; it may have run
+    STALLED = "stalled"  # no event for too long; it may have run
     ABANDONED = "abandoned"  # cancelled by this entry after it was sent
 
 
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import event_deadline
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
@@ -47,6 +48,7 @@
         "_deadline_timer",
         "_end_ms",
         "_dispatch",
+        "_event_deadline",
         "_exchange",
         "_fingerprints",
         "_has_begun",
@@ -97,6 +99,9 @@
         self._arrived_ms = exchange.arrived_ms
         self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
+        self._event_deadline = event_deadline.EventDeadline(
+            dependencies.clock, route.event_timeout_ms, self._on_stalled
+        )
         self._dispatch = request_dispatch.RequestDispatch(
             dependencies, self, service, self._refuse
         )
@@ -254,6 +259,8 @@
         if attempt is not self._attempt:
             return
         self.body.on_head(status, attempt.framing)
+        if self.body.is_event_stream:
+            self._event_deadline.start()
         if self._has_begun:
             if status != 200:
                 self._finish_attempt(True)
@@ -320,6 +327,7 @@
         if attempt is not self._attempt:
             return
         now_ms = self._dependencies.clock.now_ms()
+        events = self.body.event_count
         try:
             data = self.body.feed(data, now_ms)
         except event_relay.EventTooLongError as error:
@@ -327,6 +335,8 @@
             attempt.abandon()
             self._cut(_Code.ANSWER_INTERRUPTED, str(error))
             return
+        if self.body.event_count > events:
+            self._event_deadline.on_event()
         if data:
             self.progress.record(now_ms, self._arrived_ms)
             self._exchange.write(data)
@@ -391,6 +401,17 @@
         else:
             self._refuse(_Code.BACKEND_DOWN, f"{failure.value}: {detail}")
 
+    def _on_stalled(self) -> None:
+        """Resume or cut off a stream whose server completes no event."""
+        attempt = self._attempt
+        if attempt is not None:
+            attempt.abandon()
+            self.on_failed(
+                attempt,
+                attempt_module.AttemptFailure.STALLED,
+                "no event within the caller's timeout",
+            )
+
     def _release_pending_tokens(self) -> None:
         """Subtract the prompt from the server's pending tokens."""
         if self._attempt is not None:
@@ -412,6 +433,7 @@
         attempt = self._attempt
         if attempt is None:
             return
+        self._event_deadline.stop()
         self._release_pending_tokens()
         self._attempt = None
         attempt.server.on_ended()
@@ -461,6 +483,7 @@
         """Cancel the attempt of a stream or of a repeatable request."""
         attempt = self._attempt
         if attempt is not None:
+            self._event_deadline.stop()
             self._release_pending_tokens()
             attempt.server.on_ended()
             self._attempt = None
@@ -476,6 +499,7 @@
 
     def on_caller_blocked(self, is_blocked: bool) -> None:
         """Apply the caller's back-pressure to the backend connection."""
+        self._event_deadline.set_blocked(is_blocked)
         if self._attempt is not None:
             self._attempt.set_blocked(is_blocked)
 
--- a/src/balsamwall/gateway/response_body.py
+++ b/src/balsamwall/gateway/response_body.py
@@ -6,6 +6,7 @@
 
 from balsamwall.gateway import body_framing
 from balsamwall.gateway import event_relay
+from balsamwall.infrastructure import event_count
 from balsamwall.infrastructure import event_tail
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     """Decide what is forwarded, whether a stream is whole, and its proof."""
 
     __slots__ = (
+        "_count",
         "_events",
         "_first_data_ms",
         "_is_event_stream",
@@ -37,6 +39,7 @@
         self.is_proven = False
         self._first_data_ms: int | None = None
         self._is_event_stream = False
+        self._count = event_count.EventCount()
         self._relay: event_relay.EventRelay | None = None
         self._events: event_relay.EventRelay | event_tail.EventTail | None
         self._events = event_tail.EventTail() if route.is_stream else None
@@ -49,6 +52,11 @@
         """Return whether the current response is a stream of events."""
         return self._is_event_stream
 
+    @property
+    def event_count(self) -> int:
+        """Return how many events the current response has completed."""
+        return self._count.value
+
     @property
     def is_resumable(self) -> bool:
         """Return whether another server can continue the response."""
@@ -81,6 +89,7 @@
         self.is_proven = False
         self._is_event_stream = False
         self._first_data_ms = None
+        self._count = event_count.EventCount()
         if self._relay is not None:
             self._relay.prepare_resume()
 
@@ -97,6 +106,7 @@
         Raises EventTooLongError if an incomplete event exceeds the limit.
         """
         if self._events is not None and self._is_event_stream:
+            self._count.feed(data)
             data = self._events.feed(data)
         if data and self._first_data_ms is None:
             self._first_data_ms = now_ms
--- a/src/balsamwall/gateway/route.py
+++ b/src/balsamwall/gateway/route.py
@@ -59,6 +59,17 @@
         by_gap = CALLER_TIMEOUT_GAPS * self.gap_target_ms
         return max(MIN_CALLER_TIMEOUT_MS, by_target, by_gap)
 
+    @property
+    def event_timeout_ms(self) -> int:
+        """Return how long a caller waits for the next event of a stream.
+
+        Without a target of the gap, a slow stream can't be told from one that
+        hangs, and only the timeout of the route ends it.
+        """
+        if not self.gap_target_ms:
+            return self.timeout_ms
+        return self.caller_timeout_ms
+
     @property
     def is_stream(self) -> bool:
         """Return whether the response is a stream of events."""
