--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -6,6 +6,7 @@
 
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import authentication
+from balsamwall.gateway import event_deadline
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
@@ -49,6 +50,7 @@
         "_deadline_timer",
         "_end_ms",
         "_dispatch",
+        "_event_deadline",
         "_exchange",
         "_fingerprints",
         "_has_begun",
@@ -99,6 +101,9 @@
         self._arrived_ms = exchange.arrived_ms
         self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
+        self._event_deadline = event_deadline.EventDeadline(
+            dependencies.clock, route.event_timeout_ms, self._on_stalled
+        )
         self._dispatch = request_dispatch.RequestDispatch(
             dependencies, self, service, self._refuse
         )
@@ -233,7 +238,9 @@
         is_fresh = outgoing_request.needs_new_connection(
             self.route, self.sends
         )
-        attempt.start(self._dependencies.pool, is_fresh)
+        attempt.start(
+            self._dependencies.pool, is_fresh, self.route.is_repeatable
+        )
 
     def on_response_head(
         self,
@@ -248,6 +255,8 @@
         if attempt is not self._attempt:
             return
         self.body.on_head(status, attempt.framing)
+        if self.body.is_event_stream:
+            self._event_deadline.start()
         if self._has_begun:
             if status != 200:
                 self._finish_attempt(True)
@@ -314,6 +323,7 @@
         if attempt is not self._attempt:
             return
         now_ms = self._dependencies.clock.now_ms()
+        events = self.body.event_count
         try:
             data = self.body.feed(data, now_ms)
         except event_relay.EventTooLongError as error:
@@ -321,6 +331,8 @@
             attempt.abandon()
             self._cut(_Code.ANSWER_INTERRUPTED, str(error))
             return
+        if self.body.event_count > events:
+            self._event_deadline.on_event()
         if data:
             self.progress.record(now_ms, self._arrived_ms)
             self._exchange.write(data)
@@ -385,6 +397,17 @@
         else:
             self._refuse(_Code.BACKEND_DOWN, f"{failure.value}: {detail}")
 
+    def _on_stalled(self) -> None:
+        """Resume or cut off a stream whose server completes no event."""
+        attempt = self._attempt
+        if attempt is not None:
+            attempt.abandon()
+            self.on_failed(
+                attempt,
+                attempt_module.AttemptFailure.STALLED,
+                "no event within the caller's timeout",
+            )
+
     def _release_pending_tokens(self) -> None:
         """Subtract the prompt from the server's pending tokens."""
         if self._attempt is not None:
@@ -406,6 +429,7 @@
         attempt = self._attempt
         if attempt is None:
             return
+        self._event_deadline.stop()
         self._release_pending_tokens()
         self._attempt = None
         attempt.server.on_ended()
@@ -455,6 +479,7 @@
         """Cancel the attempt of a stream or of a repeatable request."""
         attempt = self._attempt
         if attempt is not None:
+            self._event_deadline.stop()
             self._release_pending_tokens()
             attempt.server.on_ended()
             self._attempt = None
@@ -470,6 +495,7 @@
 
     def on_caller_blocked(self, is_blocked: bool) -> None:
         """Apply the caller's back-pressure to the backend connection."""
+        self._event_deadline.set_blocked(is_blocked)
         if self._attempt is not None:
             self._attempt.set_blocked(is_blocked)
 
