Decode the work time in the load header

Cause: servers of some services report as the fourth load figure how long work takes on their VM, in percent; it was ignored.

Change: ResponseHead.work_time_percent holds it. Invalid figures count as absent, values above 10,000 count as 10,000, later figures are ignored.

--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -45,6 +45,8 @@
 _ALWAYS_FORWARDED_FIELDS = frozenset(
     (b"host", REQUEST_ID, MODEL, TOKEN_USAGE, PROMPT_PREFIX)
 )
+# Percentages of the usual work time above this count as this.
+MAX_WORK_TIME_PERCENT = 10_000
 # A longer deadline of a request is reduced to one day.
 MAX_DEADLINE_MS = 86_400_000
 
@@ -133,6 +135,9 @@
             limit_per_s=decode_limit(
                 [value for name, value in fields if name == SERVER_LIMIT]
             ),
+            work_time_percent=(
+                _parse_percent(load[3]) if len(load) > 3 else None
+            ),
         )
 
     def response_fields(
@@ -170,6 +175,14 @@
     return min(maximum, int(text))
 
 
+def _parse_percent(raw: bytes) -> int | None:
+    """Return a work time; a number of any length counts as the maximum."""
+    text = raw.strip()
+    if text.isdigit() and len(text) > 12:
+        return MAX_WORK_TIME_PERCENT
+    return _parse_integer(text, MAX_WORK_TIME_PERCENT)
+
+
 def _parse_shared_parts(raw: bytes) -> tuple[incoming_request.PromptPart, ...]:
     """Return the shared prompt parts, written as ID:TOKENS.
 
--- a/tests/platform/test_header_codec.py
+++ b/tests/platform/test_header_codec.py
@@ -46,6 +46,32 @@
         names = [name for name, _ in self.codec.forwarded_fields(sent)]
         self.assertEqual(names, [b"host", b"balsamwall-model"])
 
+    def test_work_time_is_decoded(self):
+        """Guards against an invalid load figure that is used as a number."""
+        cases = {
+            b"3,1,8,250": 250,
+            b"3, 1, 8, 250": 250,
+            b"3,1,8,250,7": 250,
+            b"3,1,8,90000": 10_000,
+            b"3,1,8,99999999999999999999": 10_000,
+            b"x,-1,,70": 70,
+            b"3,1,8": None,
+            b"3,1,8,": None,
+            b"3,1,8,fast": None,
+            b"3,1,8,-5": None,
+            b"3,1,8,1.5": None,
+            b"": None,
+        }
+        for value, expected in cases.items():
+            fields = [(b"balsamwall-server-load", value)]
+            found = self.codec.decode_response(fields, b"r")
+            self.assertEqual(found.work_time_percent, expected, value)
+        found = self.codec.decode_response(
+            [(b"balsamwall-server-load", b"x,-1,8,70")], b"r"
+        )
+        self.assertIsNone(found.running)
+        self.assertIsNone(found.waiting)
+
     def test_request_is_decoded(self):
         """Guards against an adapter that is decoded as part of the model."""
         request = self.codec.decode(
