Learn the speed of servers that report work times

Cause: the choice of a server assumed one prefill rate and one batch penalty for all servers. On a deployment with uneven servers two of 14 engines got 20 requests in flight and paused their streams for 360 and 410 ms.

Change: ServerSpeed learns a factor for prefill and one for pauses, per process and model, from the first event and the longest of each 8 gaps of a stream, divided by the reported work time. The choice of the entry and the assignment of the coordinator multiply their times by the factors and avoid servers whose expected pause exceeds the target; the admission sends only as many requests as keep pauses within it, except urgent ones. Services without the fourth load figure are served as before.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -127,7 +127,9 @@
         self._crashes = crash_control.CrashControl(clock, links, log)
         self._demand = demand_module.Demand(clock)
         self._planner = residency_planner.ResidencyPlanner(self._demand)
-        self._scheduler = prompt_scheduler.PromptScheduler(clock)
+        self._scheduler = prompt_scheduler.PromptScheduler(
+            clock, directory.speeds
+        )
         self._prefetch = prefetch_planner.PrefetchPlanner(self._demand)
         self._runner = order_runner.OrderRunner(clock, control, self, log)
         self._is_active = False
@@ -223,7 +225,11 @@
             and not self._permits.wait_ms(tracker.record.server_id)
         ]
         prompt = prompt_scheduler.Prompt(
-            query.tokens, query.zone, query.cached_at, query.cached_tokens
+            query.tokens,
+            query.zone,
+            query.cached_at,
+            query.cached_tokens,
+            query.model,
         )
         server_id = self._scheduler.assign(
             holders,
--- a/src/balsamwall/coordination/prompt_scheduler.py
+++ b/src/balsamwall/coordination/prompt_scheduler.py
@@ -12,8 +12,11 @@
     from collections.abc import Iterable
 
     from balsamwall.coordination import engine_tracker
+    from balsamwall.gateway import server_speed
     from balsamwall.timing import clock as clock_module
 
+# Target of the gaps between events, which queries do not state.
+GAP_TARGET_MS = 300
 # Backlog of the best engine above which no server is assigned. All replicas
 # are overloaded then, and the queues of the entries decide what is sent.
 MAX_BACKLOG_MS = 300
@@ -30,9 +33,10 @@
     # Server that has probably cached a part of it.
     cached_at: str = ""
     cached_tokens: int = 0
+    model: str = ""
 
     def prefill_ms(self, server_id: str) -> float:
-        """Return the time that its prefill takes at a server."""
+        """Return the time that its prefill takes at a usual server."""
         tokens = self.tokens
         if server_id == self.cached_at:
             tokens -= self.cached_tokens
@@ -55,13 +59,19 @@
 
     Load pattern: many entries send prompts to the same few engines, and each
     knows only its own. Prompts that meet at one engine pause all streams that
-    run there, while other replicas are idle.
+    run there, while other replicas are idle. The times at a server whose
+    service reports work times are multiplied by its learned factor.
     """
 
-    __slots__ = ("_backlogs", "_clock")
+    __slots__ = ("_backlogs", "_clock", "_speeds")
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        speeds: server_speed.SpeedTable | None = None,
+    ) -> None:
         self._clock = clock
+        self._speeds = speeds
         self._backlogs: dict[str, _EngineBacklog] = {}
 
     def forget(self, server_id: str) -> None:
@@ -82,53 +92,74 @@
         """
         now_ms = self._clock.now_ms()
         best: tuple[float, float, str] | None = None
+        best_factor = 1.0
         for tracker in holders:
             server_id = tracker.record.server_id
-            backlog_ms = self._backlog_ms(server_id, pending_tokens, now_ms)
-            score = backlog_ms + self._score(tracker, loads, prompt, now_ms)
+            speed = self._speeds.get(server_id) if self._speeds else None
+            factor = speed.factor(prompt.model, now_ms) if speed else 1.0
+            tokens = pending_tokens.get(server_id, 0)
+            backlog_ms = self._backlog_ms(server_id, tokens, factor, now_ms)
+            load = self._load(server_id, loads, now_ms)
+            score = backlog_ms + self._score(tracker, load, prompt, factor)
+            if speed is not None:
+                tokens += prompt.tokens
+                pause_ms = speed.pause_ms(
+                    prompt.model, load + 1, tokens, now_ms
+                )
+                score += server_choice.pause_penalty_ms(
+                    pause_ms, GAP_TARGET_MS
+                )
             if best is None or score < best[0]:
                 best = (score, backlog_ms, server_id)
+                best_factor = factor
         if best is None or best[1] > MAX_BACKLOG_MS:
             return ""
-        self._record(best[2], prompt, now_ms)
+        self._record(best[2], prompt, best_factor, now_ms)
         return best[2]
 
-    def _record(self, server_id: str, prompt: Prompt, now_ms: int) -> None:
+    def _record(
+        self, server_id: str, prompt: Prompt, factor: float, now_ms: int
+    ) -> None:
         backlog = self._backlogs.setdefault(server_id, _EngineBacklog())
         start_ms = max(backlog.prefilled_at_ms, now_ms)
-        backlog.prefilled_at_ms = start_ms + prompt.prefill_ms(server_id)
+        prefill_ms = factor * prompt.prefill_ms(server_id)
+        backlog.prefilled_at_ms = start_ms + prefill_ms
         backlog.assigned_ms.append(now_ms)
 
+    def _load(self, server_id: str, loads: dict[str, int], now_ms: int) -> int:
+        """Return the reported requests and those assigned since."""
+        load = loads.get(server_id, 0)
+        backlog = self._backlogs.get(server_id)
+        if backlog is not None:
+            _drop_reported(backlog, now_ms)
+            load += len(backlog.assigned_ms)
+        return load
+
     def _score(
         self,
         tracker: engine_tracker.EngineTracker,
-        loads: dict[str, int],
+        load: int,
         prompt: Prompt,
-        now_ms: int,
+        factor: float,
     ) -> float:
         """Return the expected time to the first token with penalties."""
         record = tracker.record
-        load = loads.get(record.server_id, 0)
         score = prompt.prefill_ms(record.server_id)
-        backlog = self._backlogs.get(record.server_id)
-        if backlog is not None:
-            _drop_reported(backlog, now_ms)
-            load += len(backlog.assigned_ms)
         score += server_choice.load_penalty_ms(load, max(1, record.slots))
+        score *= factor
         if record.availability_zone != prompt.zone:
             score += server_choice.CROSS_ZONE_PENALTY_MS
         return score
 
     def _backlog_ms(
-        self, server_id: str, pending_tokens: dict[str, int], now_ms: int
+        self, server_id: str, reported: int, factor: float, now_ms: int
     ) -> float:
         """Return the time until an engine has prefilled its prompts.
 
         The assignments are known at once, and the reports show an engine that
         prefills more slowly than expected.
         """
-        reported = pending_tokens.get(server_id, 0)
-        reported_ms = reported / server_choice.PREFILL_TOKENS_PER_MS
+        reported_ms = factor * reported / server_choice.PREFILL_TOKENS_PER_MS
         backlog = self._backlogs.get(server_id)
         if backlog is None:
             return reported_ms
--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -24,7 +24,10 @@
 
     When demand for a model grows faster than replicas are loaded, a request
     that waits at a full engine can't move to a new replica. One that is queued
-    at the entry is sent to the first engine that has room.
+    at the entry is sent to the first engine that has room. A slow engine has
+    room for as many requests as keep the pauses of its streams within the
+    target of the route. Urgent requests are not held back by this, since they
+    would be late as well and the engine prefills them before all others.
     """
 
     __slots__ = ("_clock",)
@@ -37,6 +40,7 @@
         server: backend_directory.BackendServer,
         request: incoming_request.IncomingRequest,
         priority: int,
+        gap_target_ms: int = 0,
     ) -> bool:
         """Return whether a request may be sent to the server now.
 
@@ -44,7 +48,14 @@
         """
         if not request.model:
             return True
-        limit = server.record.slots + MAX_WAITING_AT_ENGINE
+        now_ms = self._clock.now_ms()
+        slots = server.record.slots
+        limit = slots + MAX_WAITING_AT_ENGINE
         if priority <= URGENT_PRIORITY:
             limit += EXTRA_WAITING_URGENT
-        return server.load(self._clock.now_ms()) < limit
+        elif gap_target_ms:
+            bearable = server.speed.bearable_requests(
+                request.model, slots, gap_target_ms, now_ms
+            )
+            limit = bearable if bearable < slots else limit
+        return server.load(now_ms) < limit
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -19,6 +19,7 @@
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import http_fields
     from balsamwall.gateway import server_limits
+    from balsamwall.gateway import stream_meter
     from balsamwall.timing import clock as clock_module
 
 # The rest of a refusal or of a response that nobody receives is read, so that
@@ -28,6 +29,7 @@
 REFUSAL_BODY_TIMEOUT_MS = 200
 # Requests with these methods carry Content-Length even for an empty body.
 METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
+OK_STATUS = 200
 
 
 class AttemptFailure(enum.Enum):
@@ -104,6 +106,7 @@
         "_outgoing",
         "_refusal",
         "framing",
+        "meter",
         "sent_ms",
         "server",
         "status",
@@ -121,6 +124,8 @@
     ) -> None:
         self.server = server
         self.sent_ms = clock.now_ms()
+        # Of a stream whose server reports its work time.
+        self.meter: stream_meter.StreamMeter | None = None
         self._clock = clock
         self.status = 0
         self.framing: body_framing.BodyFraming | None = None
@@ -171,6 +176,8 @@
         """Pause or resume reading the response."""
         if self._connection is None:
             return
+        if self.meter is not None:
+            self.meter.on_blocked()
         if is_blocked:
             self._connection.pause()
         else:
@@ -241,6 +248,8 @@
     def on_data(self, data: bytes) -> None:
         """Pass a part of the body to the listener, unless it is a refusal."""
         if self._listener is not None and not self._refusal:
+            if self.meter is not None and self.status == OK_STATUS:
+                self.meter.on_data(self._clock.now_ms())
             self._listener.on_response_data(self, data)
             return
         self._discarded_bytes += len(data)
@@ -292,11 +301,11 @@
             self._discard_timer = None
 
     def _record_load(self, head: incoming_request.ResponseHead) -> None:
-        if head.running is None:
-            return
-        self.server.on_report(
-            head.running, head.waiting or 0, self._clock.now_ms()
-        )
+        now_ms = self._clock.now_ms()
+        if head.work_time_percent is not None and head.is_signed:
+            self.server.speed.on_work_time(head.work_time_percent, now_ms)
+        if head.running is not None:
+            self.server.on_report(head.running, head.waiting or 0, now_ms)
 
     def _fail(self, failure: AttemptFailure, detail: str) -> None:
         listener, self._listener = self._listener, None
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import server_speed
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -55,10 +57,19 @@
         "reported_load",
         "reported_ms",
         "sent_since_report",
+        "speed",
     )
 
-    def __init__(self, record: ServerRecord, now_ms: int) -> None:
+    def __init__(
+        self,
+        record: ServerRecord,
+        now_ms: int,
+        speed: server_speed.ServerSpeed | None = None,
+    ) -> None:
         self.record = record
+        self.speed = speed or server_speed.ServerSpeed(
+            server_speed.ServiceSpeeds(), now_ms
+        )
         self.models: dict[str, frozenset[str]] = record.models
         self.is_leaving = record.is_draining
         # If set, models come from the coordinator, which issues the orders and
@@ -140,12 +151,14 @@
         "_on_change_listeners",
         "_on_removed_listeners",
         "_servers",
+        "speeds",
     )
 
     def __init__(self, now_ms: Callable[[], int]) -> None:
         self._now_ms = now_ms
         self._servers: dict[str, BackendServer] = {}
         self._by_service: dict[str, dict[str, BackendServer]] = {}
+        self.speeds = server_speed.SpeedTable()
         self._on_change_listeners: list[Callable[[BackendServer], None]] = []
         self._on_removed_listeners: list[Callable[[BackendServer], None]] = []
 
@@ -193,7 +206,9 @@
             self.remove(record.server_id)
             server = None
         if server is None:
-            server = BackendServer(record, self._now_ms())
+            now_ms = self._now_ms()
+            speed = self.speeds.add(record.service, record.server_id, now_ms)
+            server = BackendServer(record, now_ms, speed)
             self._servers[record.server_id] = server
             servers = self._by_service.setdefault(record.service, {})
             servers[record.server_id] = server
@@ -255,6 +270,7 @@
             return
         server.is_leaving = True
         self._by_service[server.record.service].pop(server_id, None)
+        self.speeds.remove(server.record.service, server_id)
         for listener in self._on_removed_listeners:
             listener(server)
 
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -194,6 +194,7 @@
             self.request,
             self._dependencies.zone,
             self._excluded,
+            self.route.gap_target_ms,
         )
         if choice.server is not None:
             self.choice = choice
@@ -201,7 +202,7 @@
 
     def _has_room(self, server: backend_directory.BackendServer) -> bool:
         return self._dependencies.admission.has_room(
-            server, self.request, self.priority
+            server, self.request, self.priority, self.route.gap_target_ms
         )
 
     def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -215,6 +215,9 @@
             self._dependencies.clock,
             self._dependencies.limits,
         )
+        attempt.meter = self._dependencies.choice.meter(
+            server, self.request, self.route
+        )
         self._dependencies.metrics.count_send(self._send_reason())
         self.sends += 1
         self.body.on_sent()
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -7,19 +7,19 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import server_health
+from balsamwall.gateway import server_speed
+from balsamwall.gateway import stream_meter
 
 if TYPE_CHECKING:
     import random
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
 
-# Prefill rate of an engine. It prefills queued prompts between decode steps,
-# so a backlog of prompts delays the first token of a request and the events
-# of all other streams.
-PREFILL_TOKENS_PER_MS = 35.0
+PREFILL_TOKENS_PER_MS = server_speed.PREFILL_TOKENS_PER_MS
 # Assumed prefill time of a request that waits at the server. The prompts that
 # other entries sent are not known.
 WAITING_REQUEST_MS = 25.0
@@ -29,6 +29,13 @@
 FULL_BATCH_PENALTY_MS = 40.0
 # Expected wait for a slot, for each request beyond the slots.
 SLOT_WAIT_MS = 50.0
+# Penalty of a server whose streams are expected to pause for longer than the
+# target, and of each millisecond beyond it. The pauses affect all streams
+# there, so that any server within the target is better.
+LONG_PAUSE_PENALTY_MS = 400.0
+LONG_PAUSE_WEIGHT = 4.0
+# Penalty of a pause as long as the target; it grows with the square.
+PAUSE_PENALTY_MS = 80.0
 # Penalty of a server at which all requests fail, in proportion for a smaller
 # share of failures.
 FAILURE_PENALTY_MS = 500.0
@@ -65,12 +72,26 @@
     return penalty + SLOT_WAIT_MS * max(0.0, load + 1 - slots)
 
 
+def pause_penalty_ms(pause_ms: float, target_ms: int) -> float:
+    """Return the penalty of a pause expected with one more request."""
+    if not target_ms:
+        return 0.0
+    share = min(1.0, pause_ms / target_ms)
+    penalty = PAUSE_PENALTY_MS * share * share
+    if pause_ms > target_ms:
+        penalty += LONG_PAUSE_PENALTY_MS
+        penalty += LONG_PAUSE_WEIGHT * (pause_ms - target_ms)
+    return penalty
+
+
 class ServerChoice:
     """Choose the server with the lowest expected time to the first token.
 
     Each entry knows only a part of the load on a server, and few servers hold
     a given model. The penalty for another availability zone is a fixed time,
-    so that a busy local server loses against an idle remote one.
+    so that a busy local server loses against an idle remote one. Servers that
+    report work times may differ in speed; their times are multiplied by the
+    learned factors, and servers with pauses beyond the target are avoided.
     """
 
     __slots__ = (
@@ -103,6 +124,7 @@
         request: incoming_request.IncomingRequest,
         zone: str,
         excluded: frozenset[str],
+        gap_target_ms: int = 0,
     ) -> Choice:
         """Return the best ready server that holds the model of a request.
 
@@ -131,7 +153,7 @@
         if not usable:
             return Choice(None, NoServerReason.LIMITED)
         scores = [
-            (self._score(server, request, zone), index)
+            (self._score(server, request, zone, gap_target_ms), index)
             for index, server in enumerate(usable)
         ]
         score, index = min(scores)
@@ -152,11 +174,31 @@
             key = (request.model, part.part_id)
             self._prefixes[key] = (server.server_id, now_ms)
 
+    def meter(
+        self,
+        server: backend_directory.BackendServer,
+        request: incoming_request.IncomingRequest,
+        route: route_module.Route,
+    ) -> stream_meter.StreamMeter | None:
+        """Return the meter of a stream that is about to be sent.
+
+        Only streams of a model have one, if the service reports work times.
+        """
+        is_measured = route.is_stream and bool(request.model)
+        if not is_measured or not server.speed.is_used:
+            return None
+        tokens = server.pending_tokens + request.prompt_tokens
+        tokens -= self.cached_tokens(server, request)
+        return stream_meter.StreamMeter(
+            server, request.model, tokens, self._clock.now_ms()
+        )
+
     def _score(
         self,
         server: backend_directory.BackendServer,
         request: incoming_request.IncomingRequest,
         zone: str,
+        gap_target_ms: int,
     ) -> float:
         """Return the expected time to the first token, in milliseconds.
 
@@ -170,6 +212,19 @@
         score = tokens / PREFILL_TOKENS_PER_MS
         score += WAITING_REQUEST_MS * server.waiting(now_ms)
         score += load_penalty_ms(load, slots)
+        if server.speed.is_used:
+            # A fast server also prefills this prompt sooner, and the prompts
+            # of other entries, which are known only by the load.
+            other_ms = server_speed.PROMPTS_PER_REQUEST_MS * load
+            other_ms -= server.pending_tokens / PREFILL_TOKENS_PER_MS
+            tokens += request.prompt_tokens
+            score += request.prompt_tokens / PREFILL_TOKENS_PER_MS
+            score += max(0.0, other_ms)
+            score *= server.speed.factor(request.model, now_ms)
+            pause_ms = server.speed.pause_ms(
+                request.model, load + 1, tokens, now_ms
+            )
+            score += pause_penalty_ms(pause_ms, gap_target_ms)
         score += FAILURE_PENALTY_MS * server.failure_share
         if server.record.availability_zone != zone:
             score += CROSS_ZONE_PENALTY_MS
--- /dev/null
+++ b/src/balsamwall/gateway/server_speed.py
@@ -0,0 +1,331 @@
+"""Learn how fast the processes of backend servers work."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Usual prefill rate of an engine. It prefills queued prompts between decode
+# steps, so a backlog of prompts delays the first token of a request and the
+# events of all other streams.
+PREFILL_TOKENS_PER_MS = 35.0
+# Usual time of an event, which holds the tokens of 8 decode steps, and the
+# time that each running request adds by these steps and by the prompts that
+# are prefilled in between. At 4 to 6 requests the longest pauses of streams
+# were 34 to 61 ms.
+EVENT_MS = 20.0
+STEPS_PER_REQUEST_MS = 1.0
+PROMPTS_PER_REQUEST_MS = 5.0
+PAUSE_PER_REQUEST_MS = STEPS_PER_REQUEST_MS + PROMPTS_PER_REQUEST_MS
+# One chunk of about 1,024 tokens is prefilled between two decode steps.
+MAX_TOKENS_PER_EVENT = 8 * 1_024
+# A first event after fewer tokens shows the network more than the prefill.
+MIN_TOKENS = 500
+# A server is sent this many requests however slow it is, so that its speed is
+# still observed.
+MIN_BEARABLE = 2
+# The fourth load figure changes many times per second.
+WORK_TIME_MAX_AGE_MS = 1_000
+USUAL_WORK_TIME = 100
+# The work time is unknown for an observation without a recent figure, which
+# counts in part: it may fall into a slow period.
+UNKNOWN_WORK_TIME_WEIGHT = 0.25
+# Largest change of a logarithm by one observation, a factor of 1.8.
+MAX_CHANGE = 0.6
+# Observations that an estimate averages over, and weight of the prior.
+MAX_WEIGHT = 30.0
+PRIOR_WEIGHT = 2.0
+# Time in which the weight of earlier observations halves, and the age at
+# which an estimate lapses.
+HALF_LIFE_MS = 30_000
+MAX_AGE_MS = 120_000
+# Factors outside this range are faults of the observation.
+MIN_FACTOR = 0.1
+MAX_FACTOR = 20.0
+MAX_MODELS = 64  # of one process; the least recently used is dropped
+MEDIAN_MAX_AGE_MS = 250
+
+
+def usual_pause_ms(load: float, tokens: int = 0) -> float:
+    """Return the longest pause of streams at a server of usual speed.
+
+    `tokens` are those of prompts that are known to be queued there.
+    """
+    prompts_ms = min(tokens, MAX_TOKENS_PER_EVENT) / PREFILL_TOKENS_PER_MS
+    prompts_ms = max(PROMPTS_PER_REQUEST_MS * load, prompts_ms)
+    return EVENT_MS + STEPS_PER_REQUEST_MS * load + prompts_ms
+
+
+class Estimate:
+    """Average the logarithm of a factor, robust against outliers."""
+
+    __slots__ = ("_log", "_updated_ms", "_weight")
+
+    def __init__(self, now_ms: int) -> None:
+        self._log = 0.0
+        self._weight = 0.0
+        self._updated_ms = now_ms
+
+    @property
+    def updated_ms(self) -> int:
+        """Return the time of the last observation."""
+        return self._updated_ms
+
+    def weight(self, now_ms: int) -> float:
+        """Return the weight of the observations, which decays with age."""
+        age_ms = now_ms - self._updated_ms
+        if age_ms > MAX_AGE_MS:
+            return 0.0
+        return self._weight * math.exp2(-max(0, age_ms) / HALF_LIFE_MS)
+
+    def add(
+        self, factor: float, prior: float, weight: float, now_ms: int
+    ) -> None:
+        """Add an observation; a first one changes the prior."""
+        known = self.weight(now_ms)
+        if known <= 0:
+            self._log = math.log(prior)
+        factor = min(MAX_FACTOR, max(MIN_FACTOR, factor))
+        change = math.log(factor) - self._log
+        change = min(MAX_CHANGE, max(-MAX_CHANGE, change))
+        self._weight = min(MAX_WEIGHT, known + weight)
+        self._updated_ms = now_ms
+        self._log += change * weight / max(self._weight, 1.0)
+
+    def factor(self, prior: float, now_ms: int) -> float:
+        """Return the average of the observations and a prior."""
+        weight = self.weight(now_ms)
+        total = weight * self._log + PRIOR_WEIGHT * math.log(prior)
+        return math.exp(total / (weight + PRIOR_WEIGHT))
+
+    @property
+    def observed(self) -> float:
+        """Return the average of the observations alone."""
+        return math.exp(self._log)
+
+
+class _ModelSpeed:
+    """Estimates for one model at one process."""
+
+    __slots__ = ("pause", "prefill")
+
+    def __init__(self, now_ms: int) -> None:
+        self.prefill = Estimate(now_ms)
+        self.pause = Estimate(now_ms)
+
+    @property
+    def updated_ms(self) -> int:
+        """Return the time of the last observation."""
+        return max(self.prefill.updated_ms, self.pause.updated_ms)
+
+
+class ServerSpeed:
+    """Learn the factors of one server process against the usual times.
+
+    Load pattern: the servers of a service differ in speed, and each has slow
+    periods. Pauses depend on all requests at a server and are observed at
+    each event, prefill is only observed at the begin of a stream, so both
+    improve one relative speed that is the prior of each model.
+    """
+
+    __slots__ = ("_models", "_relative", "_service", "_work", "_work_ms")
+
+    def __init__(self, service: ServiceSpeeds, now_ms: int) -> None:
+        self._service = service
+        self._models: dict[str, _ModelSpeed] = {}
+        self._relative = Estimate(now_ms)
+        self._work = USUAL_WORK_TIME
+        self._work_ms: int | None = None
+
+    @property
+    def is_used(self) -> bool:
+        """Return whether the servers of the service report work times."""
+        return self._service.is_used
+
+    def on_work_time(self, percent: int, now_ms: int) -> None:
+        """Set the work time that the server reports."""
+        self._service.is_used = True
+        self._work = max(1, percent)
+        self._work_ms = now_ms
+
+    def on_first_event(
+        self, model: str, tokens: int, load: float, after_ms: int, now_ms: int
+    ) -> None:
+        """Learn from the time from a send to the first event.
+
+        `tokens` are the uncached prompt tokens, including those that were
+        sent before and had no first event.
+        """
+        if tokens < MIN_TOKENS or not self.is_used:
+            return
+        usual_ms = tokens / PREFILL_TOKENS_PER_MS
+        usual_ms += EVENT_MS + STEPS_PER_REQUEST_MS * load
+        prior = self._prior(model, now_ms, is_pause=False)
+        speed = self._model(model, now_ms)
+        self._learn(speed.prefill, after_ms / usual_ms, prior, now_ms)
+
+    def on_gap(
+        self, model: str, longest_ms: int, load: float, now_ms: int
+    ) -> None:
+        """Learn from the longest of some gaps between events of a stream."""
+        if not self.is_used:
+            return
+        prior = self._prior(model, now_ms, is_pause=True)
+        speed = self._model(model, now_ms)
+        factor = longest_ms / usual_pause_ms(load)
+        self._learn(speed.pause, factor, prior, now_ms)
+
+    def _learn(
+        self, estimate: Estimate, factor: float, prior: float, now_ms: int
+    ) -> None:
+        freshness = self._freshness(now_ms)
+        weight = UNKNOWN_WORK_TIME_WEIGHT
+        weight += (1.0 - UNKNOWN_WORK_TIME_WEIGHT) * freshness
+        factor /= self.work_time(now_ms)
+        relative = self.relative(now_ms)
+        estimate.add(factor, prior, weight, now_ms)
+        usual = prior / relative
+        self._relative.add(factor / usual, 1.0, weight, now_ms)
+
+    def _model(self, model: str, now_ms: int) -> _ModelSpeed:
+        speed = self._models.get(model)
+        if speed is None:
+            if len(self._models) >= MAX_MODELS:
+                oldest = min(
+                    self._models,
+                    key=lambda name: self._models[name].updated_ms,
+                )
+                del self._models[oldest]
+            speed = self._models[model] = _ModelSpeed(now_ms)
+        return speed
+
+    def _prior(self, model: str, now_ms: int, is_pause: bool) -> float:
+        median = self._service.median(model, now_ms, is_pause)
+        return median * self.relative(now_ms)
+
+    def _freshness(self, now_ms: int) -> float:
+        if self._work_ms is None:
+            return 0.0
+        age_ms = max(0, now_ms - self._work_ms)
+        return max(0.0, 1.0 - age_ms / WORK_TIME_MAX_AGE_MS)
+
+    def work_time(self, now_ms: int) -> float:
+        """Return the reported work time as a factor, weighted by age."""
+        excess = self._work / USUAL_WORK_TIME - 1.0
+        return 1.0 + excess * self._freshness(now_ms)
+
+    def relative(self, now_ms: int) -> float:
+        """Return the factor against the median of the service."""
+        return self._relative.factor(1.0, now_ms)
+
+    def learned(self, model: str, now_ms: int, is_pause: bool) -> float:
+        """Return the learned factor, without the current work time."""
+        prior = self._prior(model, now_ms, is_pause)
+        speed = self._models.get(model)
+        if speed is None:
+            return prior
+        estimate = speed.pause if is_pause else speed.prefill
+        return estimate.factor(prior, now_ms)
+
+    def observed(
+        self, model: str, now_ms: int, is_pause: bool
+    ) -> float | None:
+        """Return the factor from observations alone, None with too few."""
+        speed = self._models.get(model)
+        if speed is None:
+            return None
+        estimate = speed.pause if is_pause else speed.prefill
+        if estimate.weight(now_ms) < PRIOR_WEIGHT:
+            return None
+        return estimate.observed
+
+    def factor(self, model: str, now_ms: int) -> float:
+        """Return the factor of prefill times, 1.0 is usual."""
+        if not self.is_used:
+            return 1.0
+        return self.learned(model, now_ms, False) * self.work_time(now_ms)
+
+    def pause_ms(
+        self, model: str, load: float, tokens: int, now_ms: int
+    ) -> float:
+        """Return the expected longest pause of streams at a load."""
+        factor = self.learned(model, now_ms, True) * self.work_time(now_ms)
+        return factor * usual_pause_ms(load, tokens)
+
+    def bearable_requests(
+        self, model: str, slots: int, gap_target_ms: int, now_ms: int
+    ) -> int:
+        """Return how many requests keep pauses within a target.
+
+        They are all slots without a target or without reported work times.
+        """
+        if not self.is_used or not gap_target_ms:
+            return slots
+        factor = self.learned(model, now_ms, True) * self.work_time(now_ms)
+        count = (gap_target_ms / factor - EVENT_MS) / PAUSE_PER_REQUEST_MS
+        return min(slots, max(MIN_BEARABLE, int(count)))
+
+
+class ServiceSpeeds:
+    """Hold the speeds of the server processes of one service."""
+
+    __slots__ = ("_medians", "is_used", "servers")
+
+    def __init__(self) -> None:
+        self.is_used = False  # whether a server has reported a work time
+        self.servers: dict[str, ServerSpeed] = {}
+        self._medians: dict[tuple[str, bool], tuple[int, float]] = {}
+
+    def median(self, model: str, now_ms: int, is_pause: bool) -> float:
+        """Return the median of the learned factors, 1.0 without any."""
+        known = self._medians.get((model, is_pause))
+        if known is not None and 0 <= now_ms - known[0] < MEDIAN_MAX_AGE_MS:
+            return known[1]
+        factors = [
+            factor
+            for speed in self.servers.values()
+            if (factor := speed.observed(model, now_ms, is_pause)) is not None
+        ]
+        median = statistics.median(factors) if factors else 1.0
+        if len(self._medians) >= 2 * MAX_MODELS:
+            self._medians.clear()
+        self._medians[model, is_pause] = now_ms, median
+        return median
+
+
+class SpeedTable:
+    """Keep the speeds of the known server processes, by service."""
+
+    __slots__ = ("_services",)
+
+    def __init__(self) -> None:
+        self._services: dict[str, ServiceSpeeds] = {}
+
+    def add(self, service: str, server_id: str, now_ms: int) -> ServerSpeed:
+        """Return the speed of a new process, at the median of its service."""
+        speeds = self._services.setdefault(service, ServiceSpeeds())
+        speed = speeds.servers[server_id] = ServerSpeed(speeds, now_ms)
+        return speed
+
+    def remove(self, service: str, server_id: str) -> None:
+        """Forget the process of a server that has left."""
+        speeds = self._services.get(service)
+        if speeds is not None:
+            speeds.servers.pop(server_id, None)
+
+    def used(self) -> Iterator[tuple[str, ServerSpeed]]:
+        """Yield the servers whose service reports work times."""
+        for speeds in self._services.values():
+            if speeds.is_used:
+                yield from speeds.servers.items()
+
+    def get(self, server_id: str) -> ServerSpeed | None:
+        """Return the speed of a server, None unless its service reports."""
+        for speeds in self._services.values():
+            if speeds.is_used and server_id in speeds.servers:
+                return speeds.servers[server_id]
+        return None
