--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -224,6 +224,9 @@
             self._dependencies.clock,
             self._dependencies.limits,
         )
+        attempt.meter = self._dependencies.choice.meter(
+            server, self.request, self.route
+        )
         reason = "retry" if self.sends else "first"
         self._dependencies.metrics.count_send(
             "resume" if self._has_begun else reason
