Check keys after pauses and partitions, with logs and metrics

Cause: a process that resumes after a pause reads responses and relayed updates from before it, so that an old configuration looked newly confirmed; after a pause the first watch without changes took 1.5 s. Rows of the store that could not be read were logged with their value, which may hold keys.

Change: the first watch after a pause is short, and responses from before it are not relayed. Balsamwall_Tenant, which some servers read as Balsamwall-Tenant, is removed too.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -196,6 +196,7 @@
                 self._clock,
                 dependencies.connection.confirmation,
                 settings.revoke_ms if settings.is_revocation_strict else None,
+                self._log,
             ),
         )
         self._gateway = gateway_module.Gateway(
--- a/src/balsamwall/gateway/authentication.py
+++ b/src/balsamwall/gateway/authentication.py
@@ -76,7 +76,7 @@
         found = workspaces.find(request.api_key) if request.api_key else None
         if route.is_public:
             return found
-        if self._freshness is not None and not self._freshness.is_usable:
+        if self._freshness is not None and not self._freshness.check():
             raise AuthenticationError(
                 _Code.CONFIGURATION_UNAVAILABLE,
                 "the configuration is not confirmed to be the newest",
--- a/src/balsamwall/gateway/configuration_freshness.py
+++ b/src/balsamwall/gateway/configuration_freshness.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
 # After a pause of the process, keys are not checked for this time unless the
@@ -34,21 +35,51 @@
     maximum age, the entry goes on with the configuration that it holds.
     """
 
-    __slots__ = ("_clock", "_confirmation", "_max_age_ms")
+    __slots__ = (
+        "_clock",
+        "_confirmation",
+        "_is_usable",
+        "_log",
+        "_max_age_ms",
+    )
 
     def __init__(
         self,
         clock: clock_module.Clock,
         confirmation: Confirmation,
         max_age_ms: int | None,
+        log: decision_log.DecisionLog,
     ) -> None:
+        self._log = log
+        self._is_usable = True
         self._clock = clock
         self._confirmation = confirmation
         self._max_age_ms = max_age_ms
 
+    def check(self) -> bool:
+        """Return whether the configuration counts as the newest.
+
+        A change of the result is logged.
+        """
+        is_usable = self._is_confirmed()
+        if is_usable != self._is_usable:
+            self._is_usable = is_usable
+            self._log.write(
+                "configuration_confirmed"
+                if is_usable
+                else "configuration_unconfirmed",
+                confirmed_ms_ago=self._age_ms,
+            )
+        return is_usable
+
     @property
-    def is_usable(self) -> bool:
-        """Return whether the configuration counts as the newest."""
+    def _age_ms(self) -> int | None:
+        confirmed_ms = self._confirmation.at_ms
+        if confirmed_ms is None:
+            return None
+        return self._clock.now_ms() - confirmed_ms
+
+    def _is_confirmed(self) -> bool:
         now_ms = self._clock.now_ms()
         confirmed_ms = self._confirmation.at_ms
         resumed_ms = self._confirmation.resumed_ms
@@ -57,7 +88,5 @@
                 return False
         if self._max_age_ms is None:
             return True
-        return (
-            confirmed_ms is not None
-            and now_ms - confirmed_ms <= self._max_age_ms
-        )
+        age_ms = self._age_ms
+        return age_ms is not None and age_ms <= self._max_age_ms
--- a/src/balsamwall/platform/feed_confirmation.py
+++ b/src/balsamwall/platform/feed_confirmation.py
@@ -33,6 +33,12 @@
         """Return the end of the last pause of the process, if any."""
         return self._stalls.resumed_ms
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether no call since the last pause has been answered."""
+        resumed_ms = self._stalls.resumed_ms
+        return resumed_ms is not None and self._answered_ms < resumed_ms
+
     def on_call(self) -> None:
         """Record that a read or a watch is sent."""
         self._stalls.start()
@@ -40,16 +46,14 @@
 
     def on_response(self) -> bool:
         """Record a response; return whether it is from after any pause."""
-        resumed_ms = self._stalls.resumed_ms
         self._answered_ms = self._call_ms
-        is_recent = resumed_ms is None or resumed_ms <= self._call_ms
+        is_recent = not self.is_behind
         self._confirm(self._clock.now_ms() if is_recent else self._call_ms)
         return is_recent
 
     def on_relayed(self) -> bool:
         """Record a relayed update without a gap; return whether it counts."""
-        resumed_ms = self._stalls.resumed_ms
-        if resumed_ms is not None and self._answered_ms < resumed_ms:
+        if self.is_behind:
             return False
         self._confirm(self._clock.now_ms())
         return True
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -105,6 +105,8 @@
             )
             if field[0] not in _SYSTEM_FIELDS
             and field[0] not in _REPLACED_FIELDS
+            # Servers with a CGI-like interface read "_" in a name as "-".
+            and field[0].replace(b"_", b"-") != WORKSPACE
             and not (has_workspaces and field[0] == AUTHORIZATION)
         ]
 
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -27,6 +27,9 @@
 # effect.
 WATCH_WAIT_MS = 1_500
 WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 700
+# After a pause of the process the first watch is short, since API keys are not
+# accepted until its response confirms the configuration.
+RESUMED_WATCH_WAIT_MS = 1
 # Delay after events, so that changes in quick succession share a call. Every
 # reader makes a call for each change, so the delay grows with the number of
 # readers. The maximum leaves time to apply a change within a second.
@@ -330,12 +333,15 @@
         self._timer = None
         if self._is_stopped:
             return
+        is_behind = self.confirmation.is_behind
         self.confirmation.on_call()
         query = urllib.parse.urlencode(
             {
                 "path_prefix": "",
                 "after": self._revision,
-                "wait_ms": WATCH_WAIT_MS,
+                "wait_ms": RESUMED_WATCH_WAIT_MS
+                if is_behind
+                else WATCH_WAIT_MS,
             }
         )
         self._cancel_call = self._request(
@@ -378,7 +384,9 @@
 
     def _schedule_watch(self, delay_ms: int) -> None:
         """Make the next call after a delay, or when the relay has ended."""
-        if self._relayed_ms is not None:
+        if self.confirmation.is_behind:
+            delay_ms = 0
+        elif self._relayed_ms is not None:
             silent_ms = self._clock.now_ms() - self._relayed_ms
             delay_ms = max(delay_ms, RELAY_TIMEOUT_MS - silent_ms)
         if delay_ms > 0:
--- a/tests/gateway/test_authentication.py
+++ b/tests/gateway/test_authentication.py
@@ -4,11 +4,13 @@
 
 import json
 import unittest
+from unittest import mock
 
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import configuration_freshness
 from balsamwall.gateway import gateway_configuration
 from balsamwall.gateway import workspace as workspace_module
+from balsamwall.logs import decision_log
 from tests.fixtures import gateway_harness as harness_module
 from tests.fixtures import pausing_clock
 from tests.fixtures import wire_harness
@@ -159,6 +161,43 @@
             self.assertNotIn(b"authorization", fields)
             self.harness.last_connection.respond(data=EVENT)
 
+    def test_log_names_the_workspace(self):
+        """Guards against logs that show no workspace, or the key."""
+        with mock.patch("eliot.log_message") as log:
+            self.send(bearer(b"k1"))
+            self.harness.last_connection.respond(data=EVENT)
+            self.send(bearer(b"k9-unknown"))
+            self.harness.gateway.begin_drain(0, lambda: None)
+            self.send(bearer(b"k2"), path=b"/open/x")
+        names = [
+            (call.args[0], call.kwargs["workspace"])
+            for call in log.call_args_list
+        ]
+        self.assertEqual(
+            names,
+            [
+                ("request_over", "t1"),
+                ("request_refused", None),
+                ("request_refused", "t2"),
+            ],
+        )
+        self.assertNotIn("k9", str(log.call_args_list))
+
+    def test_outcomes_are_counted(self):
+        """Guards against callers without a key that no alert shows."""
+        usage = (b"balsamwall-token-usage", b"30,12")
+        self.send(bearer(b"k1"), usage)
+        self.harness.last_connection.respond(data=EVENT)
+        self.send(bearer(b"k9"))
+        text = self.harness.dependencies.metrics.render().decode()
+        name = "balsamwall_gateway_workspace"
+        row = '{outcome="admitted",workspace="t1"} 1.0'
+        self.assertIn(f"{name}_requests_total{row}", text)
+        self.assertIn(f'{name}_tokens_total{{workspace="t1"}} 42.0', text)
+        row = '{code="key_missing_or_wrong"} 1.0'
+        name = "balsamwall_gateway_unauthenticated_requests_total"
+        self.assertIn(f"{name}{row}", text)
+
     def test_without_workspaces(self):
         """Guards against changes where the configuration has no workspace."""
         self.configure(None)
@@ -328,8 +367,8 @@
         confirmation.resumed_ms, confirmation.at_ms = resumed_ms, at_ms
         clock = pausing_clock.PausingClock(start_ms=now_ms)
         return configuration_freshness.ConfigurationFreshness(
-            clock, confirmation, max_age_ms
-        ).is_usable
+            clock, confirmation, max_age_ms, decision_log.DecisionLog(clock)
+        ).check()
 
     def test_strict(self):
         """Guards against keys accepted beyond the maximum age."""
@@ -359,14 +398,22 @@
         authenticator = self.harness.dependencies.authenticator
         authenticator._freshness = (
             configuration_freshness.ConfigurationFreshness(
-                self.harness.clock, self.confirmation, 5_000
+                self.harness.clock,
+                self.confirmation,
+                5_000,
+                self.harness.log,
             )
         )
 
     def test_unconfirmed_configuration(self):
         """Guards against a key that was revoked behind a partition."""
         self.harness.clock.advance(5_001)
-        exchange = self.send(bearer(b"k1"))
+        with mock.patch("eliot.log_message") as log:
+            exchange = self.send(bearer(b"k1"))
+        log.assert_any_call(
+            "configuration_unconfirmed", confirmed_ms_ago=5_001
+        )
+        self.assertNotIn("k1", str(log.call_args_list))
         self.assertEqual(exchange.status, 503)
         self.assertIn(b"retry-after", dict(exchange.fields))
         code = json.loads(exchange.data)["error"]["name"]
--- a/tests/gateway/test_gateway_metrics.py
+++ b/tests/gateway/test_gateway_metrics.py
@@ -5,6 +5,10 @@
 import unittest
 
 from balsamwall.gateway import gateway_metrics
+from balsamwall.gateway import incoming_request
+from balsamwall.gateway import workspace as workspace_module
+from balsamwall.gateway import workspace_metrics
+from balsamwall.results import result_code
 
 
 class GatewayMetricsTest(unittest.TestCase):
@@ -24,3 +28,24 @@
         self.assertIn(line, metrics.render())
         metrics.set_server_limit("s1", None)
         self.assertNotIn(line, metrics.render())
+
+    def test_workspaces_are_counted_by_outcome(self):
+        """Guards against memory that grows with the number of workspaces."""
+        metrics = gateway_metrics.GatewayMetrics()
+        request = incoming_request.IncomingRequest(b"q1", "h", None)
+        quota = workspace_module.WorkspaceQuota(1.0, 1.0, plain_tokens=9)
+        limited = result_code.ResultCode.RATE_LIMITED
+        for number in range(workspace_metrics.MAX_WORKSPACES + 3):
+            item = workspace_module.Workspace(
+                f"t{number}", frozenset(), quota=quota
+            )
+            metrics.workspaces.count_end(item, request, limited, False)
+            metrics.workspaces.count_end(item, request, limited, True)
+            metrics.workspaces.set_quota_left(item.name, 4.0)
+        text = metrics.render().decode()
+        name = "balsamwall_gateway_workspace"
+        row = '{outcome="over_quota",workspace="other"} 3.0'
+        self.assertIn(f"{name}_requests_total{row}", text)
+        self.assertIn(f'{name}_tokens_total{{workspace="t0"}} 9.0', text)
+        self.assertIn(f'{name}_quota_left{{workspace="t63"}} 4.0', text)
+        self.assertNotIn(f'{name}_quota_left{{workspace="other"}}', text)
--- a/tests/platform/test_header_codec.py
+++ b/tests/platform/test_header_codec.py
@@ -69,6 +69,50 @@
                 sent = head((b"balsamwall-deadline-ms", raw))
                 self.assertIsNone(self.codec.decode(sent).deadline_ms)
 
+    def test_only_the_system_names_the_workspace(self):
+        """Guards against a caller that poses as another workspace."""
+        sent = head(
+            (b"host", b"h"),
+            (b"balsamwall-tenant", b"t1"),
+            (b"balsamwall-tenant", b"t2"),
+            (b"balsamwall_tenant", b"t3"),
+            (b"connection", b"balsamwall-tenant"),
+            (b"authorization", b"Bearer k1"),
+        )
+        names = [name for name, _ in self.codec.forwarded_fields(sent, True)]
+        self.assertEqual(names, [b"host"])
+        names = [name for name, _ in self.codec.forwarded_fields(sent, False)]
+        self.assertEqual(names, [b"host", b"authorization"])
+        record = gateway_harness.make_record("i-7")
+        fields = self.codec.attempt_fields(record, 900, 3, None, "t\xfc")
+        self.assertIn((b"balsamwall-tenant", b"t\xc3\xbc"), fields)
+
+    def test_token_usage_needs_both_numbers(self):
+        """Guards against a request that is charged nothing for bad usage."""
+        rows = {
+            b"30,12": True,
+            b" 30 , 12 ": True,
+            b"30,12,1": True,
+            b"30": False,
+            b"30,": False,
+            b"x,12": False,
+            b"-1,12": False,
+            b"": False,
+        }
+        for raw, expected in rows.items():
+            with self.subTest(raw=raw):
+                request = self.codec.decode(
+                    head((header_codec.TOKEN_USAGE, raw))
+                )
+                self.assertEqual(request.has_token_usage, expected)
+        self.assertFalse(self.codec.decode(head()).has_token_usage)
+
+    def test_key_is_left_out_of_texts(self):
+        """Guards against a key in a traceback or a log line."""
+        request = self.codec.decode(head((b"authorization", b"Bearer k-s")))
+        self.assertEqual(request.api_key, b"k-s")
+        self.assertNotIn("k-s", repr(request))
+
     def test_attempt_names_its_server(self):
         """Guards against a request to another server at a reused address."""
         record = gateway_harness.make_record("i-7")
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -53,6 +53,22 @@
         self.assertEqual(settings.grace_ms, 8_000)
         self.assertEqual(settings.fleet_port, 7_380)
 
+    def test_revocation(self):
+        """Guards against an entry that is strict without being told."""
+        settings = node_settings.parse(ROWS)
+        self.assertFalse(settings.is_revocation_strict)
+        self.assertEqual(settings.revoke_ms, 5_000)
+        rows = {"strict_revoke": True, "revoke_ms": 4_000}
+        settings = node_settings.parse(
+            {**ROWS, "bounds": {**ROWS["bounds"], **rows}}
+        )
+        self.assertTrue(settings.is_revocation_strict)
+        self.assertEqual(settings.revoke_ms, 4_000)
+        self.check_rejected("bounds.strict_revoke", "yes")
+        self.check_rejected("bounds.strict_revoke", 1)
+        self.check_rejected("bounds.revoke_ms", "5000")
+        self.check_rejected("bounds.revoke_ms", -1)
+
     def test_missing_and_invalid_fields(self):
         """Guards against invalid settings that only fail at run time."""
         self.check_rejected("node")
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -6,12 +6,13 @@
 import json
 import random
 import unittest
+from unittest import mock
 import urllib.parse
 
 from balsamwall.infrastructure import http_client
 from balsamwall.infrastructure import key_value_service
 from balsamwall.platform import store_feed
-from balsamwall.timing import virtual_clock
+from tests.fixtures import pausing_clock
 
 
 def row(key, value, revision):
@@ -45,7 +46,7 @@
     """Feed of a scripted store, with the changes that it delivered."""
 
     def setUp(self):
-        self.clock = virtual_clock.VirtualClock()
+        self.clock = pausing_clock.PausingClock()
         self.store = ScriptedStore()
         self.feed = store_feed.StoreFeed(
             self.clock, random.Random(1), self.store.request
@@ -158,6 +159,27 @@
         path, query = self.store.last
         self.assertEqual((path, query["after"]), ("/kv-watch", "10"))
 
+    def test_values_of_invalid_items_are_not_logged(self):
+        """Guards against a log with the API keys of a configuration."""
+        bad = {"key": "op/config", "value": "c2VjcmV0"}
+        with mock.patch("eliot.log_message") as log:
+            self.read(bad, "c2VjcmV0")
+        names = [call.args[0] for call in log.call_args_list]
+        self.assertEqual(names.count("store_item_unreadable"), 2)
+        self.assertNotIn("c2VjcmV0", str(log.call_args_list))
+
+    def test_response_from_before_a_pause_is_not_passed_on(self):
+        """Guards against a relay of old responses that confirms keys."""
+        updates = []
+        self.feed.add_update_listener(updates.append)
+        self.read()
+        self.clock.pause(5_000)
+        self.store.answer(events=[row("s/a", "1", 11)], current_rev=11)
+        self.assertEqual((len(updates), self.seen), (1, [("s/a", "1")]))
+        self.assertEqual(self.store.last[1]["wait_ms"], "1")
+        self.store.answer(events=[], current_rev=11)
+        self.assertEqual((len(updates), updates[-1].after_revision), (2, 11))
+
     def test_deeply_nested_response_is_read_again(self):
         """Guards against a RecursionError that ends the feed for ever."""
         body = b"[" * 100_000
