--- a/tests/composition/test_gateway_revocation.py
+++ b/tests/composition/test_gateway_revocation.py
@@ -41,6 +41,7 @@
 
     def put(self, version, keys_by_name):
         """Write a version; a text in place of the names is written as is."""
+        engine = {"models": [{"name": "m1", "weights_mb": 1}]}
         fields = {
             "version": version,
             "routes": [
@@ -53,7 +54,7 @@
                     "service": "app",
                 }
             ],
-            "services": [{"name": "app"}],
+            "services": [{"name": "app", "engine": engine}],
             "tenants": [
                 {"name": name, "api_keys": keys}
                 for name, keys in keys_by_name.items()
@@ -154,12 +155,17 @@
         )
         self.unit.start()
 
-    def code(self, key):
-        """Send a request; return the result code, NO_REPLICA if valid."""
+    def send(self, key, *fields):
+        authorization = (b"authorization", b"Bearer " + key.encode())
         exchange = gateway_harness.FakeExchange(
-            self.clock, fields=[(b"authorization", b"Bearer " + key.encode())]
+            self.clock, fields=[authorization, *fields]
         )
         self.unit._gateway.on_request(exchange)
+        return exchange
+
+    def code(self, key):
+        """Send a request; return the result code, NO_REPLICA if valid."""
+        exchange = self.send(key, (b"balsamwall-model", b"unknown"))
         return json.loads(exchange.data)["error"]["name"]
 
     def check(self, **codes):
@@ -186,6 +192,16 @@
         self.clock.advance(APPLY_MS)
         self.check(k1="ok", k3="ok", short="unknown", k2="unknown")
 
+    def test_waiting_request(self):
+        """Guards against queued requests that a new version does not end."""
+        self.clock.advance(50)
+        self.unit._directory.put(gateway_harness.make_record("s1"))
+        model = (b"balsamwall-model", b"m1")
+        waiting = [self.send(key, model) for key in ("k1", "k2")]
+        self.store.put(2, {"t1": ["k1"]})
+        self.clock.advance(50)
+        self.assertEqual([item.status for item in waiting], [None, 401])
+
     def test_version_with_a_fault(self):
         """Guards against a fault that empties or blocks the configuration."""
         self.clock.advance(50)
--- a/tests/gateway/test_request_priority.py
+++ b/tests/gateway/test_request_priority.py
@@ -64,6 +64,16 @@
         self.assertEqual(numbers, sorted(numbers))
         self.assertEqual((numbers[0], numbers[-1]), (0, 9))
 
+    def test_rank(self):
+        """Guards against a route that goes before the workspace."""
+        route = make_route(3)
+        ranks = [
+            request_priority.rank(route, item)
+            for item in (make_workspace("t1", 0), make_workspace("t2", None))
+        ]
+        self.assertEqual(ranks, [(0, 3), (3, 3)])
+        self.assertEqual(request_priority.rank(route, None), (3, 3))
+
     def test_all_ten_steps_separate_ten_ranks(self):
         """Guards against ranks that share a priority without need."""
         self.routes = [make_route(0), make_route(3)]
