Do not cut off requests that cross the close of their connection

Cause: a draining entry closed connections that had just been opened, or whose next request had arrived but was not read yet. A close with unread bytes also resets the connection, and the caller lost the rest of its last response.

Change: before an idle connection is closed, the socket is checked for unread bytes. A draining entry keeps connections open that were opened or used less than 500 ms ago.

The new tests failed before the change and pass with it (python -m tools.run_tests tests.gateway.test_connections).

--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 from typing import Protocol as TypingProtocol
 from typing import TYPE_CHECKING
@@ -30,6 +31,9 @@
 # An abort discards unsent bytes. This delay lets the last ones be sent, so
 # that the caller receives the head and the complete events.
 FLUSH_BEFORE_ABORT_MS = 20
+# A draining entry does not close a connection that was opened or used within
+# this time, since a request may be on its way.
+MIN_IDLE_MS = 500
 
 
 class CallerSite(TypingProtocol):
@@ -78,6 +82,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._arrived_ms: int | None = None
+        self._idle_since_ms = 0
         self._listener: caller_exchange.ExchangeListener | None = None
         self._timer: clock_module.Timer | None = None
         self._is_lost = False
@@ -250,8 +255,11 @@
         self._close()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is open."""
-        if self.is_idle:
+        """Close the connection if no request is open or on its way."""
+        if self._is_closing:
+            return
+        idle_ms = self._site.clock.now_ms() - self._idle_since_ms
+        if self.is_idle and idle_ms >= MIN_IDLE_MS and not self._has_unread():
             self._close()
 
     def abort(self) -> None:
@@ -328,14 +336,40 @@
         self._is_closing = True
         # The transport does not close while a producer is registered.
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if self._has_unread():
+            # To close a socket with unread bytes resets the connection, and
+            # the caller could lose the last response.
+            self.transport.resumeProducing()
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
         self._set_timer(CLOSE_TIMEOUT_MS, self.abort)
 
+    def _has_unread(self) -> bool:
+        """Return whether bytes have arrived that were not read yet.
+
+        In a process with much to do, a request may have arrived before the
+        timer that closes its connection runs.
+        """
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(self.transport.getHandle().recv(1, flags))
+        except OSError:
+            return False
+
     def _wait_idle(self) -> None:
+        self._idle_since_ms = self._site.clock.now_ms()
         self._set_timer(
-            self._site.limits.idle_timeout_ms + IDLE_MARGIN_MS, self._close
+            self._site.limits.idle_timeout_ms + IDLE_MARGIN_MS,
+            self._on_idle_timeout,
         )
 
+    def _on_idle_timeout(self) -> None:
+        if self._has_unread():
+            self._wait_idle()
+        else:
+            self._close()
+
     def _on_read_timeout(self) -> None:
         self._reject(408, "timeout while reading the request")
 
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -125,6 +125,44 @@
         self.assertIn(b"connection: close", self.transport.value().lower())
         self.assertTrue(self.transport.disconnecting)
 
+    def test_request_that_has_arrived_is_read_before_a_close(self):
+        """Guards against a request without a response in a drain.
+
+        It has arrived, but the process closes the connection first.
+        """
+        self.site.clock.advance(caller_connection.MIN_IDLE_MS)
+        self.transport.unread = HEAD
+        self.connection.close_if_idle()
+        self.assertFalse(self.transport.disconnecting)
+        self.site.clock.advance(
+            self.site.limits.idle_timeout_ms + caller_connection.IDLE_MARGIN_MS
+        )
+        self.assertFalse(self.transport.disconnecting)
+        self.transport.unread = b""
+        self.connection.close_if_idle()
+        self.site.clock.advance(caller_connection.MIN_IDLE_MS)
+        self.connection.close_if_idle()
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_new_connection_is_not_closed_in_a_drain(self):
+        """Guards against a reset of a request that is on its way."""
+        self.connection.close_if_idle()
+        self.assertFalse(self.transport.disconnecting)
+
+    def test_unread_bytes_do_not_reset_the_last_response(self):
+        """Guards against a response that is lost to a reset.
+
+        The caller has sent another request while the response was written.
+        """
+        self.connection.dataReceived(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.site.is_closing = True
+        self.transport.unread = HEAD
+        self.respond()
+        self.assertFalse(self.transport.disconnecting)
+        self.assertTrue(self.transport.is_half_closed)
+        self.site.clock.advance(caller_connection.CLOSE_TIMEOUT_MS)
+        self.assertTrue(self.transport.is_aborted)
+
     def test_cut_response_has_no_end(self):
         """Guards against a truncated response that looks complete."""
         self.connection.dataReceived(HEAD + b"Content-Length: 0\r\n\r\n")
