Prefer servers with an idle connection among about equal ones

Cause: among servers that are equally good, the random part of the score decided, and requests opened connections although another server had an idle one.

Change: a server without an idle connection gets NEW_CONNECTION_PENALTY_MS (3 ms, as the random part) in a method of its own.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -191,6 +191,7 @@
             request_load=self._request_load,
             random_source=self._random,
         )
+        self._request_dependencies.choice.prefer_idle(self._pool.has_idle)
         self._gateway = gateway_module.Gateway(
             self._request_dependencies, self._configuration, self._random
         )
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -9,6 +9,7 @@
 from balsamwall.gateway import server_health
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from balsamwall.gateway import backend_directory
@@ -38,6 +39,9 @@
 MAX_PREFIXES = 4_096
 # Random part of the score, so that entries spread over equal servers.
 TIE_BREAK_MS = 3.0
+# Penalty of a server without an idle connection. It decides between servers
+# that differ by the random part, or by two requests in a batch of 32.
+NEW_CONNECTION_PENALTY_MS = 3.0
 
 
 class NoServerReason(enum.Enum):
@@ -76,6 +80,7 @@
     __slots__ = (
         "_clock",
         "_directory",
+        "_has_idle",
         "_health",
         "_limits",
         "_prefixes",
@@ -96,6 +101,15 @@
         self._health = health
         self._limits = limits
         self._prefixes: dict[tuple[str, str], tuple[str, int]] = {}
+        self._has_idle: (
+            Callable[[backend_directory.ServerRecord], bool] | None
+        ) = None
+
+    def prefer_idle(
+        self, has_idle: Callable[[backend_directory.ServerRecord], bool]
+    ) -> None:
+        """Prefer servers with an idle connection among about equal ones."""
+        self._has_idle = has_idle
 
     def choose(
         self,
@@ -173,8 +187,17 @@
         score += FAILURE_PENALTY_MS * server.failure_share
         if server.record.availability_zone != zone:
             score += CROSS_ZONE_PENALTY_MS
+        score += self._connection_penalty_ms(server)
         return score + TIE_BREAK_MS * self._random.random()
 
+    def _connection_penalty_ms(
+        self, server: backend_directory.BackendServer
+    ) -> float:
+        """Return the penalty for a connection that has to be opened."""
+        if self._has_idle is None or self._has_idle(server.record):
+            return 0.0
+        return NEW_CONNECTION_PENALTY_MS
+
     def cached_tokens(
         self,
         server: backend_directory.BackendServer,
