Do not blame servers for responses that callers read slowly

Cause: a server that gave up on a response which stayed unread because of back-pressure counted as failed and as suspect of a crash. A connection that was paused with the last bytes of a response went back to the pool unread, and its next request waited until its deadline. A server that was left to finish for a caller that had gone was not read either.

Change: UnreadTime follows the pauses of an attempt; a response that breaks during a pause of a second or more, or within a second after it, fails as UNREAD, without an effect on health, exclusion and suspicion. Connections are read again when they become idle and when their caller is gone.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -10,6 +10,7 @@
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import body_framing
 from balsamwall.gateway import incoming_request
+from balsamwall.gateway import unread_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +39,7 @@
     BROKEN = "broken"  # the connection broke; it may have run
     INVALID = "invalid"  # unusable response; it may have run
     STALLED = "stalled"  # no event for too long; it may have run
+    UNREAD = "unread"  # cut by the server while its caller did not read
     ABANDONED = "abandoned"  # cancelled by this entry after it was sent
 
 
@@ -104,6 +106,7 @@
         "_listener",
         "_outgoing",
         "_refusal",
+        "_unread",
         "framing",
         "sent_ms",
         "server",
@@ -131,6 +134,7 @@
         self._outgoing = outgoing
         self._listener: AttemptListener | None = listener
         self._refusal = ""
+        self._unread = unread_time.UnreadTime()
         self._discarded_bytes = 0
         self._discard_timer: clock_module.Timer | None = None
         self._connection: backend_connection.BackendConnection | None = None
@@ -146,6 +150,13 @@
         """Return whether the request may have reached the server."""
         return self._connection is not None
 
+    @property
+    def break_failure(self) -> AttemptFailure:
+        """Return the failure of a response that breaks off now."""
+        if self._unread.explains_break(self._clock.now_ms()):
+            return AttemptFailure.UNREAD
+        return AttemptFailure.BROKEN
+
     def start(
         self,
         pool: connection_pool.ConnectionPool,
@@ -174,12 +185,16 @@
     def detach(self, timeout_ms: int) -> None:
         """Let the server finish; the listener is not called again."""
         self._listener = None
+        if self._connection is not None:
+            # A caller that was too slow must not keep the server waiting.
+            self._connection.resume()
         self._limit_discarding(timeout_ms)
 
     def set_blocked(self, is_blocked: bool) -> None:
         """Pause or resume reading the response."""
         if self._connection is None:
             return
+        self._unread.set_blocked(is_blocked, self._clock.now_ms())
         if is_blocked:
             self._connection.pause()
         else:
@@ -276,7 +291,7 @@
         elif reason is backend_connection.BreakReason.INVALID:
             self._fail(AttemptFailure.INVALID, detail)
         else:
-            self._fail(AttemptFailure.BROKEN, detail)
+            self._fail(self.break_failure, detail)
 
     def _limit_discarding(self, timeout_ms: int) -> None:
         """Close the connection if the response has not ended by then."""
--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -220,6 +220,9 @@
         is_reusable = is_reusable and self._parser.our_state is h11.DONE
         if is_reusable and not self.is_lost:
             self._parser.start_next_cycle()
+            # The caller may not have read the last part yet. A connection that
+            # is not read would lose the response to the next request.
+            self.resume()
             self._on_idle(self)
         else:
             self.close()
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -349,9 +349,7 @@
             return
         fault = self.body.fault()
         if fault:
-            self.on_failed(
-                attempt, attempt_module.AttemptFailure.BROKEN, fault
-            )
+            self.on_failed(attempt, attempt.break_failure, fault)
             return
         is_failure = attempt.status >= SERVER_ERROR_STATUS
         self._finish_attempt(is_failure)
@@ -381,8 +379,10 @@
         """Retry, resume or fail the request."""
         if attempt is not self._attempt:
             return
-        self._finish_attempt(True)
-        self._dispatch.exclude(attempt.server)
+        is_unread = failure is attempt_module.AttemptFailure.UNREAD
+        self._finish_attempt(not is_unread)
+        if not is_unread:
+            self._dispatch.exclude(attempt.server)
         self._dependencies.on_attempt_failed(self, attempt, failure, detail)
         if attempt.status == incoming_request.WRONG_SERVER_STATUS:
             self._dependencies.on_model_missing(
