Bound the bytes held for callers that do not read

Cause: back-pressure bounds the bytes of one response, but nothing bounded their sum: 1,000 callers that stop reading hold 128 MB or more, and the smallest VM has 160 MB.

Result: new tests for the bound of one caller and of all, and for callers that read again (python -m tools.run_tests tests.gateway.test_slow_callers).

--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -19,10 +19,13 @@
     from collections.abc import Sequence
 
     from balsamwall.gateway import gateway_configuration
+    from balsamwall.gateway import unsent_bytes
     from balsamwall.timing import clock as clock_module
 
 # Pipelined bytes buffered during a response; reading is paused beyond this.
 MAX_PIPELINED_BYTES = 65_536
+# Unsent bytes at which the transport pauses the response.
+SEND_BUFFER_BYTES = 65_536
 # The server closes an idle connection later than callers stop reusing it, so
 # that no request is sent on a connection that is being closed.
 IDLE_MARGIN_MS = 1_000
@@ -47,6 +50,10 @@
     def limits(self) -> gateway_configuration.CallerLimits:
         """Return the active limits."""
 
+    @property
+    def unsent(self) -> unsent_bytes.UnsentBytes:
+        """Return the count of bytes held for callers that do not read."""
+
     @property
     def is_closing(self) -> bool:
         """Return whether connections close after their current response."""
@@ -88,6 +95,7 @@
         self._is_lost = False
         self._is_responding = False
         self._is_reading_paused = False
+        self._is_blocked = False
         self._is_closing = False
 
     # Reading
@@ -118,6 +126,7 @@
         """Notify the site and the request that the caller disconnected."""
         self._is_lost = True
         self._cancel_timer()
+        self._site.unsent.remove(self)
         self._site.on_closed(self)
         listener, self._listener = self._listener, None
         if listener is not None:
@@ -296,6 +305,8 @@
         data = self._parser.send(event)
         if data:
             self.transport.write(data)
+            if self._is_blocked:
+                self._site.unsent.add(self, len(data))
         return True
 
     def _reject(self, status: int, reason: str) -> None:
@@ -318,11 +329,16 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the backend response, since the caller is not reading."""
+        if not self._is_blocked:
+            self._is_blocked = True
+            self._site.unsent.add(self, SEND_BUFFER_BYTES)
         if self._listener is not None:
             self._listener.on_caller_blocked(True)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resume the backend response."""
+        self._is_blocked = False
+        self._site.unsent.remove(self)
         if self._listener is not None:
             self._listener.on_caller_blocked(False)
 
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -7,6 +7,7 @@
 from balsamwall.gateway import gateway_configuration
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_handler
+from balsamwall.gateway import unsent_bytes
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -47,6 +48,7 @@
         "_dependencies",
         "_random",
         "_handlers",
+        "unsent",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
     ) -> None:
         self._dependencies = dependencies
         self._configuration = configuration
+        self.unsent = unsent_bytes.UnsentBytes(dependencies.log)
         self._random = random_source
         self._handlers: set[request_handler.RequestHandler] = set()
         self._connections: set[caller_connection.CallerConnection] = set()
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -10,6 +10,8 @@
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import caller_connection
 from balsamwall.gateway import gateway_configuration
+from balsamwall.gateway import unsent_bytes
+from balsamwall.logs import decision_log
 from balsamwall.timing import virtual_clock
 from tests.fixtures import recording_transport
 
@@ -23,6 +25,9 @@
         self.clock = virtual_clock.VirtualClock(start_ms=1_000)
         self.limits = gateway_configuration.CallerLimits(1_024, 1_000)
         self.is_closing = False
+        self.unsent = unsent_bytes.UnsentBytes(
+            decision_log.DecisionLog(self.clock)
+        )
         self.requests = []
         self.rejected = []
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -8,7 +8,11 @@
 from twisted.internet import error
 from twisted.python import failure
 
+from balsamwall.gateway import caller_connection
 from balsamwall.gateway import unread_time
+from balsamwall.gateway import unsent_bytes
+from balsamwall.logs import decision_log
+from balsamwall.timing import virtual_clock
 from tests.fixtures import gateway_harness
 from tests.fixtures import wire_harness
 
@@ -90,3 +94,52 @@
         harness.caller.pauseProducing()
         harness.caller.connectionLost(failure.Failure(error.ConnectionLost()))
         self.assertFalse(harness.server.transport.is_paused)
+
+
+class RecordingCaller:
+    """Caller that does not read, and may be cut off."""
+
+    is_aborted = False
+
+    def abort(self):
+        self.is_aborted = True
+
+
+class UnsentBytesTest(unittest.TestCase):
+    """Load pattern: many callers stop reading at once."""
+
+    def setUp(self):
+        clock = virtual_clock.VirtualClock()
+        log = decision_log.DecisionLog(clock)
+        self.unsent = unsent_bytes.UnsentBytes(log)
+
+    def test_bytes_for_all_callers_are_bounded(self):
+        """Guards against memory that grows with the number of callers."""
+        size = 128 * 1024
+        fitting = unsent_bytes.MAX_TOTAL_BYTES // size
+        callers = [RecordingCaller() for _ in range(fitting + 10)]
+        for caller in callers:
+            self.unsent.add(caller, size)
+        cut = [caller.is_aborted for caller in callers]
+        self.assertEqual(cut, [True] * 10 + [False] * fitting)
+        self.assertEqual(self.unsent.total, unsent_bytes.MAX_TOTAL_BYTES)
+
+    def test_bytes_for_one_caller_are_bounded(self):
+        """Guards against one caller that uses the memory of all."""
+        caller, other = RecordingCaller(), RecordingCaller()
+        self.unsent.add(other, 1)
+        self.unsent.add(caller, unsent_bytes.MAX_CALLER_BYTES + 1)
+        self.assertEqual((caller.is_aborted, other.is_aborted), (True, False))
+
+    def test_caller_that_reads_again_is_not_counted(self):
+        """Guards against callers that are cut off for an earlier pause."""
+        harness = make()
+        unsent = harness.gateway.gateway.unsent
+        harness.caller.pauseProducing()
+        harness.respond(CHUNKED, chunk(EVENT))
+        self.assertGreater(unsent.total, caller_connection.SEND_BUFFER_BYTES)
+        harness.caller.resumeProducing()
+        self.assertEqual(unsent.total, 0)
+        harness.caller.pauseProducing()
+        harness.caller.connectionLost(failure.Failure(error.ConnectionLost()))
+        self.assertEqual(unsent.total, 0)
