--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -202,6 +202,7 @@
                 self._log,
             ),
         )
+        self._request_dependencies.choice.prefer_idle(self._pool.has_idle)
         self._gateway = gateway_module.Gateway(
             self._request_dependencies, self._configuration, self._random
         )
--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 from typing import Protocol as TypingProtocol
 from typing import TYPE_CHECKING
@@ -18,10 +19,13 @@
     from collections.abc import Sequence
 
     from balsamwall.gateway import gateway_configuration
+    from balsamwall.gateway import unsent_bytes
     from balsamwall.timing import clock as clock_module
 
 # Pipelined bytes buffered during a response; reading is paused beyond this.
 MAX_PIPELINED_BYTES = 65_536
+# Unsent bytes at which the transport pauses the response.
+SEND_BUFFER_BYTES = 65_536
 # The server closes an idle connection later than callers stop reusing it, so
 # that no request is sent on a connection that is being closed.
 IDLE_MARGIN_MS = 1_000
@@ -30,6 +34,9 @@
 # An abort discards unsent bytes. This delay lets the last ones be sent, so
 # that the caller receives the head and the complete events.
 FLUSH_BEFORE_ABORT_MS = 20
+# A draining entry does not close a connection that was opened or used within
+# this time, since a request may be on its way.
+MIN_IDLE_MS = 500
 
 
 class CallerSite(TypingProtocol):
@@ -43,6 +50,10 @@
     def limits(self) -> gateway_configuration.CallerLimits:
         """Return the active limits."""
 
+    @property
+    def unsent(self) -> unsent_bytes.UnsentBytes:
+        """Return the count of bytes held for callers that do not read."""
+
     @property
     def is_closing(self) -> bool:
         """Return whether connections close after their current response."""
@@ -78,11 +89,13 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._arrived_ms: int | None = None
+        self._idle_since_ms = 0
         self._listener: caller_exchange.ExchangeListener | None = None
         self._timer: clock_module.Timer | None = None
         self._is_lost = False
         self._is_responding = False
         self._is_reading_paused = False
+        self._is_blocked = False
         self._is_closing = False
 
     # Reading
@@ -113,6 +126,7 @@
         """Notify the site and the request that the caller disconnected."""
         self._is_lost = True
         self._cancel_timer()
+        self._site.unsent.remove(self)
         self._site.on_closed(self)
         listener, self._listener = self._listener, None
         if listener is not None:
@@ -250,8 +264,11 @@
         self._close()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is open."""
-        if self.is_idle:
+        """Close the connection if no request is open or on its way."""
+        if self._is_closing:
+            return
+        idle_ms = self._site.clock.now_ms() - self._idle_since_ms
+        if self.is_idle and idle_ms >= MIN_IDLE_MS and not self._has_unread():
             self._close()
 
     def abort(self) -> None:
@@ -288,6 +305,8 @@
         data = self._parser.send(event)
         if data:
             self.transport.write(data)
+            if self._is_blocked:
+                self._site.unsent.add(self, len(data))
         return True
 
     def _reject(self, status: int, reason: str) -> None:
@@ -310,11 +329,16 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the backend response, since the caller is not reading."""
+        if not self._is_blocked:
+            self._is_blocked = True
+            self._site.unsent.add(self, SEND_BUFFER_BYTES)
         if self._listener is not None:
             self._listener.on_caller_blocked(True)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resume the backend response."""
+        self._is_blocked = False
+        self._site.unsent.remove(self)
         if self._listener is not None:
             self._listener.on_caller_blocked(False)
 
@@ -328,14 +352,40 @@
         self._is_closing = True
         # The transport does not close while a producer is registered.
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if self._has_unread():
+            # To close a socket with unread bytes resets the connection, and
+            # the caller could lose the last response.
+            self.transport.resumeProducing()
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
         self._set_timer(CLOSE_TIMEOUT_MS, self.abort)
 
+    def _has_unread(self) -> bool:
+        """Return whether bytes have arrived that were not read yet.
+
+        In a process with much to do, a request may have arrived before the
+        timer that closes its connection runs.
+        """
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(self.transport.getHandle().recv(1, flags))
+        except OSError:
+            return False
+
     def _wait_idle(self) -> None:
+        self._idle_since_ms = self._site.clock.now_ms()
         self._set_timer(
-            self._site.limits.idle_timeout_ms + IDLE_MARGIN_MS, self._close
+            self._site.limits.idle_timeout_ms + IDLE_MARGIN_MS,
+            self._on_idle_timeout,
         )
 
+    def _on_idle_timeout(self) -> None:
+        if self._has_unread():
+            self._wait_idle()
+        else:
+            self._close()
+
     def _on_read_timeout(self) -> None:
         self._reject(408, "timeout while reading the request")
 
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -8,6 +8,7 @@
 from balsamwall.gateway import gateway_configuration
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_handler
+from balsamwall.gateway import unsent_bytes
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
         "_dependencies",
         "_random",
         "_handlers",
+        "unsent",
     )
 
     def __init__(
@@ -59,6 +61,7 @@
     ) -> None:
         self._dependencies = dependencies
         self._configuration = configuration
+        self.unsent = unsent_bytes.UnsentBytes(dependencies.log)
         self._random = random_source
         self._handlers: set[request_handler.RequestHandler] = set()
         self._connections: set[caller_connection.CallerConnection] = set()
