Share learned speeds, and plan replicas by them

Cause: an entry sends one server a request every few seconds and learns its speed and slow periods by itself. The planner took all engines for equal.

Change: entries report factors and work times to the coordinator in the message ServerSpeeds (120); it merges them by weight and sends them to the entries that report. DemandReport and FleetState can't get new fields, since a message with another number of fields closes the stream, as does an unknown number. The coordinator therefore marks its fleet loads, which earlier builds ignore, and only entries that see the mark report. EngineTracker.capacity includes the part of the slots that an engine can use with pauses within the target, and popular models prefer fast engines.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -7,6 +7,7 @@
 
 from balsamwall.coordination import crash_control
 from balsamwall.coordination import demand as demand_module
+from balsamwall.coordination import engine_speed
 from balsamwall.coordination import engine_tracker
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import load_forecast
@@ -16,6 +17,7 @@
 from balsamwall.coordination import prompt_scheduler
 from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
+from balsamwall.coordination import speed_exchange
 from balsamwall.gateway import residency_waits
 
 if TYPE_CHECKING:
@@ -96,6 +98,7 @@
         "_prefetch",
         "_runner",
         "_scheduler",
+        "_speeds",
         "_last_state_ms",
         "_last_summary_ms",
     )
@@ -130,6 +133,7 @@
         self._scheduler = prompt_scheduler.PromptScheduler(
             clock, directory.speeds
         )
+        self._speeds = speed_exchange.SpeedMerger(clock, directory, log)
         self._prefetch = prefetch_planner.PrefetchPlanner(self._demand)
         self._runner = order_runner.OrderRunner(clock, control, self, log)
         self._is_active = False
@@ -189,6 +193,8 @@
         if isinstance(item, messages_fleet.DemandReport):
             self._demand.on_report(vm, item)
             self._record_adapter_use(item)
+        elif isinstance(item, messages_fleet.ServerSpeeds):
+            self._speeds.on_report(vm, item)
         elif isinstance(item, messages_fleet.PromptQuery):
             self._links.send(vm, self._assign(item))
         elif isinstance(item, messages_fleet.PermitQuery):
@@ -277,6 +283,7 @@
     def on_entry_disconnected(self, vm: str) -> None:
         """Discard the demand reported by a disconnected entry."""
         self._demand.remove_entry(vm)
+        self._speeds.remove_entry(vm)
 
     def on_residents_changed(
         self, tracker: engine_tracker.EngineTracker
@@ -336,6 +343,7 @@
     def _start_term(self) -> None:
         self._demand.restart()
         self._permits.restart()
+        self._speeds.restart()
         for server in self._directory.all_servers():
             self._on_server(server)
 
@@ -416,9 +424,12 @@
             if not any(tracker.is_idle for tracker in trackers):
                 continue
             for tracker in trackers:
-                tracker.capacity = self._permits.capacity(
+                limit_capacity = self._permits.capacity(
                     tracker.record.server_id, engine.slots
                 )
+                engine_speed.update(
+                    tracker, limit_capacity, self._directory.speeds, now_ms
+                )
             waiting_requests = {
                 wanted: count
                 for wanted, count in waiting.items()
@@ -443,13 +454,14 @@
             self._links.broadcast(
                 messages_fleet.FleetState(
                     self._links.count,
-                    self._demand.loads(),
+                    self._speeds.mark(self._demand.loads()),
                     self._demand.queued(),
                     load_forecast.expected_loads(
                         self._trackers.values(), now_ms
                     ),
                 )
             )
+            self._speeds.share(self._links.send)
             observations = self._limits.book.observations()
             if observations:
                 self._links.broadcast(limit_rows.encode(observations, now_ms))
--- /dev/null
+++ b/src/balsamwall/coordination/engine_speed.py
@@ -0,0 +1,45 @@
+"""Update the capacity of an engine from its limit and its speed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import prompt_scheduler
+
+if TYPE_CHECKING:
+    from balsamwall.coordination import engine_tracker
+    from balsamwall.gateway import server_speed
+
+# Weight of the current value in the moving average of what an engine can bear.
+# It is updated every 100 ms, and a replica loads within seconds, so that a
+# shorter slow period should not cause one.
+BEARABLE_WEIGHT = 0.1
+
+
+def update(
+    tracker: engine_tracker.EngineTracker,
+    limit_capacity: float,
+    speeds: server_speed.SpeedTable,
+    now_ms: int,
+) -> None:
+    """Set the part of the slots that an engine can use, and its speed.
+
+    Load pattern: a model on a slow engine needs another replica at a number
+    of requests that a usual engine serves. The part is that of the resident
+    model that leaves the fewest requests within the pause target.
+    """
+    speed = speeds.get(tracker.record.server_id)
+    if speed is None:
+        tracker.bearable, tracker.slowness = 1.0, 1.0
+    else:
+        slots = max(1, tracker.spec.slots)
+        count = min(
+            speed.bearable_requests(
+                model, slots, prompt_scheduler.GAP_TARGET_MS, now_ms
+            )
+            for model in tracker.models or ("",)
+        )
+        change = count / slots - tracker.bearable
+        tracker.bearable += BEARABLE_WEIGHT * change
+        tracker.slowness = speed.relative(now_ms)
+    tracker.capacity = limit_capacity * tracker.bearable
--- a/src/balsamwall/coordination/engine_tracker.py
+++ b/src/balsamwall/coordination/engine_tracker.py
@@ -45,7 +45,9 @@
         "stable_since_ms",
         "timer",
         "adapter_used_ms",
+        "bearable",
         "capacity",
+        "slowness",
     )
 
     def __init__(
@@ -74,8 +76,12 @@
         # Whether the order being sent holds a load permit of the weight store.
         self.has_permit = False
         self.queue: list[engine_control.Order] = []
-        # Part of the slots that the limit of the engine leaves to requests.
+        # Part of the slots that the engine can use with pauses within the
+        # target, and the same if its limit on requests is included.
+        self.bearable = 1.0
         self.capacity = 1.0
+        # Time of its work relative to the median of the service.
+        self.slowness = 1.0
         self.adapter_used_ms: dict[tuple[str, str], int] = {}
         self.resident_since_ms: dict[str, int] = {}
 
@@ -102,6 +108,11 @@
         """Return whether the engine can receive new orders."""
         return self.state is EngineState.READY and not self.queue
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether a limit on requests leaves slots unused."""
+        return self.capacity < self.bearable
+
     def holds(self, model: str, adapter: str = "") -> bool:
         """Return whether a model, and its adapter if given, is resident."""
         adapters = self.models.get(model)
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -7,6 +7,7 @@
 
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import speed_exchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,6 +64,7 @@
         "_on_link_lost",
         "_on_store_changes",
         "_reconnect_ms",
+        "_speeds",
         "_suspects",
         "_take_arrivals",
         "_vm",
@@ -98,6 +100,7 @@
         self._limits = limits
         limits.set_link(self)
         self._directory = directory
+        self._speeds = speed_exchange.SpeedExchange(clock, directory, log)
         self._count_running = count_running
         self._take_arrivals = take_arrivals
         self._count_queued = count_queued
@@ -229,12 +232,15 @@
             self._suspects.hold_back(
                 frozenset(item.fingerprints), item.remaining_ms
             )
+        elif isinstance(item, messages_fleet.ServerSpeeds):
+            self._speeds.apply(item)
         elif isinstance(item, messages_fleet.StoreChanges):
             self._on_store_changes(item)
         elif isinstance(item, messages_fleet.FleetState):
             self._reconnect_ms = REPORT_INTERVAL_MS
             self._on_entry_count(item.entries)
             self._forecast.on_state(item.loads_due, item.queued)
+            self._speeds.on_loads(item.loads)
             now_ms = self._clock.now_ms()
             for server in self._directory.all_servers():
                 load = item.loads.get(server.server_id, 0)
@@ -291,6 +297,7 @@
 
     def _introduce(self) -> None:
         """Send all that a new coordinator needs to know of this entry."""
+        self._speeds.restart()
         observations = self._limits.book.observations()
         if observations:
             self.report_limits(observations)
@@ -329,3 +336,6 @@
                 },
             )
         )
+        speeds = self._speeds.report()
+        if speeds is not None:
+            self._link.send(speeds)
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -158,6 +158,20 @@
     remaining_ms: int
 
 
+@message.register(120)
+class ServerSpeeds(message.Message):
+    """Report or announce the speeds of servers that report work times.
+
+    Each row of factors holds server, start time of its process, model, factor
+    of prefill and its weight, factor of pauses and its weight; each row of
+    work times holds server, start time, percent and age in ms. It is sent to
+    processes that are known to take it.
+    """
+
+    factors: list[list[Any]]
+    work_times: list[list[Any]]
+
+
 @message.register(104)
 class FleetState(message.Message):
     """Announce the number of entries and the load of the servers.
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -29,6 +29,11 @@
 # Cost of a load on an engine whose slots are all used; it is proportional to
 # the fraction of used slots.
 BUSY_COST = 0.3
+# Preference for a fast engine: cost of one that takes twice the usual time,
+# for a model that is requested at POPULAR_RATE_PER_S or more often. It decides
+# between engines and does not prevent a load.
+SLOW_ENGINE_COST = 1.0
+POPULAR_RATE_PER_S = 4.0
 # Fraction of the engines that loads of rare models may occupy.
 RARE_ENGINE_FRACTION = 0.45
 # A model stays for this time after a load, to serve the requests that wait.
@@ -52,6 +57,7 @@
     cost: float
     tracker: engine_tracker.EngineTracker
     victims: list[str]
+    rank: float  # cost with the preference for fast engines
 
 
 class ResidencyPlanner:
@@ -105,7 +111,7 @@
             1, RARE_ENGINE_FRACTION * len(trackers)
         ):
             return None
-        unlimited = [tracker for tracker in trackers if tracker.capacity >= 1]
+        unlimited = [item for item in trackers if not item.is_limited]
         return self._cheapest_plan(
             unlimited or trackers, trackers, need, now_ms
         )
@@ -125,7 +131,7 @@
             tracker
             for tracker in trackers
             if not tracker.will_hold(need.model)
-            and tracker.capacity >= 1.0
+            and not tracker.is_limited
             and used[tracker.record.server_id] + need.added_utilisation
             < need.max_utilisation
         ]
@@ -182,8 +188,9 @@
             cost += DISK_LOAD_COST if is_local else STORE_LOAD_COST
             cost += BUSY_COST * loads[tracker.record.server_id]
             cost += need.gain - need.remaining_gain(delay_s)
-            if best is None or cost < best.cost:
-                best = _Candidate(cost, tracker, victims)
+            rank = cost + self._speed_cost(tracker, model)
+            if best is None or rank < best.rank:
+                best = _Candidate(cost, tracker, victims, rank)
         if best is None or best.cost > need.gain:
             return None
         orders = [
@@ -193,6 +200,13 @@
         orders.append(engine_control.Order(_Kind.LOAD, model))
         return Plan(best.tracker, tuple(orders), best.cost, need.gain)
 
+    def _speed_cost(
+        self, tracker: engine_tracker.EngineTracker, model: str
+    ) -> float:
+        """Return the cost of a slow engine, negative for a fast one."""
+        popularity = min(1.0, self._demand.rate(model) / POPULAR_RATE_PER_S)
+        return SLOW_ENGINE_COST * (tracker.slowness - 1.0) * popularity
+
     def _load_delay_s(
         self,
         tracker: engine_tracker.EngineTracker,
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-import math
+import dataclasses
 import statistics
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import speed_estimate
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -34,19 +36,12 @@
 # The work time is unknown for an observation without a recent figure, which
 # counts in part: it may fall into a slow period.
 UNKNOWN_WORK_TIME_WEIGHT = 0.25
-# Largest change of a logarithm by one observation, a factor of 1.8.
-MAX_CHANGE = 0.6
-# Observations that an estimate averages over, and weight of the prior.
-MAX_WEIGHT = 30.0
-PRIOR_WEIGHT = 2.0
-# Time in which the weight of earlier observations halves, and the age at
-# which an estimate lapses.
-HALF_LIFE_MS = 30_000
-MAX_AGE_MS = 120_000
-# Factors outside this range are faults of the observation.
-MIN_FACTOR = 0.1
-MAX_FACTOR = 20.0
 MAX_MODELS = 64  # of one process; the least recently used is dropped
+# What the coordinator shares is dropped at this age, so that a process that
+# was paused does not use old factors. It shares once a second.
+SHARED_MAX_AGE_MS = 5_000
+# Weight of fewer observations that are not worth sharing.
+MIN_SHARED_WEIGHT = 1.0
 MEDIAN_MAX_AGE_MS = 250
 
 
@@ -60,62 +55,14 @@
     return EVENT_MS + STEPS_PER_REQUEST_MS * load + prompts_ms
 
 
-class Estimate:
-    """Average the logarithm of a factor, robust against outliers."""
-
-    __slots__ = ("_log", "_updated_ms", "_weight")
-
-    def __init__(self, now_ms: int) -> None:
-        self._log = 0.0
-        self._weight = 0.0
-        self._updated_ms = now_ms
-
-    @property
-    def updated_ms(self) -> int:
-        """Return the time of the last observation."""
-        return self._updated_ms
-
-    def weight(self, now_ms: int) -> float:
-        """Return the weight of the observations, which decays with age."""
-        age_ms = now_ms - self._updated_ms
-        if age_ms > MAX_AGE_MS:
-            return 0.0
-        return self._weight * math.exp2(-max(0, age_ms) / HALF_LIFE_MS)
-
-    def add(
-        self, factor: float, prior: float, weight: float, now_ms: int
-    ) -> None:
-        """Add an observation; a first one changes the prior."""
-        known = self.weight(now_ms)
-        if known <= 0:
-            self._log = math.log(prior)
-        factor = min(MAX_FACTOR, max(MIN_FACTOR, factor))
-        change = math.log(factor) - self._log
-        change = min(MAX_CHANGE, max(-MAX_CHANGE, change))
-        self._weight = min(MAX_WEIGHT, known + weight)
-        self._updated_ms = now_ms
-        self._log += change * weight / max(self._weight, 1.0)
-
-    def factor(self, prior: float, now_ms: int) -> float:
-        """Return the average of the observations and a prior."""
-        weight = self.weight(now_ms)
-        total = weight * self._log + PRIOR_WEIGHT * math.log(prior)
-        return math.exp(total / (weight + PRIOR_WEIGHT))
-
-    @property
-    def observed(self) -> float:
-        """Return the average of the observations alone."""
-        return math.exp(self._log)
-
-
 class _ModelSpeed:
     """Estimates for one model at one process."""
 
     __slots__ = ("pause", "prefill")
 
     def __init__(self, now_ms: int) -> None:
-        self.prefill = Estimate(now_ms)
-        self.pause = Estimate(now_ms)
+        self.prefill = speed_estimate.Estimate(now_ms)
+        self.pause = speed_estimate.Estimate(now_ms)
 
     @property
     def updated_ms(self) -> int:
@@ -123,6 +70,18 @@
         return max(self.prefill.updated_ms, self.pause.updated_ms)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LearnedSpeed:
+    """Hold the factors for one model at one process."""
+
+    prefill: speed_estimate.Rated
+    pause: speed_estimate.Rated
+
+    def of(self, is_pause: bool) -> speed_estimate.Rated:
+        """Return the factor of pauses or that of prefill."""
+        return self.pause if is_pause else self.prefill
+
+
 class ServerSpeed:
     """Learn the factors of one server process against the usual times.
 
@@ -132,14 +91,27 @@
     improve one relative speed that is the prior of each model.
     """
 
-    __slots__ = ("_models", "_relative", "_service", "_work", "_work_ms")
+    __slots__ = (
+        "_models",
+        "_relative",
+        "_service",
+        "_shared",
+        "_shared_ms",
+        "_shared_relative",
+        "_work",
+        "_work_ms",
+    )
 
     def __init__(self, service: ServiceSpeeds, now_ms: int) -> None:
         self._service = service
         self._models: dict[str, _ModelSpeed] = {}
-        self._relative = Estimate(now_ms)
+        self._relative = speed_estimate.Estimate(now_ms)
         self._work = USUAL_WORK_TIME
         self._work_ms: int | None = None
+        # As learned by all entries.
+        self._shared: dict[str, LearnedSpeed] = {}
+        self._shared_ms = now_ms
+        self._shared_relative = speed_estimate.NOTHING_OBSERVED
 
     @property
     def is_used(self) -> bool:
@@ -147,10 +119,14 @@
         return self._service.is_used
 
     def on_work_time(self, percent: int, now_ms: int) -> None:
-        """Set the work time that the server reports."""
+        """Set the work time that the server reported at a time.
+
+        An earlier one than the last is ignored.
+        """
         self._service.is_used = True
-        self._work = max(1, percent)
-        self._work_ms = now_ms
+        if self._work_ms is None or now_ms >= self._work_ms:
+            self._work = max(1, percent)
+            self._work_ms = now_ms
 
     def on_first_event(
         self, model: str, tokens: int, load: float, after_ms: int, now_ms: int
@@ -180,7 +156,11 @@
         self._learn(speed.pause, factor, prior, now_ms)
 
     def _learn(
-        self, estimate: Estimate, factor: float, prior: float, now_ms: int
+        self,
+        estimate: speed_estimate.Estimate,
+        factor: float,
+        prior: float,
+        now_ms: int,
     ) -> None:
         freshness = self._freshness(now_ms)
         weight = UNKNOWN_WORK_TIME_WEIGHT
@@ -220,28 +200,78 @@
 
     def relative(self, now_ms: int) -> float:
         """Return the factor against the median of the service."""
-        return self._relative.factor(1.0, now_ms)
+        found = [speed_estimate.Rated(1.0, speed_estimate.PRIOR_WEIGHT)]
+        found.append(self._relative.rated(now_ms))
+        if self._is_shared_fresh(now_ms):
+            found.append(self._shared_relative)
+        return speed_estimate.combine(found).factor
 
     def learned(self, model: str, now_ms: int, is_pause: bool) -> float:
         """Return the learned factor, without the current work time."""
         prior = self._prior(model, now_ms, is_pause)
+        found = self._rated(model, now_ms, is_pause)
+        found.append(speed_estimate.Rated(prior, speed_estimate.PRIOR_WEIGHT))
+        return speed_estimate.combine(found).factor
+
+    def _rated(
+        self, model: str, now_ms: int, is_pause: bool
+    ) -> list[speed_estimate.Rated]:
+        """Return what this entry and what all entries have learned."""
+        found = []
         speed = self._models.get(model)
-        if speed is None:
-            return prior
-        estimate = speed.pause if is_pause else speed.prefill
-        return estimate.factor(prior, now_ms)
+        if speed is not None:
+            estimate = speed.pause if is_pause else speed.prefill
+            found.append(estimate.rated(now_ms))
+        shared = self._shared.get(model)
+        if shared is not None and self._is_shared_fresh(now_ms):
+            found.append(shared.of(is_pause))
+        return found
+
+    def _is_shared_fresh(self, now_ms: int) -> bool:
+        return now_ms - self._shared_ms <= SHARED_MAX_AGE_MS
+
+    def set_shared(self, speeds: dict[str, LearnedSpeed], now_ms: int) -> None:
+        """Set the factors by model that all entries have learned."""
+        self._shared = speeds
+        self._shared_ms = now_ms
+        relative = []
+        for model, speed in speeds.items():
+            for is_pause in (False, True):
+                rated = speed.of(is_pause)
+                median = self._service.median(model, now_ms, is_pause)
+                relative.append(
+                    speed_estimate.Rated(rated.factor / median, rated.weight)
+                )
+        self._shared_relative = speed_estimate.combine(relative)
+
+    def to_share(self, now_ms: int) -> dict[str, LearnedSpeed]:
+        """Return what this entry alone has learned, by model."""
+        found = {}
+        for model, speed in self._models.items():
+            learned = LearnedSpeed(
+                speed.prefill.rated(now_ms), speed.pause.rated(now_ms)
+            )
+            weight = learned.prefill.weight + learned.pause.weight
+            if weight >= MIN_SHARED_WEIGHT:
+                found[model] = learned
+        return found
+
+    def reported_work(self, now_ms: int) -> tuple[int, int] | None:
+        """Return the last work time in percent and its age, if recent."""
+        if self._work_ms is None or not self._freshness(now_ms):
+            return None
+        return self._work, max(0, now_ms - self._work_ms)
 
     def observed(
         self, model: str, now_ms: int, is_pause: bool
     ) -> float | None:
         """Return the factor from observations alone, None with too few."""
-        speed = self._models.get(model)
-        if speed is None:
-            return None
-        estimate = speed.pause if is_pause else speed.prefill
-        if estimate.weight(now_ms) < PRIOR_WEIGHT:
-            return None
-        return estimate.observed
+        rated = speed_estimate.combine(self._rated(model, now_ms, is_pause))
+        return (
+            rated.factor
+            if rated.weight >= speed_estimate.PRIOR_WEIGHT
+            else None
+        )
 
     def factor(self, model: str, now_ms: int) -> float:
         """Return the factor of prefill times, 1.0 is usual."""
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -282,6 +282,42 @@
         self.assertEqual(order_names(plan)[0], ("unload", "rare2"))
 
 
+class UnevenEngineTest(unittest.TestCase):
+    """Load pattern: engines of different speed."""
+
+    def test_popular_model_is_placed_on_a_fast_engine(self):
+        """Guards against engines chosen without regard to their speed."""
+        fixture = PlannerFixture((), (), ())
+        for tracker, slowness in zip(
+            fixture.trackers, (2.4, 1.0, 0.7), strict=True
+        ):
+            tracker.slowness = slowness
+        fixture.report({"hot1": 8.0}, waiting=[("hot1", 3)])
+        plan = fixture.plan_model("hot1", 3)
+        self.assertEqual(plan.tracker.record.server_id, "e2")
+        fixture.trackers = fixture.trackers[:1]
+        plan = fixture.plan_model("hot1", 3)
+        self.assertEqual(plan.tracker.record.server_id, "e0")
+
+    def plan(self, bearable, targets=1.0):
+        fixture = PlannerFixture(("hot1",), ("rare1",), ())
+        for tracker, value in zip(
+            fixture.trackers, (bearable, targets, targets), strict=True
+        ):
+            tracker.bearable = tracker.capacity = value
+        fixture.report({"hot1": 4.0}, running=[["e0", "hot1", "", 16]])
+        return fixture.plan_scale_out()
+
+    def test_model_on_a_slow_engine_gets_a_replica(self):
+        """Guards against a replica planned only when requests are late."""
+        self.assertIsNone(self.plan(1.0))
+        self.assertIsNotNone(self.plan(0.5))
+
+    def test_slow_engine_may_hold_an_additional_replica(self):
+        """Guards against a slow engine treated as one without any room."""
+        self.assertIsNotNone(self.plan(0.5, targets=0.8))
+
+
 class LimitedEngineTest(unittest.TestCase):
     """Load pattern: an engine in need serves a part of its usual demand."""
 
--- a/tests/gateway/test_server_speed.py
+++ b/tests/gateway/test_server_speed.py
@@ -11,6 +11,7 @@
 from balsamwall.gateway import server_choice
 from balsamwall.gateway import server_health
 from balsamwall.gateway import server_speed
+from balsamwall.gateway import speed_estimate
 from balsamwall.timing import virtual_clock
 from tests.fixtures import gateway_harness
 
@@ -118,7 +119,7 @@
         """Guards against old speeds that are used after a long pause."""
         server, _ = self.add("a"), self.add("b")
         self.teach([(server, 2.5)])
-        self.clock.advance(server_speed.MAX_AGE_MS + 1)
+        self.clock.advance(speed_estimate.MAX_AGE_MS + 1)
         now_ms = self.clock.now_ms()
         self.assertEqual(server.speed.learned(MODEL, now_ms, True), 1.0)
 
