Show learned speeds in metrics and logs

Cause: neither a metric nor the log told why a server is avoided.

Change: metrics of the learned slowness, the reported work time and the first events against their forecast, by server; request_over has the learned factor and the work time at the last send.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -30,6 +30,7 @@
 from balsamwall.gateway import server_feed
 from balsamwall.gateway import server_health
 from balsamwall.gateway import server_limits
+from balsamwall.gateway import speed_metrics
 from balsamwall.limits import fleet_size
 from balsamwall.logs import decision_log
 from balsamwall.placement import lease_keeper
@@ -141,6 +142,9 @@
         self._directory = backend_directory.BackendDirectory(
             self._clock.now_ms
         )
+        self._metrics.watch_speeds(
+            speed_metrics.SpeedCollector(self._clock, self._directory.speeds)
+        )
         self._pool = connection_pool.ConnectionPool(
             reactor, self._clock, dependencies.codec.echo_field
         )
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import speed_metrics
     from balsamwall.results import result_code
 
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
@@ -88,6 +89,10 @@
         """Export the number of log lines dropped for a slow reader."""
         self._dropped_lines.set_function(count_dropped)
 
+    def watch_speeds(self, collector: speed_metrics.SpeedCollector) -> None:
+        """Export the learned speeds of servers."""
+        self._registry.register(collector)
+
     def _histogram(self, name: str, text: str) -> prometheus_client.Histogram:
         return prometheus_client.Histogram(
             name, text, ("route",), buckets=_BUCKETS_S, registry=self._registry
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -31,6 +31,7 @@
     from balsamwall.gateway import server_choice
     from balsamwall.gateway import server_health
     from balsamwall.gateway import server_limits
+    from balsamwall.gateway import stream_meter
     from balsamwall.gateway import stream_progress
     from balsamwall.logs import decision_log
     from balsamwall.results import result_code
@@ -48,6 +49,7 @@
     progress: stream_progress.StreamProgress
     sends: int  # times that the request was sent to a server
     body: response_body.ResponseBody
+    meter: stream_meter.StreamMeter | None
 
     @property
     def choice(self) -> server_choice.Choice | None:
@@ -301,6 +303,12 @@
             expected_ms=handler.choice.expected_ms if handler.choice else None,
             server_load=handler.choice.load if handler.choice else None,
             candidates=handler.choice.candidates if handler.choice else None,
+            learned_factor=round(handler.meter.learned, 2)
+            if handler.meter
+            else None,
+            work_time=round(handler.meter.work_time, 2)
+            if handler.meter
+            else None,
             prompt_tokens=handler.request.prompt_tokens,
             sends=handler.sends,
             framing=handler.body.framing.value
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -24,6 +24,7 @@
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
+    from balsamwall.gateway import stream_meter
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.timing import clock as clock_module
 
@@ -57,6 +58,7 @@
         "_pending_tokens",
         "_service",
         "body",
+        "meter",
         "progress",
         "request",
         "route",
@@ -87,6 +89,7 @@
         self._pending_tokens = 0
         self.progress = stream_progress.StreamProgress()
         self.sends = 0
+        self.meter: stream_meter.StreamMeter | None = None  # of the last send
         self._is_finished = False
         self._fingerprints: fingerprints_module.RequestFingerprints | None
         self._fingerprints = None
@@ -215,7 +218,7 @@
             self._dependencies.clock,
             self._dependencies.limits,
         )
-        attempt.meter = self._dependencies.choice.meter(
+        attempt.meter = self.meter = self._dependencies.choice.meter(
             server, self.request, self.route
         )
         self._dependencies.metrics.count_send(self._send_reason())
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -92,6 +92,7 @@
     """
 
     __slots__ = (
+        "_forecast",
         "_models",
         "_relative",
         "_service",
@@ -106,6 +107,7 @@
         self._service = service
         self._models: dict[str, _ModelSpeed] = {}
         self._relative = speed_estimate.Estimate(now_ms)
+        self._forecast = speed_estimate.Estimate(now_ms)
         self._work = USUAL_WORK_TIME
         self._work_ms: int | None = None
         # As learned by all entries.
@@ -140,6 +142,8 @@
             return
         usual_ms = tokens / PREFILL_TOKENS_PER_MS
         usual_ms += EVENT_MS + STEPS_PER_REQUEST_MS * load
+        ratio = after_ms / (usual_ms * self.factor(model, now_ms))
+        self._forecast.add(ratio, 1.0, 1.0, now_ms)
         prior = self._prior(model, now_ms, is_pause=False)
         speed = self._model(model, now_ms)
         self._learn(speed.prefill, after_ms / usual_ms, prior, now_ms)
@@ -193,6 +197,11 @@
         age_ms = max(0, now_ms - self._work_ms)
         return max(0.0, 1.0 - age_ms / WORK_TIME_MAX_AGE_MS)
 
+    @property
+    def forecast_ratio(self) -> float:
+        """Return the times to first events relative to their forecasts."""
+        return self._forecast.rated(self._forecast.updated_ms).factor
+
     def work_time(self, now_ms: int) -> float:
         """Return the reported work time as a factor, weighted by age."""
         excess = self._work / USUAL_WORK_TIME - 1.0
--- a/tests/gateway/test_server_speed.py
+++ b/tests/gateway/test_server_speed.py
@@ -4,6 +4,7 @@
 
 import random
 import statistics
+import types
 import unittest
 
 from balsamwall.gateway import backend_directory
@@ -278,6 +279,21 @@
         self.assertAlmostEqual(self.learned(True), 3.0, delta=0.4)
         self.assertAlmostEqual(self.learned(False), 3.0, delta=0.4)
         self.assertFalse(self.server.ejected_until_ms)
+        self.assertAlmostEqual(
+            self.server.speed.forecast_ratio, 1.0, delta=0.4
+        )
+
+    def test_speed_at_the_send_is_logged(self):
+        """Guards against an avoided server without a trace in the log."""
+        lines = []
+        self.harness.dependencies.log = types.SimpleNamespace(
+            write=lambda event, **fields: lines.append(fields)
+        )
+        self.serve(b"1,0,32,100")
+        self.server.speed.on_work_time(300, self.harness.clock.now_ms())
+        self.serve(b"1,0,32,100")
+        found = [(line["learned_factor"], line["work_time"]) for line in lines]
+        self.assertEqual(found, [(None, None), (1.0, 3.0)])
 
     def test_slow_caller_does_not_count(self):
         """Guards against a server taken for slow as a caller reads slowly."""
