Admit requests of a workspace within its quota

Change: the coordinator keeps a bucket of each workspace and grants tokens with messages 118 and 119. A request is charged before its first dispatch, waits up to 150 ms, or is refused with 429 and the time until the quota has room; a request that did not run gets its cost back.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -16,6 +16,7 @@
 from balsamwall.coordination import fleet_stream
 from balsamwall.coordination import limited_engine_control
 from balsamwall.coordination import permit_issuer
+from balsamwall.coordination import quota_issuer
 from balsamwall.coordination import store_relay
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
@@ -30,6 +31,7 @@
 from balsamwall.gateway import server_feed
 from balsamwall.gateway import server_health
 from balsamwall.gateway import server_limits
+from balsamwall.gateway import workspace_quotas
 from balsamwall.limits import fleet_size
 from balsamwall.logs import decision_log
 from balsamwall.placement import lease_keeper
@@ -160,6 +162,19 @@
             self._log,
             self._metrics,
         )
+        self._quota_fleet_size = fleet_size.FleetSize(
+            self._clock,
+            ASSUMED_ENTRIES_OF_LIMITS,
+            quota_issuer.FLEET_MEMORY_MS,
+        )
+        self._quotas = workspace_quotas.WorkspaceQuotas(
+            self._clock,
+            random_source,
+            self._configuration,
+            self._quota_fleet_size,
+            self._log,
+            self._metrics,
+        )
         self._request_dependencies = request_dependencies.RequestDependencies(
             clock=self._clock,
             zone=settings.availability_zone,
@@ -185,6 +200,7 @@
             entries=ASSUMED_ENTRIES,
             directory=self._directory,
             limits=self._limits,
+            quotas=self._quotas,
             request_load=self._request_load,
             random_source=self._random,
         )
@@ -211,6 +227,7 @@
             settings.availability_zone,
             self._request_dependencies.assignments,
             self._limits,
+            self._quotas,
             self._directory,
             self._gateway.count_running,
             self._gateway.take_arrivals,
@@ -255,6 +272,12 @@
             self._is_store_available,
             self._limits,
             permits,
+            quota_issuer.QuotaIssuer(
+                self._clock,
+                self._configuration,
+                self._quota_fleet_size,
+                self._metrics,
+            ),
             self._fleet_size,
         )
         self._fleet_server.set_coordinator(self._coordinator)
@@ -379,6 +402,7 @@
     def _on_entries(self, count: int) -> None:
         """Update the number of entries that share the fleet-wide limits."""
         self._fleet_size.observe(count)
+        self._quota_fleet_size.observe(count)
         self._request_dependencies.set_entries(self._fleet_size.count)
         # The coordinator reads for all entries.
         readers = 1 if self._coordinator.is_active else count
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -23,6 +23,7 @@
 
     from balsamwall.coordination import engine_control
     from balsamwall.coordination import permit_issuer
+    from balsamwall.coordination import quota_issuer
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import gateway_configuration
@@ -94,6 +95,7 @@
         "_plan_timer",
         "_planner",
         "_prefetch",
+        "_quotas",
         "_runner",
         "_scheduler",
         "_last_state_ms",
@@ -112,6 +114,7 @@
         is_store_connected: Callable[[], bool],
         limits: server_limits.ServerLimits,
         permits: permit_issuer.PermitIssuer,
+        quotas: quota_issuer.QuotaIssuer,
         fleet_size: fleet_size_module.FleetSize,
     ) -> None:
         self._clock = clock
@@ -122,6 +125,7 @@
         self._log = log
         self._limits = limits
         self._permits = permits
+        self._quotas = quotas
         self._fleet_size = fleet_size
         self._trackers: dict[str, engine_tracker.EngineTracker] = {}
         self._crashes = crash_control.CrashControl(clock, links, log)
@@ -184,6 +188,7 @@
         """Handle a message from an entry; ignore it while inactive."""
         if not self._is_active:
             return
+        self._quotas.on_heard(vm)
         if isinstance(item, messages_fleet.DemandReport):
             self._demand.on_report(vm, item)
             self._record_adapter_use(item)
@@ -194,6 +199,8 @@
             self._links.send(
                 vm, messages_fleet.PermitDecision(item.number, wait_ms)
             )
+        elif isinstance(item, messages_fleet.QuotaQuery):
+            self._links.send(vm, self._grant(item))
         elif isinstance(item, messages_fleet.LimitReport):
             limit_rows.apply(
                 item, self._clock.now_ms(), self._limits, self._log
@@ -235,6 +242,20 @@
             self._permits.take(server_id)
         return messages_fleet.PromptAssignment(query.number, server_id)
 
+    def _grant(
+        self, query: messages_fleet.QuotaQuery
+    ) -> messages_fleet.QuotaGrant:
+        """Grant tokens of a workspace, or tell the wait for them."""
+        decision = self._quotas.grant(
+            query.workspace, query.cost, query.reserve
+        )
+        return messages_fleet.QuotaGrant(
+            query.number,
+            decision.tokens,
+            decision.wait_ms,
+            decision.is_scarce,
+        )
+
     def _record_adapter_use(self, report: messages_fleet.DemandReport) -> None:
         now_ms = self._clock.now_ms()
         for server_id, model, adapter, _ in report.running:
@@ -324,12 +345,14 @@
         if is_active:
             self._start_term()
         else:
+            self._quotas.stop()
             self._drop_trackers()
             self._links.close_all()
 
     def _start_term(self) -> None:
         self._demand.restart()
         self._permits.restart()
+        self._quotas.restart()
         for server in self._directory.all_servers():
             self._on_server(server)
 
@@ -425,6 +448,7 @@
     def _tick(self) -> None:
         self._fleet_size.observe(self._links.count)
         self._permits.set_connected(self._links.count)
+        self._quotas.set_connected(self._links.count)
         self._plan()
         now_ms = self._clock.now_ms()
         if now_ms - self._last_summary_ms >= SUMMARY_INTERVAL_MS:
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -20,6 +20,7 @@
     from balsamwall.gateway import residency_waits
     from balsamwall.gateway import server_limits
     from balsamwall.gateway import wait_forecast
+    from balsamwall.gateway import workspace_quotas
     from balsamwall.limits import limit_book
     from balsamwall.logs import decision_log
     from balsamwall.protocol import message
@@ -62,6 +63,7 @@
         "_on_entry_count",
         "_on_link_lost",
         "_on_store_changes",
+        "_quotas",
         "_reconnect_ms",
         "_suspects",
         "_take_arrivals",
@@ -77,6 +79,7 @@
         zone: str,
         assignments: assignment_client.AssignmentClient,
         limits: server_limits.ServerLimits,
+        quotas: workspace_quotas.WorkspaceQuotas,
         directory: backend_directory.BackendDirectory,
         count_running: Callable[[], list[list[object]]],
         take_arrivals: Callable[[], dict[str, list[int]]],
@@ -97,6 +100,8 @@
         assignments.set_link(self)
         self._limits = limits
         limits.set_link(self)
+        self._quotas = quotas
+        quotas.set_link(self)
         self._directory = directory
         self._count_running = count_running
         self._take_arrivals = take_arrivals
@@ -164,6 +169,17 @@
         self._link.send(messages_fleet.PermitQuery(number, server_id))
         return True
 
+    def send_quota_query(
+        self, number: int, workspace: str, cost: int, reserve: int
+    ) -> bool:
+        """Ask for tokens of a workspace; return False if not connected."""
+        if self._link is None:
+            return False
+        self._link.send(
+            messages_fleet.QuotaQuery(number, workspace, cost, reserve)
+        )
+        return True
+
     def report_limits(self, found: list[limit_book.LimitObservation]) -> None:
         """Report limits of servers, if connected."""
         if self._link is not None:
@@ -218,6 +234,10 @@
             self._assignments.on_response(item.number, item.server_id)
         elif isinstance(item, messages_fleet.PermitDecision):
             self._limits.on_permit(item.number, item.wait_ms)
+        elif isinstance(item, messages_fleet.QuotaGrant):
+            self._quotas.on_grant(
+                item.number, item.tokens, item.wait_ms, item.is_scarce
+            )
         elif isinstance(item, messages_fleet.LimitReport):
             limit_rows.apply(
                 item, self._clock.now_ms(), self._limits, self._log
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -158,6 +158,33 @@
     remaining_ms: int
 
 
+@message.register(118)
+class QuotaQuery(message.Message):
+    """Ask for tokens of a workspace for one request.
+
+    The reserve is for the requests expected next; it may be granted in part.
+    """
+
+    number: int
+    workspace: str
+    cost: int
+    reserve: int
+
+
+@message.register(119)
+class QuotaGrant(message.Message):
+    """Grant tokens of a workspace, or give the time in ms until then.
+
+    No tokens and no wait state that the coordinator knows no quota of the
+    workspace. A scarce workspace has less than half of its burst left.
+    """
+
+    number: int
+    tokens: int
+    wait_ms: int
+    is_scarce: bool
+
+
 @message.register(104)
 class FleetState(message.Message):
     """Announce the number of entries and the load of the servers.
--- /dev/null
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -0,0 +1,186 @@
+"""Tokens of the coordinator for the requests of workspaces with a quota."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import workspace as workspace_module
+from balsamwall.limits import token_bucket
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import configuration_holder
+    from balsamwall.gateway import gateway_metrics
+    from balsamwall.limits import fleet_size as fleet_size_module
+    from balsamwall.timing import clock as clock_module
+
+# Time for which the highest number of entries sets the shares. An entry that
+# is cut off uses its own share all along.
+FLEET_MEMORY_MS = 60_000
+# A workspace is scarce with less than this part of its burst left.
+SCARCE_FRACTION = 0.5
+# Part of a request that later tokens may pay for, half of the tolerance for
+# the largest request. Large requests would otherwise never find enough tokens
+# among small ones, and those above the burst never at all.
+ADVANCE_TOKENS = 8_500
+# After a longer time between ticks this process was frozen, and the entries
+# used shares of their own. What accrued in that time is not granted.
+MAX_TICK_GAP_MS = 500
+# An entry that is connected and was not heard from for this time, five report
+# intervals, uses a share of its own.
+SILENCE_MS = 1_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QuotaDecision:
+    """Tokens granted, or the time until the request can be granted.
+
+    No tokens and no wait state that no quota of the workspace is known.
+    """
+
+    tokens: int
+    wait_ms: int
+    is_scarce: bool
+
+
+class QuotaIssuer:
+    """Grant the tokens of each workspace to all entries together.
+
+    Load pattern: a workspace sends many times its quota, through all entries
+    or through one, while others of its requests find quota available.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_clock",
+        "_configuration",
+        "_fleet_size",
+        "_heard_ms",
+        "_last_tick_ms",
+        "_metrics",
+        "_part",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        configuration: configuration_holder.ConfigurationHolder,
+        fleet_size: fleet_size_module.FleetSize,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._clock = clock
+        self._configuration = configuration
+        self._fleet_size = fleet_size
+        self._metrics = metrics
+        self._buckets: dict[str, token_bucket.TokenBucket] = {}
+        self._heard_ms: dict[str, int] = {}  # by VM of the entry
+        self._last_tick_ms = clock.now_ms()
+        self._part = 0.0  # of each rate that may be granted here
+
+    def restart(self) -> None:
+        """Begin a term with empty buckets; earlier grants were just used."""
+        self._buckets.clear()
+        self._heard_ms.clear()
+        self._last_tick_ms = self._clock.now_ms()
+        self._update_buckets()
+
+    def stop(self) -> None:
+        """End the term; the quota left is not known here any more."""
+        for workspace in self._buckets:
+            self._metrics.set_quota_left(workspace, None)
+        self._buckets.clear()
+
+    def on_heard(self, vm: str) -> None:
+        """Record that an entry has sent a message.
+
+        In a new term the share of the rate rises with each entry at once: the
+        entry asks for tokens before the next tick.
+        """
+        is_new = vm not in self._heard_ms
+        self._heard_ms[vm] = self._clock.now_ms()
+        if is_new:
+            self._set_part(len(self._heard_ms))
+
+    def set_connected(self, count: int) -> None:
+        """Set the number of entries that take tokens here, at each tick.
+
+        The others use shares of their own, which are left to them.
+        """
+        self._skip_pause()
+        now_ms = self._clock.now_ms()
+        self._last_tick_ms = now_ms
+        self._heard_ms = {
+            vm: heard_ms
+            for vm, heard_ms in self._heard_ms.items()
+            if now_ms - heard_ms <= SILENCE_MS
+        }
+        self._fleet_size.observe(count)
+        self._set_part(min(count, len(self._heard_ms)))
+        for name, bucket in self._buckets.items():
+            self._metrics.set_quota_left(name, max(0.0, bucket.tokens))
+
+    def grant(self, workspace: str, cost: int, reserve: int) -> QuotaDecision:
+        """Grant the cost and as much of the reserve as the bucket holds.
+
+        If the cost can't be granted, return the wait for it.
+        """
+        self._skip_pause()
+        quota = self._quota(workspace)
+        bucket = self._buckets.get(workspace)
+        if quota is None or bucket is None or cost < 0 or reserve < 0:
+            return QuotaDecision(0, 0, False)
+        is_scarce = bucket.tokens < SCARCE_FRACTION * quota.burst
+        wait_ms = bucket.wait_ms(_needed(quota, cost))
+        if wait_ms:
+            return QuotaDecision(0, wait_ms, is_scarce)
+        bucket.charge(cost)
+        extra = min(reserve, max(0, int(bucket.tokens)))
+        bucket.charge(extra)
+        return QuotaDecision(cost + extra, 0, is_scarce)
+
+    def _set_part(self, connected: int) -> None:
+        """Grant the share of the rates that belongs to these entries."""
+        # The entry in this process is connected before it is heard.
+        self._part = min(1.0, max(1, connected) / self._fleet_size.count)
+        self._update_buckets()
+
+    def _skip_pause(self) -> None:
+        """Drop what accrued while this process was frozen."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_tick_ms > MAX_TICK_GAP_MS:
+            self._last_tick_ms = now_ms
+            for bucket in self._buckets.values():
+                bucket.skip_refill()
+
+    def _quota(self, workspace: str) -> workspace_module.WorkspaceQuota | None:
+        current = self._configuration.current
+        if current is None or current.workspaces is None:
+            return None
+        found = current.workspaces.get(workspace)
+        return found.quota if found is not None else None
+
+    def _update_buckets(self) -> None:
+        """Apply the rates in force; a new bucket is empty."""
+        current = self._configuration.current
+        quotas = {
+            item.name: item.quota
+            for item in (current.workspaces if current else None) or ()
+            if item.quota is not None
+        }
+        for name in self._buckets.keys() - quotas.keys():
+            del self._buckets[name]
+            self._metrics.set_quota_left(name, None)
+        for name, quota in quotas.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                bucket = token_bucket.TokenBucket(self._clock, 0.0, 1)
+                bucket.drain()
+                self._buckets[name] = bucket
+            bucket.set_rate(quota.rate_per_s * self._part, quota.burst)
+
+
+def _needed(quota: workspace_module.WorkspaceQuota, cost: int) -> float:
+    """Return the tokens that the bucket must hold to grant a cost."""
+    if quota.unit is workspace_module.QuotaUnit.REQUESTS:
+        return cost
+    return min(max(0, cost - ADVANCE_TOKENS), quota.burst)
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -32,6 +32,7 @@
     from balsamwall.gateway import server_health
     from balsamwall.gateway import server_limits
     from balsamwall.gateway import stream_progress
+    from balsamwall.gateway import workspace_quotas
     from balsamwall.logs import decision_log
     from balsamwall.results import result_code
     from balsamwall.timing import clock as clock_module
@@ -109,6 +110,7 @@
         "log",
         "metrics",
         "pool",
+        "quotas",
         "retry_policy",
         "room",
         "suspects",
@@ -138,6 +140,7 @@
         entries: int,
         directory: backend_directory.BackendDirectory,
         limits: server_limits.ServerLimits,
+        quotas: workspace_quotas.WorkspaceQuotas,
         request_load: Callable[[residency_waits.WantedModel], None],
         random_source: random.Random,
     ) -> None:
@@ -159,6 +162,7 @@
         self.room = room_queue.RoomQueue(clock)
         self.forecast = wait_forecast.WaitForecast(clock)
         self.limits = limits
+        self.quotas = quotas
         self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
         self._retry_settings = retry_settings
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -9,6 +9,7 @@
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import incoming_request
+from balsamwall.gateway import quota_gate
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import response_body
@@ -55,6 +56,7 @@
         "_on_finished",
         "_dependencies",
         "_pending_tokens",
+        "_quota",
         "_service",
         "body",
         "progress",
@@ -100,6 +102,9 @@
         self._dispatch = request_dispatch.RequestDispatch(
             dependencies, self, service, self._refuse
         )
+        self._quota = quota_gate.QuotaGate(
+            dependencies.quotas, self, self._dispatch.dispatch, self._refuse
+        )
 
     @property
     def fingerprints(self) -> fingerprints_module.RequestFingerprints:
@@ -163,7 +168,7 @@
         self._deadline_timer = self._dependencies.clock.call_later(
             self.left_ms, self.on_deadline
         )
-        self._dispatch.dispatch()
+        self._quota.start()
 
     def refuse_quarantined(self) -> bool:
         """End the request if servers crash when they respond to it.
@@ -426,6 +431,8 @@
             self._history.record_failure(
                 attempt_module.AttemptFailure.ABANDONED
             )
+        else:
+            self._quota.on_unsent()
         self._finish_attempt(is_failure)
         attempt.abandon()
 
@@ -463,6 +470,8 @@
             attempt.server.on_ended()
             self._attempt = None
             if self.route.is_stream or self.route.is_repeatable:
+                if not attempt.is_sent:
+                    self._quota.on_unsent()
                 attempt.abandon()
             else:
                 # The outcome matters although the caller is gone, so the
@@ -513,6 +522,7 @@
             return
         self._is_finished = True
         self._dispatch.stop()
+        self._quota.on_finished(self.sends, self._history)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._dependencies.on_finished(self, code, detail, server)
--- /dev/null
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -0,0 +1,199 @@
+"""Quota of one workspace as one entry knows it."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import workspace as workspace_module
+from balsamwall.limits import leased_tokens
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.limits import uncoordinated_quota
+    from balsamwall.timing import clock as clock_module
+
+# Longest time that a request waits for room in the quota.
+MAX_WAIT_MS = 150
+# Shortest time after a denial until the next query for the same workspace, so
+# that 60 entries in overload send at most 2,000 queries per second.
+MIN_QUERY_INTERVAL_MS = 30
+# Longest time until that query. A new coordinator, or one that is connected
+# again, may have more room than was expected.
+MAX_QUERY_INTERVAL_MS = 150
+# Time whose use a query asks for in advance.
+RESERVE_MS = 250
+# A workspace that was scarce this short a time before the coordinator was
+# lost admits no request in advance.
+SCARCE_MEMORY_MS = 10_000
+# Part of the sum allowed in a window by which it may be exceeded.
+OVERSHOOT = 0.1
+# Tokens by which it may be exceeded besides.
+SLACK_TOKENS = 17_000
+WINDOW_S = 8
+
+BY_COORDINATOR = "coordinator"
+BY_LOCAL_SHARE = "local share"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QuotaOutcome:
+    """Whether a request is admitted, and who has decided it."""
+
+    is_admitted: bool
+    retry_after_ms: int  # 0 if it is admitted
+    reason: str
+
+
+class QuotaWait:
+    """Request that waits for a decision."""
+
+    __slots__ = ("_on_decided", "cost", "end_ms")
+
+    def __init__(
+        self,
+        cost: int,
+        end_ms: int,
+        on_decided: Callable[[QuotaOutcome], None],
+    ) -> None:
+        self.cost = cost
+        self.end_ms = end_ms
+        self._on_decided: Callable[[QuotaOutcome], None] | None = on_decided
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the request still waits."""
+        return self._on_decided is not None
+
+    def cancel(self) -> None:
+        """Give up the request; it is neither charged nor called back."""
+        self._on_decided = None
+
+    def decide(self, outcome: QuotaOutcome) -> None:
+        """Call back once, unless the request was given up."""
+        on_decided, self._on_decided = self._on_decided, None
+        if on_decided is not None:
+            on_decided(outcome)
+
+
+class WorkspaceBalance:
+    """Granted tokens, local share and waiting requests of one workspace."""
+
+    __slots__ = (
+        "_clock",
+        "_room_due_ms",
+        "_scarce_ms",
+        "_used",
+        "granted",
+        "has_response",
+        "is_asking",
+        "is_local",
+        "local",
+        "query_due_ms",
+        "quota",
+        "timer",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        local: uncoordinated_quota.UncoordinatedQuota,
+        quota: workspace_module.WorkspaceQuota,
+    ) -> None:
+        self._clock = clock
+        self.granted = leased_tokens.LeasedTokens(clock)
+        self.local = local
+        self.quota = quota
+        self.is_local = False
+        self.is_asking = False  # whether a query is open
+        self.timer: clock_module.Timer | None = None
+        self.waiting: collections.deque[QuotaWait] = collections.deque()
+        # Whether a coordinator has ever told how scarce the workspace is.
+        self.has_response = False
+        self._scarce_ms: int | None = None  # of the last response that said so
+        # After a denial: when room is expected, and when to ask again.
+        self._room_due_ms = 0
+        self.query_due_ms = 0
+        # Time and cost of the requests admitted lately.
+        self._used: collections.deque[tuple[int, int]] = collections.deque()
+
+    @property
+    def decided_by(self) -> str:
+        """Return who decides at present, for logs and callers."""
+        return BY_LOCAL_SHARE if self.is_local else BY_COORDINATOR
+
+    @property
+    def may_advance(self) -> bool | None:
+        """Return whether a request may be admitted before its share accrues.
+
+        It is None if no coordinator has told how scarce the workspace is.
+        """
+        if not self.has_response:
+            return None
+        if self._scarce_ms is None:
+            return True
+        return self._clock.now_ms() - self._scarce_ms > SCARCE_MEMORY_MS
+
+    @property
+    def tolerance(self) -> float:
+        """Return by how much requests in a window may exceed the limit."""
+        quota = self.quota
+        tolerance = OVERSHOOT * (quota.rate_per_s * WINDOW_S + quota.burst)
+        if quota.unit is workspace_module.QuotaUnit.TOKENS:
+            tolerance += SLACK_TOKENS
+        return tolerance
+
+    def admit(self, wait: QuotaWait) -> None:
+        """Admit a request that has been charged."""
+        self._used.append((self._clock.now_ms(), wait.cost))
+        wait.decide(QuotaOutcome(True, 0, self.decided_by))
+
+    def reserve(self) -> int:
+        """Return what was used lately, less what is still granted."""
+        oldest_ms = self._clock.now_ms() - RESERVE_MS
+        while self._used and self._used[0][0] < oldest_ms:
+            self._used.popleft()
+        used = sum(cost for _, cost in self._used)
+        return max(0, used - self.granted.available)
+
+    def on_response(self, is_scarce: bool) -> None:
+        """Record what a response tells of the workspace."""
+        self.has_response = True
+        if is_scarce:
+            self._scarce_ms = self._clock.now_ms()
+
+    def deny(self, wait_ms: int) -> None:
+        """Expect room after a wait."""
+        now_ms = self._clock.now_ms()
+        wait_ms = max(MIN_QUERY_INTERVAL_MS, wait_ms)
+        self._room_due_ms = now_ms + wait_ms
+        self.query_due_ms = now_ms + min(MAX_QUERY_INTERVAL_MS, wait_ms)
+
+    def clear_denial(self) -> None:
+        """Expect room at once."""
+        self._room_due_ms = self.query_due_ms = 0
+
+    def refuse_late(self) -> None:
+        """Refuse the waiting requests that no room is expected for in time.
+
+        The costs of those before a request are due before its own turn, at
+        the rate of the whole quota at most.
+        """
+        now_ms = self._clock.now_ms()
+        due_ms = float(self._room_due_ms)
+        kept: collections.deque[QuotaWait] = collections.deque()
+        refused = []
+        for wait in self.waiting:
+            if not wait.is_open:
+                continue
+            if due_ms > wait.end_ms:
+                refused.append((wait, max(1, int(due_ms - now_ms))))
+                continue
+            kept.append(wait)
+            due_ms += wait.cost * 1_000 / self.quota.rate_per_s
+        self.waiting = kept
+        for wait, wait_ms in refused:
+            wait.decide(QuotaOutcome(False, wait_ms, self.decided_by))
--- a/src/balsamwall/limits/fleet_size.py
+++ b/src/balsamwall/limits/fleet_size.py
@@ -19,11 +19,17 @@
     running. A share computed from such a count would exceed the limit.
     """
 
-    __slots__ = ("_assumed", "_clock", "_current", "_peaks")
-
-    def __init__(self, clock: clock_module.Clock, assumed: int) -> None:
+    __slots__ = ("_assumed", "_clock", "_current", "_memory_ms", "_peaks")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        assumed: int,
+        memory_ms: int = MEMORY_MS,
+    ) -> None:
         """Set the number of entries to assume before the first count."""
         self._clock = clock
+        self._memory_ms = memory_ms
         self._assumed = assumed
         self._current: int | None = None
         # Higher counts before, with the times until which they were current.
@@ -46,7 +52,7 @@
         self._drop_outdated()
 
     def _drop_outdated(self) -> None:
-        oldest_ms = self._clock.now_ms() - MEMORY_MS
+        oldest_ms = self._clock.now_ms() - self._memory_ms
         self._peaks = [
             (until_ms, count)
             for until_ms, count in self._peaks
--- a/src/balsamwall/limits/token_bucket.py
+++ b/src/balsamwall/limits/token_bucket.py
@@ -32,47 +32,58 @@
         self._burst = float(max(1, burst))
         self._tokens = min(self._tokens, self._burst)
 
-    def take(self) -> bool:
-        """Take one token; return False if there is none."""
+    @property
+    def tokens(self) -> float:
+        """Return the tokens in the bucket, below 0 after a charge."""
         self._refill()
-        if self._tokens < 1.0:
+        return self._tokens
+
+    def take(self, amount: float = 1.0) -> bool:
+        """Take tokens; return False and take none if there are too few."""
+        self._refill()
+        if self._tokens < amount:
             return False
-        self._tokens -= 1.0
+        self._tokens -= amount
         return True
 
-    def take_or_wait_ms(self) -> int:
-        """Take one token and return 0, or return the wait in milliseconds.
+    def take_or_wait_ms(self, amount: float = 1.0) -> int:
+        """Take tokens and return 0, or return the wait in milliseconds.
 
-        If there is no token, none is taken and the wait is at least 1.
+        If there are too few, none is taken and the wait is at least 1.
         """
-        return 0 if self.take() else max(1, self.wait_ms())
+        return 0 if self.take(amount) else max(1, self.wait_ms(amount))
 
-    def charge(self) -> None:
-        """Take one token even if there is none; later tokens pay for it."""
+    def charge(self, amount: float = 1.0) -> None:
+        """Take tokens even if there are too few; later ones pay for them."""
         self._refill()
-        self._tokens -= 1.0
+        self._tokens -= amount
 
     def drain(self) -> None:
         """Drop all tokens."""
         self._refill()
         self._tokens = min(0.0, self._tokens)
 
-    def put_back(self) -> None:
-        """Return a token that was taken but not used."""
+    def skip_refill(self) -> None:
+        """Drop the tokens that accrued since the last use of the bucket."""
+        self._updated_ms = self._clock.now_ms()
+
+    def put_back(self, amount: float = 1.0) -> None:
+        """Return tokens that were taken but not used."""
         self._refill()
-        self._tokens = min(self._burst, self._tokens + 1.0)
+        self._tokens = min(self._burst, self._tokens + amount)
 
-    def wait_ms(self) -> int:
-        """Return the time until a token is available, in milliseconds.
+    def wait_ms(self, amount: float = 1.0) -> int:
+        """Return the time until tokens are available, in milliseconds.
 
-        At a rate of 0 no token will arrive, and the result is 60,000.
+        An amount above the burst never is. At a rate of 0 no token will
+        arrive, and the result is 60,000.
         """
         self._refill()
-        if self._tokens >= 1.0:
+        if self._tokens >= amount:
             return 0
         if self._rate <= 0:
             return 60_000
-        return int((1.0 - self._tokens) * 1_000 / self._rate) + 1
+        return int((amount - self._tokens) * 1_000 / self._rate) + 1
 
     def _refill(self) -> None:
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/src/balsamwall/limits/uncoordinated_quota.py
@@ -0,0 +1,102 @@
+"""Share of one entry in the quota of a workspace, without a coordinator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.limits import token_bucket
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import workspace as workspace_module
+    from balsamwall.limits import fleet_size as fleet_size_module
+    from balsamwall.timing import clock as clock_module
+
+# Part of the rate that entries use without the coordinator. Tokens granted by
+# a lost coordinator were just used.
+UNCOORDINATED_FRACTION = 0.75
+
+
+class UncoordinatedQuota:
+    """Bucket with the share of this entry, empty at each begin.
+
+    Load pattern: for the 3 to 5 s of an election no coordinator grants
+    tokens, and the share of an entry is less than one request of a small
+    workspace. One request may be admitted in advance; the bucket repays it,
+    also if the coordinator returns and is lost again.
+    """
+
+    __slots__ = (
+        "_bucket",
+        "_draw",
+        "_fleet_size",
+        "_largest",
+        "_may_advance",
+        "_tolerance",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        fleet_size: fleet_size_module.FleetSize,
+        draw: float,
+    ) -> None:
+        """Set a random number below 1, which differs between entries."""
+        self._fleet_size = fleet_size
+        self._draw = draw
+        self._bucket = token_bucket.TokenBucket(clock, 0.0, 1)
+        self._bucket.drain()
+        self._largest = 0
+        self._tolerance = 0.0
+        # None if no response has told whether the workspace is scarce.
+        self._may_advance: bool | None = None
+
+    def begin(self, may_advance: bool | None, tolerance: float) -> None:
+        """Begin to use the bucket; a debt of an earlier use remains.
+
+        The tolerance is what all entries together may use above the limit.
+        """
+        self._tolerance = tolerance
+        self._bucket.drain()
+        self._largest = 0
+        self._may_advance = may_advance
+
+    def take_or_wait_ms(
+        self, quota: workspace_module.WorkspaceQuota, cost: int
+    ) -> int:
+        """Charge a request and return 0, or return the wait for its turn."""
+        self._update(quota, cost)
+        needed = 0 if self._is_advance_allowed(cost) else cost
+        wait_ms = self._bucket.wait_ms(needed)
+        if wait_ms == 0:
+            self._bucket.charge(cost)
+        return wait_ms
+
+    def put_back(self, cost: int) -> None:
+        """Return the cost of a request that did not run."""
+        self._bucket.put_back(cost)
+
+    def _update(
+        self, quota: workspace_module.WorkspaceQuota, cost: int
+    ) -> None:
+        """Set the rate of the share.
+
+        The bucket holds the share of the burst, or one request if that is
+        more: else a small share would never admit any.
+        """
+        self._largest = max(self._largest, cost)
+        part = UNCOORDINATED_FRACTION / self._fleet_size.count
+        self._bucket.set_rate(
+            quota.rate_per_s * part, max(quota.burst * part, self._largest)
+        )
+
+    def _is_advance_allowed(self, cost: int) -> bool:
+        """Return whether a request may be admitted before its share accrues.
+
+        After a start of all entries at once nothing is known of the quota
+        used before. Then only some of the entries may, at random, so that
+        together they are expected to stay within the tolerance of the limit.
+        """
+        if self._may_advance is not None:
+            return self._may_advance
+        of_all = cost * self._fleet_size.count
+        return self._draw * of_all < self._tolerance
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -44,6 +44,7 @@
             "z1",
             assignment_client.AssignmentClient(self.clock),
             gateway_harness.make_limits(self.clock)[0],
+            gateway_harness.GatewayHarness(clock=self.clock).quotas,
             backend_directory.BackendDirectory(self.clock.now_ms),
             list,
             dict,
