--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -87,12 +87,12 @@
         "_scarce_ms",
         "_used",
         "granted",
-        "has_response",
         "is_asking",
         "is_local",
         "local",
         "query_due_ms",
         "quota",
+        "timed_out_ms",
         "timer",
         "waiting",
     )
@@ -109,10 +109,10 @@
         self.quota = quota
         self.is_local = False
         self.is_asking = False  # whether a query is open
+        # When the last query got no response in time.
+        self.timed_out_ms: int | None = None
         self.timer: clock_module.Timer | None = None
         self.waiting: collections.deque[QuotaWait] = collections.deque()
-        # Whether a coordinator has ever told how scarce the workspace is.
-        self.has_response = False
         self._scarce_ms: int | None = None  # of the last response that said so
         # After a denial: when room is expected, and when to ask again.
         self._room_due_ms = 0
@@ -126,13 +126,12 @@
         return BY_LOCAL_SHARE if self.is_local else BY_COORDINATOR
 
     @property
-    def may_advance(self) -> bool | None:
+    def may_advance(self) -> bool:
         """Return whether a request may be admitted before its share accrues.
 
-        It is None if no coordinator has told how scarce the workspace is.
+        It may unless a response of the last seconds said that the workspace
+        is scarce.
         """
-        if not self.has_response:
-            return None
         if self._scarce_ms is None:
             return True
         return self._clock.now_ms() - self._scarce_ms > SCARCE_MEMORY_MS
@@ -161,7 +160,6 @@
 
     def on_response(self, is_scarce: bool) -> None:
         """Record what a response tells of the workspace."""
-        self.has_response = True
         if is_scarce:
             self._scarce_ms = self._clock.now_ms()
 
--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -224,11 +224,19 @@
         balance: workspace_balance.WorkspaceBalance,
         wait: workspace_balance.QuotaWait,
     ) -> None:
-        """Ask the coordinator for the first request, else decide locally."""
+        """Ask the coordinator for the first request, else decide locally.
+
+        Those that waited behind a query without a response ask no more.
+        """
         sent_ms = self._clock.now_ms()
+        if balance.timed_out_ms == sent_ms:
+            self._decide_locally(name, balance, wait)
+            return
 
         def on_response(found: QuotaGrant | None) -> None:
             balance.is_asking = False
+            if found is None:
+                balance.timed_out_ms = self._clock.now_ms()
             self._apply(name, balance, wait, found, sent_ms)
             self._serve(name, balance)
 
--- a/src/balsamwall/limits/fleet_size.py
+++ b/src/balsamwall/limits/fleet_size.py
@@ -35,6 +35,11 @@
         # Higher counts before, with the times until which they were current.
         self._peaks: list[tuple[int, int]] = []
 
+    @property
+    def is_counted(self) -> bool:
+        """Return whether a coordinator has counted the entries yet."""
+        return self._current is not None
+
     @property
     def count(self) -> int:
         """Return the number of entries, at least 1."""
--- a/src/balsamwall/limits/uncoordinated_quota.py
+++ b/src/balsamwall/limits/uncoordinated_quota.py
@@ -14,6 +14,8 @@
 # Part of the rate that entries use without the coordinator. Tokens granted by
 # a lost coordinator were just used.
 UNCOORDINATED_FRACTION = 0.75
+# Part of the burst that is known to be left if the workspace was not scarce.
+KNOWN_LEFT_FRACTION = 0.5
 
 
 class UncoordinatedQuota:
@@ -47,10 +49,9 @@
         self._bucket.drain()
         self._largest = 0
         self._tolerance = 0.0
-        # None if no response has told whether the workspace is scarce.
-        self._may_advance: bool | None = None
+        self._may_advance = False
 
-    def begin(self, may_advance: bool | None, tolerance: float) -> None:
+    def begin(self, may_advance: bool, tolerance: float) -> None:
         """Begin to use the bucket; a debt of an earlier use remains.
 
         The tolerance is what all entries together may use above the limit.
@@ -65,7 +66,10 @@
     ) -> int:
         """Charge a request and return 0, or return the wait for its turn."""
         self._update(quota, cost)
-        needed = 0 if self._is_advance_allowed(cost) else cost
+        needed: float = cost
+        if self._is_advance_allowed(cost):
+            left = KNOWN_LEFT_FRACTION * quota.burst
+            needed = -left * self._part if self._fleet_size.is_counted else 0
         wait_ms = self._bucket.wait_ms(needed)
         if wait_ms == 0:
             self._bucket.charge(cost)
@@ -75,6 +79,11 @@
         """Return the cost of a request that did not run."""
         self._bucket.put_back(cost)
 
+    @property
+    def _part(self) -> float:
+        """Return the part of a quota that is the share of this entry."""
+        return UNCOORDINATED_FRACTION / self._fleet_size.count
+
     def _update(
         self, quota: workspace_module.WorkspaceQuota, cost: int
     ) -> None:
@@ -84,9 +93,9 @@
         more: else a small share would never admit any.
         """
         self._largest = max(self._largest, cost)
-        part = UNCOORDINATED_FRACTION / self._fleet_size.count
         self._bucket.set_rate(
-            quota.rate_per_s * part, max(quota.burst * part, self._largest)
+            quota.rate_per_s * self._part,
+            max(quota.burst * self._part, self._largest),
         )
 
     def _is_advance_allowed(self, cost: int) -> bool:
@@ -96,7 +105,7 @@
         used before. Then only some of the entries may, at random, so that
         together they are expected to stay within the tolerance of the limit.
         """
-        if self._may_advance is not None:
+        if self._fleet_size.is_counted:
             return self._may_advance
         of_all = cost * self._fleet_size.count
         return self._draw * of_all < self._tolerance
--- a/tests/limits/test_fleet_limits.py
+++ b/tests/limits/test_fleet_limits.py
@@ -6,6 +6,7 @@
 import unittest
 
 from balsamwall.limits import fleet_size
+from balsamwall.limits import leased_tokens
 from balsamwall.limits import limit_book
 from balsamwall.limits import paced_share
 from balsamwall.limits import token_bucket
@@ -143,3 +144,38 @@
         self.assertFalse(bucket.take())
         clock.advance(100)
         self.assertTrue(bucket.take())
+
+    def test_amounts(self):
+        """Guards against an amount that is charged as one token."""
+        clock = virtual_clock.VirtualClock(start_ms=1_000)
+        bucket = token_bucket.TokenBucket(clock, 100.0, 50)
+        self.assertEqual(bucket.take_or_wait_ms(30), 0)
+        self.assertEqual(bucket.take_or_wait_ms(30), 101)
+        self.assertEqual(bucket.tokens, 20)
+        bucket.put_back(25)
+        self.assertEqual(bucket.wait_ms(45), 0)
+        bucket.charge(65)
+        self.assertEqual(bucket.wait_ms(10), 301)
+        clock.advance(500)
+        bucket.skip_refill()
+        self.assertEqual(bucket.tokens, -20)
+
+
+class LeasedTokensTest(unittest.TestCase):
+    """Grants expire by the time at which they were made."""
+
+    def test_oldest_grants_are_used_first(self):
+        """Guards against grants that lapse while younger ones are used."""
+        clock = virtual_clock.VirtualClock(start_ms=1_000)
+        tokens = leased_tokens.LeasedTokens(clock)
+        tokens.add(100)
+        clock.advance(500)
+        tokens.add(10, granted_ms=900)
+        tokens.add(50)
+        self.assertFalse(tokens.take(161))
+        self.assertTrue(tokens.take(40))
+        self.assertEqual(tokens.available, 120)
+        clock.advance(leased_tokens.LEASE_MS - 500)
+        self.assertEqual(tokens.available, 50)
+        tokens.put_back(5)
+        self.assertEqual(tokens.available, 55)
