--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from typing import Any
 
@@ -48,9 +49,9 @@
 
     def number(self, name: str) -> float:
         found = self._value(name, (int, float), "a number")
-        if isinstance(found, bool) or found < 0:
+        if isinstance(found, bool) or not 0 <= found < math.inf:
             raise NodeSettingsError(
-                f"{self._path(name)}: expected a non-negative number, "
+                f"{self._path(name)}: expected a finite number of at least 0, "
                 f"found {found!r}"
             )
         return float(found)
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -67,7 +67,8 @@
         self.check_rejected("bounds.strict_revoke", "yes")
         self.check_rejected("bounds.strict_revoke", 1)
         self.check_rejected("bounds.revoke_ms", "5000")
-        self.check_rejected("bounds.revoke_ms", -1)
+        for value in (-1, float("inf"), float("nan")):
+            self.check_rejected("bounds.revoke_ms", value)
 
     def test_missing_and_invalid_fields(self):
         """Guards against invalid settings that only fail at run time."""
