--- a/tests/backend/test_engine_response.py
+++ b/tests/backend/test_engine_response.py
@@ -176,3 +176,12 @@
         self.clock.advance(30_000)
         self.transport.deletes[0](True, "7")
         self.assertEqual(Code.DEADLINE_EXCEEDED, self.listener.error[0])
+
+    def test_bytes_without_an_event_end_at_the_deadline(self) -> None:
+        """A stream that stalls with a byte now and then would never end."""
+        self._head(0, **{"content-type": "text/event-stream"})
+        for _ in range(30):
+            self.transport.connections[0].on_data(b"x")
+            self.clock.advance(1_000)
+        self.transport.deletes[0](True, "7")
+        self.assertEqual(Code.DEADLINE_EXCEEDED, self.listener.error[0])
