Use no connection twice for the same request identifier

Cause: a late second response is recognised by the identifier that it echoes. Callers choose the identifiers, so that a request with the identifier of an earlier one on the same connection could get the response to that one.

Change: a connection remembers the identifiers of its last 32 requests, and the pool opens a new connection for a request with one of them.

--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import socket
 from typing import Any
@@ -25,6 +26,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
+# Number of earlier requests whose identifiers a connection remembers.
+REMEMBERED_REQUESTS = 32
 
 
 class BreakReason(enum.Enum):
@@ -76,6 +79,9 @@
         self._parser = self._new_parser()
         self._receiver: ResponseReceiver | None = None
         self._request: h11.Request | None = None
+        self._sent_ids: collections.deque[bytes] = collections.deque(
+            maxlen=REMEMBERED_REQUESTS
+        )
         self._is_stale_response = False
         self._has_response = False
         self._framing = body_framing.BodyFraming.LENGTH
@@ -83,6 +89,14 @@
         self.idle_limit_ms: int | None = None
         self.is_reused = False
 
+    def has_sent(self, attempt_id: bytes) -> bool:
+        """Return whether an earlier request had the same identifier.
+
+        A late second response to it would be taken for that of a new request
+        with the identifier.
+        """
+        return attempt_id in self._sent_ids
+
     @property
     def is_awaited(self) -> bool:
         """Return whether a request was sent and nothing was received since."""
@@ -117,6 +131,7 @@
     ) -> None:
         """Write a request; its response goes to the receiver."""
         self._receiver = receiver
+        self._sent_ids.append(receiver.attempt_id)
         self._is_stale_response = False
         self._has_response = False
         self._request = h11.Request(
--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -32,6 +32,10 @@
 class ConnectionWaiter(TypingProtocol):
     """Receive a connection; exactly one of the methods is called."""
 
+    @property
+    def attempt_id(self) -> bytes:
+        """Return the identifier of the request, which callers choose."""
+
     def on_connected(
         self, connection: backend_connection.BackendConnection
     ) -> None:
@@ -181,6 +185,8 @@
             if not self._is_usable(item, is_repeatable):
                 # The rest is idle for longer.
                 break
+            if item.connection.has_sent(waiter.attempt_id):
+                break
             idle.pop()
             now_ms = self._clock.now_ms()
             connection = item.connection
