Let small requests pass a denied large one

Cause: after a denial an entry refused all requests of the workspace until its next query, also smaller ones that had room. A caller could state a cost of any size, and a workspace that was not scarce admitted it in advance.

Change: a denial holds for costs from the denied one on. A cost above the burst by more than the slack of 17,000 tokens is refused without a query.

--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import workspace as workspace_module
+from balsamwall.gateway import workspace_balance
 from balsamwall.limits import token_bucket
 
 if TYPE_CHECKING:
@@ -129,6 +130,8 @@
         bucket = self._buckets.get(workspace)
         if quota is None or bucket is None or cost < 0 or reserve < 0:
             return QuotaDecision(0, 0, False)
+        if cost > workspace_balance.largest_cost(quota):
+            return QuotaDecision(0, workspace_balance.NEVER_MS, False)
         is_scarce = bucket.tokens < SCARCE_FRACTION * quota.burst
         wait_ms = bucket.wait_ms(_needed(quota, cost))
         if wait_ms:
--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -34,8 +34,12 @@
 SLACK_TOKENS = 17_000
 WINDOW_S = 8
 
+# Retry-After time of a request that is larger than its quota ever admits.
+NEVER_MS = 60_000
+
 BY_COORDINATOR = "coordinator"
 BY_LOCAL_SHARE = "local share"
+BY_SIZE = "its size"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -83,6 +87,7 @@
 
     __slots__ = (
         "_clock",
+        "_denied_cost",
         "_room_due_ms",
         "_scarce_ms",
         "_used",
@@ -117,6 +122,7 @@
         # After a denial: when room is expected, and when to ask again.
         self._room_due_ms = 0
         self.query_due_ms = 0
+        self._denied_cost = 0
         # Time and cost of the requests admitted lately.
         self._used: collections.deque[tuple[int, int]] = collections.deque()
 
@@ -140,10 +146,8 @@
     def tolerance(self) -> float:
         """Return by how much requests in a window may exceed the limit."""
         quota = self.quota
-        tolerance = OVERSHOOT * (quota.rate_per_s * WINDOW_S + quota.burst)
-        if quota.unit is workspace_module.QuotaUnit.TOKENS:
-            tolerance += SLACK_TOKENS
-        return tolerance
+        in_window = quota.rate_per_s * WINDOW_S + quota.burst
+        return OVERSHOOT * in_window + slack(quota)
 
     def admit(self, wait: QuotaWait) -> None:
         """Admit a request that has been charged."""
@@ -163,8 +167,17 @@
         if is_scarce:
             self._scarce_ms = self._clock.now_ms()
 
-    def deny(self, wait_ms: int) -> None:
-        """Expect room after a wait."""
+    def is_denied(self, cost: int) -> bool:
+        """Return whether there is no room yet for a cost.
+
+        There may be room for less than what was denied.
+        """
+        is_waiting = self.query_due_ms > self._clock.now_ms()
+        return is_waiting and cost >= self._denied_cost
+
+    def deny(self, cost: int, wait_ms: int) -> None:
+        """Expect room for a cost after a wait."""
+        self._denied_cost = cost
         now_ms = self._clock.now_ms()
         wait_ms = max(MIN_QUERY_INTERVAL_MS, wait_ms)
         self._room_due_ms = now_ms + wait_ms
@@ -187,6 +200,9 @@
         for wait in self.waiting:
             if not wait.is_open:
                 continue
+            is_first = not kept
+            if is_first and wait.cost < self._denied_cost:
+                due_ms = now_ms
             if due_ms > wait.end_ms:
                 refused.append((wait, max(1, int(due_ms - now_ms))))
                 continue
@@ -195,3 +211,17 @@
         self.waiting = kept
         for wait, wait_ms in refused:
             wait.decide(QuotaOutcome(False, wait_ms, self.decided_by))
+
+
+def largest_cost(quota: workspace_module.WorkspaceQuota) -> float:
+    """Return the largest cost of a request that a quota ever admits.
+
+    A bucket holds at least 1.
+    """
+    return max(1.0, quota.burst) + slack(quota)
+
+
+def slack(quota: workspace_module.WorkspaceQuota) -> int:
+    """Return by how much a single request may exceed a quota."""
+    is_tokens = quota.unit is workspace_module.QuotaUnit.TOKENS
+    return SLACK_TOKENS if is_tokens else 0
--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -115,6 +115,11 @@
             outcome = QuotaOutcome(True, 0, workspace_balance.BY_COORDINATOR)
             wait.decide(outcome)
             return wait
+        if cost > workspace_balance.largest_cost(quota):
+            never_ms = workspace_balance.NEVER_MS
+            reason = workspace_balance.BY_SIZE
+            wait.decide(QuotaOutcome(False, never_ms, reason))
+            return wait
         balance = self._balance(workspace.name, quota)
         if balance.granted.take(cost):
             balance.admit(wait)
@@ -205,11 +210,13 @@
             elif balance.granted.take(wait.cost):
                 balance.waiting.popleft()
                 balance.admit(wait)
-            elif balance.query_due_ms > self._clock.now_ms():
-                balance.refuse_late()
-                break
-            else:
+            elif not balance.is_denied(wait.cost):
                 self._ask(name, balance, wait)
+            else:
+                balance.refuse_late()
+                waiting = balance.waiting
+                if waiting and balance.is_denied(waiting[0].cost):
+                    break
         if balance.waiting and not balance.is_asking and balance.timer is None:
             delay_ms = max(1, balance.query_due_ms - self._clock.now_ms())
             balance.timer = self._clock.call_later(
@@ -273,7 +280,7 @@
         self._set_local(name, balance, False)
         balance.on_response(found.is_scarce)
         if found.wait_ms:
-            balance.deny(found.wait_ms)
+            balance.deny(wait.cost, found.wait_ms)
             return
         balance.clear_denial()
         balance.granted.add(found.tokens, sent_ms)
@@ -290,7 +297,7 @@
             return
         wait_ms = balance.local.take_or_wait_ms(balance.quota, wait.cost)
         if wait_ms:
-            balance.deny(wait_ms)
+            balance.deny(wait.cost, wait_ms)
             return
         balance.waiting.remove(wait)
         balance.admit(wait)
--- a/tests/coordination/test_quota_issuer.py
+++ b/tests/coordination/test_quota_issuer.py
@@ -101,6 +101,19 @@
         self.tick(100)
         self.assertEqual(self.left(), 500)
 
+    def test_burst_below_one_request(self):
+        """Guards against a quota of requests that admits none."""
+        unit = workspace_module.QuotaUnit.REQUESTS
+        table = workspace_module.WorkspaceTable(
+            [quota_fleet.make_workspace(0.5, 0.5, unit)]
+        )
+        self.configuration.offer(
+            gateway_harness.make_configuration(2, workspaces=table)
+        )
+        self.tick(2_100)
+        self.assertEqual(self.issuer.grant("w1", 1, 0).tokens, 1)
+        self.assertEqual(self.issuer.grant("w1", 1, 0).tokens, 0)
+
     def test_unknown_workspace_is_left_to_the_entry(self):
         """Guards against grants by an older configuration."""
         decision = self.issuer.grant("w2", 10, 0)
--- a/tests/gateway/test_workspace_quotas.py
+++ b/tests/gateway/test_workspace_quotas.py
@@ -278,6 +278,35 @@
         self.assertEqual(balance.granted.available, 0)
         self.assertTrue(balance.is_local)
 
+    def test_age_of_a_grant_includes_its_way(self):
+        """Guards against a grant that lives longer after a short pause."""
+        entry = self.fleet.entries[1]
+        self.fleet.send(1, 500)
+        self.fleet.clock.advance(1)
+        entry.clock.pause()
+        self.fleet.clock.advance(30)
+        entry.harness.quotas.on_grant(1, 4_000, 0, False)
+        balance = entry.harness.quotas._balances["w1"]
+        self.assertEqual(balance.granted.available, 3_500)
+        self.fleet.clock.advance(770)
+        self.assertEqual(balance.granted.available, 0)
+
+    def test_small_request_passes_a_denied_large_one(self):
+        """Guards against a denial that is applied to smaller requests."""
+        self.assertIsNone(self.outcome(1, 3_000))
+        for cost in (18_000, 800):
+            self.fleet.send(1, cost)
+        self.fleet.clock.advance(MAX_WAIT_MS)
+        self.assertEqual(len(self.fleet.refused), 1)
+        self.assertEqual(self.fleet.passed[-1][1], 800)
+
+    def test_request_larger_than_the_quota_is_refused(self):
+        """Guards against a cost, as callers state it, above any limit."""
+        for cost in (4_200 + SLACK + 1, 10**9):
+            outcome = self.outcome(1, cost)
+            self.assertEqual(outcome.reason, "its size")
+        self.assertIsNone(self.outcome(1, 3_000))
+
     def test_retry_after_is_the_time_of_room(self):
         """Guards against callers who are told a time that is too early."""
         while (outcome := self.outcome(1, 3_000)) is None:
