Ask for a key where a path may lead out of a public route

Cause: routes match by prefix, so that /open/../a/1 took the public route, and a server that resolves dot segments would serve a path that needs a key.

Change: a path with dot segments, plain or encoded, needs a key on a public route.

--- a/src/balsamwall/gateway/authentication.py
+++ b/src/balsamwall/gateway/authentication.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
+import urllib.parse
 
 from balsamwall.gateway import refusal
 from balsamwall.results import result_code
@@ -31,6 +33,19 @@
         self.retry_after_ms = retry_after_ms
 
 
+def closed_route(route: route_module.Route, path: str) -> route_module.Route:
+    """Return the route, as not public if the path has dot segments.
+
+    A server that resolves them would serve a path of a route that needs a key.
+    """
+    if not route.is_public:
+        return route
+    plain = urllib.parse.unquote(path, "latin-1").replace("\\", "/")
+    if any(part in (".", "..") for part in plain.split("/")):
+        return dataclasses.replace(route, is_public=False)
+    return route
+
+
 class Authenticator:
     """Find the workspace of a request in the configuration in force.
 
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -174,6 +174,7 @@
                 "no route matches the host and path",
             )
             return
+        route = authentication.closed_route(route, exchange.head.path)
         try:
             workspace = self._dependencies.authenticator.authenticate(
                 request, route
--- a/tests/gateway/test_authentication.py
+++ b/tests/gateway/test_authentication.py
@@ -161,6 +161,18 @@
             self.assertNotIn(b"authorization", fields)
             self.harness.last_connection.respond(data=EVENT)
 
+    def test_public_path_that_leads_elsewhere(self):
+        """Guards against a closed path reached over a public route."""
+        for path in (
+            b"/open/../a/1",
+            b"/open/%2e%2E/a/1",
+            b"/open/..%2Fa/1?x=1",
+            b"/open/..\\a/1",
+        ):
+            with self.subTest(path):
+                self.assertEqual(self.send(path=path).status, 401)
+        self.assertIsNone(self.send(path=b"/open/a..b/...").status)
+
     def test_log_names_the_workspace(self):
         """Guards against logs that show no workspace, or the key."""
         with mock.patch("eliot.log_message") as log:
