Do not reuse connections to a process that was replaced

Cause: the idle connections to a server are closed when its record leaves, but a connection whose request ended later went back to the pool under the same name, and requests for the new process were sent on it.

Change: the pool compares address and start of the process of an idle connection with the record of the server, and closes it if they differ.

Result: the new test failed before the change and passes with it (python -m tools.run_tests tests.gateway.test_idle_timeout).

--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -48,16 +48,16 @@
 class _IdleConnection:
     """Idle connection to a server, and the time since which it is idle."""
 
-    __slots__ = ("connection", "service", "since_ms")
+    __slots__ = ("connection", "record", "since_ms")
 
     def __init__(
         self,
         connection: backend_connection.BackendConnection,
-        service: str,
+        record: backend_directory.ServerRecord,
         since_ms: int,
     ) -> None:
         self.connection = connection
-        self.service = service
+        self.record = record
         self.since_ms = since_ms
 
 
@@ -182,6 +182,10 @@
         idle = self._idle.get(record.server_id, [])
         while idle and not is_fresh:
             item = idle[-1]
+            if not _is_same_process(item.record, record):
+                # Its request ended after the process had been replaced.
+                idle.pop().connection.close()
+                continue
             if not self._is_usable(item, is_repeatable):
                 # The rest is idle for longer.
                 break
@@ -212,9 +216,7 @@
         maximum of idle connections, the one that was used least recently is
         closed.
         """
-        item = _IdleConnection(
-            connection, record.service, self._clock.now_ms()
-        )
+        item = _IdleConnection(connection, record, self._clock.now_ms())
         if not self._is_usable(item, is_repeatable=True):
             connection.close()
             return
@@ -275,7 +277,7 @@
         connection = item.connection
         if connection.is_lost:
             return False
-        limit_ms = self._timeout(item.service).limit_ms(
+        limit_ms = self._timeout(item.record.service).limit_ms(
             connection.idle_limit_ms, is_repeatable
         )
         return self._clock.now_ms() - item.since_ms < limit_ms
@@ -318,6 +320,16 @@
     return max(1, min(MAX_IDLE_PER_SERVER, spare))
 
 
+def _is_same_process(
+    old: backend_directory.ServerRecord, new: backend_directory.ServerRecord
+) -> bool:
+    return (old.host, old.port, old.started_ms) == (
+        new.host,
+        new.port,
+        new.started_ms,
+    )
+
+
 def _default_max_idle(record: backend_directory.ServerRecord) -> int:
     return MAX_IDLE_PER_SERVER
 
--- a/tests/gateway/test_idle_timeout.py
+++ b/tests/gateway/test_idle_timeout.py
@@ -196,3 +196,17 @@
         self.assertEqual(service.opened, 2)
         service.request(service.records[0])
         self.assertEqual(service.opened, 2)
+
+    def test_connection_to_the_process_before_is_not_reused(self):
+        """Guards against requests to a server that was replaced.
+
+        A request to it has ended after its connections were closed.
+        """
+        service = Service(15, 15_000)
+        service.request(service.records[0])
+        old = service.connection
+        service.request(
+            gateway_harness.make_record("s0", host="10.0.0.2", started_ms=2)
+        )
+        self.assertEqual(service.opened, 2)
+        self.assertTrue(old.transport.disconnecting)
