Log idle connections that were reset at their next use

Cause: the learned idle time could not be followed in the log.

Change: the pool writes idle_connection_reset with server, service, idle time, stated time and the learned time after it.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -146,6 +146,7 @@
             self._clock,
             dependencies.codec.echo_field,
             self._max_idle_connections,
+            self._log,
         )
         self._waits = residency_waits.ResidencyWaits(
             self._clock,
--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
     MaxIdle = Callable[[backend_directory.ServerRecord], int]
@@ -131,6 +132,7 @@
         "_clock",
         "_echo_field",
         "_idle",
+        "_log",
         "_max_idle",
         "_reactor",
         "_reuses",
@@ -143,10 +145,12 @@
         clock: clock_module.Clock,
         echo_field: bytes,
         max_idle: MaxIdle | None = None,
+        log: decision_log.DecisionLog | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._echo_field = echo_field
+        self._log = log
         self._max_idle = max_idle or _default_max_idle
         self._idle: dict[str, list[_IdleConnection]] = {}
         # Connections whose current request has no response yet.
@@ -294,6 +298,24 @@
                 reuse.idle_ms, connection.idle_limit_ms
             )
 
+    def _on_reset(
+        self,
+        record: backend_directory.ServerRecord,
+        connection: backend_connection.BackendConnection,
+        idle_ms: int,
+    ) -> None:
+        timeout = self._timeout(record.service)
+        timeout.on_reset(record.server_id, idle_ms)
+        if self._log is not None:
+            self._log.write(
+                "idle_connection_reset",
+                server=record.server_id,
+                service=record.service,
+                idle_ms=idle_ms,
+                stated_ms=connection.idle_limit_ms,
+                learned_ms=timeout.limit_ms(None, is_trial=True),
+            )
+
     def _on_lost(
         self,
         record: backend_directory.ServerRecord,
@@ -303,9 +325,7 @@
         if reuse is not None and connection.is_awaited:
             since_ms = self._clock.now_ms() - reuse.at_ms
             if since_ms <= RESET_WINDOW_MS:
-                self._timeout(record.service).on_reset(
-                    record.server_id, reuse.idle_ms
-                )
+                self._on_reset(record, connection, reuse.idle_ms)
         idle = self._idle.get(record.server_id, [])
         idle[:] = [item for item in idle if item.connection is not connection]
 
