--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
     MaxIdle = Callable[[backend_directory.ServerRecord], int]
@@ -48,16 +49,16 @@
 class _IdleConnection:
     """Idle connection to a server, and the time since which it is idle."""
 
-    __slots__ = ("connection", "service", "since_ms")
+    __slots__ = ("connection", "record", "since_ms")
 
     def __init__(
         self,
         connection: backend_connection.BackendConnection,
-        service: str,
+        record: backend_directory.ServerRecord,
         since_ms: int,
     ) -> None:
         self.connection = connection
-        self.service = service
+        self.record = record
         self.since_ms = since_ms
 
 
@@ -131,6 +132,7 @@
         "_clock",
         "_echo_field",
         "_idle",
+        "_log",
         "_max_idle",
         "_reactor",
         "_reuses",
@@ -143,10 +145,12 @@
         clock: clock_module.Clock,
         echo_field: bytes,
         max_idle: MaxIdle | None = None,
+        log: decision_log.DecisionLog | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._echo_field = echo_field
+        self._log = log
         self._max_idle = max_idle or _default_max_idle
         self._idle: dict[str, list[_IdleConnection]] = {}
         # Connections whose current request has no response yet.
@@ -182,6 +186,10 @@
         idle = self._idle.get(record.server_id, [])
         while idle and not is_fresh:
             item = idle[-1]
+            if not _is_same_process(item.record, record):
+                # Its request ended after the process had been replaced.
+                idle.pop().connection.close()
+                continue
             if not self._is_usable(item, is_repeatable):
                 # The rest is idle for longer.
                 break
@@ -212,9 +220,7 @@
         maximum of idle connections, the one that was used least recently is
         closed.
         """
-        item = _IdleConnection(
-            connection, record.service, self._clock.now_ms()
-        )
+        item = _IdleConnection(connection, record, self._clock.now_ms())
         if not self._is_usable(item, is_repeatable=True):
             connection.close()
             return
@@ -275,7 +281,7 @@
         connection = item.connection
         if connection.is_lost:
             return False
-        limit_ms = self._timeout(item.service).limit_ms(
+        limit_ms = self._timeout(item.record.service).limit_ms(
             connection.idle_limit_ms, is_repeatable
         )
         return self._clock.now_ms() - item.since_ms < limit_ms
@@ -292,6 +298,24 @@
                 reuse.idle_ms, connection.idle_limit_ms
             )
 
+    def _on_reset(
+        self,
+        record: backend_directory.ServerRecord,
+        connection: backend_connection.BackendConnection,
+        idle_ms: int,
+    ) -> None:
+        timeout = self._timeout(record.service)
+        timeout.on_reset(record.server_id, idle_ms)
+        if self._log is not None:
+            self._log.write(
+                "idle_connection_reset",
+                server=record.server_id,
+                service=record.service,
+                idle_ms=idle_ms,
+                stated_ms=connection.idle_limit_ms,
+                learned_ms=timeout.limit_ms(None, is_trial=True),
+            )
+
     def _on_lost(
         self,
         record: backend_directory.ServerRecord,
@@ -301,9 +325,7 @@
         if reuse is not None and connection.is_awaited:
             since_ms = self._clock.now_ms() - reuse.at_ms
             if since_ms <= RESET_WINDOW_MS:
-                self._timeout(record.service).on_reset(
-                    record.server_id, reuse.idle_ms
-                )
+                self._on_reset(record, connection, reuse.idle_ms)
         idle = self._idle.get(record.server_id, [])
         idle[:] = [item for item in idle if item.connection is not connection]
 
@@ -318,6 +340,16 @@
     return max(1, min(MAX_IDLE_PER_SERVER, spare))
 
 
+def _is_same_process(
+    old: backend_directory.ServerRecord, new: backend_directory.ServerRecord
+) -> bool:
+    return (old.host, old.port, old.started_ms) == (
+        new.host,
+        new.port,
+        new.started_ms,
+    )
+
+
 def _default_max_idle(record: backend_directory.ServerRecord) -> int:
     return MAX_IDLE_PER_SERVER
 
