Replicate models whose engines may be slow, and evict slow replicas first

Cause: on the deployment with uneven servers 1,184 of 2,209 streams had one candidate only, and 386 of them were late: their model was resident on one slow engine while others were idle.

Change: a model whose replicas are all at slow engines, or that has a single one while some engines are slow, gains a replica by its requests; a replica at a slow engine is lost at less cost. The gap target of prompts and engines comes from the routes of the configuration, no longer from a constant.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -247,6 +247,7 @@
             query.cached_at,
             query.cached_tokens,
             query.model,
+            self._gap_target_ms(query.service),
         )
         server_id = self._scheduler.assign(
             holders,
@@ -383,6 +384,10 @@
         spec = current.services.get(service) if current else None
         return spec.engine if spec is not None else None
 
+    def _gap_target_ms(self, service: str) -> int:
+        current = self._configuration.current
+        return current.gap_target_ms(service) if current else 0
+
     def _on_server(self, server: backend_directory.BackendServer) -> None:
         if not self._is_active:
             return
@@ -455,7 +460,11 @@
                     tracker.record.server_id, engine.slots
                 )
                 engine_speed.update(
-                    tracker, limit_capacity, self._directory.speeds, now_ms
+                    tracker,
+                    limit_capacity,
+                    self._directory.speeds,
+                    self._gap_target_ms(service),
+                    now_ms,
                 )
             waiting_requests = {
                 wanted: count
--- a/src/balsamwall/coordination/engine_speed.py
+++ b/src/balsamwall/coordination/engine_speed.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from balsamwall.coordination import prompt_scheduler
-
 if TYPE_CHECKING:
     from balsamwall.coordination import engine_tracker
     from balsamwall.gateway import server_speed
@@ -20,6 +18,7 @@
     tracker: engine_tracker.EngineTracker,
     limit_capacity: float,
     speeds: server_speed.SpeedTable,
+    gap_target_ms: int,
     now_ms: int,
 ) -> None:
     """Set the part of the slots that an engine can use, and its speed.
@@ -34,9 +33,7 @@
     else:
         slots = max(1, tracker.spec.slots)
         count = min(
-            speed.bearable_requests(
-                model, slots, prompt_scheduler.GAP_TARGET_MS, now_ms
-            )
+            speed.bearable_requests(model, slots, gap_target_ms, now_ms)
             for model in tracker.models or ("",)
         )
         change = count / slots - tracker.bearable
--- a/src/balsamwall/coordination/engine_tracker.py
+++ b/src/balsamwall/coordination/engine_tracker.py
@@ -12,6 +12,10 @@
     from balsamwall.gateway import gateway_configuration
     from balsamwall.timing import clock as clock_module
 
+# An engine that can use less than this part of its slots within the pause
+# target is late as soon as its model is requested often.
+SLOW_BEARABLE = 0.5
+
 
 class EngineState(enum.Enum):
     """State that decides whether an engine can receive an order."""
@@ -108,6 +112,11 @@
         """Return whether the engine can receive new orders."""
         return self.state is EngineState.READY and not self.queue
 
+    @property
+    def is_slow(self) -> bool:
+        """Return whether the engine can use few of its slots in time."""
+        return self.bearable < SLOW_BEARABLE
+
     @property
     def is_limited(self) -> bool:
         """Return whether a limit on requests leaves slots unused."""
--- a/src/balsamwall/coordination/prompt_scheduler.py
+++ b/src/balsamwall/coordination/prompt_scheduler.py
@@ -15,8 +15,6 @@
     from balsamwall.gateway import server_speed
     from balsamwall.timing import clock as clock_module
 
-# Target of the gaps between events, which queries do not state.
-GAP_TARGET_MS = 300
 # Backlog of the best engine above which no server is assigned. All replicas
 # are overloaded then, and the queues of the entries decide what is sent.
 MAX_BACKLOG_MS = 300
@@ -34,6 +32,7 @@
     cached_at: str = ""
     cached_tokens: int = 0
     model: str = ""
+    gap_target_ms: int = 0  # of the events of its stream, 0 if unset
 
     def prefill_ms(self, server_id: str) -> float:
         """Return the time that its prefill takes at a usual server."""
@@ -107,7 +106,7 @@
                     prompt.model, load + 1, tokens, now_ms
                 )
                 score += server_choice.pause_penalty_ms(
-                    pause_ms, GAP_TARGET_MS
+                    pause_ms, prompt.gap_target_ms
                 )
             if best is None or score < best[0]:
                 best = (score, backlog_ms, server_id)
--- a/src/balsamwall/coordination/replica_demand.py
+++ b/src/balsamwall/coordination/replica_demand.py
@@ -55,6 +55,8 @@
     max_utilisation: float = 0.0
     # Utilisation that the new replica adds to its engine.
     added_utilisation: float = 0.0
+    # Whether it guards against slow engines, however busy they are.
+    is_hedge: bool = False
 
     def remaining_gain(self, delay_s: float) -> float:
         """Return the gain of a replica that is usable after a delay."""
@@ -66,6 +68,8 @@
 
     Many rare models may have no replica while requests for busy models queue
     at full engines. An idle engine goes to the model with the greater gain.
+    Where engines become slow for a while, a model with a single replica is
+    late whenever its engine is slow, however little it is used.
     """
 
     __slots__ = ("_demand",)
@@ -111,6 +115,7 @@
         trackers_by_model: dict[str, list[engine_tracker.EngineTracker]],
     ) -> list[PlacementNeed]:
         utilisation = self._engine_utilisation(trackers, trackers_by_model)
+        slow_share = _slow_share(trackers)
         found = []
         for model, model_trackers in trackers_by_model.items():
             count = len(model_trackers)
@@ -118,12 +123,17 @@
                 utilisation[tracker.record.server_id]
                 for tracker in model_trackers
             ]
-            if sum(used) / count < SCALE_OUT_UTILISATION:
-                continue
             capacity = _capacity(model_trackers)
-            saved_per_s = self._delay_change(
-                model, model_trackers, utilisation, capacity + 1
+            saved_per_s = self._slow_requests(
+                model, model_trackers, slow_share
             )
+            is_hedge = saved_per_s > 0
+            if sum(used) / count >= SCALE_OUT_UTILISATION:
+                saved_per_s += self._delay_change(
+                    model, model_trackers, utilisation, capacity + 1
+                )
+            if not saved_per_s:
+                continue
             added = self._required_engines(model, model_trackers[0])
             found.append(
                 PlacementNeed(
@@ -132,30 +142,61 @@
                     replicas=count,
                     max_utilisation=max(used),
                     added_utilisation=added / (capacity + 1),
+                    is_hedge=is_hedge,
                 )
             )
         return found
 
+    def _slow_requests(
+        self,
+        model: str,
+        trackers: list[engine_tracker.EngineTracker],
+        slow_share: float,
+    ) -> float:
+        """Return the late requests a second that a further replica avoids.
+
+        All requests are late while all replicas are at slow engines. Any
+        engine may become slow, so that a single replica is late for the share
+        of the engines that are slow.
+        """
+        if all(tracker.is_slow for tracker in trackers):
+            return self._demand.rate(model)
+        if len(trackers) == 1:
+            return self._demand.rate(model) * slow_share
+        return 0.0
+
     def eviction_losses(
         self, trackers: list[engine_tracker.EngineTracker]
-    ) -> dict[str, float]:
-        """Return the gain that is lost if a model loses one replica.
+    ) -> dict[tuple[str, str], float]:
+        """Return the gain that is lost with a replica, by server and model.
 
         Without its last replica, all requests for a model are delayed.
         """
         trackers_by_model = _trackers_by_model(trackers)
         utilisation = self._engine_utilisation(trackers, trackers_by_model)
+        slow_share = _slow_share(trackers)
         losses = {}
         for model, model_trackers in trackers_by_model.items():
-            count = len(model_trackers) - 1
-            if count:
-                remaining = _capacity(model_trackers) * count / (count + 1)
-                lost_per_s = self._delay_change(
-                    model, model_trackers, utilisation, remaining
-                )
-                losses[model] = lost_per_s * DEMAND_LIFETIME_S
-            else:
-                losses[model] = self._absence_loss(model)
+            saved_per_s = self._slow_requests(
+                model, model_trackers, slow_share
+            )
+            capacity = _capacity(model_trackers)
+            for tracker in model_trackers:
+                others = [item for item in model_trackers if item != tracker]
+                if others:
+                    lost_per_s = self._delay_change(
+                        model,
+                        model_trackers,
+                        utilisation,
+                        capacity - tracker.capacity,
+                    )
+                    lost_per_s += self._slow_requests(
+                        model, others, slow_share
+                    )
+                    loss = (lost_per_s - saved_per_s) * DEMAND_LIFETIME_S
+                else:
+                    loss = self._absence_loss(model)
+                losses[tracker.record.server_id, model] = loss
         return losses
 
     def _absence_loss(self, model: str) -> float:
@@ -237,6 +278,12 @@
     return sum(tracker.capacity for tracker in trackers)
 
 
+def _slow_share(trackers: list[engine_tracker.EngineTracker]) -> float:
+    """Return the share of the engines that are slow now."""
+    slow = sum(1 for tracker in trackers if tracker.is_slow)
+    return slow / max(1, len(trackers))
+
+
 def _trackers_by_model(
     trackers: list[engine_tracker.EngineTracker],
 ) -> dict[str, list[engine_tracker.EngineTracker]]:
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -83,6 +83,12 @@
         """Return the placement needs of a service, greatest gain first."""
         return self._replica_demand.needs(trackers, waiting)
 
+    def eviction_losses(
+        self, trackers: list[engine_tracker.EngineTracker]
+    ) -> dict[tuple[str, str], float]:
+        """Return the gain that is lost with a replica, by server and model."""
+        return self._replica_demand.eviction_losses(trackers)
+
     def plan(
         self,
         need: replica_demand.PlacementNeed,
@@ -132,8 +138,12 @@
             for tracker in trackers
             if not tracker.will_hold(need.model)
             and not tracker.is_limited
-            and used[tracker.record.server_id] + need.added_utilisation
-            < need.max_utilisation
+            and not tracker.is_slow
+            and (
+                need.is_hedge
+                or used[tracker.record.server_id] + need.added_utilisation
+                < need.max_utilisation
+            )
         ]
         return self._cheapest_plan(free, trackers, need, now_ms)
 
@@ -175,7 +185,7 @@
         best: _Candidate | None = None
         model = need.model
         loads = self._slot_use(candidates)
-        losses = self._replica_demand.eviction_losses(trackers)
+        losses = self.eviction_losses(trackers)
         for tracker in candidates:
             if not tracker.is_idle or tracker.will_hold(model):
                 continue
@@ -227,7 +237,7 @@
         tracker: engine_tracker.EngineTracker,
         model: str,
         now_ms: int,
-        losses: dict[str, float],
+        losses: dict[tuple[str, str], float],
     ) -> tuple[float, list[str]] | None:
         """Return the cost of eviction and the models to evict.
 
@@ -262,10 +272,10 @@
         self,
         tracker: engine_tracker.EngineTracker,
         model: str,
-        losses: dict[str, float],
+        losses: dict[tuple[str, str], float],
         running: dict[tuple[str, str], int],
     ) -> float:
-        cost = losses.get(model, 0.0)
+        cost = losses.get((tracker.record.server_id, model), 0.0)
         if running.get((tracker.record.server_id, model)):
             cost += RUNNING_COST
         return cost
--- a/src/balsamwall/gateway/gateway_configuration.py
+++ b/src/balsamwall/gateway/gateway_configuration.py
@@ -94,6 +94,19 @@
             routes_of_host.sort(key=lambda route: -len(route.path_prefix))
         self._routes_by_host = by_host
 
+    def gap_target_ms(self, service: str) -> int:
+        """Return the shortest gap target of the routes to a service.
+
+        It is 0 if no route to the service has one.
+        """
+        targets = [
+            route.gap_target_ms
+            for route in self.routes
+            if route.gap_target_ms
+            and any(part.service == service for part in route.destinations)
+        ]
+        return min(targets, default=0)
+
     def find_route(self, host: str, path: str) -> route_module.Route | None:
         """Return the route of the host with the longest matching prefix."""
         for route in self._routes_by_host.get(host.lower(), ()):
