Drop figures of one deployment from a comment

Cause: the reason of a constant was told by measurements of one deployment.

Result: no code is changed.

--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -21,11 +21,8 @@
 EVENT_MS = 20.0
 STEPS_PER_REQUEST_MS = 1.0
 PROMPTS_PER_REQUEST_MS = 2.4
-# The longest pause of half of the streams is at most this much longer, as a
-# long prompt is prefilled at some time. In a trial with engines of usual speed
-# and prompts of 1,500 tokens it was 23 to 72 ms, least with few requests. On
-# a deployment the longest pauses were 34 to 61 ms at 4 to 6 requests, and 360
-# and 410 ms at 20, which are factors of 0.3 to 0.7 and of 2.4 to 2.8.
+# The longest pause of half of the streams is at most this much longer, since a
+# long prompt is prefilled at some time while they run.
 LONG_PROMPT_MS = 60.0
 # One chunk of about 1,024 tokens is prefilled between two decode steps.
 MAX_TOKENS_PER_EVENT = 8 * 1_024
