Order waiting requests fairly across workspaces and models

Cause: under overload, requests wait at the entry by priority and arrival, so that one workspace with a backlog delays all others.

Refusals use the position in that order. Requests that are not urgent leave a reserve, and each entry sends only its part of the room in a report. Other requests keep their order.

--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -4,8 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import backend_directory
+from balsamwall.gateway import room_waiter
+
 if TYPE_CHECKING:
-    from balsamwall.gateway import backend_directory
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    import random
+
     from balsamwall.gateway import incoming_request
     from balsamwall.timing import clock as clock_module
 
@@ -17,6 +23,20 @@
 EXTRA_WAITING_URGENT = 24
 # Requests with at most this priority number are urgent.
 URGENT_PRIORITY = 0
+# Slots that are left to urgent requests while both kinds compete, as a
+# fraction of all slots. The next urgent request then begins at once, not when
+# a stream has ended.
+URGENT_RESERVE = 1 / 16
+# An entry with a thirtieth of the traffic sees an urgent request of a busy
+# service several times in this period.
+URGENT_MEMORY_MS = 1_000
+# Interval of the coordinator's reports of the fleet load.
+FLEET_REPORT_MS = 250
+
+
+def is_urgent(priority: room_waiter.Priority) -> bool:
+    """Return whether a priority is urgent, by its first number."""
+    return room_waiter.priority_key(priority)[0] <= URGENT_PRIORITY
 
 
 class Admission:
@@ -27,16 +47,23 @@
     at the entry is sent to the first engine that has room.
     """
 
-    __slots__ = ("_clock",)
+    __slots__ = ("_clock", "_credits", "_random", "_urgent_ms")
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    def __init__(
+        self, clock: clock_module.Clock, random_source: random.Random
+    ) -> None:
         self._clock = clock
+        self._random = random_source
+        # By target: what this entry may send until the next report.
+        self._credits: dict[room_waiter.Target, _SendCredit] = {}
+        # By service: when an urgent request was last dispatched.
+        self._urgent_ms: dict[str, int] = {}
 
     def has_room(
         self,
         server: backend_directory.BackendServer,
         request: incoming_request.IncomingRequest,
-        priority: int,
+        priority: room_waiter.Priority,
     ) -> bool:
         """Return whether a request may be sent to the server now.
 
@@ -45,6 +72,107 @@
         if not request.model:
             return True
         limit = server.record.slots + MAX_WAITING_AT_ENGINE
-        if priority <= URGENT_PRIORITY:
+        if is_urgent(priority):
             limit += EXTRA_WAITING_URGENT
         return server.load(self._clock.now_ms()) < limit
+
+    def has_fair_room(
+        self,
+        server: backend_directory.BackendServer,
+        waiter: room_waiter.RoomWaiter,
+        holders: Callable[[], Iterable[backend_directory.BackendServer]],
+        part: float,
+        stream_ms: float,
+        is_owed: bool,
+    ) -> bool:
+        """Return whether a fairly ordered request may be sent now.
+
+        One that is not urgent leaves a reserve to urgent ones, unless the send
+        is owed to it because it has waited longest. It also needs credit:
+        `part` is the fraction of the fleet's queue that this entry holds,
+        `holders` are the servers that may serve the request, and `stream_ms`
+        is the time for which a request uses a slot.
+        """
+        service, model, _ = waiter.target
+        if not model:
+            return True
+        now_ms = self._clock.now_ms()
+        if is_urgent(waiter.priority):
+            self._urgent_ms[service] = now_ms
+            is_owed = True
+        if is_owed:
+            extra = MAX_WAITING_AT_ENGINE + EXTRA_WAITING_URGENT
+            return server.load(now_ms) < server.record.slots + extra
+        is_reserved = self._has_urgent(service, now_ms)
+        if server.load(now_ms) >= _fair_limit(server, is_reserved):
+            return False
+        age_ms = now_ms - server.fleet_load_at_ms
+        if age_ms > backend_directory.FLEET_LOAD_MAX_AGE_MS:
+            return True
+        credit = self._credits.get(waiter.target)
+        if credit is None:
+            credit = _SendCredit(self._random.random())
+            self._credits[waiter.target] = credit
+        if credit.is_renewed_by(server.fleet_load_at_ms):
+            # Slots that become free until the next report are left to urgent
+            # requests while there are any.
+            ends_per_slot = 0 if is_reserved else FLEET_REPORT_MS / stream_ms
+            credit.add(
+                part
+                * sum(
+                    max(
+                        0.0,
+                        _fair_limit(item, is_reserved)
+                        + ends_per_slot * item.record.slots
+                        - item.fleet_load,
+                    )
+                    for item in holders()
+                )
+            )
+        return credit.amount >= 1.0
+
+    def on_fair_sent(self, target: room_waiter.Target) -> None:
+        """Take the credit of a request that is being sent."""
+        credit = self._credits.get(target)
+        if credit is not None:
+            credit.amount = max(0.0, credit.amount - 1.0)
+
+    def _has_urgent(self, service: str, now_ms: int) -> bool:
+        """Return whether urgent requests have been dispatched recently."""
+        last_ms = self._urgent_ms.get(service)
+        return last_ms is not None and now_ms - last_ms <= URGENT_MEMORY_MS
+
+
+class _SendCredit:
+    """Limit what one entry sends for a target between two reports.
+
+    Load pattern: all entries hold waiting requests and see the same room in a
+    report. Each may use its part of the room; fractions are carried over, and
+    begin at random, so that the entries do not reach a whole one together.
+    """
+
+    __slots__ = ("_reported_ms", "amount")
+
+    def __init__(self, amount: float) -> None:
+        self.amount = amount
+        self._reported_ms: int | None = None
+
+    def is_renewed_by(self, reported_ms: int) -> bool:
+        """Return whether a report is new, once for each report."""
+        is_new = reported_ms != self._reported_ms
+        self._reported_ms = reported_ms
+        return is_new
+
+    def add(self, amount: float) -> None:
+        """Add the part of the room in a new report."""
+        self.amount = min(1.0, self.amount) + amount
+
+
+def _fair_limit(
+    server: backend_directory.BackendServer, is_reserved: bool
+) -> int:
+    """Return the limit of the load for requests that are not urgent."""
+    slots = server.record.slots
+    if not is_reserved:
+        return slots + MAX_WAITING_AT_ENGINE
+    return max(1, slots - max(1, int(slots * URGENT_RESERVE)))
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -97,6 +97,16 @@
             estimate = max(estimate, float(self._fleet_load))
         return max(float(self.in_flight), estimate)
 
+    @property
+    def fleet_load(self) -> int:
+        """Return the open requests of all entries in the last report."""
+        return self._fleet_load
+
+    @property
+    def fleet_load_at_ms(self) -> int:
+        """Return when the coordinator reported the fleet load."""
+        return self._fleet_load_at_ms
+
     def set_fleet_load(self, load: int, now_ms: int) -> None:
         """Set the open requests of all entries, as the coordinator reports."""
         self._fleet_load = load
--- /dev/null
+++ b/src/balsamwall/gateway/fair_queue.py
@@ -0,0 +1,116 @@
+"""Hold the requests that wait for one target, in heaps by stage."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import heapq
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import room_waiter
+
+
+class Stage(enum.IntEnum):
+    """State how a request is ordered among those of its priority."""
+
+    AGED = 0  # by arrival, after half of the caller's timeout
+    ON_TIME = 1
+    LATE = 2  # the target of the first event can no longer be met
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """Hold a waiting request; entries are removed from heaps lazily."""
+
+    waiter: room_waiter.RoomWaiter
+    rank: tuple[int, int]  # arrival, and the sequence number
+    key: room_waiter.PriorityKey
+    target: room_waiter.Target
+    workspace: str
+    stage: Stage = Stage.ON_TIME
+    is_removed: bool = False
+
+    def __lt__(self, other: Entry) -> bool:
+        return self.rank < other.rank
+
+
+class Level:
+    """Order the requests for one target that have the same priority."""
+
+    __slots__ = ("_aged", "_flows", "_served", "_turns", "counts")
+
+    def __init__(self, served: dict[str, float]) -> None:
+        self._served = served
+        self._aged: list[Entry] = []
+        self._flows: dict[tuple[Stage, str], list[Entry]] = {}
+        # By stage: a heap of counter, rank and workspace. Counters only grow,
+        # so that an outdated row is corrected when it becomes the lowest.
+        self._turns: dict[Stage, list[tuple[float, tuple[int, int], str]]] = {
+            Stage.ON_TIME: [],
+            Stage.LATE: [],
+        }
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def push(self, entry: Entry) -> None:
+        """Add a request in its stage."""
+        if entry.stage is Stage.AGED:
+            heapq.heappush(self._aged, entry)
+            return
+        key = entry.stage, entry.workspace
+        flow = self._flows.get(key)
+        if flow is None:
+            flow = self._flows[key] = []
+            turn = (self._served[entry.workspace], entry.rank, key[1])
+            heapq.heappush(self._turns[entry.stage], turn)
+        heapq.heappush(flow, entry)
+
+    def head(self) -> Entry | None:
+        """Return the request to send next."""
+        aged = first(self._aged, Stage.AGED)
+        if aged is not None:
+            return aged
+        for stage, turns in self._turns.items():
+            while turns:
+                counter, _, workspace = turns[0]
+                entry = first(self._flows[stage, workspace], stage)
+                if entry is None:
+                    heapq.heappop(turns)
+                    del self._flows[stage, workspace]
+                elif counter < self._served[workspace]:
+                    turn = (self._served[workspace], entry.rank, workspace)
+                    heapq.heapreplace(turns, turn)
+                else:
+                    return entry
+        return None
+
+
+def first(heap: list[Entry], stage: Stage | None) -> Entry | None:
+    """Drop removed and moved entries; return the first of the others."""
+    while heap:
+        entry = heap[0]
+        if not entry.is_removed and stage in (None, entry.stage):
+            return entry
+        heapq.heappop(heap)
+    return None
+
+
+class TargetQueue:
+    """Hold the requests that wait for one target, by priority."""
+
+    __slots__ = ("count", "levels", "oldest", "since_ms")
+
+    def __init__(self, now_ms: int) -> None:
+        self.count = 0
+        self.since_ms = now_ms
+        self.levels: dict[room_waiter.PriorityKey, Level] = {}
+        self.oldest: list[Entry] = []
+
+    def head(self) -> Entry | None:
+        """Return the request to send next."""
+        for key in sorted(self.levels):
+            entry = self.levels[key].head()
+            if entry is not None:
+                return entry
+        return None
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -105,6 +105,7 @@
         "directory",
         "forecast",
         "health",
+        "is_fair_service",
         "limits",
         "log",
         "metrics",
@@ -155,10 +156,12 @@
         self.metrics = metrics
         self.retry_policy = retry_policy_module.RetryPolicy()
         self.assignments = assignment_client.AssignmentClient(clock)
-        self.admission = admission_module.Admission(clock)
+        self.admission = admission_module.Admission(clock, random_source)
         self.room = room_queue.RoomQueue(clock)
         self.forecast = wait_forecast.WaitForecast(clock)
         self.limits = limits
+        # Whether requests of a service without a workspace are ordered fairly.
+        self.is_fair_service: Callable[[str], bool] = lambda service: False
         self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
         self._retry_settings = retry_settings
@@ -236,6 +239,11 @@
         """Record the time to the head of the response."""
         waited_ms = self.clock.now_ms() - handler.arrived_ms
         self.metrics.observe_first_response(handler.route.name, waited_ms)
+        if handler.choice is not None and handler.choice.server is not None:
+            self.forecast.on_first_response(
+                handler.choice.server.record.service,
+                waited_ms - handler.waited_ms,
+            )
 
     def on_attempt_failed(
         self,
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -10,6 +10,7 @@
 from balsamwall.gateway import request_wait
 from balsamwall.gateway import retry_policy
 from balsamwall.gateway import server_choice
+from balsamwall.gateway import wait_policy
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -18,7 +19,9 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
+    from balsamwall.gateway import room_waiter
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import workspace as workspace_module
     from balsamwall.timing import clock as clock_module
 
 _Code = result_code.ResultCode
@@ -33,6 +36,7 @@
 
     request: incoming_request.IncomingRequest
     route: route_module.Route
+    workspace: workspace_module.Workspace | None
 
     @property
     def arrived_ms(self) -> int:
@@ -67,6 +71,7 @@
         "_dependencies",
         "_excluded",
         "_handler",
+        "_is_charged",
         "_on_refused",
         "_service",
         "_timer",
@@ -87,6 +92,7 @@
         self._on_refused = on_refused
         # Servers that the request was sent to and that did not serve it.
         self._excluded: frozenset[str] = frozenset()
+        self._is_charged = False
         self._timer: clock_module.Timer | None = None
         self._wait = request_wait.RequestWait(dependencies, self, on_refused)
         self.choice: server_choice.Choice | None = None
@@ -102,7 +108,7 @@
         return self._handler.route
 
     @property
-    def priority(self) -> int:
+    def priority(self) -> room_waiter.Priority:
         """Return the priority, 0 is the most urgent."""
         return self.route.priority
 
@@ -116,6 +122,39 @@
         """Return service, model and adapter."""
         return self._service, self.request.model, self.request.adapter
 
+    @property
+    def is_fair(self) -> bool:
+        """Return whether the request is ordered fairly across workspaces."""
+        has_workspace = self._handler.workspace is not None
+        return has_workspace or self._dependencies.is_fair_service(
+            self._service
+        )
+
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of the workspace, empty without one."""
+        workspace = self._handler.workspace
+        return workspace.name if workspace else ""
+
+    @property
+    def cost(self) -> int:
+        """Return prompt and output tokens, 0 if they are unknown."""
+        return self.request.prompt_tokens + self.request.max_output_tokens
+
+    @property
+    def on_time_until_ms(self) -> int:
+        """Return the last time for a send that meets the target."""
+        target_ms = self.route.first_response_target_ms
+        response_ms = self._dependencies.forecast.response_ms(self._service)
+        # A target below the usual time to a response is not out of reach.
+        return self.arrived_ms + max(target_ms // 2, target_ms - response_ms)
+
+    @property
+    def aged_at_ms(self) -> int:
+        """Return when half of the caller's timeout has passed."""
+        timeout_ms = self.route.caller_timeout_ms
+        return self.arrived_ms + wait_policy.half_timeout_ms(timeout_ms)
+
     @property
     def waited_ms(self) -> int:
         """Return the total time that the request was queued before sending."""
@@ -199,9 +238,23 @@
             self.choice = choice
         return choice
 
-    def _has_room(self, server: backend_directory.BackendServer) -> bool:
-        return self._dependencies.admission.has_room(
-            server, self.request, self.priority
+    def _has_room(
+        self, server: backend_directory.BackendServer, is_owed: bool = False
+    ) -> bool:
+        dependencies = self._dependencies
+        if not self.is_fair:
+            return dependencies.admission.has_room(
+                server, self.request, self.priority
+            )
+        service, model, _ = self.target
+        forecast = dependencies.forecast
+        return dependencies.admission.has_fair_room(
+            server,
+            self,
+            lambda: dependencies.directory.holders(*self.target),
+            forecast.own_part(model, dependencies.room.count(self.target)),
+            forecast.stream_ms(service),
+            is_owed,
         )
 
     def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
@@ -209,10 +262,11 @@
         is_queued = room.has_waiting(self.target, self.priority)
         return not is_queued and self._has_room(server)
 
-    def try_send(self) -> bool:
+    def try_send(self, is_owed: bool = False) -> bool:
         """Send the request if a server has room.
 
-        Return whether the request has left the queue.
+        An owed send may use the room that is kept for urgent requests. Return
+        whether the request has left the queue.
         """
         choice = self._choose()
         server = choice.server
@@ -224,7 +278,7 @@
             self._wait.stop()
             self.dispatch()
             return True
-        if not self._has_room(server):
+        if not self._has_room(server, is_owed):
             return False
         self._wait.stop()
         self._assign_or_send(server)
@@ -235,6 +289,11 @@
 
         A repeated request avoids servers that the coordinator does not know.
         """
+        if not self._is_charged:
+            self._is_charged = True
+            self._dependencies.room.on_sent(self)
+        if self.is_fair:
+            self._dependencies.admission.on_fair_sent(self.target)
         request = self.request
         query = assignment_client.PromptQuery(
             *self.target,
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -7,7 +7,7 @@
 
 from balsamwall.gateway import admission
 from balsamwall.gateway import residency_waits
-from balsamwall.gateway import room_queue
+from balsamwall.gateway import room_waiter
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -21,7 +21,7 @@
 _Code = result_code.ResultCode
 
 
-class WaitingRequest(residency_waits.Waiter, room_queue.RoomWaiter, Protocol):
+class WaitingRequest(residency_waits.Waiter, room_waiter.RoomWaiter, Protocol):
     """Represent a request that can be queued for a model and for room."""
 
     @property
@@ -91,24 +91,52 @@
         latest.
         """
         handler, dependencies = self._handler, self._dependencies
+        if handler.is_fair:
+            expected_ms, is_refused = self._fair_forecast()
+        else:
+            service, model, _ = handler.target
+            expected_ms = dependencies.forecast.until_room_ms(
+                service,
+                model or service,
+                dependencies.directory.holders(*handler.target),
+                dependencies.limits.rate_of_process,
+            )
+            is_refused = not admission.is_urgent(
+                handler.priority
+            ) and dependencies.wait_policy.is_queue_too_long(
+                handler.route.caller_timeout_ms, expected_ms
+            )
+        if is_refused:
+            detail = f"expected wait for room is {expected_ms} ms"
+            self._refuse(_Code.QUEUE_FULL, detail, expected_ms)
+            return
+        self._is_for_room = True
+        self._begin(remaining_ms)
+        dependencies.room.add(handler)
+
+    def _fair_forecast(self) -> tuple[int, bool]:
+        """Return the expected wait in the fair order and whether to refuse.
+
+        Urgent requests are refused as well: one that waits behind the backlog
+        of its own workspace would be late, and delay the others.
+        """
+        handler, dependencies = self._handler, self._dependencies
         service, model, _ = handler.target
-        expected_ms = dependencies.forecast.until_room_ms(
+        room = dependencies.room
+        expected_ms = dependencies.forecast.until_turn_ms(
             service,
             model or service,
             dependencies.directory.holders(*handler.target),
             dependencies.limits.rate_of_process,
+            room.position(handler),
         )
-        is_urgent = handler.priority <= admission.URGENT_PRIORITY
-        is_too_long = dependencies.wait_policy.is_queue_too_long(
-            handler.route.caller_timeout_ms, expected_ms
+        is_refused = dependencies.wait_policy.is_turn_too_late(
+            handler.route,
+            expected_ms,
+            handler.on_time_until_ms - self._clock.now_ms(),
+            room.busy_ms(handler.target),
         )
-        if is_too_long and not is_urgent:
-            detail = f"expected wait for room is {expected_ms} ms"
-            self._refuse(_Code.QUEUE_FULL, detail, expected_ms)
-            return
-        self._is_for_room = True
-        self._begin(remaining_ms)
-        dependencies.room.add(handler)
+        return expected_ms, is_refused
 
     def stop(self) -> None:
         """End the wait, if there is one, and add it to the totals."""
--- a/src/balsamwall/gateway/residency_waits.py
+++ b/src/balsamwall/gateway/residency_waits.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import room_waiter
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -27,8 +29,8 @@
     """Represent a request that waits for a model."""
 
     @property
-    def priority(self) -> int:
-        """Return the priority, 0 is the most urgent."""
+    def priority(self) -> room_waiter.Priority:
+        """Return the priority, the lowest is the most urgent."""
 
     def on_resident(self, delay_ms: int) -> None:
         """Handle that a server holds the model; send after a delay."""
@@ -122,7 +124,9 @@
             if not server.has(wanted.model, wanted.adapter):
                 continue
             waiters = self._waiting.pop(wanted, [])
-            waiters.sort(key=lambda waiter: waiter.priority)
+            waiters.sort(
+                key=lambda waiter: room_waiter.priority_key(waiter.priority)
+            )
             delays_ms = self._pacing.delays_ms(
                 len(waiters), self._fleet_counts.get(wanted.model, 0)
             )
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import bisect
-from typing import Protocol
+import heapq
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import fair_order
+from balsamwall.gateway import room_waiter
+
 if TYPE_CHECKING:
     from balsamwall.timing import clock as clock_module
 
@@ -13,66 +16,87 @@
 RETRY_INTERVAL_MS = 20
 
 
-class RoomWaiter(Protocol):
-    """Represent a request that waits for room at a server."""
-
-    @property
-    def priority(self) -> int:
-        """Return the priority, 0 is the most urgent."""
-
-    @property
-    def arrived_ms(self) -> int:
-        """Return when the request arrived."""
-
-    @property
-    def target(self) -> tuple[str, str, str]:
-        """Return service, model and adapter."""
-
-    def try_send(self) -> bool:
-        """Send the request if a server has room.
-
-        Return whether the request has left the queue.
-        """
+def _plain_rank(
+    waiter: room_waiter.RoomWaiter,
+) -> tuple[room_waiter.PriorityKey, int]:
+    """Return the rank by priority, then by time of arrival."""
+    return room_waiter.priority_key(waiter.priority), waiter.arrived_ms
 
 
 class RoomQueue:
-    """Order waiting requests by priority, then by time of arrival."""
+    """Order waiting requests, and retry them while they wait.
+
+    Requests that are ordered fairly keep the order of `FairOrder`. The others
+    are ordered by priority, then by time of arrival, also in relation to the
+    first of the former.
+    """
 
-    __slots__ = ("_clock", "_waiters", "_timer")
+    __slots__ = ("_clock", "_fair", "_members", "_timer", "_waiters")
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
-        self._waiters: list[RoomWaiter] = []
+        self._fair = fair_order.FairOrder()
+        self._waiters: list[room_waiter.RoomWaiter] = []
+        self._members: set[room_waiter.RoomWaiter] = set()
         self._timer: clock_module.Timer | None = None
 
-    def has_waiting(self, target: tuple[str, str, str], priority: int) -> bool:
+    def has_waiting(
+        self, target: room_waiter.Target, priority: room_waiter.Priority
+    ) -> bool:
         """Return whether an equally or more urgent request waits.
 
         Only requests with the same target are considered.
         """
-        return any(
-            item.target == target and item.priority <= priority
-            for item in self._waiters
-        )
+        key = room_waiter.priority_key(priority)
+        if self._fair.has_waiting(target, key):
+            return True
+        for item in self._waiters:
+            if room_waiter.priority_key(item.priority) > key:
+                return False
+            if item.target == target:
+                return True
+        return False
 
-    def add(self, waiter: RoomWaiter) -> None:
+    def add(self, waiter: room_waiter.RoomWaiter) -> None:
         """Add a request and start the periodic retries."""
-        bisect.insort(
-            self._waiters,
-            waiter,
-            key=lambda item: (item.priority, item.arrived_ms),
-        )
+        if waiter.is_fair:
+            self._fair.add(waiter, self._clock.now_ms())
+        else:
+            bisect.insort(self._waiters, waiter, key=_plain_rank)
+            self._members.add(waiter)
         if self._timer is None:
             self._schedule()
 
-    def remove(self, waiter: RoomWaiter) -> None:
+    def remove(self, waiter: room_waiter.RoomWaiter) -> None:
         """Remove a request, if it waits."""
-        if waiter in self._waiters:
+        if waiter in self._members:
+            self._members.remove(waiter)
             self._waiters.remove(waiter)
+        else:
+            self._fair.remove(waiter)
+
+    def on_sent(self, waiter: room_waiter.RoomWaiter) -> None:
+        """Charge a request that is being sent, whether it waited or not."""
+        if waiter.is_fair:
+            self._fair.on_sent(waiter)
+
+    def position(self, waiter: room_waiter.RoomWaiter) -> fair_order.Position:
+        """Return the place that a fairly ordered request would get."""
+        return self._fair.position(waiter)
+
+    def count(self, target: room_waiter.Target) -> int:
+        """Return how many fairly ordered requests wait for a target."""
+        return self._fair.count(target)
 
-    def counts(self) -> dict[tuple[str, str, str], int]:
+    def busy_ms(self, target: room_waiter.Target) -> int:
+        """Return for how long fairly ordered requests have waited."""
+        return self._fair.busy_ms(target, self._clock.now_ms())
+
+    def counts(self) -> dict[room_waiter.Target, int]:
         """Return the number of waiting requests by target."""
-        counts: dict[tuple[str, str, str], int] = {}
+        counts = {
+            target: self._fair.count(target) for target in self._fair.targets
+        }
         for item in self._waiters:
             counts[item.target] = counts.get(item.target, 0) + 1
         return counts
@@ -86,11 +110,69 @@
         If one finds no room, the others with the same target are skipped.
         """
         self._timer = None
-        full: set[tuple[str, str, str]] = set()
+        full: set[room_waiter.Target] = set()
+        if self._fair:
+            self._fair.advance(self._clock.now_ms())
+            self._send_owed(full)
+        heads = _Heads(self._fair, full)
         for item in list(self._waiters):
-            if item.target in full or item not in self._waiters:
+            heads.send_before(_plain_rank(item))
+            if item.target in full or item not in self._members:
                 continue
             if not item.try_send():
                 full.add(item.target)
-        if self._waiters:
+        heads.send_before(None)
+        if self._waiters or self._fair:
             self._schedule()
+
+    def _send_owed(self, full: set[room_waiter.Target]) -> None:
+        """Send the oldest requests of the targets that owe them a send."""
+        for item in self._fair.owed():
+            target = item.target
+            if item.try_send(is_owed=True):
+                self._fair.settle_owed(target)
+            else:
+                full.add(target)
+
+
+class _Heads:
+    """Send fairly ordered requests, the first of each target at a time."""
+
+    __slots__ = ("_fair", "_full", "_heap", "_tried")
+
+    def __init__(
+        self, fair: fair_order.FairOrder, full: set[room_waiter.Target]
+    ) -> None:
+        self._fair = fair
+        self._full = full
+        self._heap: list[tuple[fair_order.Rank, room_waiter.RoomWaiter]] = []
+        # A request that was sent and waits again is not tried once more.
+        self._tried: set[room_waiter.RoomWaiter] = set()
+        for target in fair.targets:
+            if target not in full:
+                self._push(target)
+
+    def send_before(
+        self, rank: tuple[room_waiter.PriorityKey, int] | None
+    ) -> None:
+        """Try the requests that rank before another one, or all of them."""
+        while self._heap:
+            item = self._heap[0][1]
+            if rank is not None and _plain_rank(item) > rank:
+                return
+            heapq.heappop(self._heap)
+            target = item.target
+            if target in self._full or item in self._tried:
+                continue
+            self._tried.add(item)
+            if item not in self._fair:
+                self._push(target)
+            elif item.try_send():
+                self._push(target)
+            else:
+                self._full.add(target)
+
+    def _push(self, target: room_waiter.Target) -> None:
+        head = self._fair.head(target)
+        if head is not None:
+            heapq.heappush(self._heap, head)
--- a/src/balsamwall/gateway/wait_forecast.py
+++ b/src/balsamwall/gateway/wait_forecast.py
@@ -9,6 +9,7 @@
     from collections.abc import Iterable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import fair_order
     from balsamwall.timing import clock as clock_module
 
 # A report older than this is ignored. The coordinator reports several times a
@@ -18,6 +19,8 @@
 DEFAULT_STREAM_MS = 2_500.0
 # Weight of the latest stream in the moving average of durations.
 STREAM_MEAN_WEIGHT = 0.05
+# Weight of the latest response in the moving average of times to its head.
+RESPONSE_MEAN_WEIGHT = 0.05
 
 
 class WaitForecast:
@@ -28,6 +31,7 @@
         "_loads_due",
         "_queued",
         "_updated_ms",
+        "_mean_response_ms",
         "_mean_stream_ms",
     )
 
@@ -36,6 +40,7 @@
         self._loads_due: dict[str, int] = {}
         self._queued: dict[str, int] = {}
         self._updated_ms: int | None = None
+        self._mean_response_ms: dict[str, float] = {}
         self._mean_stream_ms: dict[str, float] = {}
 
     def on_state(
@@ -81,15 +86,73 @@
         limit if it is lower. The time is 0 without a recent report of the
         coordinator or without slots.
         """
+        per_s = self._rate_per_s(service, holders, limit_of)
+        if not self._is_fresh or per_s <= 0:
+            return 0
+        return int(self._queued.get(model, 0) * 1_000 / per_s)
+
+    def until_turn_ms(
+        self,
+        service: str,
+        model: str,
+        holders: Iterable[backend_directory.BackendServer],
+        limit_of: Callable[[backend_directory.BackendServer], float | None],
+        position: fair_order.Position,
+    ) -> int:
+        """Return the expected wait of a request in the fair order.
+
+        `position` is its place among the requests of this entry. The queues
+        of the other entries are assumed to have the same composition. A
+        backlog of its own workspace drains at the workspace's share of the
+        rate, as long as others compete.
+        """
+        per_s = self._rate_per_s(service, holders, limit_of)
+        if not position.queued or per_s <= 0:
+            return 0
+        queued = self._queued.get(model, 0) if self._is_fresh else 0
+        # The report of the coordinator may be older than the own queue.
+        queued = max(queued, position.queued)
+        each_ms = 1_000 / per_s * queued / position.queued
+        own_ms = each_ms * position.own / position.share
+        return int(max(each_ms * position.ahead / position.left, own_ms))
+
+    def own_part(self, model: str, own: int) -> float:
+        """Return the fraction of the queue for a model that an entry holds.
+
+        `own` is the number of requests that wait there; the next one counts.
+        """
+        queued = self._queued.get(model, 0) if self._is_fresh else 0
+        return max(1, own) / max(1, own, queued)
+
+    def stream_ms(self, service: str) -> float:
+        """Return the mean time for which a request uses a slot."""
         stream_ms = self._mean_stream_ms.get(service, DEFAULT_STREAM_MS)
+        return max(1.0, stream_ms)
+
+    def on_first_response(self, service: str, duration_ms: int) -> None:
+        """Update the mean time from a send to the head of its response."""
+        mean_ms = self._mean_response_ms.get(service, 0.0)
+        change_ms = RESPONSE_MEAN_WEIGHT * (duration_ms - mean_ms)
+        self._mean_response_ms[service] = mean_ms + change_ms
+
+    def response_ms(self, service: str) -> int:
+        """Return the expected time from a send to the head of a response."""
+        return int(self._mean_response_ms.get(service, 0.0))
+
+    def _rate_per_s(
+        self,
+        service: str,
+        holders: Iterable[backend_directory.BackendServer],
+        limit_of: Callable[[backend_directory.BackendServer], float | None],
+    ) -> float:
+        """Return the requests per second that servers can begin."""
+        stream_ms = self.stream_ms(service)
         per_s = 0.0
         for server in holders:
-            rate = server.record.slots * 1_000 / max(1.0, stream_ms)
+            rate = server.record.slots * 1_000 / stream_ms
             limit = limit_of(server)
             per_s += rate if limit is None else min(rate, limit)
-        if not self._is_fresh or per_s <= 0:
-            return 0
-        return int(self._queued.get(model, 0) * 1_000 / per_s)
+        return per_s
 
     @property
     def _is_fresh(self) -> bool:
--- a/src/balsamwall/gateway/wait_policy.py
+++ b/src/balsamwall/gateway/wait_policy.py
@@ -7,6 +7,8 @@
 if TYPE_CHECKING:
     import random
 
+    from balsamwall.gateway import route as route_module
+
 # Longest total wait, in per cent of the caller's timeout. After it, the
 # response states when to retry instead.
 MAX_WAIT_PERCENT = 70
@@ -23,6 +25,11 @@
 RETRY_AFTER_JITTER = 0.5
 
 
+def half_timeout_ms(caller_timeout_ms: int) -> int:
+    """Return the wait after which fairly ordered requests are aged."""
+    return caller_timeout_ms // 2
+
+
 class WaitPolicy:
     """Limit waits to loads and queues that finish within the timeout.
 
@@ -65,6 +72,25 @@
         """Return whether the expected wait exceeds the longest wait."""
         return expected_ms > self.max_wait_ms(caller_timeout_ms)
 
+    def is_turn_too_late(
+        self,
+        route: route_module.Route,
+        expected_ms: int,
+        on_time_ms: int,
+        busy_ms: int,
+    ) -> bool:
+        """Return whether a fairly ordered request can't be sent in time.
+
+        A burst may wait for half of the timeout, after which requests are
+        ordered by arrival. In a queue that has lasted for longer, each request
+        would be late by then, and as many are sent if the queue is short: it
+        is limited to `on_time_ms`, the time left to meet the target.
+        """
+        half_ms = half_timeout_ms(route.caller_timeout_ms)
+        if busy_ms > half_ms:
+            return expected_ms > max(0, min(half_ms, on_time_ms))
+        return expected_ms > half_ms
+
     def retry_after_ms(self, expected_ms: int | None) -> int:
         """Return the Retry-After time for a refused caller.
 
