Hold the fair order with 30 entries under twice the load

Cause: with 30 entries that see the same room in a report, each sent as if it were alone, so that engines held twice their slots and urgent requests waited there. Old requests of a large workspace, ordered before all others, took the turns of the small ones.

Change: requests that are not urgent use an equal part of the reported room for each entry, old requests return to the order of arrival within the turns of their workspace, and the forecast counts what is ahead by the counters.

--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -26,7 +26,7 @@
 # Slots that are left to urgent requests while both kinds compete, as a
 # fraction of all slots. The next urgent request then begins at once, not when
 # a stream has ended.
-URGENT_RESERVE = 1 / 16
+URGENT_RESERVE = 1 / 8
 # An entry with a thirtieth of the traffic sees an urgent request of a busy
 # service several times in this period.
 URGENT_MEMORY_MS = 1_000
--- a/src/balsamwall/gateway/fair_order.py
+++ b/src/balsamwall/gateway/fair_order.py
@@ -17,6 +17,11 @@
 
 # Weight of the latest request in the mean cost of a service.
 COST_MEAN_WEIGHT = 0.05
+# Requests by which an idle workspace stays below the lowest counter. An entry
+# with a part of the traffic sees a small workspace seldom: without the credit
+# all workspaces are idle there between their requests, and those that ask for
+# more than their share are served like those that ask for less.
+SPARSE_CREDIT_REQUESTS = 2
 
 _K = TypeVar("_K")
 
@@ -70,7 +75,7 @@
         self._sequence = 0
         # By service: tokens served to each workspace.
         self._served: dict[str, dict[str, float]] = {}
-        # By service: the counter of the workspace that was served last.
+        # By service: the lowest counter of those that waited last.
         self._virtual: dict[str, float] = {}
         # By service and workspace: tokens served for each target.
         self._served_models: dict[
@@ -175,8 +180,6 @@
         entry = queue.head() if queue else None
         if entry is None:
             return None
-        if entry.stage is fair_queue.Stage.AGED:
-            return (entry.key, entry.stage, 0.0, 0.0, entry.rank), entry.waiter
         served = self._served[target[0]][entry.workspace]
         of_model = self._served_models[target[0], entry.workspace][target]
         key = (entry.key, entry.stage, served, of_model, entry.rank)
@@ -219,9 +222,10 @@
             return
         self._lift(target, workspace)
         served = self._served[service]
-        self._virtual[service] = max(
-            self._virtual.get(service, 0.0), served[workspace]
-        )
+        # The lowest of the waiting ones, not the one served: urgent and old
+        # requests of a large workspace are sent at any counter.
+        lowest = min(served[name] for name in self._waiting[service])
+        self._virtual[service] = max(self._virtual.get(service, 0.0), lowest)
         served[workspace] += cost
         self._served_models[service, workspace][target] += cost
 
@@ -265,12 +269,14 @@
         return ahead
 
     def _lowest(self, service: str) -> float:
-        """Return the lowest counter of those that compete for a service."""
+        """Return the counter to which an idle workspace is raised."""
         served = self._served[service]
-        return min(
+        lowest = min(
             (served[name] for name in self._waiting[service]),
             default=self._virtual.get(service, 0.0),
         )
+        mean = self._mean_cost.get(service, 0.0)
+        return lowest - SPARSE_CREDIT_REQUESTS * mean
 
     def _lift(self, target: room_waiter.Target, workspace: str) -> None:
         """Raise counters that stood still to the lowest that compete."""
@@ -291,14 +297,13 @@
         """Put a request into its stage and schedule the next one."""
         waiter = entry.waiter
         change_ms = None
-        if now_ms >= waiter.aged_at_ms:
-            entry.stage = fair_queue.Stage.AGED
-        elif now_ms > waiter.on_time_until_ms:
-            entry.stage = fair_queue.Stage.LATE
-            change_ms = waiter.aged_at_ms
-        else:
-            entry.stage = fair_queue.Stage.ON_TIME
-            change_ms = min(waiter.on_time_until_ms + 1, waiter.aged_at_ms)
+        entry.stage = fair_queue.Stage.REGULAR
+        if now_ms < waiter.aged_at_ms:
+            if now_ms > waiter.on_time_until_ms:
+                entry.stage = fair_queue.Stage.LATE
+                change_ms = waiter.aged_at_ms
+            elif waiter.on_time_until_ms < waiter.aged_at_ms:
+                change_ms = waiter.on_time_until_ms + 1
         if change_ms is not None:
             change = (change_ms, entry.rank[1], entry)
             heapq.heappush(self._changes, change)
--- a/src/balsamwall/gateway/fair_queue.py
+++ b/src/balsamwall/gateway/fair_queue.py
@@ -15,9 +15,11 @@
 class Stage(enum.IntEnum):
     """State how a request is ordered among those of its priority."""
 
-    AGED = 0  # by arrival, after half of the caller's timeout
-    ON_TIME = 1
-    LATE = 2  # the target of the first event can no longer be met
+    # On time, or half of the caller's timeout has passed: by arrival in the
+    # turns of the workspace. Ahead of those of all workspaces, the old
+    # requests of a large one would take its turns and those of the others.
+    REGULAR = 0
+    LATE = 1  # the target of the first event can no longer be met
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -29,7 +31,7 @@
     key: room_waiter.PriorityKey
     target: room_waiter.Target
     workspace: str
-    stage: Stage = Stage.ON_TIME
+    stage: Stage = Stage.REGULAR
     is_removed: bool = False
 
     def __lt__(self, other: Entry) -> bool:
@@ -39,25 +41,21 @@
 class Level:
     """Order the requests for one target that have the same priority."""
 
-    __slots__ = ("_aged", "_flows", "_served", "_turns", "counts")
+    __slots__ = ("_flows", "_served", "_turns", "counts")
 
     def __init__(self, served: dict[str, float]) -> None:
         self._served = served
-        self._aged: list[Entry] = []
         self._flows: dict[tuple[Stage, str], list[Entry]] = {}
         # By stage: a heap of counter, rank and workspace. Counters only grow,
         # so that an outdated row is corrected when it becomes the lowest.
         self._turns: dict[Stage, list[tuple[float, tuple[int, int], str]]] = {
-            Stage.ON_TIME: [],
+            Stage.REGULAR: [],
             Stage.LATE: [],
         }
         self.counts: collections.Counter[str] = collections.Counter()
 
     def push(self, entry: Entry) -> None:
         """Add a request in its stage."""
-        if entry.stage is Stage.AGED:
-            heapq.heappush(self._aged, entry)
-            return
         key = entry.stage, entry.workspace
         flow = self._flows.get(key)
         if flow is None:
@@ -68,9 +66,6 @@
 
     def head(self) -> Entry | None:
         """Return the request to send next."""
-        aged = first(self._aged, Stage.AGED)
-        if aged is not None:
-            return aged
         for stage, turns in self._turns.items():
             while turns:
                 counter, _, workspace = turns[0]
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -168,6 +168,11 @@
         self._entries = max(1, entries)
         self._budgets: dict[str, retry_budget_module.RetryBudget] = {}
 
+    @property
+    def entries(self) -> int:
+        """Return the number of entries of the fleet."""
+        return self._entries
+
     def set_entries(self, entries: int) -> None:
         """Set the number of entries that share the retry budget."""
         self._entries = max(1, entries)
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -252,7 +252,11 @@
             server,
             self,
             lambda: dependencies.directory.holders(*self.target),
-            forecast.own_part(model, dependencies.room.count(self.target)),
+            forecast.own_part(
+                model,
+                dependencies.room.count(self.target),
+                dependencies.entries,
+            ),
             forecast.stream_ms(service),
             is_owed,
         )
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -129,6 +129,7 @@
             dependencies.directory.holders(*handler.target),
             dependencies.limits.rate_of_process,
             room.position(handler),
+            dependencies.entries,
         )
         is_refused = dependencies.wait_policy.is_turn_too_late(
             handler.route,
--- a/src/balsamwall/gateway/wait_forecast.py
+++ b/src/balsamwall/gateway/wait_forecast.py
@@ -98,31 +98,32 @@
         holders: Iterable[backend_directory.BackendServer],
         limit_of: Callable[[backend_directory.BackendServer], float | None],
         position: fair_order.Position,
+        entries: int,
     ) -> int:
         """Return the expected wait of a request in the fair order.
 
-        `position` is its place among the requests of this entry. The queues
-        of the other entries are assumed to have the same composition. A
+        `position` is its place among the requests of this entry, which gets an
+        equal part of the rate with the other entries that have a queue. A
         backlog of its own workspace drains at the workspace's share of the
         rate, as long as others compete.
         """
         per_s = self._rate_per_s(service, holders, limit_of)
         if not position.queued or per_s <= 0:
             return 0
-        queued = self._queued.get(model, 0) if self._is_fresh else 0
-        # The report of the coordinator may be older than the own queue.
-        queued = max(queued, position.queued)
-        each_ms = 1_000 / per_s * queued / position.queued
+        part = self.own_part(model, position.queued, entries)
+        each_ms = 1_000 / (per_s * part)
         own_ms = each_ms * position.own / position.share
         return int(max(each_ms * position.ahead / position.left, own_ms))
 
-    def own_part(self, model: str, own: int) -> float:
-        """Return the fraction of the queue for a model that an entry holds.
+    def own_part(self, model: str, own: int, entries: int) -> float:
+        """Return the part of the room for a model that an entry may use.
 
-        `own` is the number of requests that wait there; the next one counts.
+        `own` is the number of requests that wait there. The parts of entries
+        with a queue are equal: in proportion to the queues, a request of a
+        small workspace would wait as long as the backlog of a large one.
         """
         queued = self._queued.get(model, 0) if self._is_fresh else 0
-        return max(1, own) / max(1, own, queued)
+        return 1.0 / max(1, min(entries, max(own, queued)))
 
     def stream_ms(self, service: str) -> float:
         """Return the mean time for which a request uses a slot."""
