--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -112,6 +112,7 @@
         "directory",
         "forecast",
         "health",
+        "is_fair_service",
         "limits",
         "log",
         "metrics",
@@ -170,17 +171,24 @@
         self.metrics = metrics
         self.retry_policy = retry_policy_module.RetryPolicy()
         self.assignments = assignment_client.AssignmentClient(clock)
-        self.admission = admission_module.Admission(clock)
+        self.admission = admission_module.Admission(clock, random_source)
         self.room = room_queue.RoomQueue(clock)
         self.forecast = wait_forecast.WaitForecast(clock)
         self.limits = limits
         self.quotas = quotas
+        # Whether requests of a service without a workspace are ordered fairly.
+        self.is_fair_service: Callable[[str], bool] = lambda service: False
         self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
         self._retry_settings = retry_settings
         self._entries = max(1, entries)
         self._budgets: dict[str, retry_budget_module.RetryBudget] = {}
 
+    @property
+    def entries(self) -> int:
+        """Return the number of entries of the fleet."""
+        return self._entries
+
     def set_entries(self, entries: int) -> None:
         """Set the number of entries that share the retry budget."""
         self._entries = max(1, entries)
@@ -251,6 +259,11 @@
         """Record the time to the head of the response."""
         waited_ms = self.clock.now_ms() - handler.arrived_ms
         self.metrics.observe_first_response(handler.route.name, waited_ms)
+        if handler.choice is not None and handler.choice.server is not None:
+            self.forecast.on_first_response(
+                handler.choice.server.record.service,
+                waited_ms - handler.waited_ms,
+            )
 
     def on_attempt_failed(
         self,
