Return quota to the workspace that was charged, and join the parts' tests

Cause: a request is authenticated again before each send, and its workspace may be gone from the configuration when it ends; its cost was not returned then.

Change: the gate keeps the name of the workspace that it has charged.

--- a/src/balsamwall/gateway/quota_gate.py
+++ b/src/balsamwall/gateway/quota_gate.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_charged",
+        "_charged_workspace",
         "_handler",
         "_on_admitted",
         "_on_refused",
@@ -57,6 +58,8 @@
         self._on_admitted = on_admitted
         self._on_refused = on_refused
         self._charged = 0
+        # The workspace of the request may change with the configuration.
+        self._charged_workspace = ""
         self._unsent = 0  # attempts given up before they were sent
         self._wait: workspace_balance.QuotaWait | None = None
 
@@ -71,6 +74,7 @@
         def on_decided(outcome: workspace_quotas.QuotaOutcome) -> None:
             if outcome.is_admitted:
                 self._charged = cost
+                self._charged_workspace = workspace.name
                 self._on_admitted()
             else:
                 self._refuse(workspace.name, cost, outcome)
@@ -89,9 +93,8 @@
             self._wait.cancel()
         not_run = history.refused + history.failed_connects + self._unsent
         charged, self._charged = self._charged, 0
-        workspace = self._handler.workspace
-        if charged and workspace is not None and sends <= not_run:
-            self._quotas.put_back(workspace.name, charged)
+        if charged and sends <= not_run:
+            self._quotas.put_back(self._charged_workspace, charged)
 
     def _refuse(
         self,
--- a/tests/gateway/test_request_priority.py
+++ b/tests/gateway/test_request_priority.py
@@ -101,13 +101,13 @@
     """Request that waits until the test lets it go."""
 
     target = ("app", "m1", "")
+    is_fair = False
 
     def __init__(self, rank, arrived_ms, sent):
-        self.rank, self.arrived_ms, self.sent = rank, arrived_ms, sent
-        self.priority = rank[0]
+        self.priority, self.arrived_ms, self.sent = rank, arrived_ms, sent
 
-    def try_send(self):
-        self.sent.append((self.rank, self.arrived_ms))
+    def try_send(self, is_owed=False):
+        self.sent.append((self.priority, self.arrived_ms))
         self.queue.remove(self)
         return True
 
