--- a/src/balsamwall/gateway/quota_gate.py
+++ b/src/balsamwall/gateway/quota_gate.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import admission
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -12,6 +13,7 @@
 
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import retry_policy
+    from balsamwall.gateway import route as route_module
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.gateway import workspace_balance
     from balsamwall.gateway import workspace_quotas
@@ -21,6 +23,7 @@
     """Represent a request that may belong to a workspace."""
 
     request: incoming_request.IncomingRequest
+    route: route_module.Route
     workspace: workspace_module.Workspace | None
 
     @property
@@ -79,7 +82,10 @@
             else:
                 self._refuse(workspace.name, cost, outcome)
 
-        self._wait = self._quotas.request(workspace, cost, on_decided)
+        is_urgent = admission.is_urgent(self._handler.route.priority)
+        self._wait = self._quotas.request(
+            workspace, cost, on_decided, is_urgent
+        )
 
     def on_unsent(self) -> None:
         """Record that an attempt was given up before it was sent."""
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -112,7 +112,6 @@
         "directory",
         "forecast",
         "health",
-        "is_fair_service",
         "limits",
         "log",
         "metrics",
@@ -176,8 +175,6 @@
         self.forecast = wait_forecast.WaitForecast(clock)
         self.limits = limits
         self.quotas = quotas
-        # Whether requests of a service without a workspace are ordered fairly.
-        self.is_fair_service: Callable[[str], bool] = lambda service: False
         self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
         self._retry_settings = retry_settings
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -129,10 +129,7 @@
     @property
     def is_fair(self) -> bool:
         """Return whether the request is ordered fairly across workspaces."""
-        has_workspace = self._handler.workspace is not None
-        return has_workspace or self._dependencies.is_fair_service(
-            self._service
-        )
+        return self._handler.workspace is not None
 
     @property
     def workspace_name(self) -> str:
--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -28,6 +28,11 @@
 # A workspace that was scarce this short a time before the coordinator was
 # lost admits no request in advance.
 SCARCE_MEMORY_MS = 10_000
+# While a workspace is scarce, requests that are not urgent leave what remains
+# to urgent ones: for this time after the last response that said so, and only
+# if an urgent request has come within the other time.
+YIELD_MS = 1_000
+URGENT_MEMORY_MS = 1_000
 # Part of the sum allowed in a window by which it may be exceeded.
 OVERSHOOT = 0.1
 # Tokens by which it may be exceeded besides.
@@ -40,6 +45,7 @@
 BY_COORDINATOR = "coordinator"
 BY_LOCAL_SHARE = "local share"
 BY_SIZE = "its size"
+BY_URGENCY = "urgent requests of the workspace"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -88,8 +94,11 @@
     __slots__ = (
         "_clock",
         "_denied_cost",
+        "_is_scarce",
+        "_response_ms",
         "_room_due_ms",
         "_scarce_ms",
+        "_urgent_ms",
         "_used",
         "granted",
         "is_asking",
@@ -119,6 +128,9 @@
         self.timer: clock_module.Timer | None = None
         self.waiting: collections.deque[QuotaWait] = collections.deque()
         self._scarce_ms: int | None = None  # of the last response that said so
+        self._is_scarce = False  # as the last response said
+        self._response_ms: int | None = None
+        self._urgent_ms: int | None = None  # of the last urgent request
         # After a denial: when room is expected, and when to ask again.
         self._room_due_ms = 0
         self.query_due_ms = 0
@@ -142,6 +154,27 @@
             return True
         return self._clock.now_ms() - self._scarce_ms > SCARCE_MEMORY_MS
 
+    @property
+    def is_kept_for_urgent(self) -> bool:
+        """Return whether what is left of the quota goes to urgent requests.
+
+        A workspace that exceeds its quota would otherwise lose urgent requests
+        in the same part as those that can wait.
+        """
+        if not self._is_scarce or self._response_ms is None:
+            return False
+        if self._urgent_ms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        return (
+            now_ms - self._response_ms <= YIELD_MS
+            and now_ms - self._urgent_ms <= URGENT_MEMORY_MS
+        )
+
+    def on_urgent(self) -> None:
+        """Record that an urgent request has come."""
+        self._urgent_ms = self._clock.now_ms()
+
     @property
     def tolerance(self) -> float:
         """Return by how much requests in a window may exceed the limit."""
@@ -164,8 +197,10 @@
 
     def on_response(self, is_scarce: bool) -> None:
         """Record what a response tells of the workspace."""
+        self._response_ms = self._clock.now_ms()
+        self._is_scarce = is_scarce
         if is_scarce:
-            self._scarce_ms = self._clock.now_ms()
+            self._scarce_ms = self._response_ms
 
     def is_denied(self, cost: int) -> bool:
         """Return whether there is no room yet for a cost.
--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -106,6 +106,7 @@
         workspace: workspace_module.Workspace,
         cost: int,
         on_decided: Callable[[QuotaOutcome], None],
+        is_urgent: bool = True,
     ) -> workspace_balance.QuotaWait:
         """Charge a request or refuse it; the call back may be immediate."""
         end_ms = self._clock.now_ms() + workspace_balance.MAX_WAIT_MS
@@ -121,6 +122,13 @@
             wait.decide(QuotaOutcome(False, never_ms, reason))
             return wait
         balance = self._balance(workspace.name, quota)
+        if is_urgent:
+            balance.on_urgent()
+        elif balance.is_kept_for_urgent:
+            reason = workspace_balance.BY_URGENCY
+            yield_ms = workspace_balance.YIELD_MS
+            wait.decide(QuotaOutcome(False, yield_ms, reason))
+            return wait
         if balance.granted.take(cost):
             balance.admit(wait)
             return wait
