Move the attempts of a request to their own module

Change: RequestAttempts in gateway/request_attempts.py sends the attempts, keeps the current one with its pending tokens and event deadline, and the history of the others. The end of a request reads its number of sends and its meter there. Behaviour does not change.

--- /dev/null
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -0,0 +1,176 @@
+"""Send the attempts of one request, and record their outcomes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import event_deadline
+from balsamwall.gateway import outgoing_request
+from balsamwall.gateway import retry_policy
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import quota_gate
+    from balsamwall.gateway import request_dependencies
+    from balsamwall.gateway import request_handler
+    from balsamwall.gateway import stream_meter
+
+
+class RequestAttempts:
+    """Keep the current attempt of a request and the history of the others.
+
+    At most one attempt is current. A server counts its prompt as pending until
+    the response begins or the attempt ends.
+    """
+
+    __slots__ = (
+        "_dependencies",
+        "_exchange",
+        "_handler",
+        "_pending_tokens",
+        "_quota",
+        "_service",
+        "current",
+        "event_deadline",
+        "history",
+        "meter",
+        "sends",
+    )
+
+    def __init__(
+        self,
+        dependencies: request_dependencies.RequestDependencies,
+        handler: request_handler.RequestHandler,
+        exchange: caller_exchange.CallerExchange,
+        service: str,
+        quota: quota_gate.QuotaGate,
+    ) -> None:
+        self._dependencies = dependencies
+        self._handler = handler
+        self._exchange = exchange
+        self._service = service
+        self._quota = quota
+        self._pending_tokens = 0
+        self.current: attempt_module.Attempt | None = None
+        self.event_deadline = event_deadline.EventDeadline(
+            dependencies.clock,
+            handler.route.event_timeout_ms,
+            self._on_stalled,
+        )
+        self.history = retry_policy.AttemptHistory()
+        self.meter: stream_meter.StreamMeter | None = None  # of the last send
+        self.sends = 0
+
+    def send(self, server: backend_directory.BackendServer) -> None:
+        """Send the request to a server as the current attempt."""
+        dependencies, handler = self._dependencies, self._handler
+        attempt = attempt_module.Attempt(
+            server,
+            dependencies.codec,
+            outgoing_request.build(
+                dependencies, handler, self._exchange, server
+            ),
+            handler,
+            dependencies.clock,
+            dependencies.limits,
+        )
+        attempt.meter = self.meter = dependencies.choice.meter(
+            server, handler.request, handler.route
+        )
+        reason = "retry" if self.sends else "first"
+        dependencies.metrics.count_send(
+            "resume" if handler.has_begun else reason
+        )
+        self.sends += 1
+        handler.body.on_sent()
+        self.current = attempt
+        server.on_sent()
+        self._pending_tokens = handler.request.prompt_tokens
+        server.pending_tokens += self._pending_tokens
+        dependencies.choice.record_sent(server, handler.request)
+        is_fresh = outgoing_request.needs_new_connection(
+            handler.route, self.sends
+        )
+        attempt.start(dependencies.pool, is_fresh, handler.route.is_repeatable)
+
+    def release_pending_tokens(self) -> None:
+        """Subtract the prompt from the server's pending tokens."""
+        if self.current is not None:
+            self.current.server.pending_tokens -= self._pending_tokens
+        self._pending_tokens = 0
+
+    def may_retry(self, failure: attempt_module.AttemptFailure) -> bool:
+        """Record a failed attempt; return whether to send again."""
+        self.history.record_failure(failure)
+        return self._dependencies.retry_policy.may_retry(
+            self._handler.route,
+            self.history,
+            failure,
+            self._handler.left_ms,
+            self._dependencies.retry_budget_for(self._service),
+        )
+
+    def finish(self, is_failure: bool) -> None:
+        """Record the outcome of the current attempt and clear it."""
+        attempt = self.current
+        if attempt is None:
+            return
+        self._clear(attempt)
+        self._dependencies.health.on_outcome(attempt.server, is_failure)
+
+    def abandon(self, is_failure: bool) -> None:
+        """Cancel the current attempt, if there is one."""
+        attempt = self.current
+        if attempt is None:
+            return
+        if attempt.is_sent:
+            self.history.record_failure(
+                attempt_module.AttemptFailure.ABANDONED
+            )
+        else:
+            self._quota.on_unsent()
+        self.finish(is_failure)
+        attempt.abandon()
+
+    def on_caller_disconnected(self) -> None:
+        """Cancel the attempt of a stream or of a repeatable request.
+
+        The outcome of another one matters although the caller is gone, so the
+        server is left to finish it.
+        """
+        attempt, route = self.current, self._handler.route
+        if attempt is None:
+            return
+        self._clear(attempt)
+        if route.is_stream or route.is_repeatable:
+            if not attempt.is_sent:
+                self._quota.on_unsent()
+            attempt.abandon()
+        else:
+            attempt.detach(self._handler.left_ms)
+
+    def set_blocked(self, is_blocked: bool) -> None:
+        """Apply the caller's back-pressure to the backend connection."""
+        self.event_deadline.set_blocked(is_blocked)
+        if self.current is not None:
+            self.current.set_blocked(is_blocked)
+
+    def _clear(self, attempt: attempt_module.Attempt) -> None:
+        """Count the current attempt no more at its server."""
+        self.event_deadline.stop()
+        self.release_pending_tokens()
+        self.current = None
+        attempt.server.on_ended()
+
+    def _on_stalled(self) -> None:
+        """Fail the attempt of a stream whose server completes no event."""
+        attempt = self.current
+        if attempt is not None:
+            attempt.abandon()
+            self._handler.on_failed(
+                attempt,
+                attempt_module.AttemptFailure.STALLED,
+                "no event within the caller's timeout",
+            )
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -29,12 +29,12 @@
     from balsamwall.gateway import fingerprints as fingerprints_module
     from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import request_attempts
     from balsamwall.gateway import response_body
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
     from balsamwall.gateway import server_health
     from balsamwall.gateway import server_limits
-    from balsamwall.gateway import stream_meter
     from balsamwall.gateway import stream_progress
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.gateway import workspace_quotas
@@ -50,9 +50,8 @@
     request: incoming_request.IncomingRequest
     workspace: workspace_module.Workspace | None
     progress: stream_progress.StreamProgress
-    sends: int  # times that the request was sent to a server
+    attempts: request_attempts.RequestAttempts
     body: response_body.ResponseBody
-    meter: stream_meter.StreamMeter | None
 
     @property
     def choice(self) -> server_choice.Choice | None:
@@ -301,7 +300,10 @@
         self.metrics.observe_end(handler.route.name, code, duration_ms)
         if handler.workspace is not None:
             self.metrics.workspaces.count_end(
-                handler.workspace, handler.request, code, handler.sends > 0
+                handler.workspace,
+                handler.request,
+                code,
+                handler.attempts.sends > 0,
             )
         if server is not None and handler.route.is_stream:
             served_ms = duration_ms - handler.waited_ms
@@ -321,14 +323,14 @@
             expected_ms=handler.choice.expected_ms if handler.choice else None,
             server_load=handler.choice.load if handler.choice else None,
             candidates=handler.choice.candidates if handler.choice else None,
-            learned_factor=round(handler.meter.learned, 2)
-            if handler.meter
+            learned_factor=round(handler.attempts.meter.learned, 2)
+            if handler.attempts.meter
             else None,
-            work_time=round(handler.meter.work_time, 2)
-            if handler.meter
+            work_time=round(handler.attempts.meter.work_time, 2)
+            if handler.attempts.meter
             else None,
             prompt_tokens=handler.request.prompt_tokens,
-            sends=handler.sends,
+            sends=handler.attempts.sends,
             framing=handler.body.framing.value
             if handler.body.framing
             else None,
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -6,17 +6,15 @@
 
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import authentication
-from balsamwall.gateway import event_deadline
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import incoming_request
-from balsamwall.gateway import outgoing_request
 from balsamwall.gateway import quota_gate
 from balsamwall.gateway import refusal
+from balsamwall.gateway import request_attempts
 from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import response_body
-from balsamwall.gateway import retry_policy
 from balsamwall.gateway import stream_progress
 from balsamwall.results import result_code
 
@@ -28,7 +26,6 @@
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
-    from balsamwall.gateway import stream_meter
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.timing import clock as clock_module
 
@@ -48,27 +45,22 @@
 
     __slots__ = (
         "_arrived_ms",
-        "_attempt",
         "_deadline_timer",
         "_end_ms",
         "_dispatch",
-        "_event_deadline",
         "_exchange",
         "_fingerprints",
         "_has_begun",
-        "_history",
         "_is_finished",
         "_on_finished",
         "_dependencies",
-        "_pending_tokens",
         "_quota",
         "_service",
+        "attempts",
         "body",
-        "meter",
         "progress",
         "request",
         "route",
-        "sends",
         "workspace",
     )
 
@@ -89,13 +81,8 @@
         self.workspace = workspace
         self._service = service
         self._on_finished = on_finished
-        self._history = retry_policy.AttemptHistory()
-        self._attempt: attempt_module.Attempt | None = None
         self._has_begun = False
-        self._pending_tokens = 0
         self.progress = stream_progress.StreamProgress()
-        self.sends = 0
-        self.meter: stream_meter.StreamMeter | None = None  # of the last send
         self._is_finished = False
         self._fingerprints: fingerprints_module.RequestFingerprints | None
         self._fingerprints = None
@@ -106,15 +93,15 @@
         self._arrived_ms = exchange.arrived_ms
         self._end_ms = self._arrived_ms + wait_ms
         self._deadline_timer: clock_module.Timer | None = None
-        self._event_deadline = event_deadline.EventDeadline(
-            dependencies.clock, route.event_timeout_ms, self._on_stalled
-        )
         self._dispatch = request_dispatch.RequestDispatch(
             dependencies, self, service, self._refuse
         )
         self._quota = quota_gate.QuotaGate(
             dependencies.quotas, self, self._dispatch.dispatch, self._refuse
         )
+        self.attempts = request_attempts.RequestAttempts(
+            dependencies, self, exchange, service, self._quota
+        )
 
     @property
     def fingerprints(self) -> fingerprints_module.RequestFingerprints:
@@ -155,7 +142,8 @@
     @property
     def server_id(self) -> str:
         """Return the server of the current attempt, or an empty string."""
-        return self._attempt.server.server_id if self._attempt else ""
+        attempt = self.attempts.current
+        return attempt.server.server_id if attempt else ""
 
     @property
     def waited_ms(self) -> int:
@@ -189,12 +177,12 @@
         quarantine = self._dependencies.suspects.quarantine
         if not quarantine or self._is_finished:
             return False
-        if self._attempt is not None and self.body.has_data:
+        if self.attempts.current is not None and self.body.has_data:
             return False
         content = quarantine.match(self.fingerprints.all)
         if not content:
             return False
-        self._abandon_attempt(is_failure=False)
+        self.attempts.abandon(is_failure=False)
         self._refuse(
             _Code.QUARANTINED,
             "servers crash when they respond to this content",
@@ -204,7 +192,7 @@
 
     def refuse_unauthenticated(self) -> bool:
         """End a request that is not sent yet if its key is not in force."""
-        attempt = self._attempt
+        attempt = self.attempts.current
         if self._is_finished or (attempt is not None and attempt.is_sent):
             return False
         try:
@@ -212,7 +200,7 @@
                 self.request, self.route
             )
         except authentication.AuthenticationError as error:
-            self._abandon_attempt(is_failure=False)
+            self.attempts.abandon(is_failure=False)
             self._refuse(error.code, str(error), error.retry_after_ms)
         return self._is_finished
 
@@ -222,36 +210,7 @@
         """Send the request to a server, unless it must be refused now."""
         if self.refuse_quarantined() or self.refuse_unauthenticated():
             return
-        attempt = attempt_module.Attempt(
-            server,
-            self._dependencies.codec,
-            outgoing_request.build(
-                self._dependencies, self, self._exchange, server
-            ),
-            self,
-            self._dependencies.clock,
-            self._dependencies.limits,
-        )
-        attempt.meter = self.meter = self._dependencies.choice.meter(
-            server, self.request, self.route
-        )
-        reason = "retry" if self.sends else "first"
-        self._dependencies.metrics.count_send(
-            "resume" if self._has_begun else reason
-        )
-        self.sends += 1
-        self.body.on_sent()
-        self._attempt = attempt
-        server.on_sent()
-        self._pending_tokens = self.request.prompt_tokens
-        server.pending_tokens += self._pending_tokens
-        self._dependencies.choice.record_sent(server, self.request)
-        is_fresh = outgoing_request.needs_new_connection(
-            self.route, self.sends
-        )
-        attempt.start(
-            self._dependencies.pool, is_fresh, self.route.is_repeatable
-        )
+        self.attempts.send(server)
 
     def on_response_head(
         self,
@@ -263,24 +222,24 @@
 
         When a stream is resumed, a status other than 200 cuts it off.
         """
-        if attempt is not self._attempt:
+        if attempt is not self.attempts.current:
             return
         self.body.on_head(status, attempt.framing)
         if self.body.is_event_stream:
-            self._event_deadline.start()
+            self.attempts.event_deadline.start()
         if self._has_begun:
             if status != 200:
-                self._finish_attempt(True)
+                self.attempts.finish(True)
                 attempt.abandon()
                 self._cut(
                     _Code.ANSWER_INTERRUPTED,
                     f"resuming the stream got status {status}",
                 )
             return
-        if status >= SERVER_ERROR_STATUS and self._may_retry(
+        if status >= SERVER_ERROR_STATUS and self.attempts.may_retry(
             attempt_module.AttemptFailure.INVALID
         ):
-            self._finish_attempt(True)
+            self.attempts.finish(True)
             attempt.detach(self.left_ms)
             self._dispatch.exclude(attempt.server)
             self._dispatch.dispatch()
@@ -301,7 +260,7 @@
         the loss of this process does not look like its end.
         """
         self._has_begun = True
-        self._release_pending_tokens()
+        self.attempts.release_pending_tokens()
         self._dependencies.on_first_response(self)
         length = None
         if not self.body.is_event_stream:
@@ -320,9 +279,11 @@
         Callers repeat a request after this status, and the server has not
         certified that the request did not run.
         """
-        self._finish_attempt(True)
+        self.attempts.finish(True)
         attempt.detach(self.left_ms)
-        self._history.record_failure(attempt_module.AttemptFailure.INVALID)
+        self.attempts.history.record_failure(
+            attempt_module.AttemptFailure.INVALID
+        )
         self._refuse(
             _Code.OUTCOME_UNKNOWN, f"uncertified status {status} of the server"
         )
@@ -331,19 +292,19 @@
         self, attempt: attempt_module.Attempt, data: bytes
     ) -> None:
         """Relay a part of the response body."""
-        if attempt is not self._attempt:
+        if attempt is not self.attempts.current:
             return
         now_ms = self._dependencies.clock.now_ms()
         events = self.body.event_count
         try:
             data = self.body.feed(data, now_ms)
         except event_relay.EventTooLongError as error:
-            self._finish_attempt(True)
+            self.attempts.finish(True)
             attempt.abandon()
             self._cut(_Code.ANSWER_INTERRUPTED, str(error))
             return
         if self.body.event_count > events:
-            self._event_deadline.on_event()
+            self.attempts.event_deadline.on_event()
         if data:
             self.progress.record(now_ms, self._arrived_ms)
             self._exchange.write(data)
@@ -352,14 +313,14 @@
 
     def on_done(self, attempt: attempt_module.Attempt) -> None:
         """Finish a complete response, or handle a stream that is not whole."""
-        if attempt is not self._attempt:
+        if attempt is not self.attempts.current:
             return
         fault = self.body.fault()
         if fault:
             self.on_failed(attempt, attempt.break_failure, fault)
             return
         is_failure = attempt.status >= SERVER_ERROR_STATUS
-        self._finish_attempt(is_failure)
+        self.attempts.finish(is_failure)
         if not is_failure:
             self._prove()
         self._exchange.finish()
@@ -384,10 +345,10 @@
         detail: str,
     ) -> None:
         """Retry, resume or fail the request."""
-        if attempt is not self._attempt:
+        if attempt is not self.attempts.current:
             return
         is_unread = failure is attempt_module.AttemptFailure.UNREAD
-        self._finish_attempt(not is_unread)
+        self.attempts.finish(not is_unread)
         if not is_unread:
             self._dispatch.exclude(attempt.server)
         self._dependencies.on_attempt_failed(self, attempt, failure, detail)
@@ -398,7 +359,7 @@
         if self._has_begun and not self.body.is_resumable:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
             return
-        if self._may_retry(failure):
+        if self.attempts.may_retry(failure):
             if failure is attempt_module.AttemptFailure.NOT_RUN:
                 self._dispatch.dispatch_later()
             else:
@@ -408,63 +369,11 @@
         else:
             self._refuse(_Code.BACKEND_DOWN, f"{failure.value}: {detail}")
 
-    def _on_stalled(self) -> None:
-        """Resume or cut off a stream whose server completes no event."""
-        attempt = self._attempt
-        if attempt is not None:
-            attempt.abandon()
-            self.on_failed(
-                attempt,
-                attempt_module.AttemptFailure.STALLED,
-                "no event within the caller's timeout",
-            )
-
-    def _release_pending_tokens(self) -> None:
-        """Subtract the prompt from the server's pending tokens."""
-        if self._attempt is not None:
-            self._attempt.server.pending_tokens -= self._pending_tokens
-        self._pending_tokens = 0
-
-    def _may_retry(self, failure: attempt_module.AttemptFailure) -> bool:
-        self._history.record_failure(failure)
-        return self._dependencies.retry_policy.may_retry(
-            self.route,
-            self._history,
-            failure,
-            self.left_ms,
-            self._dependencies.retry_budget_for(self._service),
-        )
-
-    def _finish_attempt(self, is_failure: bool) -> None:
-        """Record the outcome of the current attempt and clear it."""
-        attempt = self._attempt
-        if attempt is None:
-            return
-        self._event_deadline.stop()
-        self._release_pending_tokens()
-        self._attempt = None
-        attempt.server.on_ended()
-        self._dependencies.health.on_outcome(attempt.server, is_failure)
-
     # End of the request
 
-    def _abandon_attempt(self, is_failure: bool) -> None:
-        """Cancel the current attempt, if there is one."""
-        attempt = self._attempt
-        if attempt is None:
-            return
-        if attempt.is_sent:
-            self._history.record_failure(
-                attempt_module.AttemptFailure.ABANDONED
-            )
-        else:
-            self._quota.on_unsent()
-        self._finish_attempt(is_failure)
-        attempt.abandon()
-
     def on_deadline(self) -> None:
         """End the request with what is known of its outcome."""
-        self._abandon_attempt(is_failure=not self._has_begun)
+        self.attempts.abandon(is_failure=not self._has_begun)
         if self._has_begun:
             self._cut(
                 _Code.DEADLINE_EXCEEDED,
@@ -479,40 +388,25 @@
         It is called when the entry is draining. A running attempt and a
         response that has begun are left alone.
         """
-        if self._attempt is None and not self._has_begun:
+        if self.attempts.current is None and not self._has_begun:
             self._dispatch.stop_wait()
             self._refuse(_Code.LEAVING, "this entry is shutting down")
 
     def terminate(self) -> None:
         """End the request in any state, since the process is exiting."""
-        self._abandon_attempt(is_failure=False)
+        self.attempts.abandon(is_failure=False)
         self._refuse(_Code.LEAVING, "the process is exiting")
 
     def on_caller_disconnected(self) -> None:
-        """Cancel the attempt of a stream or of a repeatable request."""
-        attempt = self._attempt
-        if attempt is not None:
-            self._event_deadline.stop()
-            self._release_pending_tokens()
-            attempt.server.on_ended()
-            self._attempt = None
-            if self.route.is_stream or self.route.is_repeatable:
-                if not attempt.is_sent:
-                    self._quota.on_unsent()
-                attempt.abandon()
-            else:
-                # The outcome matters although the caller is gone, so the
-                # server is left to finish the request.
-                attempt.detach(self.left_ms)
+        """End the request; its server may be left to finish it."""
+        self.attempts.on_caller_disconnected()
         self._finish(
             _Code.CALLER_GONE, "the caller closed the connection", None
         )
 
     def on_caller_blocked(self, is_blocked: bool) -> None:
         """Apply the caller's back-pressure to the backend connection."""
-        self._event_deadline.set_blocked(is_blocked)
-        if self._attempt is not None:
-            self._attempt.set_blocked(is_blocked)
+        self.attempts.set_blocked(is_blocked)
 
     def _refuse(
         self,
@@ -527,11 +421,10 @@
         if self._has_begun:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
             return
-        if self._history.may_have_run and code.is_certified_not_run:
+        may_have_run = self.attempts.history.may_have_run
+        if may_have_run and code.is_certified_not_run:
             code = _Code.OUTCOME_UNKNOWN
-        elif code is _Code.DEADLINE_EXCEEDED and (
-            not self._history.may_have_run
-        ):
+        elif code is _Code.DEADLINE_EXCEEDED and not may_have_run:
             code = _Code.DEADLINE_UNREACHABLE
         refusal.write(self._exchange, code, detail, retry_after_ms)
         self._finish(code, detail, None)
@@ -550,7 +443,7 @@
             return
         self._is_finished = True
         self._dispatch.stop()
-        self._quota.on_finished(self.sends, self._history)
+        self._quota.on_finished(self.attempts.sends, self.attempts.history)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._dependencies.on_finished(self, code, detail, server)
