Keep the number of entries in the store for shares of quotas

Cause: after a loss of power of all entries each used a hundredth of the quotas until a coordinator had counted them.

Change: with workspaces the coordinator writes the number of entries under the condition of the revision last seen; an entry assumes it before the first count.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -11,6 +11,7 @@
 
 import balsamwall
 from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import entry_count_record
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
@@ -59,6 +60,8 @@
 ASSUMED_ENTRIES_OF_LIMITS = 100
 # Key of the lease whose holder, the coordinator, sends orders to engines.
 COORDINATOR_KEY = "balsamwall/order-holder"
+# Key of the number of entries, for entries that restart without a coordinator.
+ENTRY_COUNT_KEY = "balsamwall/entries"
 LEASE_RENEW_INTERVAL_MS = 700
 # All entries start together. The first attempts to acquire the lease are
 # spread over this time, so that most entries see a holder before they try.
@@ -180,6 +183,13 @@
             ASSUMED_ENTRIES_OF_LIMITS,
             quota_issuer.FLEET_MEMORY_MS,
         )
+        self._entry_count = entry_count_record.EntryCountRecord(
+            self._clock,
+            dependencies.store,
+            ENTRY_COUNT_KEY,
+            self._quota_fleet_size,
+            self._log,
+        )
         self._quotas = workspace_quotas.WorkspaceQuotas(
             self._clock,
             random_source,
@@ -344,6 +354,7 @@
             dependencies.servers_prefix, self._on_server, is_prefix=True
         )
         dependencies.store.watch(COORDINATOR_KEY, self._on_coordinator_record)
+        self._entry_count.start()
         dependencies.connection.start()
 
     def _listen(self) -> None:
@@ -435,6 +446,10 @@
         """Update the number of entries that share the fleet-wide limits."""
         self._fleet_size.observe(count)
         self._quota_fleet_size.observe(count)
+        current = self._configuration.current
+        has_workspaces = current is not None and current.workspaces is not None
+        if has_workspaces and self._coordinator.is_active:
+            self._entry_count.update(self._quota_fleet_size.count)
         self._request_dependencies.set_entries(self._fleet_size.count)
         # The coordinator reads for all entries.
         readers = 1 if self._coordinator.is_active else count
--- a/src/balsamwall/limits/fleet_size.py
+++ b/src/balsamwall/limits/fleet_size.py
@@ -48,6 +48,10 @@
         self._drop_outdated()
         return max([self._current, *(count for _, count in self._peaks)])
 
+    def assume(self, count: int) -> None:
+        """Set the number of entries to assume before the first count."""
+        self._assumed = max(1, count)
+
     def observe(self, count: int) -> None:
         """Record the number of entries that are connected now."""
         count = max(1, count)
