Move engine trackers and fleet state out of the coordinator

Change: EngineTable in coordination/engine_table.py tracks the engines of the directory during a term; FleetBroadcast in coordination/fleet_broadcast.py sends the state of the fleet every 250 ms. Behaviour does not change.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -8,9 +8,10 @@
 from balsamwall.coordination import crash_control
 from balsamwall.coordination import demand as demand_module
 from balsamwall.coordination import engine_speed
+from balsamwall.coordination import engine_table
 from balsamwall.coordination import engine_tracker
+from balsamwall.coordination import fleet_broadcast
 from balsamwall.coordination import limit_rows
-from balsamwall.coordination import load_forecast
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
 from balsamwall.coordination import prefetch_planner
@@ -38,8 +39,6 @@
 
 # Interval of the lease check and of planning.
 TICK_INTERVAL_MS = 100
-# Interval of the FleetState messages to the entries.
-STATE_INTERVAL_MS = 250
 # Requests for absent models that arrive within this time share one plan.
 PLAN_BATCH_DELAY_MS = 40
 # Interval of the summary of residents and demand in the decision log.
@@ -76,13 +75,13 @@
     """
 
     __slots__ = (
-        "_trackers",
+        "_broadcast",
         "_clock",
         "_configuration",
         "_crashes",
         "_demand",
-        "_engine_added_ms",
         "_directory",
+        "_engines",
         "_entries_with_lease",
         "_fleet_size",
         "_lease_held_ms",
@@ -101,7 +100,6 @@
         "_runner",
         "_scheduler",
         "_speeds",
-        "_last_state_ms",
         "_last_summary_ms",
     )
 
@@ -130,7 +128,6 @@
         self._permits = permits
         self._quotas = quotas
         self._fleet_size = fleet_size
-        self._trackers: dict[str, engine_tracker.EngineTracker] = {}
         self._crashes = crash_control.CrashControl(clock, links, log)
         self._demand = demand_module.Demand(clock)
         self._planner = residency_planner.ResidencyPlanner(self._demand)
@@ -140,6 +137,16 @@
         self._speeds = speed_exchange.SpeedMerger(clock, directory, log)
         self._prefetch = prefetch_planner.PrefetchPlanner(self._demand)
         self._runner = order_runner.OrderRunner(clock, control, self, log)
+        self._engines = engine_table.EngineTable(
+            clock,
+            configuration,
+            directory,
+            self._runner,
+            self._scheduler.forget,
+        )
+        self._broadcast = fleet_broadcast.FleetBroadcast(
+            clock, links, self._demand, self._engines, self._speeds, limits
+        )
         self._is_active = False
         # Newest token that an engine has rejected, 0 for none.
         self._fenced_revision = 0
@@ -147,10 +154,7 @@
         self._lease_held_ms = 0
         self._entries_with_lease = 0
         self._plan_timer: clock_module.Timer | None = None
-        self._last_state_ms = 0
         self._last_summary_ms = 0
-        self._engine_added_ms = 0
-        directory.add_listener(self._on_server, self._on_server_removed)
 
     @property
     def fencing_token(self) -> int:
@@ -201,7 +205,8 @@
         self._quotas.on_heard(vm)
         if isinstance(item, messages_fleet.DemandReport):
             self._demand.on_report(vm, item)
-            self._record_adapter_use(item)
+            for server_id, model, adapter, _ in item.running:
+                self._engines.on_adapter_used(server_id, model, adapter)
         elif isinstance(item, messages_fleet.ServerSpeeds):
             self._speeds.on_report(vm, item)
         elif isinstance(item, messages_fleet.PromptQuery):
@@ -220,7 +225,9 @@
         elif self._crashes.on_message(item):
             return
         elif isinstance(item, messages_fleet.LoadWanted):
-            self._refresh_engines_with_model(item)
+            self._engines.refresh_holders(
+                item.service, item.model, item.adapter
+            )
             wanted = residency_waits.WantedModel(
                 item.service, item.model, item.adapter
             )
@@ -236,7 +243,7 @@
         """
         holders = [
             tracker
-            for tracker in self._ready_trackers(query.service)
+            for tracker in self._engines.ready(query.service)
             if tracker.holds(query.model, query.adapter)
             and tracker.loading_model != query.model
             and not self._permits.wait_ms(tracker.record.server_id)
@@ -273,24 +280,6 @@
             decision.is_scarce,
         )
 
-    def _record_adapter_use(self, report: messages_fleet.DemandReport) -> None:
-        now_ms = self._clock.now_ms()
-        for server_id, model, adapter, _ in report.running:
-            tracker = self._trackers.get(server_id)
-            if tracker is not None and adapter:
-                tracker.adapter_used_ms[model, adapter] = now_ms
-
-    def _refresh_engines_with_model(
-        self, item: messages_fleet.LoadWanted
-    ) -> None:
-        """Refresh the engines that are believed to hold the wanted model.
-
-        The entry does not see the model there, so the known state is stale.
-        """
-        for tracker in self._ready_trackers(item.service):
-            if tracker.is_idle and tracker.holds(item.model, item.adapter):
-                self._runner.refresh(tracker)
-
     def on_entry_connected(self) -> list[message.Message]:
         """Return what a new entry needs to know of servers and requests.
 
@@ -302,7 +291,7 @@
             return []
         return [
             self._server_models(tracker)
-            for tracker in self._trackers.values()
+            for tracker in self._engines.all()
             if tracker.state is not engine_tracker.EngineState.UNKNOWN
         ] + self._crashes.notices()
 
@@ -315,7 +304,7 @@
         self, tracker: engine_tracker.EngineTracker
     ) -> None:
         """Broadcast the resident models of an engine to the entries."""
-        known = self._trackers.get(tracker.record.server_id)
+        known = self._engines.get(tracker.record.server_id)
         if known is not tracker:
             return
         now_ms = self._clock.now_ms()
@@ -364,7 +353,7 @@
             self._start_term()
         else:
             self._quotas.stop()
-            self._drop_trackers()
+            self._engines.stop()
             self._links.close_all()
 
     def _start_term(self) -> None:
@@ -372,62 +361,12 @@
         self._permits.restart()
         self._speeds.restart()
         self._quotas.restart()
-        for server in self._directory.all_servers():
-            self._on_server(server)
-
-    # Servers
-
-    def _engine_spec(
-        self, service: str
-    ) -> gateway_configuration.EngineSpec | None:
-        current = self._configuration.current
-        spec = current.services.get(service) if current else None
-        return spec.engine if spec is not None else None
+        self._engines.start()
 
     def _gap_target_ms(self, service: str) -> int:
         current = self._configuration.current
         return current.gap_target_ms(service) if current else 0
 
-    def _on_server(self, server: backend_directory.BackendServer) -> None:
-        if not self._is_active:
-            return
-        record = server.record
-        engine = self._engine_spec(record.service)
-        if engine is None:
-            return
-        known = self._trackers.get(record.server_id)
-        if known is not None:
-            known.update_record(record, engine)
-            return
-        tracker = engine_tracker.EngineTracker(record, engine)
-        self._trackers[record.server_id] = tracker
-        self._engine_added_ms = self._clock.now_ms()
-        self._runner.set_load_rate(engine.loads_per_s)
-        self._runner.refresh(tracker)
-
-    def _on_server_removed(
-        self, server: backend_directory.BackendServer
-    ) -> None:
-        tracker = self._trackers.pop(server.server_id, None)
-        if tracker is not None:
-            self._runner.stop_tracking(tracker)
-            self._scheduler.forget(server.server_id)
-
-    def _drop_trackers(self) -> None:
-        """Stop tracking, so that the next term begins with fresh reports."""
-        for tracker in self._trackers.values():
-            self._runner.stop_tracking(tracker)
-        self._trackers.clear()
-
-    def _ready_trackers(
-        self, service: str
-    ) -> list[engine_tracker.EngineTracker]:
-        return [
-            self._trackers[server.server_id]
-            for server in self._directory.ready_servers(service)
-            if server.server_id in self._trackers
-        ]
-
     # Planning
 
     def _schedule_plan(self) -> None:
@@ -451,8 +390,8 @@
         self._demand.update()
         now_ms = self._clock.now_ms()
         waiting = self._demand.waiting()
-        for service, engine in self._engine_services():
-            trackers = self._ready_trackers(service)
+        for service, engine in self._engines.services():
+            trackers = self._engines.ready(service)
             if not any(tracker.is_idle for tracker in trackers):
                 continue
             for tracker in trackers:
@@ -483,25 +422,8 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._last_summary_ms >= SUMMARY_INTERVAL_MS:
             self._last_summary_ms = now_ms
-            residency_log.write(
-                self._log, self._trackers.values(), self._demand
-            )
-        if now_ms - self._last_state_ms >= STATE_INTERVAL_MS:
-            self._last_state_ms = now_ms
-            self._links.broadcast(
-                messages_fleet.FleetState(
-                    self._links.count,
-                    self._speeds.mark(self._demand.loads()),
-                    self._demand.queued(),
-                    load_forecast.expected_loads(
-                        self._trackers.values(), now_ms
-                    ),
-                )
-            )
-            self._speeds.share(self._links.send)
-            observations = self._limits.book.observations()
-            if observations:
-                self._links.broadcast(limit_rows.encode(observations, now_ms))
+            residency_log.write(self._log, self._engines.all(), self._demand)
+        self._broadcast.tick()
 
     def _start_prefetches(
         self,
@@ -515,24 +437,11 @@
         known, and a model that seems absent may be resident on another one.
         """
         now_ms = self._clock.now_ms()
-        if now_ms - self._engine_added_ms < ENGINE_DISCOVERY_MS:
+        if now_ms - self._engines.added_ms < ENGINE_DISCOVERY_MS:
             return
         while self._prefetch.is_due(service, engine.loads_per_s, now_ms):
             self._execute(self._prefetch.plan(trackers))
 
-    def _engine_services(
-        self,
-    ) -> list[tuple[str, gateway_configuration.EngineSpec]]:
-        """Return the services that run engines, with their engine specs."""
-        current = self._configuration.current
-        if current is None:
-            return []
-        return [
-            (spec.name, spec.engine)
-            for spec in current.services.values()
-            if spec.engine is not None
-        ]
-
     def _execute(self, plan: residency_planner.Plan | None) -> None:
         if plan is None:
             return
--- /dev/null
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -0,0 +1,70 @@
+"""Broadcast the state of the fleet from the coordinator to the entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import limit_rows
+from balsamwall.coordination import load_forecast
+from balsamwall.coordination import messages_fleet
+
+if TYPE_CHECKING:
+    from balsamwall.coordination import coordinator as coordinator_module
+    from balsamwall.coordination import demand as demand_module
+    from balsamwall.coordination import engine_table
+    from balsamwall.coordination import speed_exchange
+    from balsamwall.gateway import server_limits
+    from balsamwall.timing import clock as clock_module
+
+# Interval of the FleetState messages to the entries.
+STATE_INTERVAL_MS = 250
+
+
+class FleetBroadcast:
+    """Send loads, queues, speeds and limits of servers to all entries."""
+
+    __slots__ = (
+        "_clock",
+        "_demand",
+        "_engines",
+        "_last_state_ms",
+        "_limits",
+        "_links",
+        "_speeds",
+    )
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        links: coordinator_module.FleetLinks,
+        demand: demand_module.Demand,
+        engines: engine_table.EngineTable,
+        speeds: speed_exchange.SpeedMerger,
+        limits: server_limits.ServerLimits,
+    ) -> None:
+        self._clock = clock
+        self._links = links
+        self._demand = demand
+        self._engines = engines
+        self._speeds = speeds
+        self._limits = limits
+        self._last_state_ms = 0
+
+    def tick(self) -> None:
+        """Send the state if STATE_INTERVAL_MS has passed since the last."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_state_ms < STATE_INTERVAL_MS:
+            return
+        self._last_state_ms = now_ms
+        self._links.broadcast(
+            messages_fleet.FleetState(
+                self._links.count,
+                self._speeds.mark(self._demand.loads()),
+                self._demand.queued(),
+                load_forecast.expected_loads(self._engines.all(), now_ms),
+            )
+        )
+        self._speeds.share(self._links.send)
+        observations = self._limits.book.observations()
+        if observations:
+            self._links.broadcast(limit_rows.encode(observations, now_ms))
