Keep one gauge of the quota left and one count of refusals

Cause: the quota left of a workspace was exported by two gauges, of which balsamwall_gateway_workspace_quota_left was never set, and its refusals by two counters. Only a refusal by the quota has the code RATE_LIMITED, so the outcome over_quota counted the same requests as the refusals of quotas.

Change: WorkspaceMetrics exports balsamwall_gateway_quota_left and balsamwall_gateway_quota_refusals; QuotaIssuer and WorkspaceQuotas, which know the values, receive it in place of all metrics. The gauge never set and the outcome over_quota are removed: such requests have the outcome refused.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -186,7 +186,7 @@
             self._configuration,
             self._quota_fleet_size,
             self._log,
-            self._metrics,
+            self._metrics.workspaces,
         )
         self._request_dependencies = request_dependencies.RequestDependencies(
             clock=self._clock,
@@ -296,7 +296,7 @@
                 self._clock,
                 self._configuration,
                 self._quota_fleet_size,
-                self._metrics,
+                self._metrics.workspaces,
             ),
             self._fleet_size,
         )
--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from balsamwall.gateway import configuration_holder
-    from balsamwall.gateway import gateway_metrics
+    from balsamwall.gateway import workspace_metrics
     from balsamwall.limits import fleet_size as fleet_size_module
     from balsamwall.timing import clock as clock_module
 
@@ -67,7 +67,7 @@
         clock: clock_module.Clock,
         configuration: configuration_holder.ConfigurationHolder,
         fleet_size: fleet_size_module.FleetSize,
-        metrics: gateway_metrics.GatewayMetrics,
+        metrics: workspace_metrics.WorkspaceMetrics,
     ) -> None:
         self._clock = clock
         self._configuration = configuration
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -15,9 +15,6 @@
     from balsamwall.gateway import speed_metrics
     from balsamwall.results import result_code
 
-# Bounds the memory for a configuration with many workspaces.
-MAX_WORKSPACES = 64
-OTHER_WORKSPACES = "other"
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 # Bounds the memory for a configuration with many routes; further routes share
 # one label.
@@ -35,9 +32,6 @@
         "_first_responses",
         "_registry",
         "_permits",
-        "_quota_left",
-        "_quota_refusals",
-        "_quota_workspaces",
         "_requests",
         "_routes",
         "_sends",
@@ -81,19 +75,6 @@
             ("server",),
             registry=self._registry,
         )
-        self._quota_workspaces: set[str] = set()
-        self._quota_left = prometheus_client.Gauge(
-            "balsamwall_gateway_quota_left",
-            "Tokens or requests left to a workspace, at the coordinator",
-            ("workspace",),
-            registry=self._registry,
-        )
-        self._quota_refusals = prometheus_client.Counter(
-            "balsamwall_gateway_quota_refusals",
-            "Requests refused since the workspace is over its quota",
-            ("workspace",),
-            registry=self._registry,
-        )
         self._dropped_lines = prometheus_client.Gauge(
             "balsamwall_log_dropped_lines",
             "Log lines that were dropped because nobody read them",
@@ -163,28 +144,3 @@
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
-
-    def count_quota_refusal(self, workspace: str) -> None:
-        """Count a request refused since its workspace is over its quota."""
-        self._quota_refusals.labels(self._quota_label(workspace)).inc()
-
-    def set_quota_left(self, workspace: str, left: float | None) -> None:
-        """Export what is left to a workspace; None removes it.
-
-        Only the coordinator knows it. Workspaces above the number of labels
-        have no value.
-        """
-        label = self._quota_label(workspace)
-        if label == OTHER_WORKSPACES:
-            return
-        if left is None:
-            self._quota_left.remove(label)
-        else:
-            self._quota_left.labels(label).set(left)
-
-    def _quota_label(self, workspace: str) -> str:
-        known = self._quota_workspaces
-        if workspace not in known and len(known) >= MAX_WORKSPACES:
-            return OTHER_WORKSPACES
-        known.add(workspace)
-        return workspace
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -302,7 +302,6 @@
             self.metrics.workspaces.count_end(
                 handler.workspace,
                 handler.request,
-                code,
                 handler.attempts.sends > 0,
             )
         if server is not None and handler.route.is_stream:
--- a/src/balsamwall/gateway/workspace_metrics.py
+++ b/src/balsamwall/gateway/workspace_metrics.py
@@ -6,33 +6,38 @@
 
 import prometheus_client
 
-from balsamwall.results import result_code
-
 if TYPE_CHECKING:
     from prometheus_client import registry as registry_module
 
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import workspace as workspace_module
+    from balsamwall.results import result_code
 
 # Bounds the memory for a configuration with many workspaces; further ones
 # share one label.
 MAX_WORKSPACES = 64
 OTHER_WORKSPACES = "other"
 ADMITTED = "admitted"
-OVER_QUOTA = "over_quota"
 REFUSED = "refused"
 
 
 class WorkspaceMetrics:
-    """Count the requests and tokens of each workspace."""
+    """Count the requests and tokens of each workspace, and show its quota."""
 
-    __slots__ = ("_names", "_quota_left", "_requests", "_tokens", "_unknown")
+    __slots__ = (
+        "_names",
+        "_quota_left",
+        "_quota_refusals",
+        "_requests",
+        "_tokens",
+        "_unknown",
+    )
 
     def __init__(self, registry: registry_module.CollectorRegistry) -> None:
         self._names: set[str] = set()
         self._requests = prometheus_client.Counter(
             "balsamwall_gateway_workspace_requests",
-            "Requests by outcome: admitted, over_quota or refused otherwise",
+            "Requests by outcome: admitted or refused",
             ("workspace", "outcome"),
             registry=registry,
         )
@@ -43,8 +48,14 @@
             registry=registry,
         )
         self._quota_left = prometheus_client.Gauge(
-            "balsamwall_gateway_workspace_quota_left",
-            "Requests or tokens that this entry may admit without a query",
+            "balsamwall_gateway_quota_left",
+            "Tokens or requests left to a workspace, at the coordinator",
+            ("workspace",),
+            registry=registry,
+        )
+        self._quota_refusals = prometheus_client.Counter(
+            "balsamwall_gateway_quota_refusals",
+            "Requests refused since the workspace is over its quota",
             ("workspace",),
             registry=registry,
         )
@@ -65,7 +76,6 @@
         self,
         workspace: workspace_module.Workspace,
         request: incoming_request.IncomingRequest,
-        code: result_code.ResultCode,
         is_sent: bool,
     ) -> None:
         """Count a finished request; one that was sent has been admitted."""
@@ -73,8 +83,6 @@
         if is_sent:
             outcome = ADMITTED
             self._tokens.labels(label).inc(_tokens(workspace, request))
-        elif code is result_code.ResultCode.RATE_LIMITED:
-            outcome = OVER_QUOTA
         else:
             outcome = REFUSED
         self._requests.labels(label, outcome).inc()
@@ -83,15 +91,23 @@
         """Count a request that belongs to no workspace and was refused."""
         self._unknown.labels(code.name.lower()).inc()
 
-    def set_quota_left(self, name: str, amount: float) -> None:
-        """Export what the quota of a workspace has left at this entry.
+    def count_quota_refusal(self, name: str) -> None:
+        """Count a request refused since its workspace is over its quota."""
+        self._quota_refusals.labels(self._label(name)).inc()
+
+    def set_quota_left(self, name: str, left: float | None) -> None:
+        """Export what is left to a workspace; None removes it.
 
-        The workspaces beyond the label limit are left out, since their sum
-        would tell nothing.
+        Only the coordinator knows it. The workspaces beyond the label limit
+        are left out, since their sum would tell nothing.
         """
         label = self._label(name)
-        if label == name:
-            self._quota_left.labels(label).set(amount)
+        if label != name:
+            return
+        if left is None:
+            self._quota_left.remove(label)
+        else:
+            self._quota_left.labels(label).set(left)
 
 
 def _tokens(
--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -16,8 +16,8 @@
     import random
 
     from balsamwall.gateway import configuration_holder
-    from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import workspace as workspace_module
+    from balsamwall.gateway import workspace_metrics
     from balsamwall.limits import fleet_size as fleet_size_module
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
@@ -82,7 +82,7 @@
         configuration: configuration_holder.ConfigurationHolder,
         fleet_size: fleet_size_module.FleetSize,
         log: decision_log.DecisionLog,
-        metrics: gateway_metrics.GatewayMetrics,
+        metrics: workspace_metrics.WorkspaceMetrics,
     ) -> None:
         self._clock = clock
         self._random = random_source
