Read the tolerance of quotas from the settings file

Cause: the window, the overshoot and the slack of quotas, and the tokens granted in advance, were constants with the figures of one deployment.

Change: node_settings reads quota_window_s, quota_overshoot and quota_slack from the table bounds (8, 0.1 and 0 if absent) into QuotaTolerance in limits/quota_tolerance.py, which the entry passes to WorkspaceQuotas and QuotaIssuer. The tokens granted in advance are half of the slack. As before no slack applies to a quota of requests, which a new test checks. The fixtures state a slack of 17,000.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -187,6 +187,7 @@
             self._quota_fleet_size,
             self._log,
             self._metrics.workspaces,
+            settings.quota_tolerance,
         )
         self._request_dependencies = request_dependencies.RequestDependencies(
             clock=self._clock,
@@ -297,6 +298,7 @@
                 self._configuration,
                 self._quota_fleet_size,
                 self._metrics.workspaces,
+                settings.quota_tolerance,
             ),
             self._fleet_size,
         )
--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -13,6 +13,7 @@
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import workspace_metrics
     from balsamwall.limits import fleet_size as fleet_size_module
+    from balsamwall.limits import quota_tolerance
     from balsamwall.timing import clock as clock_module
 
 # Time for which the highest number of entries sets the shares. An entry that
@@ -20,10 +21,10 @@
 FLEET_MEMORY_MS = 60_000
 # A workspace is scarce with less than this part of its burst left.
 SCARCE_FRACTION = 0.5
-# Part of a request that later tokens may pay for, half of the tolerance for
-# the largest request. Large requests would otherwise never find enough tokens
-# among small ones, and those above the burst never at all.
-ADVANCE_TOKENS = 8_500
+# Part of the slack up to which later tokens may pay for a request. Large
+# requests would otherwise never find enough tokens among small ones, and those
+# above the burst never at all.
+ADVANCE_FRACTION = 0.5
 # After a longer time between ticks this process was frozen, and the entries
 # used shares of their own. What accrued in that time is not granted.
 MAX_TICK_GAP_MS = 500
@@ -60,6 +61,7 @@
         "_last_tick_ms",
         "_metrics",
         "_part",
+        "_tolerance",
     )
 
     def __init__(
@@ -68,11 +70,13 @@
         configuration: configuration_holder.ConfigurationHolder,
         fleet_size: fleet_size_module.FleetSize,
         metrics: workspace_metrics.WorkspaceMetrics,
+        tolerance: quota_tolerance.QuotaTolerance,
     ) -> None:
         self._clock = clock
         self._configuration = configuration
         self._fleet_size = fleet_size
         self._metrics = metrics
+        self._tolerance = tolerance
         self._buckets: dict[str, token_bucket.TokenBucket] = {}
         self._heard_ms: dict[str, int] = {}  # by VM of the entry
         self._last_tick_ms = clock.now_ms()
@@ -130,10 +134,10 @@
         bucket = self._buckets.get(workspace)
         if quota is None or bucket is None or cost < 0 or reserve < 0:
             return QuotaDecision(0, 0, False)
-        if cost > workspace_balance.largest_cost(quota):
+        if cost > workspace_balance.largest_cost(quota, self._tolerance):
             return QuotaDecision(0, workspace_balance.NEVER_MS, False)
         is_scarce = bucket.tokens < SCARCE_FRACTION * quota.burst
-        wait_ms = bucket.wait_ms(_needed(quota, cost))
+        wait_ms = bucket.wait_ms(self._needed(quota, cost))
         if wait_ms:
             return QuotaDecision(0, wait_ms, is_scarce)
         bucket.charge(cost)
@@ -141,6 +145,15 @@
         bucket.charge(extra)
         return QuotaDecision(cost + extra, 0, is_scarce)
 
+    def _needed(
+        self, quota: workspace_module.WorkspaceQuota, cost: int
+    ) -> float:
+        """Return the tokens that the bucket must hold to grant a cost."""
+        if quota.unit is workspace_module.QuotaUnit.REQUESTS:
+            return cost
+        advance = ADVANCE_FRACTION * self._tolerance.slack
+        return min(max(0, cost - advance), quota.burst)
+
     def _set_part(self, connected: int) -> None:
         """Grant the share of the rates that belongs to these entries."""
         # The entry in this process is connected before it is heard.
@@ -180,10 +193,3 @@
                 bucket.drain()
                 self._buckets[name] = bucket
             bucket.set_rate(quota.rate_per_s * self._part, quota.burst)
-
-
-def _needed(quota: workspace_module.WorkspaceQuota, cost: int) -> float:
-    """Return the tokens that the bucket must hold to grant a cost."""
-    if quota.unit is workspace_module.QuotaUnit.REQUESTS:
-        return cost
-    return min(max(0, cost - ADVANCE_TOKENS), quota.burst)
--- a/src/balsamwall/gateway/gateway_settings.py
+++ b/src/balsamwall/gateway/gateway_settings.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from balsamwall.limits import quota_tolerance as quota_tolerance_module
+
 if TYPE_CHECKING:
     from balsamwall.settings import address as address_module
 
@@ -31,3 +33,6 @@
     # revoke_ms.
     is_revocation_strict: bool = False
     revoke_ms: int = 5_000
+    quota_tolerance: quota_tolerance_module.QuotaTolerance = (
+        quota_tolerance_module.QuotaTolerance()
+    )
--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.limits import quota_tolerance
     from balsamwall.limits import uncoordinated_quota
     from balsamwall.timing import clock as clock_module
 
@@ -28,12 +29,6 @@
 # A workspace that was scarce this short a time before the coordinator was
 # lost admits no request in advance.
 SCARCE_MEMORY_MS = 10_000
-# Part of the sum allowed in a window by which it may be exceeded.
-OVERSHOOT = 0.1
-# Tokens by which it may be exceeded besides.
-SLACK_TOKENS = 17_000
-WINDOW_S = 8
-
 # Retry-After time of a request that is larger than its quota ever admits.
 NEVER_MS = 60_000
 
@@ -90,6 +85,7 @@
         "_denied_cost",
         "_room_due_ms",
         "_scarce_ms",
+        "_tolerance",
         "_used",
         "granted",
         "is_asking",
@@ -107,8 +103,10 @@
         clock: clock_module.Clock,
         local: uncoordinated_quota.UncoordinatedQuota,
         quota: workspace_module.WorkspaceQuota,
+        tolerance: quota_tolerance.QuotaTolerance,
     ) -> None:
         self._clock = clock
+        self._tolerance = tolerance
         self.granted = leased_tokens.LeasedTokens(clock)
         self.local = local
         self.quota = quota
@@ -146,8 +144,10 @@
     def tolerance(self) -> float:
         """Return by how much requests in a window may exceed the limit."""
         quota = self.quota
-        in_window = quota.rate_per_s * WINDOW_S + quota.burst
-        return OVERSHOOT * in_window + slack(quota)
+        tolerance = self._tolerance
+        window_s = tolerance.window_ms / 1_000
+        in_window = quota.rate_per_s * window_s + quota.burst
+        return tolerance.overshoot * in_window + slack(quota, tolerance)
 
     def admit(self, wait: QuotaWait) -> None:
         """Admit a request that has been charged."""
@@ -213,15 +213,21 @@
             wait.decide(QuotaOutcome(False, wait_ms, self.decided_by))
 
 
-def largest_cost(quota: workspace_module.WorkspaceQuota) -> float:
+def largest_cost(
+    quota: workspace_module.WorkspaceQuota,
+    tolerance: quota_tolerance.QuotaTolerance,
+) -> float:
     """Return the largest cost of a request that a quota ever admits.
 
     A bucket holds at least 1.
     """
-    return max(1.0, quota.burst) + slack(quota)
+    return max(1.0, quota.burst) + slack(quota, tolerance)
 
 
-def slack(quota: workspace_module.WorkspaceQuota) -> int:
+def slack(
+    quota: workspace_module.WorkspaceQuota,
+    tolerance: quota_tolerance.QuotaTolerance,
+) -> int:
     """Return by how much a single request may exceed a quota."""
     is_tokens = quota.unit is workspace_module.QuotaUnit.TOKENS
-    return SLACK_TOKENS if is_tokens else 0
+    return tolerance.slack if is_tokens else 0
--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -19,6 +19,7 @@
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.gateway import workspace_metrics
     from balsamwall.limits import fleet_size as fleet_size_module
+    from balsamwall.limits import quota_tolerance
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
@@ -73,6 +74,7 @@
         "_queries",
         "_random",
         "_refusals",
+        "_tolerance",
     )
 
     def __init__(
@@ -83,6 +85,7 @@
         fleet_size: fleet_size_module.FleetSize,
         log: decision_log.DecisionLog,
         metrics: workspace_metrics.WorkspaceMetrics,
+        tolerance: quota_tolerance.QuotaTolerance,
     ) -> None:
         self._clock = clock
         self._random = random_source
@@ -90,6 +93,7 @@
         self._fleet_size = fleet_size
         self._log = log
         self._metrics = metrics
+        self._tolerance = tolerance
         self._link: QuotaLink | None = None
         self._queries: coordinator_queries.CoordinatorQueries[QuotaGrant] = (
             coordinator_queries.CoordinatorQueries(clock)
@@ -115,7 +119,7 @@
             outcome = QuotaOutcome(True, 0, workspace_balance.BY_COORDINATOR)
             wait.decide(outcome)
             return wait
-        if cost > workspace_balance.largest_cost(quota):
+        if cost > workspace_balance.largest_cost(quota, self._tolerance):
             never_ms = workspace_balance.NEVER_MS
             reason = workspace_balance.BY_SIZE
             wait.decide(QuotaOutcome(False, never_ms, reason))
@@ -190,7 +194,7 @@
                 self._clock, self._fleet_size, self._random.random()
             )
             balance = workspace_balance.WorkspaceBalance(
-                self._clock, local, quota
+                self._clock, local, quota, self._tolerance
             )
             self._balances[name] = balance
         balance.quota = quota
--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from balsamwall.gateway import gateway_settings
+from balsamwall.limits import quota_tolerance
 from balsamwall.settings import address as address_module
 
 DEFAULT_PATH = "/etc/balsamwall/local.toml"
@@ -126,4 +127,17 @@
         retry_window_ms=int(bounds.number("budget_window_s") * 1_000),
         is_revocation_strict=bounds.flag("strict_revoke", False),
         revoke_ms=int(bounds.optional_number("revoke_ms", REVOKE_MS)),
+        quota_tolerance=_quota_tolerance(bounds),
+    )
+
+
+def _quota_tolerance(bounds: _Table) -> quota_tolerance.QuotaTolerance:
+    default = quota_tolerance.QuotaTolerance()
+    window_s = bounds.optional_number(
+        "quota_window_s", default.window_ms / 1_000
+    )
+    return quota_tolerance.QuotaTolerance(
+        window_ms=int(window_s * 1_000),
+        overshoot=bounds.optional_number("quota_overshoot", default.overshoot),
+        slack=int(bounds.optional_number("quota_slack", default.slack)),
     )
--- a/tests/coordination/test_quota_issuer.py
+++ b/tests/coordination/test_quota_issuer.py
@@ -9,7 +9,9 @@
 from balsamwall.gateway import configuration_holder
 from balsamwall.gateway import gateway_metrics
 from balsamwall.gateway import workspace as workspace_module
+from balsamwall.gateway import workspace_balance
 from balsamwall.limits import fleet_size
+from balsamwall.limits import quota_tolerance
 from balsamwall.timing import virtual_clock
 from tests.fixtures import gateway_harness
 from tests.fixtures import quota_fleet
@@ -26,14 +28,24 @@
         self.configuration = configuration_holder.ConfigurationHolder()
         self.configure(1, RATE, 5 * RATE)
         self.metrics = gateway_metrics.GatewayMetrics()
+        self.issuer = self.make_issuer(
+            quota_tolerance.QuotaTolerance(slack=17_000)
+        )
+
+    def make_issuer(self, tolerance):
         size = fleet_size.FleetSize(
             self.clock, 100, quota_issuer.FLEET_MEMORY_MS
         )
-        self.issuer = quota_issuer.QuotaIssuer(
-            self.clock, self.configuration, size, self.metrics.workspaces
+        issuer = quota_issuer.QuotaIssuer(
+            self.clock,
+            self.configuration,
+            size,
+            self.metrics.workspaces,
+            tolerance,
         )
         size.observe(len(ENTRIES))
-        self.issuer.restart()
+        issuer.restart()
+        return issuer
 
     def configure(self, version, rate, burst):
         workspace = quota_fleet.make_workspace(rate, burst)
@@ -114,6 +126,46 @@
         self.assertEqual(self.issuer.grant("w1", 1, 0).tokens, 1)
         self.assertEqual(self.issuer.grant("w1", 1, 0).tokens, 0)
 
+    def test_half_of_the_slack_is_granted_in_advance(self):
+        """Guards against a request that uses the slack of all others."""
+        self.tick(1_000)
+        cost = RATE + 8_500
+        self.assertGreater(self.issuer.grant("w1", cost + 1, 0).wait_ms, 0)
+        self.assertEqual(self.issuer.grant("w1", cost, 0).tokens, cost)
+
+    def test_cost_above_the_slack_is_refused(self):
+        """Guards against a request that no deployment tolerates."""
+        self.tick(1_000)
+        largest = 5 * RATE + 17_000
+        never_ms = workspace_balance.NEVER_MS
+        self.assertLess(self.issuer.grant("w1", largest, 0).wait_ms, never_ms)
+        decision = self.issuer.grant("w1", largest + 1, 0)
+        self.assertEqual(decision.wait_ms, never_ms)
+
+    def test_nothing_is_granted_in_advance_without_slack(self):
+        """Guards against slack in a deployment that has set none."""
+        self.issuer = self.make_issuer(quota_tolerance.QuotaTolerance())
+        self.tick(1_000)
+        self.assertGreater(self.issuer.grant("w1", RATE + 1, 0).wait_ms, 0)
+        self.assertEqual(self.issuer.grant("w1", RATE, 0).tokens, RATE)
+        decision = self.issuer.grant("w1", 5 * RATE + 1, 0)
+        self.assertEqual(decision.wait_ms, workspace_balance.NEVER_MS)
+
+    def test_slack_does_not_apply_to_requests(self):
+        """Guards against 17,000 requests above a quota of requests."""
+        unit = workspace_module.QuotaUnit.REQUESTS
+        table = workspace_module.WorkspaceTable(
+            [quota_fleet.make_workspace(10, 5, unit)]
+        )
+        self.configuration.offer(
+            gateway_harness.make_configuration(2, workspaces=table)
+        )
+        self.tick(1_000)
+        decision = self.issuer.grant("w1", 6, 0)
+        self.assertEqual(decision.wait_ms, workspace_balance.NEVER_MS)
+        self.assertEqual(self.issuer.grant("w1", 5, 0).tokens, 5)
+        self.assertGreater(self.issuer.grant("w1", 1, 0).wait_ms, 0)
+
     def test_unknown_workspace_is_left_to_the_entry(self):
         """Guards against grants by an older configuration."""
         decision = self.issuer.grant("w2", 10, 0)
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -9,6 +9,7 @@
 import tempfile
 import unittest
 
+from balsamwall.limits import quota_tolerance
 from balsamwall.platform import daemon
 from balsamwall.platform import node_settings
 
@@ -70,6 +71,26 @@
         for value in (-1, float("inf"), float("nan")):
             self.check_rejected("bounds.revoke_ms", value)
 
+    def test_quota_tolerance(self):
+        """Guards against the slack of one deployment in all others."""
+        found = node_settings.parse(ROWS).quota_tolerance
+        self.assertEqual(found, quota_tolerance.QuotaTolerance(8_000, 0.1, 0))
+        rows = {
+            "quota_window_s": 4.5,
+            "quota_overshoot": 0.2,
+            "quota_slack": 17_000,
+        }
+        settings = node_settings.parse(
+            {**ROWS, "bounds": {**ROWS["bounds"], **rows}}
+        )
+        self.assertEqual(
+            settings.quota_tolerance,
+            quota_tolerance.QuotaTolerance(4_500, 0.2, 17_000),
+        )
+        for name in rows:
+            for value in ("1", True, -1, float("inf")):
+                self.check_rejected(f"bounds.{name}", value)
+
     def test_missing_and_invalid_fields(self):
         """Guards against invalid settings that only fail at run time."""
         self.check_rejected("node")
