Pass the gap target in a test of engine speeds

Cause: the gap target of an engine comes from the routes now; one test called the function without it and failed.

Change: the test states the target of 300 ms that the constant had.

Result: python -m unittest tests.coordination.test_speed_exchange: 9 passed.

--- a/tests/coordination/test_speed_exchange.py
+++ b/tests/coordination/test_speed_exchange.py
@@ -15,6 +15,7 @@
 from tests.fixtures import gateway_harness
 
 MODEL = "m1"
+GAP_TARGET_MS = 300
 
 
 class SpeedExchangeTest(unittest.TestCase):
@@ -179,7 +180,9 @@
     def update(self, limit_capacity=1.0):
         for _ in range(60):
             for tracker in self.trackers:
-                engine_speed.update(tracker, limit_capacity, self.table, 0)
+                engine_speed.update(
+                    tracker, limit_capacity, self.table, GAP_TARGET_MS, 0
+                )
         return self.trackers[0]
 
     def test_capacity_is_what_an_engine_bears(self):
