--- a/src/balsamwall/gateway/quota_gate.py
+++ b/src/balsamwall/gateway/quota_gate.py
@@ -82,11 +82,19 @@
             else:
                 self._refuse(workspace.name, cost, outcome)
 
-        is_urgent = admission.is_urgent(self._handler.route.priority)
         self._wait = self._quotas.request(
-            workspace, cost, on_decided, is_urgent
+            workspace, cost, on_decided, not self._is_deferrable
         )
 
+    @property
+    def _is_deferrable(self) -> bool:
+        """Return whether the request leaves a scarce quota to urgent ones.
+
+        One without token usage costs little of a quota in tokens.
+        """
+        is_urgent = admission.is_urgent(self._handler.route.priority)
+        return self._handler.request.has_token_usage and not is_urgent
+
     def on_unsent(self) -> None:
         """Record that an attempt was given up before it was sent."""
         self._unsent += 1
--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -130,8 +130,8 @@
             balance.on_urgent()
         elif balance.is_kept_for_urgent:
             reason = workspace_balance.BY_URGENCY
-            yield_ms = workspace_balance.YIELD_MS
-            wait.decide(QuotaOutcome(False, yield_ms, reason))
+            retry_ms = workspace_balance.YIELD_RETRY_AFTER_MS
+            wait.decide(QuotaOutcome(False, retry_ms, reason))
             return wait
         if balance.granted.take(cost):
             balance.admit(wait)
