--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -33,8 +33,8 @@
 # to urgent ones: for this time after the last response that said so, and only
 # if an urgent request has come within the other time.
 YIELD_MS = 1_000
-# Retry-After time of these requests. A workspace exceeds its quota for seconds,
-# and a caller that returns sooner would most probably be refused again.
+# Retry-After time of these requests. A workspace exceeds its quota for some
+# seconds, and a caller that returns sooner is most probably refused again.
 YIELD_RETRY_AFTER_MS = 3_000
 URGENT_MEMORY_MS = 1_000
 # Retry-After time of a request that is larger than its quota ever admits.
