Cover workspaces, quotas and slow servers in the soak

Cause: the fault soak ran without workspaces, and its servers reported no load, so that keys, quotas and learned speeds were not checked with real processes under faults.

Change: half of the seeds have three workspaces whose keys are replaced by new versions, one of them with a quota that its callers exceed; half have servers that report the fourth load figure and are slow in periods. Both are drawn from random sources of their own. Checks: what servers see of keys and workspaces, a revoked key, a new key, the quota over 8 s, and no key in a log. With workspaces the share served after the faults counts requests with a key in force and without a quota, and a 401 is judged by its key; other seeds are checked as before.

There are now three keys, and none is replaced in the 3.5 s before the probe.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -16,9 +16,12 @@
 from soak import proxy as proxy_module
 from soak import server_limit
 from soak import store as store_module
+from soak import work_time as work_time_module
+from soak import workspaces as workspaces_module
 
 EVENT_INTERVAL_S = 0.03
 WORK_S = 0.02
+SLOTS = 16
 RESTART_S = 0.8
 LOAD_S = 0.25
 REGISTRATION_TTL_MS = 2_000
@@ -46,7 +49,11 @@
         random_source: random.Random,
         truncated_share: float,
         poison_part: poison_part_module.PoisonPart,
+        workspaces: workspaces_module.Workspaces | None,
+        work_time: work_time_module.WorkTime | None,
     ) -> None:
+        self.workspaces = workspaces
+        self._work_time = work_time
         self.poison_part = poison_part
         self.truncated_share = truncated_share
         self.server_id = server_id
@@ -113,7 +120,7 @@
             "address": self._address,
             "zone": self.zone,
             "version": "v1",
-            "slots": 16,
+            "slots": SLOTS,
             "state": self.state,
             "cold_remaining_ms": 0,
             "seq": self.order_count,
@@ -173,6 +180,20 @@
         if self._listener is not None:
             self._listener.stopListening()
 
+    @property
+    def load(self) -> str | None:
+        """Return the load to report, if work takes a varying time."""
+        if self._work_time is None:
+            return None
+        running = len(self._open_requests)
+        return f"{running},0,{SLOTS},{self._work_time.percent()}"
+
+    def scaled_s(self, usual_s: float) -> float:
+        """Return how long work takes now that usually takes a given time."""
+        if self._work_time is None:
+            return usual_s
+        return usual_s * self._work_time.percent() / 100
+
     def track_request(self, request: server.Request, run: _Run) -> None:
         """Keep a request among the open ones until it ends."""
         self._open_requests[request] = run
@@ -252,7 +273,7 @@
         if request.path == b"/report":
             return json.dumps(backend.report()).encode()
         if request.path != b"/order":
-            self._announce_limit(request)
+            self._on_arrival(request)
         if request.path == b"/order":
             request.setResponseCode(
                 backend.apply_order(json.loads(request.content.read()))
@@ -266,14 +287,18 @@
         _Run(backend, request)
         return server.NOT_DONE_YET
 
-    def _announce_limit(self, request: server.Request) -> None:
-        """Record a caller's request and add the limit to its response."""
+    def _on_arrival(self, request: server.Request) -> None:
+        """Record a caller's request; add limit and load to its response."""
         backend = self._backend
         request_id = request.getHeader("balsamwall-request-id") or ""
         known = backend.ledger.requests.get(request_id)
         limit = backend.limit.on_request(known.entry if known else "")
         if limit is not None:
             request.setHeader("Server-Limit", limit)
+        if backend.load is not None:
+            request.setHeader("Balsamwall-Server-Load", backend.load)
+        if backend.workspaces is not None:
+            backend.workspaces.on_arrival(request, known)
 
     @staticmethod
     def _reject_unexecuted(request: server.Request, status: int) -> bytes:
@@ -318,7 +343,7 @@
         )
         self._event_count = int(request.getHeader("x-events") or 0)
         step = self._send_event if self._event_count else self._respond
-        reactor.callLater(WORK_S, step)
+        reactor.callLater(backend.scaled_s(WORK_S), step)
 
     def _end(self) -> None:
         self._is_finished = True
@@ -382,4 +407,5 @@
             return
         self._request.write(data)
         self._next_event += 1
-        reactor.callLater(EVENT_INTERVAL_S, self._send_event)
+        delay_s = self._backend.scaled_s(EVENT_INTERVAL_S)
+        reactor.callLater(delay_s, self._send_event)
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -15,6 +15,7 @@
 from soak import entry as entry_module
 from soak import ledger as ledger_module
 from soak import poison_part as poison_part_module
+from soak import workspaces as workspaces_module
 
 Kind = ledger_module.Kind
 HOST = "soak.example"
@@ -40,7 +41,9 @@
         ledger: ledger_module.Ledger,
         random_source: random.Random,
         poison_part: poison_part_module.PoisonPart,
+        workspaces: workspaces_module.Workspaces | None,
     ) -> None:
+        self._workspaces = workspaces
         self._poison_part = poison_part
         self._number = number
         self._entries = entries
@@ -113,11 +116,16 @@
             ("Balsamwall-Request-Id", request.request_id),
             ("Balsamwall-Deadline-Ms", str(DEADLINE_MS)),
         ]
+        usage = (100, 20)
+        if self._workspaces is not None:
+            headers += self._workspaces.fields(request, self._number)
+            if self._workspaces.is_limited(request):
+                usage = workspaces_module.STREAM_USAGE
         if request.events:
             model = self._random.choice(backend_server.MODELS)
             headers += [
                 ("Balsamwall-Model", model),
-                ("Balsamwall-Token-Usage", "100,20"),
+                ("Balsamwall-Token-Usage", f"{usage[0]},{usage[1]}"),
                 ("X-Events", str(request.events)),
                 ("Balsamwall-Prompt-Prefix", self._prompt(request)),
             ]
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -67,6 +67,8 @@
         self.is_frozen = False
         # Times in which the process was frozen or started again.
         self.disturbed_ms: list[tuple[int, int]] = []
+        # Times in which the process did not reach the store.
+        self.without_store_ms: list[tuple[int, int]] = []
         self.unexpected_exits: list[str] = []
         self._write_settings()
 
@@ -108,6 +110,10 @@
         written = self._log.read_bytes()[self._log_begin :]
         return b"store_connected" in written
 
+    def has_logged(self, text: str) -> bool:
+        """Tell whether the log contains a text."""
+        return self._log.exists() and text.encode() in self._log.read_bytes()
+
     def start(self) -> None:
         """Start the process and append its output to the log."""
         now_ms = ledger_module.now_ms()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -136,11 +136,21 @@
 @unplanned
 def harm_link_to_store(soak: SoakTarget, duration_s: float) -> None:
     """Inject a link fault between one entry and the store."""
-    proxy = soak.random.choice(list(soak.store_proxies.values()))
+    name, proxy = soak.random.choice(list(soak.store_proxies.items()))
     fault = soak.random.choice([item for item in LinkFault][1:])
+    for entry in soak.entries:
+        if entry.name == name:
+            _record_without_store(entry, duration_s)
     _set_link_fault(proxy, fault, duration_s)
 
 
+def _record_without_store(
+    entry: entry_module.Entry, duration_s: float
+) -> None:
+    now_ms = ledger_module.now_ms()
+    entry.without_store_ms.append((now_ms, now_ms + int(duration_s * 1_000)))
+
+
 def _set_link_fault(
     proxy: proxy_module.Proxy, fault: LinkFault, duration_s: float
 ) -> None:
@@ -152,6 +162,8 @@
 def fault_of_store(soak: SoakTarget, duration_s: float) -> None:
     """Inject a store fault that affects all entries."""
     soak.site.fault = soak.random.choice([item for item in StoreFault][1:])
+    for entry in soak.entries:
+        _record_without_store(entry, duration_s)
     reactor.callLater(duration_s, _clear_store_fault, soak)
 
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -50,6 +50,8 @@
     response: Response | None = None
     finished_ms: int | None = None
     deadline_ms: int = 0
+    # Empty if no valid key was sent, None without workspaces.
+    api_key: str | None = None
 
     @property
     def duration_ms(self) -> int:
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,8 @@
 from soak import poison_part
 from soak import proxy as proxy_module
 from soak import store as store_module
+from soak import work_time
+from soak import workspaces as workspaces_module
 
 ENTRIES = 3
 SERVERS = 3
@@ -44,6 +46,13 @@
 PLANNED_ONLY_PERIOD = 5
 # Share of the seeds that begin with a part of prompts that crashes engines.
 POISON_SHARE = 0.5
+# Shares of the seeds whose configuration has workspaces, and whose servers
+# report how long work takes.
+WORKSPACES_SHARE = 0.5
+WORK_TIME_SHARE = 0.5
+# Keys stay as they are from this time before the probe, so that each valid
+# key is in force during the probe.
+KEY_REST_S = 3.5
 KINDS = {
     ledger_module.Kind.IDEMPOTENT: ("idempotent", "app", False),
     ledger_module.Kind.NON_IDEMPOTENT: ("non_idempotent", "app", False),
@@ -62,6 +71,7 @@
     served: int
     violations: list[str]
     stalls: int = 0
+    parts: list[str] = dataclasses.field(default_factory=list)
 
 
 class Soak:
@@ -81,8 +91,18 @@
         self.data = store_module.StoreData()
         self.site = store_module.StoreSite(self.data)
         self.poison_part = poison_part.PoisonPart()
+        # A source of its own, so that the faults of a seed stay the same.
+        drawn = random.Random(f"{seed}/parts")
+        has_workspaces = drawn.random() < WORKSPACES_SHARE
+        self._has_work_time = drawn.random() < WORK_TIME_SHARE
+        self._workspaces = (
+            workspaces_module.Workspaces(random.Random(f"{seed}/workspaces"))
+            if has_workspaces
+            else None
+        )
         self._version = 0
         self._have_faults_ended = False
+        self._are_keys_final = False
         self._faults: list[str] = []
         self._fault_windows: list[tuple[int, int]] = []
         self._violations: list[str] = []
@@ -121,6 +141,12 @@
                 if self._is_planned_only
                 else backend_server.TRUNCATED_SHARE,
                 self.poison_part,
+                self._workspaces,
+                work_time.WorkTime(
+                    random.Random(f"{seed}/work time/{service}/{number}")
+                )
+                if self._has_work_time
+                else None,
             )
             for service in ("app", "models")
             for number in range(SERVERS)
@@ -132,6 +158,7 @@
                 self.ledger,
                 random.Random(f"{seed}/caller/{number}"),
                 self.poison_part,
+                self._workspaces,
             )
             for number in range(CALLERS)
         ]
@@ -151,6 +178,8 @@
     def _start_traffic(self) -> None:
         for caller in self._callers:
             caller.start()
+        if self._workspaces is not None:
+            self._replace_key(self._workspaces)
         # The limit binds only after some seconds, so that one begins early.
         self._faults.append(faults.limit_server.__name__)
         faults.limit_server(self, MAX_FAULT_S)
@@ -177,7 +206,12 @@
         self._have_faults_ended = True
         for backend in self.backends:
             backend.limit.end()
-        reactor.callLater(MAX_FAULT_S + RECOVERY_S, self._begin_probe)
+        probe_delay_s = MAX_FAULT_S + RECOVERY_S
+        reactor.callLater(probe_delay_s - KEY_REST_S, self._end_key_changes)
+        reactor.callLater(probe_delay_s, self._begin_probe)
+
+    def _end_key_changes(self) -> None:
+        self._are_keys_final = True
 
     def _begin_probe(self) -> None:
         self._probe_start_ms = ledger_module.now_ms()
@@ -218,6 +252,7 @@
             self._violations += backend.limit.violations(
                 backend.server_id, disturbed
             )
+        self._violations += self._workspace_violations()
         if self._is_planned_only:
             self._violations += checks.truncation_violations(
                 self.ledger, self._stalls
@@ -226,6 +261,7 @@
             request
             for request in self.ledger.requests.values()
             if request.sent_ms >= self._probe_start_ms
+            and self._expects_service(request)
             and not request.is_abandoned
         ]
         served = sum(1 for request in requests if _is_served(request))
@@ -234,6 +270,26 @@
                 f"{served} of {len(requests)} requests served after the faults"
             )
 
+    def _expects_service(self, request: ledger_module.Request) -> bool:
+        if self._workspaces is None:
+            return True
+        return self._workspaces.expects_service(request)
+
+    def _workspace_violations(self) -> list[str]:
+        if self._workspaces is None:
+            return []
+        disturbed = {"": self._stalls}
+        for entry in self.entries:
+            disturbed[entry.name] = entry.disturbed_ms + entry.without_store_ms
+        for backend in self.backends:
+            disturbed[backend.server_id] = backend.harmed_ms
+        found = self._workspaces.violations(self.ledger, disturbed)
+        return found + [
+            f"{entry.name}: a key in the log"
+            for entry in self.entries
+            if entry.has_logged(workspaces_module.KEY_MARK)
+        ]
+
     def report(self) -> Report:
         """Return the outcome, counted over all requests of the soak."""
         requests = self.ledger.requests.values()
@@ -245,6 +301,10 @@
             served,
             self._violations,
             len(self._stalls),
+            [
+                *(["workspaces"] if self._workspaces is not None else []),
+                *(["work_time"] if self._has_work_time else []),
+            ],
         )
 
     # Operations used by the fault functions
@@ -277,8 +337,23 @@
 
     def write_configuration(self) -> None:
         """Write the next version of the configuration."""
-        self._version += self.random.randint(1, 3)
+        self._put_configuration(self.random.randint(1, 3))
+
+    def _replace_key(self, workspaces: workspaces_module.Workspaces) -> None:
+        """Write a version with a key replaced, and schedule the next one."""
+        if self._are_keys_final:
+            return
+        workspaces.replace_key()
+        self._put_configuration(1)
+        reactor.callLater(
+            workspaces.interval_s(), self._replace_key, workspaces
+        )
+
+    def _put_configuration(self, step: int) -> None:
+        self._version += step
         rows = configuration(self._version)
+        if self._workspaces is not None:
+            rows["tenants"] = self._workspaces.rows()
         self.data.put("op/config", json.dumps(rows).encode())
 
     def _poll_processes(self) -> None:
