--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -27,6 +27,9 @@
 # fraction of all slots. The next urgent request then begins at once, not when
 # a stream has ended.
 URGENT_RESERVE = 1 / 8
+# Part of the slots that a server has for requests that are not urgent, however
+# slow it is.
+MIN_BEARABLE_PART = 1 / 2
 # An entry with a thirtieth of the traffic sees an urgent request of a busy
 # service several times in this period.
 URGENT_MEMORY_MS = 1_000
@@ -49,14 +52,18 @@
     gap_target_ms: int,
     now_ms: int,
 ) -> int:
-    """Return the limit of the load at which pauses are within the target."""
+    """Return the limit of the load at which pauses are within the target.
+
+    A very slow server still takes a part of its slots: its model may have no
+    other replica, and a late response is better than none.
+    """
     slots = server.record.slots
     if gap_target_ms:
         count = server.speed.bearable_requests(
             model, slots, gap_target_ms, now_ms
         )
         if count < slots:
-            return count
+            return max(count, int(slots * MIN_BEARABLE_PART))
     return slots + MAX_WAITING_AT_ENGINE
 
 
