--- a/src/balsamwall/coordination/engine_speed.py
+++ b/src/balsamwall/coordination/engine_speed.py
@@ -11,7 +11,7 @@
 # Weight of the current value in the moving average of what an engine can bear.
 # It is updated every 100 ms, and a replica loads within seconds, so that a
 # shorter slow period should not cause one.
-BEARABLE_WEIGHT = 0.1
+SUSTAINABLE_WEIGHT = 0.1
 
 
 def update(
@@ -29,14 +29,14 @@
     """
     speed = speeds.get(tracker.record.server_id)
     if speed is None:
-        tracker.bearable, tracker.slowness = 1.0, 1.0
+        tracker.sustainable, tracker.slowness = 1.0, 1.0
     else:
         slots = max(1, tracker.spec.slots)
         count = min(
-            speed.bearable_requests(model, slots, gap_target_ms, now_ms)
+            speed.sustainable_requests(model, slots, gap_target_ms, now_ms)
             for model in tracker.models or ("",)
         )
-        change = count / slots - tracker.bearable
-        tracker.bearable += BEARABLE_WEIGHT * change
+        change = count / slots - tracker.sustainable
+        tracker.sustainable += SUSTAINABLE_WEIGHT * change
         tracker.slowness = speed.relative(now_ms)
-    tracker.capacity = limit_capacity * tracker.bearable
+    tracker.capacity = limit_capacity * tracker.sustainable
--- a/src/balsamwall/coordination/engine_tracker.py
+++ b/src/balsamwall/coordination/engine_tracker.py
@@ -14,7 +14,7 @@
 
 # An engine that can use less than this part of its slots within the pause
 # target is late as soon as its model is requested often.
-SLOW_BEARABLE = 0.5
+SLOW_SUSTAINABLE_PART = 0.5
 
 
 class EngineState(enum.Enum):
@@ -49,7 +49,7 @@
         "stable_since_ms",
         "timer",
         "adapter_used_ms",
-        "bearable",
+        "sustainable",
         "capacity",
         "slowness",
     )
@@ -82,7 +82,7 @@
         self.queue: list[engine_control.Order] = []
         # Part of the slots that the engine can use with pauses within the
         # target, and the same if its limit on requests is included.
-        self.bearable = 1.0
+        self.sustainable = 1.0
         self.capacity = 1.0
         # Time of its work relative to the median of the service.
         self.slowness = 1.0
@@ -115,12 +115,12 @@
     @property
     def is_slow(self) -> bool:
         """Return whether the engine can use few of its slots in time."""
-        return self.bearable < SLOW_BEARABLE
+        return self.sustainable < SLOW_SUSTAINABLE_PART
 
     @property
     def is_limited(self) -> bool:
         """Return whether a limit on requests leaves slots unused."""
-        return self.capacity < self.bearable
+        return self.capacity < self.sustainable
 
     def holds(self, model: str, adapter: str = "") -> bool:
         """Return whether a model, and its adapter if given, is resident."""
--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -29,7 +29,7 @@
 URGENT_RESERVE = 1 / 8
 # Part of the slots that a server has for requests that are not urgent, however
 # slow it is.
-MIN_BEARABLE_PART = 1 / 2
+MIN_SUSTAINABLE_PART = 1 / 2
 # An entry with a thirtieth of the traffic sees an urgent request of a busy
 # service several times in this period.
 URGENT_MEMORY_MS = 1_000
@@ -46,7 +46,7 @@
     return room_waiter.priority_key(priority)[-1] <= URGENT_PRIORITY
 
 
-def _bearable(
+def _sustainable(
     server: backend_directory.BackendServer,
     model: str,
     gap_target_ms: int,
@@ -59,11 +59,11 @@
     """
     slots = server.record.slots
     if gap_target_ms:
-        count = server.speed.bearable_requests(
+        count = server.speed.sustainable_requests(
             model, slots, gap_target_ms, now_ms
         )
         if count < slots:
-            return max(count, int(slots * MIN_BEARABLE_PART))
+            return max(count, int(slots * MIN_SUSTAINABLE_PART))
     return slots + MAX_WAITING_AT_ENGINE
 
 
@@ -108,7 +108,7 @@
         if is_urgent(priority):
             limit += EXTRA_WAITING_URGENT
         else:
-            limit = _bearable(server, request.model, gap_target_ms, now_ms)
+            limit = _sustainable(server, request.model, gap_target_ms, now_ms)
         return server.load(now_ms) < limit
 
     def has_fair_room(
@@ -140,8 +140,8 @@
             extra = MAX_WAITING_AT_ENGINE + EXTRA_WAITING_URGENT
             return server.load(now_ms) < server.record.slots + extra
         is_reserved = self._has_urgent(service, now_ms)
-        bearable = _bearable(server, model, gap_target_ms, now_ms)
-        limit = min(bearable, _fair_limit(server, is_reserved))
+        sustainable = _sustainable(server, model, gap_target_ms, now_ms)
+        limit = min(sustainable, _fair_limit(server, is_reserved))
         if server.load(now_ms) >= limit:
             return False
         age_ms = now_ms - server.fleet_load_at_ms
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -30,7 +30,7 @@
 MIN_TOKENS = 500
 # A server is sent this many requests however slow it is, so that its speed is
 # still observed.
-MIN_BEARABLE = 2
+MIN_SUSTAINABLE = 2
 # The fourth load figure changes many times per second.
 WORK_TIME_MAX_AGE_MS = 1_000
 USUAL_WORK_TIME = 100
@@ -303,7 +303,7 @@
         factor = self.learned(model, now_ms, True) * self.work_time(now_ms)
         return factor * usual_pause_ms(load, tokens)
 
-    def bearable_requests(
+    def sustainable_requests(
         self, model: str, slots: int, gap_target_ms: int, now_ms: int
     ) -> int:
         """Return how many requests keep pauses within a target.
@@ -315,7 +315,7 @@
         factor = self.learned(model, now_ms, True) * self.work_time(now_ms)
         count = gap_target_ms / factor - usual_pause_ms(0)
         count /= STEPS_PER_REQUEST_MS + PROMPTS_PER_REQUEST_MS
-        return min(slots, max(MIN_BEARABLE, int(count)))
+        return min(slots, max(MIN_SUSTAINABLE, int(count)))
 
 
 class ServiceSpeeds:
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -299,12 +299,12 @@
         plan = fixture.plan_model("hot1", 3)
         self.assertEqual(plan.tracker.record.server_id, "e0")
 
-    def plan(self, bearable, targets=1.0):
+    def plan(self, sustainable, targets=1.0):
         fixture = PlannerFixture(("hot1",), ("rare1",), ())
         for tracker, value in zip(
-            fixture.trackers, (bearable, targets, targets), strict=True
+            fixture.trackers, (sustainable, targets, targets), strict=True
         ):
-            tracker.bearable = tracker.capacity = value
+            tracker.sustainable = tracker.capacity = value
         fixture.report({"hot1": 4.0}, running=[["e0", "hot1", "", 16]])
         return fixture.plan_scale_out()
 
--- a/tests/coordination/test_speed_exchange.py
+++ b/tests/coordination/test_speed_exchange.py
@@ -185,17 +185,17 @@
                 )
         return self.trackers[0]
 
-    def test_capacity_is_what_an_engine_bears(self):
+    def test_capacity_is_what_an_engine_sustains(self):
         """Guards against a slow engine that is planned as a usual one."""
         self.assertEqual(self.update().capacity, 1.0)
         self.teach({"e0": 2.5, "e1": 1.0, "e2": 1.0})
         slow = self.update(0.5)
-        self.assertAlmostEqual(slow.bearable, 11 / 32, delta=0.07)
-        self.assertAlmostEqual(slow.capacity, slow.bearable / 2)
+        self.assertAlmostEqual(slow.sustainable, 11 / 32, delta=0.07)
+        self.assertAlmostEqual(slow.capacity, slow.sustainable / 2)
         self.assertTrue(slow.is_limited)
         self.assertFalse(self.update().is_limited)
         self.assertGreater(slow.slowness, 2.0)
-        self.assertAlmostEqual(self.trackers[1].bearable, 1.0, delta=0.01)
+        self.assertAlmostEqual(self.trackers[1].sustainable, 1.0, delta=0.01)
 
     def test_scheduler_avoids_a_slow_engine(self):
         """Guards against prompts assigned alike to fast and slow engines."""
--- a/tests/coordination/test_uneven_engines.py
+++ b/tests/coordination/test_uneven_engines.py
@@ -14,7 +14,7 @@
     fixture = PlannerFixture(*residents)
     for index in slow:
         tracker = fixture.trackers[index]
-        tracker.bearable = tracker.capacity = SLOW_PART
+        tracker.sustainable = tracker.capacity = SLOW_PART
     return fixture
 
 
--- a/tests/gateway/test_server_speed.py
+++ b/tests/gateway/test_server_speed.py
@@ -204,7 +204,7 @@
         speed.on_first_event(MODEL, 2_000, 5, 900, now_ms)
         self.assertEqual(speed.factor(MODEL, now_ms), 1.0)
         self.assertEqual(
-            speed.bearable_requests(MODEL, 32, TARGET_MS, now_ms), 32
+            speed.sustainable_requests(MODEL, 32, TARGET_MS, now_ms), 32
         )
         self.assertIsNone(self.directory.speeds.get("s00"))
         self.choice._random = random.Random(3)
@@ -321,7 +321,7 @@
             self.send(priority)
         return len(self.harness.pool.connections)
 
-    def test_slow_server_bears_fewer_requests(self):
+    def test_slow_server_gets_fewer_requests(self):
         """Guards against pauses of all streams at a slow server."""
         self.assertEqual(self.fill(200), 20)
         self.harness.clock.advance(server_speed.WORK_TIME_MAX_AGE_MS)
