Mend what a reading by newcomers found

They found events that were not counted when a line end was split, a load that the preference for fast engines prevented, tokens granted for the time of a freeze, every workspace called scarce after an election, back-pressure that was lost with a resumed stream, and reserved fields that pass with underscores.

Change: these are mended; constants and comments that were unclear are reworded.

--- a/soak/entry.py
+++ b/soak/entry.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from soak import ledger as ledger_module
+from soak import workspaces
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_S = 6
@@ -79,6 +80,7 @@
             "retry_budget_ratio": 0.2,
             "budget_extra": 50,
             "budget_window_s": 10,
+            "quota_slack": workspaces.SLACK_TOKENS,
         }
         lines = [
             f'node = "{self.name}"',
--- a/src/balsamwall/coordination/entry_count_record.py
+++ b/src/balsamwall/coordination/entry_count_record.py
@@ -15,7 +15,7 @@
 # Shortest time between two writes.
 WRITE_INTERVAL_MS = 5_000
 # A smaller change of the number of entries is not written.
-MIN_CHANGE = 0.1
+MIN_CHANGE = 0.1  # of the recorded number
 # A record above this is not one of this program.
 MAX_ENTRIES = 100_000
 
@@ -66,7 +66,11 @@
         self._store.watch(self._key, self._on_change)
 
     def update(self, count: int) -> None:
-        """Write the number of entries if it differs from the record."""
+        """Write the number of entries if it differs from the record.
+
+        It must differ by more than MIN_CHANGE, and is written at most once per
+        WRITE_INTERVAL_MS.
+        """
         now_ms = self._clock.now_ms()
         if self._is_writing or now_ms < self._next_write_ms:
             return
@@ -87,9 +91,13 @@
             )
 
     def _on_change(self, item: key_value_service.KeyValue) -> None:
-        self._revision = item.revision if item.value is not None else 0
-        text = item.value or b""
-        if not text.isdigit() or not 0 < int(text) <= MAX_ENTRIES:
+        text = item.value
+        if text is None:
+            self._count = self._revision = 0
+            return
+        self._revision = item.revision
+        is_number = text.isdigit() and len(text) <= len(str(MAX_ENTRIES))
+        if not is_number or not 0 < int(text) <= MAX_ENTRIES:
             self._log.write("entry_count_unreadable", revision=item.revision)
             self._count = 0
             return
--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -21,6 +21,8 @@
 FLEET_MEMORY_MS = 60_000
 # A workspace is scarce with less than this part of its burst left.
 SCARCE_FRACTION = 0.5
+# Time in which the buckets of a new term fill at the usual demand.
+TERM_GRACE_MS = 2_000
 # Part of the slack up to which later tokens may pay for a request. Large
 # requests would otherwise never find enough tokens among small ones, and those
 # above the burst never at all.
@@ -61,6 +63,7 @@
         "_last_tick_ms",
         "_metrics",
         "_part",
+        "_term_started_ms",
         "_tolerance",
     )
 
@@ -81,12 +84,16 @@
         self._heard_ms: dict[str, int] = {}  # by VM of the entry
         self._last_tick_ms = clock.now_ms()
         self._part = 0.0  # of each rate that may be granted here
+        self._term_started_ms = clock.now_ms()
 
     def restart(self) -> None:
-        """Begin a term with empty buckets; earlier grants were just used."""
+        """Begin a term with empty buckets.
+
+        The grants of the coordinator before may have been used just now.
+        """
         self._buckets.clear()
         self._heard_ms.clear()
-        self._last_tick_ms = self._clock.now_ms()
+        self._last_tick_ms = self._term_started_ms = self._clock.now_ms()
         self._update_buckets()
 
     def stop(self) -> None:
@@ -101,6 +108,7 @@
         In a new term the share of the rate rises with each entry at once: the
         entry asks for tokens before the next tick.
         """
+        self._skip_pause()
         is_new = vm not in self._heard_ms
         self._heard_ms[vm] = self._clock.now_ms()
         if is_new:
@@ -135,8 +143,10 @@
         if quota is None or bucket is None or cost < 0 or reserve < 0:
             return QuotaDecision(0, 0, False)
         if cost > workspace_balance.largest_cost(quota, self._tolerance):
-            return QuotaDecision(0, workspace_balance.NEVER_MS, False)
-        is_scarce = bucket.tokens < SCARCE_FRACTION * quota.burst
+            return QuotaDecision(
+                0, workspace_balance.TOO_LARGE_RETRY_AFTER_MS, False
+            )
+        is_scarce = self._is_scarce(quota, bucket)
         wait_ms = bucket.wait_ms(self._needed(quota, cost))
         if wait_ms:
             return QuotaDecision(0, wait_ms, is_scarce)
@@ -145,6 +155,19 @@
         bucket.charge(extra)
         return QuotaDecision(cost + extra, 0, is_scarce)
 
+    def _is_scarce(
+        self,
+        quota: workspace_module.WorkspaceQuota,
+        bucket: token_bucket.TokenBucket,
+    ) -> bool:
+        """Return whether little of the burst is left.
+
+        The buckets of a new term are low because they began empty.
+        """
+        if self._clock.now_ms() - self._term_started_ms < TERM_GRACE_MS:
+            return False
+        return bucket.tokens < SCARCE_FRACTION * quota.burst
+
     def _needed(
         self, quota: workspace_module.WorkspaceQuota, cost: int
     ) -> float:
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -198,10 +198,12 @@
             cost += DISK_LOAD_COST if is_local else STORE_LOAD_COST
             cost += BUSY_COST * loads[tracker.record.server_id]
             cost += need.gain - need.remaining_gain(delay_s)
+            if cost > need.gain:
+                continue
             rank = cost + self._speed_cost(tracker, model)
             if best is None or rank < best.rank:
                 best = _Candidate(cost, tracker, victims, rank)
-        if best is None or best.cost > need.gain:
+        if best is None:
             return None
         orders = [
             engine_control.Order(_Kind.UNLOAD, victim)
--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -30,8 +30,7 @@
 # Part of the slots that a server has for requests that are not urgent, however
 # slow it is.
 MIN_SUSTAINABLE_PART = 1 / 2
-# An entry with a thirtieth of the traffic sees an urgent request of a busy
-# service several times in this period.
+# Time after an urgent request of a service in which slots stay reserved.
 URGENT_MEMORY_MS = 1_000
 # Interval of the coordinator's reports of the fleet load.
 FLEET_REPORT_MS = 250
@@ -46,6 +45,12 @@
     return room_waiter.priority_key(priority)[-1] <= URGENT_PRIORITY
 
 
+def _urgent_limit(server: backend_directory.BackendServer) -> int:
+    """Return the limit of the load for urgent requests."""
+    slots = server.record.slots
+    return slots + MAX_WAITING_AT_ENGINE + EXTRA_WAITING_URGENT
+
+
 def _sustainable(
     server: backend_directory.BackendServer,
     model: str,
@@ -104,9 +109,8 @@
         if not request.model:
             return True
         now_ms = self._clock.now_ms()
-        limit = server.record.slots + MAX_WAITING_AT_ENGINE
         if is_urgent(priority):
-            limit += EXTRA_WAITING_URGENT
+            limit = _urgent_limit(server)
         else:
             limit = _sustainable(server, request.model, gap_target_ms, now_ms)
         return server.load(now_ms) < limit
@@ -137,8 +141,7 @@
             self._urgent_ms[service] = now_ms
             is_owed = True
         if is_owed:
-            extra = MAX_WAITING_AT_ENGINE + EXTRA_WAITING_URGENT
-            return server.load(now_ms) < server.record.slots + extra
+            return server.load(now_ms) < _urgent_limit(server)
         is_reserved = self._has_urgent(service, now_ms)
         sustainable = _sustainable(server, model, gap_target_ms, now_ms)
         limit = min(sustainable, _fair_limit(server, is_reserved))
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -105,6 +105,7 @@
         "_connection",
         "_discard_timer",
         "_discarded_bytes",
+        "_is_blocked",
         "_limits",
         "_listener",
         "_outgoing",
@@ -129,7 +130,7 @@
     ) -> None:
         self.server = server
         self.sent_ms = clock.now_ms()
-        # Of a stream whose server reports its work time.
+        # Set only for a stream to a service that reports work times.
         self.meter: stream_meter.StreamMeter | None = None
         self._clock = clock
         self.status = 0
@@ -144,6 +145,7 @@
         self._discarded_bytes = 0
         self._discard_timer: clock_module.Timer | None = None
         self._connection: backend_connection.BackendConnection | None = None
+        self._is_blocked = False
         self._cancel_connect: Callable[[], None] | None = None
 
     @property
@@ -198,6 +200,7 @@
 
     def set_blocked(self, is_blocked: bool) -> None:
         """Pause or resume reading the response."""
+        self._is_blocked = is_blocked
         if self._connection is None:
             return
         if self.meter is not None:
@@ -224,6 +227,8 @@
             outgoing.body,
             self,
         )
+        if self._is_blocked:
+            self.set_blocked(True)
 
     def on_not_connected(self, detail: str) -> None:
         """Report that no connection was made and nothing was sent."""
--- a/src/balsamwall/gateway/authentication.py
+++ b/src/balsamwall/gateway/authentication.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 import urllib.parse
 
-from balsamwall.gateway import refusal
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -26,11 +25,9 @@
         self,
         code: result_code.ResultCode,
         detail: str,
-        retry_after_ms: int = refusal.RETRY_AFTER_MS,
     ) -> None:
         super().__init__(detail)
         self.code = code
-        self.retry_after_ms = retry_after_ms
 
 
 def closed_route(route: route_module.Route, path: str) -> route_module.Route:
--- a/src/balsamwall/gateway/fair_queue.py
+++ b/src/balsamwall/gateway/fair_queue.py
@@ -15,9 +15,9 @@
 class Stage(enum.IntEnum):
     """State how a request is ordered among those of its priority."""
 
-    # On time, or half of the caller's timeout has passed: by arrival in the
-    # turns of the workspace. Ahead of those of all workspaces, the old
-    # requests of a large one would take its turns and those of the others.
+    # On time, or older than half of the caller's timeout: ordered by the
+    # counter of the workspace, then by arrival. Old requests don't precede
+    # those of other workspaces, or a backlog would take all turns.
     REGULAR = 0
     LATE = 1  # the target of the first event can no longer be met
 
--- a/src/balsamwall/gateway/quota_gate.py
+++ b/src/balsamwall/gateway/quota_gate.py
@@ -121,7 +121,7 @@
         )
         self._on_refused(
             result_code.ResultCode.RATE_LIMITED,
-            f"the quota of the workspace has room in "
-            f"{outcome.retry_after_ms} ms, by {outcome.reason}",
+            f"the quota of the workspace is used up; retry in "
+            f"{outcome.retry_after_ms} ms (decided by {outcome.reason})",
             outcome.retry_after_ms,
         )
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -29,6 +29,7 @@
         "_dependencies",
         "_exchange",
         "_handler",
+        "_is_blocked",
         "_pending_tokens",
         "_quota",
         "_service",
@@ -52,6 +53,7 @@
         self._exchange = exchange
         self._service = service
         self._quota = quota
+        self._is_blocked = False  # whether the caller does not read
         self._pending_tokens = 0
         self.current: attempt_module.Attempt | None = None
         self.event_deadline = event_deadline.EventDeadline(
@@ -93,6 +95,7 @@
         is_fresh = outgoing_request.needs_new_connection(
             handler.route, self.sends
         )
+        attempt.set_blocked(self._is_blocked)
         attempt.start(dependencies.pool, is_fresh, handler.route.is_repeatable)
 
     def release_pending_tokens(self) -> None:
@@ -153,6 +156,7 @@
 
     def set_blocked(self, is_blocked: bool) -> None:
         """Apply the caller's back-pressure to the backend connection."""
+        self._is_blocked = is_blocked
         self.event_deadline.set_blocked(is_blocked)
         if self.current is not None:
             self.current.set_blocked(is_blocked)
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -201,7 +201,7 @@
             )
         except authentication.AuthenticationError as error:
             self.attempts.abandon(is_failure=False)
-            self._refuse(error.code, str(error), error.retry_after_ms)
+            self._refuse(error.code, str(error))
         return self._is_finished
 
     # Sending
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -129,10 +129,10 @@
         """Send the oldest requests of the targets that owe them a send."""
         for item in self._fair.owed():
             target = item.target
-            if item.try_send(is_owed=True):
-                self._fair.settle_owed(target)
-            else:
+            if not item.try_send(is_owed=True):
                 full.add(target)
+            elif item not in self._fair:
+                self._fair.settle_owed(target)
 
 
 class _Heads:
--- a/src/balsamwall/gateway/sent_shares.py
+++ b/src/balsamwall/gateway/sent_shares.py
@@ -27,7 +27,8 @@
         self._sends = collections.deque()
         self._counts: collections.Counter[tuple[room_waiter.PriorityKey, str]]
         self._counts = collections.Counter()
-        self.owed = 0  # sends since the last one to the oldest request
+        # Sends that are not yet balanced by one to the oldest request.
+        self.owed = 0
 
     def add(self, key: room_waiter.PriorityKey, workspace: str) -> None:
         """Count a send."""
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -229,7 +229,7 @@
         if server.speed.is_used:
             # A fast server also prefills this prompt sooner, and the prompts
             # of other entries, which are known only by the load.
-            other_ms = server_speed.PROMPTS_PER_REQUEST_MS * load
+            other_ms = server_speed.PREFILL_MS_PER_REQUEST * load
             other_ms -= server.pending_tokens / PREFILL_TOKENS_PER_MS
             tokens += request.prompt_tokens
             score += request.prompt_tokens / PREFILL_TOKENS_PER_MS
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -15,25 +15,26 @@
 # steps, so a backlog of prompts delays the first token of a request and the
 # events of all other streams.
 PREFILL_TOKENS_PER_MS = 35.0
-# Usual time of an event, which holds the tokens of 8 decode steps, and the
-# time that each running request adds to the longest of 8 events by these steps
-# and by the prompts that are prefilled in between.
-EVENT_MS = 20.0
-STEPS_PER_REQUEST_MS = 1.0
-PROMPTS_PER_REQUEST_MS = 2.4
-# The longest pause of half of the streams is at most this much longer, since a
-# long prompt is prefilled at some time while they run.
+# Usual time between two events of a stream; an event holds the tokens of 8
+# decode steps. Each further running request adds time to the longest of 8 gaps
+# by its decode steps, and by the prompts that are prefilled in between.
+EVENT_INTERVAL_MS = 20.0
+DECODE_MS_PER_REQUEST = 1.0
+PREFILL_MS_PER_REQUEST = 2.4
+# Extra length of the longest pause of a stream, since a long prompt is usually
+# prefilled at some time while it runs.
 LONG_PROMPT_MS = 60.0
 # One chunk of about 1,024 tokens is prefilled between two decode steps.
 MAX_TOKENS_PER_EVENT = 8 * 1_024
 # A first event after fewer tokens shows the network more than the prefill.
-MIN_TOKENS = 500
-# A server is sent this many requests however slow it is, so that its speed is
-# still observed.
+MIN_PREFILL_TOKENS = 500
+# Lower bound of the sustainable requests, so that the speed of a slow server
+# is still observed.
 MIN_SUSTAINABLE = 2
-# The fourth load figure changes many times per second.
+# Age at which a reported work time no longer counts. Its weight falls linearly
+# until then.
 WORK_TIME_MAX_AGE_MS = 1_000
-USUAL_WORK_TIME = 100
+USUAL_WORK_TIME_PERCENT = 100
 # The work time is unknown for an observation without a recent figure, which
 # counts in part: it may fall into a slow period.
 UNKNOWN_WORK_TIME_WEIGHT = 0.25
@@ -48,7 +49,10 @@
 
 def usual_gap_ms(load: float) -> float:
     """Return the longest of 8 gaps of a stream at a server of usual speed."""
-    return EVENT_MS + (STEPS_PER_REQUEST_MS + PROMPTS_PER_REQUEST_MS) * load
+    return (
+        EVENT_INTERVAL_MS
+        + (DECODE_MS_PER_REQUEST + PREFILL_MS_PER_REQUEST) * load
+    )
 
 
 def usual_pause_ms(load: float, tokens: int = 0) -> float:
@@ -58,9 +62,9 @@
     """
     prompts_ms = min(tokens, MAX_TOKENS_PER_EVENT) / PREFILL_TOKENS_PER_MS
     prompts_ms = max(
-        LONG_PROMPT_MS + PROMPTS_PER_REQUEST_MS * load, prompts_ms
+        LONG_PROMPT_MS + PREFILL_MS_PER_REQUEST * load, prompts_ms
     )
-    return EVENT_MS + STEPS_PER_REQUEST_MS * load + prompts_ms
+    return EVENT_INTERVAL_MS + DECODE_MS_PER_REQUEST * load + prompts_ms
 
 
 class _ModelSpeed:
@@ -116,7 +120,7 @@
         self._models: dict[str, _ModelSpeed] = {}
         self._relative = speed_estimate.Estimate(now_ms)
         self._forecast = speed_estimate.Estimate(now_ms)
-        self._work = USUAL_WORK_TIME
+        self._work = USUAL_WORK_TIME_PERCENT
         self._work_ms: int | None = None
         # As learned by all entries.
         self._shared: dict[str, LearnedSpeed] = {}
@@ -146,10 +150,10 @@
         `tokens` are the uncached prompt tokens, including those that were
         sent before and had no first event.
         """
-        if tokens < MIN_TOKENS or not self.is_used:
+        if tokens < MIN_PREFILL_TOKENS or not self.is_used:
             return
         usual_ms = tokens / PREFILL_TOKENS_PER_MS
-        usual_ms += EVENT_MS + STEPS_PER_REQUEST_MS * load
+        usual_ms += EVENT_INTERVAL_MS + DECODE_MS_PER_REQUEST * load
         ratio = after_ms / (usual_ms * self.factor(model, now_ms))
         self._forecast.add(ratio, 1.0, 1.0, now_ms)
         prior = self._prior(model, now_ms, is_pause=False)
@@ -212,7 +216,7 @@
 
     def work_time(self, now_ms: int) -> float:
         """Return the reported work time as a factor, weighted by age."""
-        excess = self._work / USUAL_WORK_TIME - 1.0
+        excess = self._work / USUAL_WORK_TIME_PERCENT - 1.0
         return 1.0 + excess * self._freshness(now_ms)
 
     def relative(self, now_ms: int) -> float:
@@ -314,7 +318,7 @@
             return slots
         factor = self.learned(model, now_ms, True) * self.work_time(now_ms)
         count = gap_target_ms / factor - usual_pause_ms(0)
-        count /= STEPS_PER_REQUEST_MS + PROMPTS_PER_REQUEST_MS
+        count /= DECODE_MS_PER_REQUEST + PREFILL_MS_PER_REQUEST
         return min(slots, max(MIN_SUSTAINABLE, int(count)))
 
 
--- a/src/balsamwall/gateway/speed_metrics.py
+++ b/src/balsamwall/gateway/speed_metrics.py
@@ -30,7 +30,7 @@
         """Yield the metrics with a value for each server."""
         learned = metrics_core.GaugeMetricFamily(
             "balsamwall_gateway_server_slowness",
-            "Learned time of work relative to the median of the service",
+            "Learned slowdown against the median of the service",
             labels=("server",),
         )
         work = metrics_core.GaugeMetricFamily(
--- a/src/balsamwall/gateway/stream_meter.py
+++ b/src/balsamwall/gateway/stream_meter.py
@@ -86,7 +86,8 @@
             self._reset()
 
     def on_blocked(self) -> None:
-        """Discard the gaps that a slow caller causes."""
+        """Discard the gaps, and a first event, that a slow caller delays."""
+        self._has_begun = True
         self._reset()
         self._last_ms = None
 
--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -18,8 +18,8 @@
 
 # Longest time that a request waits for room in the quota.
 MAX_WAIT_MS = 150
-# Shortest time after a denial until the next query for the same workspace, so
-# that 60 entries in overload send at most 2,000 queries per second.
+# Shortest time after a denial until the next query for the same workspace. It
+# bounds the rate of queries in overload.
 MIN_QUERY_INTERVAL_MS = 30
 # Longest time until that query. A new coordinator, or one that is connected
 # again, may have more room than was expected.
@@ -29,16 +29,16 @@
 # A workspace that was scarce this short a time before the coordinator was
 # lost admits no request in advance.
 SCARCE_MEMORY_MS = 10_000
-# While a workspace is scarce, requests that are not urgent leave what remains
-# to urgent ones: for this time after the last response that said so, and only
-# if an urgent request has come within the other time.
-YIELD_MS = 1_000
-# Retry-After time of these requests. A workspace exceeds its quota for some
-# seconds, and a caller that returns sooner is most probably refused again.
-YIELD_RETRY_AFTER_MS = 3_000
+# Requests that are not urgent are refused for this time after the last
+# response that called the workspace scarce.
+SCARCE_RESPONSE_MAX_AGE_MS = 1_000
+# They are refused only if an urgent request has come within this time.
 URGENT_MEMORY_MS = 1_000
+# Their Retry-After time. A workspace exceeds its quota for some seconds, and a
+# caller that returns sooner is most probably refused again.
+DEFERRABLE_RETRY_AFTER_MS = 3_000
 # Retry-After time of a request that is larger than its quota ever admits.
-NEVER_MS = 60_000
+TOO_LARGE_RETRY_AFTER_MS = 60_000
 
 BY_COORDINATOR = "coordinator"
 BY_LOCAL_SHARE = "local share"
@@ -168,7 +168,7 @@
             return False
         now_ms = self._clock.now_ms()
         return (
-            now_ms - self._response_ms <= YIELD_MS
+            now_ms - self._response_ms <= SCARCE_RESPONSE_MAX_AGE_MS
             and now_ms - self._urgent_ms <= URGENT_MEMORY_MS
         )
 
--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -59,8 +59,9 @@
     """Admit requests from granted tokens, or from a share of this entry.
 
     Load pattern: one workspace sends many times its quota through all
-    entries. Its requests are decided in the order of arrival; only the first
-    of them asks the coordinator, so that the number of queries is bounded.
+    entries. Waiting requests are decided in the order of arrival, though a new
+    one may take tokens that are already granted. Only the first waiting one
+    asks the coordinator, so that the number of queries is bounded.
     """
 
     __slots__ = (
@@ -112,7 +113,10 @@
         on_decided: Callable[[QuotaOutcome], None],
         is_urgent: bool = True,
     ) -> workspace_balance.QuotaWait:
-        """Charge a request or refuse it; the call back may be immediate."""
+        """Charge a request or refuse it.
+
+        `on_decided` may be called before this returns.
+        """
         end_ms = self._clock.now_ms() + workspace_balance.MAX_WAIT_MS
         wait = workspace_balance.QuotaWait(cost, end_ms, on_decided)
         quota = self._quota(workspace)
@@ -121,7 +125,7 @@
             wait.decide(outcome)
             return wait
         if cost > workspace_balance.largest_cost(quota, self._tolerance):
-            never_ms = workspace_balance.NEVER_MS
+            never_ms = workspace_balance.TOO_LARGE_RETRY_AFTER_MS
             reason = workspace_balance.BY_SIZE
             wait.decide(QuotaOutcome(False, never_ms, reason))
             return wait
@@ -130,7 +134,7 @@
             balance.on_urgent()
         elif balance.is_kept_for_urgent:
             reason = workspace_balance.BY_URGENCY
-            retry_ms = workspace_balance.YIELD_RETRY_AFTER_MS
+            retry_ms = workspace_balance.DEFERRABLE_RETRY_AFTER_MS
             wait.decide(QuotaOutcome(False, retry_ms, reason))
             return wait
         if balance.granted.take(cost):
@@ -187,7 +191,7 @@
     def _quota(
         self, workspace: workspace_module.Workspace
     ) -> workspace_module.WorkspaceQuota | None:
-        """Return the quota in force, also if the request is older."""
+        """Return the quota in force, which may be newer than the request."""
         current = self._configuration.current
         table = current.workspaces if current is not None else None
         found = table.get(workspace.name) if table is not None else None
--- a/src/balsamwall/infrastructure/event_count.py
+++ b/src/balsamwall/infrastructure/event_count.py
@@ -4,7 +4,7 @@
 
 
 class EventCount:
-    """Count the complete events of one stream, without its comments.
+    """Count the complete blocks with a field of one event stream.
 
     A block of comment lines, as sent to keep a connection open, is no event.
     """
@@ -22,6 +22,7 @@
         if self._ended_in_cr and data.startswith(b"\n"):
             # The line feed belongs to the line end that was counted.
             data = data[1:]
+            self._ended_in_cr = False
         if not data:
             return
         for line in data.splitlines(keepends=True):
--- a/src/balsamwall/limits/leased_tokens.py
+++ b/src/balsamwall/limits/leased_tokens.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from balsamwall.timing import clock as clock_module
 
-# A grant expires after this time. It is a tenth of the window in which quotas
-# are checked, so that late use exceeds a limit by at most a tenth.
+# Lifetime of a grant. Late use exceeds a limit by at most the part that this
+# is of the window in which quotas are checked.
 LEASE_MS = 800
 
 
--- a/src/balsamwall/limits/uncoordinated_quota.py
+++ b/src/balsamwall/limits/uncoordinated_quota.py
@@ -23,8 +23,9 @@
 
     Load pattern: for the 3 to 5 s of an election no coordinator grants
     tokens, and the share of an entry is less than one request of a small
-    workspace. One request may be admitted in advance; the bucket repays it,
-    also if the coordinator returns and is lost again.
+    workspace. Requests may be admitted in advance up to the share of
+    half of the burst; the bucket repays them, also if the coordinator returns
+    and is lost again.
     """
 
     __slots__ = (
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -105,10 +105,9 @@
             for field in http_fields.end_to_end(
                 head.fields, _ALWAYS_FORWARDED_FIELDS
             )
-            if field[0] not in _SYSTEM_FIELDS
-            and field[0] not in _REPLACED_FIELDS
             # Servers with a CGI-like interface read "_" in a name as "-".
-            and field[0].replace(b"_", b"-") != WORKSPACE
+            if field[0].replace(b"_", b"-") not in _SYSTEM_FIELDS
+            and field[0] not in _REPLACED_FIELDS
             and not (has_workspaces and field[0] == AUTHORIZATION)
         ]
 
@@ -164,7 +163,7 @@
 def _bearer_key(fields: http_fields.Fields) -> bytes:
     """Return the key of the only Authorization field, else an empty value.
 
-    Two fields are no key, since it is open which one another system reads.
+    A repeated field is no key: another system might read the other one.
     """
     if http_fields.is_repeated(fields, AUTHORIZATION):
         return b""
@@ -202,7 +201,7 @@
 
 
 def _parse_percent(raw: bytes) -> int | None:
-    """Return a work time; a number of any length counts as the maximum."""
+    """Return a work time in percent, reduced to the maximum, or None."""
     text = raw.strip()
     if text.isdigit() and len(text) > 12:
         return MAX_WORK_TIME_PERCENT
--- a/tests/coordination/test_quota_issuer.py
+++ b/tests/coordination/test_quota_issuer.py
@@ -137,7 +137,7 @@
         """Guards against a request that no deployment tolerates."""
         self.tick(1_000)
         largest = 5 * RATE + 17_000
-        never_ms = workspace_balance.NEVER_MS
+        never_ms = workspace_balance.TOO_LARGE_RETRY_AFTER_MS
         self.assertLess(self.issuer.grant("w1", largest, 0).wait_ms, never_ms)
         decision = self.issuer.grant("w1", largest + 1, 0)
         self.assertEqual(decision.wait_ms, never_ms)
@@ -149,7 +149,9 @@
         self.assertGreater(self.issuer.grant("w1", RATE + 1, 0).wait_ms, 0)
         self.assertEqual(self.issuer.grant("w1", RATE, 0).tokens, RATE)
         decision = self.issuer.grant("w1", 5 * RATE + 1, 0)
-        self.assertEqual(decision.wait_ms, workspace_balance.NEVER_MS)
+        self.assertEqual(
+            decision.wait_ms, workspace_balance.TOO_LARGE_RETRY_AFTER_MS
+        )
 
     def test_slack_does_not_apply_to_requests(self):
         """Guards against 17,000 requests above a quota of requests."""
@@ -162,7 +164,9 @@
         )
         self.tick(1_000)
         decision = self.issuer.grant("w1", 6, 0)
-        self.assertEqual(decision.wait_ms, workspace_balance.NEVER_MS)
+        self.assertEqual(
+            decision.wait_ms, workspace_balance.TOO_LARGE_RETRY_AFTER_MS
+        )
         self.assertEqual(self.issuer.grant("w1", 5, 0).tokens, 5)
         self.assertGreater(self.issuer.grant("w1", 1, 0).wait_ms, 0)
 
