Plan replicas by lasting differences of speed only

Change: the capacity of an engine for plans leaves the reported work time out; the choice of a server and admission keep it.

--- a/src/balsamwall/coordination/engine_speed.py
+++ b/src/balsamwall/coordination/engine_speed.py
@@ -8,9 +8,8 @@
     from balsamwall.coordination import engine_tracker
     from balsamwall.gateway import server_speed
 
-# Weight of the current value in the moving average of what an engine can bear.
-# It is updated every 100 ms, and a replica loads within seconds, so that a
-# shorter slow period should not cause one.
+# Weight of the current value in the moving average of the part of its slots
+# that an engine can use.
 SUSTAINABLE_WEIGHT = 0.1
 
 
@@ -25,7 +24,9 @@
 
     Load pattern: a model on a slow engine needs another replica at a number
     of requests that a usual engine serves. The part is that of the resident
-    model that leaves the fewest requests within the pause target.
+    model that leaves the fewest requests within the pause target. Only
+    lasting differences count: a slow period mostly ends before a replica is
+    loaded, and the replica would replace a model that is requested rarely.
     """
     speed = speeds.get(tracker.record.server_id)
     if speed is None:
@@ -33,7 +34,9 @@
     else:
         slots = max(1, tracker.spec.slots)
         count = min(
-            speed.sustainable_requests(model, slots, gap_target_ms, now_ms)
+            speed.sustainable_requests(
+                model, slots, gap_target_ms, now_ms, is_lasting=True
+            )
             for model in tracker.models or ("",)
         )
         change = count / slots - tracker.sustainable
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -308,15 +308,23 @@
         return factor * usual_pause_ms(load, tokens)
 
     def sustainable_requests(
-        self, model: str, slots: int, gap_target_ms: int, now_ms: int
+        self,
+        model: str,
+        slots: int,
+        gap_target_ms: int,
+        now_ms: int,
+        is_lasting: bool = False,
     ) -> int:
         """Return how many requests keep pauses within a target.
 
-        They are all slots without a target or without reported work times.
+        They are all slots without a target or without reported work times. If
+        `is_lasting` is set, the current work time is left out.
         """
         if not self.is_used or not gap_target_ms:
             return slots
-        factor = self.learned(model, now_ms, True) * self.work_time(now_ms)
+        factor = self.learned(model, now_ms, True)
+        if not is_lasting:
+            factor *= self.work_time(now_ms)
         count = gap_target_ms / factor - usual_pause_ms(0)
         count /= DECODE_MS_PER_REQUEST + PREFILL_MS_PER_REQUEST
         return min(slots, max(MIN_SUSTAINABLE, int(count)))
--- a/tests/coordination/test_speed_exchange.py
+++ b/tests/coordination/test_speed_exchange.py
@@ -197,6 +197,12 @@
         self.assertGreater(slow.slowness, 2.0)
         self.assertAlmostEqual(self.trackers[1].sustainable, 1.0, delta=0.01)
 
+    def test_slow_period_causes_no_replica(self):
+        """Guards against loads for a slow period that ends before them."""
+        self.teach({"e0": 1.0, "e1": 1.0, "e2": 1.0})
+        self.table._services["app"].servers["e0"].on_work_time(400, 0)
+        self.assertAlmostEqual(self.update().capacity, 1.0, delta=0.01)
+
     def test_scheduler_avoids_a_slow_engine(self):
         """Guards against prompts assigned alike to fast and slow engines."""
         clock = fleet_harness.virtual_clock.VirtualClock(start_ms=0)
