--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -21,9 +21,6 @@
 EVENT_INTERVAL_MS = 20.0
 DECODE_MS_PER_REQUEST = 1.0
 PREFILL_MS_PER_REQUEST = 2.4
-# Extra length of the longest pause of a stream, since a long prompt is usually
-# prefilled at some time while it runs.
-LONG_PROMPT_MS = 60.0
 # One chunk of about 1,024 tokens is prefilled between two decode steps.
 MAX_TOKENS_PER_EVENT = 8 * 1_024
 # A first event after fewer tokens shows the network more than the prefill.
@@ -61,9 +58,7 @@
     `tokens` are those of prompts that are known to be queued there.
     """
     prompts_ms = min(tokens, MAX_TOKENS_PER_EVENT) / PREFILL_TOKENS_PER_MS
-    prompts_ms = max(
-        LONG_PROMPT_MS + PREFILL_MS_PER_REQUEST * load, prompts_ms
-    )
+    prompts_ms = max(PREFILL_MS_PER_REQUEST * load, prompts_ms)
     return EVENT_INTERVAL_MS + DECODE_MS_PER_REQUEST * load + prompts_ms
 
 
