--- a/src/balsamwall/coordination/replica_demand.py
+++ b/src/balsamwall/coordination/replica_demand.py
@@ -55,8 +55,9 @@
     max_utilisation: float = 0.0
     # Utilisation that the new replica adds to its engine.
     added_utilisation: float = 0.0
-    # Whether it guards against slow engines, however busy they are.
-    is_hedge: bool = False
+    # Whether it is needed since engines are slow. It may then go to an engine
+    # of any utilisation.
+    is_for_slow_engines: bool = False
 
     def remaining_gain(self, delay_s: float) -> float:
         """Return the gain of a replica that is usable after a delay."""
@@ -124,10 +125,10 @@
                 for tracker in model_trackers
             ]
             capacity = _capacity(model_trackers)
-            saved_per_s = self._slow_requests(
+            saved_per_s = self._avoided_late_per_s(
                 model, model_trackers, slow_share
             )
-            is_hedge = saved_per_s > 0
+            is_for_slow_engines = saved_per_s > 0
             if sum(used) / count >= SCALE_OUT_UTILISATION:
                 saved_per_s += self._delay_change(
                     model, model_trackers, utilisation, capacity + 1
@@ -142,12 +143,12 @@
                     replicas=count,
                     max_utilisation=max(used),
                     added_utilisation=added / (capacity + 1),
-                    is_hedge=is_hedge,
+                    is_for_slow_engines=is_for_slow_engines,
                 )
             )
         return found
 
-    def _slow_requests(
+    def _avoided_late_per_s(
         self,
         model: str,
         trackers: list[engine_tracker.EngineTracker],
@@ -177,7 +178,7 @@
         slow_share = _slow_share(trackers)
         losses = {}
         for model, model_trackers in trackers_by_model.items():
-            saved_per_s = self._slow_requests(
+            saved_per_s = self._avoided_late_per_s(
                 model, model_trackers, slow_share
             )
             capacity = _capacity(model_trackers)
@@ -190,7 +191,7 @@
                         utilisation,
                         capacity - tracker.capacity,
                     )
-                    lost_per_s += self._slow_requests(
+                    lost_per_s += self._avoided_late_per_s(
                         model, others, slow_share
                     )
                     loss = (lost_per_s - saved_per_s) * DEMAND_LIFETIME_S
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -140,7 +140,7 @@
             and not tracker.is_limited
             and not tracker.is_slow
             and (
-                need.is_hedge
+                need.is_for_slow_engines
                 or used[tracker.record.server_id] + need.added_utilisation
                 < need.max_utilisation
             )
--- a/src/balsamwall/coordination/speed_exchange.py
+++ b/src/balsamwall/coordination/speed_exchange.py
@@ -19,7 +19,7 @@
 # A coordinator that takes ServerSpeeds marks its fleet loads with this name,
 # which earlier builds ignore, as they know no such server. They close a stream
 # on which they receive a message with an unknown number.
-MARKER = "server-speeds"
+ACCEPTS_SPEEDS_KEY = "server-speeds"
 # Factors change slowly and are shared less often than work times.
 FACTORS_INTERVAL_MS = 1_000
 # Factors that an entry has learned are dropped this long after its report.
@@ -59,7 +59,7 @@
 
     def on_loads(self, loads: dict[str, int]) -> None:
         """Note whether the coordinator takes reports."""
-        self._is_taken = MARKER in loads
+        self._is_taken = ACCEPTS_SPEEDS_KEY in loads
 
     def report(self) -> messages_fleet.ServerSpeeds | None:
         """Return what to report now, None without any reported work time."""
@@ -141,7 +141,7 @@
         """Return fleet loads, marked if any server reports work times."""
         if not any(self._directory.speeds.used()):
             return loads
-        return {**loads, MARKER: 1}
+        return {**loads, ACCEPTS_SPEEDS_KEY: 1}
 
     def share(
         self, send: Callable[[str, messages_fleet.ServerSpeeds], None]
--- a/src/balsamwall/gateway/fair_order.py
+++ b/src/balsamwall/gateway/fair_order.py
@@ -28,7 +28,7 @@
 
 # Priority, stage, counters of the workspace and of the model, and arrival with
 # a sequence number, which is unique.
-Rank = tuple[
+SendOrderKey = tuple[
     room_waiter.PriorityKey, fair_queue.Stage, float, float, tuple[int, int]
 ]
 
@@ -174,7 +174,7 @@
 
     def head(
         self, target: room_waiter.Target
-    ) -> tuple[Rank, room_waiter.RoomWaiter] | None:
+    ) -> tuple[SendOrderKey, room_waiter.RoomWaiter] | None:
         """Return the request to send next for a target, with its sort key."""
         queue = self._queues.get(target)
         entry = queue.head() if queue else None
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -72,7 +72,7 @@
         "_dependencies",
         "_excluded",
         "_handler",
-        "_is_charged",
+        "_is_counted",
         "_on_refused",
         "_service",
         "_timer",
@@ -96,7 +96,7 @@
         self._on_refused = on_refused
         # Servers that the request was sent to and that did not serve it.
         self._excluded: frozenset[str] = frozenset()
-        self._is_charged = False
+        self._is_counted = False
         self._timer: clock_module.Timer | None = None
         self._wait = request_wait.RequestWait(dependencies, self, on_refused)
         self.choice: server_choice.Choice | None = None
@@ -296,8 +296,8 @@
 
         A repeated request avoids servers that the coordinator does not know.
         """
-        if not self._is_charged:
-            self._is_charged = True
+        if not self._is_counted:
+            self._is_counted = True
             self._dependencies.room.on_sent(self)
         if self.is_fair:
             self._dependencies.admission.on_fair_sent(self.target)
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -16,7 +16,7 @@
 RETRY_INTERVAL_MS = 20
 
 
-def _plain_rank(
+def _arrival_order(
     waiter: room_waiter.RoomWaiter,
 ) -> tuple[room_waiter.PriorityKey, int]:
     """Return the rank by priority, then by time of arrival."""
@@ -62,7 +62,7 @@
         if waiter.is_fair:
             self._fair.add(waiter, self._clock.now_ms())
         else:
-            bisect.insort(self._waiters, waiter, key=_plain_rank)
+            bisect.insort(self._waiters, waiter, key=_arrival_order)
             self._members.add(waiter)
         if self._timer is None:
             self._schedule()
@@ -114,14 +114,14 @@
         if self._fair:
             self._fair.advance(self._clock.now_ms())
             self._send_owed(full)
-        heads = _Heads(self._fair, full)
+        sender = _FairSender(self._fair, full)
         for item in list(self._waiters):
-            heads.send_before(_plain_rank(item))
+            sender.send_before(_arrival_order(item))
             if item.target in full or item not in self._members:
                 continue
             if not item.try_send():
                 full.add(item.target)
-        heads.send_before(None)
+        sender.send_before(None)
         if self._waiters or self._fair:
             self._schedule()
 
@@ -135,7 +135,7 @@
                 self._fair.settle_owed(target)
 
 
-class _Heads:
+class _FairSender:
     """Send fairly ordered requests, the first of each target at a time."""
 
     __slots__ = ("_fair", "_full", "_heap", "_tried")
@@ -145,7 +145,9 @@
     ) -> None:
         self._fair = fair
         self._full = full
-        self._heap: list[tuple[fair_order.Rank, room_waiter.RoomWaiter]] = []
+        self._heap: list[
+            tuple[fair_order.SendOrderKey, room_waiter.RoomWaiter]
+        ] = []
         # A request that was sent and waits again is not tried once more.
         self._tried: set[room_waiter.RoomWaiter] = set()
         for target in fair.targets:
@@ -158,7 +160,7 @@
         """Try the requests that rank before another one, or all of them."""
         while self._heap:
             item = self._heap[0][1]
-            if rank is not None and _plain_rank(item) > rank:
+            if rank is not None and _arrival_order(item) > rank:
                 return
             heapq.heappop(self._heap)
             target = item.target
--- a/src/balsamwall/platform/feed_confirmation.py
+++ b/src/balsamwall/platform/feed_confirmation.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from balsamwall.timing import stall_meter
+from balsamwall.timing import pause_detector
 
 if TYPE_CHECKING:
     from balsamwall.timing import clock as clock_module
@@ -23,7 +23,7 @@
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
-        self._stalls = stall_meter.StallMeter(clock)
+        self._stalls = pause_detector.PauseDetector(clock)
         self._call_ms = 0  # when the call in progress was sent
         self._answered_ms = 0  # when the last answered call was sent
         self.at_ms: int | None = None  # last confirmation
