Give the candidates of a prompt and a reported work time types

Cause: both were bare tuples, one with a value kept beside it, and the loop that assigns a prompt scored the engines as well.

Change: two data classes; the score of one engine is a method of its own. No behaviour is changed.

--- a/src/balsamwall/coordination/prompt_scheduler.py
+++ b/src/balsamwall/coordination/prompt_scheduler.py
@@ -42,6 +42,16 @@
         return tokens / server_choice.PREFILL_TOKENS_PER_MS
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Candidate:
+    """Engine that may prefill a prompt."""
+
+    server_id: str
+    score_ms: float  # expected time to the first token, with penalties
+    backlog_ms: float
+    factor: float  # of its prefill times, 1.0 is usual
+
+
 class _EngineBacklog:
     """Prompts that were assigned to one engine."""
 
@@ -90,31 +100,43 @@
         `pending_tokens` the prompts that have no first token yet.
         """
         now_ms = self._clock.now_ms()
-        best: tuple[float, float, str] | None = None
-        best_factor = 1.0
-        for tracker in holders:
-            server_id = tracker.record.server_id
-            speed = self._speeds.get(server_id) if self._speeds else None
-            factor = speed.factor(prompt.model, now_ms) if speed else 1.0
-            tokens = pending_tokens.get(server_id, 0)
-            backlog_ms = self._backlog_ms(server_id, tokens, factor, now_ms)
-            load = self._load(server_id, loads, now_ms)
-            score = backlog_ms + self._score(tracker, load, prompt, factor)
-            if speed is not None:
-                tokens += prompt.tokens
-                pause_ms = speed.pause_ms(
-                    prompt.model, load + 1, tokens, now_ms
-                )
-                score += server_choice.pause_penalty_ms(
-                    pause_ms, prompt.gap_target_ms
-                )
-            if best is None or score < best[0]:
-                best = (score, backlog_ms, server_id)
-                best_factor = factor
-        if best is None or best[1] > MAX_BACKLOG_MS:
+        best = min(
+            (
+                self._candidate(tracker, loads, pending_tokens, prompt, now_ms)
+                for tracker in holders
+            ),
+            key=lambda candidate: candidate.score_ms,
+            default=None,
+        )
+        if best is None or best.backlog_ms > MAX_BACKLOG_MS:
             return ""
-        self._record(best[2], prompt, best_factor, now_ms)
-        return best[2]
+        self._record(best.server_id, prompt, best.factor, now_ms)
+        return best.server_id
+
+    def _candidate(
+        self,
+        tracker: engine_tracker.EngineTracker,
+        loads: dict[str, int],
+        pending_tokens: dict[str, int],
+        prompt: Prompt,
+        now_ms: int,
+    ) -> _Candidate:
+        """Return the score of an engine for a prompt."""
+        server_id = tracker.record.server_id
+        speed = self._speeds.get(server_id) if self._speeds else None
+        factor = speed.factor(prompt.model, now_ms) if speed else 1.0
+        tokens = pending_tokens.get(server_id, 0)
+        backlog_ms = self._backlog_ms(server_id, tokens, factor, now_ms)
+        load = self._load(server_id, loads, now_ms)
+        score_ms = backlog_ms + self._score(tracker, load, prompt, factor)
+        if speed is not None:
+            pause_ms = speed.pause_ms(
+                prompt.model, load + 1, tokens + prompt.tokens, now_ms
+            )
+            score_ms += server_choice.pause_penalty_ms(
+                pause_ms, prompt.gap_target_ms
+            )
+        return _Candidate(server_id, score_ms, backlog_ms, factor)
 
     def _record(
         self, server_id: str, prompt: Prompt, factor: float, now_ms: int
--- a/src/balsamwall/coordination/speed_exchange.py
+++ b/src/balsamwall/coordination/speed_exchange.py
@@ -188,10 +188,12 @@
     """Return rows of the recently reported work times, with ages."""
     rows: list[list[object]] = []
     for server in directory.all_servers():
-        found = server.speed.reported_work(now_ms)
+        found = server.speed.reported_work_time(now_ms)
         if found is not None:
             started_ms = server.record.started_ms
-            rows.append([server.server_id, started_ms, *found])
+            rows.append(
+                [server.server_id, started_ms, found.percent, found.age_ms]
+            )
     return rows
 
 
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -77,6 +77,14 @@
         return max(self.prefill.updated_ms, self.pause.updated_ms)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportedWorkTime:
+    """Work time as a server has reported it some time ago."""
+
+    percent: int  # 100 is usual
+    age_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LearnedSpeed:
     """Hold the factors for one model at one process."""
@@ -272,11 +280,11 @@
                 found[model] = learned
         return found
 
-    def reported_work(self, now_ms: int) -> tuple[int, int] | None:
-        """Return the last work time in percent and its age, if recent."""
+    def reported_work_time(self, now_ms: int) -> ReportedWorkTime | None:
+        """Return the last reported work time, if it is recent."""
         if self._work_ms is None or not self._freshness(now_ms):
             return None
-        return self._work, max(0, now_ms - self._work_ms)
+        return ReportedWorkTime(self._work, max(0, now_ms - self._work_ms))
 
     def observed(
         self, model: str, now_ms: int, is_pause: bool
