Split the handling of a new request into steps

Cause: Gateway.on_request routed, authenticated and started a request in about 70 lines, and the refusal before the first configuration was written twice.

Change: one method each for route, authentication and start. A RefusalError carries the result code; ConfigurationHolder.require raises it before the first configuration, for the gateway and the authenticator. It replaces AuthenticationError. No behaviour is changed.

--- a/src/balsamwall/gateway/authentication.py
+++ b/src/balsamwall/gateway/authentication.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 import urllib.parse
 
+from balsamwall.gateway import refusal
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -18,18 +19,6 @@
 _Code = result_code.ResultCode
 
 
-class AuthenticationError(Exception):
-    """Request without the key that its route needs, or an unusable key."""
-
-    def __init__(
-        self,
-        code: result_code.ResultCode,
-        detail: str,
-    ) -> None:
-        super().__init__(detail)
-        self.code = code
-
-
 def closed_route(route: route_module.Route, path: str) -> route_module.Route:
     """Return the route, as not public if the path has dot segments.
 
@@ -74,27 +63,21 @@
     ) -> workspace_module.Workspace | None:
         """Return the workspace, or None if the request needs none.
 
-        Raise AuthenticationError if the request must not be served.
+        Raise RefusalError if the request must not be served.
         """
-        current = self._configuration.current
-        if current is None:
-            raise AuthenticationError(
-                _Code.CONFIGURATION_UNAVAILABLE,
-                "no configuration received yet",
-            )
-        workspaces = current.workspaces
+        workspaces = self._configuration.require().workspaces
         if workspaces is None:
             return None
         found = workspaces.find(request.api_key) if request.api_key else None
         if route.is_public:
             return found
         if self._freshness is not None and not self._freshness.check():
-            raise AuthenticationError(
+            raise refusal.RefusalError(
                 _Code.CONFIGURATION_UNAVAILABLE,
                 "the configuration is not confirmed to be the newest",
             )
         if found is None:
-            raise AuthenticationError(
+            raise refusal.RefusalError(
                 _Code.KEY_MISSING_OR_WRONG,
                 "the request has no key that is in force",
             )
--- a/src/balsamwall/gateway/configuration_holder.py
+++ b/src/balsamwall/gateway/configuration_holder.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import refusal
+from balsamwall.results import result_code
+
 if TYPE_CHECKING:
     from balsamwall.gateway import gateway_configuration
 
@@ -25,6 +28,15 @@
         """Return the active configuration, or None before the first one."""
         return self._current
 
+    def require(self) -> gateway_configuration.GatewayConfiguration:
+        """Return the active configuration; raise RefusalError before it."""
+        if self._current is None:
+            raise refusal.RefusalError(
+                result_code.ResultCode.CONFIGURATION_UNAVAILABLE,
+                "no configuration received yet",
+            )
+        return self._current
+
     def offer(
         self, configuration: gateway_configuration.GatewayConfiguration
     ) -> bool:
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -151,52 +151,62 @@
     def on_request(self, exchange: caller_exchange.CallerExchange) -> None:
         """Route a complete request and start its handler, or refuse it."""
         request = self._dependencies.codec.decode(exchange.head)
-        current = self._configuration.current
-        if not request.attempt_id:
-            self._refuse(
-                exchange,
-                request,
-                _Code.MALFORMED_REQUEST,
-                "the request has no identifier",
-            )
+        try:
+            route = self._find_route(request, exchange.head.path)
+            workspace = self._authenticate(request, route)
+        except refusal.RefusalError as error:
+            self._refuse(exchange, request, error.code, str(error))
             return
-        if current is None:
+        if self._may_outlive_process(route):
             self._refuse(
                 exchange,
                 request,
-                _Code.CONFIGURATION_UNAVAILABLE,
-                "no configuration received yet",
+                _Code.LEAVING,
+                "this entry is shutting down",
+                workspace,
             )
             return
-        route = current.find_route(request.host, exchange.head.path)
+        self._start(exchange, request, route, workspace)
+
+    def _find_route(
+        self, request: incoming_request.IncomingRequest, path: str
+    ) -> route_module.Route:
+        """Return the route of a request; raise RefusalError without one."""
+        if not request.attempt_id:
+            raise refusal.RefusalError(
+                _Code.MALFORMED_REQUEST, "the request has no identifier"
+            )
+        route = self._configuration.require().find_route(request.host, path)
         if route is None:
-            self._refuse(
-                exchange,
-                request,
-                _Code.UNKNOWN_PATH,
-                "no route matches the host and path",
+            raise refusal.RefusalError(
+                _Code.UNKNOWN_PATH, "no route matches the host and path"
             )
-            return
-        route = authentication.closed_route(route, exchange.head.path)
+        return authentication.closed_route(route, path)
+
+    def _authenticate(
+        self,
+        request: incoming_request.IncomingRequest,
+        route: route_module.Route,
+    ) -> workspace_module.Workspace | None:
+        """Return the workspace of a request; count one that is refused."""
         try:
-            workspace = self._dependencies.authenticator.authenticate(
+            return self._dependencies.authenticator.authenticate(
                 request, route
             )
-        except authentication.AuthenticationError as error:
+        except refusal.RefusalError as error:
             self._dependencies.metrics.workspaces.count_unauthenticated(
                 error.code
             )
-            self._refuse(exchange, request, error.code, str(error))
-            return
-        if self._may_outlive_process(route):
-            self._refuse(
-                exchange,
-                request,
-                _Code.LEAVING,
-                "this entry is shutting down",
-                workspace,
-            )
-            return
+            raise
+
+    def _start(
+        self,
+        exchange: caller_exchange.CallerExchange,
+        request: incoming_request.IncomingRequest,
+        route: route_module.Route,
+        workspace: workspace_module.Workspace | None,
+    ) -> None:
+        """Start the handler of a request, unless it is quarantined."""
         service = self._pick_service(route)
         self._dependencies.retry_budget_for(service).on_request()
         handler = request_handler.RequestHandler(
@@ -209,7 +219,7 @@
             workspace,
         )
         if handler.refuse_quarantined():
-            # It is no demand for its model.
+            # A quarantined request does not count as demand for its model.
             return
         self._handlers.add(handler)
         if request.model:
--- a/src/balsamwall/gateway/refusal.py
+++ b/src/balsamwall/gateway/refusal.py
@@ -17,6 +17,14 @@
 RETRY_AFTER_MS = 500
 
 
+class RefusalError(Exception):
+    """Request that must not be served, with the result code to respond."""
+
+    def __init__(self, code: result_code.ResultCode, detail: str) -> None:
+        super().__init__(detail)
+        self.code = code
+
+
 def write(
     exchange: caller_exchange.CallerExchange,
     code: result_code.ResultCode,
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
-from balsamwall.gateway import authentication
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
@@ -199,7 +198,7 @@
             self.workspace = self._dependencies.authenticator.authenticate(
                 self.request, self.route
             )
-        except authentication.AuthenticationError as error:
+        except refusal.RefusalError as error:
             self.attempts.abandon(is_failure=False)
             self._refuse(error.code, str(error))
         return self._is_finished
