Split the admission of fairly ordered requests

Change: FleetRoom holds the servers, the share of the fleet's room that this entry may use (entry_share, before part) and the time of a stream. The credit is checked in a method of its own. No behaviour is changed.

--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import backend_directory
@@ -72,6 +73,36 @@
     return slots + MAX_WAITING_AT_ENGINE
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class FleetRoom:
+    """Describe the room for a request, and what of it this entry may use."""
+
+    # The servers that may serve the request. They are looked up only when a
+    # new report renews the credit.
+    holders: Callable[[], Iterable[backend_directory.BackendServer]]
+    entry_share: float  # fraction of the fleet's room
+    stream_ms: float  # time for which a request uses a slot
+
+    def free_slots(self, is_reserved: bool) -> float:
+        """Return the slots that are free until the next report.
+
+        Slots that become free in this time are left to urgent requests while
+        there are any.
+        """
+        ends_per_slot = (
+            0.0 if is_reserved else FLEET_REPORT_MS / self.stream_ms
+        )
+        return sum(
+            max(
+                0.0,
+                _fair_limit(server, is_reserved)
+                + ends_per_slot * server.record.slots
+                - server.fleet_load,
+            )
+            for server in self.holders()
+        )
+
+
 class Admission:
     """Limit the requests at each engine; the others are queued at the entry.
 
@@ -119,28 +150,24 @@
         self,
         server: backend_directory.BackendServer,
         waiter: room_waiter.RoomWaiter,
-        holders: Callable[[], Iterable[backend_directory.BackendServer]],
-        part: float,
-        stream_ms: float,
+        fleet: FleetRoom,
+        *,
         is_owed: bool,
         gap_target_ms: int = 0,
     ) -> bool:
         """Return whether a fairly ordered request may be sent now.
 
         One that is not urgent leaves a reserve to urgent ones, unless the send
-        is owed to it because it has waited longest. It also needs credit:
-        `part` is the fraction of the fleet's queue that this entry holds,
-        `holders` are the servers that may serve the request, and `stream_ms`
-        is the time for which a request uses a slot.
+        is owed to it because it has waited longest. It also needs credit.
         """
         service, model, _ = waiter.target
         if not model:
             return True
         now_ms = self._clock.now_ms()
-        if is_urgent(waiter.priority):
+        is_request_urgent = is_urgent(waiter.priority)
+        if is_request_urgent:
             self._urgent_ms[service] = now_ms
-            is_owed = True
-        if is_owed:
+        if is_request_urgent or is_owed:
             return server.load(now_ms) < _urgent_limit(server)
         is_reserved = self._has_urgent(service, now_ms)
         sustainable = _sustainable(server, model, gap_target_ms, now_ms)
@@ -150,26 +177,22 @@
         age_ms = now_ms - server.fleet_load_at_ms
         if age_ms > backend_directory.FLEET_LOAD_MAX_AGE_MS:
             return True
-        credit = self._credits.get(waiter.target)
+        return self._has_credit(server, waiter.target, fleet, is_reserved)
+
+    def _has_credit(
+        self,
+        server: backend_directory.BackendServer,
+        target: room_waiter.Target,
+        fleet: FleetRoom,
+        is_reserved: bool,
+    ) -> bool:
+        """Renew the credit after a new report; return whether it suffices."""
+        credit = self._credits.get(target)
         if credit is None:
             credit = _SendCredit(self._random.random())
-            self._credits[waiter.target] = credit
+            self._credits[target] = credit
         if credit.is_renewed_by(server.fleet_load_at_ms):
-            # Slots that become free until the next report are left to urgent
-            # requests while there are any.
-            ends_per_slot = 0 if is_reserved else FLEET_REPORT_MS / stream_ms
-            credit.add(
-                part
-                * sum(
-                    max(
-                        0.0,
-                        _fair_limit(item, is_reserved)
-                        + ends_per_slot * item.record.slots
-                        - item.fleet_load,
-                    )
-                    for item in holders()
-                )
-            )
+            credit.add(fleet.entry_share * fleet.free_slots(is_reserved))
         return credit.amount >= 1.0
 
     def on_fair_sent(self, target: room_waiter.Target) -> None:
@@ -188,7 +211,7 @@
     """Limit what one entry sends for a target between two reports.
 
     Load pattern: all entries hold waiting requests and see the same room in a
-    report. Each may use its part of the room; fractions are carried over, and
+    report. Each may use its share of the room; fractions are carried over, and
     begin at random, so that the entries do not reach a whole one together.
     """
 
@@ -205,7 +228,7 @@
         return is_new
 
     def add(self, amount: float) -> None:
-        """Add the part of the room in a new report."""
+        """Add the share of the room in a new report."""
         self.amount = min(1.0, self.amount) + amount
 
 
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import admission
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_priority
@@ -250,18 +251,21 @@
             )
         service, model, _ = self.target
         forecast = dependencies.forecast
-        return dependencies.admission.has_fair_room(
-            server,
-            self,
+        fleet = admission.FleetRoom(
             lambda: dependencies.directory.holders(*self.target),
-            forecast.own_part(
+            forecast.entry_share(
                 model,
                 dependencies.room.count(self.target),
                 dependencies.entries,
             ),
             forecast.stream_ms(service),
-            is_owed,
-            self.route.gap_target_ms,
+        )
+        return dependencies.admission.has_fair_room(
+            server,
+            self,
+            fleet,
+            is_owed=is_owed,
+            gap_target_ms=self.route.gap_target_ms,
         )
 
     def _may_send_now(self, server: backend_directory.BackendServer) -> bool:
--- a/src/balsamwall/gateway/wait_forecast.py
+++ b/src/balsamwall/gateway/wait_forecast.py
@@ -110,15 +110,15 @@
         per_s = self._rate_per_s(service, holders, limit_of)
         if not position.queued or per_s <= 0:
             return 0
-        part = self.own_part(model, position.queued, entries)
-        each_ms = 1_000 / (per_s * part)
+        entry_share = self.entry_share(model, position.queued, entries)
+        each_ms = 1_000 / (per_s * entry_share)
         own_ms = each_ms * position.own / position.share
         return int(max(each_ms * position.ahead / position.left, own_ms))
 
-    def own_part(self, model: str, own: int, entries: int) -> float:
-        """Return the part of the room for a model that an entry may use.
+    def entry_share(self, model: str, own: int, entries: int) -> float:
+        """Return the share of the room for a model that an entry may use.
 
-        `own` is the number of requests that wait there. The parts of entries
+        `own` is the number of requests that wait there. The shares of entries
         with a queue are equal: in proportion to the queues, a request of a
         small workspace would wait as long as the backlog of a large one.
         """
