Use one type for the priority of a waiting request

Cause: Priority was an int or a tuple of any length, and priority_key made both alike, although each request has a tuple of two. RequestDispatch had it as rank and as priority, and request_priority had a type of its own for it.

Change: Priority is the pair of workspace and route priority; priority_key, PriorityKey, Rank and RequestDispatch.rank are gone, request_priority.rank is priority_of. The quota gate asks is_route_urgent, since it has no workspace priority. The fake waiters of the tests have tuples instead of ints, in the same order. No behaviour is changed.

--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -37,13 +37,18 @@
 FLEET_REPORT_MS = 250
 
 
+def is_route_urgent(priority: int) -> bool:
+    """Return whether the priority of a route makes its requests urgent."""
+    return priority <= URGENT_PRIORITY
+
+
 def is_urgent(priority: room_waiter.Priority) -> bool:
     """Return whether a request is urgent, by the priority of its route.
 
     The priority of its workspace decides on the order, while the route tells
     whether somebody waits for the response.
     """
-    return room_waiter.priority_key(priority)[-1] <= URGENT_PRIORITY
+    return is_route_urgent(priority[1])
 
 
 def _urgent_limit(server: backend_directory.BackendServer) -> int:
--- a/src/balsamwall/gateway/fair_order.py
+++ b/src/balsamwall/gateway/fair_order.py
@@ -29,7 +29,7 @@
 # Priority, stage, counters of the workspace and of the model, and arrival with
 # a sequence number, which is unique.
 SendOrderKey = tuple[
-    room_waiter.PriorityKey, fair_queue.Stage, float, float, tuple[int, int]
+    room_waiter.Priority, fair_queue.Stage, float, float, tuple[int, int]
 ]
 
 
@@ -105,11 +105,11 @@
         return queue.count if queue else 0
 
     def has_waiting(
-        self, target: room_waiter.Target, key: room_waiter.PriorityKey
+        self, target: room_waiter.Target, priority: room_waiter.Priority
     ) -> bool:
         """Return whether an equally or more urgent request waits."""
         queue = self._queues.get(target)
-        return queue is not None and min(queue.levels) <= key
+        return queue is not None and min(queue.levels) <= priority
 
     def busy_ms(self, target: room_waiter.Target, now_ms: int) -> int:
         """Return for how long requests have waited for a target."""
@@ -128,7 +128,7 @@
         entry = fair_queue.Entry(
             waiter,
             (waiter.arrived_ms, self._sequence),
-            room_waiter.priority_key(waiter.priority),
+            waiter.priority,
             target,
             workspace,
         )
@@ -138,10 +138,10 @@
             queue = self._queues[target] = fair_queue.TargetQueue(now_ms)
         queue.count += 1
         heapq.heappush(queue.oldest, entry)
-        level = queue.levels.get(entry.key)
+        level = queue.levels.get(entry.priority)
         if level is None:
             level = fair_queue.Level(self._served[target[0]])
-            queue.levels[entry.key] = level
+            queue.levels[entry.priority] = level
         level.counts[workspace] += 1
         self._enter_stage(entry, now_ms)
 
@@ -158,10 +158,10 @@
             del workspaces[entry.workspace]
         queue = self._queues[entry.target]
         queue.count -= 1
-        level = queue.levels[entry.key]
+        level = queue.levels[entry.priority]
         _decrement(level.counts, entry.workspace)
         if not level.counts:
-            del queue.levels[entry.key]
+            del queue.levels[entry.priority]
         if not queue.count:
             del self._queues[entry.target]
 
@@ -182,7 +182,7 @@
             return None
         served = self._served[target[0]][entry.workspace]
         of_model = self._served_models[target[0], entry.workspace][target]
-        key = (entry.key, entry.stage, served, of_model, entry.rank)
+        key = (entry.priority, entry.stage, served, of_model, entry.rank)
         return key, entry.waiter
 
     def owed(self) -> list[room_waiter.RoomWaiter]:
@@ -217,7 +217,7 @@
             mean = cost
         self._mean_cost[service] = mean + COST_MEAN_WEIGHT * (cost - mean)
         shares = self._shares.setdefault(target, sent_shares.SentShares())
-        shares.add(room_waiter.priority_key(waiter.priority), workspace)
+        shares.add(waiter.priority, workspace)
         if not self._waiting.get(service):
             return
         self._lift(target, workspace)
@@ -232,21 +232,21 @@
     def position(self, waiter: room_waiter.RoomWaiter) -> Position:
         """Return the place that a request would get if it were added."""
         target, workspace = waiter.target, waiter.workspace_name
-        key = room_waiter.priority_key(waiter.priority)
+        priority = waiter.priority
         queue = self._queues.get(target)
         if queue is None:
             return Position(0, 0, 0, 1.0, 1.0)
-        level = queue.levels.get(key)
+        level = queue.levels.get(priority)
         counts = level.counts if level else collections.Counter[str]()
         own = counts[workspace]
         ahead = own + self._others_ahead(target[0], workspace, counts)
         for other, more_urgent in queue.levels.items():
-            if other < key:
+            if other < priority:
                 ahead += more_urgent.counts.total()
         waiting = len(counts) + (workspace not in counts)
         shares = self._shares.get(target) or sent_shares.SentShares()
-        share = shares.share(key, workspace, waiting)
-        return Position(queue.count, own, ahead, share, shares.left(key))
+        share = shares.share(priority, workspace, waiting)
+        return Position(queue.count, own, ahead, share, shares.left(priority))
 
     def _others_ahead(
         self, service: str, workspace: str, counts: collections.Counter[str]
@@ -307,7 +307,7 @@
         if change_ms is not None:
             change = (change_ms, entry.rank[1], entry)
             heapq.heappush(self._changes, change)
-        self._queues[entry.target].levels[entry.key].push(entry)
+        self._queues[entry.target].levels[entry.priority].push(entry)
 
 
 def _decrement(counts: collections.Counter[_K], key: _K) -> None:
--- a/src/balsamwall/gateway/fair_queue.py
+++ b/src/balsamwall/gateway/fair_queue.py
@@ -28,7 +28,7 @@
 
     waiter: room_waiter.RoomWaiter
     rank: tuple[int, int]  # arrival, and the sequence number
-    key: room_waiter.PriorityKey
+    priority: room_waiter.Priority
     target: room_waiter.Target
     workspace: str
     stage: Stage = Stage.REGULAR
@@ -99,13 +99,13 @@
     def __init__(self, now_ms: int) -> None:
         self.count = 0
         self.since_ms = now_ms
-        self.levels: dict[room_waiter.PriorityKey, Level] = {}
+        self.levels: dict[room_waiter.Priority, Level] = {}
         self.oldest: list[Entry] = []
 
     def head(self) -> Entry | None:
         """Return the request to send next."""
-        for key in sorted(self.levels):
-            entry = self.levels[key].head()
+        for priority in sorted(self.levels):
+            entry = self.levels[priority].head()
             if entry is not None:
                 return entry
         return None
--- a/src/balsamwall/gateway/quota_gate.py
+++ b/src/balsamwall/gateway/quota_gate.py
@@ -92,7 +92,7 @@
 
         One without token usage costs little of a quota in tokens.
         """
-        is_urgent = admission.is_urgent(self._handler.route.priority)
+        is_urgent = admission.is_route_urgent(self._handler.route.priority)
         return self._handler.request.has_token_usage and not is_urgent
 
     def on_unsent(self) -> None:
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -21,7 +21,6 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
-    from balsamwall.gateway import room_waiter
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.timing import clock as clock_module
@@ -79,7 +78,7 @@
         "_timer",
         "_wait",
         "choice",
-        "rank",
+        "priority",
     )
 
     def __init__(
@@ -92,7 +91,9 @@
         self._dependencies = dependencies
         self._handler = handler
         # Fixed, since the queues are sorted by it.
-        self.rank = request_priority.rank(handler.route, handler.workspace)
+        self.priority = request_priority.priority_of(
+            handler.route, handler.workspace
+        )
         self._service = service
         self._on_refused = on_refused
         # Servers that the request was sent to and that did not serve it.
@@ -112,11 +113,6 @@
         """Return the route of the request."""
         return self._handler.route
 
-    @property
-    def priority(self) -> room_waiter.Priority:
-        """Return the priority, the lowest is the most urgent."""
-        return self.rank
-
     @property
     def arrived_ms(self) -> int:
         """Return when the first byte of the request was read."""
--- a/src/balsamwall/gateway/request_priority.py
+++ b/src/balsamwall/gateway/request_priority.py
@@ -6,19 +6,18 @@
 
 if TYPE_CHECKING:
     from balsamwall.gateway import gateway_configuration
+    from balsamwall.gateway import room_waiter
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import workspace as workspace_module
 
 # Largest priority number that is sent to an engine, for the least urgent.
 MAX_ENGINE_PRIORITY = 9
-# Priority of the workspace, else of the route; then that of the route.
-Rank = tuple[int, int]
 
 
-def rank(
+def priority_of(
     route: route_module.Route, workspace: workspace_module.Workspace | None
-) -> Rank:
-    """Return the place of a request in queues, the lowest goes first."""
+) -> room_waiter.Priority:
+    """Return the priority of a request, the lowest is the most urgent."""
     if workspace is None or workspace.priority is None:
         return route.priority, route.priority
     return workspace.priority, route.priority
@@ -34,10 +33,10 @@
 
 
 class EnginePriorities:
-    """Map the ranks of one configuration to the priorities of engines.
+    """Map the priorities of one configuration to those of engines.
 
-    Engines know ten priorities. The ranks that streams can have are numbered
-    in their order; more than ten are spread evenly over the ten, so that the
+    Engines know ten priorities. Those that streams can have are numbered in
+    their order; more than ten are spread evenly over the ten, so that the
     order is never reversed.
     """
 
@@ -46,7 +45,7 @@
     def __init__(self) -> None:
         self._version: int | None = None
         # Empty if no workspace has a priority.
-        self._numbers: dict[tuple[Rank, bool], int] = {}
+        self._numbers: dict[tuple[room_waiter.Priority, bool], int] = {}
 
     def priority(
         self,
@@ -63,7 +62,7 @@
             return None
         if configuration is not None:
             self._update(configuration)
-        place = rank(route, workspace), route.is_resumable
+        place = priority_of(route, workspace), route.is_resumable
         number = self._numbers.get(place, _by_route(route))
         return min(MAX_ENGINE_PRIORITY, number)
 
@@ -79,7 +78,7 @@
             return
         places = sorted(
             {
-                (rank(route, item), route.is_resumable)
+                (priority_of(route, item), route.is_resumable)
                 for route in configuration.routes
                 if route.is_stream
                 for item in (None, *workspaces)
--- a/src/balsamwall/gateway/residency_waits.py
+++ b/src/balsamwall/gateway/residency_waits.py
@@ -11,7 +11,7 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import release_pacing
-    from balsamwall.gateway import request_priority
+    from balsamwall.gateway import room_waiter
     from balsamwall.timing import clock as clock_module
 
 
@@ -27,7 +27,9 @@
 class Waiter(Protocol):
     """Represent a request that waits for a model."""
 
-    rank: request_priority.Rank  # the lowest goes first
+    @property
+    def priority(self) -> room_waiter.Priority:
+        """Return the priority, the lowest is the most urgent."""
 
     def on_resident(self, delay_ms: int) -> None:
         """Handle that a server holds the model; send after a delay."""
@@ -121,7 +123,7 @@
             if not server.has(wanted.model, wanted.adapter):
                 continue
             waiters = self._waiting.pop(wanted, [])
-            waiters.sort(key=lambda waiter: waiter.rank)
+            waiters.sort(key=lambda waiter: waiter.priority)
             delays_ms = self._pacing.delays_ms(
                 len(waiters), self._fleet_counts.get(wanted.model, 0)
             )
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -18,9 +18,9 @@
 
 def _arrival_order(
     waiter: room_waiter.RoomWaiter,
-) -> tuple[room_waiter.PriorityKey, int]:
-    """Return the rank by priority, then by time of arrival."""
-    return room_waiter.priority_key(waiter.priority), waiter.arrived_ms
+) -> tuple[room_waiter.Priority, int]:
+    """Return a sort key: the priority, then the time of arrival."""
+    return waiter.priority, waiter.arrived_ms
 
 
 class RoomQueue:
@@ -47,11 +47,10 @@
 
         Only requests with the same target are considered.
         """
-        key = room_waiter.priority_key(priority)
-        if self._fair.has_waiting(target, key):
+        if self._fair.has_waiting(target, priority):
             return True
         for item in self._waiters:
-            if room_waiter.priority_key(item.priority) > key:
+            if item.priority > priority:
                 return False
             if item.target == target:
                 return True
@@ -155,12 +154,12 @@
                 self._push(target)
 
     def send_before(
-        self, rank: tuple[room_waiter.PriorityKey, int] | None
+        self, order: tuple[room_waiter.Priority, int] | None
     ) -> None:
-        """Try the requests that rank before another one, or all of them."""
+        """Try the requests before a sort key, or all of them."""
         while self._heap:
             item = self._heap[0][1]
-            if rank is not None and _arrival_order(item) > rank:
+            if order is not None and _arrival_order(item) > order:
                 return
             heapq.heappop(self._heap)
             target = item.target
--- a/src/balsamwall/gateway/room_waiter.py
+++ b/src/balsamwall/gateway/room_waiter.py
@@ -5,17 +5,9 @@
 from typing import Protocol
 
 Target = tuple[str, str, str]  # service, model and adapter
-# Either one number, or several in the order of precedence; 0 is the most
-# urgent.
-Priority = int | tuple[int, ...]
-PriorityKey = tuple[int, ...]
-
-
-def priority_key(priority: Priority) -> PriorityKey:
-    """Return a key that orders plain and composite priorities alike."""
-    if isinstance(priority, tuple):
-        return priority
-    return priority, priority
+# Priority of the workspace, else of the route; then that of the route. The
+# lowest is the most urgent.
+Priority = tuple[int, int]
 
 
 class RoomWaiter(Protocol):
--- a/src/balsamwall/gateway/sent_shares.py
+++ b/src/balsamwall/gateway/sent_shares.py
@@ -23,18 +23,18 @@
     __slots__ = ("_counts", "_sends", "owed")
 
     def __init__(self) -> None:
-        self._sends: collections.deque[tuple[room_waiter.PriorityKey, str]]
+        self._sends: collections.deque[tuple[room_waiter.Priority, str]]
         self._sends = collections.deque()
-        self._counts: collections.Counter[tuple[room_waiter.PriorityKey, str]]
+        self._counts: collections.Counter[tuple[room_waiter.Priority, str]]
         self._counts = collections.Counter()
         # Sends that are not yet balanced by one to the oldest request.
         self.owed = 0
 
-    def add(self, key: room_waiter.PriorityKey, workspace: str) -> None:
+    def add(self, priority: room_waiter.Priority, workspace: str) -> None:
         """Count a send."""
         self.owed = min(MAX_OWED_SENDS, self.owed + 1)
-        self._sends.append((key, workspace))
-        self._counts[key, workspace] += 1
+        self._sends.append((priority, workspace))
+        self._counts[priority, workspace] += 1
         if len(self._sends) > SHARE_SENDS:
             dropped = self._sends.popleft()
             self._counts[dropped] -= 1
@@ -42,7 +42,7 @@
                 del self._counts[dropped]
 
     def share(
-        self, key: room_waiter.PriorityKey, workspace: str, waiting: int
+        self, priority: room_waiter.Priority, workspace: str, waiting: int
     ) -> float:
         """Return the fraction of the sends that a workspace can expect.
 
@@ -50,16 +50,18 @@
         that are left by more urgent requests. An idle workspace has few sends
         because it asks for few.
         """
-        own = self._counts[key, workspace] / max(1, len(self._sends))
-        return max(own, self.left(key) / waiting)
+        own = self._counts[priority, workspace] / max(1, len(self._sends))
+        return max(own, self.left(priority) / waiting)
 
-    def left(self, key: room_waiter.PriorityKey) -> float:
+    def left(self, priority: room_waiter.Priority) -> float:
         """Return the fraction of the sends left by more urgent requests.
 
         It is at least what the oldest requests are owed.
         """
         urgent = sum(
-            count for (other, _), count in self._counts.items() if other < key
+            count
+            for (other, _), count in self._counts.items()
+            if other < priority
         )
         left = 1.0 - urgent / max(1, len(self._sends))
         return max(left, 1.0 / SENDS_PER_OLDEST)
--- a/tests/gateway/test_fair_order.py
+++ b/tests/gateway/test_fair_order.py
@@ -16,7 +16,7 @@
 
     def __init__(self, queue, sends, **changes):
         self.name = ""
-        self.priority = 1
+        self.priority = (1, 1)
         self.arrived_ms = 0
         self.target = ("app", "m1", "")
         self.is_fair = True
@@ -80,7 +80,7 @@
             self.add(
                 name=number,
                 is_fair=False,
-                priority=random_source.randrange(3),
+                priority=(random_source.randrange(3), 0),
                 arrived_ms=random_source.randrange(50),
                 cost=random_source.randrange(900),
                 on_time_until_ms=random_source.randrange(1_000),
@@ -122,7 +122,9 @@
         """Guards against requests that become late behind one that is."""
         self.add(name="late", on_time_until_ms=5)
         self.add(name="next", arrived_ms=1)
-        self.add(name="urgent", priority=0, arrived_ms=2, on_time_until_ms=5)
+        self.add(
+            name="urgent", priority=(0, 0), arrived_ms=2, on_time_until_ms=5
+        )
         self.clock.advance(10)
         names = [item.name for item in self.send(3)]
         self.assertEqual(names, ["urgent", "next", "late"])
@@ -151,27 +153,27 @@
 
     def test_one_in_ten_sends_goes_to_the_oldest_request(self):
         """Guards against deferrable requests that starve."""
-        self.add(10, priority=1, workspace_name="w1")
-        self.add(100, priority=0, arrived_ms=1, workspace_name="w2")
+        self.add(10, priority=(1, 1), workspace_name="w1")
+        self.add(100, priority=(0, 0), arrived_ms=1, workspace_name="w2")
         sent = self.send(50)
-        deferrable = [item for item in sent if item.priority == 1]
+        deferrable = [item for item in sent if item.priority == (1, 1)]
         self.assertEqual(len(deferrable), 5)
 
     def test_sends_without_a_wait_count_for_the_oldest_request(self):
         """Guards against starvation by urgent requests that never wait."""
         self.add(workspace_name="w1")
-        urgent = FakeWaiter(self.queue, self.servers, priority=0)
+        urgent = FakeWaiter(self.queue, self.servers, priority=(0, 0))
         for _ in range(9):
             self.queue.on_sent(urgent)
-        self.add(priority=0, arrived_ms=1)
-        self.assertEqual(self.send(1)[0].priority, 1)
+        self.add(priority=(0, 0), arrived_ms=1)
+        self.assertEqual(self.send(1)[0].priority, (1, 1))
 
     def test_priority_of_the_workspace_precedes_that_of_the_route(self):
         """Guards against composite priorities that can't be compared."""
-        for priority in ((1, 0), (0, 1), (0, 0), 1):
-            self.add(priority=priority, is_fair=priority != 1)
+        for priority in ((1, 0), (0, 1), (0, 0), (1, 1)):
+            self.add(priority=priority, is_fair=priority != (1, 1))
         sent = [item.priority for item in self.send(4)]
-        self.assertEqual(sent, [(0, 0), (0, 1), (1, 0), 1])
+        self.assertEqual(sent, [(0, 0), (0, 1), (1, 0), (1, 1)])
 
     def test_removed_request_is_not_sent(self):
         """Guards against sending a request whose caller has left."""
--- a/tests/gateway/test_release_pacing.py
+++ b/tests/gateway/test_release_pacing.py
@@ -16,8 +16,8 @@
 class FakeWaiter:
     """Waiting request that records the delay of its release."""
 
-    def __init__(self, rank):
-        self.rank = rank
+    def __init__(self, priority):
+        self.priority = priority
         self.delay_ms = None
 
     def on_resident(self, delay_ms):
@@ -58,8 +58,8 @@
         waits = residency_waits.ResidencyWaits(
             clock, lambda wanted: None, self.pacing(1)
         )
-        ranks = ((2, 0), (0, 3), (1, 1), (1, 0))
-        waiters = [FakeWaiter(rank) for rank in ranks]
+        priorities = ((2, 0), (0, 3), (1, 1), (1, 0))
+        waiters = [FakeWaiter(item) for item in priorities]
         wanted = residency_waits.WantedModel("app", "m1", "")
         for waiter in waiters:
             waits.add(wanted, waiter)
@@ -67,6 +67,6 @@
         harness = gateway_harness.GatewayHarness(gateway_harness.make_route())
         harness.add_servers("s1", models={"m1": ()})
         waits.on_server_changed(harness.directory.get("s1"))
-        waiters.sort(key=lambda waiter: waiter.rank)
+        waiters.sort(key=lambda waiter: waiter.priority)
         delays_ms = [waiter.delay_ms for waiter in waiters]
         self.assertEqual(delays_ms, sorted(delays_ms))
--- a/tests/gateway/test_request_priority.py
+++ b/tests/gateway/test_request_priority.py
@@ -49,7 +49,10 @@
         priorities = request_priority.EnginePriorities()
         return [
             (
-                (request_priority.rank(route, item), route.is_resumable),
+                (
+                    request_priority.priority_of(route, item),
+                    route.is_resumable,
+                ),
                 priorities.priority(configuration, route, item),
             )
             for item in (None, *(workspaces or ()))
@@ -68,11 +71,11 @@
         """Guards against a route that goes before the workspace."""
         route = make_route(3)
         ranks = [
-            request_priority.rank(route, item)
+            request_priority.priority_of(route, item)
             for item in (make_workspace("t1", 0), make_workspace("t2", None))
         ]
         self.assertEqual(ranks, [(0, 3), (3, 3)])
-        self.assertEqual(request_priority.rank(route, None), (3, 3))
+        self.assertEqual(request_priority.priority_of(route, None), (3, 3))
 
     def test_all_ten_steps_separate_ten_ranks(self):
         """Guards against ranks that share a priority without need."""
