Name arrival keys, times and shares of the fair order

Cause: Entry.rank was the order of arrival, busy_ms did not tell that it is the time since a target's queue was last empty, and Position.left and share did not tell of what they are a fraction.

Change: arrival_key, queued_for_ms, share_after_urgent and workspace_share; the comments of queued_for_ms and of WaitPolicy.is_turn_too_late say what the time means. No behaviour is changed.

--- a/src/balsamwall/gateway/fair_order.py
+++ b/src/balsamwall/gateway/fair_order.py
@@ -40,8 +40,8 @@
     queued: int  # requests that wait for the target
     own: int  # of them, those of the same workspace and priority
     ahead: int  # of them, those that are sent before the request
-    share: float  # fraction of the sends that the workspace gets
-    left: float  # fraction of the sends left by more urgent requests
+    workspace_share: float  # fraction of the sends that the workspace gets
+    share_after_urgent: float  # fraction that more urgent requests leave
 
 
 class FairOrder:
@@ -111,8 +111,11 @@
         queue = self._queues.get(target)
         return queue is not None and min(queue.levels) <= priority
 
-    def busy_ms(self, target: room_waiter.Target, now_ms: int) -> int:
-        """Return for how long requests have waited for a target."""
+    def queued_for_ms(self, target: room_waiter.Target, now_ms: int) -> int:
+        """Return for how long a target has had waiting requests.
+
+        The time begins anew when a request is added to an empty queue.
+        """
         queue = self._queues.get(target)
         return now_ms - queue.since_ms if queue else 0
 
@@ -182,7 +185,13 @@
             return None
         served = self._served[target[0]][entry.workspace]
         of_model = self._served_models[target[0], entry.workspace][target]
-        key = (entry.priority, entry.stage, served, of_model, entry.rank)
+        key = (
+            entry.priority,
+            entry.stage,
+            served,
+            of_model,
+            entry.arrival_key,
+        )
         return key, entry.waiter
 
     def owed(self) -> list[room_waiter.RoomWaiter]:
@@ -245,8 +254,13 @@
                 ahead += more_urgent.counts.total()
         waiting = len(counts) + (workspace not in counts)
         shares = self._shares.get(target) or sent_shares.SentShares()
-        share = shares.share(priority, workspace, waiting)
-        return Position(queue.count, own, ahead, share, shares.left(priority))
+        return Position(
+            queue.count,
+            own,
+            ahead,
+            shares.workspace_share(priority, workspace, waiting),
+            shares.share_after_urgent(priority),
+        )
 
     def _others_ahead(
         self, service: str, workspace: str, counts: collections.Counter[str]
@@ -305,7 +319,7 @@
             elif waiter.on_time_until_ms < waiter.aged_at_ms:
                 change_ms = waiter.on_time_until_ms + 1
         if change_ms is not None:
-            change = (change_ms, entry.rank[1], entry)
+            change = (change_ms, entry.arrival_key[1], entry)
             heapq.heappush(self._changes, change)
         self._queues[entry.target].levels[entry.priority].push(entry)
 
--- a/src/balsamwall/gateway/fair_queue.py
+++ b/src/balsamwall/gateway/fair_queue.py
@@ -27,7 +27,7 @@
     """Hold a waiting request; entries are removed from heaps lazily."""
 
     waiter: room_waiter.RoomWaiter
-    rank: tuple[int, int]  # arrival, and the sequence number
+    arrival_key: tuple[int, int]  # arrival, and the sequence number
     priority: room_waiter.Priority
     target: room_waiter.Target
     workspace: str
@@ -35,7 +35,7 @@
     is_removed: bool = False
 
     def __lt__(self, other: Entry) -> bool:
-        return self.rank < other.rank
+        return self.arrival_key < other.arrival_key
 
 
 class Level:
@@ -46,8 +46,9 @@
     def __init__(self, served: dict[str, float]) -> None:
         self._served = served
         self._flows: dict[tuple[Stage, str], list[Entry]] = {}
-        # By stage: a heap of counter, rank and workspace. Counters only grow,
-        # so that an outdated row is corrected when it becomes the lowest.
+        # By stage: a heap of counter, arrival key and workspace. Counters
+        # only grow, so that an outdated row is corrected when it becomes the
+        # lowest.
         self._turns: dict[Stage, list[tuple[float, tuple[int, int], str]]] = {
             Stage.REGULAR: [],
             Stage.LATE: [],
@@ -60,7 +61,7 @@
         flow = self._flows.get(key)
         if flow is None:
             flow = self._flows[key] = []
-            turn = (self._served[entry.workspace], entry.rank, key[1])
+            turn = (self._served[entry.workspace], entry.arrival_key, key[1])
             heapq.heappush(self._turns[entry.stage], turn)
         heapq.heappush(flow, entry)
 
@@ -74,7 +75,11 @@
                     heapq.heappop(turns)
                     del self._flows[stage, workspace]
                 elif counter < self._served[workspace]:
-                    turn = (self._served[workspace], entry.rank, workspace)
+                    turn = (
+                        self._served[workspace],
+                        entry.arrival_key,
+                        workspace,
+                    )
                     heapq.heapreplace(turns, turn)
                 else:
                     return entry
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -135,7 +135,7 @@
             handler.route,
             expected_ms,
             handler.on_time_until_ms - self._clock.now_ms(),
-            room.busy_ms(handler.target),
+            room.queued_for_ms(handler.target),
         )
         return expected_ms, is_refused
 
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -87,9 +87,12 @@
         """Return how many fairly ordered requests wait for a target."""
         return self._fair.count(target)
 
-    def busy_ms(self, target: room_waiter.Target) -> int:
-        """Return for how long fairly ordered requests have waited."""
-        return self._fair.busy_ms(target, self._clock.now_ms())
+    def queued_for_ms(self, target: room_waiter.Target) -> int:
+        """Return for how long fair requests have waited without a break.
+
+        It is the time since the queue of the target was last empty.
+        """
+        return self._fair.queued_for_ms(target, self._clock.now_ms())
 
     def counts(self) -> dict[room_waiter.Target, int]:
         """Return the number of waiting requests by target."""
--- a/src/balsamwall/gateway/sent_shares.py
+++ b/src/balsamwall/gateway/sent_shares.py
@@ -41,7 +41,7 @@
             if not self._counts[dropped]:
                 del self._counts[dropped]
 
-    def share(
+    def workspace_share(
         self, priority: room_waiter.Priority, workspace: str, waiting: int
     ) -> float:
         """Return the fraction of the sends that a workspace can expect.
@@ -51,9 +51,9 @@
         because it asks for few.
         """
         own = self._counts[priority, workspace] / max(1, len(self._sends))
-        return max(own, self.left(priority) / waiting)
+        return max(own, self.share_after_urgent(priority) / waiting)
 
-    def left(self, priority: room_waiter.Priority) -> float:
+    def share_after_urgent(self, priority: room_waiter.Priority) -> float:
         """Return the fraction of the sends left by more urgent requests.
 
         It is at least what the oldest requests are owed.
--- a/src/balsamwall/gateway/wait_forecast.py
+++ b/src/balsamwall/gateway/wait_forecast.py
@@ -112,8 +112,9 @@
             return 0
         entry_share = self.entry_share(model, position.queued, entries)
         each_ms = 1_000 / (per_s * entry_share)
-        own_ms = each_ms * position.own / position.share
-        return int(max(each_ms * position.ahead / position.left, own_ms))
+        own_ms = each_ms * position.own / position.workspace_share
+        ahead_ms = each_ms * position.ahead / position.share_after_urgent
+        return int(max(ahead_ms, own_ms))
 
     def entry_share(self, model: str, own: int, entries: int) -> float:
         """Return the share of the room for a model that an entry may use.
--- a/src/balsamwall/gateway/wait_policy.py
+++ b/src/balsamwall/gateway/wait_policy.py
@@ -77,17 +77,19 @@
         route: route_module.Route,
         expected_ms: int,
         on_time_ms: int,
-        busy_ms: int,
+        queued_for_ms: int,
     ) -> bool:
         """Return whether a fairly ordered request can't be sent in time.
 
-        A burst may wait for half of the timeout, after which requests are
-        ordered by arrival. In a queue that has lasted for longer, each request
-        would be late by then, and as many are sent if the queue is short: it
-        is limited to `on_time_ms`, the time left to meet the target.
+        `queued_for_ms` is how long the target has had waiting requests without
+        a break. A queue of a burst may grow to a wait of half of the caller's
+        timeout. In a queue that has lasted for longer than that, the expected
+        wait is also limited to `on_time_ms`, the time left to meet
+        the target, because a longer queue serves no more requests and makes
+        each of them late.
         """
         half_ms = half_timeout_ms(route.caller_timeout_ms)
-        if busy_ms > half_ms:
+        if queued_for_ms > half_ms:
             return expected_ms > max(0, min(half_ms, on_time_ms))
         return expected_ms > half_ms
 
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -134,12 +134,17 @@
         policy = wait_policy.WaitPolicy(None)
         route = overload_fleet.ROUTES[DEFERRABLE]
         half_ms = route.caller_timeout_ms // 2
-        for busy_ms, limit_ms in ((half_ms, half_ms), (half_ms + 1, 2_000)):
+        for queued_for_ms, limit_ms in (
+            (half_ms, half_ms),
+            (half_ms + 1, 2_000),
+        ):
             for expected_ms in (limit_ms, limit_ms + 1):
-                with self.subTest(busy_ms=busy_ms, expected_ms=expected_ms):
+                with self.subTest(
+                    queued_for_ms=queued_for_ms, expected_ms=expected_ms
+                ):
                     self.assertEqual(
                         policy.is_turn_too_late(
-                            route, expected_ms, 2_000, busy_ms
+                            route, expected_ms, 2_000, queued_for_ms
                         ),
                         expected_ms > limit_ms,
                     )
