Give the speeds of servers names with units and keyword-only flags

Cause: calls passed is_pause as a bare True or False, work_time() was a factor while _work was a percentage, is_used said whether a service reports work times, and Rated and Estimate did not tell of what.

Change: is_pause is keyword-only; work_time_factor, _work_time_percent, _work_time_at_ms, reports_work_times, reporting_servers, WeightedFactor, FactorEstimate and its method current. Unclear comments of speed_estimate are rewritten, and lines of a comment in wait_policy are filled. Log fields and metrics keep their names.

--- a/src/balsamwall/coordination/speed_exchange.py
+++ b/src/balsamwall/coordination/speed_exchange.py
@@ -71,7 +71,7 @@
             self._factors_ms = now_ms
         factors: _Factors = {}
         for server in self._directory.all_servers():
-            if is_due and server.speed.is_used:
+            if is_due and server.speed.reports_work_times:
                 process = server.server_id, server.record.started_ms
                 for model, speed in server.speed.to_share(now_ms).items():
                     factors[process, model] = speed
@@ -139,7 +139,7 @@
 
     def mark(self, loads: dict[str, int]) -> dict[str, int]:
         """Return fleet loads, marked if any server reports work times."""
-        if not any(self._directory.speeds.used()):
+        if not any(self._directory.speeds.reporting_servers()):
             return loads
         return {**loads, ACCEPTS_SPEEDS_KEY: 1}
 
@@ -175,9 +175,11 @@
         }
 
 
-def _merge(found: list[speed_estimate.Rated]) -> speed_estimate.Rated:
+def _merge(
+    found: list[speed_estimate.WeightedFactor],
+) -> speed_estimate.WeightedFactor:
     merged = speed_estimate.combine(found)
-    return speed_estimate.Rated(
+    return speed_estimate.WeightedFactor(
         merged.factor, min(MAX_SHARED_WEIGHT, merged.weight)
     )
 
@@ -252,10 +254,10 @@
     return factors
 
 
-def _rated(factor: float, weight: float) -> speed_estimate.Rated:
+def _rated(factor: float, weight: float) -> speed_estimate.WeightedFactor:
     """Return a factor within the limits of a local observation."""
     factor = max(speed_estimate.MIN_FACTOR, factor)
-    return speed_estimate.Rated(
+    return speed_estimate.WeightedFactor(
         min(speed_estimate.MAX_FACTOR, factor),
         min(MAX_SHARED_WEIGHT, weight),
     )
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -335,7 +335,7 @@
             learned_factor=round(handler.attempts.meter.learned, 2)
             if handler.attempts.meter
             else None,
-            work_time=round(handler.attempts.meter.work_time, 2)
+            work_time=round(handler.attempts.meter.work_time_factor, 2)
             if handler.attempts.meter
             else None,
             prompt_tokens=handler.request.prompt_tokens,
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -199,7 +199,7 @@
         Only streams of a model have one, if the service reports work times.
         """
         is_measured = route.is_stream and bool(request.model)
-        if not is_measured or not server.speed.is_used:
+        if not is_measured or not server.speed.reports_work_times:
             return None
         tokens = server.pending_tokens + request.prompt_tokens
         tokens -= self.cached_tokens(server, request)
@@ -226,7 +226,7 @@
         score = tokens / PREFILL_TOKENS_PER_MS
         score += WAITING_REQUEST_MS * server.waiting(now_ms)
         score += load_penalty_ms(load, slots)
-        if server.speed.is_used:
+        if server.speed.reports_work_times:
             # A fast server also prefills this prompt sooner, and the prompts
             # of other entries, which are known only by the load.
             other_ms = server_speed.PREFILL_MS_PER_REQUEST * load
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -68,8 +68,8 @@
     __slots__ = ("pause", "prefill")
 
     def __init__(self, now_ms: int) -> None:
-        self.prefill = speed_estimate.Estimate(now_ms)
-        self.pause = speed_estimate.Estimate(now_ms)
+        self.prefill = speed_estimate.FactorEstimate(now_ms)
+        self.pause = speed_estimate.FactorEstimate(now_ms)
 
     @property
     def updated_ms(self) -> int:
@@ -89,10 +89,10 @@
 class LearnedSpeed:
     """Hold the factors for one model at one process."""
 
-    prefill: speed_estimate.Rated
-    pause: speed_estimate.Rated
+    prefill: speed_estimate.WeightedFactor
+    pause: speed_estimate.WeightedFactor
 
-    def of(self, is_pause: bool) -> speed_estimate.Rated:
+    def of(self, *, is_pause: bool) -> speed_estimate.WeightedFactor:
         """Return the factor of pauses or that of prefill."""
         return self.pause if is_pause else self.prefill
 
@@ -114,36 +114,36 @@
         "_shared",
         "_shared_ms",
         "_shared_relative",
-        "_work",
-        "_work_ms",
+        "_work_time_at_ms",
+        "_work_time_percent",
     )
 
     def __init__(self, service: ServiceSpeeds, now_ms: int) -> None:
         self._service = service
         self._models: dict[str, _ModelSpeed] = {}
-        self._relative = speed_estimate.Estimate(now_ms)
-        self._forecast = speed_estimate.Estimate(now_ms)
-        self._work = USUAL_WORK_TIME_PERCENT
-        self._work_ms: int | None = None
+        self._relative = speed_estimate.FactorEstimate(now_ms)
+        self._forecast = speed_estimate.FactorEstimate(now_ms)
+        self._work_time_percent = USUAL_WORK_TIME_PERCENT
+        self._work_time_at_ms: int | None = None
         # As learned by all entries.
         self._shared: dict[str, LearnedSpeed] = {}
         self._shared_ms = now_ms
         self._shared_relative = speed_estimate.NOTHING_OBSERVED
 
     @property
-    def is_used(self) -> bool:
+    def reports_work_times(self) -> bool:
         """Return whether the servers of the service report work times."""
-        return self._service.is_used
+        return self._service.reports_work_times
 
     def on_work_time(self, percent: int, now_ms: int) -> None:
         """Set the work time that the server reported at a time.
 
         An earlier one than the last is ignored.
         """
-        self._service.is_used = True
-        if self._work_ms is None or now_ms >= self._work_ms:
-            self._work = max(1, percent)
-            self._work_ms = now_ms
+        self._service.reports_work_times = True
+        if self._work_time_at_ms is None or now_ms >= self._work_time_at_ms:
+            self._work_time_percent = max(1, percent)
+            self._work_time_at_ms = now_ms
 
     def on_first_event(
         self, model: str, tokens: int, load: float, after_ms: int, now_ms: int
@@ -153,7 +153,7 @@
         `tokens` are the uncached prompt tokens, including those that were
         sent before and had no first event.
         """
-        if tokens < MIN_PREFILL_TOKENS or not self.is_used:
+        if tokens < MIN_PREFILL_TOKENS or not self.reports_work_times:
             return
         usual_ms = tokens / PREFILL_TOKENS_PER_MS
         usual_ms += EVENT_INTERVAL_MS + DECODE_MS_PER_REQUEST * load
@@ -167,7 +167,7 @@
         self, model: str, longest_ms: int, load: float, now_ms: int
     ) -> None:
         """Learn from the longest of some gaps between events of a stream."""
-        if not self.is_used:
+        if not self.reports_work_times:
             return
         prior = self._prior(model, now_ms, is_pause=True)
         speed = self._model(model, now_ms)
@@ -176,7 +176,7 @@
 
     def _learn(
         self,
-        estimate: speed_estimate.Estimate,
+        estimate: speed_estimate.FactorEstimate,
         factor: float,
         prior: float,
         now_ms: int,
@@ -184,7 +184,7 @@
         freshness = self._freshness(now_ms)
         weight = UNKNOWN_WORK_TIME_WEIGHT
         weight += (1.0 - UNKNOWN_WORK_TIME_WEIGHT) * freshness
-        factor /= self.work_time(now_ms)
+        factor /= self.work_time_factor(now_ms)
         relative = self.relative(now_ms)
         estimate.add(factor, prior, weight, now_ms)
         usual = prior / relative
@@ -202,53 +202,57 @@
             speed = self._models[model] = _ModelSpeed(now_ms)
         return speed
 
-    def _prior(self, model: str, now_ms: int, is_pause: bool) -> float:
-        median = self._service.median(model, now_ms, is_pause)
+    def _prior(self, model: str, now_ms: int, *, is_pause: bool) -> float:
+        median = self._service.median(model, now_ms, is_pause=is_pause)
         return median * self.relative(now_ms)
 
     def _freshness(self, now_ms: int) -> float:
-        if self._work_ms is None:
+        if self._work_time_at_ms is None:
             return 0.0
-        age_ms = max(0, now_ms - self._work_ms)
+        age_ms = max(0, now_ms - self._work_time_at_ms)
         return max(0.0, 1.0 - age_ms / WORK_TIME_MAX_AGE_MS)
 
     @property
     def forecast_ratio(self) -> float:
         """Return the times to first events relative to their forecasts."""
-        return self._forecast.rated(self._forecast.updated_ms).factor
+        return self._forecast.current(self._forecast.updated_ms).factor
 
-    def work_time(self, now_ms: int) -> float:
+    def work_time_factor(self, now_ms: int) -> float:
         """Return the reported work time as a factor, weighted by age."""
-        excess = self._work / USUAL_WORK_TIME_PERCENT - 1.0
+        excess = self._work_time_percent / USUAL_WORK_TIME_PERCENT - 1.0
         return 1.0 + excess * self._freshness(now_ms)
 
     def relative(self, now_ms: int) -> float:
         """Return the factor against the median of the service."""
-        found = [speed_estimate.Rated(1.0, speed_estimate.PRIOR_WEIGHT)]
-        found.append(self._relative.rated(now_ms))
+        found = [
+            speed_estimate.WeightedFactor(1.0, speed_estimate.PRIOR_WEIGHT)
+        ]
+        found.append(self._relative.current(now_ms))
         if self._is_shared_fresh(now_ms):
             found.append(self._shared_relative)
         return speed_estimate.combine(found).factor
 
-    def learned(self, model: str, now_ms: int, is_pause: bool) -> float:
+    def learned(self, model: str, now_ms: int, *, is_pause: bool) -> float:
         """Return the learned factor, without the current work time."""
-        prior = self._prior(model, now_ms, is_pause)
-        found = self._rated(model, now_ms, is_pause)
-        found.append(speed_estimate.Rated(prior, speed_estimate.PRIOR_WEIGHT))
+        prior = self._prior(model, now_ms, is_pause=is_pause)
+        found = self._observations(model, now_ms, is_pause=is_pause)
+        found.append(
+            speed_estimate.WeightedFactor(prior, speed_estimate.PRIOR_WEIGHT)
+        )
         return speed_estimate.combine(found).factor
 
-    def _rated(
-        self, model: str, now_ms: int, is_pause: bool
-    ) -> list[speed_estimate.Rated]:
+    def _observations(
+        self, model: str, now_ms: int, *, is_pause: bool
+    ) -> list[speed_estimate.WeightedFactor]:
         """Return what this entry and what all entries have learned."""
         found = []
         speed = self._models.get(model)
         if speed is not None:
             estimate = speed.pause if is_pause else speed.prefill
-            found.append(estimate.rated(now_ms))
+            found.append(estimate.current(now_ms))
         shared = self._shared.get(model)
         if shared is not None and self._is_shared_fresh(now_ms):
-            found.append(shared.of(is_pause))
+            found.append(shared.of(is_pause=is_pause))
         return found
 
     def _is_shared_fresh(self, now_ms: int) -> bool:
@@ -261,10 +265,12 @@
         relative = []
         for model, speed in speeds.items():
             for is_pause in (False, True):
-                rated = speed.of(is_pause)
-                median = self._service.median(model, now_ms, is_pause)
+                rated = speed.of(is_pause=is_pause)
+                median = self._service.median(model, now_ms, is_pause=is_pause)
                 relative.append(
-                    speed_estimate.Rated(rated.factor / median, rated.weight)
+                    speed_estimate.WeightedFactor(
+                        rated.factor / median, rated.weight
+                    )
                 )
         self._shared_relative = speed_estimate.combine(relative)
 
@@ -273,7 +279,7 @@
         found = {}
         for model, speed in self._models.items():
             learned = LearnedSpeed(
-                speed.prefill.rated(now_ms), speed.pause.rated(now_ms)
+                speed.prefill.current(now_ms), speed.pause.current(now_ms)
             )
             weight = learned.prefill.weight + learned.pause.weight
             if weight >= MIN_SHARED_WEIGHT:
@@ -282,15 +288,19 @@
 
     def reported_work_time(self, now_ms: int) -> ReportedWorkTime | None:
         """Return the last reported work time, if it is recent."""
-        if self._work_ms is None or not self._freshness(now_ms):
+        if self._work_time_at_ms is None or not self._freshness(now_ms):
             return None
-        return ReportedWorkTime(self._work, max(0, now_ms - self._work_ms))
+        return ReportedWorkTime(
+            self._work_time_percent, max(0, now_ms - self._work_time_at_ms)
+        )
 
     def observed(
-        self, model: str, now_ms: int, is_pause: bool
+        self, model: str, now_ms: int, *, is_pause: bool
     ) -> float | None:
         """Return the factor from observations alone, None with too few."""
-        rated = speed_estimate.combine(self._rated(model, now_ms, is_pause))
+        rated = speed_estimate.combine(
+            self._observations(model, now_ms, is_pause=is_pause)
+        )
         return (
             rated.factor
             if rated.weight >= speed_estimate.PRIOR_WEIGHT
@@ -299,15 +309,19 @@
 
     def factor(self, model: str, now_ms: int) -> float:
         """Return the factor of prefill times, 1.0 is usual."""
-        if not self.is_used:
+        if not self.reports_work_times:
             return 1.0
-        return self.learned(model, now_ms, False) * self.work_time(now_ms)
+        return self.learned(
+            model, now_ms, is_pause=False
+        ) * self.work_time_factor(now_ms)
 
     def pause_ms(
         self, model: str, load: float, tokens: int, now_ms: int
     ) -> float:
         """Return the expected longest pause of streams at a load."""
-        factor = self.learned(model, now_ms, True) * self.work_time(now_ms)
+        factor = self.learned(
+            model, now_ms, is_pause=True
+        ) * self.work_time_factor(now_ms)
         return factor * usual_pause_ms(load, tokens)
 
     def sustainable_requests(
@@ -323,11 +337,11 @@
         They are all slots without a target or without reported work times. If
         `is_lasting` is set, the current work time is left out.
         """
-        if not self.is_used or not gap_target_ms:
+        if not self.reports_work_times or not gap_target_ms:
             return slots
-        factor = self.learned(model, now_ms, True)
+        factor = self.learned(model, now_ms, is_pause=True)
         if not is_lasting:
-            factor *= self.work_time(now_ms)
+            factor *= self.work_time_factor(now_ms)
         count = gap_target_ms / factor - usual_pause_ms(0)
         count /= DECODE_MS_PER_REQUEST + PREFILL_MS_PER_REQUEST
         return min(slots, max(MIN_SUSTAINABLE, int(count)))
@@ -336,14 +350,15 @@
 class ServiceSpeeds:
     """Hold the speeds of the server processes of one service."""
 
-    __slots__ = ("_medians", "is_used", "servers")
+    __slots__ = ("_medians", "reports_work_times", "servers")
 
     def __init__(self) -> None:
-        self.is_used = False  # whether a server has reported a work time
+        # Whether a server has reported a work time.
+        self.reports_work_times = False
         self.servers: dict[str, ServerSpeed] = {}
         self._medians: dict[tuple[str, bool], tuple[int, float]] = {}
 
-    def median(self, model: str, now_ms: int, is_pause: bool) -> float:
+    def median(self, model: str, now_ms: int, *, is_pause: bool) -> float:
         """Return the median of the learned factors, 1.0 without any."""
         known = self._medians.get((model, is_pause))
         if known is not None and 0 <= now_ms - known[0] < MEDIAN_MAX_AGE_MS:
@@ -351,7 +366,8 @@
         factors = [
             factor
             for speed in self.servers.values()
-            if (factor := speed.observed(model, now_ms, is_pause)) is not None
+            if (factor := speed.observed(model, now_ms, is_pause=is_pause))
+            is not None
         ]
         median = statistics.median(factors) if factors else 1.0
         if len(self._medians) >= 2 * MAX_MODELS:
@@ -380,15 +396,15 @@
         if speeds is not None:
             speeds.servers.pop(server_id, None)
 
-    def used(self) -> Iterator[tuple[str, ServerSpeed]]:
+    def reporting_servers(self) -> Iterator[tuple[str, ServerSpeed]]:
         """Yield the servers whose service reports work times."""
         for speeds in self._services.values():
-            if speeds.is_used:
+            if speeds.reports_work_times:
                 yield from speeds.servers.items()
 
     def get(self, server_id: str) -> ServerSpeed | None:
         """Return the speed of a server, None unless its service reports."""
         for speeds in self._services.values():
-            if speeds.is_used and server_id in speeds.servers:
+            if speeds.reports_work_times and server_id in speeds.servers:
                 return speeds.servers[server_id]
         return None
--- a/src/balsamwall/gateway/speed_estimate.py
+++ b/src/balsamwall/gateway/speed_estimate.py
@@ -11,42 +11,50 @@
 
 # Largest change of a logarithm by one observation, a factor of 1.8.
 MAX_CHANGE = 0.6
-# Observations that an estimate averages over, and weight of the prior.
+# Largest weight of an estimate: it averages over about so many observations.
 MAX_WEIGHT = 30.0
+# Weight of a prior that is combined with observations, in observations.
 PRIOR_WEIGHT = 2.0
 # Time in which the weight of earlier observations halves, and the age at
 # which an estimate lapses.
 HALF_LIFE_MS = 30_000
 MAX_AGE_MS = 120_000
-# Factors outside this range are faults of the observation.
+# Observed factors are limited to this range: others are errors of measurement.
 MIN_FACTOR = 0.1
 MAX_FACTOR = 20.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Rated:
-    """Hold a factor and the weight of the observations behind it."""
+class WeightedFactor:
+    """Hold a factor with the weight of the observations of it."""
 
     factor: float
     weight: float
 
 
-NOTHING_OBSERVED = Rated(1.0, 0.0)
+NOTHING_OBSERVED = WeightedFactor(1.0, 0.0)
 
 
-def combine(found: Iterable[Rated]) -> Rated:
-    """Return the weighted geometric mean, of weight 0 without any weight."""
+def combine(found: Iterable[WeightedFactor]) -> WeightedFactor:
+    """Return the weighted geometric mean; its weight is their sum.
+
+    Without any weight, this is NOTHING_OBSERVED.
+    """
     weight = total = 0.0
     for rated in found:
         weight += rated.weight
         total += rated.weight * math.log(rated.factor)
     if weight <= 0:
         return NOTHING_OBSERVED
-    return Rated(math.exp(total / weight), weight)
+    return WeightedFactor(math.exp(total / weight), weight)
+
 
+class FactorEstimate:
+    """Average the logarithms of observed factors.
 
-class Estimate:
-    """Average the logarithm of a factor, robust against outliers."""
+    One observation changes the average by at most MAX_CHANGE, so that an
+    outlier has little effect.
+    """
 
     __slots__ = ("_log", "_updated_ms", "_weight")
 
@@ -70,7 +78,11 @@
     def add(
         self, factor: float, prior: float, weight: float, now_ms: int
     ) -> None:
-        """Add an observation; a first one changes the prior."""
+        """Add an observation with a weight.
+
+        Without earlier ones, or if they have lapsed, the average begins at
+        `prior`.
+        """
         known = self.weight(now_ms)
         if known <= 0:
             self._log = math.log(prior)
@@ -81,6 +93,6 @@
         self._updated_ms = now_ms
         self._log += change * weight / max(self._weight, 1.0)
 
-    def rated(self, now_ms: int) -> Rated:
-        """Return the average with its weight."""
-        return Rated(math.exp(self._log), self.weight(now_ms))
+    def current(self, now_ms: int) -> WeightedFactor:
+        """Return the average with the weight that it has now."""
+        return WeightedFactor(math.exp(self._log), self.weight(now_ms))
--- a/src/balsamwall/gateway/speed_metrics.py
+++ b/src/balsamwall/gateway/speed_metrics.py
@@ -44,9 +44,9 @@
             labels=("server",),
         )
         now_ms = self._clock.now_ms()
-        for server_id, speed in self._speeds.used():
+        for server_id, speed in self._speeds.reporting_servers():
             learned.add_metric((server_id,), speed.relative(now_ms))
-            work.add_metric((server_id,), speed.work_time(now_ms))
+            work.add_metric((server_id,), speed.work_time_factor(now_ms))
             forecast.add_metric((server_id,), speed.forecast_ratio)
         yield learned
         yield work
--- a/src/balsamwall/gateway/stream_meter.py
+++ b/src/balsamwall/gateway/stream_meter.py
@@ -30,7 +30,7 @@
         "_server",
         "_tokens",
         "learned",
-        "work_time",
+        "work_time_factor",
     )
 
     def __init__(
@@ -50,7 +50,7 @@
         self._longest_ms = 0
         self._gaps = 0
         self.learned = server.speed.learned(model, now_ms, is_pause=True)
-        self.work_time = server.speed.work_time(now_ms)
+        self.work_time_factor = server.speed.work_time_factor(now_ms)
 
     def on_data(self, now_ms: int) -> None:
         """Handle events that have been received."""
--- a/src/balsamwall/gateway/wait_policy.py
+++ b/src/balsamwall/gateway/wait_policy.py
@@ -84,9 +84,9 @@
         `queued_for_ms` is how long the target has had waiting requests without
         a break. A queue of a burst may grow to a wait of half of the caller's
         timeout. In a queue that has lasted for longer than that, the expected
-        wait is also limited to `on_time_ms`, the time left to meet
-        the target, because a longer queue serves no more requests and makes
-        each of them late.
+        wait is also limited to `on_time_ms`, the time left to meet the target,
+        because a longer queue serves no more requests and makes each of them
+        late.
         """
         half_ms = half_timeout_ms(route.caller_timeout_ms)
         if queued_for_ms > half_ms:
--- a/tests/coordination/test_speed_exchange.py
+++ b/tests/coordination/test_speed_exchange.py
@@ -31,7 +31,7 @@
 
     def learned(self, entry, server="s0"):
         now_ms = self.clock.now_ms()
-        return self.speed(entry, server).learned(MODEL, now_ms, True)
+        return self.speed(entry, server).learned(MODEL, now_ms, is_pause=True)
 
     def teach(self, entry, factor, server="s0"):
         speed = self.speed(entry, server)
@@ -78,7 +78,7 @@
         self.share()
         self.speed(3).on_work_time(400, self.clock.now_ms())
         self.clock.advance(500)
-        work = self.speed(2).work_time(self.clock.now_ms())
+        work = self.speed(2).work_time_factor(self.clock.now_ms())
         self.assertGreater(work, 2.0)
 
     def test_nothing_is_sent_without_work_times(self):
--- a/tests/gateway/test_server_speed.py
+++ b/tests/gateway/test_server_speed.py
@@ -92,7 +92,9 @@
                     server.speed.on_work_time(int(100 * work), now_ms)
                 self.observe(server, speeds[name] * work)
                 for is_pause in (True, False):
-                    found = server.speed.learned(MODEL, now_ms, is_pause)
+                    found = server.speed.learned(
+                        MODEL, now_ms, is_pause=is_pause
+                    )
                     error = abs(found / speeds[name] - 1)
                     if is_pause and error > 0.3:
                         settled_ms[name] = now_ms - 10_000
@@ -109,11 +111,13 @@
         """Guards against a restarted server that is still taken for slow."""
         servers = [self.add(name) for name in "abc"]
         self.teach(list(zip(servers, (0.7, 0.7, 2.5), strict=True)))
-        old = servers[2].speed.learned(MODEL, self.clock.now_ms(), True)
+        old = servers[2].speed.learned(
+            MODEL, self.clock.now_ms(), is_pause=True
+        )
         self.assertGreater(old, 1.8)
         speed = self.add("c", started_ms=2).speed
         self.assertIsNot(speed, servers[2].speed)
-        learned = speed.learned(MODEL, self.clock.now_ms(), True)
+        learned = speed.learned(MODEL, self.clock.now_ms(), is_pause=True)
         self.assertAlmostEqual(learned, 0.7, delta=0.15)
 
     def test_learned_speed_lapses(self):
@@ -122,7 +126,9 @@
         self.teach([(server, 2.5)])
         self.clock.advance(speed_estimate.MAX_AGE_MS + 1)
         now_ms = self.clock.now_ms()
-        self.assertEqual(server.speed.learned(MODEL, now_ms, True), 1.0)
+        self.assertEqual(
+            server.speed.learned(MODEL, now_ms, is_pause=True), 1.0
+        )
 
     def test_work_time_decays_in_silence(self):
         """Guards against a server avoided for a slow period that is over."""
@@ -270,7 +276,7 @@
 
     def learned(self, is_pause):
         now_ms = self.harness.clock.now_ms()
-        return self.server.speed.learned(MODEL, now_ms, is_pause)
+        return self.server.speed.learned(MODEL, now_ms, is_pause=is_pause)
 
     def test_streams_teach_the_speed(self):
         """Guards against streams whose events are not measured."""
@@ -302,14 +308,14 @@
             for _ in range(3):
                 self.serve(b"1,0,32,100", is_blocked=is_blocked)
             now_ms = self.harness.clock.now_ms()
-            found = self.server.speed.observed(MODEL, now_ms, True)
+            found = self.server.speed.observed(MODEL, now_ms, is_pause=True)
             self.assertEqual(found is None, is_blocked)
 
     def test_streams_teach_nothing_without_work_times(self):
         """Guards against learned speeds where no figure is reported."""
         for _ in range(4):
             self.serve(b"1,0,32")
-        self.assertFalse(self.server.speed.is_used)
+        self.assertFalse(self.server.speed.reports_work_times)
         self.assertEqual(self.learned(True), 1.0)
 
     def fill(self, percent, priority=1):
