Name the settings of unconfirmed keys after what they do

Cause: revoke_ms and is_revocation_strict did not say that keys are refused once the configuration has not been confirmed as the newest for a time.

Change: max_unconfirmed_ms and refuses_unconfirmed_keys, with a comment. The keys of the settings file, bounds.strict_revoke and bounds.revoke_ms, are the same.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -230,7 +230,9 @@
             freshness=configuration_freshness.ConfigurationFreshness(
                 self._clock,
                 dependencies.connection.confirmation,
-                settings.revoke_ms if settings.is_revocation_strict else None,
+                settings.max_unconfirmed_ms
+                if settings.refuses_unconfirmed_keys
+                else None,
                 self._log,
             ),
         )
--- a/src/balsamwall/gateway/gateway_settings.py
+++ b/src/balsamwall/gateway/gateway_settings.py
@@ -29,10 +29,10 @@
     retry_share: float  # fraction of the requests of all entries
     retry_extra: float  # retries allowed in a window on top of the share
     retry_window_ms: int
-    # Whether keys are refused once the configuration is unconfirmed for
-    # revoke_ms.
-    is_revocation_strict: bool = False
-    revoke_ms: int = 5_000
+    # Whether keys are refused once the configuration has not been confirmed as
+    # the newest for max_unconfirmed_ms: one may have been revoked meanwhile.
+    refuses_unconfirmed_keys: bool = False
+    max_unconfirmed_ms: int = 5_000
     quota_tolerance: quota_tolerance_module.QuotaTolerance = (
         quota_tolerance_module.QuotaTolerance()
     )
--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -125,8 +125,8 @@
         retry_share=bounds.number("retry_budget_ratio"),
         retry_extra=bounds.number("budget_extra"),
         retry_window_ms=int(bounds.number("budget_window_s") * 1_000),
-        is_revocation_strict=bounds.flag("strict_revoke", False),
-        revoke_ms=int(bounds.optional_number("revoke_ms", REVOKE_MS)),
+        refuses_unconfirmed_keys=bounds.flag("strict_revoke", False),
+        max_unconfirmed_ms=int(bounds.optional_number("revoke_ms", REVOKE_MS)),
         quota_tolerance=_quota_tolerance(bounds),
     )
 
--- a/tests/composition/test_gateway_revocation.py
+++ b/tests/composition/test_gateway_revocation.py
@@ -134,8 +134,8 @@
             retry_share=0.2,
             retry_extra=50.0,
             retry_window_ms=10_000,
-            is_revocation_strict=self.is_strict,
-            revoke_ms=REVOKE_MS,
+            refuses_unconfirmed_keys=self.is_strict,
+            max_unconfirmed_ms=REVOKE_MS,
         )
         self.unit = gateway_unit.GatewayUnit(
             settings,
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -57,14 +57,14 @@
     def test_revocation(self):
         """Guards against an entry that is strict without being told."""
         settings = node_settings.parse(ROWS)
-        self.assertFalse(settings.is_revocation_strict)
-        self.assertEqual(settings.revoke_ms, 5_000)
+        self.assertFalse(settings.refuses_unconfirmed_keys)
+        self.assertEqual(settings.max_unconfirmed_ms, 5_000)
         rows = {"strict_revoke": True, "revoke_ms": 4_000}
         settings = node_settings.parse(
             {**ROWS, "bounds": {**ROWS["bounds"], **rows}}
         )
-        self.assertTrue(settings.is_revocation_strict)
-        self.assertEqual(settings.revoke_ms, 4_000)
+        self.assertTrue(settings.refuses_unconfirmed_keys)
+        self.assertEqual(settings.max_unconfirmed_ms, 4_000)
         self.check_rejected("bounds.strict_revoke", "yes")
         self.check_rejected("bounds.strict_revoke", 1)
         self.check_rejected("bounds.revoke_ms", "5000")
