Log the switch of a quota's decision by one event for each direction

Cause: quota_uncoordinated was also written when the coordinator decided again, with is_local=False; by= and count= of quota_refused did not tell of what.

Change: quota_decided_locally and quota_decided_by_coordinator; reason= and refused_since_last_line= in quota_refused. Two tests cover the events of both directions and the count of refusals.

--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -183,8 +183,8 @@
             workspace=workspace,
             cost=cost,
             wait_ms=outcome.retry_after_ms,
-            by=outcome.reason,
-            count=refusals.count,
+            reason=outcome.reason,
+            refused_since_last_line=refusals.count,
         )
         refusals.logged_ms, refusals.count = now_ms, 0
 
@@ -329,13 +329,14 @@
             return
         balance.is_local = is_local
         balance.clear_denial()
+        if not is_local:
+            self._log.write("quota_decided_by_coordinator", workspace=name)
+            return
         may_advance = balance.may_advance
-        if is_local:
-            balance.local.begin(may_advance, balance.tolerance)
+        balance.local.begin(may_advance, balance.tolerance)
         self._log.write(
-            "quota_uncoordinated",
+            "quota_decided_locally",
             workspace=name,
-            is_local=is_local,
             may_advance=may_advance,
             entries=self._fleet_size.count,
         )
--- a/tests/gateway/test_quota_gate.py
+++ b/tests/gateway/test_quota_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import types
 import unittest
 
 from balsamwall.gateway import request_handler
@@ -94,6 +95,39 @@
             'balsamwall_gateway_quota_refusals_total{workspace="w1"} 1.0', text
         )
 
+    def test_who_decides_is_logged_once_for_each_change(self):
+        """Guards against a line that does not tell the direction."""
+        lines = []
+        self.harness.quotas._log = types.SimpleNamespace(
+            write=lambda event, **fields: lines.append((event, fields))
+        )
+        for is_silent in (True, True, False, False):
+            self.link.is_silent = is_silent
+            self.send()
+            self.harness.clock.advance(1_000)
+        events = [line for line in lines if line[0] != "quota_refused"]
+        local = {"workspace": "w1", "may_advance": True, "entries": 100}
+        expected = [
+            ("quota_decided_locally", local),
+            ("quota_decided_by_coordinator", {"workspace": "w1"}),
+        ]
+        self.assertEqual(events, expected)
+
+    def test_refusals_are_counted_in_one_line_a_second(self):
+        """Guards against a line for each refusal, and refusals not counted."""
+        lines = []
+        self.harness.quotas._log = types.SimpleNamespace(
+            write=lambda event, **fields: lines.append(
+                (fields["reason"], fields["refused_since_last_line"])
+            )
+        )
+        self.link.wait_ms = WAIT_MS
+        for _ in range(3):
+            self.send()
+        self.harness.clock.advance(WAIT_MS)
+        self.send()
+        self.assertEqual(lines, [("coordinator", 1), ("coordinator", 3)])
+
     def test_certified_refusal_costs_nothing(self):
         """Guards against a charge for requests that servers turn away."""
         self.send()
