Correct and clarify comments of the gateway

Cause: the comment of the wait for room said that urgent requests are not refused, while those of workspaces are. Others were hard to understand, or quoted one engine or VM.

Change: comments of request_wait, server_limits, workspace_balance, response_body, crash_suspects, server_speed, server_choice, sent_shares and unsent_bytes. No code is changed.

--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -25,6 +25,8 @@
 LOSS_REPORT_INTERVAL_MS = 5_000
 # Contents whose last proof is remembered. The oldest is dropped beyond this.
 MAX_PROVEN = 5_000
+# Contents whose proof is reported. Those that have been watched for WATCH_MS
+# are dropped when there are MAX_WATCHED.
 WATCH_MS = 300_000
 MAX_WATCHED = 2_000
 
@@ -133,7 +135,7 @@
     def on_proven(
         self, fingerprints: frozenset[bytes], first_data_ms: int
     ) -> None:
-        """Record that a response went on, and report what is watched."""
+        """Record contents whose response went on; report watched ones."""
         for content in fingerprints:
             self._proven_ms[content] = first_data_ms
             self._proven_ms.move_to_end(content)
@@ -148,7 +150,11 @@
             self._link.report_proven(fingerprints)
 
     def watch(self, content: bytes, since_ms: int) -> None:
-        """Report a proof of this content, also an earlier one since a time."""
+        """Report the next proof of this content.
+
+        If a response that began at `since_ms` or later has proven it already,
+        this is reported at once.
+        """
         if self._proven_ms.get(content, since_ms - 1) >= since_ms:
             if self._link is not None:
                 self._link.report_proven([content])
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -87,8 +87,8 @@
         """Wait until a server that holds the model has room.
 
         If the expected wait exceeds the limit of the route, refuse the request
-        at once unless it is urgent. The wait ends after `remaining_ms` at the
-        latest.
+        at once. An urgent request without a workspace is not refused then; one
+        of a workspace is. The wait ends after `remaining_ms` at the latest.
         """
         handler, dependencies = self._handler, self._dependencies
         if handler.is_fair:
--- a/src/balsamwall/gateway/response_body.py
+++ b/src/balsamwall/gateway/response_body.py
@@ -18,7 +18,11 @@
 
 
 class ResponseBody:
-    """Decide what is forwarded, whether a stream is whole, and its proof."""
+    """Decide what to forward of a response and whether it is complete.
+
+    It also tells whether the response has gone on for long enough to prove
+    that its request does not crash servers.
+    """
 
     __slots__ = (
         "_count",
@@ -113,12 +117,12 @@
         return data
 
     def has_gone_on(self, now_ms: int) -> bool:
-        """Return whether the response lasts for PROOF_MS since its data."""
+        """Return whether PROOF_MS have passed since the first data."""
         first_ms = self._first_data_ms
         return first_ms is not None and now_ms - first_ms >= PROOF_MS
 
     def fault(self) -> str:
-        """Return why a response that has ended is not whole, if it is not.
+        """Return why a response that has ended is incomplete, if it is.
 
         A server that crashes may end its chunks or its connection in the same
         way as after the last event.
--- a/src/balsamwall/gateway/sent_shares.py
+++ b/src/balsamwall/gateway/sent_shares.py
@@ -13,7 +13,7 @@
 # Owed sends to the oldest request that are kept, so that an engine that was
 # full for long does not serve a series of old requests afterwards.
 MAX_OWED_SENDS = 2 * SENDS_PER_OLDEST
-# Last sends for a target from which the shares of workspaces are taken.
+# Number of the last sends for a target from which shares are computed.
 SHARE_SENDS = 32
 
 
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -47,7 +47,7 @@
 # Random part of the score, so that entries spread over equal servers.
 TIE_BREAK_MS = 3.0
 # Penalty of a server without an idle connection. It decides between servers
-# that differ by the random part, or by two requests in a batch of 32.
+# that differ by the random part, or in load by up to 7% of the slots.
 NEW_CONNECTION_PENALTY_MS = 3.0
 
 
--- a/src/balsamwall/gateway/server_limits.py
+++ b/src/balsamwall/gateway/server_limits.py
@@ -20,11 +20,12 @@
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
-# Rate for a server that accepts nothing, so that a response tells when its
-# limit has ended.
+# Lowest rate at which requests are sent to a server, even if its limit is 0: a
+# changed limit is only learned from a response.
 MIN_RATE_PER_S = 0.25
 # Part of the limit that entries use without the coordinator. Their turns may
-# coincide by chance, and permits of a lost coordinator were just used.
+# coincide by chance, and permits of the lost coordinator may have been used
+# shortly before.
 UNCOORDINATED_FRACTION = 0.75
 # Queries for permits of one server that may be open at a time.
 MAX_OPEN_QUERIES = 4
--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -32,14 +32,14 @@
 # until then.
 WORK_TIME_MAX_AGE_MS = 1_000
 USUAL_WORK_TIME_PERCENT = 100
-# The work time is unknown for an observation without a recent figure, which
-# counts in part: it may fall into a slow period.
+# Weight of an observation without a recently reported work time. It is low
+# because the server may be in a slow period.
 UNKNOWN_WORK_TIME_WEIGHT = 0.25
 MAX_MODELS = 64  # of one process; the least recently used is dropped
 # What the coordinator shares is dropped at this age, so that a process that
 # was paused does not use old factors. It shares once a second.
 SHARED_MAX_AGE_MS = 5_000
-# Weight of fewer observations that are not worth sharing.
+# Factors whose observations have less weight than this are not shared.
 MIN_SHARED_WEIGHT = 1.0
 MEDIAN_MAX_AGE_MS = 250
 
@@ -138,7 +138,7 @@
     def on_work_time(self, percent: int, now_ms: int) -> None:
         """Set the work time that the server reported at a time.
 
-        An earlier one than the last is ignored.
+        A report that is older than the last one is ignored.
         """
         self._service.reports_work_times = True
         if self._work_time_at_ms is None or now_ms >= self._work_time_at_ms:
@@ -334,7 +334,7 @@
     ) -> int:
         """Return how many requests keep pauses within a target.
 
-        They are all slots without a target or without reported work times. If
+        Without a target or reported work times, it is the number of slots. If
         `is_lasting` is set, the current work time is left out.
         """
         if not self.reports_work_times or not gap_target_ms:
--- a/src/balsamwall/gateway/unsent_bytes.py
+++ b/src/balsamwall/gateway/unsent_bytes.py
@@ -11,8 +11,8 @@
 # Back-pressure stops a response at about twice the send buffer of 64 KiB. Only
 # one long event (256 KiB) may add to it.
 MAX_CALLER_BYTES = 512 * 1024
-# For all callers. The smallest VM has 160 MB, of which an idle entry uses
-# about 50 MB.
+# For all callers. It leaves room in 160 MB of memory, of which an idle entry
+# uses about 50 MB.
 MAX_TOTAL_BYTES = 32 * 1024 * 1024
 
 
--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -24,10 +24,10 @@
 # Longest time until that query. A new coordinator, or one that is connected
 # again, may have more room than was expected.
 MAX_QUERY_INTERVAL_MS = 150
-# Time whose use a query asks for in advance.
+# A query also asks for the tokens that were used in this time before it.
 RESERVE_MS = 250
-# A workspace that was scarce this short a time before the coordinator was
-# lost admits no request in advance.
+# If the coordinator is lost within this time after it called a workspace
+# scarce, no request of the workspace is admitted in advance.
 SCARCE_MEMORY_MS = 10_000
 # Requests that are not urgent are refused for this time after the last
 # response that called the workspace scarce.
@@ -128,15 +128,17 @@
         self.timed_out_ms: int | None = None
         self.timer: clock_module.Timer | None = None
         self.waiting: collections.deque[QuotaWait] = collections.deque()
-        self._scarce_ms: int | None = None  # of the last response that said so
-        self._is_scarce = False  # as the last response said
+        # When a response last called the workspace scarce, and whether the
+        # last response did.
+        self._scarce_ms: int | None = None
+        self._is_scarce = False
         self._response_ms: int | None = None
         self._urgent_ms: int | None = None  # of the last urgent request
         # After a denial: when room is expected, and when to ask again.
         self._room_due_ms = 0
         self.query_due_ms = 0
         self._denied_cost = 0
-        # Time and cost of the requests admitted lately.
+        # Time and cost of the requests admitted in the last RESERVE_MS.
         self._used: collections.deque[tuple[int, int]] = collections.deque()
 
     @property
@@ -159,8 +161,8 @@
     def is_kept_for_urgent(self) -> bool:
         """Return whether what is left of the quota goes to urgent requests.
 
-        A workspace that exceeds its quota would otherwise lose urgent requests
-        in the same part as those that can wait.
+        Without this, a workspace that exceeds its quota would have the same
+        fraction of its urgent requests refused as of the others.
         """
         if not self._is_scarce or self._response_ms is None:
             return False
@@ -173,7 +175,7 @@
         )
 
     def on_urgent(self) -> None:
-        """Record that an urgent request has come."""
+        """Record that an urgent request has arrived."""
         self._urgent_ms = self._clock.now_ms()
 
     @property
@@ -191,7 +193,10 @@
         wait.decide(QuotaOutcome(True, 0, self.decided_by))
 
     def reserve(self) -> int:
-        """Return what was used lately, less what is still granted."""
+        """Return the tokens to ask for in addition to those of a request.
+
+        They are those used in the last RESERVE_MS, less those still granted.
+        """
         oldest_ms = self._clock.now_ms() - RESERVE_MS
         while self._used and self._used[0][0] < oldest_ms:
             self._used.popleft()
@@ -257,7 +262,7 @@
 ) -> float:
     """Return the largest cost of a request that a quota ever admits.
 
-    A bucket holds at least 1.
+    The burst counts as at least 1, since a bucket holds at least that.
     """
     return max(1.0, quota.burst) + slack(quota, tolerance)
 
