--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -13,7 +13,7 @@
 from zope.interface import declarations
 
 from balsamwall.gateway import caller_exchange
-from balsamwall.gateway import http_fields
+from balsamwall.gateway import request_head_check
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -156,13 +156,13 @@
 
     def _on_head(self, event: Any) -> None:
         fields = [(bytes(n), bytes(v)) for n, v in event.headers]
-        fault = _framing_fault(fields, bytes(event.http_version))
-        if fault:
-            self._reject(400, fault)
-            return
-        length = http_fields.content_length(fields) or 0
-        if length > self._site.limits.max_body_bytes:
-            self._reject(413, f"request body of {length} bytes is too large")
+        fault = request_head_check.find_fault(
+            fields,
+            bytes(event.http_version),
+            self._site.limits.max_body_bytes,
+        )
+        if fault is not None:
+            self._reject(fault.status, fault.reason)
             return
         self._head = caller_exchange.RequestHead(
             bytes(event.method), bytes(event.target), fields
@@ -397,20 +397,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _framing_fault(fields: http_fields.Fields, version: bytes) -> str:
-    """Return why the framing of a request is ambiguous, or an empty string.
-
-    If the server framed the request differently, it would take a part of the
-    body for another request (request smuggling).
-    """
-    has_length = http_fields.value(fields, b"content-length") is not None
-    coding = http_fields.value(fields, b"transfer-encoding")
-    if coding is not None and has_length:
-        return "both Content-Length and Transfer-Encoding"
-    if coding is not None and version != b"1.1":
-        return "Transfer-Encoding requires HTTP/1.1"
-    if http_fields.is_repeated(fields, b"host"):
-        return "more than one Host field"
-    return ""
