--- a/src/balsamwall/gateway/server_speed.py
+++ b/src/balsamwall/gateway/server_speed.py
@@ -265,11 +265,11 @@
         relative = []
         for model, speed in speeds.items():
             for is_pause in (False, True):
-                rated = speed.of(is_pause=is_pause)
+                weighted = speed.of(is_pause=is_pause)
                 median = self._service.median(model, now_ms, is_pause=is_pause)
                 relative.append(
                     speed_estimate.WeightedFactor(
-                        rated.factor / median, rated.weight
+                        weighted.factor / median, weighted.weight
                     )
                 )
         self._shared_relative = speed_estimate.combine(relative)
@@ -298,12 +298,12 @@
         self, model: str, now_ms: int, *, is_pause: bool
     ) -> float | None:
         """Return the factor from observations alone, None with too few."""
-        rated = speed_estimate.combine(
+        weighted = speed_estimate.combine(
             self._observations(model, now_ms, is_pause=is_pause)
         )
         return (
-            rated.factor
-            if rated.weight >= speed_estimate.PRIOR_WEIGHT
+            weighted.factor
+            if weighted.weight >= speed_estimate.PRIOR_WEIGHT
             else None
         )
 
