--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -47,7 +47,7 @@
 # Random part of the score, so that entries spread over equal servers.
 TIE_BREAK_MS = 3.0
 # Penalty of a server without an idle connection. It decides between servers
-# that differ by the random part, or by two requests in a batch of 32.
+# that differ by the random part, or in load by up to 7% of the slots.
 NEW_CONNECTION_PENALTY_MS = 3.0
 
 
@@ -199,7 +199,7 @@
         Only streams of a model have one, if the service reports work times.
         """
         is_measured = route.is_stream and bool(request.model)
-        if not is_measured or not server.speed.is_used:
+        if not is_measured or not server.speed.reports_work_times:
             return None
         tokens = server.pending_tokens + request.prompt_tokens
         tokens -= self.cached_tokens(server, request)
@@ -226,7 +226,7 @@
         score = tokens / PREFILL_TOKENS_PER_MS
         score += WAITING_REQUEST_MS * server.waiting(now_ms)
         score += load_penalty_ms(load, slots)
-        if server.speed.is_used:
+        if server.speed.reports_work_times:
             # A fast server also prefills this prompt sooner, and the prompts
             # of other entries, which are known only by the load.
             other_ms = server_speed.PREFILL_MS_PER_REQUEST * load
