Update the average speeds of engines once per tick

Cause: the moving average of what an engine sustains was updated in each plan. A plan also runs after requests for absent models, and skips a service without an idle engine, so the average depended on traffic.

Change: the tick of the coordinator updates all engines before its plan; plans only read the values.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -394,17 +394,6 @@
             trackers = self._engines.ready(service)
             if not any(tracker.is_idle for tracker in trackers):
                 continue
-            for tracker in trackers:
-                limit_capacity = self._permits.capacity(
-                    tracker.record.server_id, engine.slots
-                )
-                engine_speed.update(
-                    tracker,
-                    limit_capacity,
-                    self._directory.speeds,
-                    self._gap_target_ms(service),
-                    now_ms,
-                )
             waiting_requests = {
                 wanted: count
                 for wanted, count in waiting.items()
@@ -414,10 +403,29 @@
                 self._execute(self._planner.plan(need, trackers, now_ms))
             self._start_prefetches(service, engine, trackers)
 
+    def _update_engine_speeds(self) -> None:
+        """Update the moving averages of all engines, once per tick.
+
+        Plans also run after requests for absent models, so that averages
+        updated there would depend on the traffic.
+        """
+        now_ms = self._clock.now_ms()
+        for tracker in self._engines.all():
+            engine_speed.update(
+                tracker,
+                self._permits.capacity(
+                    tracker.record.server_id, tracker.spec.slots
+                ),
+                self._directory.speeds,
+                self._gap_target_ms(tracker.record.service),
+                now_ms,
+            )
+
     def _tick(self) -> None:
         self._fleet_size.observe(self._links.count)
         self._permits.set_connected(self._links.count)
         self._quotas.set_connected(self._links.count)
+        self._update_engine_speeds()
         self._plan()
         now_ms = self._clock.now_ms()
         if now_ms - self._last_summary_ms >= SUMMARY_INTERVAL_MS:
--- a/src/balsamwall/coordination/engine_speed.py
+++ b/src/balsamwall/coordination/engine_speed.py
@@ -9,7 +9,8 @@
     from balsamwall.gateway import server_speed
 
 # Weight of the current value in the moving average of the part of its slots
-# that an engine can use.
+# that an engine can use. With one update per tick of the coordinator (100 ms)
+# the average follows a change with a time constant of about 1 s.
 SUSTAINABLE_WEIGHT = 0.1
 
 
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import types
 import unittest
+from unittest import mock
 
 from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import engine_speed
 from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import residency_log
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
 from balsamwall.logs import decision_log
@@ -99,6 +103,33 @@
         self.clock.advance(500)
         self.assertEqual(self.coordinator.fencing_token, 0)
 
+    def test_speed_averages_do_not_depend_on_traffic(self):
+        """Guards against averages that requests for models speed up.
+
+        None of the engines is idle, which must not stop the updates.
+        """
+        tracker = types.SimpleNamespace(
+            record=gateway_harness.make_record("e0", slots=32),
+            spec=types.SimpleNamespace(slots=32),
+        )
+        engines = types.SimpleNamespace(
+            all=lambda: [tracker],
+            services=lambda: [("app", tracker.spec)],
+            ready=lambda service: [],
+            refresh_holders=lambda *names: None,
+        )
+        self.coordinator._engines = engines
+        self.coordinator._broadcast = types.SimpleNamespace(tick=lambda: None)
+        wanted = messages_fleet.LoadWanted("app", "m1", "")
+        with (
+            mock.patch.object(engine_speed, "update") as update,
+            mock.patch.object(residency_log, "write"),
+        ):
+            for _ in range(10):
+                self.coordinator.on_message("front-2", wanted)
+                self.clock.advance(coordinator_module.TICK_INTERVAL_MS)
+        self.assertEqual(update.call_count, 10)
+
     def test_long_outage_stops_orders(self):
         """Guards against a partitioned VM that never stops its orders."""
         self.is_connected = False
