Reject quota settings that the lifetime of a grant exceeds

Cause: granted tokens may be used up to 0.8 s late. If quota_window_s x quota_overshoot is below that, the quota is not guaranteed, and nothing said so.

Change: such settings are an error that states what was found, expected and what to do. An overshoot of 0 is still accepted, and logged as quota_not_guaranteed when the settings are read. REVOKE_MS is named DEFAULT_REVOKE_MS.

--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -6,12 +6,15 @@
 import tomllib
 from typing import Any
 
+import eliot
+
 from balsamwall.gateway import gateway_settings
+from balsamwall.limits import leased_tokens
 from balsamwall.limits import quota_tolerance
 from balsamwall.settings import address as address_module
 
 DEFAULT_PATH = "/etc/balsamwall/local.toml"
-REVOKE_MS = 5_000
+DEFAULT_REVOKE_MS = 5_000
 PATH_VARIABLE = "BALSAMWALL_NODE_FILE"
 
 
@@ -126,7 +129,7 @@
         retry_extra=bounds.number("budget_extra"),
         retry_window_ms=int(bounds.number("budget_window_s") * 1_000),
         is_revocation_strict=bounds.flag("strict_revoke", False),
-        revoke_ms=int(bounds.optional_number("revoke_ms", REVOKE_MS)),
+        revoke_ms=int(bounds.optional_number("revoke_ms", DEFAULT_REVOKE_MS)),
         quota_tolerance=_quota_tolerance(bounds),
     )
 
@@ -136,8 +139,33 @@
     window_s = bounds.optional_number(
         "quota_window_s", default.window_ms / 1_000
     )
-    return quota_tolerance.QuotaTolerance(
+    found = quota_tolerance.QuotaTolerance(
         window_ms=int(window_s * 1_000),
         overshoot=bounds.optional_number("quota_overshoot", default.overshoot),
         slack=int(bounds.optional_number("quota_slack", default.slack)),
     )
+    _check_quota_tolerance(found)
+    return found
+
+
+def _check_quota_tolerance(found: quota_tolerance.QuotaTolerance) -> None:
+    """Raise NodeSettingsError if grants outlive what may pass above a quota.
+
+    Grants that are used late exceed a quota by their lifetime's fraction of
+    the window. An overshoot of 0 is a valid wish that no lifetime meets, so
+    it is logged and not rejected.
+    """
+    lease_s = leased_tokens.LEASE_MS / 1_000
+    # Rounded, since 8 x 0.1 must not miss 0.8 by an error of a float.
+    allowed_s = round(found.window_ms / 1_000 * found.overshoot, 6)
+    if allowed_s >= lease_s:
+        return
+    fault = (
+        f"bounds.quota_window_s: {found.window_ms / 1_000:g} s x "
+        f"quota_overshoot {found.overshoot:g} is {allowed_s:g} s, expected "
+        f"at least {lease_s:g} s, for which granted tokens are valid: "
+        "increase either field"
+    )
+    if found.overshoot > 0:
+        raise NodeSettingsError(fault)
+    eliot.log_message("quota_not_guaranteed", reason=fault)
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -8,6 +8,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from balsamwall.limits import quota_tolerance
 from balsamwall.platform import daemon
@@ -91,6 +92,34 @@
             for value in ("1", True, -1, float("inf")):
                 self.check_rejected(f"bounds.{name}", value)
 
+    def parse_tolerance(self, window_s, overshoot):
+        rows = {"quota_window_s": window_s, "quota_overshoot": overshoot}
+        fields = {**ROWS, "bounds": {**ROWS["bounds"], **rows}}
+        return node_settings.parse(fields).quota_tolerance
+
+    def test_tolerance_below_the_lifetime_of_a_grant(self):
+        """Guards against quotas that are exceeded without a notice."""
+        for window_s, overshoot in ((8, 0.1), (4, 0.2), (0.8, 1)):
+            found = self.parse_tolerance(window_s, overshoot)
+            self.assertEqual(found.overshoot, overshoot)
+        for window_s, overshoot in ((7.9, 0.1), (8, 0.09), (0, 0.1)):
+            with self.assertRaisesRegex(
+                node_settings.NodeSettingsError,
+                r"bounds\.quota_window_s: .* expected at least 0\.8 s.*"
+                "increase",
+            ):
+                self.parse_tolerance(window_s, overshoot)
+
+    def test_no_overshoot_is_logged(self):
+        """Guards against a start that fails for a strict quota."""
+        with mock.patch.object(node_settings.eliot, "log_message") as log:
+            self.assertEqual(self.parse_tolerance(8, 0).overshoot, 0)
+            log.assert_called_once()
+            self.assertEqual(log.call_args.args, ("quota_not_guaranteed",))
+            log.reset_mock()
+            node_settings.parse(ROWS)
+            log.assert_not_called()
+
     def test_missing_and_invalid_fields(self):
         """Guards against invalid settings that only fail at run time."""
         self.check_rejected("node")
