Return one internal type for the decision on a quota

Cause: the issuer, the entry and the message had a type each for one response, and "no tokens and no wait" had to be read as "no known quota" at each use.

The message is unchanged.

--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import workspace as workspace_module
 from balsamwall.gateway import workspace_balance
+from balsamwall.limits import quota_decision
 from balsamwall.limits import token_bucket
 
 if TYPE_CHECKING:
@@ -35,18 +35,6 @@
 SILENCE_MS = 1_000
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class QuotaDecision:
-    """Tokens granted, or the time until the request can be granted.
-
-    No tokens and no wait state that no quota of the workspace is known.
-    """
-
-    tokens: int
-    wait_ms: int
-    is_scarce: bool
-
-
 class QuotaIssuer:
     """Grant the tokens of each workspace to all entries together.
 
@@ -132,7 +120,9 @@
         for name, bucket in self._buckets.items():
             self._metrics.set_quota_left(name, max(0.0, bucket.tokens))
 
-    def grant(self, workspace: str, cost: int, reserve: int) -> QuotaDecision:
+    def grant(
+        self, workspace: str, cost: int, reserve: int
+    ) -> quota_decision.QuotaDecision:
         """Grant the cost and as much of the reserve as the bucket holds.
 
         If the cost can't be granted, return the wait for it.
@@ -141,19 +131,19 @@
         quota = self._quota(workspace)
         bucket = self._buckets.get(workspace)
         if quota is None or bucket is None or cost < 0 or reserve < 0:
-            return QuotaDecision(0, 0, False)
+            return quota_decision.QuotaDecision(0, 0, False)
         if cost > workspace_balance.largest_cost(quota, self._tolerance):
-            return QuotaDecision(
+            return quota_decision.QuotaDecision(
                 0, workspace_balance.TOO_LARGE_RETRY_AFTER_MS, False
             )
         is_scarce = self._is_scarce(quota, bucket)
         wait_ms = bucket.wait_ms(self._needed(quota, cost))
         if wait_ms:
-            return QuotaDecision(0, wait_ms, is_scarce)
+            return quota_decision.QuotaDecision(0, wait_ms, is_scarce)
         bucket.charge(cost)
         extra = min(reserve, max(0, int(bucket.tokens)))
         bucket.charge(extra)
-        return QuotaDecision(cost + extra, 0, is_scarce)
+        return quota_decision.QuotaDecision(cost + extra, 0, is_scarce)
 
     def _is_scarce(
         self,
