Use the internal type of a quota decision at the entry

Cause: workspace_quotas.QuotaGrant had the name of the message and repeated the fields of the issuer's decision.

Change: WorkspaceQuotas uses limits/quota_decision.QuotaDecision and its is_quota_known. No behaviour is changed.

--- a/src/balsamwall/gateway/workspace_quotas.py
+++ b/src/balsamwall/gateway/workspace_quotas.py
@@ -9,6 +9,7 @@
 from balsamwall.gateway import coordinator_queries
 from balsamwall.gateway import workspace_balance
 from balsamwall.limits import leased_tokens
+from balsamwall.limits import quota_decision
 from balsamwall.limits import uncoordinated_quota
 
 if TYPE_CHECKING:
@@ -29,15 +30,6 @@
 QuotaOutcome = workspace_balance.QuotaOutcome
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class QuotaGrant:
-    """Response of the coordinator to a query."""
-
-    tokens: int
-    wait_ms: int
-    is_scarce: bool
-
-
 @dataclasses.dataclass(slots=True)
 class _Refusals:
     """Refused requests of a workspace since its last log line."""
@@ -96,9 +88,9 @@
         self._metrics = metrics
         self._tolerance = tolerance
         self._link: QuotaLink | None = None
-        self._queries: coordinator_queries.CoordinatorQueries[QuotaGrant] = (
-            coordinator_queries.CoordinatorQueries(clock)
-        )
+        self._queries: coordinator_queries.CoordinatorQueries[
+            quota_decision.QuotaDecision
+        ] = coordinator_queries.CoordinatorQueries(clock)
         self._balances: dict[str, workspace_balance.WorkspaceBalance] = {}
         self._refusals: dict[str, _Refusals] = {}
 
@@ -161,7 +153,9 @@
         self, number: int, tokens: int, wait_ms: int, is_scarce: bool
     ) -> None:
         """Handle the coordinator's response to a query."""
-        self._queries.resolve(number, QuotaGrant(tokens, wait_ms, is_scarce))
+        self._queries.resolve(
+            number, quota_decision.QuotaDecision(tokens, wait_ms, is_scarce)
+        )
 
     def on_refused(
         self, request_id: str, workspace: str, cost: int, outcome: QuotaOutcome
@@ -256,7 +250,7 @@
             self._decide_locally(name, balance, wait)
             return
 
-        def on_response(found: QuotaGrant | None) -> None:
+        def on_response(found: quota_decision.QuotaDecision | None) -> None:
             balance.is_asking = False
             if found is None:
                 balance.timed_out_ms = self._clock.now_ms()
@@ -281,7 +275,7 @@
         name: str,
         balance: workspace_balance.WorkspaceBalance,
         wait: workspace_balance.QuotaWait,
-        found: QuotaGrant | None,
+        found: quota_decision.QuotaDecision | None,
         sent_ms: int,
     ) -> None:
         """Apply a response; its tokens expire by the time of the query.
@@ -290,7 +284,7 @@
         """
         age_ms = self._clock.now_ms() - sent_ms
         is_late = age_ms >= leased_tokens.LEASE_MS
-        if found is None or is_late or not (found.tokens or found.wait_ms):
+        if found is None or is_late or not found.is_quota_known:
             self._decide_locally(name, balance, wait)
             return
         self._set_local(name, balance, False)
