Name the speed of an engine by what its numbers are

Cause: `sustainable` was an adjective for a number, `slowness` did not say relative to what, and part, fraction and share meant one thing.

Change: sustainable_fraction, relative_work_time, SLOW_ENGINE_FRACTION and AVERAGE_WEIGHT, one comment each; fraction is the one word. No behaviour is changed.

--- a/src/balsamwall/coordination/engine_speed.py
+++ b/src/balsamwall/coordination/engine_speed.py
@@ -8,10 +8,10 @@
     from balsamwall.coordination import engine_tracker
     from balsamwall.gateway import server_speed
 
-# Weight of the current value in the moving average of the part of its slots
-# that an engine can use. With one update per tick of the coordinator (100 ms)
-# the average follows a change with a time constant of about 1 s.
-SUSTAINABLE_WEIGHT = 0.1
+# Weight of the current value in the moving average of the fraction of its
+# slots that an engine can use. With one update per tick of the coordinator
+# (100 ms) the average follows a change with a time constant of about 1 s.
+AVERAGE_WEIGHT = 0.1
 
 
 def update(
@@ -21,17 +21,17 @@
     gap_target_ms: int,
     now_ms: int,
 ) -> None:
-    """Set the part of the slots that an engine can use, and its speed.
+    """Set the fraction of its slots that an engine can use, and its speed.
 
     Load pattern: a model on a slow engine needs another replica at a number
-    of requests that a usual engine serves. The part is that of the resident
-    model that leaves the fewest requests within the pause target. Only
-    lasting differences count: a slow period mostly ends before a replica is
-    loaded, and the replica would replace a model that is requested rarely.
+    of requests that a usual engine serves. The fraction is that of the
+    resident model that leaves the fewest requests within the pause target.
+    Only lasting differences count: a slow period mostly ends before a replica
+    is loaded, and the replica would replace a model that is requested rarely.
     """
     speed = speeds.get(tracker.record.server_id)
     if speed is None:
-        tracker.sustainable, tracker.slowness = 1.0, 1.0
+        tracker.sustainable_fraction, tracker.relative_work_time = 1.0, 1.0
     else:
         slots = max(1, tracker.spec.slots)
         count = min(
@@ -40,7 +40,7 @@
             )
             for model in tracker.models or ("",)
         )
-        change = count / slots - tracker.sustainable
-        tracker.sustainable += SUSTAINABLE_WEIGHT * change
-        tracker.slowness = speed.relative(now_ms)
-    tracker.capacity = limit_capacity * tracker.sustainable
+        change = count / slots - tracker.sustainable_fraction
+        tracker.sustainable_fraction += AVERAGE_WEIGHT * change
+        tracker.relative_work_time = speed.relative(now_ms)
+    tracker.capacity = limit_capacity * tracker.sustainable_fraction
--- a/src/balsamwall/coordination/engine_tracker.py
+++ b/src/balsamwall/coordination/engine_tracker.py
@@ -12,9 +12,9 @@
     from balsamwall.gateway import gateway_configuration
     from balsamwall.timing import clock as clock_module
 
-# An engine that can use less than this part of its slots within the pause
+# An engine that can use less than this fraction of its slots within the pause
 # target is late as soon as its model is requested often.
-SLOW_SUSTAINABLE_PART = 0.5
+SLOW_ENGINE_FRACTION = 0.5
 
 
 class EngineState(enum.Enum):
@@ -49,9 +49,9 @@
         "stable_since_ms",
         "timer",
         "adapter_used_ms",
-        "sustainable",
+        "sustainable_fraction",
         "capacity",
-        "slowness",
+        "relative_work_time",
     )
 
     def __init__(
@@ -80,12 +80,12 @@
         # Whether the order being sent holds a load permit of the weight store.
         self.has_permit = False
         self.queue: list[engine_control.Order] = []
-        # Part of the slots that the engine can use with pauses within the
-        # target, and the same if its limit on requests is included.
-        self.sustainable = 1.0
+        # Fraction of the slots that it can use with pauses within the target.
+        self.sustainable_fraction = 1.0
+        # The same fraction if its limit on requests is included.
         self.capacity = 1.0
-        # Time of its work relative to the median of the service.
-        self.slowness = 1.0
+        # Time that its work takes, relative to the median of the service.
+        self.relative_work_time = 1.0
         self.adapter_used_ms: dict[tuple[str, str], int] = {}
         self.resident_since_ms: dict[str, int] = {}
 
@@ -115,12 +115,12 @@
     @property
     def is_slow(self) -> bool:
         """Return whether the engine can use few of its slots in time."""
-        return self.sustainable < SLOW_SUSTAINABLE_PART
+        return self.sustainable_fraction < SLOW_ENGINE_FRACTION
 
     @property
     def is_limited(self) -> bool:
         """Return whether a limit on requests leaves slots unused."""
-        return self.capacity < self.sustainable
+        return self.capacity < self.sustainable_fraction
 
     def holds(self, model: str, adapter: str = "") -> bool:
         """Return whether a model, and its adapter if given, is resident."""
--- a/src/balsamwall/coordination/residency_planner.py
+++ b/src/balsamwall/coordination/residency_planner.py
@@ -217,7 +217,9 @@
     ) -> float:
         """Return the cost of a slow engine, negative for a fast one."""
         popularity = min(1.0, self._demand.rate(model) / POPULAR_RATE_PER_S)
-        return SLOW_ENGINE_COST * (tracker.slowness - 1.0) * popularity
+        return (
+            SLOW_ENGINE_COST * (tracker.relative_work_time - 1.0) * popularity
+        )
 
     def _load_delay_s(
         self,
--- a/tests/coordination/test_residency_planner.py
+++ b/tests/coordination/test_residency_planner.py
@@ -291,7 +291,7 @@
         for tracker, slowness in zip(
             fixture.trackers, (2.4, 1.0, 0.7), strict=True
         ):
-            tracker.slowness = slowness
+            tracker.relative_work_time = slowness
         fixture.report({"hot1": 8.0}, waiting=[("hot1", 3)])
         plan = fixture.plan_model("hot1", 3)
         self.assertEqual(plan.tracker.record.server_id, "e2")
@@ -304,7 +304,7 @@
         for tracker, value in zip(
             fixture.trackers, (sustainable, targets, targets), strict=True
         ):
-            tracker.sustainable = tracker.capacity = value
+            tracker.sustainable_fraction = tracker.capacity = value
         fixture.report({"hot1": 4.0}, running=[["e0", "hot1", "", 16]])
         return fixture.plan_scale_out()
 
--- a/tests/coordination/test_speed_exchange.py
+++ b/tests/coordination/test_speed_exchange.py
@@ -190,12 +190,14 @@
         self.assertEqual(self.update().capacity, 1.0)
         self.teach({"e0": 4.0, "e1": 1.0, "e2": 1.0})
         slow = self.update(0.5)
-        self.assertAlmostEqual(slow.sustainable, 16 / 32, delta=0.07)
-        self.assertAlmostEqual(slow.capacity, slow.sustainable / 2)
+        self.assertAlmostEqual(slow.sustainable_fraction, 16 / 32, delta=0.07)
+        self.assertAlmostEqual(slow.capacity, slow.sustainable_fraction / 2)
         self.assertTrue(slow.is_limited)
         self.assertFalse(self.update().is_limited)
-        self.assertGreater(slow.slowness, 2.0)
-        self.assertAlmostEqual(self.trackers[1].sustainable, 1.0, delta=0.01)
+        self.assertGreater(slow.relative_work_time, 2.0)
+        self.assertAlmostEqual(
+            self.trackers[1].sustainable_fraction, 1.0, delta=0.01
+        )
 
     def test_slow_period_causes_no_replica(self):
         """Guards against loads for a slow period that ends before them."""
--- a/tests/coordination/test_uneven_engines.py
+++ b/tests/coordination/test_uneven_engines.py
@@ -7,14 +7,14 @@
 from tests.coordination import test_residency_planner
 
 PlannerFixture = test_residency_planner.PlannerFixture
-SLOW_PART = 0.2
+SLOW_FRACTION = 0.2
 
 
 def make_fixture(*residents, slow=()):
     fixture = PlannerFixture(*residents)
     for index in slow:
         tracker = fixture.trackers[index]
-        tracker.sustainable = tracker.capacity = SLOW_PART
+        tracker.sustainable_fraction = tracker.capacity = SLOW_FRACTION
     return fixture
 
 
