Name the fractions and the excess of quotas for what they are

Cause: `_part`, `draw` and `tolerance` did not say of what, or what the number decides; QuotaTolerance is a type, and the same word was a number.

Change: the issuer has a granted fraction, the local quota a share, a random fraction with its purpose, and an allowed excess. No behaviour is changed.

--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -19,11 +19,11 @@
 # Time for which the highest number of entries sets the shares. An entry that
 # is cut off uses its own share all along.
 FLEET_MEMORY_MS = 60_000
-# A workspace is scarce with less than this part of its burst left.
+# A workspace is scarce with less than this fraction of its burst left.
 SCARCE_FRACTION = 0.5
 # Time in which the buckets of a new term fill at the usual demand.
 TERM_GRACE_MS = 2_000
-# Part of the slack up to which later tokens may pay for a request. Large
+# Fraction of the slack up to which later tokens may pay for a request. Large
 # requests would otherwise never find enough tokens among small ones, and those
 # above the burst never at all.
 ADVANCE_FRACTION = 0.5
@@ -50,7 +50,7 @@
         "_heard_ms",
         "_last_tick_ms",
         "_metrics",
-        "_part",
+        "_granted_fraction",
         "_term_started_ms",
         "_tolerance",
     )
@@ -71,7 +71,7 @@
         self._buckets: dict[str, token_bucket.TokenBucket] = {}
         self._heard_ms: dict[str, int] = {}  # by VM of the entry
         self._last_tick_ms = clock.now_ms()
-        self._part = 0.0  # of each rate that may be granted here
+        self._granted_fraction = 0.0  # of each rate, granted here
         self._term_started_ms = clock.now_ms()
 
     def restart(self) -> None:
@@ -93,14 +93,14 @@
     def on_heard(self, vm: str) -> None:
         """Record that an entry has sent a message.
 
-        In a new term the share of the rate rises with each entry at once: the
+        In a new term the granted fraction rises with each entry at once: the
         entry asks for tokens before the next tick.
         """
         self._skip_pause()
         is_new = vm not in self._heard_ms
         self._heard_ms[vm] = self._clock.now_ms()
         if is_new:
-            self._set_part(len(self._heard_ms))
+            self._set_granted_fraction(len(self._heard_ms))
 
     def set_connected(self, count: int) -> None:
         """Set the number of entries that take tokens here, at each tick.
@@ -116,7 +116,7 @@
             if now_ms - heard_ms <= SILENCE_MS
         }
         self._fleet_size.observe(count)
-        self._set_part(min(count, len(self._heard_ms)))
+        self._set_granted_fraction(min(count, len(self._heard_ms)))
         for name, bucket in self._buckets.items():
             self._metrics.set_quota_left(name, max(0.0, bucket.tokens))
 
@@ -167,10 +167,12 @@
         advance = ADVANCE_FRACTION * self._tolerance.slack
         return min(max(0, cost - advance), quota.burst)
 
-    def _set_part(self, connected: int) -> None:
-        """Grant the share of the rates that belongs to these entries."""
+    def _set_granted_fraction(self, connected: int) -> None:
+        """Grant the fraction of the rates that belongs to these entries."""
         # The entry in this process is connected before it is heard.
-        self._part = min(1.0, max(1, connected) / self._fleet_size.count)
+        self._granted_fraction = min(
+            1.0, max(1, connected) / self._fleet_size.count
+        )
         self._update_buckets()
 
     def _skip_pause(self) -> None:
@@ -205,4 +207,6 @@
                 bucket = token_bucket.TokenBucket(self._clock, 0.0, 1)
                 bucket.drain()
                 self._buckets[name] = bucket
-            bucket.set_rate(quota.rate_per_s * self._part, quota.burst)
+            bucket.set_rate(
+                quota.rate_per_s * self._granted_fraction, quota.burst
+            )
--- a/src/balsamwall/limits/uncoordinated_quota.py
+++ b/src/balsamwall/limits/uncoordinated_quota.py
@@ -11,10 +11,11 @@
     from balsamwall.limits import fleet_size as fleet_size_module
     from balsamwall.timing import clock as clock_module
 
-# Part of the rate that entries use without the coordinator. Tokens granted by
-# a lost coordinator were just used.
+# Fraction of the rate that entries use without the coordinator. Tokens granted
+# by a lost coordinator were just used.
 UNCOORDINATED_FRACTION = 0.75
-# Part of the burst that is known to be left if the workspace was not scarce.
+# Fraction of the burst that is known to be left if the workspace was not
+# scarce.
 KNOWN_LEFT_FRACTION = 0.5
 
 
@@ -29,35 +30,39 @@
     """
 
     __slots__ = (
+        "_allowed_excess",
         "_bucket",
-        "_draw",
         "_fleet_size",
         "_largest",
         "_may_advance",
-        "_tolerance",
+        "_random_fraction",
     )
 
     def __init__(
         self,
         clock: clock_module.Clock,
         fleet_size: fleet_size_module.FleetSize,
-        draw: float,
+        random_fraction: float,
     ) -> None:
-        """Set a random number below 1, which differs between entries."""
+        """Set the random fraction, from 0 to below 1, of this entry.
+
+        It decides at how many of the entries a request may be admitted in
+        advance before any coordinator has counted them.
+        """
         self._fleet_size = fleet_size
-        self._draw = draw
+        self._random_fraction = random_fraction
         self._bucket = token_bucket.TokenBucket(clock, 0.0, 1)
         self._bucket.drain()
         self._largest = 0
-        self._tolerance = 0.0
+        self._allowed_excess = 0.0
         self._may_advance = False
 
-    def begin(self, may_advance: bool, tolerance: float) -> None:
+    def begin(self, may_advance: bool, allowed_excess: float) -> None:
         """Begin to use the bucket; a debt of an earlier use remains.
 
-        The tolerance is what all entries together may use above the limit.
+        The allowed excess is what all entries may use above the limit.
         """
-        self._tolerance = tolerance
+        self._allowed_excess = allowed_excess
         self._bucket.drain()
         self._largest = 0
         self._may_advance = may_advance
@@ -70,7 +75,7 @@
         needed: float = cost
         if self._is_advance_allowed(cost):
             left = KNOWN_LEFT_FRACTION * quota.burst
-            needed = -left * self._part if self._fleet_size.is_counted else 0
+            needed = -left * self._share if self._fleet_size.is_counted else 0
         wait_ms = self._bucket.wait_ms(needed)
         if wait_ms == 0:
             self._bucket.charge(cost)
@@ -81,8 +86,8 @@
         self._bucket.put_back(cost)
 
     @property
-    def _part(self) -> float:
-        """Return the part of a quota that is the share of this entry."""
+    def _share(self) -> float:
+        """Return the share of this entry, as a fraction of a quota."""
         return UNCOORDINATED_FRACTION / self._fleet_size.count
 
     def _update(
@@ -95,8 +100,8 @@
         """
         self._largest = max(self._largest, cost)
         self._bucket.set_rate(
-            quota.rate_per_s * self._part,
-            max(quota.burst * self._part, self._largest),
+            quota.rate_per_s * self._share,
+            max(quota.burst * self._share, self._largest),
         )
 
     def _is_advance_allowed(self, cost: int) -> bool:
@@ -104,9 +109,9 @@
 
         After a start of all entries at once nothing is known of the quota
         used before. Then only some of the entries may, at random, so that
-        together they are expected to stay within the tolerance of the limit.
+        together they are expected to stay within the allowed excess.
         """
         if self._fleet_size.is_counted:
             return self._may_advance
         of_all = cost * self._fleet_size.count
-        return self._draw * of_all < self._tolerance
+        return self._random_fraction * of_all < self._allowed_excess
