Say in names and errors what the exchange of speeds does

Cause: `mark` and `_is_taken` did not say that they state that speeds are accepted; FleetState did not name the key in its loads; rows were used as lists, errors did not say what was expected, and the two classes had one constructor twice.

Change: with_acceptance and _is_accepted; work times are a small type as soon as they are decoded; both classes share a base; errors state what was found and expected; comments describe the restart and the key. No behaviour is changed.

--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -59,7 +59,7 @@
         self._links.broadcast(
             messages_fleet.FleetState(
                 self._links.count,
-                self._speeds.mark(self._demand.loads()),
+                self._speeds.with_acceptance(self._demand.loads()),
                 self._demand.queued(),
                 load_forecast.expected_loads(self._engines.all(), now_ms),
             )
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -203,9 +203,11 @@
 class FleetState(message.Message):
     """Announce the number of entries and the load of the servers.
 
-    Loads counts the running requests of all entries by server. Queued counts
-    by model the requests that wait for engine capacity. Loads due holds by
-    model the time in ms until a pending load completes.
+    Loads counts the running requests of all entries by server; the key
+    `server-speeds` among them names no server but states that the coordinator
+    accepts ServerSpeeds. Queued counts by model the requests that wait for
+    engine capacity. Loads due holds by model the time in ms until a pending
+    load completes.
     """
 
     entries: int
--- a/src/balsamwall/coordination/speed_exchange.py
+++ b/src/balsamwall/coordination/speed_exchange.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
+from typing import Any
 from typing import TYPE_CHECKING
 
 from balsamwall.coordination import messages_fleet
@@ -16,9 +18,9 @@
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
-# A coordinator that takes ServerSpeeds marks its fleet loads with this name,
-# which earlier builds ignore, as they know no such server. They close a stream
-# on which they receive a message with an unknown number.
+# Key that a coordinator which accepts ServerSpeeds adds to its fleet loads.
+# Earlier builds ignore it, as they know no such server. They close a stream on
+# which they receive a message with an unknown number.
 ACCEPTS_SPEEDS_KEY = "server-speeds"
 # Factors change slowly and are shared less often than work times.
 FACTORS_INTERVAL_MS = 1_000
@@ -27,19 +29,56 @@
 # Limit of the weight of all entries together against that of one.
 MAX_SHARED_WEIGHT = 3 * speed_estimate.MAX_WEIGHT
 
+# Highest work time in percent that a server can report.
+MAX_PERCENT = 10_000
+
 # Server and start time of its process.
 _Process = tuple[str, int]
 _Factors = dict[tuple[_Process, str], server_speed.LearnedSpeed]
 
 
-class SpeedExchange:
+@dataclasses.dataclass(slots=True, frozen=True)
+class _WorkTimeRow:
+    """Work time that a server has reported, as in a message."""
+
+    server_id: str
+    started_ms: int
+    percent: int
+    age_ms: int
+
+    def encode(self) -> list[object]:
+        """Return the row of a message."""
+        return [self.server_id, self.started_ms, self.percent, self.age_ms]
+
+
+class _SpeedSource:
+    """What the entry and the coordinator need to send speeds."""
+
+    __slots__ = ("_clock", "_directory", "_factors_ms", "_log")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        directory: backend_directory.BackendDirectory,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._log = log
+        self._factors_ms = 0  # when factors were last sent
+
+    def _are_factors_due(self, now_ms: int) -> bool:
+        return now_ms - self._factors_ms >= FACTORS_INTERVAL_MS
+
+
+class SpeedExchange(_SpeedSource):
     """Report what an entry has learned, and apply what all have learned.
 
     Load pattern: each of many entries sends a server a request every few
     seconds and learns its speed slowly, while all together learn it at once.
     """
 
-    __slots__ = ("_clock", "_directory", "_factors_ms", "_is_taken", "_log")
+    __slots__ = ("_is_accepted",)
 
     def __init__(
         self,
@@ -47,26 +86,26 @@
         directory: backend_directory.BackendDirectory,
         log: decision_log.DecisionLog,
     ) -> None:
-        self._clock = clock
-        self._directory = directory
-        self._log = log
-        self._is_taken = False
-        self._factors_ms = 0
+        super().__init__(clock, directory, log)
+        self._is_accepted = False
 
     def restart(self) -> None:
-        """Begin with a coordinator that may be of an earlier build."""
-        self._is_taken = False
+        """Stop reports until the present coordinator accepts them.
+
+        It may be of an earlier build.
+        """
+        self._is_accepted = False
 
     def on_loads(self, loads: dict[str, int]) -> None:
-        """Note whether the coordinator takes reports."""
-        self._is_taken = ACCEPTS_SPEEDS_KEY in loads
+        """Record whether the coordinator accepts reports."""
+        self._is_accepted = ACCEPTS_SPEEDS_KEY in loads
 
     def report(self) -> messages_fleet.ServerSpeeds | None:
         """Return what to report now, None without any reported work time."""
-        if not self._is_taken:
+        if not self._is_accepted:
             return None
         now_ms = self._clock.now_ms()
-        is_due = now_ms - self._factors_ms >= FACTORS_INTERVAL_MS
+        is_due = self._are_factors_due(now_ms)
         if is_due:
             self._factors_ms = now_ms
         factors: _Factors = {}
@@ -97,10 +136,10 @@
                 server.speed.set_shared(speeds, now_ms)
 
 
-class SpeedMerger:
+class SpeedMerger(_SpeedSource):
     """Merge the reports of the entries by weight, in the coordinator."""
 
-    __slots__ = ("_clock", "_directory", "_factors_ms", "_log", "_reports")
+    __slots__ = ("_reports",)
 
     def __init__(
         self,
@@ -108,10 +147,7 @@
         directory: backend_directory.BackendDirectory,
         log: decision_log.DecisionLog,
     ) -> None:
-        self._clock = clock
-        self._directory = directory
-        self._log = log
-        self._factors_ms = 0
+        super().__init__(clock, directory, log)
         # Time and last factors by entry, for those that report speeds.
         self._reports: dict[str, tuple[int, _Factors]] = {}
 
@@ -137,8 +173,11 @@
         if factors or vm not in self._reports:
             self._reports[vm] = now_ms, factors
 
-    def mark(self, loads: dict[str, int]) -> dict[str, int]:
-        """Return fleet loads, marked if any server reports work times."""
+    def with_acceptance(self, loads: dict[str, int]) -> dict[str, int]:
+        """Return fleet loads that state that speeds are accepted.
+
+        They are unchanged unless any server reports work times.
+        """
         if not any(self._directory.speeds.used()):
             return loads
         return {**loads, ACCEPTS_SPEEDS_KEY: 1}
@@ -151,7 +190,7 @@
             return
         now_ms = self._clock.now_ms()
         factors: _Factors = {}
-        if now_ms - self._factors_ms >= FACTORS_INTERVAL_MS:
+        if self._are_factors_due(now_ms):
             self._factors_ms = now_ms
             factors = self._merged(now_ms)
         item = messages_fleet.ServerSpeeds(
@@ -190,10 +229,13 @@
     for server in directory.all_servers():
         found = server.speed.reported_work_time(now_ms)
         if found is not None:
-            started_ms = server.record.started_ms
-            rows.append(
-                [server.server_id, started_ms, found.percent, found.age_ms]
+            row = _WorkTimeRow(
+                server.server_id,
+                server.record.started_ms,
+                found.percent,
+                found.age_ms,
             )
+            rows.append(row.encode())
     return rows
 
 
@@ -203,17 +245,32 @@
     now_ms: int,
 ) -> None:
     """Set work times that are newer; raise ValueError if a row is invalid."""
-    for row in item.work_times:
-        if len(row) != 4 or type(row[0]) is not str:
-            raise ValueError(f"work time row {row!r}")
-        server_id, started_ms, percent, age_ms = row
-        if type(percent) is not int or type(age_ms) is not int:
-            raise ValueError(f"work time of {server_id}: not a number")
-        if not 0 <= percent <= 10_000 or age_ms < 0:
-            raise ValueError(f"work time of {server_id}: out of range")
-        server = directory.get(server_id)
-        if server is not None and server.record.started_ms == started_ms:
-            server.speed.on_work_time(percent, now_ms - age_ms)
+    for fields in item.work_times:
+        row = _decode_work_time(fields)
+        server = directory.get(row.server_id)
+        if server is not None and server.record.started_ms == row.started_ms:
+            server.speed.on_work_time(row.percent, now_ms - row.age_ms)
+
+
+def _decode_work_time(fields: list[Any]) -> _WorkTimeRow:
+    """Decode a row; raise ValueError if it is invalid."""
+    if len(fields) != 4 or type(fields[0]) is not str:
+        raise ValueError(
+            "work time row: expected server, start time, percent and age, "
+            f"found {fields!r}"
+        )
+    server_id, started_ms, percent, age_ms = fields
+    if type(percent) is not int or not 0 <= percent <= MAX_PERCENT:
+        raise ValueError(
+            f"work time of {server_id}: expected an integer from 0 to "
+            f"{MAX_PERCENT} percent, found {percent!r}"
+        )
+    if type(age_ms) is not int or age_ms < 0:
+        raise ValueError(
+            f"work time of {server_id}: expected a non-negative integer as "
+            f"age in ms, found {age_ms!r}"
+        )
+    return _WorkTimeRow(server_id, started_ms, percent, age_ms)
 
 
 def _encode_factors(factors: _Factors) -> list[list[object]]:
@@ -235,16 +292,27 @@
     factors: _Factors = {}
     for row in item.factors:
         if len(row) != 7:
-            raise ValueError(f"factor row: expected 7 values, got {len(row)}")
+            raise ValueError(
+                f"factor row: expected 7 values, found {len(row)}"
+            )
         server_id, started_ms, model, *numbers = row
         if type(server_id) is not str or type(model) is not str:
-            raise ValueError("factor row: server or model is not a string")
+            raise ValueError(
+                "factor row: expected strings as server and model, found "
+                f"{server_id!r} and {model!r}"
+            )
         if type(started_ms) is not int:
-            raise ValueError(f"factor row of {server_id}: invalid time")
+            raise ValueError(
+                f"factor row of {server_id}: expected an integer as start "
+                f"time, found {started_ms!r}"
+            )
         for number in numbers:
             is_number = type(number) in (int, float)
             if not is_number or not math.isfinite(number) or number < 0:
-                raise ValueError(f"factor of {server_id}: {number!r}")
+                raise ValueError(
+                    f"factor of {server_id}: expected a finite number of at "
+                    f"least 0, found {number!r}"
+                )
         prefill, prefill_weight, pause, pause_weight = map(float, numbers)
         factors[(server_id, started_ms), model] = server_speed.LearnedSpeed(
             _rated(prefill, prefill_weight), _rated(pause, pause_weight)
