Split the construction of an entry by concern

Change: methods that build quotas, requests, the fleet client and the coordinator; _on_fleet_state is a method. No behaviour is changed. The module is not yet split.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -167,7 +167,6 @@
             self._request_load,
             release_pacing.ReleasePacing(random_source),
         )
-        health = server_health.ServerHealth(self._clock)
         self._fleet_size = fleet_size.FleetSize(
             self._clock, ASSUMED_ENTRIES_OF_LIMITS
         )
@@ -178,6 +177,18 @@
             self._log,
             self._metrics,
         )
+        self._build_quotas()
+        self._build_requests()
+        self._server_feed = server_feed.ServerFeed(
+            self._clock, self._directory, dependencies.read_server, self._log
+        )
+        self._directory.add_listener(
+            self._waits.on_server_changed, self._on_server_gone
+        )
+        self._build_fleet_client()
+        self._build_coordinator()
+
+    def _build_quotas(self) -> None:
         self._quota_fleet_size = fleet_size.FleetSize(
             self._clock,
             ASSUMED_ENTRIES_OF_LIMITS,
@@ -185,20 +196,24 @@
         )
         self._entry_count = entry_count_record.EntryCountRecord(
             self._clock,
-            dependencies.store,
+            self._dependencies.store,
             ENTRY_COUNT_KEY,
             self._quota_fleet_size,
             self._log,
         )
         self._quotas = workspace_quotas.WorkspaceQuotas(
             self._clock,
-            random_source,
+            self._random,
             self._configuration,
             self._quota_fleet_size,
             self._log,
             self._metrics.workspaces,
-            settings.quota_tolerance,
+            self._settings.quota_tolerance,
         )
+
+    def _build_requests(self) -> None:
+        settings, dependencies = self._settings, self._dependencies
+        health = server_health.ServerHealth(self._clock)
         self._request_dependencies = request_dependencies.RequestDependencies(
             clock=self._clock,
             zone=settings.availability_zone,
@@ -238,15 +253,8 @@
         self._gateway = gateway_module.Gateway(
             self._request_dependencies, self._configuration, self._random
         )
-        self._server_feed = server_feed.ServerFeed(
-            self._clock, self._directory, dependencies.read_server, self._log
-        )
-        self._directory.add_listener(
-            self._waits.on_server_changed, self._on_server_gone
-        )
-        self._build_coordination()
 
-    def _build_coordination(self) -> None:
+    def _build_fleet_client(self) -> None:
         settings = self._settings
         self._own_address = str(
             address_module.Address(settings.ip, settings.fleet_port)
@@ -275,6 +283,9 @@
         self._fleet_server = fleet_server.FleetServer(
             settings.vm, self._fleet_client.on_message
         )
+
+    def _build_coordinator(self) -> None:
+        settings = self._settings
         self._lease = lease_keeper.LeaseKeeper(
             self._clock,
             self._dependencies.store,
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -257,14 +257,18 @@
         elif isinstance(item, messages_fleet.StoreChanges):
             self._on_store_changes(item)
         elif isinstance(item, messages_fleet.FleetState):
-            self._reconnect_ms = REPORT_INTERVAL_MS
-            self._on_entry_count(item.entries)
-            self._forecast.on_state(item.loads_due, item.queued)
-            self._speeds.on_loads(item.loads)
-            now_ms = self._clock.now_ms()
-            for server in self._directory.all_servers():
-                load = item.loads.get(server.server_id, 0)
-                server.set_fleet_load(load, now_ms)
+            self._on_fleet_state(item)
+
+    def _on_fleet_state(self, state: messages_fleet.FleetState) -> None:
+        """Apply the state of the fleet, which only a coordinator sends."""
+        self._reconnect_ms = REPORT_INTERVAL_MS
+        self._on_entry_count(state.entries)
+        self._forecast.on_state(state.loads_due, state.queued)
+        self._speeds.on_loads(state.loads)
+        now_ms = self._clock.now_ms()
+        for server in self._directory.all_servers():
+            load = state.loads.get(server.server_id, 0)
+            server.set_fleet_load(load, now_ms)
 
     # Stream to another process
 
