--- a/src/balsamwall/platform/store_client.py
+++ b/src/balsamwall/platform/store_client.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from balsamwall.infrastructure import key_value_service
+from balsamwall.platform import store_documents
 from balsamwall.platform import store_feed
 from balsamwall.results import result_code
 
@@ -81,7 +82,7 @@
             if answer.status == 404:
                 callback(Success(None))
                 return
-            document = store_feed.read_object(answer)
+            document = store_documents.read_object(answer)
             items = None if document is None else _decode_items([document])
             if items is None:
                 callback(Failure(_Code.PLATFORM_UNAVAILABLE))
@@ -113,7 +114,7 @@
             query["after"] = after
 
         def on_answer(answer: http_client.HttpResponse) -> None:
-            document = store_feed.read_object(answer)
+            document = store_documents.read_object(answer)
             items = (
                 None
                 if document is None
@@ -260,7 +261,7 @@
 ) -> list[key_value_service.KeyValue] | None:
     """Decode the items of a response; return None if one is invalid."""
     try:
-        return [store_feed.decode_item(row) for row in raw_items]
+        return [store_documents.decode_item(row) for row in raw_items]
     except (AttributeError, TypeError, ValueError) as error:
         eliot.log_message("store_answer_unreadable", reason=str(error)[:200])
         return None
@@ -275,7 +276,7 @@
     answer: http_client.HttpResponse, field: str
 ) -> Result[int, result_code.ResultCode]:
     """Return an integer field of a response, or the failure of the call."""
-    document = store_feed.read_object(answer)
+    document = store_documents.read_object(answer)
     if document is None:
         return Failure(_write_failure(answer))
     number = document.get(field)
