State what was expected in errors of workspaces

Cause: "has a key of 'b'" and "occurs twice" did not say what is expected.

Change: both errors of the document state what was expected and found, still without any key.

--- a/src/balsamwall/platform/workspace_documents.py
+++ b/src/balsamwall/platform/workspace_documents.py
@@ -28,12 +28,19 @@
         workspace = _workspace(index, row)
         name = workspace.name
         if name in workspaces:
-            raise _error(name, "name", "occurs twice")
+            raise _error(
+                name, "name", "expected a unique name, found it twice"
+            )
         workspaces[name] = workspace
         for digest in workspace.key_digests:
             other = names_by_digest.setdefault(digest, name)
             if other != name:
-                raise _error(name, "api_keys", f"has a key of {other!r}")
+                raise _error(
+                    name,
+                    "api_keys",
+                    "expected keys of no other workspace, found one that "
+                    f"{other!r} has as well",
+                )
     return workspace_module.WorkspaceTable(workspaces.values())
 
 
