State the quota of a soak in the terms of the settings

Cause: OVERSHOOT was a factor of 1.1 while quota_overshoot is 0.1, the burst was a bare 1 in a sum, and parts, drawn and is_unauthorized were unclear names. The check of late runs was in a loop over an empty list without a revocation.

Change: OVERSHOOT is 0.1 and BURST_S a constant; the report has features instead of parts (the seed's text stays, so that seeds replay); the late check is a function, called for revoked keys only. What is checked is the same.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -71,7 +71,8 @@
     line = (
         f"seed={report.seed} faults={len(report.faults)} "
         f"asked={report.asked} served={report.served} "
-        f"stalls={report.stalls} parts={','.join(report.parts) or '-'} "
+        f"stalls={report.stalls} "
+        f"features={','.join(report.features) or '-'} "
         f"violations={len(report.violations)}"
     )
     return "\n  ".join([line, *report.violations[:10]])
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -76,8 +76,8 @@
     found = []
     if response.status in NOT_RUN_STATUSES and not response.signature and runs:
         found.append(f"{name}: status {response.status}, but was run")
-    is_unauthorized = response.status == 401 and request.api_key is None
-    if is_unauthorized or response.status in (400, 403, 404, 413, 431):
+    is_unexpected_401 = response.status == 401 and request.api_key is None
+    if is_unexpected_401 or response.status in (400, 403, 404, 413, 431):
         found.append(f"{name}: valid, but got status {response.status}")
     if response.status == 200:
         found += [
--- a/soak/run.py
+++ b/soak/run.py
@@ -71,7 +71,7 @@
     served: int
     violations: list[str]
     stalls: int = 0
-    parts: list[str] = dataclasses.field(default_factory=list)
+    features: list[str] = dataclasses.field(default_factory=list)
 
 
 class Soak:
@@ -92,9 +92,9 @@
         self.site = store_module.StoreSite(self.data)
         self.poison_part = poison_part.PoisonPart()
         # A source of its own, so that the faults of a seed stay the same.
-        drawn = random.Random(f"{seed}/parts")
-        has_workspaces = drawn.random() < WORKSPACES_SHARE
-        self._has_work_time = drawn.random() < WORK_TIME_SHARE
+        feature_random = random.Random(f"{seed}/parts")
+        has_workspaces = feature_random.random() < WORKSPACES_SHARE
+        self._has_work_time = feature_random.random() < WORK_TIME_SHARE
         self._workspaces = (
             workspaces_module.Workspaces(random.Random(f"{seed}/workspaces"))
             if has_workspaces
--- a/soak/workspaces.py
+++ b/soak/workspaces.py
@@ -16,7 +16,7 @@
 # (`config_apply_ms`).
 APPLY_MS = 3_000
 WINDOW_MS = 8_000
-OVERSHOOT = 1.1
+OVERSHOOT = 0.1  # as `quota_overshoot` in the settings of the entries
 SLACK_TOKENS = 17_000
 KEY_MARK = "soak-key-"
 NAMES = ("limited", "first", "second")
@@ -30,6 +30,7 @@
 # Below what the callers of the limited workspace send: four callers with
 # about 3 requests per second each, and more if they are rejected.
 RATE_PER_S = {"requests": 4.0, "tokens": 5_000.0}
+BURST_S = 1.0  # burst of a quota, in seconds of its rate
 PLAIN_TOKENS = 1_800
 STREAM_USAGE = (1_500, 700)  # prompt tokens, maximum output tokens
 MAX_VERSION_INTERVAL_S = 2.0
@@ -95,7 +96,7 @@
         ]
         rate_per_s = RATE_PER_S[self.unit]
         rows[0] |= {"unit": self.unit, "plain_tokens": PLAIN_TOKENS}
-        rows[0] |= {"rate_per_s": rate_per_s, "burst": rate_per_s}
+        rows[0] |= {"rate_per_s": rate_per_s, "burst": BURST_S * rate_per_s}
         return rows
 
     def fields(
@@ -188,7 +189,8 @@
             default=0,
         )
         rate_per_s = RATE_PER_S[self.unit]
-        allowed = OVERSHOOT * rate_per_s * (WINDOW_MS / 1_000 + 1)
+        in_window = rate_per_s * (WINDOW_MS / 1_000 + BURST_S)
+        allowed = in_window * (1 + OVERSHOOT)
         allowed += SLACK_TOKENS if self.unit == "tokens" else 0
         if most <= allowed:
             return []
@@ -219,11 +221,10 @@
     name = f"{request.request_id} at {request.entry}"
     ranges = disturbed.get(request.entry, []) + disturbed.get("", [])
     found = []
-    for run in runs if key.revoked_ms is not None else []:
-        harmed = disturbed.get(run.server_id, [])
-        late_ms = run.started_ms - (key.revoked_ms or 0)
-        if late_ms > _apply_ms(key.revoked_ms or 0, ranges + harmed):
-            found.append(f"{name}: ran {late_ms} ms after its key was revoked")
+    if key.revoked_ms is not None:
+        for run in runs:
+            harmed = ranges + disturbed.get(run.server_id, [])
+            found += _late_run_violations(name, run, key.revoked_ms, harmed)
     response = request.response
     if response is None or response.status != 401 or response.signature:
         return found
@@ -237,6 +238,16 @@
     return found
 
 
+def _late_run_violations(
+    name: str, run: ledger_module.Run, revoked_ms: int, ranges: Ranges
+) -> list[str]:
+    """Check that a run did not begin too long after its key was revoked."""
+    late_ms = run.started_ms - revoked_ms
+    if late_ms <= _apply_ms(revoked_ms, ranges):
+        return []
+    return [f"{name}: ran {late_ms} ms after its key was revoked"]
+
+
 def _apply_ms(since_ms: int, ranges: Ranges) -> int:
     """Return the time until a change binds an entry with these faults."""
     until_ms = since_ms + APPLY_MS
