--- a/src/balsamwall/gateway/workspace_balance.py
+++ b/src/balsamwall/gateway/workspace_balance.py
@@ -119,7 +119,9 @@
     ) -> None:
         self._clock = clock
         self._tolerance = tolerance
-        self.granted = leased_tokens.LeasedTokens(clock)
+        self.granted = leased_tokens.LeasedTokens(
+            clock, tolerance.grant_lifetime_ms
+        )
         self.local = local
         self.quota = quota
         self.is_local = False
--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -11,7 +11,7 @@
 from balsamwall.settings import address as address_module
 
 DEFAULT_PATH = "/etc/balsamwall/local.toml"
-REVOKE_MS = 5_000
+DEFAULT_REVOKE_MS = 5_000
 PATH_VARIABLE = "BALSAMWALL_NODE_FILE"
 
 
@@ -126,7 +126,9 @@
         retry_extra=bounds.number("budget_extra"),
         retry_window_ms=int(bounds.number("budget_window_s") * 1_000),
         refuses_unconfirmed_keys=bounds.flag("strict_revoke", False),
-        max_unconfirmed_ms=int(bounds.optional_number("revoke_ms", REVOKE_MS)),
+        max_unconfirmed_ms=int(
+            bounds.optional_number("revoke_ms", DEFAULT_REVOKE_MS)
+        ),
         quota_tolerance=_quota_tolerance(bounds),
     )
 
--- a/tests/limits/test_fleet_limits.py
+++ b/tests/limits/test_fleet_limits.py
@@ -12,6 +12,8 @@
 from balsamwall.limits import token_bucket
 from balsamwall.timing import virtual_clock
 
+LIFETIME_MS = 800
+
 
 class LimitBookTest(unittest.TestCase):
     """The newest observation counts, whoever has made it."""
@@ -167,7 +169,7 @@
     def test_oldest_grants_are_used_first(self):
         """Guards against grants that lapse while younger ones are used."""
         clock = virtual_clock.VirtualClock(start_ms=1_000)
-        tokens = leased_tokens.LeasedTokens(clock)
+        tokens = leased_tokens.LeasedTokens(clock, LIFETIME_MS)
         tokens.add(100)
         clock.advance(500)
         tokens.add(10, granted_ms=900)
@@ -175,7 +177,7 @@
         self.assertFalse(tokens.take(161))
         self.assertTrue(tokens.take(40))
         self.assertEqual(tokens.available, 120)
-        clock.advance(leased_tokens.LEASE_MS - 500)
+        clock.advance(LIFETIME_MS - 500)
         self.assertEqual(tokens.available, 50)
         tokens.put_back(5)
         self.assertEqual(tokens.available, 55)
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -91,6 +91,27 @@
             for value in ("1", True, -1, float("inf")):
                 self.check_rejected(f"bounds.{name}", value)
 
+    def parse_tolerance(self, window_s, overshoot):
+        rows = {"quota_window_s": window_s, "quota_overshoot": overshoot}
+        fields = {**ROWS, "bounds": {**ROWS["bounds"], **rows}}
+        return node_settings.parse(fields).quota_tolerance
+
+    def test_grants_live_as_long_as_the_overshoot_allows(self):
+        """Guards against quotas that late use of grants exceeds.
+
+        Such settings must not keep a process from starting either.
+        """
+        for window_s, overshoot, lifetime_ms in (
+            (8, 0.1, 800),
+            (4, 0.2, 800),
+            (4, 0.1, 400),
+            (8, 0.5, 800),
+            (8, 0, 100),
+            (0, 0.1, 100),
+        ):
+            found = self.parse_tolerance(window_s, overshoot)
+            self.assertEqual(found.grant_lifetime_ms, lifetime_ms)
+
     def test_missing_and_invalid_fields(self):
         """Guards against invalid settings that only fail at run time."""
         self.check_rejected("node")
