Move the ports of an entry out of its wiring

Cause: gateway_unit held the wiring of an entry, the protocols of its external systems and the link within the process, in one module of over 550 lines.

Change: composition/gateway_dependencies has the ports, coordination/local_link the link to a coordinator in the same process. No behaviour is changed.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Any
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 import eliot
@@ -16,6 +14,7 @@
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
 from balsamwall.coordination import limited_engine_control
+from balsamwall.coordination import local_link
 from balsamwall.coordination import permit_issuer
 from balsamwall.coordination import quota_issuer
 from balsamwall.coordination import store_relay
@@ -44,13 +43,10 @@
     from collections.abc import Callable
     import random
 
-    from balsamwall.coordination import engine_control
+    from balsamwall.composition import gateway_dependencies
     from balsamwall.coordination import messages_fleet
-    from balsamwall.gateway import gateway_configuration
     from balsamwall.gateway import gateway_settings
-    from balsamwall.gateway import incoming_request
     from balsamwall.infrastructure import key_value_service
-    from balsamwall.protocol import message
     from balsamwall.timing import clock as clock_module
 
 # Number of entries that share the retry budget until the fleet reports it.
@@ -71,64 +67,6 @@
 COORDINATOR_CONNECT_TIMEOUT_MS = 500
 
 
-class StoreConnection(Protocol):
-    """State of the connection to the store."""
-
-    @property
-    def confirmation(self) -> configuration_freshness.Confirmation:
-        """Return what is known of the age of the copy of the store."""
-
-    @property
-    def is_connected(self) -> bool:
-        """Return whether the last call received a response."""
-
-    @property
-    def is_synced(self) -> bool:
-        """Return whether all keys have been read at least once."""
-
-    def add_state_listener(self, listener: Callable[[bool], None]) -> None:
-        """Call back with False when the store is lost, True on reconnect."""
-
-    def set_readers(self, count: int) -> None:
-        """Set the number of processes that watch the store."""
-
-    def add_update_listener(
-        self, listener: Callable[[key_value_service.StoreUpdate], None]
-    ) -> None:
-        """Call back with each response of the store to a read or a watch."""
-
-    def apply_update(self, update: key_value_service.StoreUpdate) -> None:
-        """Apply an update that another process has read."""
-
-    def stop_relay(self) -> None:
-        """Read the store again, since no more updates are relayed."""
-
-    def start(self) -> None:
-        """Read all keys, then watch for changes."""
-
-    def stop(self) -> None:
-        """Make no further calls to the store."""
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class GatewayDependencies:
-    """Adapters to the external systems of an entry.
-
-    The read functions raise ValueError for documents they can't parse.
-    """
-
-    store: key_value_service.KeyValueService
-    connection: StoreConnection
-    engines: engine_control.EngineControl
-    codec: incoming_request.RequestCodec
-    read_configuration: Callable[
-        [bytes], gateway_configuration.GatewayConfiguration
-    ]
-    read_server: server_feed.RecordReader
-    configuration_key: str
-    servers_prefix: str
-
-
 class GatewayUnit:
     """Components of one entry and their wiring."""
 
@@ -138,7 +76,7 @@
         reactor: Any,
         clock: clock_module.Clock,
         random_source: random.Random,
-        dependencies: GatewayDependencies,
+        dependencies: gateway_dependencies.GatewayDependencies,
     ) -> None:
         self._settings = settings
         self._reactor = reactor
@@ -525,7 +463,7 @@
     ) -> fleet_client.Link | None:
         """Connect to the coordinator; return a link if it is this process."""
         if address == self._own_address:
-            return _LocalLink(self._fleet_server)
+            return local_link.LocalLink(self._fleet_server)
         parsed = address_module.parse(address)
         factory = fleet_stream.FleetStreamFactory(
             self._fleet_client,
@@ -539,19 +477,3 @@
             timeout=COORDINATOR_CONNECT_TIMEOUT_MS / 1_000,
         )
         return None
-
-
-class _LocalLink:
-    """Link to a coordinator in the same process."""
-
-    __slots__ = ("_server",)
-
-    def __init__(self, server: fleet_server.FleetServer) -> None:
-        self._server = server
-
-    def send(self, item: message.Message) -> None:
-        """Deliver the message without a network connection."""
-        self._server.on_local_message(item)
-
-    def close(self) -> None:
-        """Do nothing, because there is no connection."""
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -12,6 +12,7 @@
 import eliot
 
 import balsamwall
+from balsamwall.composition import gateway_dependencies
 from balsamwall.composition import gateway_unit
 from balsamwall.gateway import gateway_settings
 from balsamwall.infrastructure import http_client
@@ -38,7 +39,7 @@
     store = store_client.StoreClient(
         clock, random_source, http, str(settings.store)
     )
-    ports = gateway_unit.GatewayDependencies(
+    ports = gateway_dependencies.GatewayDependencies(
         store=store,
         connection=store.feed,
         engines=engine_calls.EngineCalls(http, settings.vm),
--- a/tests/composition/test_gateway_revocation.py
+++ b/tests/composition/test_gateway_revocation.py
@@ -9,6 +9,7 @@
 from unittest import mock
 import urllib.parse
 
+from balsamwall.composition import gateway_dependencies
 from balsamwall.composition import gateway_unit
 from balsamwall.gateway import gateway_settings
 from balsamwall.infrastructure import http_client
@@ -142,7 +143,7 @@
             mock.Mock(),
             self.clock,
             random.Random(1),
-            gateway_unit.GatewayDependencies(
+            gateway_dependencies.GatewayDependencies(
                 store=service,
                 connection=self.feed,
                 engines=mock.Mock(),
