Grant quotas at a standby while there is no coordinator

Cause: an entry alone cannot tell steady traffic from a surge, so that 25 and 60 entries admitted 61,735 and 116,165 tokens of a small workspace in 8 s when it began as the coordinator was lost (58,580 are allowed).

Change: the coordinator announces the longest connected entry as the standby and reports the levels of quotas to it. Entries ask it while they have no coordinator; it grants from the lower of the last level and half of the burst.

The failures of the standby itself are not tested yet.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -8,8 +8,8 @@
 import eliot
 
 import balsamwall
+from balsamwall.composition import quota_parts
 from balsamwall.coordination import coordinator as coordinator_module
-from balsamwall.coordination import entry_count_record
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_dialer
 from balsamwall.coordination import fleet_server
@@ -17,7 +17,6 @@
 from balsamwall.coordination import limited_engine_control
 from balsamwall.coordination import local_link
 from balsamwall.coordination import permit_issuer
-from balsamwall.coordination import quota_issuer
 from balsamwall.coordination import store_relay
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_freshness
@@ -34,7 +33,6 @@
 from balsamwall.gateway import server_health
 from balsamwall.gateway import server_limits
 from balsamwall.gateway import speed_metrics
-from balsamwall.gateway import workspace_quotas
 from balsamwall.limits import fleet_size
 from balsamwall.logs import decision_log
 from balsamwall.placement import lease_keeper
@@ -57,8 +55,6 @@
 ASSUMED_ENTRIES_OF_LIMITS = 100
 # Key of the lease whose holder, the coordinator, sends orders to engines.
 COORDINATOR_KEY = "balsamwall/order-holder"
-# Key of the number of entries, for entries that restart without a coordinator.
-ENTRY_COUNT_KEY = "balsamwall/entries"
 LEASE_RENEW_INTERVAL_MS = 700
 # All entries start together. The first attempts to acquire the lease are
 # spread over this time, so that most entries see a holder before they try.
@@ -127,26 +123,18 @@
         self._build_coordinator()
 
     def _build_quotas(self) -> None:
-        self._quota_fleet_size = fleet_size.FleetSize(
-            self._clock,
-            ASSUMED_ENTRIES_OF_LIMITS,
-            quota_issuer.FLEET_MEMORY_MS,
-        )
-        self._entry_count = entry_count_record.EntryCountRecord(
-            self._clock,
-            self._dependencies.store,
-            ENTRY_COUNT_KEY,
-            self._quota_fleet_size,
-            self._log,
-        )
-        self._quotas = workspace_quotas.WorkspaceQuotas(
+        self._dialer = fleet_dialer.FleetDialer(self._reactor, self._clock)
+        self._quota_parts = quota_parts.QuotaParts(
             self._clock,
             self._random,
             self._configuration,
-            self._quota_fleet_size,
+            self._dependencies.store,
+            self._settings,
+            self._dialer,
+            ASSUMED_ENTRIES_OF_LIMITS,
+            lambda: self._coordinator.is_active,
             self._log,
             self._metrics.workspaces,
-            self._settings.quota_tolerance,
         )
 
     def _build_requests(self) -> None:
@@ -177,7 +165,7 @@
             entries=ASSUMED_ENTRIES,
             directory=self._directory,
             limits=self._limits,
-            quotas=self._quotas,
+            quotas=self._quota_parts.quotas,
             request_load=self._request_load,
             random_source=self._random,
             freshness=configuration_freshness.ConfigurationFreshness(
@@ -200,7 +188,6 @@
             address_module.Address(settings.ip, settings.fleet_port)
         )
         self._coordinator_address = ""
-        self._dialer = fleet_dialer.FleetDialer(self._reactor, self._clock)
         self._fleet_client = fleet_client.FleetClient(
             self._clock,
             settings.vm,
@@ -208,7 +195,8 @@
             self._own_address,
             self._request_dependencies.assignments,
             self._limits,
-            self._quotas,
+            self._quota_parts.quotas,
+            self._quota_parts.standby_link,
             self._directory,
             self._gateway.count_running,
             self._gateway.take_arrivals,
@@ -256,16 +244,11 @@
             self._is_store_available,
             self._limits,
             permits,
-            quota_issuer.QuotaIssuer(
-                self._clock,
-                self._configuration,
-                self._quota_fleet_size,
-                self._metrics.workspaces,
-                settings.quota_tolerance,
-            ),
+            self._quota_parts.issuer,
             self._fleet_size,
         )
         self._fleet_server.set_coordinator(self._coordinator)
+        self._fleet_server.set_standby(self._quota_parts.standby)
         self._relay = store_relay.StoreRelay(
             self._dependencies.servers_prefix,
             self._dependencies.read_server,
@@ -309,7 +292,7 @@
             dependencies.servers_prefix, self._on_server, is_prefix=True
         )
         dependencies.store.watch(COORDINATOR_KEY, self._on_coordinator_record)
-        self._entry_count.start()
+        self._quota_parts.entry_count.start()
         dependencies.connection.start()
 
     def _listen(self) -> None:
@@ -400,11 +383,13 @@
     def _on_entries(self, count: int) -> None:
         """Update the number of entries that share the fleet-wide limits."""
         self._fleet_size.observe(count)
-        self._quota_fleet_size.observe(count)
+        self._quota_parts.fleet_size.observe(count)
         current = self._configuration.current
         has_workspaces = current is not None and current.workspaces is not None
         if has_workspaces and self._coordinator.is_active:
-            self._entry_count.update(self._quota_fleet_size.count)
+            self._quota_parts.entry_count.update(
+                self._quota_parts.fleet_size.count
+            )
         self._request_dependencies.set_entries(self._fleet_size.count)
         # The coordinator reads for all entries.
         readers = 1 if self._coordinator.is_active else count
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -21,6 +21,7 @@
 from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
 from balsamwall.coordination import speed_exchange
+from balsamwall.coordination import standby_choice
 from balsamwall.gateway import residency_waits
 
 if TYPE_CHECKING:
@@ -104,6 +105,7 @@
         "_runner",
         "_scheduler",
         "_speeds",
+        "_standby",
         "_last_summary_ms",
     )
 
@@ -157,6 +159,9 @@
             self._scheduler,
         )
         self._features = entry_features.FeatureTable(clock)
+        self._standby = standby_choice.StandbyChoice(
+            configuration, self._features, quotas, links.send
+        )
         self._broadcast = fleet_broadcast.FleetBroadcast(
             clock,
             configuration,
@@ -165,6 +170,7 @@
             self._engines,
             self._speeds,
             limits,
+            self._standby,
         )
         self._is_active = False
         # Newest token that an engine has rejected, 0 for none.
@@ -233,6 +239,7 @@
             self._speeds.on_report(vm, item)
         elif isinstance(item, messages_fleet.EntryFeatures):
             self._features.on_features(vm, item)
+            self._standby.on_features(vm)
         elif isinstance(item, messages_fleet.LimitReport):
             limit_rows.apply(
                 item, self._clock.now_ms(), self._limits, self._log
@@ -332,6 +339,7 @@
         self._permits.restart()
         self._speeds.restart()
         self._quotas.restart()
+        self._standby.restart()
         self._engines.start()
 
     # Planning
--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -13,6 +13,7 @@
     from balsamwall.coordination import demand as demand_module
     from balsamwall.coordination import engine_table
     from balsamwall.coordination import speed_exchange
+    from balsamwall.coordination import standby_choice
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
@@ -22,7 +23,10 @@
 
 
 class FleetBroadcast:
-    """Send loads, queues, speeds and limits of servers to all entries."""
+    """Send loads, queues, speeds and limits of servers to all entries.
+
+    The standby also gets the levels of quotas.
+    """
 
     __slots__ = (
         "_clock",
@@ -33,6 +37,7 @@
         "_limits",
         "_links",
         "_speeds",
+        "_standby",
     )
 
     def __init__(
@@ -44,6 +49,7 @@
         engines: engine_table.EngineTable,
         speeds: speed_exchange.SpeedMerger,
         limits: server_limits.ServerLimits,
+        standby: standby_choice.StandbyChoice,
     ) -> None:
         self._clock = clock
         self._configuration = configuration
@@ -52,6 +58,7 @@
         self._engines = engines
         self._speeds = speeds
         self._limits = limits
+        self._standby = standby
         self._last_state_ms = 0
 
     def tick(self) -> None:
@@ -72,6 +79,7 @@
                 load_forecast.expected_loads(self._engines.all(), now_ms),
             )
         )
+        self._standby.report()
         self._speeds.share(self._links.send)
         observations = self._limits.book.observations()
         if observations:
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -15,6 +15,7 @@
     from collections.abc import Iterable
 
     from balsamwall.coordination import fleet_stream
+    from balsamwall.coordination import standby_link
     from balsamwall.gateway import assignment_client
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import broken_request
@@ -69,6 +70,7 @@
         "_quotas",
         "_reconnect_ms",
         "_speeds",
+        "_standby",
         "_suspects",
         "_take_arrivals",
         "_vm",
@@ -85,6 +87,7 @@
         assignments: assignment_client.AssignmentClient,
         limits: server_limits.ServerLimits,
         quotas: workspace_quotas.WorkspaceQuotas,
+        standby: standby_link.StandbyLink,
         directory: backend_directory.BackendDirectory,
         count_running: Callable[[], list[list[object]]],
         take_arrivals: Callable[[], dict[str, list[int]]],
@@ -108,6 +111,7 @@
         limits.set_link(self)
         self._quotas = quotas
         quotas.set_link(self)
+        self._standby = standby
         self._directory = directory
         self._speeds = speed_exchange.SpeedExchange(clock, directory, log)
         self._count_running = count_running
@@ -130,7 +134,11 @@
 
     def start(self) -> None:
         """Connect, then report the demand every REPORT_INTERVAL_MS."""
-        self._clock.call_later(REPORT_INTERVAL_MS, self.start)
+        self._standby.start()
+        self._run()
+
+    def _run(self) -> None:
+        self._clock.call_later(REPORT_INTERVAL_MS, self._run)
         if self._link is None:
             self._connect()
         else:
@@ -143,9 +151,11 @@
         self._log.write("holder_changed", holder=address)
         self._coordinator_address = address
         self._next_connect_ms = 0
+        self._standby.on_coordinator_changed(address)
         link, self._link = self._link, None
         if link is not None:
             link.close()
+            self._standby.on_coordinator_lost()
             self._on_link_lost()
         self._connect()
 
@@ -179,12 +189,16 @@
     def send_quota_query(
         self, number: int, workspace: str, cost: int, reserve: int
     ) -> bool:
-        """Ask for tokens of a workspace; return False if not connected."""
+        """Ask for tokens of a workspace; return False if not connected.
+
+        The standby is connected until a coordinator has sent a message.
+        """
+        query = messages_fleet.QuotaQuery(number, workspace, cost, reserve)
+        if self._standby.send_query(query):
+            return True
         if self._link is None:
             return False
-        self._link.send(
-            messages_fleet.QuotaQuery(number, workspace, cost, reserve)
-        )
+        self._link.send(query)
         return True
 
     def report_limits(self, found: list[limit_book.LimitObservation]) -> None:
@@ -227,6 +241,7 @@
 
     def on_message(self, item: message.Message) -> None:
         """Apply a message from the coordinator."""
+        self._standby.on_coordinator_heard()
         if isinstance(item, messages_fleet.ServerModels):
             self._waits.set_fleet_counts(item.waiting)
             self._directory.set_models(
@@ -260,6 +275,10 @@
             self._speeds.apply(item)
         elif isinstance(item, messages_fleet.StoreChanges):
             self._on_store_changes(item)
+        elif isinstance(item, messages_fleet.StandbyNotice):
+            self._standby.on_notice(item)
+        elif isinstance(item, messages_fleet.QuotaLevels):
+            self._standby.on_levels(item)
         elif isinstance(item, messages_fleet.FleetState):
             self._on_fleet_state(item)
 
@@ -305,6 +324,7 @@
         self._log.write("holder_lost", holder=self._coordinator_address)
         self._directory.use_record_models()
         self._on_link_lost()
+        self._standby.on_coordinator_lost()
 
     def on_connect_failed(self) -> None:
         """Allow the next connection attempt."""
--- a/src/balsamwall/coordination/fleet_server.py
+++ b/src/balsamwall/coordination/fleet_server.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from balsamwall.coordination import coordinator as coordinator_module
+    from balsamwall.coordination import quota_standby
     from balsamwall.protocol import message
 
 
@@ -20,6 +21,8 @@
     __slots__ = (
         "_coordinator",
         "_deliver_local",
+        "_standby",
+        "_standby_streams",
         "_stream_by_vm",
         "_streams",
         "_vm",
@@ -32,6 +35,9 @@
         self._deliver_local = deliver_local
         self._coordinator: coordinator_module.Coordinator | None = None
         self._streams: set[fleet_stream.FleetStream] = set()
+        # The streams of entries that use this process as the standby.
+        self._standby: quota_standby.QuotaStandby | None = None
+        self._standby_streams: set[fleet_stream.FleetStream] = set()
         # The newest stream of each entry that has identified itself.
         self._stream_by_vm: dict[str, fleet_stream.FleetStream] = {}
 
@@ -41,6 +47,11 @@
         """Set the coordinator; messages before that are dropped."""
         self._coordinator = coordinator
 
+    def set_standby(self, standby: quota_standby.QuotaStandby) -> None:
+        """Set the standby, which streams use without a coordinator."""
+        self._standby = standby
+        standby.set_streams(self)
+
     @property
     def count(self) -> int:
         """Return the number of connected entries, including this one."""
@@ -65,6 +76,11 @@
         for stream in list(self._streams):
             stream.close()
 
+    def close_standby_streams(self) -> None:
+        """Close the streams of the entries that use the standby."""
+        for stream in list(self._standby_streams):
+            stream.close()
+
     def on_stream_opened(self, stream: fleet_stream.FleetStream) -> None:
         """Register a stream; its VM is unknown until FleetHello arrives."""
         self._streams.add(stream)
@@ -72,11 +88,19 @@
     def on_stream_message(
         self, stream: fleet_stream.FleetStream, item: message.Message
     ) -> None:
-        """Pass a message to the coordinator; close the stream if inactive."""
+        """Pass a message to the coordinator or to the standby.
+
+        Close the stream if this process is neither.
+        """
+        if stream in self._standby_streams:
+            self._on_standby_message(stream, item)
+            return
         coordinator = self._coordinator
         if coordinator is None or not coordinator.is_active:
-            # The entry looks up the active coordinator in the store.
-            stream.close()
+            if isinstance(item, messages_fleet.FleetHello):
+                self._accept_for_standby(stream, item.vm)
+            else:
+                stream.close()
             return
         if isinstance(item, messages_fleet.FleetHello):
             stream.vm = item.vm
@@ -89,6 +113,11 @@
     def on_stream_closed(self, stream: fleet_stream.FleetStream) -> None:
         """Unregister a stream, and its entry if it has no newer stream."""
         self._streams.discard(stream)
+        if stream in self._standby_streams:
+            self._standby_streams.discard(stream)
+            if self._standby is not None:
+                self._standby.on_entry_gone(stream.vm)
+            return
         if self._stream_by_vm.get(stream.vm) is not stream:
             return
         del self._stream_by_vm[stream.vm]
@@ -99,3 +128,30 @@
         """Pass a message of the entry in this process to the coordinator."""
         if self._coordinator is not None:
             self._coordinator.on_message(self._vm, item)
+
+    def _accept_for_standby(
+        self, stream: fleet_stream.FleetStream, vm: str
+    ) -> None:
+        """Use a stream for the standby; close it if this is not the one.
+
+        An entry without a notice looks up the coordinator in the store.
+        """
+        if stream.vm or self._standby is None:
+            stream.close()
+        elif not self._standby.is_announced:
+            stream.close()
+        else:
+            stream.vm = vm
+            self._streams.discard(stream)
+            self._standby_streams.add(stream)
+
+    def _on_standby_message(
+        self, stream: fleet_stream.FleetStream, item: message.Message
+    ) -> None:
+        """Respond to a query; no other message belongs on the stream."""
+        if self._standby is None or not isinstance(
+            item, messages_fleet.QuotaQuery
+        ):
+            stream.close()
+            return
+        stream.send(self._standby.respond(stream.vm, item))
--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import workspace as workspace_module
@@ -30,11 +31,22 @@
 # After a longer time between ticks this process was frozen, and the entries
 # used shares of their own. What accrued in that time is not granted.
 MAX_TICK_GAP_MS = 500
+# Highest part of a burst in the bucket of a standby at its begin. The
+# coordinator may have granted the other part after its last report.
+STANDBY_BURST_FRACTION = 0.5
 # An entry that is connected and was not heard from for this time, five report
 # intervals, uses a share of its own.
 SILENCE_MS = 1_000
 
 
+class Role(enum.Enum):
+    """As what this process grants tokens."""
+
+    NONE = "none"
+    COORDINATOR = "coordinator"
+    STANDBY = "standby"
+
+
 class QuotaIssuer:
     """Grant the tokens of each workspace to all entries together.
 
@@ -51,6 +63,7 @@
         "_last_tick_ms",
         "_metrics",
         "_granted_fraction",
+        "_role",
         "_term_started_ms",
         "_tolerance",
     )
@@ -73,12 +86,39 @@
         self._last_tick_ms = clock.now_ms()
         self._granted_fraction = 0.0  # of each rate, granted here
         self._term_started_ms = clock.now_ms()
+        self._role = Role.NONE
 
     def restart(self) -> None:
-        """Begin a term with empty buckets.
+        """Begin a term of the coordinator with empty buckets.
+
+        The grants of the coordinator before may have been used just now. If
+        this process has granted as the standby, its buckets are continued.
+        """
+        if self._role is not Role.STANDBY:
+            self._begin()
+        self._role = Role.COORDINATOR
+
+    def begin_as_standby(self, levels: dict[str, float]) -> None:
+        """Begin to grant as the standby, with the levels of a coordinator.
 
-        The grants of the coordinator before may have been used just now.
+        A bucket begins with half of its burst at most, as the coordinator may
+        have granted tokens since then, and empty without a level.
         """
+        self._begin()
+        self._role = Role.STANDBY
+        current = self._configuration.current
+        for item in (current.workspaces if current else None) or ():
+            bucket = self._buckets.get(item.name)
+            if item.quota is not None and bucket is not None:
+                level = levels.get(item.name, 0.0)
+                most = STANDBY_BURST_FRACTION * item.quota.burst
+                bucket.set_tokens(min(level, most))
+
+    def levels(self) -> dict[str, float]:
+        """Return the tokens left by workspace, below 0 after an advance."""
+        return {name: item.tokens for name, item in self._buckets.items()}
+
+    def _begin(self) -> None:
         self._buckets.clear()
         self._heard_ms.clear()
         self._last_tick_ms = self._term_started_ms = self._clock.now_ms()
@@ -86,6 +126,7 @@
 
     def stop(self) -> None:
         """End the term; the quota left is not known here any more."""
+        self._role = Role.NONE
         for workspace in self._buckets:
             self._metrics.set_quota_left(workspace, None)
         self._buckets.clear()
@@ -102,19 +143,23 @@
         if is_new:
             self._set_granted_fraction(len(self._heard_ms))
 
+    def remove_entry(self, vm: str) -> None:
+        """Discard an entry that no longer takes tokens here."""
+        self._heard_ms.pop(vm, None)
+
+    def count_heard(self) -> int:
+        """Return the number of entries that are not silent."""
+        self._drop_silent()
+        return len(self._heard_ms)
+
     def set_connected(self, count: int) -> None:
         """Set the number of entries that take tokens here, at each tick.
 
         The others use shares of their own, which are left to them.
         """
         self._skip_pause()
-        now_ms = self._clock.now_ms()
-        self._last_tick_ms = now_ms
-        self._heard_ms = {
-            vm: heard_ms
-            for vm, heard_ms in self._heard_ms.items()
-            if now_ms - heard_ms <= SILENCE_MS
-        }
+        self._last_tick_ms = self._clock.now_ms()
+        self._drop_silent()
         self._fleet_size.observe(count)
         self._set_granted_fraction(min(count, len(self._heard_ms)))
         for name, bucket in self._buckets.items():
@@ -143,8 +188,17 @@
         bucket.charge(cost)
         extra = min(reserve, max(0, int(bucket.tokens)))
         bucket.charge(extra)
+        self._metrics.count_quota_grant(workspace, self._role.value)
         return quota_decision.QuotaDecision(cost + extra, 0, is_scarce)
 
+    def _drop_silent(self) -> None:
+        oldest_ms = self._clock.now_ms() - SILENCE_MS
+        self._heard_ms = {
+            vm: heard_ms
+            for vm, heard_ms in self._heard_ms.items()
+            if heard_ms >= oldest_ms
+        }
+
     def _is_scarce(
         self,
         quota: workspace_module.WorkspaceQuota,
--- a/src/balsamwall/gateway/workspace_metrics.py
+++ b/src/balsamwall/gateway/workspace_metrics.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         "_names",
+        "_quota_grants",
         "_quota_left",
         "_quota_refusals",
         "_requests",
@@ -59,6 +60,12 @@
             ("workspace",),
             registry=registry,
         )
+        self._quota_grants = prometheus_client.Counter(
+            "balsamwall_gateway_quota_grants",
+            "Grants of tokens by this process, as coordinator or standby",
+            ("workspace", "by"),
+            registry=registry,
+        )
         self._unknown = prometheus_client.Counter(
             "balsamwall_gateway_unauthenticated_requests",
             "Requests refused before routing for want of a valid key",
@@ -95,6 +102,10 @@
         """Count a request refused since its workspace is over its quota."""
         self._quota_refusals.labels(self._label(name)).inc()
 
+    def count_quota_grant(self, name: str, by: str) -> None:
+        """Count a grant of this process, as coordinator or standby."""
+        self._quota_grants.labels(self._label(name), by).inc()
+
     def set_quota_left(self, name: str, left: float | None) -> None:
         """Export what is left to a workspace; None removes it.
 
--- a/src/balsamwall/limits/token_bucket.py
+++ b/src/balsamwall/limits/token_bucket.py
@@ -63,6 +63,11 @@
         self._refill()
         self._tokens = min(0.0, self._tokens)
 
+    def set_tokens(self, tokens: float) -> None:
+        """Set the tokens, at most to the burst."""
+        self._refill()
+        self._tokens = min(self._burst, tokens)
+
     def skip_refill(self) -> None:
         """Drop the tokens that accrued since the last use of the bucket."""
         self._updated_ms = self._clock.now_ms()
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -4,9 +4,11 @@
 
 import random
 import unittest
+from unittest import mock
 
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import standby_link
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import crash_suspects
@@ -46,6 +48,7 @@
             assignment_client.AssignmentClient(self.clock),
             gateway_harness.make_limits(self.clock)[0],
             gateway_harness.GatewayHarness(clock=self.clock).quotas,
+            mock.Mock(spec=standby_link.StandbyLink),
             backend_directory.BackendDirectory(self.clock.now_ms),
             list,
             dict,
