--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -79,7 +79,7 @@
                 load_forecast.expected_loads(self._engines.all(), now_ms),
             )
         )
-        self._standby.report()
+        self._standby.tick()
         self._speeds.share(self._links.send)
         observations = self._limits.book.observations()
         if observations:
--- a/src/balsamwall/coordination/standby_choice.py
+++ b/src/balsamwall/coordination/standby_choice.py
@@ -46,26 +46,22 @@
 
     def on_features(self, vm: str) -> None:
         """Tell an entry that accepts notices who the standby is."""
-        is_told = self._update()
-        if not is_told and self._vm:
+        if self._vm:
             self._send(vm, self._notice())
 
-    def report(self) -> None:
-        """Update the choice and report the levels of quotas to the standby."""
-        self._update()
-        if self._vm:
-            item = messages_fleet.QuotaLevels(self._quotas.levels())
-            self._send(self._vm, item)
+    def tick(self) -> None:
+        """Update the choice and report the levels of quotas to the standby.
 
-    def _update(self) -> bool:
-        """Return whether all entries were told of another standby."""
+        Entries that connect at the same time are known by the next tick.
+        """
         vm = self._choose()
-        if vm == self._vm:
-            return False
-        self._vm = vm
-        for entry in self._features.vms:
-            self._send(entry, self._notice())
-        return True
+        if vm != self._vm:
+            self._vm = vm
+            for entry in self._features.vms:
+                self._send(entry, self._notice())
+        if vm:
+            item = messages_fleet.QuotaLevels(self._quotas.levels())
+            self._send(vm, item)
 
     def _choose(self) -> str:
         """Return the VM of the standby, empty for none."""
--- a/src/balsamwall/coordination/standby_link.py
+++ b/src/balsamwall/coordination/standby_link.py
@@ -19,8 +19,16 @@
     Open = Callable[[str, fleet_stream.StreamOwner, Callable[[], None]], None]
 
 # Interval of the queries without a request, which show the standby that this
-# entry uses it, and of the attempts to connect.
-QUERY_INTERVAL_MS = 200
+# entry uses it.
+QUERY_INTERVAL_MS = 100
+# A process that is not the standby closes the stream at once. The delay
+# between attempts doubles until a standby has responded.
+RECONNECT_MS = 200
+MAX_RECONNECT_MS = 800
+# A coordinator that has sent nothing for this time is lost for quotas. It
+# sends a state every 300 ms. Until its stream ends, after 2 s, each entry
+# could admit a request in advance.
+SILENCE_MS = 500
 # The number of these queries. Those for a request begin with 1.
 NO_REQUEST = 0
 
@@ -35,14 +43,18 @@
 
     __slots__ = (
         "_address",
+        "_checked_ms",
         "_clock",
         "_coordinator_address",
         "_has_coordinator",
+        "_heard_ms",
         "_is_connected",
         "_is_connecting",
         "_log",
+        "_next_connect_ms",
         "_open",
         "_quotas",
+        "_reconnect_ms",
         "_standby",
         "_standby_vm",
         "_stream",
@@ -69,16 +81,26 @@
         self._address = ""
         self._coordinator_address = ""
         self._has_coordinator = False
+        self._checked_ms = clock.now_ms()
+        self._heard_ms = 0  # when the coordinator was last heard
         self._stream: fleet_stream.FleetStream | None = None
         self._is_connecting = False
+        self._reconnect_ms = RECONNECT_MS
+        self._next_connect_ms = 0
         self._is_connected = False  # the standby has responded
 
     def start(self) -> None:
         """Query the standby every QUERY_INTERVAL_MS while it is needed."""
         self._clock.call_later(QUERY_INTERVAL_MS, self.start)
+        now_ms = self._clock.now_ms()
+        if now_ms - self._checked_ms > SILENCE_MS:
+            # This process was paused, and may have messages to read.
+            self._heard_ms = now_ms
+        self._checked_ms = now_ms
+        if now_ms - self._heard_ms >= SILENCE_MS:
+            self.on_coordinator_lost()
         if not self._has_coordinator:
-            self._connect()
-            self._send_query(messages_fleet.QuotaQuery(NO_REQUEST, "", 0, 0))
+            self._use_standby()
 
     def send_query(self, query: messages_fleet.QuotaQuery) -> bool:
         """Ask the standby for tokens; return False if it is not connected."""
@@ -91,6 +113,7 @@
             return
         self._standby_vm, self._address = item.vm, item.address
         self._log.write("standby_changed", standby=item.vm)
+        self._reconnect_ms, self._next_connect_ms = RECONNECT_MS, 0
         self._close()
 
     def on_levels(self, item: messages_fleet.QuotaLevels) -> None:
@@ -107,6 +130,7 @@
         The end of a connection attempt alone proves nothing. The system also
         accepts connections for a process that is frozen.
         """
+        self._heard_ms = self._clock.now_ms()
         if not self._has_coordinator:
             self._has_coordinator = True
             self._standby.on_coordinator_heard()
@@ -118,7 +142,7 @@
             return
         self._has_coordinator = False
         self._standby.on_coordinator_lost()
-        self._connect()
+        self._use_standby()
 
     # Stream to another process
 
@@ -130,7 +154,7 @@
             return
         self._stream = stream
         stream.send(messages_fleet.FleetHello(self._vm))
-        self._send_query(messages_fleet.QuotaQuery(NO_REQUEST, "", 0, 0))
+        self._use_standby()
 
     def on_stream_message(
         self, stream: fleet_stream.FleetStream, item: message.Message
@@ -159,15 +183,22 @@
         """Return whether the standby is this process."""
         return bool(self._vm) and self._standby_vm == self._vm
 
+    def _use_standby(self) -> None:
+        """Show the standby that this entry uses it, or connect to it."""
+        query = messages_fleet.QuotaQuery(NO_REQUEST, "", 0, 0)
+        if not self._send_query(query):
+            self._connect()
+
     def _connect(self) -> None:
-        if self._is_local:
-            self._send_query(messages_fleet.QuotaQuery(NO_REQUEST, "", 0, 0))
+        now_ms = self._clock.now_ms()
+        if self._is_connecting or now_ms < self._next_connect_ms:
             return
-        is_needed = self._stream is None and not self._is_connecting
-        # The stream to a new coordinator is opened by the fleet client.
-        if not is_needed or self._address in ("", self._coordinator_address):
+        # The fleet client opens the stream to a new coordinator.
+        if self._address in ("", self._coordinator_address):
             return
         self._is_connecting = True
+        self._next_connect_ms = now_ms + self._reconnect_ms
+        self._reconnect_ms = min(MAX_RECONNECT_MS, 2 * self._reconnect_ms)
         try:
             self._open(self._address, self, self.on_connect_failed)
         except ValueError:
@@ -185,6 +216,7 @@
         return True
 
     def _on_grant(self, item: messages_fleet.QuotaGrant) -> None:
+        self._reconnect_ms = RECONNECT_MS
         if not self._is_connected:
             self._is_connected = True
             self._log.write("standby_connected", standby=self._standby_vm)
