Start the standby empty after a silent coordinator

Cause: a frozen or partitioned coordinator may go on granting what its buckets hold.

Change: the buckets of the standby start empty if the coordinator was silent; a debt is kept.

--- a/src/balsamwall/coordination/quota_standby.py
+++ b/src/balsamwall/coordination/quota_standby.py
@@ -106,14 +106,21 @@
             if math.isfinite(level)
         }
 
-    def on_coordinator_lost(self) -> None:
-        """Begin to grant if this is the standby and not the coordinator."""
+    def on_coordinator_lost(self, *, is_silent: bool) -> None:
+        """Begin to grant if this is the standby and not the coordinator.
+
+        One that is silent may go on granting what its buckets hold. They are
+        not used here, except for a debt.
+        """
         self._has_lost_coordinator = True
         if not self._is_announced or self._is_coordinating():
             return
         if not self._is_granting:
             self._is_granting = True
-            self._quotas.begin_as_standby(self._first_levels())
+            levels = self._first_levels()
+            if is_silent:
+                levels = {name: min(0.0, levels[name]) for name in levels}
+            self._quotas.begin_as_standby(levels)
             self._tick()
 
     def on_coordinator_heard(self) -> None:
--- a/src/balsamwall/coordination/standby_link.py
+++ b/src/balsamwall/coordination/standby_link.py
@@ -98,7 +98,7 @@
             self._heard_ms = now_ms
         self._checked_ms = now_ms
         if now_ms - self._heard_ms >= SILENCE_MS:
-            self.on_coordinator_lost()
+            self._on_lost(is_silent=True)
         if not self._has_coordinator:
             self._use_standby()
 
@@ -137,12 +137,8 @@
             self._close()
 
     def on_coordinator_lost(self) -> None:
-        """Connect to the standby."""
-        if not self._has_coordinator:
-            return
-        self._has_coordinator = False
-        self._standby.on_coordinator_lost()
-        self._use_standby()
+        """Use the standby: the stream of the coordinator has ended."""
+        self._on_lost(is_silent=False)
 
     # Stream to another process
 
@@ -183,6 +179,12 @@
         """Return whether the standby is this process."""
         return bool(self._vm) and self._standby_vm == self._vm
 
+    def _on_lost(self, *, is_silent: bool) -> None:
+        if self._has_coordinator:
+            self._has_coordinator = False
+            self._standby.on_coordinator_lost(is_silent=is_silent)
+            self._use_standby()
+
     def _use_standby(self) -> None:
         """Show the standby that this entry uses it, or connect to it."""
         query = messages_fleet.QuotaQuery(NO_REQUEST, "", 0, 0)
--- a/tests/coordination/test_quota_standby.py
+++ b/tests/coordination/test_quota_standby.py
@@ -223,14 +223,20 @@
         self.assertNotIn(link._standby_vm, ("", "front-1"))
         self.assertEqual(fleet.entries[STANDBY].server._standby_streams, set())
 
-    def test_standby_that_is_elected_from_a_live_coordinator(self):
-        """Guards against a standby that begins in the term of its process."""
-        fleet = StandbyFleet()
-        fleet.overload(2_000)
-        fleet.fleet.elect(STANDBY)
-        fleet.overload(2_000)
-        self.assertGreater(fleet.grants(STANDBY, "coordinator"), 0)
+    def test_standby_is_elected_while_the_coordinator_lives(self):
+        """Guards against a standby that begins in the term of its process.
+
+        A coordinator that only the store has lost keeps its streams.
+        """
+        fleet = StandbyFleet(3)
+        entry = fleet.entries[STANDBY]
+        entry.lease.is_held, entry.lease.revision = True, 99
+        fleet.clock.advance(200)
+        entry.client.on_coordinator_changed(str(STANDBY))
+        fleet.send(STANDBY, 1_000)
+        fleet.clock.advance(100)
         self.assertEqual(fleet.grants(STANDBY, "standby"), 0)
+        self.assertGreater(fleet.grants(STANDBY, "coordinator"), 0)
 
     def test_frozen_standby_costs_no_wait(self):
         """Guards against queries to a stream that the system has accepted."""
@@ -358,7 +364,7 @@
         self.entry = self.fleet.entries[STANDBY]
         self.clock.advance(1_000)
 
-    def first_level(self, level, age_ms=0):
+    def first_level(self, level, age_ms=0, is_silent=False):
         """Return the level with which the standby begins."""
         standby = self.entry.standby
         standby.on_coordinator_heard()
@@ -367,7 +373,7 @@
         )
         # Nothing may accrue until then.
         self.clock._now_ms += age_ms
-        standby.on_coordinator_lost()
+        standby.on_coordinator_lost(is_silent=is_silent)
         self.assertTrue(standby._is_granting)
         return standby._quotas.levels()[quota_fleet.NAME]
 
@@ -378,6 +384,11 @@
     def test_debt_is_kept(self):
         """Guards against requests in advance that nobody repays."""
         self.assertEqual(self.first_level(-800.0), -800)
+        self.assertEqual(self.first_level(-800.0, is_silent=True), -800)
+
+    def test_level_of_a_silent_coordinator(self):
+        """Guards against a level that a frozen coordinator grants again."""
+        self.assertEqual(self.first_level(RATE, is_silent=True), 0)
 
     def test_nothing_accrues_since_the_report(self):
         """Guards against tokens that the coordinator has granted too."""
