Grant 0.75 of the rates at the standby of a silent coordinator

Change: after a silent coordinator the standby grants the fraction of the rates that local shares have. The tests of these failures begin the overload with the failure, for a large workspace too.

--- a/src/balsamwall/coordination/quota_issuer.py
+++ b/src/balsamwall/coordination/quota_issuer.py
@@ -63,6 +63,7 @@
         "_last_tick_ms",
         "_metrics",
         "_granted_fraction",
+        "_rate_fraction",
         "_role",
         "_term_started_ms",
         "_tolerance",
@@ -86,6 +87,7 @@
         self._last_tick_ms = clock.now_ms()
         self._granted_fraction = 0.0  # of each rate, granted here
         self._term_started_ms = clock.now_ms()
+        self._rate_fraction = 1.0  # that the entries connected may use
         self._role = Role.NONE
 
     def restart(self) -> None:
@@ -97,13 +99,17 @@
         if self._role is not Role.STANDBY:
             self._begin()
         self._role = Role.COORDINATOR
+        self._rate_fraction = 1.0
 
-    def begin_as_standby(self, levels: dict[str, float]) -> None:
-        """Begin to grant as the standby, with the levels of a coordinator.
+    def begin_as_standby(
+        self, levels: dict[str, float], rate_fraction: float
+    ) -> None:
+        """Begin to grant a fraction of the rates as the standby.
 
         A bucket begins with half of its burst at most, as the coordinator may
         have granted tokens since then, and empty without a level.
         """
+        self._rate_fraction = rate_fraction
         self._begin()
         self._role = Role.STANDBY
         current = self._configuration.current
@@ -227,6 +233,7 @@
         self._granted_fraction = min(
             1.0, max(1, connected) / self._fleet_size.count
         )
+        self._granted_fraction *= self._rate_fraction
         self._update_buckets()
 
     def _skip_pause(self) -> None:
--- a/src/balsamwall/coordination/quota_standby.py
+++ b/src/balsamwall/coordination/quota_standby.py
@@ -8,6 +8,7 @@
 
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import query_responder
+from balsamwall.limits import uncoordinated_quota
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -110,17 +111,19 @@
         """Begin to grant if this is the standby and not the coordinator.
 
         One that is silent may go on granting what its buckets hold. They are
-        not used here, except for a debt.
+        not used here, except for a debt. As the entries have used local shares
+        until now, they get no more of the rates than these would give.
         """
         self._has_lost_coordinator = True
         if not self._is_announced or self._is_coordinating():
             return
         if not self._is_granting:
             self._is_granting = True
-            levels = self._first_levels()
+            levels, rate_fraction = self._first_levels(), 1.0
             if is_silent:
                 levels = {name: min(0.0, levels[name]) for name in levels}
-            self._quotas.begin_as_standby(levels)
+                rate_fraction = uncoordinated_quota.UNCOORDINATED_FRACTION
+            self._quotas.begin_as_standby(levels, rate_fraction)
             self._tick()
 
     def on_coordinator_heard(self) -> None:
--- a/tests/coordination/test_quota_standby.py
+++ b/tests/coordination/test_quota_standby.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from unittest import mock
 
@@ -14,8 +15,8 @@
 from tests.fixtures import quota_fleet
 from tests.gateway import test_workspace_quotas as quotas_module
 
-RATE, COSTS = quotas_module.SMALL
-ALLOWED = quotas_module.allowed(RATE, RATE)
+SMALL, LARGE = quotas_module.SMALL, quotas_module.LARGE
+RATE = SMALL[0]
 SIZES = (25, 60)
 # Until the idle timeout of streams ends those to a silent process.
 IDLE_MS = 2_200
@@ -24,11 +25,11 @@
 
 
 class StandbyFleet(quota_fleet.QuotaFleet):
-    """Fleet of a small workspace, whose standby is the second entry."""
+    """Fleet of one workspace, whose standby is the second entry."""
 
-    def __init__(self, size=25, rate=RATE):
-        super().__init__(size, rate, rate, COSTS)
-        self.rate = rate
+    def __init__(self, size=25, quota=SMALL):
+        self.rate, costs = quota
+        super().__init__(size, self.rate, self.rate, costs)
 
     def steady(self, duration_ms):
         self.load(
@@ -64,18 +65,21 @@
 class LimitTest(unittest.TestCase):
     """Load pattern: ten times the quota through each failure."""
 
-    def play(self, fail, is_surge=True):
+    def play(self, fail, is_surge=True, quotas=(SMALL,)):
         """Overload after steady traffic, or before the failure too."""
-        for size in SIZES:
-            fleet = StandbyFleet(size)
+        for size, quota in itertools.product(SIZES, quotas):
+            fleet = StandbyFleet(size, quota)
             if is_surge:
                 fleet.steady(6_000)
             else:
                 fleet.overload(6_000)
             fail(fleet)
             fleet.overload(8_000)
-            with self.subTest(entries=size):
-                self.assertLessEqual(fleet.most_in_window(), ALLOWED)
+            with self.subTest(entries=size, rate=fleet.rate):
+                self.assertLessEqual(
+                    fleet.most_in_window(),
+                    quotas_module.allowed(fleet.rate, fleet.rate),
+                )
 
     def test_coordinator_killed(self):
         """Guards against a request in advance at each entry."""
@@ -96,7 +100,7 @@
             fleet.overload(1_500)
             fleet.entries[0].clock.resume()
 
-        self.play(freeze)
+        self.play(freeze, quotas=(SMALL, LARGE))
 
     def test_frozen_coordinator_is_replaced(self):
         """Guards against three processes that grant in turn."""
@@ -108,7 +112,7 @@
             fleet.overload(1_000)
             fleet.entries[0].clock.resume()
 
-        self.play(replace, is_surge=False)
+        self.play(replace, quotas=(SMALL, LARGE))
 
     def test_coordinator_cut_from_the_standby_and_others(self):
         """Guards against a standby and a coordinator with the whole rate."""
@@ -119,7 +123,7 @@
             self.assertGreater(fleet.grants(STANDBY, "standby"), 0)
             fleet.fleet.cuts.clear()
 
-        self.play(cut)
+        self.play(cut, quotas=(SMALL, LARGE))
 
     def test_coordinator_cut_from_others_than_the_standby(self):
         """Guards against grants of a standby that has a coordinator."""
@@ -204,6 +208,19 @@
             with self.subTest(entries=size):
                 self.assertEqual(fleet.refused, [])
 
+    def test_steady_traffic_with_a_silent_coordinator(self):
+        """Guards against buckets that are empty for too long."""
+        for size in SIZES:
+            fleet = StandbyFleet(size)
+            fleet.steady(6_000)
+            fleet.fleet.cut(0, range(1, size))
+            fleet.steady(IDLE_MS)
+            fleet.fleet.end_streams(0)
+            fleet.steady(4_000)
+            self.assertGreater(fleet.grants(STANDBY, "standby"), 0)
+            with self.subTest(entries=size):
+                self.assertEqual(fleet.refused, [])
+
     def test_elected_standby_continues_with_its_buckets(self):
         """Guards against a second burst, and against an empty bucket."""
         fleet = StandbyFleet()
@@ -425,6 +442,17 @@
         self.clock.advance(200)
         self.assertAlmostEqual(issuer._granted_fraction, 1 / 3)
 
+    def test_share_after_a_silent_coordinator(self):
+        """Guards against grants on top of the local shares before them."""
+        self.first_level(RATE, is_silent=True)
+        issuer = self.entry.standby._quotas
+        for entry in self.fleet.entries:
+            issuer.on_heard(entry.vm)
+        self.assertAlmostEqual(issuer._granted_fraction, 0.75)
+        issuer.restart()
+        issuer.on_heard("front-9")
+        self.assertAlmostEqual(issuer._granted_fraction, 1)
+
     def test_levels_are_reported_in_time(self):
         """Guards against levels that are too old when they are needed."""
         now_ms = self.clock.now_ms()
