Test that a deployment without workspaces has no standby

Cause: a mutation of the condition on workspaces passed all tests.

Change: a test, and a clearer comment on connections to a frozen process.

--- a/src/balsamwall/coordination/standby_link.py
+++ b/src/balsamwall/coordination/standby_link.py
@@ -127,8 +127,8 @@
     def on_coordinator_heard(self) -> None:
         """Close the stream: the coordinator has sent a message.
 
-        The end of a connection attempt alone proves nothing. The system also
-        accepts connections for a process that is frozen.
+        An open connection alone proves nothing, as the system also accepts
+        connections for a process that is frozen.
         """
         self._heard_ms = self._clock.now_ms()
         if not self._has_coordinator:
--- a/tests/coordination/test_quota_standby.py
+++ b/tests/coordination/test_quota_standby.py
@@ -347,6 +347,15 @@
         standby.standby.on_notice("front-2")
         self.assertEqual(len(standby.server._standby_streams), 0)
 
+    def test_no_standby_without_workspaces(self):
+        """Guards against a standby of a deployment without quotas."""
+        fleet = StandbyFleet(3)
+        fleet.fleet.configure(None)
+        fleet.clock.advance(500)
+        for entry in fleet.entries:
+            self.assertEqual(entry.standby_link._standby_vm, "")
+            self.assertFalse(entry.standby.is_announced)
+
     def test_first_standby_is_kept(self):
         """Guards against a lower name that tells its build later."""
         fleet = StandbyFleet(3)
