Tell the coordinator which entries accept new messages

Cause: builds in production close a stream on which they receive an unknown message, so that messages from 121 on need the consent of both sides.

Change: messages 121 EntryFeatures, 122 StandbyNotice and 123 QuotaLevels. A coordinator marks its fleet loads also where there are workspaces; an entry that sees the mark sends 121 once per stream. The mark is 0 where no server reports work times, so that speeds are reported only where they were. Queries and dialing get modules of their own.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -11,6 +11,7 @@
 from balsamwall.coordination import coordinator as coordinator_module
 from balsamwall.coordination import entry_count_record
 from balsamwall.coordination import fleet_client
+from balsamwall.coordination import fleet_dialer
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
 from balsamwall.coordination import limited_engine_control
@@ -64,7 +65,6 @@
 ELECTION_SPREAD_MS = 400
 # The coordinator stops this long before its lease may expire in the store.
 LEASE_MARGIN_MS = 500
-COORDINATOR_CONNECT_TIMEOUT_MS = 500
 
 
 class GatewayUnit:
@@ -200,10 +200,12 @@
             address_module.Address(settings.ip, settings.fleet_port)
         )
         self._coordinator_address = ""
+        self._dialer = fleet_dialer.FleetDialer(self._reactor, self._clock)
         self._fleet_client = fleet_client.FleetClient(
             self._clock,
             settings.vm,
             settings.availability_zone,
+            self._own_address,
             self._request_dependencies.assignments,
             self._limits,
             self._quotas,
@@ -466,16 +468,7 @@
         """Connect to the coordinator; return a link if it is this process."""
         if address == self._own_address:
             return local_link.LocalLink(self._fleet_server)
-        parsed = address_module.parse(address)
-        factory = fleet_stream.FleetStreamFactory(
-            self._fleet_client,
-            self._clock,
-            self._fleet_client.on_connect_failed,
-        )
-        self._reactor.connectTCP(
-            parsed.host,
-            parsed.port,
-            factory,
-            timeout=COORDINATOR_CONNECT_TIMEOUT_MS / 1_000,
+        self._dialer.connect(
+            address, self._fleet_client, self._fleet_client.on_connect_failed
         )
         return None
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -10,12 +10,14 @@
 from balsamwall.coordination import engine_speed
 from balsamwall.coordination import engine_table
 from balsamwall.coordination import engine_tracker
+from balsamwall.coordination import entry_features
 from balsamwall.coordination import fleet_broadcast
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_runner
 from balsamwall.coordination import prefetch_planner
 from balsamwall.coordination import prompt_scheduler
+from balsamwall.coordination import query_responder
 from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
 from balsamwall.coordination import speed_exchange
@@ -83,6 +85,7 @@
         "_directory",
         "_engines",
         "_entries_with_lease",
+        "_features",
         "_fleet_size",
         "_lease_held_ms",
         "_is_active",
@@ -97,6 +100,7 @@
         "_planner",
         "_prefetch",
         "_quotas",
+        "_responder",
         "_runner",
         "_scheduler",
         "_speeds",
@@ -144,8 +148,23 @@
             self._runner,
             self._scheduler.forget,
         )
+        self._responder = query_responder.QueryResponder(
+            configuration,
+            self._demand,
+            self._engines,
+            permits,
+            quotas,
+            self._scheduler,
+        )
+        self._features = entry_features.FeatureTable(clock)
         self._broadcast = fleet_broadcast.FleetBroadcast(
-            clock, links, self._demand, self._engines, self._speeds, limits
+            clock,
+            configuration,
+            links,
+            self._demand,
+            self._engines,
+            self._speeds,
+            limits,
         )
         self._is_active = False
         # Newest token that an engine has rejected, 0 for none.
@@ -203,21 +222,17 @@
         if not self.is_active:
             return
         self._quotas.on_heard(vm)
-        if isinstance(item, messages_fleet.DemandReport):
+        response = self._responder.respond(item)
+        if response is not None:
+            self._links.send(vm, response)
+        elif isinstance(item, messages_fleet.DemandReport):
             self._demand.on_report(vm, item)
             for server_id, model, adapter, _ in item.running:
                 self._engines.on_adapter_used(server_id, model, adapter)
         elif isinstance(item, messages_fleet.ServerSpeeds):
             self._speeds.on_report(vm, item)
-        elif isinstance(item, messages_fleet.PromptQuery):
-            self._links.send(vm, self._assign(item))
-        elif isinstance(item, messages_fleet.PermitQuery):
-            wait_ms = self._permits.take(item.server_id)
-            self._links.send(
-                vm, messages_fleet.PermitDecision(item.number, wait_ms)
-            )
-        elif isinstance(item, messages_fleet.QuotaQuery):
-            self._links.send(vm, self._grant(item))
+        elif isinstance(item, messages_fleet.EntryFeatures):
+            self._features.on_features(vm, item)
         elif isinstance(item, messages_fleet.LimitReport):
             limit_rows.apply(
                 item, self._clock.now_ms(), self._limits, self._log
@@ -234,53 +249,7 @@
             self._demand.record_wanted(wanted)
             self._schedule_plan()
 
-    def _assign(
-        self, query: messages_fleet.PromptQuery
-    ) -> messages_fleet.PromptAssignment:
-        """Assign a prompt to one of the engines that hold its model.
-
-        The assignment to an engine with a limit includes a permit.
-        """
-        holders = [
-            tracker
-            for tracker in self._engines.ready(query.service)
-            if tracker.holds(query.model, query.adapter)
-            and tracker.loading_model != query.model
-            and not self._permits.wait_ms(tracker.record.server_id)
-        ]
-        prompt = prompt_scheduler.Prompt(
-            query.tokens,
-            query.zone,
-            query.cached_at,
-            query.cached_tokens,
-            query.model,
-            self._gap_target_ms(query.service),
-        )
-        server_id = self._scheduler.assign(
-            holders,
-            self._demand.loads(),
-            self._demand.pending_tokens(),
-            prompt,
-        )
-        if server_id:
-            self._permits.take(server_id)
-        return messages_fleet.PromptAssignment(query.number, server_id)
-
-    def _grant(
-        self, query: messages_fleet.QuotaQuery
-    ) -> messages_fleet.QuotaGrant:
-        """Grant tokens of a workspace, or tell the wait for them."""
-        decision = self._quotas.grant(
-            query.workspace, query.cost, query.reserve
-        )
-        return messages_fleet.QuotaGrant(
-            query.number,
-            decision.tokens,
-            decision.wait_ms,
-            decision.is_scarce,
-        )
-
-    def on_entry_connected(self) -> list[message.Message]:
+    def on_entry_connected(self, vm: str) -> list[message.Message]:
         """Return what a new entry needs to know of servers and requests.
 
         These are the resident models of all known engines, and the content
@@ -289,6 +258,7 @@
         """
         if not self.is_active:
             return []
+        self._features.on_connected(vm)
         return [
             self._server_models(tracker)
             for tracker in self._engines.all()
@@ -298,6 +268,7 @@
     def on_entry_disconnected(self, vm: str) -> None:
         """Discard the demand reported by a disconnected entry."""
         self._demand.remove_entry(vm)
+        self._features.remove_entry(vm)
         self._speeds.remove_entry(vm)
 
     def on_residents_changed(
@@ -363,10 +334,6 @@
         self._quotas.restart()
         self._engines.start()
 
-    def _gap_target_ms(self, service: str) -> int:
-        current = self._configuration.current
-        return current.gap_target_ms(service) if current else 0
-
     # Planning
 
     def _schedule_plan(self) -> None:
@@ -417,7 +384,7 @@
                     tracker.record.server_id, tracker.spec.slots
                 ),
                 self._directory.speeds,
-                self._gap_target_ms(tracker.record.service),
+                self._responder.gap_target_ms(tracker.record.service),
                 now_ms,
             )
 
--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -13,6 +13,7 @@
     from balsamwall.coordination import demand as demand_module
     from balsamwall.coordination import engine_table
     from balsamwall.coordination import speed_exchange
+    from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
 
@@ -25,6 +26,7 @@
 
     __slots__ = (
         "_clock",
+        "_configuration",
         "_demand",
         "_engines",
         "_last_state_ms",
@@ -36,6 +38,7 @@
     def __init__(
         self,
         clock: clock_module.Clock,
+        configuration: configuration_holder.ConfigurationHolder,
         links: coordinator_module.FleetLinks,
         demand: demand_module.Demand,
         engines: engine_table.EngineTable,
@@ -43,6 +46,7 @@
         limits: server_limits.ServerLimits,
     ) -> None:
         self._clock = clock
+        self._configuration = configuration
         self._links = links
         self._demand = demand
         self._engines = engines
@@ -56,10 +60,14 @@
         if now_ms - self._last_state_ms < STATE_INTERVAL_MS:
             return
         self._last_state_ms = now_ms
+        current = self._configuration.current
+        has_workspaces = current is not None and current.workspaces is not None
         self._links.broadcast(
             messages_fleet.FleetState(
                 self._links.count,
-                self._speeds.with_acceptance(self._demand.loads()),
+                self._speeds.with_acceptance(
+                    self._demand.loads(), has_workspaces
+                ),
                 self._demand.queued(),
                 load_forecast.expected_loads(self._engines.all(), now_ms),
             )
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import entry_features
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import speed_exchange
@@ -54,6 +55,7 @@
         "_count_running",
         "_open_link",
         "_directory",
+        "_features",
         "_forecast",
         "_coordinator_address",
         "_is_connecting",
@@ -79,6 +81,7 @@
         clock: clock_module.Clock,
         vm: str,
         zone: str,
+        address: str,
         assignments: assignment_client.AssignmentClient,
         limits: server_limits.ServerLimits,
         quotas: workspace_quotas.WorkspaceQuotas,
@@ -98,6 +101,7 @@
         self._clock = clock
         self._vm = vm
         self._zone = zone
+        self._features = entry_features.FeatureAnnouncement(address)
         self._assignments = assignments
         assignments.set_link(self)
         self._limits = limits
@@ -265,6 +269,9 @@
         self._on_entry_count(state.entries)
         self._forecast.on_state(state.loads_due, state.queued)
         self._speeds.on_loads(state.loads)
+        features = self._features.on_loads(state.loads)
+        if features is not None and self._link is not None:
+            self._link.send(features)
         now_ms = self._clock.now_ms()
         for server in self._directory.all_servers():
             load = state.loads.get(server.server_id, 0)
@@ -322,6 +329,7 @@
     def _introduce(self) -> None:
         """Send all that a new coordinator needs to know of this entry."""
         self._speeds.restart()
+        self._features.restart()
         observations = self._limits.book.observations()
         if observations:
             self.report_limits(observations)
--- a/src/balsamwall/coordination/fleet_server.py
+++ b/src/balsamwall/coordination/fleet_server.py
@@ -81,7 +81,7 @@
         if isinstance(item, messages_fleet.FleetHello):
             stream.vm = item.vm
             self._stream_by_vm[item.vm] = stream
-            for known in coordinator.on_entry_connected():
+            for known in coordinator.on_entry_connected(item.vm):
                 stream.send(known)
             return
         coordinator.on_message(stream.vm, item)
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -205,7 +205,8 @@
 
     Loads counts the running requests of all entries by server; the key
     `server-speeds` among them names no server but states that the coordinator
-    accepts ServerSpeeds. Queued counts by model the requests that wait for
+    accepts all messages from 118 on. Its value is 1 if servers report work
+    times, else 0. Queued counts by model the requests that wait for
     engine capacity. Loads due holds by model the time in ms until a pending
     load completes.
     """
@@ -228,3 +229,35 @@
     revision: int
     items: list[list[Any]]
     is_complete: bool
+
+
+@message.register(121)
+class EntryFeatures(message.Message):
+    """Tell that an entry accepts all messages from 121 on.
+
+    It is sent once per stream, to a coordinator that accepts it. The address
+    is the `IP:PORT` at which the entry accepts fleet streams.
+    """
+
+    address: str
+
+
+@message.register(122)
+class StandbyNotice(message.Message):
+    """Announce the entry that grants quotas while there is no coordinator.
+
+    Empty strings state that there is none.
+    """
+
+    vm: str
+    address: str
+
+
+@message.register(123)
+class QuotaLevels(message.Message):
+    """Report to the standby the tokens left for each workspace with a quota.
+
+    A level is negative after a charge in advance.
+    """
+
+    levels: dict[str, float]
--- a/src/balsamwall/coordination/speed_exchange.py
+++ b/src/balsamwall/coordination/speed_exchange.py
@@ -18,9 +18,9 @@
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
-# Key that a coordinator which accepts ServerSpeeds adds to its fleet loads.
-# Earlier builds ignore it, as they know no such server. They close a stream on
-# which they receive a message with an unknown number.
+# Key that a coordinator which accepts all messages from 118 on adds to its
+# fleet loads. Earlier builds ignore it, as they know no such server. They
+# close a stream on which they receive a message with an unknown number.
 ACCEPTS_SPEEDS_KEY = "server-speeds"
 # Factors change slowly and are shared less often than work times.
 FACTORS_INTERVAL_MS = 1_000
@@ -97,8 +97,8 @@
         self._is_accepted = False
 
     def on_loads(self, loads: dict[str, int]) -> None:
-        """Record whether the coordinator accepts reports."""
-        self._is_accepted = ACCEPTS_SPEEDS_KEY in loads
+        """Record whether the coordinator asks for reports."""
+        self._is_accepted = bool(loads.get(ACCEPTS_SPEEDS_KEY))
 
     def report(self) -> messages_fleet.ServerSpeeds | None:
         """Return what to report now, None without any reported work time."""
@@ -173,14 +173,18 @@
         if factors or vm not in self._reports:
             self._reports[vm] = now_ms, factors
 
-    def with_acceptance(self, loads: dict[str, int]) -> dict[str, int]:
-        """Return fleet loads that state that speeds are accepted.
+    def with_acceptance(
+        self, loads: dict[str, int], has_workspaces: bool
+    ) -> dict[str, int]:
+        """Return fleet loads that state which messages are accepted.
 
-        They are unchanged unless any server reports work times.
+        They are unchanged unless there are workspaces, or any server reports
+        work times. Speeds are reported only in the latter case.
         """
-        if not any(self._directory.speeds.reporting_servers()):
+        is_reporting = any(self._directory.speeds.reporting_servers())
+        if not is_reporting and not has_workspaces:
             return loads
-        return {**loads, ACCEPTS_SPEEDS_KEY: 1}
+        return {**loads, ACCEPTS_SPEEDS_KEY: int(is_reporting)}
 
     def share(
         self, send: Callable[[str, messages_fleet.ServerSpeeds], None]
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -169,4 +169,4 @@
         self.links.sent.clear()
         self.coordinator.on_message("vm1", messages_fleet.PermitQuery(1, "e1"))
         self.assertEqual(self.links.sent, [])
-        self.assertEqual(self.coordinator.on_entry_connected(), [])
+        self.assertEqual(self.coordinator.on_entry_connected("front-2"), [])
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -42,6 +42,7 @@
             self.clock,
             "f1",
             "z1",
+            "10.0.0.9:7",
             assignment_client.AssignmentClient(self.clock),
             gateway_harness.make_limits(self.clock)[0],
             gateway_harness.GatewayHarness(clock=self.clock).quotas,
--- a/tests/coordination/test_fleet_server.py
+++ b/tests/coordination/test_fleet_server.py
@@ -30,7 +30,7 @@
     def __init__(self):
         self.disconnected = []
 
-    def on_entry_connected(self):
+    def on_entry_connected(self, vm):
         return []
 
     def on_entry_disconnected(self, vm):
