Order waiting requests by what all entries have served

Cause: each of 30 entries counted only its own sends, in which a workspace with two requests a second can't be told from the others. In test_overload the smallest workspace got 9 deferrable requests of the 11.7 that it is due.

Change: entries report their charges every 200 ms (message 124), the coordinator tells each what the others charged every 250 ms (125), only to processes that accept messages from 121 on. The counters move to fair_counters; an idle workspace is raised to those that compete at any entry. A workspace that asks for less than its share may use one send of its entry in advance, and a request that precedes all others is not refused for the pace of its share. Demand reports and the merged reports get modules of their own. FakeWaiter moves to a fixture unchanged.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -19,6 +19,7 @@
 from balsamwall.coordination import permit_issuer
 from balsamwall.coordination import quota_issuer
 from balsamwall.coordination import store_relay
+from balsamwall.coordination import workspace_use
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_freshness
 from balsamwall.gateway import configuration_holder
@@ -209,6 +210,13 @@
             self._request_dependencies.assignments,
             self._limits,
             self._quotas,
+            workspace_use.UseReport(
+                self._clock,
+                self._configuration,
+                self._request_dependencies.room,
+                self._metrics.workspaces,
+                self._log,
+            ),
             self._directory,
             self._gateway.count_running,
             self._gateway.take_arrivals,
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -11,6 +11,7 @@
 from balsamwall.coordination import engine_table
 from balsamwall.coordination import engine_tracker
 from balsamwall.coordination import entry_features
+from balsamwall.coordination import entry_reports
 from balsamwall.coordination import fleet_broadcast
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
@@ -20,7 +21,6 @@
 from balsamwall.coordination import query_responder
 from balsamwall.coordination import residency_log
 from balsamwall.coordination import residency_planner
-from balsamwall.coordination import speed_exchange
 from balsamwall.gateway import residency_waits
 
 if TYPE_CHECKING:
@@ -100,10 +100,10 @@
         "_planner",
         "_prefetch",
         "_quotas",
+        "_reports",
         "_responder",
         "_runner",
         "_scheduler",
-        "_speeds",
         "_last_summary_ms",
     )
 
@@ -138,7 +138,6 @@
         self._scheduler = prompt_scheduler.PromptScheduler(
             clock, directory.speeds
         )
-        self._speeds = speed_exchange.SpeedMerger(clock, directory, log)
         self._prefetch = prefetch_planner.PrefetchPlanner(self._demand)
         self._runner = order_runner.OrderRunner(clock, control, self, log)
         self._engines = engine_table.EngineTable(
@@ -157,13 +156,16 @@
             self._scheduler,
         )
         self._features = entry_features.FeatureTable(clock)
+        self._reports = entry_reports.EntryReports(
+            clock, configuration, directory, self._features, log
+        )
         self._broadcast = fleet_broadcast.FleetBroadcast(
             clock,
             configuration,
             links,
             self._demand,
             self._engines,
-            self._speeds,
+            self._reports,
             limits,
         )
         self._is_active = False
@@ -229,8 +231,6 @@
             self._demand.on_report(vm, item)
             for server_id, model, adapter, _ in item.running:
                 self._engines.on_adapter_used(server_id, model, adapter)
-        elif isinstance(item, messages_fleet.ServerSpeeds):
-            self._speeds.on_report(vm, item)
         elif isinstance(item, messages_fleet.EntryFeatures):
             self._features.on_features(vm, item)
         elif isinstance(item, messages_fleet.LimitReport):
@@ -239,6 +239,8 @@
             )
         elif self._crashes.on_message(item):
             return
+        elif self._reports.on_message(vm, item):
+            return
         elif isinstance(item, messages_fleet.LoadWanted):
             self._engines.refresh_holders(
                 item.service, item.model, item.adapter
@@ -269,7 +271,7 @@
         """Discard the demand reported by a disconnected entry."""
         self._demand.remove_entry(vm)
         self._features.remove_entry(vm)
-        self._speeds.remove_entry(vm)
+        self._reports.remove_entry(vm)
 
     def on_residents_changed(
         self, tracker: engine_tracker.EngineTracker
@@ -330,7 +332,7 @@
     def _start_term(self) -> None:
         self._demand.restart()
         self._permits.restart()
-        self._speeds.restart()
+        self._reports.restart()
         self._quotas.restart()
         self._engines.start()
 
--- /dev/null
+++ b/src/balsamwall/coordination/demand_source.py
@@ -0,0 +1,57 @@
+"""Collect the open requests of an entry for its demand reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import messages_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import residency_waits
+
+
+class DemandSource:
+    """Describe the running, waiting and queued requests of an entry."""
+
+    __slots__ = (
+        "_count_queued",
+        "_count_running",
+        "_directory",
+        "_take_arrivals",
+        "_waits",
+    )
+
+    def __init__(
+        self,
+        directory: backend_directory.BackendDirectory,
+        waits: residency_waits.ResidencyWaits,
+        count_running: Callable[[], list[list[object]]],
+        take_arrivals: Callable[[], dict[str, list[int]]],
+        count_queued: Callable[[], dict[str, int]],
+    ) -> None:
+        self._directory = directory
+        self._waits = waits
+        self._count_running = count_running
+        self._take_arrivals = take_arrivals
+        self._count_queued = count_queued
+
+    def report(self) -> messages_fleet.DemandReport:
+        """Return the open requests, and the arrivals since the last call."""
+        waiting: list[list[object]] = [
+            [wanted.service, wanted.model, wanted.adapter, count]
+            for wanted, count in self._waits.counts().items()
+        ]
+        return messages_fleet.DemandReport(
+            self._count_running(),
+            waiting,
+            self._count_queued(),
+            self._take_arrivals(),
+            {
+                server.server_id: server.pending_tokens
+                for server in self._directory.all_servers()
+                if server.pending_tokens
+            },
+        )
--- /dev/null
+++ b/src/balsamwall/coordination/entry_reports.py
@@ -0,0 +1,61 @@
+"""Merge what the entries report for each other, in the coordinator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import speed_exchange
+from balsamwall.coordination import workspace_use
+
+if TYPE_CHECKING:
+    from balsamwall.coordination import coordinator as coordinator_module
+    from balsamwall.coordination import entry_features
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import configuration_holder
+    from balsamwall.logs import decision_log
+    from balsamwall.protocol import message
+    from balsamwall.timing import clock as clock_module
+
+
+class EntryReports:
+    """Merge the speeds of servers and the use of workspaces."""
+
+    __slots__ = ("_features", "_use", "speeds")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        configuration: configuration_holder.ConfigurationHolder,
+        directory: backend_directory.BackendDirectory,
+        features: entry_features.FeatureTable,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._features = features
+        self.speeds = speed_exchange.SpeedMerger(clock, directory, log)
+        self._use = workspace_use.UseMerger(configuration, log)
+
+    def restart(self) -> None:
+        """Discard the reports at the start of a term."""
+        self.speeds.restart()
+        self._use.restart()
+
+    def remove_entry(self, vm: str) -> None:
+        """Discard what belongs to an entry that has disconnected."""
+        self.speeds.remove_entry(vm)
+        self._use.remove_entry(vm)
+
+    def on_message(self, vm: str, item: message.Message) -> bool:
+        """Record a report; return whether the message was one."""
+        if isinstance(item, messages_fleet.ServerSpeeds):
+            self.speeds.on_report(vm, item)
+        elif isinstance(item, messages_fleet.WorkspaceUse):
+            self._use.on_report(vm, item)
+        else:
+            return False
+        return True
+
+    def share(self, links: coordinator_module.FleetLinks) -> None:
+        """Send the merged reports to the entries that accept them."""
+        self.speeds.share(links.send)
+        self._use.share(self._features.vms, links.send)
--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -12,7 +12,7 @@
     from balsamwall.coordination import coordinator as coordinator_module
     from balsamwall.coordination import demand as demand_module
     from balsamwall.coordination import engine_table
-    from balsamwall.coordination import speed_exchange
+    from balsamwall.coordination import entry_reports
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
@@ -22,7 +22,7 @@
 
 
 class FleetBroadcast:
-    """Send loads, queues, speeds and limits of servers to all entries."""
+    """Send loads, queues, speeds, limits and use to the entries."""
 
     __slots__ = (
         "_clock",
@@ -32,7 +32,7 @@
         "_last_state_ms",
         "_limits",
         "_links",
-        "_speeds",
+        "_reports",
     )
 
     def __init__(
@@ -42,7 +42,7 @@
         links: coordinator_module.FleetLinks,
         demand: demand_module.Demand,
         engines: engine_table.EngineTable,
-        speeds: speed_exchange.SpeedMerger,
+        reports: entry_reports.EntryReports,
         limits: server_limits.ServerLimits,
     ) -> None:
         self._clock = clock
@@ -50,7 +50,7 @@
         self._links = links
         self._demand = demand
         self._engines = engines
-        self._speeds = speeds
+        self._reports = reports
         self._limits = limits
         self._last_state_ms = 0
 
@@ -65,14 +65,14 @@
         self._links.broadcast(
             messages_fleet.FleetState(
                 self._links.count,
-                self._speeds.with_acceptance(
+                self._reports.speeds.with_acceptance(
                     self._demand.loads(), has_workspaces
                 ),
                 self._demand.queued(),
                 load_forecast.expected_loads(self._engines.all(), now_ms),
             )
         )
-        self._speeds.share(self._links.send)
+        self._reports.share(self._links)
         observations = self._limits.book.observations()
         if observations:
             self._links.broadcast(limit_rows.encode(observations, now_ms))
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import demand_source
 from balsamwall.coordination import entry_features
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
@@ -15,6 +16,7 @@
     from collections.abc import Iterable
 
     from balsamwall.coordination import fleet_stream
+    from balsamwall.coordination import workspace_use
     from balsamwall.gateway import assignment_client
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import broken_request
@@ -51,8 +53,7 @@
     __slots__ = (
         "_assignments",
         "_clock",
-        "_count_queued",
-        "_count_running",
+        "_demand",
         "_open_link",
         "_directory",
         "_features",
@@ -70,7 +71,7 @@
         "_reconnect_ms",
         "_speeds",
         "_suspects",
-        "_take_arrivals",
+        "_use",
         "_vm",
         "_waits",
         "_zone",
@@ -85,6 +86,7 @@
         assignments: assignment_client.AssignmentClient,
         limits: server_limits.ServerLimits,
         quotas: workspace_quotas.WorkspaceQuotas,
+        use: workspace_use.UseReport,
         directory: backend_directory.BackendDirectory,
         count_running: Callable[[], list[list[object]]],
         take_arrivals: Callable[[], dict[str, list[int]]],
@@ -110,9 +112,10 @@
         quotas.set_link(self)
         self._directory = directory
         self._speeds = speed_exchange.SpeedExchange(clock, directory, log)
-        self._count_running = count_running
-        self._take_arrivals = take_arrivals
-        self._count_queued = count_queued
+        self._use = use
+        self._demand = demand_source.DemandSource(
+            directory, waits, count_running, take_arrivals, count_queued
+        )
         self._open_link = open_link
         self._on_entry_count = on_entry_count
         self._forecast = forecast
@@ -258,6 +261,8 @@
             )
         elif isinstance(item, messages_fleet.ServerSpeeds):
             self._speeds.apply(item)
+        elif isinstance(item, messages_fleet.FleetWorkspaceUse):
+            self._use.apply(item)
         elif isinstance(item, messages_fleet.StoreChanges):
             self._on_store_changes(item)
         elif isinstance(item, messages_fleet.FleetState):
@@ -268,6 +273,7 @@
         self._reconnect_ms = REPORT_INTERVAL_MS
         self._on_entry_count(state.entries)
         self._forecast.on_state(state.loads_due, state.queued)
+        self._use.on_fleet_queued(state.queued)
         self._speeds.on_loads(state.loads)
         features = self._features.on_loads(state.loads)
         if features is not None and self._link is not None:
@@ -351,23 +357,12 @@
         if self._link is None:
             return
         self._limits.report_changes()
-        waiting = [
-            [wanted.service, wanted.model, wanted.adapter, count]
-            for wanted, count in self._waits.counts().items()
-        ]
-        self._link.send(
-            messages_fleet.DemandReport(
-                self._count_running(),
-                waiting,
-                self._count_queued(),
-                self._take_arrivals(),
-                {
-                    server.server_id: server.pending_tokens
-                    for server in self._directory.all_servers()
-                    if server.pending_tokens
-                },
-            )
-        )
+        demand = self._demand.report()
+        self._link.send(demand)
+        self._use.set_queued(demand.queued)
+        use = self._use.take() if self._features.is_accepted else None
+        if use is not None:
+            self._link.send(use)
         speeds = self._speeds.report()
         if speeds is not None:
             self._link.send(speeds)
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -261,3 +261,24 @@
     """
 
     levels: dict[str, float]
+
+
+@message.register(124)
+class WorkspaceUse(message.Message):
+    """Report what an entry has charged to workspaces since its last report.
+
+    Each row holds service, workspace and tokens. Only charges while requests
+    waited for the service, here or at other entries, are reported.
+    """
+
+    rows: list[list[Any]]
+
+
+@message.register(125)
+class FleetWorkspaceUse(message.Message):
+    """Tell an entry what the others have charged since the last message.
+
+    The rows are those of WorkspaceUse, the largest first.
+    """
+
+    rows: list[list[Any]]
--- a/src/balsamwall/gateway/admission.py
+++ b/src/balsamwall/gateway/admission.py
@@ -31,6 +31,10 @@
 # Part of the slots that a server has for requests that are not urgent, however
 # slow it is.
 MIN_SUSTAINABLE_PART = 1 / 2
+# Requests that a workspace which asks for less than its share may borrow from
+# the next sends of its entry. With 30 entries one has room for less than two a
+# second, and a request that is first there would often become late.
+MAX_BORROWED = 1.0
 # Time after an urgent request of a service in which slots stay reserved.
 URGENT_MEMORY_MS = 1_000
 # Interval of the coordinator's reports of the fleet load.
@@ -158,12 +162,14 @@
         fleet: FleetRoom,
         *,
         is_owed: bool,
+        is_sparse: bool = False,
         gap_target_ms: int = 0,
     ) -> bool:
         """Return whether a fairly ordered request may be sent now.
 
         One that is not urgent leaves a reserve to urgent ones, unless the send
-        is owed to it because it has waited longest. It also needs credit.
+        is owed to it because it has waited longest. It also needs credit; that
+        of a sparse workspace may borrow it.
         """
         service, model, _ = waiter.target
         if not model:
@@ -182,29 +188,38 @@
         age_ms = now_ms - server.fleet_load_at_ms
         if age_ms > backend_directory.FLEET_LOAD_MAX_AGE_MS:
             return True
-        return self._has_credit(server, waiter.target, fleet, is_reserved)
+        credit = self._renewed_credit(
+            server, waiter.target, fleet, is_reserved
+        )
+        return credit.amount >= (1.0 - MAX_BORROWED if is_sparse else 1.0)
 
-    def _has_credit(
+    def _renewed_credit(
         self,
         server: backend_directory.BackendServer,
         target: room_waiter.Target,
         fleet: FleetRoom,
         is_reserved: bool,
-    ) -> bool:
-        """Renew the credit after a new report; return whether it suffices."""
+    ) -> _SendCredit:
+        """Return the credit of a target, renewed after a new report."""
         credit = self._credits.get(target)
         if credit is None:
             credit = _SendCredit(self._random.random())
             self._credits[target] = credit
         if credit.is_renewed_by(server.fleet_load_at_ms):
             credit.add(fleet.entry_share * fleet.free_slots(is_reserved))
-        return credit.amount >= 1.0
+        return credit
 
-    def on_fair_sent(self, target: room_waiter.Target) -> None:
-        """Take the credit of a request that is being sent."""
-        credit = self._credits.get(target)
+    def on_fair_sent(
+        self, waiter: room_waiter.RoomWaiter, may_borrow: bool
+    ) -> None:
+        """Take the credit of a request that is being sent.
+
+        Urgent and owed requests use what there is, and borrow nothing.
+        """
+        credit = self._credits.get(waiter.target)
         if credit is not None:
-            credit.amount = max(0.0, credit.amount - 1.0)
+            is_borrower = may_borrow and not is_urgent(waiter.priority)
+            credit.take(MAX_BORROWED if is_borrower else 0.0)
 
     def _has_urgent(self, service: str, now_ms: int) -> bool:
         """Return whether urgent requests have been dispatched recently."""
@@ -236,6 +251,11 @@
         """Add the share of the room in a new report."""
         self.amount = min(1.0, self.amount) + amount
 
+    def take(self, max_borrowed: float) -> None:
+        """Take one send; a part of it may be borrowed."""
+        floor = min(self.amount, -max_borrowed)
+        self.amount = max(floor, self.amount - 1.0)
+
 
 def _fair_limit(
     server: backend_directory.BackendServer, is_reserved: bool
--- a/src/balsamwall/gateway/fair_order.py
+++ b/src/balsamwall/gateway/fair_order.py
@@ -6,8 +6,8 @@
 import dataclasses
 import heapq
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
+from balsamwall.gateway import fair_counters
 from balsamwall.gateway import fair_queue
 from balsamwall.gateway import room_waiter
 from balsamwall.gateway import sent_shares
@@ -15,17 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Weight of the latest request in the mean cost of a service.
-COST_MEAN_WEIGHT = 0.05
-# Requests by which an idle workspace stays below the lowest counter. An entry
-# with a part of the traffic sees a small workspace seldom: without the credit
-# all workspaces are idle there between their requests, and those that ask for
-# more than their share are served like those that ask for less.
-SPARSE_CREDIT_REQUESTS = 2
-
-_K = TypeVar("_K")
-
-
 # Priority, stage, counters of the workspace and of the model, and arrival with
 # a sequence number, which is unique.
 SendOrderKey = tuple[
@@ -38,7 +27,9 @@
     """Describe the place that a request would get in the order."""
 
     queued: int  # requests that wait for the target
-    own: int  # of them, those of the same workspace and priority
+    # Of them, those of the same workspace and priority, less those that are
+    # sent before the workspace has used as much as the others.
+    own: int
     ahead: int  # of them, those that are sent before the request
     workspace_share: float  # fraction of the sends that the workspace gets
     share_after_urgent: float  # fraction that more urgent requests leave
@@ -56,15 +47,11 @@
 
     __slots__ = (
         "_changes",
+        "_counters",
         "_entries",
-        "_mean_cost",
         "_queues",
         "_sequence",
-        "_served",
-        "_served_models",
         "_shares",
-        "_virtual",
-        "_waiting",
     )
 
     def __init__(self) -> None:
@@ -73,20 +60,9 @@
         # By time: the next change of stage of each request.
         self._changes: list[tuple[int, int, fair_queue.Entry]] = []
         self._sequence = 0
-        # By service: tokens served to each workspace.
-        self._served: dict[str, dict[str, float]] = {}
-        # By service: the lowest counter of those that waited last.
-        self._virtual: dict[str, float] = {}
-        # By service and workspace: tokens served for each target.
-        self._served_models: dict[
-            tuple[str, str], dict[room_waiter.Target, float]
-        ] = {}
-        # By service and workspace: waiting requests for each target.
-        self._waiting: dict[
-            str, dict[str, collections.Counter[room_waiter.Target]]
-        ] = {}
+        # By service.
+        self._counters: dict[str, fair_counters.FairCounters] = {}
         self._shares: dict[room_waiter.Target, sent_shares.SentShares] = {}
-        self._mean_cost: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -122,11 +98,8 @@
     def add(self, waiter: room_waiter.RoomWaiter, now_ms: int) -> None:
         """Add a request; lift the counters of a workspace that was idle."""
         target, workspace = waiter.target, waiter.workspace_name
-        self._lift(target, workspace)
-        counts = self._waiting[target[0]].setdefault(
-            workspace, collections.Counter()
-        )
-        counts[target] += 1
+        counters = self._counters_of(target[0])
+        counters.add_waiting(target, workspace, now_ms)
         self._sequence += 1
         entry = fair_queue.Entry(
             waiter,
@@ -143,7 +116,7 @@
         heapq.heappush(queue.oldest, entry)
         level = queue.levels.get(entry.priority)
         if level is None:
-            level = fair_queue.Level(self._served[target[0]])
+            level = fair_queue.Level(counters.served)
             queue.levels[entry.priority] = level
         level.counts[workspace] += 1
         self._enter_stage(entry, now_ms)
@@ -154,15 +127,14 @@
         if entry is None:
             return
         entry.is_removed = True
-        workspaces = self._waiting[entry.target[0]]
-        counts = workspaces[entry.workspace]
-        _decrement(counts, entry.target)
-        if not counts:
-            del workspaces[entry.workspace]
+        counters = self._counters[entry.target[0]]
+        counters.remove_waiting(entry.target, entry.workspace)
         queue = self._queues[entry.target]
         queue.count -= 1
         level = queue.levels[entry.priority]
-        _decrement(level.counts, entry.workspace)
+        level.counts[entry.workspace] -= 1
+        if not level.counts[entry.workspace]:
+            del level.counts[entry.workspace]
         if not level.counts:
             del queue.levels[entry.priority]
         if not queue.count:
@@ -183,13 +155,11 @@
         entry = queue.head() if queue else None
         if entry is None:
             return None
-        served = self._served[target[0]][entry.workspace]
-        of_model = self._served_models[target[0], entry.workspace][target]
+        counters = self._counters[target[0]]
         key = (
             entry.priority,
             entry.stage,
-            served,
-            of_model,
+            *counters.counter(target, entry.workspace),
             entry.arrival_key,
         )
         return key, entry.waiter
@@ -212,33 +182,44 @@
         """Count a send to the oldest request of a target."""
         self._shares[target].owed -= sent_shares.SENDS_PER_OLDEST
 
-    def on_sent(self, waiter: room_waiter.RoomWaiter) -> None:
-        """Charge a send to its workspace and model.
+    def on_sent(self, waiter: room_waiter.RoomWaiter, now_ms: int) -> float:
+        """Charge a send to its workspace and model; return the charge.
 
-        Sends while no request of the service waits are free, since they take
-        nothing from others.
+        Sends while no request of the service waits are free.
         """
         target, workspace = waiter.target, waiter.workspace_name
-        service = target[0]
-        mean = self._mean_cost.get(service)
-        cost = float(waiter.cost) or mean or 1.0
-        if mean is None:
-            mean = cost
-        self._mean_cost[service] = mean + COST_MEAN_WEIGHT * (cost - mean)
         shares = self._shares.setdefault(target, sent_shares.SentShares())
         shares.add(waiter.priority, workspace)
-        if not self._waiting.get(service):
-            return
-        self._lift(target, workspace)
-        served = self._served[service]
-        # The lowest of the waiting ones, not the one served: urgent and old
-        # requests of a large workspace are sent at any counter.
-        lowest = min(served[name] for name in self._waiting[service])
-        self._virtual[service] = max(self._virtual.get(service, 0.0), lowest)
-        served[workspace] += cost
-        self._served_models[service, workspace][target] += cost
-
-    def position(self, waiter: room_waiter.RoomWaiter) -> Position:
+        counters = self._counters_of(target[0])
+        return counters.charge(target, workspace, waiter.cost, now_ms)
+
+    def add_fleet_use(
+        self, rows: Iterable[tuple[str, str, int]], now_ms: int
+    ) -> None:
+        """Charge what other entries served: service, workspace and tokens."""
+        by_service: dict[str, dict[str, int]] = {}
+        for service, workspace, tokens in rows:
+            by_service.setdefault(service, {})[workspace] = tokens
+        for service, use in by_service.items():
+            self._counters_of(service).add_fleet_use(use, now_ms)
+
+    def is_sparse(self, waiter: room_waiter.RoomWaiter, now_ms: int) -> bool:
+        """Return whether a request waits, and its workspace asks for little.
+
+        The workspace asks for less than its share among those that compete.
+        """
+        if waiter not in self._entries:
+            return False
+        counters = self._counters[waiter.target[0]]
+        return counters.is_sparse(waiter.workspace_name, now_ms)
+
+    def set_waiting_elsewhere(self, service: str, now_ms: int) -> None:
+        """Note that requests wait for a service at other entries."""
+        self._counters_of(service).set_waiting_elsewhere(now_ms)
+
+    def position(
+        self, waiter: room_waiter.RoomWaiter, now_ms: int
+    ) -> Position:
         """Return the place that a request would get if it were added."""
         target, workspace = waiter.target, waiter.workspace_name
         priority = waiter.priority
@@ -248,64 +229,27 @@
         level = queue.levels.get(priority)
         counts = level.counts if level else collections.Counter[str]()
         own = counts[workspace]
-        ahead = own + self._others_ahead(target[0], workspace, counts)
+        counters = self._counters[target[0]]
+        ahead = own + counters.sent_before(workspace, counts, now_ms)
         for other, more_urgent in queue.levels.items():
             if other < priority:
                 ahead += more_urgent.counts.total()
+        paced = max(0, own - counters.lead(workspace, now_ms))
         waiting = len(counts) + (workspace not in counts)
         shares = self._shares.get(target) or sent_shares.SentShares()
         return Position(
             queue.count,
-            own,
+            paced,
             ahead,
             shares.workspace_share(priority, workspace, waiting),
             shares.share_after_urgent(priority),
         )
 
-    def _others_ahead(
-        self, service: str, workspace: str, counts: collections.Counter[str]
-    ) -> int:
-        """Return how many requests of other workspaces would be sent first.
-
-        Each send adds the mean cost to the counter of its workspace.
-        """
-        served = self._served[service]
-        cost = self._mean_cost.get(service, 1.0)
-        counter = served.get(workspace, 0.0)
-        if workspace not in self._waiting[service]:
-            counter = max(counter, self._lowest(service))
-        counter += counts[workspace] * cost
-        ahead = 0
-        for other, count in counts.items():
-            if other != workspace and served[other] <= counter:
-                turns = int((counter - served[other]) / cost) + 1
-                ahead += min(count, turns)
-        return ahead
-
-    def _lowest(self, service: str) -> float:
-        """Return the counter to which an idle workspace is raised."""
-        served = self._served[service]
-        lowest = min(
-            (served[name] for name in self._waiting[service]),
-            default=self._virtual.get(service, 0.0),
-        )
-        mean = self._mean_cost.get(service, 0.0)
-        return lowest - SPARSE_CREDIT_REQUESTS * mean
-
-    def _lift(self, target: room_waiter.Target, workspace: str) -> None:
-        """Raise counters that stood still to the lowest that compete."""
-        service = target[0]
-        served = self._served.setdefault(service, {})
-        waiting = self._waiting.setdefault(service, {})
-        if workspace not in waiting:
-            served[workspace] = max(
-                served.get(workspace, 0.0), self._lowest(service)
-            )
-        models = self._served_models.setdefault((service, workspace), {})
-        competing = waiting.get(workspace, ())
-        if target not in competing:
-            lowest = min((models[name] for name in competing), default=0.0)
-            models[target] = max(models.get(target, 0.0), lowest)
+    def _counters_of(self, service: str) -> fair_counters.FairCounters:
+        counters = self._counters.get(service)
+        if counters is None:
+            counters = self._counters[service] = fair_counters.FairCounters()
+        return counters
 
     def _enter_stage(self, entry: fair_queue.Entry, now_ms: int) -> None:
         """Put a request into its stage and schedule the next one."""
@@ -322,10 +266,3 @@
             change = (change_ms, entry.arrival_key[1], entry)
             heapq.heappush(self._changes, change)
         self._queues[entry.target].levels[entry.priority].push(entry)
-
-
-def _decrement(counts: collections.Counter[_K], key: _K) -> None:
-    """Decrement a count and drop it at 0."""
-    counts[key] -= 1
-    if not counts[key]:
-        del counts[key]
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -238,7 +238,11 @@
         return choice
 
     def _has_room(
-        self, server: backend_directory.BackendServer, is_owed: bool = False
+        self,
+        server: backend_directory.BackendServer,
+        *,
+        is_owed: bool = False,
+        is_sparse: bool = False,
     ) -> bool:
         dependencies = self._dependencies
         if not self.is_fair:
@@ -261,6 +265,7 @@
             self,
             fleet,
             is_owed=is_owed,
+            is_sparse=is_sparse,
             gap_target_ms=self.route.gap_target_ms,
         )
 
@@ -285,13 +290,19 @@
             self._wait.stop()
             self.dispatch()
             return True
-        if not self._has_room(server, is_owed):
+        is_sparse = not is_owed and self._dependencies.room.is_sparse(self)
+        if not self._has_room(server, is_owed=is_owed, is_sparse=is_sparse):
             return False
         self._wait.stop()
-        self._assign_or_send(server)
+        self._assign_or_send(server, may_borrow=is_sparse)
         return True
 
-    def _assign_or_send(self, server: backend_directory.BackendServer) -> None:
+    def _assign_or_send(
+        self,
+        server: backend_directory.BackendServer,
+        *,
+        may_borrow: bool = False,
+    ) -> None:
         """Let the coordinator choose the server, else send to the given one.
 
         A repeated request avoids servers that the coordinator does not know.
@@ -300,7 +311,7 @@
             self._is_counted = True
             self._dependencies.room.on_sent(self)
         if self.is_fair:
-            self._dependencies.admission.on_fair_sent(self.target)
+            self._dependencies.admission.on_fair_sent(self, may_borrow)
         request = self.request
         query = assignment_client.PromptQuery(
             *self.target,
--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -10,6 +10,9 @@
 from balsamwall.gateway import room_waiter
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
     from balsamwall.timing import clock as clock_module
 
 # Short compared to the interval between completions at a full engine.
@@ -31,7 +34,14 @@
     first of the former.
     """
 
-    __slots__ = ("_clock", "_fair", "_members", "_timer", "_waiters")
+    __slots__ = (
+        "_clock",
+        "_fair",
+        "_members",
+        "_on_charged",
+        "_timer",
+        "_waiters",
+    )
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
@@ -39,6 +49,25 @@
         self._waiters: list[room_waiter.RoomWaiter] = []
         self._members: set[room_waiter.RoomWaiter] = set()
         self._timer: clock_module.Timer | None = None
+        self._on_charged: Callable[[str, str, float], None] | None = None
+
+    def set_charge_listener(
+        self, on_charged: Callable[[str, str, float], None]
+    ) -> None:
+        """Set what is called with service, workspace and tokens charged."""
+        self._on_charged = on_charged
+
+    def add_fleet_use(self, rows: Iterable[tuple[str, str, int]]) -> None:
+        """Charge what other entries served: service, workspace and tokens."""
+        self._fair.add_fleet_use(rows, self._clock.now_ms())
+
+    def is_sparse(self, waiter: room_waiter.RoomWaiter) -> bool:
+        """Return whether a request waits whose workspace asks for little."""
+        return self._fair.is_sparse(waiter, self._clock.now_ms())
+
+    def set_waiting_elsewhere(self, service: str) -> None:
+        """Note that requests wait for a service at other entries."""
+        self._fair.set_waiting_elsewhere(service, self._clock.now_ms())
 
     def has_waiting(
         self, target: room_waiter.Target, priority: room_waiter.Priority
@@ -77,11 +106,14 @@
     def on_sent(self, waiter: room_waiter.RoomWaiter) -> None:
         """Charge a request that is being sent, whether it waited or not."""
         if waiter.is_fair:
-            self._fair.on_sent(waiter)
+            charge = self._fair.on_sent(waiter, self._clock.now_ms())
+            if charge and self._on_charged is not None:
+                service = waiter.target[0]
+                self._on_charged(service, waiter.workspace_name, charge)
 
     def position(self, waiter: room_waiter.RoomWaiter) -> fair_order.Position:
         """Return the place that a fairly ordered request would get."""
-        return self._fair.position(waiter)
+        return self._fair.position(waiter, self._clock.now_ms())
 
     def count(self, target: room_waiter.Target) -> int:
         """Return how many fairly ordered requests wait for a target."""
--- a/src/balsamwall/gateway/workspace_metrics.py
+++ b/src/balsamwall/gateway/workspace_metrics.py
@@ -25,6 +25,7 @@
     """Count the requests and tokens of each workspace, and show its quota."""
 
     __slots__ = (
+        "_charged",
         "_names",
         "_quota_left",
         "_quota_refusals",
@@ -59,6 +60,12 @@
             ("workspace",),
             registry=registry,
         )
+        self._charged = prometheus_client.Counter(
+            "balsamwall_gateway_workspace_charged_tokens",
+            "Tokens served while requests waited, by all entries",
+            ("workspace",),
+            registry=registry,
+        )
         self._unknown = prometheus_client.Counter(
             "balsamwall_gateway_unauthenticated_requests",
             "Requests refused before routing for want of a valid key",
@@ -95,6 +102,10 @@
         """Count a request refused since its workspace is over its quota."""
         self._quota_refusals.labels(self._label(name)).inc()
 
+    def count_charged(self, name: str, tokens: float) -> None:
+        """Count tokens charged in the fair order, here or elsewhere."""
+        self._charged.labels(self._label(name)).inc(tokens)
+
     def set_quota_left(self, name: str, left: float | None) -> None:
         """Export what is left to a workspace; None removes it.
 
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -38,6 +38,7 @@
         self.clock = virtual_clock.VirtualClock(start_ms=1_000)
         self.connect_times_ms = []
         self.entry_counts = []
+        harness = gateway_harness.GatewayHarness(clock=self.clock)
         self.client = fleet_client.FleetClient(
             self.clock,
             "f1",
@@ -45,7 +46,8 @@
             "10.0.0.9:7",
             assignment_client.AssignmentClient(self.clock),
             gateway_harness.make_limits(self.clock)[0],
-            gateway_harness.GatewayHarness(clock=self.clock).quotas,
+            harness.quotas,
+            gateway_harness.make_use(harness),
             backend_directory.BackendDirectory(self.clock.now_ms),
             list,
             dict,
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+from balsamwall.gateway import admission
+from tests.fixtures import fake_waiter
 from tests.fixtures import gateway_harness as harness_module
 
 Kind = harness_module.Kind
@@ -86,3 +88,45 @@
         exchange = self.send_request()
         self.harness.clock.advance(1_500)
         self.assertEqual(exchange.status, 503)
+
+
+class BorrowTest(unittest.TestCase):
+    """Load pattern: an entry has room for a send in two seconds."""
+
+    def setUp(self):
+        self.harness = harness_module.GatewayHarness()
+        self.harness.add_servers("s1", models={"m1": ()}, slots=24)
+        self.server = self.harness.directory.get("s1")
+        self.admission = self.harness.dependencies.admission
+        self.fleet = admission.FleetRoom(lambda: [self.server], 0.0, 2_500.0)
+        self.server.set_fleet_load(12, self.harness.clock.now_ms())
+
+    def send(self, priority=(1, 1), is_sparse=False):
+        """Send a request if there is room; return whether there was."""
+        waiter = fake_waiter.FakeWaiter(None, None, priority=priority)
+        has_room = self.admission.has_fair_room(
+            self.server,
+            waiter,
+            self.fleet,
+            is_owed=False,
+            is_sparse=is_sparse,
+        )
+        if has_room:
+            self.admission.on_fair_sent(waiter, may_borrow=is_sparse)
+        return has_room
+
+    def test_sparse_workspace_borrows_one_send(self):
+        """Guards against a request that becomes late although it is first.
+
+        The entry sends less afterwards, so that engines aren't overrun.
+        """
+        self.assertFalse(self.send())
+        self.assertTrue(self.send(is_sparse=True))
+        self.assertFalse(self.send(is_sparse=True))
+
+    def test_urgent_requests_borrow_nothing(self):
+        """Guards against an entry that sends only urgent requests."""
+        self.send()
+        for _ in range(5):
+            self.assertTrue(self.send(priority=(0, 0), is_sparse=True))
+        self.assertTrue(self.send(is_sparse=True))
--- a/tests/gateway/test_fair_order.py
+++ b/tests/gateway/test_fair_order.py
@@ -7,63 +7,24 @@
 
 from balsamwall.gateway import room_queue
 from balsamwall.timing import virtual_clock
+from tests.fixtures import fake_waiter
 
 MANY_REQUESTS = 4_000
 
 
-class FakeWaiter:
-    """Waiting request that records when it is sent."""
-
-    def __init__(self, queue, sends, **changes):
-        self.name = ""
-        self.priority = (1, 1)
-        self.arrived_ms = 0
-        self.target = ("app", "m1", "")
-        self.is_fair = True
-        self.workspace_name = ""
-        self.cost = 100
-        self.on_time_until_ms = 1_000_000
-        self.aged_at_ms = 2_000_000
-        self.__dict__.update(changes)
-        self._queue = queue
-        self._sends = sends
-
-    def try_send(self, is_owed=False):
-        if not self._sends.take(self, is_owed):
-            return False
-        self._queue.remove(self)
-        self._queue.on_sent(self)
-        return True
-
-
-class FakeServers:
-    """Room for some requests by target, and the requests sent."""
-
-    def __init__(self):
-        self.room = {}
-        self.sent = []
-        self.tried = 0
-
-    def take(self, waiter, is_owed):
-        self.tried += 1
-        if self.room.get(waiter.target, 0) <= 0:
-            return False
-        self.room[waiter.target] -= 1
-        self.sent.append(waiter)
-        return True
-
-
 class FairOrderTest(unittest.TestCase):
     """Waiting requests are sent by urgency, then fairly."""
 
     def setUp(self):
         self.clock = virtual_clock.VirtualClock()
         self.queue = room_queue.RoomQueue(self.clock)
-        self.servers = FakeServers()
+        self.servers = fake_waiter.FakeServers()
 
     def add(self, count=1, **changes):
         for _ in range(count):
-            self.queue.add(FakeWaiter(self.queue, self.servers, **changes))
+            self.queue.add(
+                fake_waiter.FakeWaiter(self.queue, self.servers, **changes)
+            )
 
     def send(self, count, target=("app", "m1", "")):
         """Make room for requests; return those sent with the room."""
@@ -162,7 +123,9 @@
     def test_sends_without_a_wait_count_for_the_oldest_request(self):
         """Guards against starvation by urgent requests that never wait."""
         self.add(workspace_name="w1")
-        urgent = FakeWaiter(self.queue, self.servers, priority=(0, 0))
+        urgent = fake_waiter.FakeWaiter(
+            self.queue, self.servers, priority=(0, 0)
+        )
         for _ in range(9):
             self.queue.on_sent(urgent)
         self.add(priority=(0, 0), arrived_ms=1)
@@ -178,7 +141,8 @@
     def test_removed_request_is_not_sent(self):
         """Guards against sending a request whose caller has left."""
         waiters = [
-            FakeWaiter(self.queue, self.servers, name=name) for name in "abc"
+            fake_waiter.FakeWaiter(self.queue, self.servers, name=name)
+            for name in "abc"
         ]
         for waiter in waiters:
             self.queue.add(waiter)
@@ -197,7 +161,11 @@
     def test_position_counts_only_what_is_sent_before(self):
         """Guards against refusals because of another workspace's backlog."""
         self.add(50, workspace_name="large")
-        small = FakeWaiter(self.queue, self.servers, workspace_name="small")
-        large = FakeWaiter(self.queue, self.servers, workspace_name="large")
+        small = fake_waiter.FakeWaiter(
+            self.queue, self.servers, workspace_name="small"
+        )
+        large = fake_waiter.FakeWaiter(
+            self.queue, self.servers, workspace_name="large"
+        )
         self.assertLessEqual(self.queue.position(small).ahead, 1)
         self.assertEqual(self.queue.position(large).ahead, 50)
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -39,8 +39,10 @@
 
 
 @functools.cache
-def run(is_fair, *kinds):
-    fleet = overload_fleet.OverloadFleet(rates(kinds), is_fair)
+def run(is_fair, *kinds, has_exchange=True):
+    fleet = overload_fleet.OverloadFleet(
+        rates(kinds), is_fair, has_exchange=has_exchange
+    )
     return fleet.run(WARM_UP_MS, DURATION_MS)
 
 
@@ -96,6 +98,15 @@
         """Guards against a small workspace that waits behind a large one."""
         self.assert_smallest_served(DEFERRABLE)
 
+    def test_entries_tell_each_other_what_they_served(self):
+        """Guards against counters of the own sends of each entry."""
+        alone = run(True, URGENT, DEFERRABLE, has_exchange=False)
+        served = {
+            outcomes: outcomes.served[DEFERRABLE, SMALLEST]
+            for outcomes in (alone, self.fair)
+        }
+        self.assertGreater(served[self.fair], served[alone])
+
 
 class RefusalTest(unittest.TestCase):
     """A request that cannot be sent in time is refused at once."""
