--- a/src/balsamwall/gateway/fair_counters.py
+++ b/src/balsamwall/gateway/fair_counters.py
@@ -25,7 +25,6 @@
 # backlog, as long as other entries charge it. An entry with a part of the
 # traffic has a waiting request of a usual workspace only every few seconds.
 BACKLOG_MEMORY_MS = 5_000
-
 # Time since it was last passed over after which a workspace counts as asking
 # for less than its share. At one of 30 entries a workspace with a backlog can
 # have no waiting request for 10 s.
