Merge the counters of served tokens over all entries

Cause: each of 30 entries ordered waiting requests by its own sends, so that the smallest workspace got 9 of 11.7 due deferrable requests under twice the load.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -18,6 +18,7 @@
 from balsamwall.coordination import local_link
 from balsamwall.coordination import permit_issuer
 from balsamwall.coordination import store_relay
+from balsamwall.coordination import workspace_use
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_freshness
 from balsamwall.gateway import configuration_holder
@@ -188,6 +189,7 @@
             address_module.Address(settings.ip, settings.fleet_port)
         )
         self._coordinator_address = ""
+        self._dialer = fleet_dialer.FleetDialer(self._reactor, self._clock)
         self._fleet_client = fleet_client.FleetClient(
             self._clock,
             settings.vm,
@@ -197,6 +199,13 @@
             self._limits,
             self._quota_parts.quotas,
             self._quota_parts.standby_link,
+            workspace_use.UseReport(
+                self._clock,
+                self._configuration,
+                self._request_dependencies.room,
+                self._metrics.workspaces,
+                self._log,
+            ),
             self._directory,
             self._gateway.count_running,
             self._gateway.take_arrivals,
--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -12,7 +12,7 @@
     from balsamwall.coordination import coordinator as coordinator_module
     from balsamwall.coordination import demand as demand_module
     from balsamwall.coordination import engine_table
-    from balsamwall.coordination import speed_exchange
+    from balsamwall.coordination import entry_reports
     from balsamwall.coordination import standby_choice
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import server_limits
@@ -23,7 +23,7 @@
 
 
 class FleetBroadcast:
-    """Send loads, queues, speeds and limits of servers to all entries.
+    """Send loads, queues, speeds, limits and use to the entries.
 
     The standby also gets the levels of quotas.
     """
@@ -36,7 +36,7 @@
         "_last_state_ms",
         "_limits",
         "_links",
-        "_speeds",
+        "_reports",
         "_standby",
     )
 
@@ -47,7 +47,7 @@
         links: coordinator_module.FleetLinks,
         demand: demand_module.Demand,
         engines: engine_table.EngineTable,
-        speeds: speed_exchange.SpeedMerger,
+        reports: entry_reports.EntryReports,
         limits: server_limits.ServerLimits,
         standby: standby_choice.StandbyChoice,
     ) -> None:
@@ -56,7 +56,7 @@
         self._links = links
         self._demand = demand
         self._engines = engines
-        self._speeds = speeds
+        self._reports = reports
         self._limits = limits
         self._standby = standby
         self._last_state_ms = 0
@@ -72,7 +72,7 @@
         self._links.broadcast(
             messages_fleet.FleetState(
                 self._links.count,
-                self._speeds.with_acceptance(
+                self._reports.speeds.with_acceptance(
                     self._demand.loads(), has_workspaces
                 ),
                 self._demand.queued(),
@@ -80,7 +80,7 @@
             )
         )
         self._standby.tick()
-        self._speeds.share(self._links.send)
+        self._reports.share(self._links)
         observations = self._limits.book.observations()
         if observations:
             self._links.broadcast(limit_rows.encode(observations, now_ms))
--- a/src/balsamwall/gateway/workspace_metrics.py
+++ b/src/balsamwall/gateway/workspace_metrics.py
@@ -25,6 +25,7 @@
     """Count the requests and tokens of each workspace, and show its quota."""
 
     __slots__ = (
+        "_charged",
         "_names",
         "_quota_grants",
         "_quota_left",
@@ -66,6 +67,12 @@
             ("workspace", "by"),
             registry=registry,
         )
+        self._charged = prometheus_client.Counter(
+            "balsamwall_gateway_workspace_charged_tokens",
+            "Tokens served while requests waited, by all entries",
+            ("workspace",),
+            registry=registry,
+        )
         self._unknown = prometheus_client.Counter(
             "balsamwall_gateway_unauthenticated_requests",
             "Requests refused before routing for want of a valid key",
@@ -106,6 +113,10 @@
         """Count a grant of this process, as coordinator or standby."""
         self._quota_grants.labels(self._label(name), by).inc()
 
+    def count_charged(self, name: str, tokens: float) -> None:
+        """Count tokens charged in the fair order, here or elsewhere."""
+        self._charged.labels(self._label(name)).inc(tokens)
+
     def set_quota_left(self, name: str, left: float | None) -> None:
         """Export what is left to a workspace; None removes it.
 
