--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -99,6 +99,7 @@
             dependencies.codec.echo_field,
             self._max_idle_connections,
             self._log,
+            self._metrics.count_opened,
         )
         self._waits = residency_waits.ResidencyWaits(
             self._clock,
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -9,6 +9,7 @@
 
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import body_framing
+from balsamwall.gateway import connection_source
 from balsamwall.gateway import incoming_request
 from balsamwall.gateway import unread_time
 
@@ -115,8 +116,8 @@
         "meter",
         "sent_ms",
         "server",
+        "source",
         "status",
-        "was_reused",
     )
 
     def __init__(
@@ -135,7 +136,8 @@
         self._clock = clock
         self.status = 0
         self.framing: body_framing.BodyFraming | None = None
-        self.was_reused = False
+        # Set when the connection is there.
+        self.source: connection_source.ConnectionSource | None = None
         self._codec = codec
         self._limits = limits
         self._outgoing = outgoing
@@ -158,6 +160,11 @@
         """Return whether the request may have reached the server."""
         return self._connection is not None
 
+    @property
+    def was_reused(self) -> bool:
+        """Return whether the connection had been used before."""
+        return self.source is connection_source.ConnectionSource.REUSED
+
     @property
     def break_failure(self) -> AttemptFailure:
         """Return the failure of a response that breaks off now."""
@@ -218,7 +225,7 @@
     ) -> None:
         """Send the request on the connection."""
         self._connection = connection
-        self.was_reused = connection.is_reused
+        self.source = connection.source
         outgoing = self._outgoing
         connection.send(
             outgoing.method,
--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -14,6 +14,7 @@
 from twisted.internet import protocol
 
 from balsamwall.gateway import body_framing
+from balsamwall.gateway import connection_source
 from balsamwall.gateway import http_fields
 
 if TYPE_CHECKING:
@@ -87,7 +88,7 @@
         self._framing = body_framing.BodyFraming.LENGTH
         self.is_lost = False
         self.idle_limit_ms: int | None = None
-        self.is_reused = False
+        self.source = connection_source.ConnectionSource.NONE_IDLE
 
     def has_sent(self, attempt_id: bytes) -> bool:
         """Return whether an earlier request had the same identifier.
--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from typing import Any
-from typing import Protocol as TypingProtocol
 from typing import TYPE_CHECKING
 
-from twisted.internet import protocol
-
 from balsamwall.gateway import backend_connection
+from balsamwall.gateway import backend_connector
+from balsamwall.gateway import connection_source
 from balsamwall.gateway import idle_timeout
 
 if TYPE_CHECKING:
@@ -19,7 +18,9 @@
     from balsamwall.timing import clock as clock_module
 
     MaxIdle = Callable[[backend_directory.ServerRecord], int]
+    OnOpened = Callable[[connection_source.ConnectionSource], None]
 
+_Source = connection_source.ConnectionSource
 # TCP resends a lost SYN after 1 s; with a shorter timeout, another server is
 # tried before that.
 CONNECT_TIMEOUT_MS = 600
@@ -30,22 +31,6 @@
 RESET_WINDOW_MS = 500
 
 
-class ConnectionWaiter(TypingProtocol):
-    """Receive a connection; exactly one of the methods is called."""
-
-    @property
-    def attempt_id(self) -> bytes:
-        """Return the identifier of the request, which callers choose."""
-
-    def on_connected(
-        self, connection: backend_connection.BackendConnection
-    ) -> None:
-        """Handle a connection that is ready for a request."""
-
-    def on_not_connected(self, detail: str) -> None:
-        """Handle a failed connect; nothing was sent."""
-
-
 class _IdleConnection:
     """Idle connection to a server, and the time since which it is idle."""
 
@@ -72,68 +57,21 @@
         self.idle_ms = idle_ms
 
 
-class _Connector(protocol.ClientFactory):  # type: ignore[misc]
-    """Factory that opens one connection for a waiter."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        pool: ConnectionPool,
-        record: backend_directory.ServerRecord,
-        waiter: ConnectionWaiter,
-    ) -> None:
-        self._pool = pool
-        self._record = record
-        self._waiter: ConnectionWaiter | None = waiter
-        self.connector: Any = None
-
-    def buildProtocol(self, addr: object) -> Any:  # noqa: N802
-        """Create the connection and deliver it in the next reactor turn."""
-        connection = self._pool.make_connection(self._record)
-        self._pool.call_soon(self._deliver, connection)
-        return connection
-
-    def clientConnectionFailed(  # noqa: N802
-        self, connector: object, reason: Any
-    ) -> None:
-        """Report the failure to the waiter."""
-        waiter, self._waiter = self._waiter, None
-        if waiter is not None:
-            waiter.on_not_connected(reason.getErrorMessage())
-
-    def cancel(self) -> None:
-        """Cancel the connect; the waiter is not called."""
-        self._waiter = None
-        self.connector.disconnect()
-
-    def _deliver(
-        self, connection: backend_connection.BackendConnection
-    ) -> None:
-        waiter, self._waiter = self._waiter, None
-        if connection.is_lost:
-            if waiter is not None:
-                waiter.on_not_connected(
-                    "connection closed by the server right after the connect"
-                )
-        elif waiter is None:
-            self._pool.on_idle(self._record, connection)
-        else:
-            waiter.on_connected(connection)
-
-
 class ConnectionPool:
     """Keep idle connections by server; reuse the most recently used first.
 
     `max_idle` returns how many connections to a server may be idle.
+    `on_opened` is called with the reason for each new connection.
     """
 
     __slots__ = (
         "_clock",
+        "_closed",
         "_echo_field",
         "_idle",
         "_log",
         "_max_idle",
+        "_on_opened",
         "_reactor",
         "_reuses",
         "_timeouts",
@@ -146,12 +84,15 @@
         echo_field: bytes,
         max_idle: MaxIdle | None = None,
         log: decision_log.DecisionLog | None = None,
+        on_opened: OnOpened | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._echo_field = echo_field
         self._log = log
         self._max_idle = max_idle or _default_max_idle
+        self._on_opened = on_opened
+        self._closed = connection_source.ClosedConnections(clock)
         self._idle: dict[str, list[_IdleConnection]] = {}
         # Connections whose current request has no response yet.
         self._reuses: dict[backend_connection.BackendConnection, _Reuse] = {}
@@ -161,19 +102,21 @@
     def start(self) -> None:
         """Start closing expired idle connections periodically."""
         self._clock.call_later(SWEEP_INTERVAL_MS, self.start)
-        for idle in self._idle.values():
+        self._closed.forget_old()
+        for server_id, idle in self._idle.items():
             kept = []
             for item in idle:
                 if self._is_usable(item, is_repeatable=True):
                     kept.append(item)
                 else:
                     item.connection.close()
+                    self._closed.add(server_id, _Source.TOO_OLD)
             idle[:] = kept
 
     def acquire(
         self,
         record: backend_directory.ServerRecord,
-        waiter: ConnectionWaiter,
+        waiter: backend_connector.ConnectionWaiter,
         is_fresh: bool = False,
         is_repeatable: bool = False,
     ) -> Callable[[], None]:
@@ -183,26 +126,38 @@
         closing an idle one at the same time. If is_repeatable is not set, only
         idle times that are known to be safe are used.
         """
+        if is_fresh:
+            return self._connect(record, waiter, _Source.MUST_BE_NEW)
+        found = self._take_idle(record, waiter.attempt_id, is_repeatable)
+        if isinstance(found, _Source):
+            return self._connect(record, waiter, found)
+        now_ms = self._clock.now_ms()
+        connection = found.connection
+        connection.source = _Source.REUSED
+        self._reuses[connection] = _Reuse(now_ms, now_ms - found.since_ms)
+        waiter.on_connected(connection)
+        return _no_op
+
+    def _take_idle(
+        self,
+        record: backend_directory.ServerRecord,
+        attempt_id: bytes,
+        is_repeatable: bool,
+    ) -> _IdleConnection | connection_source.ConnectionSource:
+        """Return an idle connection, or the reason for opening a new one."""
         idle = self._idle.get(record.server_id, [])
-        while idle and not is_fresh:
-            item = idle[-1]
-            if not _is_same_process(item.record, record):
-                # Its request ended after the process had been replaced.
-                idle.pop().connection.close()
-                continue
-            if not self._is_usable(item, is_repeatable):
-                # The rest is idle for longer.
-                break
-            if item.connection.has_sent(waiter.attempt_id):
-                break
-            idle.pop()
-            now_ms = self._clock.now_ms()
-            connection = item.connection
-            connection.is_reused = True
-            self._reuses[connection] = _Reuse(now_ms, now_ms - item.since_ms)
-            waiter.on_connected(connection)
-            return _no_op
-        return self._connect(record, waiter)
+        while idle and not _is_same_process(idle[-1].record, record):
+            # Its request ended after the process had been replaced.
+            idle.pop().connection.close()
+            self._closed.add(record.server_id, _Source.OTHER_PROCESS)
+        if not idle:
+            return self._closed.take(record.server_id)
+        if not self._is_usable(idle[-1], is_repeatable):
+            # The rest is idle for longer.
+            return _Source.TOO_OLD
+        if idle[-1].connection.has_sent(attempt_id):
+            return _Source.MUST_BE_NEW
+        return idle.pop()
 
     def has_idle(self, record: backend_directory.ServerRecord) -> bool:
         """Return whether a request can be sent without a new connection."""
@@ -223,6 +178,7 @@
         item = _IdleConnection(connection, record, self._clock.now_ms())
         if not self._is_usable(item, is_repeatable=True):
             connection.close()
+            self._closed.add(record.server_id, _Source.TOO_OLD)
             return
         idle = self._idle.setdefault(record.server_id, [])
         idle.append(item)
@@ -231,13 +187,19 @@
 
     def close_idle(self, server_id: str) -> None:
         """Close the idle connections to a server."""
-        for item in self._idle.pop(server_id, []):
+        idle = self._idle.pop(server_id, [])
+        for item in idle:
             item.connection.close()
+        self._closed.on_process_gone(server_id, len(idle))
 
     def make_connection(
-        self, record: backend_directory.ServerRecord
+        self,
+        record: backend_directory.ServerRecord,
+        source: connection_source.ConnectionSource,
     ) -> backend_connection.BackendConnection:
         """Return a connection that returns to the pool when it is idle."""
+        if self._on_opened is not None:
+            self._on_opened(source)
 
         def on_idle(item: backend_connection.BackendConnection) -> None:
             self.on_idle(record, item)
@@ -248,9 +210,11 @@
         def on_response(item: backend_connection.BackendConnection) -> None:
             self._on_response(record, item)
 
-        return backend_connection.BackendConnection(
+        connection = backend_connection.BackendConnection(
             self._echo_field, on_idle, on_lost, on_response
         )
+        connection.source = source
+        return connection
 
     def call_soon(self, function: Any, *args: object) -> None:
         """Call a function in the next reactor turn."""
@@ -259,9 +223,12 @@
     def _connect(
         self,
         record: backend_directory.ServerRecord,
-        waiter: ConnectionWaiter,
+        waiter: backend_connector.ConnectionWaiter,
+        source: connection_source.ConnectionSource,
     ) -> Callable[[], None]:
-        factory = _Connector(self, record, waiter)
+        factory = backend_connector.BackendConnector(
+            self, record, waiter, source
+        )
         factory.connector = self._reactor.connectTCP(
             record.host,
             record.port,
@@ -327,7 +294,10 @@
             if since_ms <= RESET_WINDOW_MS:
                 self._on_reset(record, connection, reuse.idle_ms)
         idle = self._idle.get(record.server_id, [])
-        idle[:] = [item for item in idle if item.connection is not connection]
+        kept = [item for item in idle if item.connection is not connection]
+        if len(kept) < len(idle):
+            self._closed.add(record.server_id, _Source.TOO_OLD)
+            idle[:] = kept
 
 
 def max_idle(max_connections: int, slots: int, entries: int) -> int:
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import connection_source
     from balsamwall.gateway import speed_metrics
     from balsamwall.results import result_code
 
@@ -27,6 +28,7 @@
 
     __slots__ = (
         "_attempts",
+        "_connections",
         "_dropped_lines",
         "_durations",
         "_first_responses",
@@ -63,6 +65,12 @@
             ("reason",),
             registry=self._registry,
         )
+        self._connections = prometheus_client.Counter(
+            "balsamwall_gateway_connections_opened",
+            "Connections opened to backend servers, by reason",
+            ("reason",),
+            registry=self._registry,
+        )
         self._permits = prometheus_client.Counter(
             "balsamwall_gateway_permits",
             "Decisions on requests to servers with a limit",
@@ -116,6 +124,10 @@
         """Count a request that is sent to a server."""
         self._sends.labels(reason).inc()
 
+    def count_opened(self, source: connection_source.ConnectionSource) -> None:
+        """Count a new connection to a server by the reason for it."""
+        self._connections.labels(source.value).inc()
+
     def count_permit(self, is_granted: bool) -> None:
         """Count a decision on a request to a server with a limit."""
         self._permits.labels("granted" if is_granted else "denied").inc()
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import connection_source
     from balsamwall.gateway import quota_gate
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import request_handler
@@ -33,6 +34,7 @@
         "_pending_tokens",
         "_quota",
         "_service",
+        "connection",
         "current",
         "event_deadline",
         "history",
@@ -64,6 +66,8 @@
         self.history = retry_policy.AttemptHistory()
         self.meter: stream_meter.StreamMeter | None = None  # of the last send
         self.sends = 0
+        # Connection of the last attempt that has ended.
+        self.connection: connection_source.ConnectionSource | None = None
 
     def send(self, server: backend_directory.BackendServer) -> None:
         """Send the request to a server as the current attempt."""
@@ -166,6 +170,7 @@
         self.event_deadline.stop()
         self.release_pending_tokens()
         self.current = None
+        self.connection = attempt.source
         attempt.server.on_ended()
 
     def _on_stalled(self) -> None:
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -9,6 +9,7 @@
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import authentication
+from balsamwall.gateway import connection_source
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import request_priority
 from balsamwall.gateway import residency_waits
@@ -318,6 +319,7 @@
             served_ms = duration_ms - handler.waited_ms
             self.forecast.on_stream_ended(server.record.service, served_ms)
         current = self._configuration.current
+        source = handler.attempts.connection
         self.log.write(
             "request_over",
             request=handler.request_id,
@@ -340,6 +342,10 @@
             else None,
             prompt_tokens=handler.request.prompt_tokens,
             sends=handler.attempts.sends,
+            is_reused=source is connection_source.ConnectionSource.REUSED
+            if source
+            else None,
+            connection=source.value if source else None,
             framing=handler.body.framing.value
             if handler.body.framing
             else None,
