Bound the bytes held for the bodies of requests

A body of up to 4 MiB was held for each connection from its first byte to the end of its response, with no bound on the total, and once more for each send that a slow server had not read. Callers that send at once, or servers that respond late, could exceed the 160 MB of the smallest VM.

HeldBodies counts every body until its last user releases it, and bounds the total to 32 MiB: callers are read later, or refused with INSUFFICIENT_MEMORY (503, not run). A body is released when no failure allows another send. RequestWriter writes piece by piece, and a server that has not read the whole request at the deadline is not counted as failing. The reading part moves from caller_connection.py to request_reader.py, the digests and proofs from request_handler.py to request_content.py.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -19,6 +19,7 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import connection_pool
+    from balsamwall.gateway import held_bodies
     from balsamwall.gateway import http_fields
     from balsamwall.gateway import server_limits
     from balsamwall.gateway import stream_meter
@@ -53,7 +54,7 @@
     method: bytes
     target: bytes
     fields: http_fields.Fields
-    body: bytes
+    body: held_bodies.HeldBody
     attempt_id: bytes
 
 
@@ -67,8 +68,8 @@
     """Return the caller's request with the header fields of one attempt."""
     head, body = exchange.head, exchange.body
     fields = codec.forwarded_fields(head, has_workspaces) + attempt_fields
-    if body or head.method in METHODS_WITH_BODY:
-        fields.append((b"content-length", str(len(body)).encode()))
+    if body.size or head.method in METHODS_WITH_BODY:
+        fields.append((b"content-length", str(body.size).encode()))
     return OutgoingRequest(head.method, head.target, fields, body, attempt_id)
 
 
@@ -79,6 +80,9 @@
     the attempt is abandoned or detached.
     """
 
+    def on_written(self, attempt: Attempt) -> None:
+        """Handle that the body was written in full."""
+
     def on_response_head(
         self, attempt: Attempt, status: int, fields: http_fields.Fields
     ) -> None:
@@ -141,6 +145,8 @@
         self._codec = codec
         self._limits = limits
         self._outgoing = outgoing
+        # Held while connecting, also when the caller has gone.
+        outgoing.body.retain(self)
         self._listener: AttemptListener | None = listener
         self._refusal = ""
         self._unread = unread_time.UnreadTime()
@@ -165,6 +171,11 @@
         """Return whether the connection had been used before."""
         return self.source is connection_source.ConnectionSource.REUSED
 
+    @property
+    def is_written(self) -> bool:
+        """Return whether the request was written in full."""
+        return self._connection is not None and self._connection.is_written
+
     @property
     def break_failure(self) -> AttemptFailure:
         """Return the failure of a response that breaks off now."""
@@ -196,6 +207,7 @@
             self._connection.close()
         elif self._cancel_connect is not None:
             self._cancel_connect()
+        self._outgoing.body.release(self)
 
     def detach(self, timeout_ms: int) -> None:
         """Let the server finish; the listener is not called again."""
@@ -234,15 +246,22 @@
             outgoing.body,
             self,
         )
+        outgoing.body.release(self)
         if self._is_blocked:
             self.set_blocked(True)
 
     def on_not_connected(self, detail: str) -> None:
         """Report that no connection was made and nothing was sent."""
+        self._outgoing.body.release(self)
         self._fail(AttemptFailure.NOT_CONNECTED, detail)
 
     # ResponseReceiver
 
+    def on_written(self) -> None:
+        """Pass on that the body was written in full."""
+        if self._listener is not None:
+            self._listener.on_written(self)
+
     def on_head(
         self,
         status: int,
@@ -329,6 +348,7 @@
             self._connection.close()
         elif self._cancel_connect is not None:
             self._cancel_connect()
+            self._outgoing.body.release(self)
         if self._refusal:
             self._fail(AttemptFailure.NOT_RUN, self._refusal)
 
--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -16,10 +16,13 @@
 from balsamwall.gateway import body_framing
 from balsamwall.gateway import connection_source
 from balsamwall.gateway import http_fields
+from balsamwall.gateway import request_writer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import held_bodies
+
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # A VM that loses power does not reset its connections. They are closed when
 # sent bytes or keepalive probes are not acknowledged for this long.
@@ -45,6 +48,9 @@
     def attempt_id(self) -> bytes:
         """Return the identifier that the response must echo."""
 
+    def on_written(self) -> None:
+        """Handle that the body was written in full, if there is one."""
+
     def on_head(
         self,
         status: int,
@@ -85,6 +91,7 @@
         )
         self._is_stale_response = False
         self._has_response = False
+        self._writer: request_writer.RequestWriter | None = None
         self._framing = body_framing.BodyFraming.LENGTH
         self.is_lost = False
         self.idle_limit_ms: int | None = None
@@ -103,6 +110,11 @@
         """Return whether a request was sent and nothing was received since."""
         return self._receiver is not None and not self._has_response
 
+    @property
+    def is_written(self) -> bool:
+        """Return whether the current request was written in full."""
+        return self._writer is None
+
     @staticmethod
     def _new_parser() -> h11.Connection:
         return h11.Connection(
@@ -127,7 +139,7 @@
         method: bytes,
         target: bytes,
         fields: http_fields.Fields,
-        body: bytes,
+        body: held_bodies.HeldBody,
         receiver: ResponseReceiver,
     ) -> None:
         """Write a request; its response goes to the receiver."""
@@ -138,15 +150,24 @@
         self._request = h11.Request(
             method=method, target=target, headers=fields
         )
-        parts = [self._parser.send(self._request)]
-        if body:
-            parts.append(self._parser.send(h11.Data(data=body)))
-        parts.append(self._parser.send(h11.EndOfMessage()))
-        self.transport.write(b"".join(part for part in parts if part))
+        head = self._parser.send(self._request) or b""
+        if not body.size:
+            self._parser.send(h11.EndOfMessage())
+            self.transport.write(head)
+            return
+        # With a length, the body is written as it is.
+        data = self._parser.send(h11.Data(data=body.data)) or b""
+        self._parser.send(h11.EndOfMessage())
+        self._writer = request_writer.RequestWriter(
+            self.transport, data, body, self._on_written
+        )
+        self._writer.start(head)
 
     def close(self) -> None:
         """Abort the connection; the receiver is not called again."""
         self._receiver = None
+        if self._writer is not None:
+            self._writer.stopProducing()
         if not self.is_lost:
             self.transport.abortConnection()
 
@@ -234,6 +255,8 @@
         extra, _ = self._parser.trailing_data
         is_reusable = not extra and self._parser.their_state is h11.DONE
         is_reusable = is_reusable and self._parser.our_state is h11.DONE
+        # The rest of a body that the server does not want is not written.
+        is_reusable = is_reusable and self.is_written
         if is_reusable and not self.is_lost:
             self._parser.start_next_cycle()
             # The caller may not have read the last part yet. A connection that
@@ -245,6 +268,11 @@
         if receiver is not None:
             receiver.on_end()
 
+    def _on_written(self) -> None:
+        self._writer = None
+        if self._receiver is not None:
+            self._receiver.on_written()
+
     def _skip_stale_response(self) -> None:
         """Discard a response to an earlier request and parse the next one."""
         rest, is_closed = self._parser.trailing_data
--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -12,18 +12,18 @@
 from twisted.internet import protocol
 from zope.interface import declarations
 
-from balsamwall.gateway import caller_exchange
-from balsamwall.gateway import request_head_check
+from balsamwall.gateway import refusal
+from balsamwall.gateway import request_reader
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from balsamwall.gateway import gateway_configuration
+    from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import held_bodies
     from balsamwall.gateway import unsent_bytes
+    from balsamwall.results import result_code
     from balsamwall.timing import clock as clock_module
 
-# Pipelined bytes buffered during a response; reading is paused beyond this.
-MAX_PIPELINED_BYTES = 65_536
 # Unsent bytes at which the transport pauses the response.
 SEND_BUFFER_BYTES = 65_536
 # The server closes an idle connection later than callers stop reusing it, so
@@ -39,17 +39,9 @@
 MIN_IDLE_MS = 500
 
 
-class CallerSite(TypingProtocol):
+class CallerSite(request_reader.ReaderSite, TypingProtocol):
     """Own the callers' connections."""
 
-    @property
-    def clock(self) -> clock_module.Clock:
-        """Return the clock."""
-
-    @property
-    def limits(self) -> gateway_configuration.CallerLimits:
-        """Return the active limits."""
-
     @property
     def unsent(self) -> unsent_bytes.UnsentBytes:
         """Return the count of bytes held for callers that do not read."""
@@ -85,16 +77,11 @@
             h11.SERVER,
             max_incomplete_event_size=site.limits.max_header_bytes,
         )
-        self._head: caller_exchange.RequestHead | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._arrived_ms: int | None = None
+        self._reader = request_reader.RequestReader(site, self._parser, self)
         self._idle_since_ms = 0
         self._listener: caller_exchange.ExchangeListener | None = None
         self._timer: clock_module.Timer | None = None
         self._is_lost = False
-        self._is_responding = False
-        self._is_reading_paused = False
         self._is_blocked = False
         self._is_closing = False
 
@@ -108,120 +95,64 @@
         self._wait_idle()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parse received bytes; buffer them while a response is written."""
-        if self._is_closing:
-            return
-        if self._arrived_ms is None:
-            self._arrived_ms = self._site.clock.now_ms()
-            self._set_timer(
-                self._site.limits.header_timeout_ms, self._on_read_timeout
-            )
-        self._parser.receive_data(data)
-        if self._is_responding:
-            self._limit_pipelined()
-            return
-        self._read_events()
+        """Pass received bytes to the reader."""
+        if not self._is_closing:
+            self._reader.receive(data)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Notify the site and the request that the caller disconnected."""
         self._is_lost = True
-        self._cancel_timer()
+        self.cancel_timer()
         self._site.unsent.remove(self)
         self._site.on_closed(self)
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.on_caller_disconnected()
+        self._reader.release_body()
 
-    def _read_events(self) -> None:
-        try:
-            while not (
-                self._is_responding or self._is_lost or self._is_closing
-            ):
-                event = self._parser.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                self._on_event(event)
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
-
-    def _on_event(self, event: Any) -> None:
-        if isinstance(event, h11.Request):
-            self._on_head(event)
-        elif isinstance(event, h11.Data):
-            self._on_data(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            self._on_end()
-        elif isinstance(event, h11.ConnectionClosed):
-            self._close()
-
-    def _on_head(self, event: Any) -> None:
-        fields = [(bytes(n), bytes(v)) for n, v in event.headers]
-        fault = request_head_check.find_fault(
-            fields,
-            bytes(event.http_version),
-            self._site.limits.max_body_bytes,
-        )
-        if fault is not None:
-            self._reject(fault.status, fault.reason)
-            return
-        self._head = caller_exchange.RequestHead(
-            bytes(event.method), bytes(event.target), fields
-        )
-        self._body = []
-        self._body_bytes = 0
-        if self._parser.they_are_waiting_for_100_continue:
-            self._send(h11.InformationalResponse(status_code=100, headers=[]))
-        self._set_timer(
-            self._site.limits.idle_timeout_ms, self._on_read_timeout
-        )
+    @property
+    def is_ended(self) -> bool:
+        """Return whether nothing more may be read."""
+        return self._is_lost or self._is_closing
 
-    def _on_data(self, data: bytes) -> None:
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._site.limits.max_body_bytes:
-            self._reject(
-                413,
-                f"request body of over {self._body_bytes} bytes",
-            )
-
-    def _on_end(self) -> None:
-        self._cancel_timer()
-        self._is_responding = True
+    def on_request_read(self) -> None:
+        """Handle a request that was read completely."""
         self._site.on_request(self)
 
-    def _limit_pipelined(self) -> None:
-        waiting, _ = self._parser.trailing_data
-        if len(waiting) > MAX_PIPELINED_BYTES and not self._is_reading_paused:
-            self._is_reading_paused = True
-            self.transport.pauseProducing()
+    def on_read_timeout(self) -> None:
+        """Handle a request that takes too long."""
+        self.reject(408, "timeout while reading the request")
 
     # Exchange
 
     @property
     def head(self) -> caller_exchange.RequestHead:
         """Return the request line and fields."""
-        assert self._head is not None
-        return self._head
+        return self._reader.head
 
     @property
-    def body(self) -> bytes:
+    def body(self) -> held_bodies.HeldBody:
         """Return the complete body."""
-        return b"".join(self._body)
+        return self._reader.body
 
     @property
     def arrived_ms(self) -> int:
         """Return when the first byte of the request was read."""
-        return self._arrived_ms or 0
+        return self._reader.arrived_ms or 0
 
     @property
-    def is_idle(self) -> bool:
-        """Return whether no request is being read or responded to."""
-        return not self._is_responding and self._arrived_ms is None
+    def listener(self) -> caller_exchange.ExchangeListener | None:
+        """Return the handler of the request, if it has one."""
+        return self._listener
 
     def set_listener(self, listener: caller_exchange.ExchangeListener) -> None:
         """Set the handler of the request."""
         self._listener = listener
 
+    def release_body(self) -> None:
+        """Release the body, which will not be sent again."""
+        self._reader.release_body()
+
     def begin(
         self,
         status: int,
@@ -236,17 +167,17 @@
         headers = list(fields)
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
-        if self._site.is_closing:
+        if self._site.is_closing or not self._reader.is_complete:
             headers.append((b"connection", b"close"))
-        self._send(h11.Response(status_code=status, headers=headers))
+        self.send(h11.Response(status_code=status, headers=headers))
 
     def write(self, data: bytes) -> None:
         """Write a part of the body."""
-        self._send(h11.Data(data=data))
+        self.send(h11.Data(data=data))
 
     def finish(self) -> None:
         """End a complete response."""
-        if not self._send(h11.EndOfMessage()):
+        if not self.send(h11.EndOfMessage()):
             return
         self._next_request()
 
@@ -259,17 +190,18 @@
             # HTTP/1.0 has no chunked coding, so a clean close would look like
             # the end of the body. A reset does not.
             self._is_closing = True
-            self._set_timer(FLUSH_BEFORE_ABORT_MS, self.abort)
+            self.set_timer(FLUSH_BEFORE_ABORT_MS, self.abort)
             return
-        self._close()
+        self.close()
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is open or on its way."""
         if self._is_closing:
             return
         idle_ms = self._site.clock.now_ms() - self._idle_since_ms
-        if self.is_idle and idle_ms >= MIN_IDLE_MS and not self._has_unread():
-            self._close()
+        is_idle = self._reader.is_idle and idle_ms >= MIN_IDLE_MS
+        if is_idle and not self._has_unread():
+            self.close()
 
     def abort(self) -> None:
         """Abort the connection without flushing."""
@@ -278,28 +210,22 @@
 
     def _next_request(self) -> None:
         self._listener = None
-        self._head = None
-        self._body = []
-        self._is_responding = False
-        self._arrived_ms = None
+        self._reader.end_request()
         if self._parser.our_state is h11.MUST_CLOSE or self._site.is_closing:
-            self._close()
+            self.close()
             return
         try:
             self._parser.start_next_cycle()
         except h11.LocalProtocolError:
             # The caller asked to close, or its request was not read entirely.
-            self._close()
+            self.close()
             return
-        if self._is_reading_paused:
-            self._is_reading_paused = False
-            self.transport.resumeProducing()
-        if self._parser.trailing_data[0]:
-            self._arrived_ms = self._site.clock.now_ms()
+        self._reader.start_next()
         self._wait_idle()
-        self._read_events()
+        self._reader.read_events()
 
-    def _send(self, event: Any) -> bool:
+    def send(self, event: Any) -> bool:
+        """Write an event of the parser; return whether it was possible."""
         if self._is_lost:
             return False
         data = self._parser.send(event)
@@ -309,9 +235,15 @@
                 self._site.unsent.add(self, len(data))
         return True
 
-    def _reject(self, status: int, reason: str) -> None:
+    def refuse(self, code: result_code.ResultCode, detail: str) -> None:
+        """Refuse a request that is not read and close the connection."""
+        self.cancel_timer()
+        self._site.on_rejected(code.http_status, detail)
+        refusal.write(self, code, detail)
+
+    def reject(self, status: int, reason: str) -> None:
         """Respond to a bad request with an error and close the connection."""
-        self._cancel_timer()
+        self.cancel_timer()
         self._site.on_rejected(status, reason)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             text = reason.encode("latin-1", "replace")
@@ -320,10 +252,10 @@
                 (b"content-type", b"text/plain"),
                 (b"connection", b"close"),
             ]
-            self._send(h11.Response(status_code=status, headers=head))
-            self._send(h11.Data(data=text))
-            self._send(h11.EndOfMessage())
-        self._close()
+            self.send(h11.Response(status_code=status, headers=head))
+            self.send(h11.Data(data=text))
+            self.send(h11.EndOfMessage())
+        self.close()
 
     # Back-pressure and timeouts
 
@@ -345,8 +277,10 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing, since connectionLost follows."""
 
-    def _close(self) -> None:
-        self._cancel_timer()
+    def close(self) -> None:
+        """Close the connection after its last response was read."""
+        self.cancel_timer()
+        self._reader.release_body()
         if self._is_lost:
             return
         self._is_closing = True
@@ -359,7 +293,7 @@
             self.transport.loseWriteConnection()
         else:
             self.transport.loseConnection()
-        self._set_timer(CLOSE_TIMEOUT_MS, self.abort)
+        self.set_timer(CLOSE_TIMEOUT_MS, self.abort)
 
     def _has_unread(self) -> bool:
         """Return whether bytes have arrived that were not read yet.
@@ -375,7 +309,7 @@
 
     def _wait_idle(self) -> None:
         self._idle_since_ms = self._site.clock.now_ms()
-        self._set_timer(
+        self.set_timer(
             self._site.limits.idle_timeout_ms + IDLE_MARGIN_MS,
             self._on_idle_timeout,
         )
@@ -384,16 +318,15 @@
         if self._has_unread():
             self._wait_idle()
         else:
-            self._close()
-
-    def _on_read_timeout(self) -> None:
-        self._reject(408, "timeout while reading the request")
+            self.close()
 
-    def _set_timer(self, delay_ms: int, function: Any) -> None:
-        self._cancel_timer()
+    def set_timer(self, delay_ms: int, function: Any) -> None:
+        """Replace the timer of the connection."""
+        self.cancel_timer()
         self._timer = self._site.clock.call_later(delay_ms, function)
 
-    def _cancel_timer(self) -> None:
+    def cancel_timer(self) -> None:
+        """Cancel the timer of the connection."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/src/balsamwall/gateway/caller_exchange.py
+++ b/src/balsamwall/gateway/caller_exchange.py
@@ -9,7 +9,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from balsamwall.gateway import held_bodies
     from balsamwall.gateway import http_fields
+    from balsamwall.results import result_code
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -35,6 +37,15 @@
     def on_caller_blocked(self, is_blocked: bool) -> None:
         """Handle that the caller stopped or resumed reading the response."""
 
+    def refuse_unsent(self, code: result_code.ResultCode, detail: str) -> bool:
+        """Refuse the request unless it is sent; return whether it was."""
+
+    def drop_body(self) -> bool:
+        """Release the body if it is kept only for a certified refusal.
+
+        Return whether it was released.
+        """
+
 
 class CallerExchange(Protocol):
     """Hold the request of a caller and write its response."""
@@ -44,7 +55,7 @@
         """Return the request line and fields."""
 
     @property
-    def body(self) -> bytes:
+    def body(self) -> held_bodies.HeldBody:
         """Return the complete body."""
 
     @property
@@ -54,6 +65,9 @@
     def set_listener(self, listener: ExchangeListener) -> None:
         """Set the handler of the request."""
 
+    def release_body(self) -> None:
+        """Release the body, which will not be sent again."""
+
     def begin(
         self,
         status: int,
--- a/src/balsamwall/gateway/gateway.py
+++ b/src/balsamwall/gateway/gateway.py
@@ -6,9 +6,11 @@
 
 from balsamwall.gateway import authentication
 from balsamwall.gateway import gateway_configuration
+from balsamwall.gateway import held_bodies
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_handler
 from balsamwall.gateway import unsent_bytes
+from balsamwall.gateway import wait_policy
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -35,6 +37,7 @@
 FLUSH_DELAY_MS = 150
 # The drain ends this long before the platform kills the process.
 KILL_MARGIN_MS = 500
+_LEAVING_DETAIL = "this entry is shutting down"
 
 
 class Gateway:
@@ -50,6 +53,7 @@
         "_dependencies",
         "_random",
         "_handlers",
+        "bodies",
         "unsent",
     )
 
@@ -62,6 +66,10 @@
         self._dependencies = dependencies
         self._configuration = configuration
         self.unsent = unsent_bytes.UnsentBytes(dependencies.log)
+        self.bodies = held_bodies.HeldBodies(
+            dependencies.clock, dependencies.log
+        )
+        dependencies.metrics.watch_bodies(lambda: self.bodies.total)
         self._random = random_source
         self._handlers: set[request_handler.RequestHandler] = set()
         self._connections: set[caller_connection.CallerConnection] = set()
@@ -148,6 +156,22 @@
             "request_rejected", status=status, reason=reason
         )
 
+    def body_wait_ms(self, head: caller_exchange.RequestHead) -> int:
+        """Return how long after its arrival a request may still be read.
+
+        Half of the caller's timeout is left to serve it, or for a retry at
+        another entry. A request that will be refused does not wait.
+        """
+        request = self._dependencies.codec.decode(head)
+        try:
+            route = self._find_route(request, head.path)
+        except refusal.RefusalError:
+            return 0
+        timeout_ms = route.caller_timeout_ms
+        if request.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, request.deadline_ms)
+        return wait_policy.half_timeout_ms(timeout_ms)
+
     def on_request(self, exchange: caller_exchange.CallerExchange) -> None:
         """Route a complete request and start its handler, or refuse it."""
         request = self._dependencies.codec.decode(exchange.head)
@@ -162,7 +186,7 @@
                 exchange,
                 request,
                 _Code.LEAVING,
-                "this entry is shutting down",
+                _LEAVING_DETAIL,
                 workspace,
             )
             return
@@ -303,7 +327,7 @@
         if since_ms >= STREAM_CUTOFF_MS:
             # The callers still have time to retry at another entry.
             for handler in list(self._handlers):
-                handler.refuse_unsent()
+                handler.refuse_unsent(_Code.LEAVING, _LEAVING_DETAIL)
         if since_ms >= self._drain_ms:
             for handler in list(self._handlers):
                 handler.terminate()
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "_attempts",
+        "_body_bytes",
         "_connections",
         "_dropped_lines",
         "_durations",
@@ -88,6 +89,11 @@
             "Log lines that were dropped because nobody read them",
             registry=self._registry,
         )
+        self._body_bytes = prometheus_client.Gauge(
+            "balsamwall_gateway_body_bytes",
+            "Bytes held for the bodies of requests",
+            registry=self._registry,
+        )
         self._first_responses = self._histogram(
             "balsamwall_gateway_first_answer_seconds",
             "Time from the first byte of a request to the head of its answer",
@@ -101,6 +107,10 @@
         """Export the number of log lines dropped for a slow reader."""
         self._dropped_lines.set_function(count_dropped)
 
+    def watch_bodies(self, count_bytes: Callable[[], int]) -> None:
+        """Export the bytes held for the bodies of requests."""
+        self._body_bytes.set_function(count_bytes)
+
     def watch_speeds(self, collector: speed_metrics.SpeedCollector) -> None:
         """Export the learned speeds of servers."""
         self._registry.register(collector)
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -30,6 +30,7 @@
         "_dependencies",
         "_exchange",
         "_handler",
+        "_has_response",
         "_is_blocked",
         "_pending_tokens",
         "_quota",
@@ -55,6 +56,7 @@
         self._exchange = exchange
         self._service = service
         self._quota = quota
+        self._has_response = False  # of the current attempt, for the caller
         self._is_blocked = False  # whether the caller does not read
         self._pending_tokens = 0
         self.current: attempt_module.Attempt | None = None
@@ -90,6 +92,7 @@
             "resume" if handler.has_begun else reason
         )
         self.sends += 1
+        self._has_response = False
         handler.body.on_sent()
         self.current = attempt
         server.on_sent()
@@ -111,6 +114,8 @@
     def may_retry(self, failure: attempt_module.AttemptFailure) -> bool:
         """Record a failed attempt; return whether to send again."""
         self.history.record_failure(failure)
+        if not self._exchange.body.may_be_sent:
+            return False
         return self._dependencies.retry_policy.may_retry(
             self._handler.route,
             self.history,
@@ -119,6 +124,55 @@
             self._dependencies.retry_budget_for(self._service),
         )
 
+    def on_begun(self) -> None:
+        """Record that the response has begun."""
+        self._has_response = True
+        self.release_pending_tokens()
+        self.release_body()
+
+    def release_body(self) -> None:
+        """Release the caller's body if no failure allows another send.
+
+        A response that has begun is only continued on another server.
+        """
+        handler = self._handler
+        is_last = handler.has_begun and not handler.body.is_resumable
+        if is_last or not self._dependencies.retry_policy.may_send_again(
+            handler.route, self.history, handler.left_ms, self._has_response
+        ):
+            self._release_body()
+
+    def drop_body(self) -> bool:
+        """Release a body that is kept only for a certified refusal.
+
+        Return whether it was released.
+        """
+        attempt, body = self.current, self._exchange.body
+        if attempt is None or not attempt.is_written or not body.size:
+            return False
+        if self._handler.route.is_repeatable or not body.may_be_sent:
+            return False
+        self._release_body()
+        return True
+
+    def _release_body(self) -> None:
+        if self._exchange.body.size:
+            # They are computed from the body, and may be needed later.
+            self._handler.content.compute()
+        self._exchange.release_body()
+
+    def on_deadline(self) -> None:
+        """Cancel the current attempt, since its response is late.
+
+        A server that has not read the whole request fails this request only:
+        large bodies say little about how it serves others.
+        """
+        attempt, has_begun = self.current, self._handler.has_begun
+        is_unread = (
+            attempt is not None and attempt.is_sent and not attempt.is_written
+        )
+        self.abandon(is_failure=not has_begun and not is_unread)
+
     def finish(self, is_failure: bool) -> None:
         """Record the outcome of the current attempt and clear it."""
         attempt = self.current
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -6,12 +6,12 @@
 
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import event_relay
-from balsamwall.gateway import fingerprints as fingerprints_module
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import incoming_request
 from balsamwall.gateway import quota_gate
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_attempts
+from balsamwall.gateway import request_content
 from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import response_body
 from balsamwall.gateway import stream_progress
@@ -22,6 +22,7 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import fingerprints as fingerprints_module
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_choice
@@ -48,7 +49,6 @@
         "_end_ms",
         "_dispatch",
         "_exchange",
-        "_fingerprints",
         "_has_begun",
         "_is_finished",
         "_on_finished",
@@ -57,6 +57,7 @@
         "_service",
         "attempts",
         "body",
+        "content",
         "progress",
         "request",
         "route",
@@ -83,8 +84,9 @@
         self._has_begun = False
         self.progress = stream_progress.StreamProgress()
         self._is_finished = False
-        self._fingerprints: fingerprints_module.RequestFingerprints | None
-        self._fingerprints = None
+        self.content = request_content.RequestContent(
+            dependencies, exchange, request
+        )
         self.body = response_body.ResponseBody(route, request.resumes_after)
         wait_ms = route.timeout_ms
         if request.deadline_ms is not None:
@@ -105,13 +107,7 @@
     @property
     def fingerprints(self) -> fingerprints_module.RequestFingerprints:
         """Return digests of the request and of the parts of its prompt."""
-        if self._fingerprints is None:
-            self._fingerprints = fingerprints_module.of_request(
-                self._exchange.head,
-                self._exchange.body,
-                self.request,
-            )
-        return self._fingerprints
+        return self.content.compute()
 
     @property
     def choice(self) -> server_choice.Choice | None:
@@ -211,6 +207,11 @@
             return
         self.attempts.send(server)
 
+    def on_written(self, attempt: attempt_module.Attempt) -> None:
+        """Release the body if it will not be sent again."""
+        if attempt is self.attempts.current:
+            self.attempts.release_body()
+
     def on_response_head(
         self,
         attempt: attempt_module.Attempt,
@@ -259,7 +260,7 @@
         the loss of this process does not look like its end.
         """
         self._has_begun = True
-        self.attempts.release_pending_tokens()
+        self.attempts.on_begun()
         self._dependencies.on_first_response(self)
         length = None
         if not self.body.is_event_stream:
@@ -308,7 +309,7 @@
             self.progress.record(now_ms, self._arrived_ms)
             self._exchange.write(data)
             if self.body.has_gone_on(now_ms):
-                self._prove()
+                self.content.prove(self.body)
 
     def on_done(self, attempt: attempt_module.Attempt) -> None:
         """Finish a complete response, or handle a stream that is not whole."""
@@ -321,22 +322,10 @@
         is_failure = attempt.status >= SERVER_ERROR_STATUS
         self.attempts.finish(is_failure)
         if not is_failure:
-            self._prove()
+            self.content.prove(self.body)
         self._exchange.finish()
         self._finish(_Code.OK, f"status {attempt.status}", attempt.server)
 
-    def _prove(self) -> None:
-        """Record that the request does not crash servers, once a response."""
-        if self.body.is_proven:
-            return
-        self.body.is_proven = True
-        first_data_ms = self.body.first_data_ms
-        if first_data_ms is None:
-            first_data_ms = self._dependencies.clock.now_ms()
-        self._dependencies.suspects.on_proven(
-            self.fingerprints.all, first_data_ms
-        )
-
     def on_failed(
         self,
         attempt: attempt_module.Attempt,
@@ -372,7 +361,7 @@
 
     def on_deadline(self) -> None:
         """End the request with what is known of its outcome."""
-        self.attempts.abandon(is_failure=not self._has_begun)
+        self.attempts.on_deadline()
         if self._has_begun:
             self._cut(
                 _Code.DEADLINE_EXCEEDED,
@@ -381,15 +370,21 @@
         else:
             self._refuse(_Code.DEADLINE_EXCEEDED, "deadline exceeded")
 
-    def refuse_unsent(self) -> None:
+    def refuse_unsent(self, code: _Code, detail: str) -> bool:
         """Refuse the request if it is queued or about to be retried.
 
-        It is called when the entry is draining. A running attempt and a
-        response that has begun are left alone.
+        A running attempt and a response that has begun are left alone. Return
+        whether it was refused.
         """
-        if self.attempts.current is None and not self._has_begun:
-            self._dispatch.stop_wait()
-            self._refuse(_Code.LEAVING, "this entry is shutting down")
+        if self._is_finished or self._has_begun or self.attempts.current:
+            return False
+        self._dispatch.stop_wait()
+        self._refuse(code, detail)
+        return True
+
+    def drop_body(self) -> bool:
+        """Release the body if it is kept only for a certified refusal."""
+        return self.attempts.drop_body()
 
     def terminate(self) -> None:
         """End the request in any state, since the process is exiting."""
--- a/src/balsamwall/gateway/retry_policy.py
+++ b/src/balsamwall/gateway/retry_policy.py
@@ -76,3 +76,23 @@
         ):
             return False
         return budget.take()
+
+    def may_send_again(
+        self,
+        route: route_module.Route,
+        history: AttemptHistory,
+        remaining_ms: int,
+        has_response: bool,
+    ) -> bool:
+        """Return whether any failure of the current attempt allows a retry.
+
+        A request that must not be repeated is sent again if the server
+        certifies that it has not run, which a response excludes.
+        """
+        if remaining_ms < MIN_REMAINING_MS:
+            return False
+        if not has_response and history.refused + 1 < MAX_REFUSED_ATTEMPTS:
+            return True
+        return route.is_repeatable and (
+            history.possible_runs + 1 < route.attempts
+        )
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -10,9 +10,11 @@
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import caller_connection
 from balsamwall.gateway import gateway_configuration
+from balsamwall.gateway import held_bodies
 from balsamwall.gateway import unsent_bytes
 from balsamwall.logs import decision_log
 from balsamwall.timing import virtual_clock
+from tests.fixtures import gateway_harness
 from tests.fixtures import recording_transport
 
 HEAD = b"POST /a/1 HTTP/1.1\r\nHost: h\r\n"
@@ -25,6 +27,9 @@
         self.clock = virtual_clock.VirtualClock(start_ms=1_000)
         self.limits = gateway_configuration.CallerLimits(1_024, 1_000)
         self.is_closing = False
+        self.bodies = held_bodies.HeldBodies(
+            self.clock, decision_log.DecisionLog(self.clock)
+        )
         self.unsent = unsent_bytes.UnsentBytes(
             decision_log.DecisionLog(self.clock)
         )
@@ -38,7 +43,7 @@
         pass
 
     def on_request(self, exchange):
-        self.requests.append((exchange.head, exchange.body))
+        self.requests.append((exchange.head, exchange.body.data))
         self.exchange = exchange
 
     def on_rejected(self, status, reason):
@@ -185,6 +190,9 @@
         self.attempt_id = attempt_id
         self.events = []
 
+    def on_written(self):
+        pass
+
     def on_head(self, status, fields, framing):
         self.events.append(status)
 
@@ -212,7 +220,8 @@
         self.connection.makeConnection(self.transport)
         self.receiver = RecordingReceiver(b"q1")
         fields = [(b"host", b"h"), (b"content-length", b"2")]
-        self.connection.send(b"POST", b"/a", fields, b"ab", self.receiver)
+        body = gateway_harness.make_body(b"ab")
+        self.connection.send(b"POST", b"/a", fields, body, self.receiver)
 
     def receive(self, data):
         self.connection.dataReceived(data)
