Do not blame servers for requests that they have not read

TCP_USER_TIMEOUT ends a connection on which a server reads nothing for 3 s. The entry counted that as a failure of the server and made the request a crash suspect. Before that, the system took 3.9 MB of a body without any read, so that it was neither counted nor known to be unread.

A connection that breaks a second or more after the send, with the body not written in full, gives the failure not_read, which counts for this request only. TCP_NOTSENT_LOWAT limits what the system takes beyond the server's window to 64 KiB. The connection still ends after 3 s without a read, since that is how the loss of a VM is noticed.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -44,9 +44,14 @@
     INVALID = "invalid"  # unusable response; it may have run
     STALLED = "stalled"  # no event for too long; it may have run
     UNREAD = "unread"  # cut by the server while its caller did not read
+    NOT_READ = "not_read"  # broken while the server did not read the request
     ABANDONED = "abandoned"  # cancelled by this entry after it was sent
 
 
+# Failures that say nothing about how the server serves other requests.
+BLAMELESS = frozenset({AttemptFailure.UNREAD, AttemptFailure.NOT_READ})
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class OutgoingRequest:
     """Hold the request of one attempt, as it is sent to the server."""
@@ -178,9 +183,17 @@
 
     @property
     def break_failure(self) -> AttemptFailure:
-        """Return the failure of a response that breaks off now."""
-        if self._unread.explains_break(self._clock.now_ms()):
+        """Return the failure of a response that breaks off now.
+
+        A connection breaks when a server reads nothing for some seconds, and
+        a large body is not written in full then.
+        """
+        now_ms = self._clock.now_ms()
+        if self._unread.explains_break(now_ms):
             return AttemptFailure.UNREAD
+        is_late = now_ms - self.sent_ms >= unread_time.MIN_UNREAD_MS
+        if is_late and not self.is_written:
+            return AttemptFailure.NOT_READ
         return AttemptFailure.BROKEN
 
     def start(
--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -30,6 +30,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
+# The system takes no more bytes than the server has room for, and these. The
+# rest of a body is counted in the process.
+MAX_UNSENT_BYTES = 65_536
 # Number of earlier requests whose identifiers a connection remembers.
 REMEMBERED_REQUESTS = 32
 
@@ -131,6 +134,7 @@
             (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
             (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
             (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+            (socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES),
         ):
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -335,9 +335,8 @@
         """Retry, resume or fail the request."""
         if attempt is not self.attempts.current:
             return
-        is_unread = failure is attempt_module.AttemptFailure.UNREAD
-        self.attempts.finish(not is_unread)
-        if not is_unread:
+        self.attempts.finish(failure not in attempt_module.BLAMELESS)
+        if failure is not attempt_module.AttemptFailure.UNREAD:
             self._dispatch.exclude(attempt.server)
         self._dependencies.on_attempt_failed(self, attempt, failure, detail)
         if attempt.status == incoming_request.WRONG_SERVER_STATUS:
--- a/tests/gateway/test_request_bodies.py
+++ b/tests/gateway/test_request_bodies.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import socket
 import unittest
 from unittest import mock
 
 from twisted.internet import error
 from twisted.python import failure
 
+from balsamwall.gateway import backend_connection
 from balsamwall.gateway import caller_connection
 from balsamwall.gateway import held_bodies
 from balsamwall.gateway import request_writer
@@ -230,6 +232,25 @@
         self.assertEqual(bodies_sent(harness), 1)
         self.assertEqual(total(harness), 0)
 
+    def test_system_takes_little_of_a_body(self):
+        """Guards against whole bodies in buffers that nobody counts."""
+        connection = backend_connection.BackendConnection(
+            b"x-id", lambda item: None, lambda item: None
+        )
+        with (
+            socket.create_server(("127.0.0.1", 0)) as server,
+            socket.create_connection(server.getsockname()) as handle,
+        ):
+            connection.makeConnection(
+                mock.Mock(**{"getHandle.return_value": handle})
+            )
+            handle.setblocking(False)
+            taken = 0
+            with self.assertRaises(BlockingIOError):
+                while True:
+                    taken += handle.send(bytes(request_writer.PIECE_BYTES))
+        self.assertLess(taken, 8 * backend_connection.MAX_UNSENT_BYTES)
+
     def test_server_that_does_not_read_is_not_blamed(self):
         """Guards against servers ejected because of large bodies."""
         for is_stalled, share in ((True, 0.0), (False, 1.0)):
@@ -240,6 +261,24 @@
             shares = [server.failure_share for server in servers]
             self.assertEqual(max(shares) > 0.0, share > 0.0)
 
+    def test_connection_that_breaks_because_nothing_is_read(self):
+        """Guards against servers and content blamed for large bodies.
+
+        TCP_USER_TIMEOUT ends the connection before a long deadline.
+        """
+        for is_stalled, after_ms in ((True, 3_000), (True, 0), (False, 3_000)):
+            harness = make(is_stalled=is_stalled)
+            suspects = mock.Mock(harness.gateway.dependencies.suspects)
+            harness.gateway.dependencies.suspects = suspects
+            harness.clock.advance(after_ms)
+            lose(harness.server)
+            is_blamed = not (is_stalled and after_ms)
+            self.assertEqual(suspects.on_broken_response.called, is_blamed)
+            servers = harness.gateway.directory.all_servers()
+            share = max(server.failure_share for server in servers)
+            self.assertEqual(share > 0.0, is_blamed)
+            self.assertIn(b"HTTP/1.1 502", harness.transport.value())
+
     def test_connection_with_an_unread_body_is_not_reused(self):
         """Guards against the rest of a body that precedes a request."""
         harness = make(is_stalled=True)
