Refuse no request for want of memory that may have run

A request that waits for its next attempt after a broken one counted as unsent. Refused for want of memory, it would end with an unknown outcome.

HeldBodies refuses only requests that no server may have run; the refusal in a drain is unchanged.

--- a/src/balsamwall/gateway/caller_exchange.py
+++ b/src/balsamwall/gateway/caller_exchange.py
@@ -37,8 +37,11 @@
     def on_caller_blocked(self, is_blocked: bool) -> None:
         """Handle that the caller stopped or resumed reading the response."""
 
-    def refuse_unsent(self, code: result_code.ResultCode, detail: str) -> bool:
-        """Refuse the request unless it is sent; return whether it was."""
+    def refuse_unrun(self, code: result_code.ResultCode, detail: str) -> bool:
+        """Refuse the request unless a server may have run it.
+
+        Return whether it was refused.
+        """
 
     def drop_body(self) -> bool:
         """Release the body if it is kept only for a certified refusal.
--- a/src/balsamwall/gateway/held_bodies.py
+++ b/src/balsamwall/gateway/held_bodies.py
@@ -35,7 +35,10 @@
         """Resume reading."""
 
     def refuse_body(self) -> bool:
-        """Refuse the request unless it is sent; return whether it was."""
+        """Refuse the request unless a server may have run it.
+
+        Return whether it was refused.
+        """
 
     def drop_body(self) -> bool:
         """Release the body if the request is sent and must not be repeated.
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -381,6 +381,12 @@
         self._refuse(code, detail)
         return True
 
+    def refuse_unrun(self, code: _Code, detail: str) -> bool:
+        """Refuse the request unless a server may have run it."""
+        if self.attempts.history.may_have_run:
+            return False
+        return self.refuse_unsent(code, detail)
+
     def drop_body(self) -> bool:
         """Release the body if it is kept only for a certified refusal."""
         return self.attempts.drop_body()
--- a/src/balsamwall/gateway/request_reader.py
+++ b/src/balsamwall/gateway/request_reader.py
@@ -246,14 +246,14 @@
         self._connection.transport.resumeProducing()
 
     def refuse_body(self) -> bool:
-        """Refuse the request unless it is sent; return whether it was."""
+        """Refuse the request unless a server may have run it."""
         code = result_code.ResultCode.INSUFFICIENT_MEMORY
         detail = "no memory for the body of the request"
         if not self.is_complete:
             self._connection.refuse(code, detail)
             return True
         listener = self._connection.listener
-        return listener is not None and listener.refuse_unsent(code, detail)
+        return listener is not None and listener.refuse_unrun(code, detail)
 
     def drop_body(self) -> bool:
         """Release the body if it is kept only for a certified refusal."""
--- a/tests/gateway/test_request_bodies.py
+++ b/tests/gateway/test_request_bodies.py
@@ -15,6 +15,7 @@
 from balsamwall.gateway import held_bodies
 from balsamwall.gateway import request_writer
 from balsamwall.gateway import retry_policy
+from balsamwall.results import result_code
 from tests.fixtures import gateway_harness
 from tests.fixtures import recording_transport
 from tests.fixtures import wire_harness
@@ -169,6 +170,18 @@
             harness = make(kind, is_stalled)
             self.assertFalse(harness.caller.listener.drop_body())
 
+    def test_request_that_may_have_run_is_not_refused(self):
+        """Guards against an unknown outcome for want of memory."""
+        code = result_code.ResultCode.INSUFFICIENT_MEMORY
+        harness = make(Kind.IDEMPOTENT, attempts=3)
+        for _ in range(2):
+            lose(harness.server)
+        self.assertFalse(harness.caller.listener.refuse_unrun(code, ""))
+        harness = make()
+        harness.server.dataReceived(REFUSAL)
+        self.assertTrue(harness.caller.listener.refuse_unrun(code, ""))
+        self.assertIn(b"HTTP/1.1 503", harness.transport.value())
+
     def test_fingerprint_outlives_the_body(self):
         """Guards against crash reports that name the same empty body."""
         digests = set()
