--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -9,6 +9,7 @@
 
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import body_framing
+from balsamwall.gateway import connection_source
 from balsamwall.gateway import incoming_request
 from balsamwall.gateway import unread_time
 
@@ -18,6 +19,7 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import connection_pool
+    from balsamwall.gateway import held_bodies
     from balsamwall.gateway import http_fields
     from balsamwall.gateway import server_limits
     from balsamwall.gateway import stream_meter
@@ -42,9 +44,14 @@
     INVALID = "invalid"  # unusable response; it may have run
     STALLED = "stalled"  # no event for too long; it may have run
     UNREAD = "unread"  # cut by the server while its caller did not read
+    NOT_READ = "not_read"  # broken while the server did not read the request
     ABANDONED = "abandoned"  # cancelled by this entry after it was sent
 
 
+# Failures that say nothing about how the server serves other requests.
+BLAMELESS = frozenset({AttemptFailure.UNREAD, AttemptFailure.NOT_READ})
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class OutgoingRequest:
     """Hold the request of one attempt, as it is sent to the server."""
@@ -52,7 +59,7 @@
     method: bytes
     target: bytes
     fields: http_fields.Fields
-    body: bytes
+    body: held_bodies.HeldBody
     attempt_id: bytes
 
 
@@ -66,8 +73,8 @@
     """Return the caller's request with the header fields of one attempt."""
     head, body = exchange.head, exchange.body
     fields = codec.forwarded_fields(head, has_workspaces) + attempt_fields
-    if body or head.method in METHODS_WITH_BODY:
-        fields.append((b"content-length", str(len(body)).encode()))
+    if body.size or head.method in METHODS_WITH_BODY:
+        fields.append((b"content-length", str(body.size).encode()))
     return OutgoingRequest(head.method, head.target, fields, body, attempt_id)
 
 
@@ -78,6 +85,9 @@
     the attempt is abandoned or detached.
     """
 
+    def on_written(self, attempt: Attempt) -> None:
+        """Handle that the body was written in full."""
+
     def on_response_head(
         self, attempt: Attempt, status: int, fields: http_fields.Fields
     ) -> None:
@@ -115,8 +125,8 @@
         "meter",
         "sent_ms",
         "server",
+        "source",
         "status",
-        "was_reused",
     )
 
     def __init__(
@@ -135,10 +145,13 @@
         self._clock = clock
         self.status = 0
         self.framing: body_framing.BodyFraming | None = None
-        self.was_reused = False
+        # Set when the connection is there.
+        self.source: connection_source.ConnectionSource | None = None
         self._codec = codec
         self._limits = limits
         self._outgoing = outgoing
+        # Held while connecting, also when the caller has gone.
+        outgoing.body.retain(self)
         self._listener: AttemptListener | None = listener
         self._refusal = ""
         self._unread = unread_time.UnreadTime()
@@ -158,11 +171,29 @@
         """Return whether the request may have reached the server."""
         return self._connection is not None
 
+    @property
+    def was_reused(self) -> bool:
+        """Return whether the connection had been used before."""
+        return self.source is connection_source.ConnectionSource.REUSED
+
+    @property
+    def is_written(self) -> bool:
+        """Return whether the request was written in full."""
+        return self._connection is not None and self._connection.is_written
+
     @property
     def break_failure(self) -> AttemptFailure:
-        """Return the failure of a response that breaks off now."""
-        if self._unread.explains_break(self._clock.now_ms()):
+        """Return the failure of a response that breaks off now.
+
+        A connection breaks when a server reads nothing for some seconds, and
+        a large body is not written in full then.
+        """
+        now_ms = self._clock.now_ms()
+        if self._unread.explains_break(now_ms):
             return AttemptFailure.UNREAD
+        is_late = now_ms - self.sent_ms >= unread_time.MIN_UNREAD_MS
+        if is_late and not self.is_written:
+            return AttemptFailure.NOT_READ
         return AttemptFailure.BROKEN
 
     def start(
@@ -189,6 +220,7 @@
             self._connection.close()
         elif self._cancel_connect is not None:
             self._cancel_connect()
+        self._outgoing.body.release(self)
 
     def detach(self, timeout_ms: int) -> None:
         """Let the server finish; the listener is not called again."""
@@ -218,7 +250,7 @@
     ) -> None:
         """Send the request on the connection."""
         self._connection = connection
-        self.was_reused = connection.is_reused
+        self.source = connection.source
         outgoing = self._outgoing
         connection.send(
             outgoing.method,
@@ -227,15 +259,22 @@
             outgoing.body,
             self,
         )
+        outgoing.body.release(self)
         if self._is_blocked:
             self.set_blocked(True)
 
     def on_not_connected(self, detail: str) -> None:
         """Report that no connection was made and nothing was sent."""
+        self._outgoing.body.release(self)
         self._fail(AttemptFailure.NOT_CONNECTED, detail)
 
     # ResponseReceiver
 
+    def on_written(self) -> None:
+        """Pass on that the body was written in full."""
+        if self._listener is not None:
+            self._listener.on_written(self)
+
     def on_head(
         self,
         status: int,
@@ -322,6 +361,7 @@
             self._connection.close()
         elif self._cancel_connect is not None:
             self._cancel_connect()
+            self._outgoing.body.release(self)
         if self._refusal:
             self._fail(AttemptFailure.NOT_RUN, self._refusal)
 
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import connection_source
     from balsamwall.gateway import speed_metrics
     from balsamwall.results import result_code
 
@@ -27,6 +28,8 @@
 
     __slots__ = (
         "_attempts",
+        "_body_bytes",
+        "_connections",
         "_dropped_lines",
         "_durations",
         "_first_responses",
@@ -63,6 +66,12 @@
             ("reason",),
             registry=self._registry,
         )
+        self._connections = prometheus_client.Counter(
+            "balsamwall_gateway_connections_opened",
+            "Connections opened to backend servers, by reason",
+            ("reason",),
+            registry=self._registry,
+        )
         self._permits = prometheus_client.Counter(
             "balsamwall_gateway_permits",
             "Decisions on requests to servers with a limit",
@@ -80,6 +89,11 @@
             "Log lines that were dropped because nobody read them",
             registry=self._registry,
         )
+        self._body_bytes = prometheus_client.Gauge(
+            "balsamwall_gateway_body_bytes",
+            "Bytes held for the bodies of requests",
+            registry=self._registry,
+        )
         self._first_responses = self._histogram(
             "balsamwall_gateway_first_answer_seconds",
             "Time from the first byte of a request to the head of its answer",
@@ -93,6 +107,10 @@
         """Export the number of log lines dropped for a slow reader."""
         self._dropped_lines.set_function(count_dropped)
 
+    def watch_bodies(self, count_bytes: Callable[[], int]) -> None:
+        """Export the bytes held for the bodies of requests."""
+        self._body_bytes.set_function(count_bytes)
+
     def watch_speeds(self, collector: speed_metrics.SpeedCollector) -> None:
         """Export the learned speeds of servers."""
         self._registry.register(collector)
@@ -116,6 +134,10 @@
         """Count a request that is sent to a server."""
         self._sends.labels(reason).inc()
 
+    def count_opened(self, source: connection_source.ConnectionSource) -> None:
+        """Count a new connection to a server by the reason for it."""
+        self._connections.labels(source.value).inc()
+
     def count_permit(self, is_granted: bool) -> None:
         """Count a decision on a request to a server with a limit."""
         self._permits.labels("granted" if is_granted else "denied").inc()
