Tell content at fault from content that is in all crashes

Cause: the digest of a whole request left out the last part of the prompt, so that requests of several callers had one digest. Where responses send their head some time before the first event, all requests on a server that crashes are at their begin, and a part that most requests share has the evidence of the part at fault. A new coordinator decided on the reports of the entry that connected first, and entries that connected later were not asked for their proofs.

Change: the digest covers the last part. Entries are first asked for proofs of the 60 s before the crashes; content with one needs twice the evidence and is judged last. Crashes that met a response at its begin rank first, then content in fewer requests. A new coordinator decides after 1 s, asks for all proofs again, and asks entries that connect; entries send what is held back before their reports. Evidence of one content is a module of its own, to which the tests of ROUND_MS refer now. No message has changed.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -361,6 +361,7 @@
         self._permits.restart()
         self._speeds.restart()
         self._quotas.restart()
+        self._crashes.restart()
         self._engines.start()
 
     def _gap_target_ms(self, service: str) -> int:
--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -82,22 +82,39 @@
         )
         self._apply(self._evidence.on_broken(broken))
 
+    def restart(self) -> None:
+        """Ask for proofs again, at the start of a term."""
+        self._apply(self._evidence.restart())
+
     def notices(self) -> list[message.Message]:
-        """Return the content that is held back, for a new entry."""
-        return [
+        """Return what a new entry needs to know.
+
+        This is the content that is held back, and that of which the others
+        have been asked for proofs.
+        """
+        notices: list[message.Message] = [
             messages_fleet.QuarantineNotice(sorted(content), left_ms)
             for content, left_ms in self._quarantine.entries()
         ]
+        return notices + [
+            self._proof_query(watch) for watch in self._evidence.open_watches()
+        ]
+
+    def _proof_query(
+        self, watch: crash_evidence.Watch
+    ) -> messages_fleet.ProofQuery:
+        within_ms = self._clock.now_ms() - watch.since_ms
+        return messages_fleet.ProofQuery(watch.content, within_ms)
 
     def _apply(self, findings: crash_evidence.Findings) -> None:
-        now_ms = self._clock.now_ms()
         for watch in findings.watches:
-            self._log.write("proof_wanted", content=watch.content.hex())
-            self._links.broadcast(
-                messages_fleet.ProofQuery(
-                    watch.content, now_ms - watch.since_ms
-                )
+            query = self._proof_query(watch)
+            self._log.write(
+                "proof_wanted",
+                content=watch.content.hex(),
+                within_ms=query.within_ms,
             )
+            self._links.broadcast(query)
         if findings.is_decision_due and self._timer is None:
             self._timer = self._clock.call_later(
                 crash_evidence.DECISION_DELAY_MS, self._decide
@@ -145,7 +162,7 @@
         Content that is held back together is released when all of it is
         proven, by one response or by several.
         """
-        self._evidence.on_proven(proven)
+        proven = self._evidence.on_proven(proven)
         held_back = [content for content, _ in self._quarantine.entries()]
         for content in held_back:
             if content.isdisjoint(proven):
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -10,6 +10,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import content_evidence
+
 if TYPE_CHECKING:
     from balsamwall.gateway import broken_request
     from balsamwall.gateway import quarantine as quarantine_module
@@ -18,27 +20,21 @@
 # A broken response and the loss of its server are one crash if they are
 # reported within this time. A server's record expires within 4 s.
 CONFIRMATION_MS = 6_000
-# Weight of a crash for content of a request whose response was at its begin,
-# and for the digest of a whole request. Other requests may have waited, or
-# their responses may have gone on.
-STRONG_WEIGHT = 2
-WEAK_WEIGHT = 1
-# Content is held back at this sum of weights: after three crashes with strong
-# evidence.
-QUARANTINE_SCORE = 3 * STRONG_WEIGHT
-# Servers of a failed availability zone crash together. Crashes count as one
-# within this time, in which other servers respond to content that is sound.
-ROUND_MS = 300
-# The entries are asked for a proof from this sum of weights on.
+# The entries are asked for proofs from this sum of weights on.
 WATCH_SCORE = 3
 # Delay of a decision, for proofs and for reports of other entries on the same
 # crash, which may speak against other content.
 DECISION_DELAY_MS = 200
+# Time that the entries have to connect to a new coordinator, and to repeat
+# what they have reported to the one before it.
+SETTLE_MS = 1_000
 # Crashes of one content are counted together for this time.
 EVIDENCE_MS = 900_000
 MAX_CONTENTS = 20_000
 MAX_PROCESSES = 500
 MAX_BROKEN_PER_PROCESS = 500
+# Contents of which an entry that connects is asked for proofs.
+MAX_OPEN_WATCHES = 500
 
 
 class _Process:
@@ -52,99 +48,6 @@
         self.broken: list[broken_request.BrokenRequest] = []
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Crash:
-    """Hold when a process crashed and how much that says of one content."""
-
-    at_ms: int
-    weight: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True, order=True)
-class _Weight:
-    """Order the evidence against contents, by its fields in this order."""
-
-    mean: float  # weight of a crash on average
-    score: int
-    total: int  # sum of the weights of all crashes
-
-
-class _Evidence:
-    """Hold the crashes of one content since its last proof."""
-
-    __slots__ = (
-        "_has_strong",
-        "companions",
-        "crashes",
-        "since_ms",
-        "watched_ms",
-    )
-
-    def __init__(self, companions: frozenset[bytes], at_ms: int) -> None:
-        self.since_ms = at_ms
-        self.watched_ms: int | None = None
-        # By server process.
-        self.crashes: dict[str, _Crash] = {}
-        # Content that was present in each request with this one, as far as
-        # the requests are strong evidence, if any is.
-        self.companions = companions
-        self._has_strong = False
-
-    @property
-    def score(self) -> int:
-        """Return the sum of weights, one for all crashes of one round."""
-        total = 0
-        weight = 0
-        round_ms: int | None = None
-        for crash in sorted(self.crashes.values(), key=lambda c: c.at_ms):
-            if round_ms is None or crash.at_ms - round_ms >= ROUND_MS:
-                total += weight
-                weight = 0
-                round_ms = crash.at_ms
-            weight = max(weight, crash.weight)
-        return total + weight
-
-    @property
-    def weight(self) -> _Weight:
-        """Return how strong the evidence is.
-
-        Content at fault crashes a server with the request that it begins, so
-        that all its crashes are strong evidence, also while the reports of an
-        entry are missing. Content that comes with it is often on the server
-        in other requests only.
-        """
-        total = sum(crash.weight for crash in self.crashes.values())
-        mean = total / max(1, len(self.crashes))
-        return _Weight(mean, self.score, total)
-
-    def _narrow(self, companions: frozenset[bytes], is_strong: bool) -> None:
-        """Narrow the companions, by strong evidence only once there is any.
-
-        Sound requests that wait at a server that crashes share a part with
-        the request at fault, but say nothing of that part alone.
-        """
-        if is_strong and not self._has_strong:
-            self._has_strong = True
-            self.companions = companions
-        elif is_strong or not self._has_strong:
-            self.companions &= companions
-
-    def is_equal(self, other: _Evidence) -> bool:
-        """Return whether nothing tells two contents apart."""
-        return (
-            self.companions == other.companions and self.weight == other.weight
-        )
-
-    def add(
-        self, process: str, crash: _Crash, companions: frozenset[bytes]
-    ) -> None:
-        """Count a crash; of several reports the strongest one counts."""
-        self._narrow(companions, crash.weight == STRONG_WEIGHT)
-        known = self.crashes.get(process)
-        if known is None or known.weight < crash.weight:
-            self.crashes[process] = crash
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Watch:
     """Ask the entries for a proof of content since a time."""
@@ -173,17 +76,24 @@
     All requests without a proof on a crashed server are suspects. Content is
     at fault if suspects with it crash three processes, not all at once, and
     no response to it has been proven since the first of them. Sound content
-    proves itself meanwhile, as far as it is in use. Crashes that are explained
-    by content at fault say nothing of other content.
+    proves itself meanwhile, as far as it is in use. Where the servers crash
+    too fast for a proof, content that was proven before needs twice as much
+    evidence. Crashes that are explained by content at fault say nothing of
+    other content.
+
+    The entries are first asked for proofs from before the crashes, and then
+    for proofs since the first one.
     """
 
     __slots__ = (
+        "_asked",
         "_candidates",
         "_clock",
         "_evidence",
         "_processes",
         "_proven_ms",
         "_quarantine",
+        "_settled_ms",
     )
 
     def __init__(
@@ -194,8 +104,12 @@
         self._clock = clock
         self._quarantine = quarantine
         self._processes: dict[str, _Process] = {}
-        self._evidence: dict[bytes, _Evidence] = {}
+        self._evidence: dict[bytes, content_evidence.ContentEvidence] = {}
         self._candidates: set[bytes] = set()
+        # Content that the entries have been asked for earlier proofs of.
+        self._asked: set[bytes] = set()
+        # When all entries have had the time to repeat their reports.
+        self._settled_ms = 0
         # By fingerprint: reports of broken requests before this are void.
         self._proven_ms: dict[bytes, int] = {}
 
@@ -212,27 +126,84 @@
         found.lost_ms = self._clock.now_ms()
         return self._confirm(found)
 
-    def on_proven(self, fingerprints: frozenset[bytes]) -> None:
-        """Drop the evidence against content that a server responded to."""
+    def restart(self) -> Findings:
+        """Ask for all proofs again, at the start of a term.
+
+        Proofs of the time between two terms went to another coordinator.
+        """
+        self._settled_ms = self._clock.now_ms() + SETTLE_MS
+        findings = Findings()
+        for content, evidence in self._evidence.items():
+            evidence.asked_ms = evidence.watched_ms = None
+            self._examine(content, findings)
+        return findings
+
+    def open_watches(self) -> list[Watch]:
+        """Return what an entry that connects is to be asked for."""
+        return [
+            _watch(content, evidence)
+            for content, evidence in self._evidence.items()
+            if evidence.asked_ms is not None
+        ][-MAX_OPEN_WATCHES:]
+
+    def on_proven(self, fingerprints: frozenset[bytes]) -> frozenset[bytes]:
+        """Drop the evidence against content that a server responded to.
+
+        Return the content that has been proven since the first crash.
+        """
         now_ms = self._clock.now_ms()
         if len(self._proven_ms) > MAX_CONTENTS:
             self._proven_ms.clear()
-        for content in fingerprints:
+        proven = frozenset(
+            content
+            for content in fingerprints
+            if not self._is_earlier_proof(content)
+        )
+        for content in fingerprints - proven:
+            self._evidence[content].is_familiar = True
+        for content in proven:
             self._evidence.pop(content, None)
             self._proven_ms[content] = now_ms
+        return proven
+
+    def _is_earlier_proof(self, content: bytes) -> bool:
+        """Return whether a proof may be from before the first crash."""
+        evidence = self._evidence.get(content)
+        return (
+            evidence is not None
+            and evidence.asked_ms is not None
+            and evidence.watched_ms is None
+        )
 
     def decide(self) -> Findings:
         """Decide on the candidates, those with the most evidence first."""
         findings = Findings()
+        if self._clock.now_ms() < self._settled_ms:
+            findings.is_decision_due = True
+            return findings
+        self._ask_for_later_proofs(findings)
         candidates, self._candidates = self._candidates, set()
         while candidates:
             content = max(candidates, key=self._rank)
             candidates.discard(content)
             self._judge(content, findings)
-        findings.is_decision_due = bool(self._candidates)
+        findings.is_decision_due = bool(self._candidates or self._asked)
         return findings
 
-    def _rank(self, content: bytes) -> tuple[_Weight, int, bytes]:
+    def _ask_for_later_proofs(self, findings: Findings) -> None:
+        """Ask for proofs since the first crash, which end the evidence."""
+        now_ms = self._clock.now_ms()
+        for content in list(self._asked):
+            evidence = self._evidence.get(content)
+            asked_ms = evidence.asked_ms if evidence else None
+            if evidence is None or asked_ms is None:
+                self._asked.discard(content)
+            elif now_ms - asked_ms >= DECISION_DELAY_MS:
+                self._asked.discard(content)
+                evidence.watched_ms = now_ms
+                findings.watches.append(_watch(content, evidence))
+
+    def _rank(self, content: bytes) -> tuple[object, ...]:
         """Return a rank by the evidence and, if equal, by how few it hits.
 
         A part that is at fault and one that always comes with it have equal
@@ -240,15 +211,21 @@
         """
         evidence = self._evidence.get(content)
         if evidence is None:
-            return _Weight(0.0, 0, 0), 0, content
-        return evidence.weight, len(evidence.companions), content
+            return (False,)
+        return (
+            *evidence.rank,
+            -evidence.request_count,
+            len(evidence.companions),
+            content,
+        )
 
     def _judge(self, content: bytes, findings: Findings) -> None:
         evidence = self._evidence.get(content)
-        if evidence is None or evidence.score < QUARANTINE_SCORE:
+        if evidence is None or not evidence.is_at_fault:
             return
-        watched_ms = evidence.watched_ms or 0
-        if self._clock.now_ms() - watched_ms < DECISION_DELAY_MS:
+        watched_ms = evidence.watched_ms
+        now_ms = self._clock.now_ms()
+        if watched_ms is None or now_ms - watched_ms < DECISION_DELAY_MS:
             self._candidates.add(content)
             return
         found = self._indistinguishable(evidence)
@@ -256,7 +233,9 @@
         explained = self._discount(content, evidence)
         findings.released += self._explained_sets(found, explained)
 
-    def _indistinguishable(self, evidence: _Evidence) -> frozenset[bytes]:
+    def _indistinguishable(
+        self, evidence: content_evidence.ContentEvidence
+    ) -> frozenset[bytes]:
         """Return the content that the same crashes speak against.
 
         Reports of an entry may be missing, so that half the score suffices.
@@ -278,26 +257,27 @@
             if held_back <= explained and held_back != found
         ]
 
-    def _discount(self, found: bytes, explanation: _Evidence) -> set[bytes]:
+    def _discount(
+        self, found: bytes, explanation: content_evidence.ContentEvidence
+    ) -> set[bytes]:
         """Drop crashes that content at fault explains from other evidence.
 
         Content with more evidence may be at fault itself. Return the content
         that may no longer be held back.
         """
-        weight = explanation.weight
         explained: set[bytes] = set()
         for content in list(self._evidence):
             evidence = self._evidence[content]
             crashes = evidence.crashes
             shared = explanation.crashes.keys() & crashes.keys()
-            if not shared or evidence.weight > weight:
+            if not shared or evidence.rank > explanation.rank:
                 continue
             if content == found or evidence.is_equal(explanation):
                 continue
-            was_at_fault = evidence.score >= QUARANTINE_SCORE
+            was_at_fault = evidence.is_at_fault
             for process in shared:
                 del crashes[process]
-            if was_at_fault and evidence.score < QUARANTINE_SCORE:
+            if was_at_fault and not evidence.is_at_fault:
                 explained.add(content)
             if not crashes:
                 del self._evidence[content]
@@ -341,11 +321,12 @@
         evidence = self._evidence.get(content)
         if evidence is None:
             return
-        score = evidence.score
-        if score >= WATCH_SCORE and evidence.watched_ms is None:
-            evidence.watched_ms = self._clock.now_ms()
-            findings.watches.append(Watch(content, evidence.since_ms))
-        if score >= QUARANTINE_SCORE:
+        if evidence.score >= WATCH_SCORE and evidence.asked_ms is None:
+            evidence.asked_ms = self._clock.now_ms()
+            self._asked.add(content)
+            findings.watches.append(_watch(content, evidence))
+            findings.is_decision_due = True
+        if evidence.is_at_fault:
             self._candidates.add(content)
             findings.is_decision_due = True
 
@@ -360,23 +341,36 @@
             if request.at_ms < self._proven_ms.get(content, request.at_ms):
                 continue
             is_strong = request.is_at_begin or content == fingerprints.request
-            weight = STRONG_WEIGHT if is_strong else WEAK_WEIGHT
+            weight = (
+                content_evidence.STRONG_WEIGHT
+                if is_strong
+                else content_evidence.WEAK_WEIGHT
+            )
             self._evidence_for(content, request).add(
                 request.process,
-                _Crash(request.at_ms, weight),
-                fingerprints.all,
+                content_evidence.Crash(
+                    request.at_ms, weight, request.is_at_begin
+                ),
+                fingerprints,
             )
         return counted
 
     def _evidence_for(
         self, content: bytes, request: broken_request.BrokenRequest
-    ) -> _Evidence:
+    ) -> content_evidence.ContentEvidence:
         evidence = self._evidence.get(content)
         age_ms = request.at_ms - evidence.since_ms if evidence else 0
         if evidence is None or age_ms > EVIDENCE_MS:
             if len(self._evidence) >= MAX_CONTENTS:
                 self._drop_weak_evidence()
-            evidence = _Evidence(request.fingerprints.all, request.at_ms)
+            evidence = content_evidence.ContentEvidence(
+                request.fingerprints.all, request.at_ms
+            )
+            proven_ms = self._proven_ms.get(content)
+            evidence.is_familiar = (
+                proven_ms is not None
+                and request.at_ms - proven_ms <= content_evidence.FAMILIAR_MS
+            )
             self._evidence[content] = evidence
         return evidence
 
@@ -388,3 +382,12 @@
             if evidence.score >= WATCH_SCORE
         }
         self._evidence = kept if len(kept) < MAX_CONTENTS // 2 else {}
+
+
+def _watch(
+    content: bytes, evidence: content_evidence.ContentEvidence
+) -> Watch:
+    """Return what to ask the entries for now."""
+    if evidence.watched_ms is None:
+        return Watch(content, evidence.since_ms - content_evidence.FAMILIAR_MS)
+    return Watch(content, evidence.since_ms)
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -325,9 +325,10 @@
         observations = self._limits.book.observations()
         if observations:
             self.report_limits(observations)
-        self._suspects.repeat_reports()
+        # What is held back explains crashes that are reported after it.
         for content, left_ms in self._suspects.quarantine.entries():
             self._send_quarantine(content, left_ms)
+        self._suspects.repeat_reports()
         self._report()
 
     def _send_quarantine(
--- a/src/balsamwall/gateway/fingerprints.py
+++ b/src/balsamwall/gateway/fingerprints.py
@@ -36,8 +36,12 @@
         for part in request.shared_parts[:MAX_PARTS]
     ]
     model = f"{request.model}/{request.adapter}".encode("latin-1")
+    # Where the prompt is not in the body, only the last part tells requests
+    # with equal shared parts from each other.
+    own_part_id = request.own_part_id.encode("latin-1")
+    content = (body, model, *part_ids, own_part_id)
     return RequestFingerprints(
-        _digest(b"request", head.method, head.target, body, model, *part_ids),
+        _digest(b"request", head.method, head.target, *content),
         frozenset(_digest(b"part", part_id) for part_id in part_ids),
     )
 
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -37,6 +37,8 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     shared_parts: tuple[PromptPart, ...] = ()  # in the order of the prompt
+    # Identifier of the last part, which other requests do not share.
+    own_part_id: str = ""
     resumes_after: bytes | None = None  # last event that the caller received
     has_token_usage: bool = False  # whether the caller states its tokens
     # Empty without a bearer key; left out of tracebacks and logs.
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -77,6 +77,7 @@
             _parse_integer(part)
             for part in fields.get(TOKEN_USAGE, b"").split(b",")
         ]
+        shared_rows, own_row = _split_prompt(fields.get(PROMPT_PREFIX, b""))
         return incoming_request.IncomingRequest(
             attempt_id=fields.get(REQUEST_ID, b""),
             host=host.rsplit(":", 1)[0] if ":" in host else host,
@@ -87,7 +88,8 @@
             adapter=adapter,
             prompt_tokens=usage[0] or 0,
             max_output_tokens=(usage[1] or 0) if len(usage) > 1 else 0,
-            shared_parts=_parse_shared_parts(fields.get(PROMPT_PREFIX, b"")),
+            shared_parts=tuple(_parse_part(row) for row in shared_rows),
+            own_part_id=_parse_part(own_row).part_id,
             resumes_after=fields.get(LAST_EVENT_ID),
             has_token_usage=len(usage) > 1 and None not in usage[:2],
             api_key=_bearer_key(head.fields),
@@ -208,17 +210,18 @@
     return _parse_integer(text, MAX_WORK_TIME_PERCENT)
 
 
-def _parse_shared_parts(raw: bytes) -> tuple[incoming_request.PromptPart, ...]:
-    """Return the shared prompt parts, written as ID:TOKENS.
+def _split_prompt(raw: bytes) -> tuple[list[bytes], bytes]:
+    """Return the rows of the shared prompt parts, and that of the last part.
 
-    The last part is left out, as it is specific to a request or session.
+    The last part is specific to a request or session.
     """
-    parts = []
-    for row in raw.split(b",")[:-1]:
-        part_id, _, tokens = row.partition(b":")
-        parts.append(
-            incoming_request.PromptPart(
-                part_id.strip().decode("latin-1"), _parse_integer(tokens) or 0
-            )
-        )
-    return tuple(parts)
+    *shared, own = raw.split(b",")
+    return shared, own
+
+
+def _parse_part(row: bytes) -> incoming_request.PromptPart:
+    """Return a prompt part that is written as ID:TOKENS."""
+    part_id, _, tokens = row.partition(b":")
+    return incoming_request.PromptPart(
+        part_id.strip().decode("latin-1"), _parse_integer(tokens) or 0
+    )
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -10,6 +10,7 @@
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import crash_suspects
+from balsamwall.gateway import fingerprints
 from balsamwall.gateway import release_pacing
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import wait_forecast
@@ -38,6 +39,9 @@
         self.clock = virtual_clock.VirtualClock(start_ms=1_000)
         self.connect_times_ms = []
         self.entry_counts = []
+        self.suspects = crash_suspects.CrashSuspects(
+            self.clock, decision_log.DecisionLog(self.clock)
+        )
         self.client = fleet_client.FleetClient(
             self.clock,
             "f1",
@@ -57,9 +61,7 @@
                 release_pacing.ReleasePacing(random.Random(1)),
             ),
             wait_forecast.WaitForecast(self.clock),
-            crash_suspects.CrashSuspects(
-                self.clock, decision_log.DecisionLog(self.clock)
-            ),
+            self.suspects,
             lambda changes: None,
             lambda: None,
             decision_log.DecisionLog(self.clock),
@@ -93,6 +95,21 @@
         self.client.on_coordinator_changed("10.0.0.2:7")
         self.assertEqual(len(self.connect_times_ms), 2)
 
+    def test_quarantine_is_sent_before_the_reports(self):
+        """Guards against blame at a new coordinator for known crashes."""
+        request = fingerprints.RequestFingerprints(b"r", frozenset([b"bad"]))
+        self.suspects.on_broken_response(
+            gateway_harness.make_record("s1"), request, True
+        )
+        self.suspects.hold_back(frozenset([b"bad"]), 1_000)
+        stream = FakeStream()
+        self.client.on_stream_opened(stream)
+        types = [type(item) for item in stream.sent]
+        self.assertLess(
+            types.index(messages_fleet.QuarantineNotice),
+            types.index(messages_fleet.BrokenRequestReport),
+        )
+
     def test_lost_coordinator_is_reconnected_soon(self):
         """Guards against stale fleet state after a short disconnection."""
         self.client.on_coordinator_changed("10.0.0.1:7")
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -4,10 +4,13 @@
 
 import unittest
 
+from balsamwall.coordination import content_evidence
 from balsamwall.coordination import crash_evidence
 from balsamwall.gateway import broken_request
+from balsamwall.gateway import caller_exchange
 from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import fingerprints
+from balsamwall.gateway import incoming_request
 from balsamwall.gateway import quarantine
 from balsamwall.logs import decision_log
 from balsamwall.timing import virtual_clock
@@ -96,7 +99,7 @@
         for process in ("s1", "s2", "s3"):
             self.evidence.on_lost(process)
             self.break_request(process, [SOUND], at_ms)
-            at_ms += crash_evidence.ROUND_MS
+            at_ms += content_evidence.ROUND_MS
         self.clock.advance(crash_evidence.DECISION_DELAY_MS)
         self.assertEqual((self.quarantined, self.watched), ([], []))
 
@@ -173,6 +176,70 @@
         self.assertIn(frozenset([BAD]), self.quarantined)
         self.assertEqual(self.released, [frozenset([SOUND])])
 
+    def test_content_proven_before_the_crashes_needs_twice_as_many(self):
+        """Guards against blame while the servers crash too fast for proofs."""
+        for number in range(6):
+            self.assertNotIn(frozenset([FIRST]), self.quarantined)
+            self.crash(f"s{number}", [FIRST], gap_ms=0)
+            if number == 1:
+                self.assertIn(FIRST, self.watched)
+                self.evidence.on_proven(frozenset([FIRST]))
+            self.clock.advance(1_000)
+        self.assertIn(frozenset([FIRST]), self.quarantined)
+
+    def test_content_that_was_never_proven_is_judged_first(self):
+        """Guards against blame for a part that is in more of the reports."""
+        for number in range(6):
+            requests = [[FIRST], [FIRST, BAD]][: 1 if number < 3 else 2]
+            self.crash(f"s{number}", *requests, gap_ms=0)
+            if number == 1:
+                self.evidence.on_proven(frozenset([FIRST]))
+            self.clock.advance(1_000)
+        self.assertTrue(self.quarantined)
+        self.assertTrue(all(BAD in content for content in self.quarantined))
+
+    def test_content_of_fewer_requests_is_judged_first(self):
+        """Guards against blame for a part that is in all crashes by chance."""
+        for first, bad in ((b"f" * 16, b"b" * 16), (b"b" * 16, b"f" * 16)):
+            self.setUp()
+            for number in range(3):
+                parts = [first, bytes([number]) * 16]
+                self.crash(f"s{number}", [bad], parts, [first])
+            self.assertEqual(self.quarantined, [frozenset([bad])])
+
+    def test_whole_request_that_waited_is_judged_after_a_part(self):
+        """Guards against blame for equal requests at servers that crash.
+
+        The soak with seed 1 held back three of them for 300 s.
+        """
+        same = fingerprints.RequestFingerprints(SOUND, frozenset([FIRST]))
+        for number in range(3):
+            process, now_ms = f"s{number}", self.clock.now_ms()
+            waited = broken_request.BrokenRequest(process, same, False, now_ms)
+            self.evidence.on_broken(waited)
+            self.crash(process, [FIRST, BAD])
+        self.assertEqual(set(self.quarantined), {frozenset([FIRST, BAD])})
+
+    def test_new_term_decides_when_all_entries_have_connected(self):
+        """Guards against decisions on the reports of the first entry."""
+        self.apply(self.evidence.restart())
+        for number in range(3):
+            now_ms = self.clock.now_ms() - 1_000 * (3 - number)
+            self.break_request(f"s{number}", [SOUND], now_ms)
+            self.apply(self.evidence.on_lost(f"s{number}"))
+        self.clock.advance(crash_evidence.SETTLE_MS - 1)
+        self.assertEqual(self.quarantined, [])
+        self.clock.advance(3 * crash_evidence.DECISION_DELAY_MS)
+        self.assertEqual(self.quarantined, [frozenset([SOUND])])
+
+    def test_new_term_asks_for_proofs_again(self):
+        """Guards against proofs that another coordinator got meanwhile."""
+        for number in range(2):
+            self.crash(f"s{number}", [SOUND])
+        self.watched.clear()
+        self.apply(self.evidence.restart())
+        self.assertIn(SOUND, self.watched)
+
     def test_loss_without_a_broken_request_is_ignored(self):
         """Guards against blaming requests that broke long before."""
         for process in ("s1", "s2", "s3"):
@@ -206,6 +273,28 @@
         )
 
 
+class FingerprintsTest(unittest.TestCase):
+    """Requests have one digest only if all of their content is equal."""
+
+    def test_requests_that_differ_in_the_last_part(self):
+        """Guards against blame for requests whose prompts are not equal."""
+        head = caller_exchange.RequestHead(b"POST", b"/x", [])
+        parts = (incoming_request.PromptPart("first", 40),)
+        found = [
+            fingerprints.of_request(
+                head,
+                b"",
+                incoming_request.IncomingRequest(
+                    b"q", "h", None, shared_parts=parts, own_part_id=own
+                ),
+            )
+            for own in ("own1", "own2", "own2")
+        ]
+        self.assertEqual(found[0].parts, found[1].parts)
+        self.assertNotEqual(found[0].request, found[1].request)
+        self.assertEqual(found[1].request, found[2].request)
+
+
 class QuarantineTest(unittest.TestCase):
     """Requests with all fingerprints of a set are held back for a time."""
 
--- a/tests/gateway/test_prompt_part_crashes.py
+++ b/tests/gateway/test_prompt_part_crashes.py
@@ -103,6 +103,35 @@
             with self.subTest(f"seed {seed}"):
                 self.assertEqual(fleet.sound_quarantined(), [])
 
+    def test_outage_where_all_responses_are_at_their_begin(self):
+        """Guards against blaming parts that were responded to before."""
+        for seed in (2, 4, 6):
+            fleet = crash_harness.CrashFleet(
+                3, servers=3, seed=seed, restart_ms=800, first_event_ms=100
+            )
+            fleet.load(60, 2_000, subjects=8)
+            fleet.poison_parts = frozenset(["bad1"])
+            fleet.load(60, 8_000, 0.15, subjects=8)
+            with self.subTest(f"seed {seed}"):
+                self.assertEqual(fleet.sound_quarantined(), [])
+                self.assertLess(len(fleet.crashes_ms), 12)
+
+    def test_coordinators_change_during_an_outage(self):
+        """Guards against decisions before all entries have connected."""
+        for seed in (5, 6):
+            fleet = crash_harness.CrashFleet(
+                3, servers=3, seed=seed, restart_ms=800, first_event_ms=100
+            )
+            fleet.load(60, 2_000, subjects=8)
+            fleet.poison_parts = frozenset(["bad1"])
+            for number in (1, 2):
+                fleet.load(60, 900, 0.15, subjects=8)
+                fleet.restart_entry(fleet.holder)
+                fleet.elect(number)
+            fleet.load(60, 5_000, 0.15, subjects=8)
+            with self.subTest(f"seed {seed}"):
+                self.assertEqual(fleet.sound_quarantined(), [])
+
     def test_proofs_count_at_a_new_coordinator(self):
         """Guards against blaming sound content on reports sent again."""
         for seed in range(10, 14):
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from balsamwall.coordination import crash_evidence
+from balsamwall.coordination import content_evidence
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import event_relay
 from balsamwall.limits import limit_book
@@ -194,7 +194,7 @@
                 harness.last_connection.receiver.on_broken(CLOSED, "reset")
                 harness.dependencies.suspects.on_server_lost(record)
                 harness.directory.remove(server_id)
-                harness.clock.advance(crash_evidence.ROUND_MS)
+                harness.clock.advance(content_evidence.ROUND_MS)
             statuses.append(exchange.status)
         self.assertEqual(statuses, [502] * 3 + [503] * 5)
 
--- a/tests/platform/test_header_codec.py
+++ b/tests/platform/test_header_codec.py
@@ -86,6 +86,7 @@
         self.assertEqual(request.prompt_tokens, 1_460)
         parts = [(part.part_id, part.tokens) for part in request.shared_parts]
         self.assertEqual(parts, [("5c", 800), ("91", 410)])
+        self.assertEqual(request.own_part_id, "e4")
         self.assertEqual(request.host, "h")
 
     def test_invalid_numbers_count_as_absent(self):
