Leave requests a permit beside reports and orders

Cause: reports and orders are charged to the limit of an engine. At a limit of 0.8 a second reports take 0.5, and the four orders of a plan put the bucket in debt, so that the engine gets no request.

Change: a request gets a permit 4 s after the last one at the latest (MIN_RATE_PER_S), which is charged as well.

--- a/src/balsamwall/coordination/permit_issuer.py
+++ b/src/balsamwall/coordination/permit_issuer.py
@@ -4,15 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import server_limits
 from balsamwall.limits import token_bucket
 
 if TYPE_CHECKING:
-    from balsamwall.gateway import server_limits
     from balsamwall.limits import fleet_size
     from balsamwall.timing import clock as clock_module
 
 # Permits that may be issued at once, as the time in which they accrue.
 BURST_MS = 500
+# Longest time between permits for requests, even if reports and orders have
+# used up the limit: only the response to a request shows that it has ended.
+MAX_PERMIT_INTERVAL_MS = int(1_000 / server_limits.MIN_RATE_PER_S)
 # Requests per second that a server is assumed to serve in each slot.
 REQUESTS_PER_SLOT_S = 0.4
 # Part of a limit that reading the state of an engine may use.
@@ -25,12 +28,25 @@
 class _ServerPermits:
     """Bucket of one server, which starts empty."""
 
-    __slots__ = ("bucket", "rate")
+    __slots__ = ("_clock", "_taken_ms", "bucket", "rate")
 
     def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
         self.bucket = token_bucket.TokenBucket(clock, 0.0, 1)
         self.bucket.drain()
         self.rate = 0.0
+        self._taken_ms = clock.now_ms()
+
+    def wait_ms(self) -> int:
+        """Return the time until a request may be sent."""
+        now_ms = self._clock.now_ms()
+        due_ms = max(0, self._taken_ms + MAX_PERMIT_INTERVAL_MS - now_ms)
+        return min(due_ms, self.bucket.wait_ms())
+
+    def take(self) -> None:
+        """Take a permit, which later ones pay for if there is none."""
+        self._taken_ms = self._clock.now_ms()
+        self.bucket.charge()
 
 
 class PermitIssuer:
@@ -68,12 +84,17 @@
     def take(self, server_id: str) -> int:
         """Take a permit and return 0, or return the wait in milliseconds."""
         permits = self._permits(server_id)
-        return 0 if permits is None else permits.bucket.take_or_wait_ms()
+        if permits is None:
+            return 0
+        wait_ms = permits.wait_ms()
+        if not wait_ms:
+            permits.take()
+        return wait_ms
 
     def wait_ms(self, server_id: str) -> int:
         """Return the time until a permit is available."""
         permits = self._permits(server_id)
-        return 0 if permits is None else permits.bucket.wait_ms()
+        return 0 if permits is None else permits.wait_ms()
 
     def charge(self, server_id: str) -> None:
         """Take a permit for a call that is made in any case."""
