Reserve the ports of processes that start later

Cause: free_port released a port before its process listened on it, and the ports of soak entries that were down were only known to that soak.

Change: one free_port for the soak, the sample, the bench and the tests.

--- a/bench/system/fleet_slopes.py
+++ b/bench/system/fleet_slopes.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 import urllib.request
 
+from balsamwall_standins import free_ports
 from balsamwall_standins import sample
 
 from bench.system import counting_relay
@@ -108,8 +109,8 @@
         (
             "[daemon]\nrole = entry\nvm = entry-1\ntenant = kovacevic",
             "availability_zone = zagreb-a\n[listen]",
-            f"callers = {sample.HOST}:{sample.free_port()}",
-            f"metrics = {sample.HOST}:{sample.free_port()}",
+            f"callers = {sample.HOST}:{free_ports.free_port()}",
+            f"metrics = {sample.HOST}:{free_ports.free_port()}",
             f"[platform]\nkey_value = {sample.HOST}:{key_value_port}",
             f"vm_list = {sample.HOST}:{vm_list_port}",
             "[internal_keys]\ncurrent = k1",
--- a/bench/system/measured_sample.py
+++ b/bench/system/measured_sample.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 import urllib.request
 
+from balsamwall_standins import free_ports
 from balsamwall_standins import sample
 
 from bench.system import counting_relay
@@ -26,7 +27,7 @@
     """Sample deployment with optional relays before agents and stand-ins."""
 
     def __init__(self, has_relays: bool) -> None:
-        ports = [sample.free_port() for _ in range(4)]
+        ports = [free_ports.free_port() for _ in range(4)]
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="balsamwall-"))
         super().__init__(self.folder, tuple(ports[:2]), tuple(ports[2:]))
         self.caller_ports = ports[:2]
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -4,46 +4,23 @@
 
 import json
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 from typing import Any
 
+from balsamwall_standins import free_ports
+
 from soak import ledger as ledger_module
 from soak import workspaces
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_S = 6
-LOWEST_PORT = 10_000
-HIGHEST_PORT = 32_000
 LEASE_MS = 2_000
-# Ports of this soak, on some of which no process listens at the moment.
-_PORTS_IN_USE: set[int] = set()
 # Time that a process needs until it is connected to the others.
 START_MS = 2_000
 
 
-def free_port() -> int:
-    """Return a port on which no process listens now.
-
-    The range lies below the ephemeral ports, so that no outgoing connection
-    takes the port while its entry is down.
-    """
-    while True:
-        port = random.randint(LOWEST_PORT, HIGHEST_PORT)
-        if port in _PORTS_IN_USE:
-            continue
-        with socket.socket() as found:
-            try:
-                found.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _PORTS_IN_USE.add(port)
-        return port
-
-
 class Entry:
     """One entry and its process; no other process is signalled."""
 
@@ -55,12 +32,12 @@
         folder: pathlib.Path,
     ) -> None:
         self.name = name
-        self.callers_port = free_port()
-        self.ready_port = free_port()
+        self.callers_port = free_ports.free_port()
+        self.ready_port = free_ports.free_port()
         self._settings = folder / f"{name}.toml"
         self._store_port = store_port
         self._zone = zone
-        self._internal_ports = [free_port() for _ in range(2)]
+        self._internal_ports = [free_ports.free_port() for _ in range(2)]
         self._process: subprocess.Popen[bytes] | None = None
         self._log = folder / f"{name}.log"
         self._log_begin = 0
--- a/standins/balsamwall_standins/sample.py
+++ b/standins/balsamwall_standins/sample.py
@@ -16,6 +16,7 @@
 import urllib.error
 import urllib.request
 
+from balsamwall_standins import free_ports
 from balsamwall_standins import sample_operators
 
 HOST = "127.0.0.1"
@@ -51,14 +52,6 @@
     process: subprocess.Popen[bytes]
 
 
-def free_port() -> int:
-    """Return a port that is currently free on the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Sample:
     """Processes of the sample and their addresses."""
 
@@ -73,7 +66,9 @@
         self._administration_ports = administration_ports
         self.programs: dict[str, Program] = {}
         self.standins: dict[str, str] = {}
-        self.internal_ports = {vm: free_port() for _, vm, _, _ in VMS}
+        self.internal_ports = {
+            vm: free_ports.free_port() for _, vm, _, _ in VMS
+        }
         self.metrics: dict[str, str] = {}
 
     def start(self) -> None:
@@ -110,7 +105,7 @@
 
     def start_standin(self, module: str, name: str, *options: str) -> None:
         """Start a stand-in on a free port and record its URL."""
-        port = free_port()
+        port = free_ports.free_port()
         self._spawn(
             name,
             "-m",
@@ -249,7 +244,7 @@
         return rows
 
     def _common(self, role: str, vm: str, tenant: str, zone: str) -> str:
-        port = free_port()
+        port = free_ports.free_port()
         self.metrics[vm] = f"http://{HOST}:{port}/metrics"
         return (
             f"[daemon]\nrole = {role}\nvm = {vm}\ntenant = {tenant}\n"
--- a/tests/platform/test_daemon_process.py
+++ b/tests/platform/test_daemon_process.py
@@ -11,6 +11,8 @@
 import time
 import unittest
 
+from balsamwall_standins import free_ports
+
 from balsamwall.platform import daemon
 from tests.platform import test_node_settings
 
@@ -62,13 +64,6 @@
         self.assertEqual(len(result.stderr.splitlines()), 1, result.stderr)
 
 
-def free_port() -> int:
-    """Return a port on which no process listens now."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
-
-
 class ReloadWhileStoppingTest(unittest.TestCase):
     """A reload signal may come at any moment of a stop."""
 
@@ -76,7 +71,7 @@
         """Guards against an exit by SIGHUP while the interpreter ends."""
         rows = {**test_node_settings.ROWS, "ip": "127.0.0.1"}
         rows["listen"] = {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"}
-        rows["internal_ports"] = [free_port(), free_port()]
+        rows["internal_ports"] = [free_ports.free_port() for _ in range(2)]
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "local.toml")
             path.write_text(as_toml(rows))
--- a/tests/platform/test_revocation_process.py
+++ b/tests/platform/test_revocation_process.py
@@ -12,6 +12,7 @@
 import time
 import unittest
 
+from balsamwall_standins import free_ports
 from twisted.internet import reactor
 from twisted.web import server
 
@@ -44,16 +45,14 @@
         self.put("k1", "k2")
         self.listener = reactor_thread.run(self.listen)
         store_port = self.listener.getHost().port
-        self.port = test_daemon_process.free_port()
-        ready_port = test_daemon_process.free_port()
+        self.port = free_ports.free_port()
+        ready_port = free_ports.free_port()
         rows = {**test_node_settings.ROWS}
         rows["listen"] = {
             "front": f"127.0.0.1:{self.port}",
             "ready": f"127.0.0.1:{ready_port}",
         }
-        rows["internal_ports"] = [
-            test_daemon_process.free_port() for _ in range(2)
-        ]
+        rows["internal_ports"] = [free_ports.free_port() for _ in range(2)]
         rows["platform"] = {
             "address": f"127.0.0.1:{store_port}",
             "ttl_min_ms": 1_000,
--- a/tests/system/running_sample.py
+++ b/tests/system/running_sample.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from balsamwall_standins import free_ports
 from balsamwall_standins import sample
 from balsamwall_standins import sample_operators
 
@@ -78,7 +79,7 @@
     """Sample on free ports; RELAYED_VM is reached through a relay."""
 
     def __init__(self) -> None:
-        ports = [sample.free_port() for _ in range(4)]
+        ports = [free_ports.free_port() for _ in range(4)]
         folder = tempfile.mkdtemp(prefix="balsamwall-system-")
         self.folder = pathlib.Path(folder)
         super().__init__(self.folder, tuple(ports[:2]), tuple(ports[2:]))
--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -8,6 +8,7 @@
 import threading
 import unittest
 
+from balsamwall_standins import free_ports
 from balsamwall_standins import sample
 from balsamwall_standins import sample_operators
 from balsamwall_standins import service
@@ -178,7 +179,7 @@
 
     def test_invalid_settings_open_no_port(self) -> None:
         """Guard against a daemon that listens despite invalid settings."""
-        port = sample.free_port()
+        port = free_ports.free_port()
         text = (self.sample.folder / "entry-1.ini").read_text()
         lines = [
             f"callers = {sample.HOST}:{port}"
