--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -157,6 +157,11 @@
         if not self.is_up:
             return
         self.is_up = False
+        self.ledger.crashes.append(
+            ledger_module.Crash(
+                self.server_id, ledger_module.now_ms(), is_clean
+            )
+        )
         self._heartbeat.cancel()
         self._listener.stopListening()
         for request in list(self._open_requests):
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -111,6 +111,8 @@
     def _headers(
         self, request: ledger_module.Request
     ) -> list[tuple[str, str]]:
+        if request.events:
+            request.prompt = self._prompt(request)
         headers = [
             ("Host", HOST),
             ("Balsamwall-Request-Id", request.request_id),
@@ -127,7 +129,7 @@
                 ("Balsamwall-Model", model),
                 ("Balsamwall-Token-Usage", f"{usage[0]},{usage[1]}"),
                 ("X-Events", str(request.events)),
-                ("Balsamwall-Prompt-Prefix", self._prompt(request)),
+                ("Balsamwall-Prompt-Prefix", request.prompt),
             ]
         return headers
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -5,6 +5,10 @@
 import dataclasses
 import enum
 import time
+from typing import Any
+
+# Bytes of an error that are kept for the trace of a violation.
+MAX_KEPT_BYTES = 300
 
 
 def now_ms() -> int:
@@ -44,6 +48,7 @@
     entry: str
     sent_ms: int
     events: int = 0  # number in a complete stream
+    prompt: str = ""  # parts of the prompt, as sent
     is_poison: bool = False  # crashes the engine that responds to it
     is_abandoned: bool = False
     has_timed_out: bool = False  # no end, close or reset before the timeout
@@ -67,12 +72,22 @@
     started_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class Crash:
+    """Crash of a backend server."""
+
+    server_id: str
+    at_ms: int
+    is_by_content: bool
+
+
 class Ledger:
-    """All requests and runs of one soak."""
+    """All requests, runs and crashes of servers of one soak."""
 
-    __slots__ = ("requests", "runs", "stray_responses")
+    __slots__ = ("crashes", "requests", "runs", "stray_responses")
 
     def __init__(self) -> None:
+        self.crashes: list[Crash] = []
         # Entries that sent bytes on a connection without an open request.
         self.stray_responses: list[str] = []
         self.requests: dict[str, Request] = {}
@@ -86,6 +101,30 @@
         """Record the start of a run."""
         self.runs.setdefault(request_id, []).append(run)
 
+    def rows(self) -> dict[str, Any]:
+        """Return what is needed to trace a violation, without bodies of 200.
+
+        Times are of the monotonic clock; `clocks` has it and the wall clock
+        of the logs at the same moment, in ms.
+        """
+        return {
+            "clocks": [now_ms(), int(time.time() * 1_000)],
+            "crashes": [dataclasses.asdict(crash) for crash in self.crashes],
+            "requests": [
+                self._row(request) for request in self.requests.values()
+            ],
+        }
+
+    def _row(self, request: Request) -> dict[str, Any]:
+        row = dataclasses.asdict(request) | {"kind": request.kind.value}
+        response = request.response
+        if response is not None:
+            body = b"" if response.status == 200 else response.body
+            row["response"]["body"] = body[:MAX_KEPT_BYTES].decode("latin-1")
+        runs = self.runs.get(request.request_id, [])
+        row["runs"] = [dataclasses.asdict(run) for run in runs]
+        return row
+
 
 def expected_body(request_id: str) -> bytes:
     """Return the complete body of a response that is not a stream."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,8 @@
 from soak import work_time
 from soak import workspaces as workspaces_module
 
+# Record of all requests, beside the logs of the entries.
+REQUESTS_FILE = "requests.json"
 ENTRIES = 3
 SERVERS = 3
 CALLERS = 12
@@ -429,4 +431,6 @@
         # Leaves no entry process behind if the soak is interrupted.
         for entry in soak.entries:
             entry.kill()
+    rows = json.dumps(soak.ledger.rows())
+    (folder / REQUESTS_FILE).write_text(rows)
     return soak.report()
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import shutil
 import subprocess
 import sys
+import tempfile
 import unittest
 
 FAULTS_S = 3
@@ -24,10 +26,12 @@
     """Guard the guarantees of real entries during series of faults."""
 
     def run_seed(self, seed: int) -> None:
+        """Run one seed; the logs of a run that fails are kept."""
+        folder = tempfile.mkdtemp(prefix=f"balsamwall-soak-{seed}-")
         done = subprocess.run(
             [
                 *(sys.executable, "-m", "soak", "one", str(seed)),
-                f"--seconds={FAULTS_S}",
+                *(f"--seconds={FAULTS_S}", f"--keep={folder}"),
             ],
             capture_output=True,
             text=True,
@@ -35,8 +39,10 @@
             check=True,
         )
         report = json.loads(done.stdout.splitlines()[-1])
-        self.assertEqual(report["violations"], [], report["faults"])
-        self.assertGreater(report["served"], 0)
+        message = f"{report['faults']}, logs in {folder}"
+        self.assertEqual(report["violations"], [], message)
+        self.assertGreater(report["served"], 0, message)
+        shutil.rmtree(folder)
 
     def test_fixed_seeds(self) -> None:
         """Guard against violations caused by overlapping faults."""
