--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -342,6 +342,7 @@
         self._reports.restart()
         self._quotas.restart()
         self._standby.restart()
+        self._crashes.restart()
         self._engines.start()
 
     # Planning
