Leave it to callers to end streams that cannot be resumed

The entry sees each event before the caller does, so that its timer always fires first.

Change: a stream that cannot be resumed is cut 400 ms later than its caller would leave. Resumable streams still go on elsewhere at the same time.

--- a/src/balsamwall/gateway/route.py
+++ b/src/balsamwall/gateway/route.py
@@ -10,6 +10,9 @@
 MIN_CALLER_TIMEOUT_MS = 2_000
 CALLER_TIMEOUT_TARGETS = 4
 CALLER_TIMEOUT_GAPS = 8
+# Time for the last event to reach the caller, and for the end of the caller's
+# connection to come back, before a stream is cut off.
+CUT_DELAY_MS = 400
 
 
 class RequestKind(enum.Enum):
@@ -61,14 +64,19 @@
 
     @property
     def event_timeout_ms(self) -> int:
-        """Return how long a caller waits for the next event of a stream.
+        """Return how long a stream may go on without an event.
 
-        Without a target of the gap, a slow stream can't be told from one that
-        hangs, and only the timeout of the route ends it.
+        A stream that can be resumed goes on at another server when its caller
+        would leave. Any other one is cut off later than that, so that it does
+        not end sooner than its caller wants. Without a target of the gap, a
+        slow stream can't be told from one that hangs, and only the timeout of
+        the route ends it.
         """
         if not self.gap_target_ms:
             return self.timeout_ms
-        return self.caller_timeout_ms
+        if self.is_resumable:
+            return self.caller_timeout_ms
+        return self.caller_timeout_ms + CUT_DELAY_MS
 
     @property
     def is_stream(self) -> bool:
