Log the evidence on crashes and corrections of the state of engines

Change: crash_evidence has processes, score, familiarity and proofs of content that was on several crashed processes; engine_state_corrected has what a report adds to the ledger or removes from it. No decision is changed.

--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -106,7 +106,19 @@
         within_ms = self._clock.now_ms() - watch.since_ms
         return messages_fleet.ProofQuery(watch.content, within_ms)
 
+    def _write_tallies(self, tallies: list[crash_evidence.Tally]) -> None:
+        for tally in tallies:
+            self._log.write(
+                "crash_evidence",
+                content=tally.content.hex(),
+                processes=tally.processes,
+                score=tally.score,
+                is_familiar=tally.is_familiar,
+                is_proven=tally.is_proven,
+            )
+
     def _apply(self, findings: crash_evidence.Findings) -> None:
+        self._write_tallies(findings.tallies)
         for watch in findings.watches:
             query = self._proof_query(watch)
             self._log.write(
@@ -162,7 +174,11 @@
         Content that is held back together is released when all of it is
         proven, by one response or by several.
         """
+        tallies = self._evidence.tallies(proven, is_proven=True)
         proven = self._evidence.on_proven(proven)
+        self._write_tallies(
+            [item for item in tallies if item.content in proven]
+        )
         held_back = [content for content, _ in self._quarantine.entries()]
         for content in held_back:
             if content.isdisjoint(proven):
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -13,6 +13,8 @@
 from balsamwall.coordination import content_evidence
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from balsamwall.gateway import broken_request
     from balsamwall.gateway import quarantine as quarantine_module
     from balsamwall.timing import clock as clock_module
@@ -30,6 +32,8 @@
 SETTLE_MS = 1_000
 # Crashes of one content are counted together for this time.
 EVIDENCE_MS = 900_000
+# Crashes from which on the evidence against a content is logged.
+MIN_TALLY_CRASHES = 2
 MAX_CONTENTS = 20_000
 MAX_PROCESSES = 500
 MAX_BROKEN_PER_PROCESS = 500
@@ -56,10 +60,24 @@
     since_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tally:
+    """Hold what speaks against one content, for logs."""
+
+    content: bytes
+    processes: int  # that crashed
+    score: int
+    is_familiar: bool
+    is_proven: bool = False  # whether a proof has just ended the evidence
+
+
 @dataclasses.dataclass(slots=True)
 class Findings:
     """Hold what follows from one report."""
 
+    # Of content that has been on several crashed processes.
+    tallies: list[Tally] = dataclasses.field(default_factory=list)
+
     watches: list[Watch] = dataclasses.field(default_factory=list)
     quarantined: list[frozenset[bytes]] = dataclasses.field(
         default_factory=list
@@ -314,8 +332,29 @@
         findings = Findings()
         for content in counted:
             self._examine(content, findings)
+            findings.tallies += self.tallies([content])
         return findings
 
+    def tallies(
+        self, contents: Iterable[bytes], *, is_proven: bool = False
+    ) -> list[Tally]:
+        """Return the evidence against contents with several crashes."""
+        found = []
+        for content in contents:
+            evidence = self._evidence.get(content)
+            if evidence is None or len(evidence.crashes) < MIN_TALLY_CRASHES:
+                continue
+            found.append(
+                Tally(
+                    content,
+                    len(evidence.crashes),
+                    evidence.score,
+                    evidence.is_familiar,
+                    is_proven,
+                )
+            )
+        return found
+
     def _examine(self, content: bytes, findings: Findings) -> None:
         """Ask for proofs, or make the content a candidate."""
         evidence = self._evidence.get(content)
--- a/src/balsamwall/coordination/engine_tracker.py
+++ b/src/balsamwall/coordination/engine_tracker.py
@@ -199,6 +199,22 @@
             return has_free_slot and size_mb <= self.free_mb()
         return self._size_mb(order.model) <= self.free_mb()
 
+    def residents(self) -> set[str]:
+        """Return the models and, as MODEL/ADAPTER, the adapters that count.
+
+        They include those on their way.
+        """
+        names = {*self.models, self.loading_model} - {""}
+        adapters = {
+            (model, adapter)
+            for model, held in self.models.items()
+            for adapter in held
+        }
+        return names | {
+            f"{model}/{adapter}"
+            for model, adapter in adapters | self.pending_adapters
+        }
+
     def apply_report(self, report: engine_control.EngineReport) -> None:
         """Replace the tracked state by the report of a non-busy engine."""
         self.order_count = report.order_count
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -388,12 +388,30 @@
                 )
                 return
             tracker.conflicts = 0
-            tracker.apply_report(report)
+            self._apply_report(tracker, report)
             self._owner.on_residents_changed(tracker)
             self._set_ready(tracker)
 
         self._request_report(tracker, self._poll_until_stable, on_report)
 
+    def _apply_report(
+        self,
+        tracker: engine_tracker.EngineTracker,
+        report: engine_control.EngineReport,
+    ) -> None:
+        """Replace the tracked state, and log what the report corrects."""
+        tracked = tracker.residents()
+        tracker.apply_report(report)
+        reported = tracker.residents()
+        if tracked != reported:
+            self._log.write(
+                "engine_state_corrected",
+                server=tracker.record.server_id,
+                order_count=tracker.order_count,
+                untracked=sorted(reported - tracked),
+                absent=sorted(tracked - reported),
+            )
+
     def _is_stable(
         self,
         tracker: engine_tracker.EngineTracker,
