Count crashes that a request has followed from server to server

Cause: a request that crashes servers is repeated by its entry and its caller, and crashes all servers of a service within 300 ms.

Change: reports of broken requests have the time of the send, once the coordinator asks for it (message 128; earlier builds are not sent it). A crash under a whole request that was sent after the crash before counts by itself. If another request was in all of these crashes, one more crash or a proof of the other one decides. From the first question for proofs on, entries do not repeat the request by themselves. The tests' doubles of suspects and links have the new properties.

--- a/src/balsamwall/coordination/content_evidence.py
+++ b/src/balsamwall/coordination/content_evidence.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamwall.gateway import fingerprints
 
 # Weight of a crash for content of a request whose response was at its begin,
@@ -23,7 +25,13 @@
 FAMILIAR_MS = 60_000
 # Servers of a failed availability zone crash together. Crashes count as one
 # within this time, in which other servers respond to content that is sound.
+# A request that was sent after the last crash has followed it, and counts.
 ROUND_MS = 300
+# Two entries see one crash, and report it, at times that differ by this much.
+SEND_TOLERANCE_MS = 20
+# A sound request may be sent again to the same servers as the one at fault.
+# One further crash tells them apart.
+AMBIGUOUS_EXTRA_SCORE = STRONG_WEIGHT
 # Broken requests that are counted for one content. Content in more of them is
 # not told apart by their number.
 MAX_REQUESTS = 100
@@ -37,6 +45,18 @@
     weight: int
     # Whether the response to a request with the content was at its begin.
     is_at_begin: bool
+    # First send of the whole request to the process, if the content is one.
+    sent_ms: int | None = None
+
+    def merge(self, other: Crash) -> Crash:
+        """Return what both reports of the same crash say together."""
+        stronger = other if self.rank < other.rank else self
+        sends = [
+            crash.sent_ms
+            for crash in (self, other)
+            if crash.sent_ms is not None
+        ]
+        return dataclasses.replace(stronger, sent_ms=min(sends, default=None))
 
     @property
     def rank(self) -> tuple[int, bool]:
@@ -86,24 +106,61 @@
 
     @property
     def score(self) -> int:
-        """Return the sum of weights, one for all crashes of one round."""
+        """Return the sum of weights, one for all crashes of one round.
+
+        A crash begins a round if its request was sent after the one that
+        began the round before, or some time after it.
+        """
+        return self._sum_rounds(_has_followed)
+
+    @property
+    def _needed_score(self) -> int:
+        """Return the score from which on the content is held back."""
+        if self.is_familiar:
+            return FAMILIAR_QUARANTINE_SCORE
+        return QUARANTINE_SCORE
+
+    @property
+    def is_at_fault(self) -> bool:
+        """Return whether the evidence suffices to hold the content back."""
+        return self.score >= self._needed_score
+
+    @property
+    def is_certain(self) -> bool:
+        """Return whether it suffices beside other content in all crashes.
+
+        Content that is in crashes over a longer time had the time to be
+        proven if it is sound.
+        """
+        needed = self._needed_score
+        return (
+            self._sum_rounds(_is_later) >= needed
+            or self.score >= needed + AMBIGUOUS_EXTRA_SCORE
+        )
+
+    def _sum_rounds(self, begins: Callable[[Crash, Crash], bool]) -> int:
+        """Return the sum of the greatest weight of each round.
+
+        `begins` tells whether a crash begins a round after the one that has
+        begun the round before.
+        """
         total = 0
         weight = 0
-        round_ms: int | None = None
+        first: Crash | None = None
         for crash in sorted(self.crashes.values(), key=lambda c: c.at_ms):
-            if round_ms is None or crash.at_ms - round_ms >= ROUND_MS:
+            if first is None or begins(first, crash):
                 total += weight
                 weight = 0
-                round_ms = crash.at_ms
+                first = crash
             weight = max(weight, crash.weight)
         return total + weight
 
-    @property
-    def is_at_fault(self) -> bool:
-        """Return whether the evidence suffices to hold the content back."""
-        if self.is_familiar:
-            return self.score >= FAMILIAR_QUARANTINE_SCORE
-        return self.score >= QUARANTINE_SCORE
+    def is_rivalled_by(self, other: ContentEvidence) -> bool:
+        """Return whether other content was in all crashes as well."""
+        return (
+            self.crashes.keys() <= other.crashes.keys()
+            and self.rank <= other.rank
+        )
 
     @property
     def weight(self) -> Weight:
@@ -160,5 +217,19 @@
         if len(self._requests) < MAX_REQUESTS:
             self._requests.add((process, request.request))
         known = self.crashes.get(process)
-        if known is None or known.rank < crash.rank:
-            self.crashes[process] = crash
+        self.crashes[process] = known.merge(crash) if known else crash
+
+
+def _is_later(first: Crash, crash: Crash) -> bool:
+    """Return whether a crash is not of the same failure of a zone."""
+    return crash.at_ms - first.at_ms >= ROUND_MS
+
+
+def _has_followed(first: Crash, crash: Crash) -> bool:
+    """Return whether a crash is later, or its request was sent later."""
+    if _is_later(first, crash):
+        return True
+    return (
+        crash.sent_ms is not None
+        and crash.sent_ms >= first.at_ms - SEND_TOLERANCE_MS
+    )
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -175,6 +175,7 @@
             self._reports,
             limits,
             self._standby,
+            self._crashes,
         )
         self._is_active = False
         # Newest token that an engine has rejected, 0 for none.
--- a/src/balsamwall/coordination/crash_control.py
+++ b/src/balsamwall/coordination/crash_control.py
@@ -6,9 +6,8 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.coordination import crash_evidence
+from balsamwall.coordination import crash_reports
 from balsamwall.coordination import messages_fleet
-from balsamwall.gateway import broken_request
-from balsamwall.gateway import fingerprints
 from balsamwall.gateway import quarantine as quarantine_module
 
 if TYPE_CHECKING:
@@ -72,16 +71,15 @@
         return True
 
     def _on_broken(self, item: messages_fleet.BrokenRequestReport) -> None:
-        broken = broken_request.BrokenRequest(
-            item.process,
-            fingerprints.RequestFingerprints(
-                item.request, frozenset(item.parts)
-            ),
-            item.is_at_begin,
-            self._clock.now_ms() - max(0, item.age_ms),
-        )
+        broken = crash_reports.decode(item, self._clock.now_ms())
         self._apply(self._evidence.on_broken(broken))
 
+    def with_acceptance(self, loads: dict[str, int]) -> dict[str, int]:
+        """Return fleet loads that ask for the times of sends, if needed."""
+        if self._evidence.is_empty:
+            return loads
+        return {**loads, crash_reports.ACCEPTS_SENDS_KEY: 1}
+
     def restart(self) -> None:
         """Ask for proofs again, at the start of a term."""
         self._apply(self._evidence.restart())
@@ -127,15 +125,18 @@
                 within_ms=query.within_ms,
             )
             self._links.broadcast(query)
-        if findings.is_decision_due and self._timer is None:
-            self._timer = self._clock.call_later(
-                crash_evidence.DECISION_DELAY_MS, self._decide
-            )
+        self._schedule_decision()
         for content in findings.released:
             self._release(content)
         for content in findings.quarantined:
             self._hold_back(content, quarantine_module.QUARANTINE_MS)
 
+    def _schedule_decision(self) -> None:
+        if self._evidence.is_decision_due and self._timer is None:
+            self._timer = self._clock.call_later(
+                crash_evidence.DECISION_DELAY_MS, self._decide
+            )
+
     def _decide(self) -> None:
         self._timer = None
         self._apply(self._evidence.decide())
@@ -179,6 +180,7 @@
         self._write_tallies(
             [item for item in tallies if item.content in proven]
         )
+        self._schedule_decision()
         held_back = [content for content, _ in self._quarantine.entries()]
         for content in held_back:
             if content.isdisjoint(proven):
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -84,8 +84,6 @@
     )
     # Content that was held back and is now explained by other content.
     released: list[frozenset[bytes]] = dataclasses.field(default_factory=list)
-    # Whether to decide after DECISION_DELAY_MS.
-    is_decision_due: bool = False
 
 
 class CrashEvidence:
@@ -104,6 +102,7 @@
     """
 
     __slots__ = (
+        "_ambiguous",
         "_asked",
         "_candidates",
         "_clock",
@@ -124,6 +123,8 @@
         self._processes: dict[str, _Process] = {}
         self._evidence: dict[bytes, content_evidence.ContentEvidence] = {}
         self._candidates: set[bytes] = set()
+        # Content that is held back once it is told from other content.
+        self._ambiguous: set[bytes] = set()
         # Content that the entries have been asked for earlier proofs of.
         self._asked: set[bytes] = set()
         # When all entries have had the time to repeat their reports.
@@ -131,6 +132,16 @@
         # By fingerprint: reports of broken requests before this are void.
         self._proven_ms: dict[bytes, int] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is no evidence against any content."""
+        return not self._evidence
+
+    @property
+    def is_decision_due(self) -> bool:
+        """Return whether to decide after DECISION_DELAY_MS."""
+        return bool(self._candidates or self._asked)
+
     def on_broken(self, broken: broken_request.BrokenRequest) -> Findings:
         """Add a request that broke at a process."""
         found = self._process(broken.process)
@@ -182,6 +193,9 @@
         for content in proven:
             self._evidence.pop(content, None)
             self._proven_ms[content] = now_ms
+        if proven:
+            self._candidates |= self._ambiguous
+            self._ambiguous.clear()
         return proven
 
     def _is_earlier_proof(self, content: bytes) -> bool:
@@ -197,7 +211,6 @@
         """Decide on the candidates, those with the most evidence first."""
         findings = Findings()
         if self._clock.now_ms() < self._settled_ms:
-            findings.is_decision_due = True
             return findings
         self._ask_for_later_proofs(findings)
         candidates, self._candidates = self._candidates, set()
@@ -205,7 +218,6 @@
             content = max(candidates, key=self._rank)
             candidates.discard(content)
             self._judge(content, findings)
-        findings.is_decision_due = bool(self._candidates or self._asked)
         return findings
 
     def _ask_for_later_proofs(self, findings: Findings) -> None:
@@ -246,11 +258,28 @@
         if watched_ms is None or now_ms - watched_ms < DECISION_DELAY_MS:
             self._candidates.add(content)
             return
+        if self._is_ambiguous(content, evidence):
+            self._ambiguous &= self._evidence.keys()
+            self._ambiguous.add(content)
+            return
         found = self._indistinguishable(evidence)
         findings.quarantined.append(found)
         explained = self._discount(content, evidence)
         findings.released += self._explained_sets(found, explained)
 
+    def _is_ambiguous(
+        self, content: bytes, evidence: content_evidence.ContentEvidence
+    ) -> bool:
+        """Return whether other content may be at fault for all crashes.
+
+        A further crash, or a proof of the other content, decides.
+        """
+        return not evidence.is_certain and any(
+            evidence.is_rivalled_by(other)
+            for name, other in self._evidence.items()
+            if name != content and not other.is_equal(evidence)
+        )
+
     def _indistinguishable(
         self, evidence: content_evidence.ContentEvidence
     ) -> frozenset[bytes]:
@@ -364,10 +393,8 @@
             evidence.asked_ms = self._clock.now_ms()
             self._asked.add(content)
             findings.watches.append(_watch(content, evidence))
-            findings.is_decision_due = True
         if evidence.is_at_fault:
             self._candidates.add(content)
-            findings.is_decision_due = True
 
     def _count(
         self, request: broken_request.BrokenRequest
@@ -379,7 +406,8 @@
         for content in counted:
             if request.at_ms < self._proven_ms.get(content, request.at_ms):
                 continue
-            is_strong = request.is_at_begin or content == fingerprints.request
+            is_whole = content == fingerprints.request
+            is_strong = request.is_at_begin or is_whole
             weight = (
                 content_evidence.STRONG_WEIGHT
                 if is_strong
@@ -388,7 +416,10 @@
             self._evidence_for(content, request).add(
                 request.process,
                 content_evidence.Crash(
-                    request.at_ms, weight, request.is_at_begin
+                    request.at_ms,
+                    weight,
+                    request.is_at_begin,
+                    request.sent_ms if is_whole else None,
                 ),
                 fingerprints,
             )
--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from balsamwall.coordination import coordinator as coordinator_module
+    from balsamwall.coordination import crash_control
     from balsamwall.coordination import demand as demand_module
     from balsamwall.coordination import engine_table
     from balsamwall.coordination import entry_reports
@@ -31,6 +32,7 @@
     __slots__ = (
         "_clock",
         "_configuration",
+        "_crashes",
         "_demand",
         "_engines",
         "_last_state_ms",
@@ -50,6 +52,7 @@
         reports: entry_reports.EntryReports,
         limits: server_limits.ServerLimits,
         standby: standby_choice.StandbyChoice,
+        crashes: crash_control.CrashControl,
     ) -> None:
         self._clock = clock
         self._configuration = configuration
@@ -59,6 +62,7 @@
         self._reports = reports
         self._limits = limits
         self._standby = standby
+        self._crashes = crashes
         self._last_state_ms = 0
 
     def tick(self) -> None:
@@ -69,12 +73,13 @@
         self._last_state_ms = now_ms
         current = self._configuration.current
         has_workspaces = current is not None and current.workspaces is not None
+        loads = self._reports.with_acceptance(
+            self._demand.loads(), has_workspaces
+        )
         self._links.broadcast(
             messages_fleet.FleetState(
                 self._links.count,
-                self._reports.with_acceptance(
-                    self._demand.loads(), has_workspaces
-                ),
+                self._crashes.with_acceptance(loads),
                 self._demand.queued(),
                 load_forecast.expected_loads(self._engines.all(), now_ms),
             )
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import crash_reports
 from balsamwall.coordination import demand_source
 from balsamwall.coordination import entry_features
 from balsamwall.coordination import limit_rows
@@ -37,6 +38,9 @@
 # A former coordinator closes new streams at once. The delay between connection
 # attempts doubles up to this value until an active coordinator has responded.
 MAX_RECONNECT_MS = 800
+# The coordinator sends its state every 250 ms. Without one for this time it is
+# taken for lost.
+SILENCE_MS = 1_000
 
 
 class Link(Protocol):
@@ -57,10 +61,12 @@
         "_clock",
         "_demand",
         "_open_link",
+        "_crashes",
         "_directory",
         "_features",
         "_forecast",
         "_coordinator_address",
+        "_heard_ms",
         "_is_connecting",
         "_limits",
         "_link",
@@ -109,6 +115,7 @@
         self._clock = clock
         self._vm = vm
         self._zone = zone
+        self._crashes = crash_reports.CrashReports()
         self._features = entry_features.FeatureAnnouncement(address)
         self._assignments = assignments
         assignments.set_link(self)
@@ -139,6 +146,7 @@
         self._is_connecting = False
         self._reconnect_ms = REPORT_INTERVAL_MS
         self._next_connect_ms = 0
+        self._heard_ms = 0
 
     def start(self) -> None:
         """Connect, then report the demand every REPORT_INTERVAL_MS."""
@@ -226,19 +234,17 @@
                 )
             )
 
+    @property
+    def is_coordinated(self) -> bool:
+        """Return whether a coordinator has been heard of just now."""
+        silent_ms = self._clock.now_ms() - self._heard_ms
+        return self._link is not None and silent_ms <= SILENCE_MS
+
     def report_broken(self, broken: broken_request.BrokenRequest) -> None:
         """Report a request that broke at a server process, if connected."""
         if self._link is not None:
-            age_ms = self._clock.now_ms() - broken.at_ms
-            self._link.send(
-                messages_fleet.BrokenRequestReport(
-                    broken.process,
-                    broken.fingerprints.request,
-                    sorted(broken.fingerprints.parts),
-                    broken.is_at_begin,
-                    age_ms,
-                )
-            )
+            now_ms = self._clock.now_ms()
+            self._link.send(self._crashes.encode(broken, now_ms))
 
     def report_lost(self, process: str) -> None:
         """Report the loss of a server process, if connected."""
@@ -258,6 +264,7 @@
     def on_message(self, item: message.Message) -> None:
         """Apply a message from the coordinator."""
         self._standby.on_coordinator_heard()
+        self._heard_ms = self._clock.now_ms()
         if isinstance(item, messages_fleet.ServerModels):
             self._waits.set_fleet_counts(item.waiting)
             self._directory.set_models(
@@ -310,6 +317,8 @@
         self._use.on_fleet_queued(state.queued)
         self._speeds.on_loads(state.loads)
         self._origins.on_loads(state.loads)
+        if self._crashes.on_loads(state.loads):
+            self._suspects.repeat_reports()
         features = self._features.on_loads(state.loads)
         if features is not None and self._link is not None:
             self._link.send(features)
@@ -371,9 +380,11 @@
 
     def _introduce(self) -> None:
         """Send all that a new coordinator needs to know of this entry."""
+        self._heard_ms = self._clock.now_ms()
         self._speeds.restart()
         self._origins.on_connected()
         self._features.restart()
+        self._crashes.restart()
         observations = self._limits.book.observations()
         if observations:
             self.report_limits(observations)
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -122,6 +122,13 @@
     age_ms: int
 
 
+@message.register(128)
+class BrokenSendReport(BrokenRequestReport):
+    """Report also how many ms ago the broken request was sent."""
+
+    sent_age_ms: int
+
+
 @message.register(114)
 class ProcessLost(message.Message):
     """Report a server process that no longer accepts connections."""
--- a/src/balsamwall/gateway/broken_request.py
+++ b/src/balsamwall/gateway/broken_request.py
@@ -17,3 +17,5 @@
     fingerprints: fingerprints_module.RequestFingerprints
     is_at_begin: bool  # whether the response had a head and nothing after it
     at_ms: int  # by the clock of this process
+    # When it was sent to the server, None if a report does not say it.
+    sent_ms: int | None = None
--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import broken_request
+from balsamwall.gateway import local_suspicion
 from balsamwall.gateway import quarantine as quarantine_module
 
 if TYPE_CHECKING:
@@ -34,6 +35,10 @@
 class CrashLink(Protocol):
     """Send reports to the coordinator; they are dropped without one."""
 
+    @property
+    def is_coordinated(self) -> bool:
+        """Return whether a coordinator has been heard of just now."""
+
     def report_broken(self, broken: broken_request.BrokenRequest) -> None:
         """Report a request that broke at a server process."""
 
@@ -61,6 +66,7 @@
         "_broken",
         "_clock",
         "_link",
+        "_local",
         "_log",
         "_lost_ms",
         "_on_quarantined",
@@ -75,6 +81,7 @@
         self._clock = clock
         self._log = log
         self._link: CrashLink | None = None
+        self._local = local_suspicion.LocalSuspicion(clock)
         self._on_quarantined: Callable[[], None] | None = None
         self._broken: collections.deque[broken_request.BrokenRequest]
         self._broken = collections.deque(maxlen=MAX_REPORTS)
@@ -100,6 +107,7 @@
         record: backend_directory.ServerRecord,
         fingerprints: fingerprints_module.RequestFingerprints,
         is_at_begin: bool,
+        sent_ms: int,
     ) -> None:
         """Report a request whose response was not proven when it broke."""
         broken = broken_request.BrokenRequest(
@@ -107,14 +115,17 @@
             fingerprints,
             is_at_begin,
             self._clock.now_ms(),
+            sent_ms,
         )
         self._broken.append(broken)
+        self._local.on_broken(fingerprints.request, sent_ms)
         self._log.write(
             "crash_suspect",
             process=broken.process,
             request=fingerprints.request.hex(),
             parts=sorted(part.hex() for part in fingerprints.parts),
             is_at_begin=is_at_begin,
+            after_ms=broken.at_ms - sent_ms,
         )
         if self._link is not None:
             self._link.report_broken(broken)
@@ -136,6 +147,7 @@
         self, fingerprints: frozenset[bytes], first_data_ms: int
     ) -> None:
         """Record contents whose response went on; report watched ones."""
+        self._local.on_proven(fingerprints)
         for content in fingerprints:
             self._proven_ms[content] = first_data_ms
             self._proven_ms.move_to_end(content)
@@ -149,6 +161,23 @@
                 self._watched.pop(content, None)
             self._link.report_proven(fingerprints)
 
+    @property
+    def holds_any(self) -> bool:
+        """Return whether any request may be held back."""
+        return bool(self.quarantine) or bool(self._local)
+
+    def held_back_ms(
+        self, fingerprints: fingerprints_module.RequestFingerprints
+    ) -> int:
+        """Return for how long a request is held back, 0 if it is not."""
+        content = self.quarantine.match(fingerprints.all)
+        if content:
+            return self.quarantine.remaining_ms(content)
+        is_coordinated = self._link is not None and self._link.is_coordinated
+        return self._local.remaining_ms(
+            fingerprints.request, is_coordinated=is_coordinated
+        )
+
     def watch(self, content: bytes, since_ms: int) -> None:
         """Report the next proof of this content.
 
@@ -163,6 +192,15 @@
             self._drop_old_watches()
         self._watched[content] = self._clock.now_ms() + WATCH_MS
 
+    @property
+    def has_watched(self) -> bool:
+        """Return whether the coordinator waits for a proof of any content."""
+        return bool(self._watched)
+
+    def is_watched(self, content: bytes) -> bool:
+        """Return whether the coordinator waits for a proof of content."""
+        return self._watched.get(content, 0) > self._clock.now_ms()
+
     def hold_back(self, content: frozenset[bytes], remaining_ms: int) -> None:
         """Quarantine content, or release it if no time remains."""
         if not remaining_ms:
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -119,7 +119,7 @@
     def may_retry(self, failure: attempt_module.AttemptFailure) -> bool:
         """Record a failed attempt; return whether to send again."""
         self.history.record_failure(failure)
-        if not self._exchange.body.may_be_sent:
+        if not self._exchange.body.may_be_sent or self._is_suspect(failure):
             return False
         return self._dependencies.retry_policy.may_retry(
             self._handler.route,
@@ -129,6 +129,19 @@
             self._dependencies.retry_budget_for(self._service),
         )
 
+    def _is_suspect(self, failure: attempt_module.AttemptFailure) -> bool:
+        """Return whether the request may have crashed several servers.
+
+        It is then left to its caller to send it again, so that the
+        coordinator can decide before it crashes another server.
+        """
+        suspects = self._dependencies.suspects
+        return (
+            failure is attempt_module.AttemptFailure.BROKEN
+            and suspects.has_watched
+            and suspects.is_watched(self._handler.fingerprints.request)
+        )
+
     def begin_response(
         self, attempt: attempt_module.Attempt, fields: http_fields.Fields
     ) -> None:
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -310,7 +310,10 @@
         ):
             is_at_begin = attempt.status != 0 and not handler.body.has_data
             self.suspects.on_broken_response(
-                server.record, handler.fingerprints, is_at_begin
+                server.record,
+                handler.fingerprints,
+                is_at_begin,
+                attempt.sent_ms,
             )
         self.log.write(
             "attempt_failed",
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -158,19 +158,19 @@
         A running response with data goes on, since it may prove that the
         content is sound. Return whether the request has ended.
         """
-        quarantine = self._dependencies.suspects.quarantine
-        if not quarantine or self._is_finished:
+        suspects = self._dependencies.suspects
+        if not suspects.holds_any or self._is_finished:
             return False
         if self.attempts.current is not None and self.body.has_data:
             return False
-        content = quarantine.match(self.fingerprints.all)
-        if not content:
+        left_ms = suspects.held_back_ms(self.fingerprints)
+        if not left_ms:
             return False
         self.attempts.abandon(is_failure=False)
         self._refuse(
             _Code.QUARANTINED,
             "servers crash when they respond to this content",
-            quarantine.remaining_ms(content),
+            left_ms,
         )
         return True
 
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -107,7 +107,7 @@
         """Guards against blame at a new coordinator for known crashes."""
         request = fingerprints.RequestFingerprints(b"r", frozenset([b"bad"]))
         self.suspects.on_broken_response(
-            gateway_harness.make_record("s1"), request, True
+            gateway_harness.make_record("s1"), request, True, 1
         )
         self.suspects.hold_back(frozenset([b"bad"]), 1_000)
         stream = FakeStream()
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -39,7 +39,7 @@
         for content in findings.quarantined:
             self.quarantine.add(content, 1_000_000)
         self.watched += [watch.content for watch in findings.watches]
-        if findings.is_decision_due:
+        if self.evidence.is_decision_due:
             self.clock.call_later(
                 crash_evidence.DECISION_DELAY_MS,
                 lambda: self.apply(self.evidence.decide()),
@@ -343,7 +343,7 @@
 
     def test_reports_are_repeated_to_a_new_coordinator(self):
         """Guards against evidence that is lost with a coordinator."""
-        self.suspects.on_broken_response(self.record, self.request, True)
+        self.suspects.on_broken_response(self.record, self.request, True, 1)
         self.suspects.on_server_lost(self.record)
         self.suspects.repeat_reports()
         self.assertEqual((len(self.broken), len(self.lost)), (2, 2))
@@ -373,7 +373,9 @@
         for number in range(2 * crash_suspects.MAX_PROVEN):
             content = frozenset([number.to_bytes(16, "big")])
             self.suspects.on_proven(content, 1)
-            self.suspects.on_broken_response(self.record, self.request, True)
+            self.suspects.on_broken_response(
+                self.record, self.request, True, 1
+            )
             self.suspects.watch(number.to_bytes(16, "big"), 100)
         self.assertEqual(
             len(self.suspects._proven_ms), crash_suspects.MAX_PROVEN
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -40,7 +40,8 @@
         """Let a server cut a stream that was not read for some time."""
         harness = make(is_resumable=True)
         suspects = mock.Mock(harness.gateway.dependencies.suspects)
-        suspects.quarantine = None
+        suspects.holds_any = False
+        suspects.has_watched = False
         harness.gateway.dependencies.suspects = suspects
         harness.respond(CHUNKED, chunk(EVENT))
         harness.caller.pauseProducing()
