Count what an engine unloads until the engine has said that it is gone

Cause: the ledger freed memory and adapter slots when an unload was sent. Class: a resource is released at the request, not at its confirmation.

Change: what is being unloaded stays charged until the engine confirms it. An adapter in use, and orders dropped without a token, lead to a new reading of the state; a reading without a token is tried again. The largest configured size counts for adapters of unknown models.

--- a/src/balsamwall/coordination/engine_tracker.py
+++ b/src/balsamwall/coordination/engine_tracker.py
@@ -33,6 +33,8 @@
 
     __slots__ = (
         "pending_adapters",
+        "unloading_adapters",
+        "unloading_models",
         "local_models",
         "resident_since_ms",
         "conflicts",
@@ -69,6 +71,10 @@
         self.loading_model: str = ""
         self.load_due_ms = 0
         self.pending_adapters: set[tuple[str, str]] = set()
+        # Not to be used any more, but in memory until the engine has said
+        # that the unload is done.
+        self.unloading_models: set[str] = set()
+        self.unloading_adapters: set[tuple[str, str]] = set()
         self.order_count = 0
         self.state = EngineState.UNKNOWN
         self.timer: clock_module.Timer | None = None
@@ -147,24 +153,50 @@
         }
         return ({*self.models, self.loading_model} | queued) - {""}
 
+    def begin_unload(self, order: engine_control.Order) -> None:
+        """Use a model or adapter no more, but count its memory."""
+        if order.adapter:
+            self.models.get(order.model, set()).discard(order.adapter)
+            self.unloading_adapters.add((order.model, order.adapter))
+        elif order.model in self.models:
+            self.unloading_models.add(order.model)
+            self.unloading_adapters |= {
+                (order.model, adapter)
+                for adapter in self.models.pop(order.model)
+            }
+
+    def finish_unload(self, order: engine_control.Order) -> None:
+        """Count the memory no more, since the engine has freed it.
+
+        An engine takes no further order while the unload of a model waits.
+        """
+        if order.adapter:
+            self.unloading_adapters.discard((order.model, order.adapter))
+            return
+        self.unloading_models.discard(order.model)
+        self.unloading_adapters = {
+            key for key in self.unloading_adapters if key[0] != order.model
+        }
+
+    def _counted_adapters(self) -> set[tuple[str, str]]:
+        """Return the adapters that use a slot, with their models."""
+        held = {
+            (model, adapter)
+            for model, adapters in self.models.items()
+            for adapter in adapters
+        }
+        return held | self.pending_adapters | self.unloading_adapters
+
     @property
     def used_adapter_slots(self) -> int:
-        """Return the used adapter slots, including those of pending loads."""
-        held = sum(len(adapters) for adapters in self.models.values())
-        arriving = [
-            (model, adapter)
-            for model, adapter in self.pending_adapters
-            if adapter not in self.models.get(model, ())
-        ]
-        return held + len(arriving)
+        """Return the used adapter slots, with pending loads and unloads."""
+        return len(self._counted_adapters())
 
     def committed_mb(self) -> float:
-        """Return the memory of all weights, including those being loaded."""
-        names = {*self.models, self.loading_model} - {""}
-        total = sum(self._size_mb(name) for name in names)
-        for model, adapters in self.models.items():
-            total += len(adapters) * self._adapter_mb(model)
-        for model, _ in self.pending_adapters:
+        """Return the memory of all weights, with pending loads and unloads."""
+        names = {*self.models, *self.unloading_models, self.loading_model}
+        total = sum(self._size_mb(name) for name in names - {""})
+        for model, _ in self._counted_adapters():
             total += self._adapter_mb(model)
         return total
 
@@ -204,15 +236,9 @@
 
         They include those on their way.
         """
-        names = {*self.models, self.loading_model} - {""}
-        adapters = {
-            (model, adapter)
-            for model, held in self.models.items()
-            for adapter in held
-        }
-        return names | {
-            f"{model}/{adapter}"
-            for model, adapter in adapters | self.pending_adapters
+        names = {*self.models, *self.unloading_models, self.loading_model}
+        return (names - {""}) | {
+            f"{model}/{adapter}" for model, adapter in self._counted_adapters()
         }
 
     def apply_report(self, report: engine_control.EngineReport) -> None:
@@ -224,6 +250,8 @@
         self.pending_adapters = set(report.pending_adapters)
         self.local_models.update(self.models)
         self.loading_model = ""
+        self.unloading_models.clear()
+        self.unloading_adapters.clear()
         # An order whose response was lost may have been executed.
         self.queue = [
             order for order in self.queue if self._is_outstanding(order)
@@ -244,7 +272,8 @@
     def _size_mb(self, model: str) -> float:
         spec = self.spec.models.get(model)
         # A resident model may have been removed from the configuration. Its
-        # size is then unknown, and the largest configured size is assumed.
+        # size is then unknown, and the largest configured size is assumed;
+        # the same holds for its adapters.
         if spec is None:
             return max(
                 (item.weights_mb for item in self.spec.models.values()),
@@ -254,4 +283,9 @@
 
     def _adapter_mb(self, model: str) -> float:
         spec = self.spec.models.get(model)
-        return spec.adapter_mb if spec is not None else 0.0
+        if spec is None:
+            return max(
+                (item.adapter_mb for item in self.spec.models.values()),
+                default=0.0,
+            )
+        return spec.adapter_mb
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -115,14 +115,16 @@
     def run(self, tracker: engine_tracker.EngineTracker) -> None:
         """Send the next queued order if the engine is ready.
 
-        The queue is cleared if no order may be sent or the next one does not
-        fit. A load without a permit of the weight store is tried again later.
+        The queue is cleared if the next order does not fit, or if no order may
+        be sent; then it is not known whether the last one was carried out.
+        A load without a permit of the weight store is tried again later.
         """
         if tracker.state is not _State.READY or not tracker.queue:
             return
         token = self._owner.fencing_token
         if not token:
             tracker.queue.clear()
+            self._resynchronise(tracker)
             return
         order = tracker.queue[0]
         if not tracker.fits(order):
@@ -201,7 +203,7 @@
         tracker.state = _State.ORDERING
         if order.kind is _Kind.UNLOAD:
             # Entries must stop using the model before it is unloaded.
-            self._remove_resident(tracker, order)
+            tracker.begin_unload(order)
             self._owner.on_residents_changed(tracker)
 
         def on_outcome(outcome: engine_control.OrderOutcome) -> None:
@@ -275,10 +277,17 @@
         outcome: engine_control.OrderOutcome,
     ) -> None:
         is_unload = order.kind is _Kind.UNLOAD
+        is_waiting = outcome is _Outcome.ACCEPTED and bool(order.adapter)
+        if is_unload and not is_waiting:
+            tracker.finish_unload(order)
         if outcome is _Outcome.ACCEPTED or (order.adapter and is_unload):
             # An engine reports the unload of an idle adapter as already true.
             tracker.order_count += 1
-        if order.adapter:
+        if is_unload and is_waiting:
+            # Requests use the adapter. The engine takes other orders before
+            # it is gone, and only a report shows when that is.
+            self._resynchronise(tracker)
+        elif order.adapter:
             if not is_unload:
                 self._track_adapter_load(tracker, order)
             self._set_ready(tracker)
@@ -343,15 +352,6 @@
         tracker.adapter_used_ms[key] = self._clock.now_ms()
         self._owner.on_residents_changed(tracker)
 
-    @staticmethod
-    def _remove_resident(
-        tracker: engine_tracker.EngineTracker, order: engine_control.Order
-    ) -> None:
-        if order.adapter:
-            tracker.models.get(order.model, set()).discard(order.adapter)
-        else:
-            tracker.models.pop(order.model, None)
-
     # Reports
 
     def _request_report(
@@ -365,6 +365,7 @@
         The report is ignored if the state has changed in the meantime.
         """
         if not self._owner.fencing_token:
+            self._schedule(tracker, RETRY_INTERVAL_MS, retry)
             return
         state = tracker.state
 
