Cut a stream when the server that resumes it sends another kind of response

A status other than 200 cut the stream, but a signed 200 of another kind, such as an error in JSON, was relayed as events if it had a blank line, and an empty one ended the stream as complete.

Change: a response goes on with a stream only if it has status 200 and the media type of the response that has begun.

--- a/src/balsamwall/gateway/http_fields.py
+++ b/src/balsamwall/gateway/http_fields.py
@@ -37,6 +37,12 @@
     return int(content)
 
 
+def media_type(fields: Fields) -> bytes:
+    """Return the media type without parameters, empty if there is none."""
+    found = value(fields, b"content-type") or b""
+    return found.partition(b";")[0].strip().lower()
+
+
 def is_repeated(fields: Fields, name: bytes) -> bool:
     """Return whether a field occurs more than once."""
     return sum(1 for found, _ in fields if found == name) > 1
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -6,6 +6,7 @@
 
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import event_relay
+from balsamwall.gateway import http_fields
 from balsamwall.gateway import incoming_request
 from balsamwall.gateway import quota_gate
 from balsamwall.gateway import refusal
@@ -23,7 +24,6 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import fingerprints as fingerprints_module
-    from balsamwall.gateway import http_fields
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import workspace as workspace_module
@@ -213,7 +213,8 @@
     ) -> None:
         """Begin the response, or retry after a 5xx status.
 
-        When a stream is resumed, a status other than 200 cuts it off.
+        When a stream is resumed, a status other than 200 or another media
+        type cuts it off.
         """
         if attempt is not self.attempts.current:
             return
@@ -229,12 +230,14 @@
                 )
                 return
         if self._has_begun:
-            if status != 200:
+            media_type = http_fields.media_type(fields)
+            if not self.body.can_continue(status, media_type):
                 self.attempts.finish(True)
                 attempt.abandon()
                 self._cut(
                     _Code.ANSWER_INTERRUPTED,
-                    f"resuming the stream got status {status}",
+                    f"resuming the stream got status {status}, "
+                    f"media type {media_type[:100]!r}",
                 )
             else:
                 self.resumption.on_head(attempt)
@@ -258,6 +261,7 @@
         """Begin the response to the caller."""
         self.resumption.on_head(attempt)
         self._has_begun = True
+        self.body.begin(http_fields.media_type(fields))
         self.attempts.begin_response(attempt, fields)
 
     def _replace_uncertified_status(
--- a/src/balsamwall/gateway/response_body.py
+++ b/src/balsamwall/gateway/response_body.py
@@ -29,6 +29,7 @@
         "_events",
         "_first_data_ms",
         "_is_event_stream",
+        "_media_type",
         "_relay",
         "framing",
         "is_proven",
@@ -43,6 +44,7 @@
         self.is_proven = False
         self._first_data_ms: int | None = None
         self._is_event_stream = False
+        self._media_type = b""  # of the response that has begun
         self._count = event_count.EventCount()
         self._relay: event_relay.EventRelay | None = None
         self._events: event_relay.EventRelay | event_tail.EventTail | None
@@ -109,6 +111,17 @@
         self.framing = framing
         self._is_event_stream = self._events is not None and status == 200
 
+    def begin(self, media_type: bytes) -> None:
+        """Begin the response to the caller with this media type."""
+        self._media_type = media_type
+
+    def can_continue(self, status: int, media_type: bytes) -> bool:
+        """Return whether a response may go on with one that has begun.
+
+        A server may send an error with status 200 in place of a stream.
+        """
+        return status == 200 and media_type == self._media_type
+
     def feed(self, data: bytes, now_ms: int) -> bytes:
         """Add a part of the body; return what may be forwarded.
 
