Keep the parts of a request suspect that is held back after quick crashes

A part at fault was acquitted and had to crash three more servers with other requests.

Change: crashes over a short time do not acquit the parts of the request that they speak against.

--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -321,6 +321,8 @@
                 continue
             if content == found or evidence.is_equal(explanation):
                 continue
+            if self._is_part_of(content, explanation):
+                continue
             was_at_fault = evidence.is_at_fault
             for process in shared:
                 del crashes[process]
@@ -330,6 +332,17 @@
                 del self._evidence[content]
         return explained
 
+    @staticmethod
+    def _is_part_of(
+        content: bytes, explanation: content_evidence.ContentEvidence
+    ) -> bool:
+        """Return whether a part may be what makes a request crash servers.
+
+        Only crashes over a longer time, in which sound parts are proven, tell
+        a request from its parts.
+        """
+        return not explanation.is_certain and content in explanation.companions
+
     def _process(self, process: str) -> _Process:
         found = self._processes.get(process)
         if found is None:
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -78,6 +78,54 @@
         self.crash("s1@2", [BAD])
         self.assertIn(frozenset([BAD]), self.quarantined)
 
+    def crash_in_succession(self, name, request, parts):
+        """Let one request follow the crashes of three servers."""
+        found = fingerprints.RequestFingerprints(request, frozenset(parts))
+        for number in range(3):
+            sent_ms = self.clock.now_ms()
+            self.clock.advance(50)
+            process = f"{name}{number}"
+            self.apply(
+                self.evidence.on_broken(
+                    broken_request.BrokenRequest(
+                        process, found, True, sent_ms + 50, sent_ms
+                    )
+                )
+            )
+            self.apply(self.evidence.on_lost(process))
+        self.clock.advance(1_000)
+
+    def test_parts_of_a_request_that_is_held_back_stay_suspects(self):
+        """Guards against a part that is acquitted by the request it is in."""
+        self.crash_in_succession("s", b"1" * 16, [BAD, FIRST])
+        self.assertEqual(self.quarantined, [frozenset([b"1" * 16])])
+        for number, name in enumerate("tu"):
+            self.evidence.on_proven(frozenset([FIRST]))
+            self.crash(f"{name}1", [BAD, FIRST])
+            self.assertEqual(frozenset([BAD]) in self.quarantined, number == 1)
+
+    def test_request_that_is_moved_with_the_one_at_fault_is_not_blamed(self):
+        """Guards against blame for a sound request on the same servers."""
+        bad, sound = b"1" * 16, b"2" * 16
+        for number in range(4):
+            sent_ms = self.clock.now_ms()
+            self.clock.advance(50)
+            for request in (bad, sound) if number < 3 else (bad,):
+                found = fingerprints.RequestFingerprints(request, frozenset())
+                self.apply(
+                    self.evidence.on_broken(
+                        broken_request.BrokenRequest(
+                            f"s{number}", found, False, sent_ms + 50, sent_ms
+                        )
+                    )
+                )
+            self.apply(self.evidence.on_lost(f"s{number}"))
+            self.clock.advance(1_000 if number == 2 else 0)
+            if number == 2:
+                self.assertEqual(self.quarantined, [])
+        self.clock.advance(1_000)
+        self.assertEqual(self.quarantined, [frozenset([bad])])
+
     def test_servers_that_crash_together_count_once(self):
         """Guards against blaming frequent content for the loss of a zone."""
         for number in range(6):
