Do not blame a request for crashes that a part of another may explain

Successive crashes count one by one for whole requests only, so that a sound stream that is resumed at each crash got a higher score than the part of other requests that is at fault, and no rival was seen.

Change: any content that was in all of the crashes is a rival, unless it is a part of the request itself, is familiar while the request is not, or met fewer responses at their begin.

--- a/src/balsamwall/coordination/content_evidence.py
+++ b/src/balsamwall/coordination/content_evidence.py
@@ -156,10 +156,16 @@
         return total + weight
 
     def is_rivalled_by(self, other: ContentEvidence) -> bool:
-        """Return whether other content was in all crashes as well."""
+        """Return whether other content was in all crashes as well.
+
+        Scores do not tell them apart, since parts of prompts that crash one
+        server after the other count once for all of them.
+        """
+        if other.is_familiar and not self.is_familiar:
+            return False
         return (
             self.crashes.keys() <= other.crashes.keys()
-            and self.rank <= other.rank
+            and self.weight.at_begin <= other.weight.at_begin
         )
 
     @property
--- a/src/balsamwall/coordination/crash_evidence.py
+++ b/src/balsamwall/coordination/crash_evidence.py
@@ -277,7 +277,7 @@
         return not evidence.is_certain and any(
             evidence.is_rivalled_by(other)
             for name, other in self._evidence.items()
-            if name != content and not other.is_equal(evidence)
+            if name not in evidence.companions and not other.is_equal(evidence)
         )
 
     def _indistinguishable(
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -126,6 +126,29 @@
         self.clock.advance(1_000)
         self.assertEqual(self.quarantined, [frozenset([bad])])
 
+    def test_request_that_is_moved_with_a_part_at_fault_is_not_blamed(self):
+        """Guards against blame for a stream that is resumed at each crash."""
+        for number in range(3):
+            sent_ms = self.clock.now_ms()
+            self.clock.advance(50)
+            for request, parts in (
+                (b"1" * 16, [FIRST]),
+                (b"%d" % (2 + number) * 16, [FIRST, BAD]),
+            ):
+                found = fingerprints.RequestFingerprints(
+                    request, frozenset(parts)
+                )
+                self.apply(
+                    self.evidence.on_broken(
+                        broken_request.BrokenRequest(
+                            f"s{number}", found, True, sent_ms + 50, sent_ms
+                        )
+                    )
+                )
+            self.apply(self.evidence.on_lost(f"s{number}"))
+        self.clock.advance(1_000)
+        self.assertEqual(self.quarantined, [])
+
     def test_servers_that_crash_together_count_once(self):
         """Guards against blaming frequent content for the loss of a zone."""
         for number in range(6):
