--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -78,8 +78,11 @@
         self.violations: list[str] = []
         self.state = "ready"
         self.draining_since_ms: int | None = None
+        # Whether responses announce that the server leaves.
+        self.announces_leaving = False
         self.started_ms = 0
         self._lease = 0
+        self._lease_era = data.era
         self._open_requests: dict[server.Request, _Run] = {}
         self._listener: Any = None
         self._heartbeat: Any = None
@@ -137,11 +140,18 @@
     def _send_heartbeat(self) -> None:
         if not self.is_up:
             return
-        if self._data.renew(self._lease) is None:
+        # Lease ids are given out again after the store was restored.
+        is_restored = self._lease_era != self._data.era
+        if is_restored or self._data.renew(self._lease) is None:
+            self._lease_era = self._data.era
             self._lease = self._data.grant(REGISTRATION_TTL_MS)
             self.register()
         self._heartbeat = reactor.callLater(HEARTBEAT_S, self._send_heartbeat)
 
+    def _end_registration(self) -> None:
+        if self._lease_era == self._data.era:
+            self._data.end_lease(self._lease)
+
     def register(self) -> None:
         """Write the record of this server to the store."""
         rows: dict[str, Any] = {
@@ -200,7 +210,7 @@
             else:
                 request.channel.forceAbortClient()
         self._open_requests.clear()
-        self._data.end_lease(self._lease)
+        self._end_registration()
         reactor.callLater(RESTART_S, self._restart)
 
     def _restart(self) -> None:
@@ -220,7 +230,7 @@
         self.stop()
         for request in list(self._open_requests):
             request.channel.forceAbortClient()
-        self._data.end_lease(self._lease)
+        self._end_registration()
 
     @property
     def writer(self) -> str:
@@ -314,6 +324,8 @@
     def render(self, request: server.Request) -> Any:
         """Serve a report, an order or a caller's request."""
         backend = self._backend
+        if backend.announces_leaving:
+            request.setHeader("Server-Leaving", "1")
         expected = request.getHeader("balsamwall-expect-instance")
         if expected not in (None, backend.instance_id):
             return self._reject_unexecuted(request, 421)
--- a/soak/store.py
+++ b/soak/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import enum
 import json
 from typing import Any
@@ -28,10 +29,22 @@
 SLOW_S = 0.3
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """State of the store at one moment, from which it may be restored."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    lease_ttls_ms: dict[int, int]
+    next_lease_id: int
+
+
 class StoreData:
     """Keys with revisions, history and leases."""
 
     def __init__(self) -> None:
+        # Rises by one each time the store is restored from a copy.
+        self.era = 1
         self.revision = 1
         self.items: dict[str, dict[str, Any]] = {}
         self.history: list[dict[str, Any]] = []
@@ -108,6 +121,35 @@
                 self.remove(key)
         return True
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(
+            self.revision,
+            dict(self.items),
+            {lease: ttl_ms for lease, (_, ttl_ms) in self.leases.items()},
+            self.next_lease_id,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy; revisions and lease ids are given out again.
+
+        Waiting watches must have been closed before. Leases of the copy start
+        again with their whole TTL.
+        """
+        self.stop()
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.history = [
+            event
+            for event in self.history
+            if event["revision"] <= copy.revision
+        ]
+        self.leases = {}
+        self.next_lease_id = copy.next_lease_id
+        for lease_id, ttl_ms in copy.lease_ttls_ms.items():
+            self._start_lease_timer(lease_id, ttl_ms)
+
     def stop(self) -> None:
         """Cancel the timers of all leases."""
         for timer, _ in self.leases.values():
@@ -124,9 +166,16 @@
         super().__init__()
         self._data = data
         self.fault = StoreFault.NONE
+        self._watches: set[_WaitingWatch] = set()
+
+    def close_watches(self) -> None:
+        """Close the connections of all waiting watches."""
+        for watch in list(self._watches):
+            watch.abort()
 
     def render(self, request: server.Request) -> Any:
         """Handle a request according to the current fault."""
+        request.setHeader("Store-Era", str(self._data.era))
         if self.fault is StoreFault.SILENT:
             return server.NOT_DONE_YET
         if self.fault is StoreFault.REFUSE:
@@ -192,13 +241,14 @@
 
     def _kv_watch(self, request: server.Request, rest: str) -> Any:
         after = int(self._argument(request, "after", "0"))
-        if after < self._data.compacted:
+        if not self._data.compacted <= after <= self._data.revision:
             return 410, {}
         events = self._events_after(after)
         if events:
             return self._changes(events)
         wait_s = int(self._argument(request, "wait_ms", "0")) / 1_000
-        _WaitingWatch(self._data, request, wait_s, after, self)
+        watch = _WaitingWatch(self._data, request, wait_s, after, self)
+        self._watches.add(watch)
         return None
 
     def _events_after(self, revision: int) -> list[dict[str, Any]]:
@@ -211,6 +261,10 @@
     def _changes(self, events: list[dict[str, Any]]) -> Any:
         return 200, {"events": events, "current_rev": self._data.revision}
 
+    def forget_watch(self, watch: _WaitingWatch) -> None:
+        """Remove a watch that waits no longer."""
+        self._watches.discard(watch)
+
     def finish_watch(self, request: server.Request, after: int) -> None:
         """Respond to a long poll unless the store does not answer now."""
         if self.fault in (StoreFault.SILENT, StoreFault.REFUSE):
@@ -271,10 +325,16 @@
         if self._end():
             self._site.finish_watch(self._request, self._after)
 
+    def abort(self) -> None:
+        """Close the connection without a response."""
+        if self._end():
+            self._request.channel.forceAbortClient()
+
     def _end(self) -> bool:
         if self._is_finished:
             return False
         self._is_finished = True
+        self._site.forget_watch(self)
         self._data.listeners.remove(self._finish)
         if self._timer.active():
             self._timer.cancel()
