Log the era of the store and the items that are dropped as older

The feed logs a change of the header Store-Era with the revisions before and after it, and how many items of a response are older than those it holds.

--- a/src/balsamwall/platform/store_documents.py
+++ b/src/balsamwall/platform/store_documents.py
@@ -37,12 +37,29 @@
     return key_value_service.KeyValue(key, value, revision, lease_id)
 
 
+# Response header that rises each time the store is restored from a copy.
+ERA_FIELD = "store-era"
+# Era of a store that states none.
+NO_ERA = 0
+MAX_ERA_DIGITS = 15
+
+
+def read_era(answer: http_client.HttpResponse) -> int:
+    """Return the era of the store that a response states."""
+    text = answer.headers.get(ERA_FIELD, "")
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > MAX_ERA_DIGITS:
+        return NO_ERA
+    return int(text)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StorePage:
     """Items or events of one response, with the store's revision."""
 
     items: tuple[key_value_service.KeyValue, ...]
     revision: int
+    era: int = NO_ERA
     is_truncated: bool = False  # whether further pages follow
     has_rows: bool = False  # whether there were any, readable or not
 
@@ -79,7 +96,9 @@
     decoded = [_decode_or_log(row) for row in rows]
     items = tuple(item for item in decoded if item is not None)
     is_truncated = bool(document.get("truncated"))
-    return StorePage(items, revision, is_truncated, bool(rows))
+    return StorePage(
+        items, revision, read_era(answer), is_truncated, bool(rows)
+    )
 
 
 def _decode_or_log(row: object) -> key_value_service.KeyValue | None:
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -84,6 +84,7 @@
         "_backoff_ms",
         "_cancel_call",
         "_clock",
+        "_era",
         "_is_stopped",
         "_items",
         "_state_listeners",
@@ -117,6 +118,7 @@
         self._transient_prefixes: tuple[str, ...] = ()
         self._pages: dict[str, key_value_service.KeyValue] = {}
         self._revision = 0
+        self._era = store_documents.NO_ERA
         # Revision of the last complete read.
         self._snapshot_revision = 0
         self._readers = 1
@@ -275,6 +277,7 @@
         if page is None or (page.is_truncated and not page.items):
             self._retry(self.start, answer)
             return
+        self._log_page(page)
         for item in page.items:
             self._pages[item.key] = item
         # Pages are not an atomic snapshot, so the watch starts at the revision
@@ -343,6 +346,7 @@
         if page is None:
             self._retry(self._watch, answer)
             return
+        self._log_page(page)
         is_recent = self.confirmation.on_response()
         self._set_connected(True)
         for item in page.items:
@@ -353,6 +357,33 @@
             self._on_update(after_revision, page.items)
         self._schedule_watch(self.batch_delay_ms if page.has_rows else 0)
 
+    def _log_page(self, page: store_documents.StorePage) -> None:
+        """Log a new era of the store, and items older than the known ones."""
+        if page.era != self._era:
+            eliot.log_message(
+                "store_era",
+                era=page.era,
+                known_era=self._era,
+                revision=page.revision,
+                known_revision=self._revision,
+            )
+            self._era = page.era
+        outdated = [item.key for item in page.items if self._is_outdated(item)]
+        if outdated:
+            eliot.log_message(
+                "store_items_outdated",
+                count=len(outdated),
+                first_key=outdated[0],
+                era=page.era,
+                revision=page.revision,
+                known_revision=self._revision,
+            )
+
+    def _is_outdated(self, item: key_value_service.KeyValue) -> bool:
+        """Return whether a newer value of the key is known."""
+        known = self._items.get(item.key)
+        return known is not None and item.revision < known.revision
+
     def _on_update(
         self,
         after_revision: int,
--- /dev/null
+++ b/tests/platform/test_restored_store_process.py
@@ -0,0 +1,122 @@
+"""Tests of entries whose store returns from a copy some seconds old."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+from soak import ledger as ledger_module
+from tests.fixtures import entry_fleet
+from tests.fixtures import reactor_thread
+
+# Versions that are written after the copy, so that revisions go back.
+LATER_VERSIONS = 40
+# The operator and the servers write again this long after the restore.
+REWRITE_S = 0.7
+# A change binds at the latest this long after its acknowledgement.
+APPLY_S = 3.0
+DRAIN_S = 3.0
+OBSERVED_S = 1.5
+
+
+class RestoredStoreProcessTest(unittest.TestCase):
+    """Three entries and three servers; the store returns from a copy."""
+
+    def setUp(self):
+        self.fleet = entry_fleet.EntryFleet(self)
+
+    def lose_writes(self):
+        """Take a copy, write on, and return to the copy."""
+        copy = self.fleet.copy()
+        for number in range(LATER_VERSIONS):
+            if number == LATER_VERSIONS // 2:
+                self.fleet.add_route("second")
+            self.fleet.write_version()
+            for server in self.fleet.servers:
+                reactor_thread.run(server.register)
+        time.sleep(APPLY_S)
+        self.fleet.restore(copy)
+
+    def write_again(self):
+        time.sleep(REWRITE_S)
+        self.fleet.write_document()
+        time.sleep(REWRITE_S)
+
+    def check_later_route(self):
+        """Check that a route that is added now is served in time."""
+        self.fleet.add_route("third")
+        time.sleep(APPLY_S)
+        traffic = entry_fleet.Traffic(self.fleet, "third")
+        time.sleep(OBSERVED_S)
+        traffic.stop()
+        self.assertEqual(set(traffic.statuses()), {200})
+
+    def test_route_added_after_a_restore_is_served(self):
+        """Guards against a feed that drops all changes of a restored store.
+
+        The revisions of the changes are below those of before.
+        """
+        self.lose_writes()
+        self.write_again()
+        self.check_later_route()
+
+    def test_drain_after_a_restore_is_obeyed(self):
+        """Guards against requests to a server whose drain is dropped."""
+        self.lose_writes()
+        self.write_again()
+        traffic = entry_fleet.Traffic(self.fleet, "first")
+        drained = self.fleet.servers[0]
+        reactor_thread.run(drained.drain)
+        time.sleep(DRAIN_S)
+        since_ms = ledger_module.now_ms()
+        time.sleep(OBSERVED_S)
+        traffic.stop()
+        self.assertEqual(set(traffic.statuses(since_ms)), {200})
+        self.assertEqual(
+            self.fleet.runs_since(drained.server_id, since_ms), 0
+        )
+
+    def test_version_that_the_copy_lacks_stays_in_force(self):
+        """Guards against a configuration that goes back with the store."""
+        self.lose_writes()
+        second = entry_fleet.Traffic(self.fleet, "second")
+        self.write_again()
+        second.stop()
+        self.assertNotIn(404, second.statuses())
+        self.check_later_route()
+
+    def test_drain_that_the_copy_lacks_is_kept(self):
+        """Guards against a drained server that the copy shows as ready."""
+        copy = self.fleet.copy()
+        drained = self.fleet.servers[0]
+        reactor_thread.run(drained.drain)
+        time.sleep(DRAIN_S)
+        since_ms = ledger_module.now_ms()
+        traffic = entry_fleet.Traffic(self.fleet, "first")
+        self.fleet.restore(copy)
+        self.write_again()
+        traffic.stop()
+        self.assertEqual(
+            self.fleet.runs_since(drained.server_id, since_ms), 0
+        )
+
+    def test_server_that_the_copy_lacks_is_not_lost(self):
+        """Guards against the loss of living servers in a restore."""
+        copy = self.fleet.copy()
+        for server in self.fleet.servers[1:]:
+            reactor_thread.run(server.leave)
+        added = self.fleet.start_server(len(self.fleet.servers))
+        time.sleep(APPLY_S)
+        reactor_thread.run(self.fleet.servers[0].drain)
+        time.sleep(DRAIN_S)
+        traffic = entry_fleet.Traffic(self.fleet, "first")
+        since_ms = ledger_module.now_ms()
+        self.fleet.restore(copy)
+        self.write_again()
+        traffic.stop()
+        statuses = traffic.statuses()
+        self.assertEqual(set(statuses), {200})
+        self.assertGreater(
+            self.fleet.runs_since(added.server_id, since_ms),
+            len(statuses) - 10,
+        )
