--- a/tests/platform/test_leaving_server_process.py
+++ b/tests/platform/test_leaving_server_process.py
@@ -33,6 +33,4 @@
         time.sleep(OBSERVED_S)
         traffic.stop()
         self.assertEqual(set(traffic.statuses()), {200})
-        self.assertEqual(
-            self.fleet.runs_since(leaving.server_id, since_ms), 0
-        )
+        self.assertEqual(self.fleet.runs_since(leaving.server_id, since_ms), 0)
--- a/tests/platform/test_restored_store_process.py
+++ b/tests/platform/test_restored_store_process.py
@@ -72,9 +72,7 @@
         time.sleep(OBSERVED_S)
         traffic.stop()
         self.assertEqual(set(traffic.statuses(since_ms)), {200})
-        self.assertEqual(
-            self.fleet.runs_since(drained.server_id, since_ms), 0
-        )
+        self.assertEqual(self.fleet.runs_since(drained.server_id, since_ms), 0)
 
     def test_version_that_the_copy_lacks_stays_in_force(self):
         """Guards against a configuration that goes back with the store."""
@@ -96,9 +94,7 @@
         self.fleet.restore(copy)
         self.write_again()
         traffic.stop()
-        self.assertEqual(
-            self.fleet.runs_since(drained.server_id, since_ms), 0
-        )
+        self.assertEqual(self.fleet.runs_since(drained.server_id, since_ms), 0)
 
     def test_server_that_the_copy_lacks_is_not_lost(self):
         """Guards against the loss of living servers in a restore."""
