Compare revisions of the store together with its era

After the store returned from a copy, callers got 404 on routes that were added later, and drains were not obeyed.

The era that the store states in its responses and the revision are one ordered type (StoreRevision). The store adapter turns it into one integer, so that the feed, relayed updates, conditions of writes, and the fencing token compare in one place and need no rule of their own. A new era makes each feed read everything again, as after an outage; updates of another era and pages of two are not taken. A write at a revision of an earlier era is not sent, and a lease ends with its era, since its identifier may be given out again. A store that states no era is served as before.

--- a/src/balsamwall/infrastructure/key_value_service.py
+++ b/src/balsamwall/infrastructure/key_value_service.py
@@ -22,8 +22,13 @@
 
     key: str
     value: bytes | None
-    revision: int  # revision of the last change of the key
+    # Revision of the last change of the key, greater for a later change also
+    # after the service was restored from a copy.
+    revision: int
     lease_id: int = 0
+    # Whether it was first read in a restored service, so that it may be older
+    # than what was known before.
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/balsamwall/platform/store_client.py
+++ b/src/balsamwall/platform/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
 from typing import Any
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 from balsamwall.infrastructure import key_value_service
 from balsamwall.platform import store_documents
 from balsamwall.platform import store_feed
+from balsamwall.platform import store_revision
 from balsamwall.results import result_code
 
 if TYPE_CHECKING:
@@ -30,6 +32,8 @@
 CALL_TIMEOUT_MS = 1_500
 # A renewal must time out before the lease can have expired.
 RENEW_TIMEOUT_MS = 900
+# A process holds two leases at most; older ones have expired.
+MAX_KNOWN_LEASES = 100
 # HTTP statuses after which a write counts as not executed.
 UNAVAILABLE_STATUSES = (429, 503)
 
@@ -39,10 +43,12 @@
 
     A write fails with PLATFORM_UNAVAILABLE if it had no effect, and with
     PLATFORM_OUTCOME_UNKNOWN if it may have had one. A failed read has the code
-    PLATFORM_UNAVAILABLE.
+    PLATFORM_UNAVAILABLE. Revisions are ordered across the eras of the store,
+    and leases end with their era: the store may have forgotten a lease, and
+    given its identifier out again.
     """
 
-    __slots__ = ("_clock", "_http", "_url", "feed")
+    __slots__ = ("_clock", "_http", "_lease_eras", "_url", "feed")
 
     def __init__(
         self,
@@ -54,6 +60,8 @@
         self._clock = clock
         self._http = http
         self._url = f"http://{address}"
+        # Era in which each known lease was granted, by its identifier.
+        self._lease_eras: dict[int, int] = {}
         self.feed = store_feed.StoreFeed(clock, random_source, self.request)
 
     def request(
@@ -71,6 +79,25 @@
             method, self._url + path, headers, raw, timeout_ms, callback
         )
 
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: object,
+        callback: Callable[[http_client.HttpResponse, int], None],
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
+        """Send a request, and call back with the response and its era."""
+
+        def on_answer(answer: http_client.HttpResponse) -> None:
+            era = store_revision.read_era(answer)
+            if era is None:
+                era = self.feed.era
+            self.feed.on_era(era)
+            callback(answer, era)
+
+        self.request(method, path, body, timeout_ms, on_answer)
+
     def get(
         self,
         key: str,
@@ -78,21 +105,21 @@
     ) -> None:
         """Read a key; the result is None if the key is absent."""
 
-        def on_answer(answer: http_client.HttpResponse) -> None:
+        def on_answer(answer: http_client.HttpResponse, era: int) -> None:
             if answer.status == 404:
                 callback(Success(None))
                 return
             document = store_documents.read_object(answer)
-            items = None if document is None else _decode_items([document])
+            items = (
+                None if document is None else _decode_items([document], era)
+            )
             if items is None:
                 callback(Failure(_Code.PLATFORM_UNAVAILABLE))
             else:
                 callback(Success(items[0]))
 
         query = urllib.parse.urlencode({"key": key})
-        self.request(
-            "GET", f"/kv-key?{query}", None, CALL_TIMEOUT_MS, on_answer
-        )
+        self._call("GET", f"/kv-key?{query}", None, on_answer)
 
     def get_prefix(
         self,
@@ -100,12 +127,13 @@
         callback: Callable[[key_value_service.ListResult], None],
     ) -> None:
         """Read all keys that start with a prefix, in key order."""
-        self._read_pages(prefix, "", [], callback)
+        self._read_pages(prefix, "", None, [], callback)
 
     def _read_pages(
         self,
         prefix: str,
         after: str,
+        first_era: int | None,
         found: list[key_value_service.KeyValue],
         callback: Callable[[key_value_service.ListResult], None],
     ) -> None:
@@ -113,24 +141,25 @@
         if after:
             query["after"] = after
 
-        def on_answer(answer: http_client.HttpResponse) -> None:
+        def on_answer(answer: http_client.HttpResponse, era: int) -> None:
             document = store_documents.read_object(answer)
             items = (
                 None
                 if document is None
-                else _decode_items(document.get("items", []))
+                else _decode_items(document.get("items", []), era)
             )
-            if document is None or items is None:
+            is_same_era = first_era is None or era == first_era
+            if document is None or items is None or not is_same_era:
                 callback(Failure(_Code.PLATFORM_UNAVAILABLE))
                 return
             found.extend(items)
             if document.get("truncated") and items:
-                self._read_pages(prefix, items[-1].key, found, callback)
+                self._read_pages(prefix, items[-1].key, era, found, callback)
             else:
                 callback(Success(tuple(found)))
 
         path = f"/kv-range?{urllib.parse.urlencode(query)}"
-        self.request("GET", path, None, CALL_TIMEOUT_MS, on_answer)
+        self._call("GET", path, None, on_answer)
 
     def put(
         self,
@@ -140,7 +169,9 @@
         lease_id: int = 0,
     ) -> None:
         """Write a key unconditionally; the result is the new revision."""
-        self._transact([], [_encode_write(key, value, lease_id)], [], callback)
+        self._transact(
+            None, [_encode_write(key, value, lease_id)], [], callback, lease_id
+        )
 
     def compare_and_swap(
         self,
@@ -154,9 +185,13 @@
 
         Otherwise the result is COMPARE_FAILED.
         """
-        condition = {"key": key, "revision": expected_revision}
-        writes = [_encode_write(key, value, lease_id)]
-        self._transact([condition], writes, [], callback)
+        self._transact(
+            _Condition(key, expected_revision),
+            [_encode_write(key, value, lease_id)],
+            [],
+            callback,
+            lease_id,
+        )
 
     def delete(
         self,
@@ -168,10 +203,10 @@
 
         If it does not match, the result is COMPARE_FAILED.
         """
-        conditions = []
+        condition = None
         if expected_revision:
-            conditions.append({"key": key, "revision": expected_revision})
-        self._transact(conditions, [], [key], callback)
+            condition = _Condition(key, expected_revision)
+        self._transact(condition, [], [key], callback)
 
     def lease(
         self,
@@ -179,9 +214,14 @@
         callback: Callable[[key_value_service.LeaseResult], None],
     ) -> None:
         """Grant a lease; the result is its identifier."""
-        self._lease_call(
-            "POST", "/kv-lease", {"ttl_ms": ttl_ms}, "lease", callback
-        )
+
+        def on_answer(answer: http_client.HttpResponse, era: int) -> None:
+            result = _lease_result(answer, "lease")
+            if isinstance(result, Success):
+                self._record_lease(result.unwrap(), era)
+            callback(result)
+
+        self._call("POST", "/kv-lease", {"ttl_ms": ttl_ms}, on_answer)
 
     def keep_alive(
         self,
@@ -192,10 +232,19 @@
 
         It is COMPARE_FAILED if the lease has expired.
         """
+
+        def on_answer(answer: http_client.HttpResponse, era: int) -> None:
+            if self._has_lease_ended(lease_id):
+                # Another process may hold the renewed lease.
+                callback(Failure(_Code.COMPARE_FAILED))
+            else:
+                callback(_lease_result(answer, "ttl_ms"))
+
+        if self._has_lease_ended(lease_id):
+            callback(Failure(_Code.COMPARE_FAILED))
+            return
         path = f"/kv-keep/{lease_id}"
-        self._lease_call(
-            "POST", path, None, "ttl_ms", callback, RENEW_TIMEOUT_MS
-        )
+        self._call("POST", path, None, on_answer, RENEW_TIMEOUT_MS)
 
     def revoke(
         self,
@@ -203,8 +252,26 @@
         callback: Callable[[key_value_service.LeaseResult], None],
     ) -> None:
         """Revoke a lease, which deletes its keys."""
-        path = f"/kv-lease-end/{lease_id}"
-        self._lease_call("DELETE", path, None, "", callback)
+
+        def on_answer(answer: http_client.HttpResponse, era: int) -> None:
+            callback(_lease_result(answer, ""))
+
+        has_ended = self._has_lease_ended(lease_id)
+        self._lease_eras.pop(lease_id, None)
+        if has_ended:
+            callback(Failure(_Code.COMPARE_FAILED))
+            return
+        self._call("DELETE", f"/kv-lease-end/{lease_id}", None, on_answer)
+
+    def _record_lease(self, lease_id: int, era: int) -> None:
+        """Record the era of a lease, which may end without a revocation."""
+        self._lease_eras[lease_id] = era
+        if len(self._lease_eras) > MAX_KNOWN_LEASES:
+            del self._lease_eras[next(iter(self._lease_eras))]
+
+    def _has_lease_ended(self, lease_id: int) -> bool:
+        """Return whether the store was restored since a lease was granted."""
+        return self._lease_eras.get(lease_id, self.feed.era) < self.feed.era
 
     def watch(
         self,
@@ -217,51 +284,81 @@
 
     def _transact(
         self,
-        conditions: list[dict[str, Any]],
+        condition: _Condition | None,
         writes: list[dict[str, Any]],
         removed: list[str],
         callback: Callable[[key_value_service.RevisionResult], None],
+        lease_id: int = 0,
     ) -> None:
-        def on_answer(answer: http_client.HttpResponse) -> None:
-            if answer.status in (404, 412):
+        """Write and delete keys in one call, if the condition holds.
+
+        It does not hold in another era of the store, where the same revision
+        stands for something else.
+        """
+
+        def on_answer(answer: http_client.HttpResponse, era: int) -> None:
+            is_lost = bool(lease_id) and self._has_lease_ended(lease_id)
+            if answer.status in (404, 412) or is_lost:
                 callback(Failure(_Code.COMPARE_FAILED))
-            else:
-                callback(_integer_result(answer, "revision"))
+                return
+            callback(
+                _integer_result(answer, "revision").map(
+                    lambda number: (
+                        store_revision.StoreRevision(era, number).ordered
+                    )
+                )
+            )
 
+        is_outdated = condition is not None and (
+            condition.is_of_earlier_era(self.feed.era)
+        )
+        if is_outdated or (lease_id and self._has_lease_ended(lease_id)):
+            callback(Failure(_Code.COMPARE_FAILED))
+            return
         body = {
-            "precondition": conditions,
+            "precondition": [] if condition is None else [condition.fields],
             "writes": writes,
             "remove": removed,
         }
-        self.request("POST", "/kv-txn", body, CALL_TIMEOUT_MS, on_answer)
+        self._call("POST", "/kv-txn", body, on_answer)
 
-    def _lease_call(
-        self,
-        method: str,
-        path: str,
-        body: object,
-        field: str,
-        callback: Callable[[key_value_service.LeaseResult], None],
-        timeout_ms: int = CALL_TIMEOUT_MS,
-    ) -> None:
-        def on_answer(answer: http_client.HttpResponse) -> None:
-            if answer.status == 404:
-                callback(Failure(_Code.COMPARE_FAILED))
-                return
-            if answer.status == 200 and not field:
-                callback(Success(0))
-            else:
-                callback(_integer_result(answer, field))
 
-        self.request(method, path, body, timeout_ms, on_answer)
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Condition:
+    """Revision that a key must have for a write, 0 if it must be absent."""
+
+    key: str
+    revision: int
+
+    def is_of_earlier_era(self, era: int) -> bool:
+        """Return whether the store was restored since the revision."""
+        expected = store_revision.of_ordered(self.revision)
+        return bool(expected.number) and expected.era < era
+
+    @property
+    def fields(self) -> dict[str, Any]:
+        """Return the condition as the store reads it."""
+        number = store_revision.of_ordered(self.revision).number
+        return {"key": self.key, "revision": number}
+
+
+def _lease_result(
+    answer: http_client.HttpResponse, field: str
+) -> Result[int, result_code.ResultCode]:
+    """Return an integer field of a response about a lease, 0 without one."""
+    if answer.status == 404:
+        return Failure(_Code.COMPARE_FAILED)
+    if answer.status == 200 and not field:
+        return Success(0)
+    return _integer_result(answer, field)
 
 
 def _decode_items(
-    raw_items: list[Any],
+    raw_items: list[Any], era: int
 ) -> list[key_value_service.KeyValue] | None:
     """Decode the items of a response; return None if one is invalid."""
     try:
-        return [store_documents.decode_item(row) for row in raw_items]
+        return [store_documents.decode_item(row, era) for row in raw_items]
     except (AttributeError, TypeError, ValueError) as error:
         eliot.log_message("store_answer_unreadable", reason=str(error)[:200])
         return None
--- a/src/balsamwall/platform/store_documents.py
+++ b/src/balsamwall/platform/store_documents.py
@@ -12,20 +12,24 @@
 
 from balsamwall.infrastructure import key_value_service
 from balsamwall.platform import documents
+from balsamwall.platform import store_revision
 
 if TYPE_CHECKING:
     from balsamwall.infrastructure import http_client
 
 
-def decode_item(fields: dict[str, Any]) -> key_value_service.KeyValue:
+def decode_item(
+    fields: dict[str, Any], era: int
+) -> key_value_service.KeyValue:
     """Decode an item or event of the store; raise ValueError if invalid."""
-    key, revision = fields.get("key"), fields.get("revision")
-    if type(key) is not str or type(revision) is not int:
+    key, number = fields.get("key"), fields.get("revision")
+    if type(key) is not str or not store_revision.is_revision(number):
         # The value may hold API keys, which must not be logged.
         raise ValueError(
-            "item: expected a string as key and an integer as revision, found "
-            f"{str(key)[:80]!r} and a revision of {type(revision).__name__}"
+            "item: expected a string as key and a revision of the store, "
+            f"found {str(key)[:80]!r} and a {type(number).__name__}"
         )
+    revision = store_revision.StoreRevision(era, number).ordered
     if fields.get("deleted"):
         return key_value_service.KeyValue(key, None, revision)
     try:
@@ -37,29 +41,15 @@
     return key_value_service.KeyValue(key, value, revision, lease_id)
 
 
-# Response header that rises each time the store is restored from a copy.
-ERA_FIELD = "store-era"
-# Era of a store that states none.
-NO_ERA = 0
-MAX_ERA_DIGITS = 15
-
-
-def read_era(answer: http_client.HttpResponse) -> int:
-    """Return the era of the store that a response states."""
-    text = answer.headers.get(ERA_FIELD, "")
-    is_number = text.isascii() and text.isdigit()
-    if not is_number or len(text) > MAX_ERA_DIGITS:
-        return NO_ERA
-    return int(text)
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class StorePage:
-    """Items or events of one response, with the store's revision."""
+    """Items or events of one response, with the store's revision.
+
+    All revisions are ordered across the eras of the store.
+    """
 
     items: tuple[key_value_service.KeyValue, ...]
     revision: int
-    era: int = NO_ERA
     is_truncated: bool = False  # whether further pages follow
     has_rows: bool = False  # whether there were any, readable or not
 
@@ -76,39 +66,42 @@
 
 
 def read_page(
-    answer: http_client.HttpResponse, rows_field: str
+    answer: http_client.HttpResponse, rows_field: str, known_era: int
 ) -> StorePage | None:
     """Decode a page of items or events; None on error or bad status.
 
-    Rows that can't be decoded are logged and left out.
+    A response that states no era belongs to the known one. Rows that can't be
+    decoded are logged and left out.
     """
     document = read_object(answer)
     if document is None:
         return None
     rows = document.get(rows_field, [])
     revision = document.get("current_rev")
-    if type(rows) is not list or type(revision) is not int:
+    if type(rows) is not list or not store_revision.is_revision(revision):
         eliot.log_message(
             "store_answer_unreadable",
             reason=f"{rows_field} or current_rev is missing or invalid",
         )
         return None
-    decoded = [_decode_or_log(row) for row in rows]
+    era = store_revision.read_era(answer)
+    if era is None:
+        era = known_era
+    decoded = [_decode_or_log(row, era) for row in rows]
     items = tuple(item for item in decoded if item is not None)
     is_truncated = bool(document.get("truncated"))
-    return StorePage(
-        items, revision, read_era(answer), is_truncated, bool(rows)
-    )
+    ordered = store_revision.StoreRevision(era, revision).ordered
+    return StorePage(items, ordered, is_truncated, bool(rows))
 
 
-def _decode_or_log(row: object) -> key_value_service.KeyValue | None:
+def _decode_or_log(row: object, era: int) -> key_value_service.KeyValue | None:
     """Decode an item; log an invalid one and return None."""
     try:
         if type(row) is not dict:
             raise ValueError(
                 f"item: expected a JSON object, found {type(row).__name__}"
             )
-        return decode_item(row)
+        return decode_item(row, era)
     except ValueError as error:
         eliot.log_message("store_item_unreadable", reason=str(error)[:200])
         return None
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 import urllib.parse
 
@@ -10,6 +11,7 @@
 from balsamwall.infrastructure import key_value_service
 from balsamwall.platform import feed_confirmation
 from balsamwall.platform import store_documents
+from balsamwall.platform import store_revision
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,6 +80,9 @@
     """Read all keys once, then follow the changes by long polling.
 
     Calls to the store are costly, so that all watches share one call.
+
+    Load pattern: the store returns from a copy some seconds old. Revisions go
+    back and are given out again, so that they are compared with their era.
     """
 
     __slots__ = (
@@ -91,6 +96,7 @@
         "_pages",
         "_random",
         "_readers",
+        "_restore_listeners",
         "_relayed_ms",
         "_request",
         "_revision",
@@ -118,7 +124,8 @@
         self._transient_prefixes: tuple[str, ...] = ()
         self._pages: dict[str, key_value_service.KeyValue] = {}
         self._revision = 0
-        self._era = store_documents.NO_ERA
+        # Newest era of the store that was seen, maybe by another call.
+        self._era = 0
         # Revision of the last complete read.
         self._snapshot_revision = 0
         self._readers = 1
@@ -131,6 +138,7 @@
         self._update_listeners: list[
             Callable[[key_value_service.StoreUpdate], None]
         ] = []
+        self._restore_listeners: list[Callable[[], None]] = []
         # When an update was relayed that left no gap, None for never.
         self._relayed_ms: int | None = None
         # False before the first complete read, and after a failed call until
@@ -187,15 +195,71 @@
         """
         self._update_listeners.append(listener)
 
+    def add_restore_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function when the store turns out to be restored.
+
+        It returned from a copy, which is about to be read. All its items are
+        newer than the known ones by their revision, but may be older in fact.
+        """
+        self._restore_listeners.append(listener)
+
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that is known."""
+        return self._era
+
+    def on_era(self, era: int) -> None:
+        """Read all keys again if the store has been restored.
+
+        Events of the new era would leave out what the copy changed.
+        """
+        if self._is_stopped or not self.is_synced or era <= self._era:
+            return
+        self._on_restored(era)
+        if self._timer is None and self._cancel_call is not None:
+            self._cancel_call()
+        elif self._timer is not None:
+            self._timer.cancel()
+        delay_ms = int(RELAY_READ_JITTER_MS * self._random.random())
+        self._timer = self._clock.call_later(delay_ms, self.start)
+
+    @property
+    def _is_restore_unread(self) -> bool:
+        """Return whether the known items are of an earlier era."""
+        known = store_revision.of_ordered(self._revision)
+        return self.is_synced and known.era < self._era
+
+    def _on_restored(self, era: int) -> None:
+        """Treat the known items as those of before an outage."""
+        eliot.log_message(
+            "store_restored",
+            era=era,
+            known_era=self._era,
+            known_revision=store_revision.of_ordered(self._revision).number,
+        )
+        self._era = era
+        self._set_connected(False)
+        for listener in self._restore_listeners:
+            listener()
+
     def apply_update(self, update: key_value_service.StoreUpdate) -> None:
         """Apply an update that the coordinator has read from the store.
 
         While such updates leave no gap, the feed does not call the store. A
-        value never replaces a newer one, whoever has read it.
+        value never replaces a newer one, whoever has read it. An update of
+        another era is not applied: what the coordinator has not noticed yet
+        is in the past, and a restored store is read by each feed.
         """
         if self._is_stopped or not self.is_synced:
             return
-        has_gap = update.after_revision > self._revision
+        era = store_revision.of_ordered(update.revision).era
+        if era != self._era or self._is_restore_unread:
+            self.on_era(era)
+            return
+        # The changes of a coordinator that has read the restored store are
+        # relative to its own items of before.
+        since = store_revision.of_ordered(update.after_revision)
+        has_gap = update.after_revision > self._revision or since.era != era
         is_whole = not has_gap and update.is_complete
         is_confirmed = is_whole and self.confirmation.on_relayed()
         if is_whole:
@@ -273,11 +337,19 @@
     def _on_page(
         self, answer: http_client.HttpResponse, first_revision: int
     ) -> None:
-        page = store_documents.read_page(answer, "items")
+        page = store_documents.read_page(answer, "items", self._era)
         if page is None or (page.is_truncated and not page.items):
             self._retry(self.start, answer)
             return
-        self._log_page(page)
+        era = store_revision.of_ordered(page.revision).era
+        if first_revision:
+            is_same = store_revision.of_ordered(first_revision).era == era
+        else:
+            is_same = self._begin_era(era)
+        if not is_same:
+            eliot.log_message("store_pages_of_two_eras", era=era)
+            self._retry(self.start, answer)
+            return
         for item in page.items:
             self._pages[item.key] = item
         # Pages are not an atomic snapshot, so the watch starts at the revision
@@ -288,11 +360,25 @@
             return
         self._on_snapshot_read(first_revision)
 
+    def _begin_era(self, era: int) -> bool:
+        """Set the era of a complete read; return False if it is outdated."""
+        known_era = store_revision.of_ordered(self._revision).era
+        if self.is_synced and era < known_era:
+            return False
+        if self.is_synced and era > self._era:
+            self._on_restored(era)
+        self._era = era
+        return True
+
     def _on_snapshot_read(self, revision: int) -> None:
         is_recent = self.confirmation.on_response()
         self._set_connected(True)
         pages, self._pages = self._pages, {}
         changes = [*pages.values()]
+        if self._is_restore_unread:
+            changes = [
+                dataclasses.replace(item, is_restored=True) for item in changes
+            ]
         for key, known in list(self._items.items()):
             if known.value is None:
                 # No older event follows this read, so the tombstone is not
@@ -318,12 +404,15 @@
         self._timer = None
         if self._is_stopped:
             return
+        if self._is_restore_unread:
+            self.start()
+            return
         is_behind = self.confirmation.is_behind
         self.confirmation.on_call()
         query = urllib.parse.urlencode(
             {
                 "path_prefix": "",
-                "after": self._revision,
+                "after": store_revision.of_ordered(self._revision).number,
                 "wait_ms": RESUMED_WATCH_WAIT_MS
                 if is_behind
                 else WATCH_WAIT_MS,
@@ -339,14 +428,25 @@
 
     def _on_events(self, answer: http_client.HttpResponse) -> None:
         if answer.status == GONE_STATUS:
-            eliot.log_message("store_history_lost", revision=self._revision)
+            eliot.log_message(
+                "store_history_lost",
+                revision=store_revision.of_ordered(self._revision).number,
+            )
             self.start()
             return
-        page = store_documents.read_page(answer, "events")
+        page = store_documents.read_page(answer, "events", self._era)
         if page is None:
             self._retry(self._watch, answer)
             return
-        self._log_page(page)
+        era = store_revision.of_ordered(page.revision).era
+        if era > self._era:
+            self._on_restored(era)
+            self.start()
+            return
+        if era < self._era:
+            eliot.log_message("store_era_outdated", era=era, known=self._era)
+            self._retry(self._watch, answer)
+            return
         is_recent = self.confirmation.on_response()
         self._set_connected(True)
         for item in page.items:
@@ -357,33 +457,6 @@
             self._on_update(after_revision, page.items)
         self._schedule_watch(self.batch_delay_ms if page.has_rows else 0)
 
-    def _log_page(self, page: store_documents.StorePage) -> None:
-        """Log a new era of the store, and items older than the known ones."""
-        if page.era != self._era:
-            eliot.log_message(
-                "store_era",
-                era=page.era,
-                known_era=self._era,
-                revision=page.revision,
-                known_revision=self._revision,
-            )
-            self._era = page.era
-        outdated = [item.key for item in page.items if self._is_outdated(item)]
-        if outdated:
-            eliot.log_message(
-                "store_items_outdated",
-                count=len(outdated),
-                first_key=outdated[0],
-                era=page.era,
-                revision=page.revision,
-                known_revision=self._revision,
-            )
-
-    def _is_outdated(self, item: key_value_service.KeyValue) -> bool:
-        """Return whether a newer value of the key is known."""
-        known = self._items.get(item.key)
-        return known is not None and item.revision < known.revision
-
     def _on_update(
         self,
         after_revision: int,
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -25,6 +25,7 @@
 
     def __init__(self):
         self.calls = []
+        self.era = None  # stated in the responses, unless it is None
 
     def request(self, method, path, body, timeout_ms, callback):
         url = urllib.parse.urlsplit(path)
@@ -35,7 +36,8 @@
     def answer(self, status=200, **rows):
         callback = self.calls[-1][2]
         body = json.dumps(rows).encode()
-        callback(http_client.HttpResponse(status, {}, body, True, ""))
+        headers = {} if self.era is None else {"store-era": str(self.era)}
+        callback(http_client.HttpResponse(status, headers, body, True, ""))
 
     @property
     def last(self):
