Elect one coordinator after a restore of the store

The lease of the coordinator is gone or cannot be told from another one after a restore. Where the copy lacks the coordinator's record, any entry could take the lease at once, while the holder of before goes on by its clock until its next renewal. Where the copy holds the record, its own writer had to wait for its end before it could be elected again.

After a restore only the process that held the lease is a candidate until that lease has ended by the clock (ElectionDelay), and it replaces a restored record that names it. The fencing token already rises with the era.

Killed before the restore: another entry is elected, and a later route is served.

--- a/soak/entry.py
+++ b/soak/entry.py
@@ -93,6 +93,19 @@
         """Tell whether the log contains a text."""
         return self._log.exists() and text.encode() in self._log.read_bytes()
 
+    def log_rows(self) -> list[dict[str, Any]]:
+        """Return the lines of the log that are JSON objects."""
+        rows = []
+        for line in self._log.read_text().splitlines():
+            if line.startswith("{"):
+                rows.append(json.loads(line))
+        return rows
+
+    def serves(self, address: str) -> bool:
+        """Tell whether the other entries reach this one at an address."""
+        port = int(address.rpartition(":")[2])
+        return port in self._internal_ports
+
     def start(self) -> None:
         """Start the process and append its output to the log."""
         now_ms = ledger_module.now_ms()
--- a/src/balsamwall/composition/gateway_dependencies.py
+++ b/src/balsamwall/composition/gateway_dependencies.py
@@ -46,6 +46,9 @@
     ) -> None:
         """Call back with each response of the store to a read or a watch."""
 
+    def add_restore_listener(self, listener: Callable[[], None]) -> None:
+        """Call back when the store returns from a copy, before it is read."""
+
     def apply_update(self, update: key_value_service.StoreUpdate) -> None:
         """Apply an update that another process has read."""
 
--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -12,6 +12,7 @@
 from balsamwall.composition import quota_parts
 from balsamwall.composition import version_parts
 from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import election_delay
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_dialer
 from balsamwall.coordination import fleet_server
@@ -257,6 +258,7 @@
 
     def _build_coordinator(self) -> None:
         settings = self._settings
+        lease_ms = max(settings.lease_ms, settings.min_lease_ms)
         self._lease = lease_keeper.LeaseKeeper(
             self._clock,
             self._dependencies.store,
@@ -264,11 +266,15 @@
             self._own_address,
             self._is_candidate,
             lease_keeper.LeaseTimes(
-                max(settings.lease_ms, settings.min_lease_ms),
-                LEASE_RENEW_INTERVAL_MS,
-                LEASE_MARGIN_MS,
+                lease_ms, LEASE_RENEW_INTERVAL_MS, LEASE_MARGIN_MS
             ),
+            lambda: self._own_restored_revision,
         )
+        self._election_delay = election_delay.ElectionDelay(
+            self._clock, lease_ms
+        )
+        # Revision of a restored record that names this process, 0 for none.
+        self._own_restored_revision = 0
         permits = permit_issuer.PermitIssuer(
             self._clock, self._limits, self._fleet_size
         )
@@ -327,6 +333,7 @@
             self._server_feed.on_store_state
         )
         dependencies.connection.add_update_listener(self._on_store_update)
+        dependencies.connection.add_restore_listener(self._on_store_restored)
         dependencies.store.watch(
             dependencies.configuration_key, self._on_configuration
         )
@@ -476,7 +483,15 @@
         """Return whether this entry may become or stay coordinator."""
         if self._is_stopping or not self._dependencies.connection.is_synced:
             return False
-        return self._lease.is_held or not self._coordinator_address
+        if self._lease.is_held:
+            return True
+        is_vacant = not self._coordinator_address
+        if not is_vacant and not self._own_restored_revision:
+            return False
+        return self._election_delay.is_over
+
+    def _on_store_restored(self) -> None:
+        self._election_delay.on_restored(is_holder=self._lease.is_held)
 
     def _is_store_available(self) -> bool:
         """Return whether the store can confirm who is coordinator.
@@ -491,6 +506,10 @@
         self._coordinator_address = (item.value or b"").decode(
             "utf-8", "replace"
         )
+        is_own = self._coordinator_address == self._own_address
+        self._own_restored_revision = (
+            item.revision if item.is_restored and is_own else 0
+        )
         self._fleet_client.on_coordinator_changed(self._coordinator_address)
 
     def _connect_to_coordinator(
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -84,6 +84,7 @@
         "_key",
         "_lease_id",
         "_owner",
+        "_replaced_revision",
         "_store",
         "_revision",
         "_acquired_ms",
@@ -100,7 +101,14 @@
         owner: str,
         is_candidate: Callable[[], bool],
         times: LeaseTimes | None = None,
+        replaced_revision: Callable[[], int] = lambda: 0,
     ) -> None:
+        """Set what to acquire, and the revision of a record to replace.
+
+        It is that of a record which this process has written under a lease
+        that it has lost, 0 if the key must be absent.
+        """
+        self._replaced_revision = replaced_revision
         self._clock = clock
         self._times = times or LeaseTimes()
         self._revision = 0
@@ -194,7 +202,11 @@
                 return
             self._lease_id = lease_id
             self._store.compare_and_swap(
-                self._key, 0, self._owner.encode(), on_written, lease_id
+                self._key,
+                self._replaced_revision(),
+                self._owner.encode(),
+                on_written,
+                lease_id,
             )
 
         def on_written(result: StoreResult) -> None:
--- a/tests/placement/test_lease_keeper.py
+++ b/tests/placement/test_lease_keeper.py
@@ -20,11 +20,13 @@
 
     def __init__(self):
         self.renewal = Success(3_000)
+        self.expected = []  # revisions at which the key was written
 
     def lease(self, ttl_ms, callback):
         callback(Success(1))
 
     def compare_and_swap(self, key, revision, value, callback, lease_id=0):
+        self.expected.append(revision)
         callback(Success(9))
 
     def keep_alive(self, lease_id, callback):
@@ -75,6 +77,23 @@
         self.clock.advance(TIMES.ttl_ms - TIMES.margin_ms)
         self.assertFalse(self.keeper.is_held)
 
+    def test_own_record_without_a_lease_is_replaced(self):
+        """Guards against a restored record that blocks its own writer."""
+        revision = 0
+        keeper = lease_keeper.LeaseKeeper(
+            self.clock,
+            self.store,
+            "task",
+            "a",
+            lambda: True,
+            TIMES,
+            lambda: revision,
+        )
+        revision = 7
+        self.store.expected.clear()
+        keeper.start()
+        self.assertEqual(self.store.expected, [7])
+
     def test_renewal_before_the_key_is_written_gives_no_lease(self):
         """Guards against a fencing token of an earlier term.
 
--- a/tests/platform/test_restored_store_process.py
+++ b/tests/platform/test_restored_store_process.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import base64
+import dataclasses
 import time
 import unittest
 
+from balsamwall.composition import gateway_unit
 from soak import ledger as ledger_module
 from tests.fixtures import entry_fleet
 from tests.fixtures import reactor_thread
@@ -17,6 +20,10 @@
 APPLY_S = 3.0
 DRAIN_S = 3.0
 OBSERVED_S = 1.5
+ELECTION_S = 6.0
+# Longer than the first heartbeat of a coordinator.
+TERM_S = 1.0
+TERM_LINES = ("orders_taken", "orders_given_up")
 
 
 class RestoredStoreProcessTest(unittest.TestCase):
@@ -96,6 +103,83 @@
         traffic.stop()
         self.assertEqual(self.fleet.runs_since(drained.server_id, since_ms), 0)
 
+    def coordinator(self):
+        """Return the entry that the store names as coordinator."""
+        item = reactor_thread.run(
+            lambda: self.fleet.data.items.get(gateway_unit.COORDINATOR_KEY)
+        )
+        if item is None:
+            return None
+        address = base64.b64decode(item["value"]).decode()
+        return next(
+            entry for entry in self.fleet.entries if entry.serves(address)
+        )
+
+    def wait_for_coordinator(self):
+        end_s = time.monotonic() + ELECTION_S
+        while self.coordinator() is None:
+            self.assertLess(time.monotonic(), end_s, "no coordinator")
+            time.sleep(entry_fleet.POLL_S)
+        return self.coordinator()
+
+    def terms(self):
+        """Return when orders were taken and given up, by entry."""
+        found = []
+        for entry in self.fleet.entries:
+            found += [
+                (row["timestamp"], row["message_type"], row["token"])
+                for row in entry.log_rows()
+                if row.get("message_type", "") in TERM_LINES
+            ]
+        return sorted(found)
+
+    def check_terms(self):
+        """Check that no two coordinators send orders, with rising tokens."""
+        active, tokens = 0, []
+        for _, line, token in self.terms():
+            active += 1 if line == "orders_taken" else -1
+            self.assertIn(active, (0, 1), self.terms())
+            if line == "orders_taken":
+                tokens.append(token)
+        self.assertEqual(tokens, sorted(set(tokens)))
+        self.assertGreater(len(tokens), 1)
+
+    def test_one_coordinator_where_the_copy_lacks_its_lease(self):
+        """Guards against two coordinators, and a lower fencing token."""
+        copy = dataclasses.replace(
+            self.fleet.copy(), items={}, lease_ttls_ms={}
+        )
+        self.wait_for_coordinator()
+        time.sleep(TERM_S)
+        self.fleet.restore(copy)
+        self.write_again()
+        time.sleep(ELECTION_S)
+        self.check_terms()
+        self.check_later_route()
+
+    def test_one_coordinator_where_the_copy_has_its_lease(self):
+        """Guards against a lease that is renewed for another process."""
+        holder = self.wait_for_coordinator()
+        time.sleep(TERM_S)
+        self.lose_writes()
+        self.write_again()
+        self.assertIs(self.coordinator(), holder)
+        self.check_terms()
+        self.check_later_route()
+
+    def test_coordinator_killed_before_the_restore(self):
+        """Guards against a restored record of a process that has gone."""
+        holder = self.wait_for_coordinator()
+        time.sleep(TERM_S)
+        copy = self.fleet.copy()
+        self.fleet.entries.remove(holder)
+        holder.kill()
+        self.fleet.restore(copy)
+        self.write_again()
+        time.sleep(ELECTION_S)
+        self.assertIsNotNone(self.coordinator())
+        self.check_later_route()
+
     def test_server_that_the_copy_lacks_is_not_lost(self):
         """Guards against the loss of living servers in a restore."""
         copy = self.fleet.copy()
