Hold records of servers that a restored store brings back

After a restore the copy has records of servers that had left, and older records of others. Entries sent to a server that had removed its record before the restore and went on serving, as the copy showed it as ready.

The directory remembers the processes that were removed, with their drain. A restored record of one of them counts only once it is written again, or if the store has kept it for 5 s, since a record without heartbeats is removed sooner. A drain is kept for the same process, also where its record returns. Records of one process are ordered by their own sequence, which the store's restore can't undo, so that an older one never replaces a later one.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -148,6 +148,11 @@
             self.register()
         self._heartbeat = reactor.callLater(HEARTBEAT_S, self._send_heartbeat)
 
+    def unregister(self) -> None:
+        """Remove the record and go on serving, as before a quiet exit."""
+        self._heartbeat.cancel()
+        self._end_registration()
+
     def _end_registration(self) -> None:
         if self._lease_era == self._data.era:
             self._data.end_lease(self._lease)
--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -416,7 +416,9 @@
 
     def _on_server(self, item: key_value_service.KeyValue) -> None:
         server_id = item.key.removeprefix(self._dependencies.servers_prefix)
-        self._server_feed.on_record(server_id, item.value)
+        self._server_feed.on_record(
+            server_id, item.value, is_restored=item.is_restored
+        )
 
     def _max_idle_connections(
         self, record: backend_directory.ServerRecord
--- a/src/balsamwall/coordination/store_relay.py
+++ b/src/balsamwall/coordination/store_relay.py
@@ -100,6 +100,7 @@
             in_memory=frozenset(),
             on_disk=frozenset(),
             remaining_ms=None if record.remaining_ms is None else 0,
+            sequence=None,
         )
 
 
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -19,6 +19,8 @@
 # Engines prefill a prompt within a few hundred milliseconds, so an older
 # report no longer shows how many requests are queued.
 WAITING_MAX_AGE_MS = 300
+# Number of removed processes that are remembered.
+MAX_DEPARTED_SERVERS = 2_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -38,6 +40,24 @@
     on_disk: frozenset[str] = frozenset()
     remaining_ms: int | None = None  # until the VM is removed at short notice
     software_version: str = ""  # of the server, empty if it states none
+    # Number of the record, which grows while the process lives; None if it
+    # states none.
+    sequence: int | None = None
+
+    def is_of_process(self, other: ServerRecord) -> bool:
+        """Return whether another record belongs to the same process."""
+        return (
+            self.started_ms == other.started_ms
+            and self.service == other.service
+            and (self.host, self.port) == (other.host, other.port)
+            and self.software_version == other.software_version
+        )
+
+    def is_older_than(self, other: ServerRecord) -> bool:
+        """Return whether the same process has written another one since."""
+        if self.sequence is None or other.sequence is None:
+            return False
+        return self.is_of_process(other) and self.sequence < other.sequence
 
 
 class BackendServer:
@@ -161,11 +181,20 @@
         return adapters is not None and (not adapter or adapter in adapters)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _DepartedServer:
+    """Last state of a process that was removed."""
+
+    record: ServerRecord
+    was_leaving: bool
+
+
 class BackendDirectory:
     """Keep the known backend servers, by identifier and by service."""
 
     __slots__ = (
         "_by_service",
+        "_departed",
         "_now_ms",
         "_on_change_listeners",
         "_on_removed_listeners",
@@ -177,6 +206,7 @@
         self._now_ms = now_ms
         self._servers: dict[str, BackendServer] = {}
         self._by_service: dict[str, dict[str, BackendServer]] = {}
+        self._departed: dict[str, _DepartedServer] = {}
         self.speeds = server_speed.SpeedTable()
         self._on_change_listeners: list[Callable[[BackendServer], None]] = []
         self._on_removed_listeners: list[Callable[[BackendServer], None]] = []
@@ -225,16 +255,19 @@
         A record of a new process replaces the server with its counters.
         """
         server = self._servers.get(record.server_id)
-        if server is not None and self._is_replaced(server.record, record):
+        if server is not None and not record.is_of_process(server.record):
             self.remove(record.server_id)
             server = None
         if server is None:
             now_ms = self._now_ms()
+            departed = self._departed.pop(record.server_id, None)
             speed = self.speeds.add(record.service, record.server_id, now_ms)
             server = BackendServer(record, now_ms, speed)
             self._servers[record.server_id] = server
             servers = self._by_service.setdefault(record.service, {})
             servers[record.server_id] = server
+            if departed is not None and record.is_of_process(departed.record):
+                server.is_leaving = departed.was_leaving
         if not server.has_issuer_models:
             server.models = record.models
         server.record = record
@@ -296,23 +329,28 @@
         for server in self._servers.values():
             server.has_issuer_models = False
 
+    def has_departed(self, record: ServerRecord) -> bool:
+        """Return whether the process of a record was removed before."""
+        departed = self._departed.get(record.server_id)
+        return departed is not None and record.is_of_process(departed.record)
+
+    def _record_departed(self, server: BackendServer) -> None:
+        """Remember a removed process, in case that its record returns."""
+        self._departed.pop(server.server_id, None)
+        self._departed[server.server_id] = _DepartedServer(
+            server.record, server.is_leaving
+        )
+        if len(self._departed) > MAX_DEPARTED_SERVERS:
+            del self._departed[next(iter(self._departed))]
+
     def remove(self, server_id: str) -> None:
         """Remove a server and notify the listeners."""
         server = self._servers.pop(server_id, None)
         if server is None:
             return
+        self._record_departed(server)
         server.is_leaving = True
         self._by_service[server.record.service].pop(server_id, None)
         self.speeds.remove(server.record.service, server_id)
         for listener in self._on_removed_listeners:
             listener(server)
-
-    @staticmethod
-    def _is_replaced(old: ServerRecord, new: ServerRecord) -> bool:
-        """Return whether a new record belongs to another process."""
-        return (
-            old.started_ms != new.started_ms
-            or old.service != new.service
-            or (old.host, old.port) != (new.host, new.port)
-            or old.software_version != new.software_version
-        )
--- a/src/balsamwall/gateway/server_feed.py
+++ b/src/balsamwall/gateway/server_feed.py
@@ -13,6 +13,9 @@
 # Live servers rewrite records that expired during an outage of the store
 # within 2 s of its recovery.
 REJOIN_GRACE_MS = 2_000
+# The store removes a restored record after some missed heartbeats, so that one
+# that is still there after this time has been written since.
+RESTORED_RECORD_HOLD_MS = 5_000
 
 
 class RecordReader(Protocol):
@@ -30,6 +33,11 @@
     A removal is normally applied at once. Just after an outage of the store,
     it may only mean that the server could not renew its record, so it is
     applied when the grace period is over.
+
+    Load pattern: the store returns from a copy that has records of servers
+    which have left, and older records of others. A process that was removed
+    counts again only once its record is written, and a record never replaces
+    a later one of the same process.
     """
 
     __slots__ = (
@@ -63,10 +71,13 @@
             self._reconnected_ms = self._clock.now_ms()
         self._is_connected = is_connected
 
-    def on_record(self, server_id: str, raw: bytes | None) -> None:
+    def on_record(
+        self, server_id: str, raw: bytes | None, *, is_restored: bool = False
+    ) -> None:
         """Apply a record; None means that it was removed.
 
-        An unreadable record removes the server.
+        An unreadable record removes the server. A restored one comes from the
+        copy of a store, or was written just after its return.
         """
         pending = self._pending.pop(server_id, None)
         if pending is not None:
@@ -84,9 +95,31 @@
             )
             self._directory.remove(server_id)
             return
+        if is_restored and self._directory.has_departed(record):
+            self._log.write("server_record_held", server=server_id)
+            self._pending[server_id] = self._clock.call_later(
+                RESTORED_RECORD_HOLD_MS, self._on_hold_over, record
+            )
+            return
+        self._apply(record)
+
+    def _on_hold_over(self, record: backend_directory.ServerRecord) -> None:
+        self._pending.pop(record.server_id, None)
+        self._apply(record)
+
+    def _apply(self, record: backend_directory.ServerRecord) -> None:
+        known = self._directory.get(record.server_id)
+        if known is not None and record.is_older_than(known.record):
+            self._log.write(
+                "server_record_outdated",
+                server=record.server_id,
+                sequence=record.sequence,
+                known_sequence=known.record.sequence,
+            )
+            return
         self._log.write(
             "server_record",
-            server=server_id,
+            server=record.server_id,
             service=record.service,
             zone=record.availability_zone,
             is_draining=record.is_draining,
--- a/src/balsamwall/platform/documents.py
+++ b/src/balsamwall/platform/documents.py
@@ -197,9 +197,16 @@
         on_disk=_string_set(at_hand, "on_disk"),
         remaining_ms=None if remaining is None else int(remaining),
         software_version=_software_version(fields),
+        sequence=_sequence(fields),
     )
 
 
+def _sequence(fields: dict[str, Any]) -> int | None:
+    """Return the number of a record, None if it states no usable one."""
+    found = fields.get("seq")
+    return found if type(found) is int else None
+
+
 def _software_version(fields: dict[str, Any]) -> str:
     """Return the version of a server as text, empty if it states none.
 
--- a/tests/gateway/test_server_feed.py
+++ b/tests/gateway/test_server_feed.py
@@ -15,11 +15,12 @@
 def read(server_id, raw):
     if raw == b"bad":
         raise ValueError("bad record")
-    started_ms, _, state = raw.decode().partition(" ")
+    started_ms, state, *sequence = raw.decode().split(" ")
     return gateway_harness.make_record(
         server_id,
         started_ms=int(started_ms),
         is_draining=state == "draining",
+        sequence=int(sequence[0]) if sequence else None,
     )
 
 
@@ -61,6 +62,52 @@
         self.assertEqual(self.names(), ["s1"])
         self.assertEqual(self.directory.get("s1").in_flight, 0)
 
+    def test_drain_is_kept_where_the_record_returns(self):
+        """Guards against a drain that ends with a lost record."""
+        self.feed.on_record("s1", b"5 draining")
+        self.feed.on_record("s1", None)
+        self.feed.on_record("s1", b"5 ready")
+        self.assertEqual(self.names(), [])
+
+    def test_server_that_left_does_not_return_with_the_copy(self):
+        """Guards against requests to a server that a restored store shows."""
+        self.feed.on_record("s1", None)
+        self.feed.on_record("s1", b"5 ready", is_restored=True)
+        self.clock.advance(server_feed.RESTORED_RECORD_HOLD_MS - 1)
+        self.assertEqual(self.names(), [])
+        self.feed.on_record("s1", None)
+        self.clock.advance(server_feed.RESTORED_RECORD_HOLD_MS)
+        self.assertEqual(self.names(), [])
+
+    def test_server_that_writes_again_returns(self):
+        """Guards against the loss of a living server."""
+        self.feed.on_record("s1", None)
+        self.feed.on_record("s1", b"5 ready", is_restored=True)
+        self.feed.on_record("s1", b"5 ready")
+        self.assertEqual(self.names(), ["s1"])
+
+    def test_server_whose_record_stays_returns(self):
+        """Guards against a living server that wrote just before the read."""
+        self.feed.on_record("s1", None)
+        self.feed.on_record("s1", b"5 ready", is_restored=True)
+        self.clock.advance(server_feed.RESTORED_RECORD_HOLD_MS)
+        self.assertEqual(self.names(), ["s1"])
+
+    def test_new_process_returns_with_the_copy(self):
+        """Guards against a restarted server that is held like the old one."""
+        self.feed.on_record("s1", None)
+        self.feed.on_record("s1", b"6 ready", is_restored=True)
+        self.assertEqual(self.names(), ["s1"])
+
+    def test_older_record_of_a_process_is_not_applied(self):
+        """Guards against the models and the load of some seconds ago."""
+        self.feed.on_record("s1", b"5 ready 9")
+        known = self.directory.get("s1").record
+        self.feed.on_record("s1", b"5 ready 8", is_restored=True)
+        self.assertIs(self.directory.get("s1").record, known)
+        self.feed.on_record("s1", b"5 ready 9")
+        self.assertIsNot(self.directory.get("s1").record, known)
+
     def test_record_that_expired_in_an_outage_has_a_grace(self):
         """Guards against removing all servers after an outage."""
         self.feed.on_store_state(False)
--- a/tests/platform/test_restored_store_process.py
+++ b/tests/platform/test_restored_store_process.py
@@ -23,6 +23,7 @@
 ELECTION_S = 6.0
 # Longer than the first heartbeat of a coordinator.
 TERM_S = 1.0
+CALLERS = 12
 TERM_LINES = ("orders_taken", "orders_given_up")
 
 
@@ -49,6 +50,19 @@
         self.fleet.write_document()
         time.sleep(REWRITE_S)
 
+    def start_callers(self):
+        """Start several callers at once, so that all servers are used."""
+        return [
+            entry_fleet.Traffic(self.fleet, "first", 0.0)
+            for _ in range(CALLERS)
+        ]
+
+    def check_served(self, callers):
+        """Stop the callers, and check that all requests were served."""
+        for caller in callers:
+            caller.stop()
+            self.assertEqual(set(caller.statuses()), {200})
+
     def check_later_route(self):
         """Check that a route that is added now is served in time."""
         self.fleet.add_route("third")
@@ -71,14 +85,13 @@
         """Guards against requests to a server whose drain is dropped."""
         self.lose_writes()
         self.write_again()
-        traffic = entry_fleet.Traffic(self.fleet, "first")
+        callers = self.start_callers()
         drained = self.fleet.servers[0]
         reactor_thread.run(drained.drain)
         time.sleep(DRAIN_S)
         since_ms = ledger_module.now_ms()
         time.sleep(OBSERVED_S)
-        traffic.stop()
-        self.assertEqual(set(traffic.statuses(since_ms)), {200})
+        self.check_served(callers)
         self.assertEqual(self.fleet.runs_since(drained.server_id, since_ms), 0)
 
     def test_version_that_the_copy_lacks_stays_in_force(self):
@@ -103,6 +116,23 @@
         traffic.stop()
         self.assertEqual(self.fleet.runs_since(drained.server_id, since_ms), 0)
 
+    def test_server_that_left_does_not_return(self):
+        """Guards against requests to a server that the copy shows as ready.
+
+        It has left without a drain, and goes on serving for a while.
+        """
+        copy = self.fleet.copy()
+        left = self.fleet.servers[0]
+        reactor_thread.run(left.unregister)
+        time.sleep(DRAIN_S)
+        since_ms = ledger_module.now_ms()
+        callers = self.start_callers()
+        self.fleet.restore(copy)
+        self.write_again()
+        time.sleep(DRAIN_S)
+        self.check_served(callers)
+        self.assertEqual(self.fleet.runs_since(left.server_id, since_ms), 0)
+
     def coordinator(self):
         """Return the entry that the store names as coordinator."""
         item = reactor_thread.run(
