Send nothing new to a server that announces that it leaves

What a server states about itself in a response is decoded in one typed head and applied in one place (ServerAnnouncements): load, limit, and leaving. The directory marks the process as leaving, as its record would, so that first sends, retries, resumes and assignments pass it by, and running streams go on. It counts for any response that is certainly the server's, refusals included, and for reports of engines, so that a model with its only copy there is loaded elsewhere. Entries tell each other through the coordinator (message 129), which asks for it once it knows of such a server, as earlier builds do not know the message. A request that waited for a permit is not sent to a server that has been drained meanwhile.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -284,7 +284,11 @@
             self._directory,
             self._lease,
             limited_engine_control.LimitedEngineControl(
-                self._clock, self._dependencies.engines, self._limits, permits
+                self._clock,
+                self._dependencies.engines,
+                self._limits,
+                permits,
+                self._directory,
             ),
             self._fleet_server,
             self._log,
--- a/src/balsamwall/coordination/engine_control.py
+++ b/src/balsamwall/coordination/engine_control.py
@@ -56,6 +56,8 @@
     waiting: int
     # Requests per second that the engine accepts, None without a limit.
     limit_per_s: float | None = None
+    # Whether the engine announces that it accepts no new requests soon.
+    is_leaving: bool = False
 
 
 class EngineControl(Protocol):
--- a/src/balsamwall/coordination/entry_reports.py
+++ b/src/balsamwall/coordination/entry_reports.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import leaving_exchange
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import speed_exchange
 from balsamwall.coordination import workspace_use
@@ -22,7 +23,7 @@
 class EntryReports:
     """Merge speeds of servers, use of workspaces and origins of streams."""
 
-    __slots__ = ("_features", "_use", "origins", "speeds")
+    __slots__ = ("_features", "_leaving", "_use", "origins", "speeds")
 
     def __init__(
         self,
@@ -37,18 +38,21 @@
         self.speeds = speed_exchange.SpeedMerger(clock, directory, log)
         self._use = workspace_use.UseMerger(configuration, log)
         self.origins = origins
+        self._leaving = leaving_exchange.LeavingMerger(directory, log)
 
     def restart(self) -> None:
         """Discard the reports at the start of a term."""
         self.speeds.restart()
         self._use.restart()
         self.origins.restart()
+        self._leaving.restart()
 
     def remove_entry(self, vm: str) -> None:
         """Discard what belongs to an entry that has disconnected."""
         self.speeds.remove_entry(vm)
         self._use.remove_entry(vm)
         self.origins.remove_entry(vm)
+        self._leaving.remove_entry(vm)
 
     def on_message(self, vm: str, item: message.Message) -> bool:
         """Record a report; return whether the message was one."""
@@ -58,6 +62,8 @@
             self._use.on_report(vm, item)
         elif isinstance(item, messages_fleet.StreamOriginReport):
             self.origins.on_report(vm, item)
+        elif isinstance(item, messages_fleet.ServerLeavingReport):
+            self._leaving.on_report(vm, item)
         else:
             return False
         return True
@@ -67,9 +73,11 @@
     ) -> dict[str, int]:
         """Return fleet loads that state which messages are accepted."""
         loads = self.speeds.with_acceptance(loads, has_workspaces)
+        loads = self._leaving.with_acceptance(loads)
         return self.origins.with_acceptance(loads)
 
     def share(self, links: coordinator_module.FleetLinks) -> None:
         """Send the merged reports to the entries that accept them."""
         self.speeds.share(links.send)
+        self._leaving.share(links.send)
         self._use.share(self._features.vms, links.send)
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -8,6 +8,7 @@
 from balsamwall.coordination import crash_reports
 from balsamwall.coordination import demand_source
 from balsamwall.coordination import entry_features
+from balsamwall.coordination import leaving_exchange
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import speed_exchange
@@ -68,6 +69,7 @@
         "_coordinator_address",
         "_heard_ms",
         "_is_connecting",
+        "_leaving",
         "_limits",
         "_link",
         "_log",
@@ -116,6 +118,7 @@
         self._vm = vm
         self._zone = zone
         self._crashes = crash_reports.CrashReports()
+        self._leaving = leaving_exchange.LeavingReports(directory, log)
         self._features = entry_features.FeatureAnnouncement(address)
         self._assignments = assignments
         assignments.set_link(self)
@@ -298,6 +301,8 @@
             self._speeds.apply(item)
         elif isinstance(item, messages_fleet.StreamOriginReport):
             self._origins.apply(item)
+        elif isinstance(item, messages_fleet.ServerLeavingReport):
+            self._leaving.apply(item)
         elif isinstance(item, messages_fleet.FleetWorkspaceUse):
             self._use.apply(item)
         elif isinstance(item, messages_fleet.StoreChanges):
@@ -317,6 +322,7 @@
         self._use.on_fleet_queued(state.queued)
         self._speeds.on_loads(state.loads)
         self._origins.on_loads(state.loads)
+        self._leaving.on_loads(state.loads)
         if self._crashes.on_loads(state.loads):
             self._suspects.repeat_reports()
         features = self._features.on_loads(state.loads)
@@ -385,6 +391,7 @@
         self._origins.on_connected()
         self._features.restart()
         self._crashes.restart()
+        self._leaving.restart()
         observations = self._limits.book.observations()
         if observations:
             self.report_limits(observations)
@@ -422,6 +429,9 @@
         use = self._use.take() if self._features.is_accepted else None
         if use is not None:
             self._link.send(use)
+        leaving = self._leaving.take()
+        if leaving is not None:
+            self._link.send(leaving)
         speeds = self._speeds.report()
         if speeds is not None:
             self._link.send(speeds)
--- a/src/balsamwall/coordination/limited_engine_control.py
+++ b/src/balsamwall/coordination/limited_engine_control.py
@@ -1,4 +1,4 @@
-"""Calls of the coordinator to engines that limit what they accept."""
+"""Calls of the coordinator to engines that limit what they accept or leave."""
 
 from __future__ import annotations
 
@@ -27,6 +27,7 @@
     __slots__ = (
         "_clock",
         "_control",
+        "_directory",
         "_last_report_ms",
         "_limits",
         "_permits",
@@ -38,11 +39,13 @@
         control: engine_control.EngineControl,
         limits: server_limits.ServerLimits,
         permits: permit_issuer.PermitIssuer,
+        directory: backend_directory.BackendDirectory,
     ) -> None:
         self._clock = clock
         self._control = control
         self._limits = limits
         self._permits = permits
+        self._directory = directory
         # By limited server; others are not recorded.
         self._last_report_ms: dict[str, int] = {}
 
@@ -98,8 +101,12 @@
         record: backend_directory.ServerRecord,
         report: engine_control.EngineReport | None,
     ) -> None:
-        """Record a limit in a report; a report without one ends none."""
-        if report is None or report.limit_per_s is None:
+        """Record what a report announces; one without a limit ends none."""
+        if report is None:
+            return
+        if report.is_leaving:
+            self._directory.mark_leaving(record.server_id, record.started_ms)
+        if report.limit_per_s is None:
             return
         self._limits.on_observation(
             limit_book.LimitObservation(
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -304,6 +304,18 @@
     rows: list[list[Any]]
 
 
+@message.register(129)
+class ServerLeavingReport(message.Message):
+    """Report servers that have announced to leave, in both directions.
+
+    Each row holds a server and the start time of its process. An entry sends
+    a first report, maybe without rows, to a coordinator that accepts it; a
+    coordinator sends it to entries that have reported on their present stream.
+    """
+
+    rows: list[list[Any]]
+
+
 @message.register(127)
 class BoundDemand(message.Message):
     """Report the streams of an entry that wait for a model at a version.
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -21,7 +21,7 @@
     from balsamwall.gateway import connection_pool
     from balsamwall.gateway import held_bodies
     from balsamwall.gateway import http_fields
-    from balsamwall.gateway import server_limits
+    from balsamwall.gateway import server_announcements
     from balsamwall.gateway import stream_meter
     from balsamwall.timing import clock as clock_module
 
@@ -109,6 +109,7 @@
     """Connect, send the request and validate the head of the response."""
 
     __slots__ = (
+        "_announcements",
         "_cancel_connect",
         "_clock",
         "_codec",
@@ -116,7 +117,6 @@
         "_discard_timer",
         "_discarded_bytes",
         "_is_blocked",
-        "_limits",
         "_listener",
         "_outgoing",
         "_refusal",
@@ -137,7 +137,7 @@
         outgoing: OutgoingRequest,
         listener: AttemptListener,
         clock: clock_module.Clock,
-        limits: server_limits.ServerLimits,
+        announcements: server_announcements.ServerAnnouncements,
     ) -> None:
         self.server = server
         self.record = server.record  # as it was known at the send
@@ -150,7 +150,7 @@
         # Set when the connection is there.
         self.source: connection_source.ConnectionSource | None = None
         self._codec = codec
-        self._limits = limits
+        self._announcements = announcements
         self._outgoing = outgoing
         # Held while connecting, also when the caller has gone.
         outgoing.body.retain(self)
@@ -292,8 +292,7 @@
         head = self._codec.decode_response(fields, self.attempt_id)
         self.status = status
         self.framing = framing
-        self._record_load(head)
-        self._limits.on_response(self.server, status, head)
+        self._announcements.on_response(self.server, status, head)
         is_refusal = (
             status == incoming_request.WRONG_SERVER_STATUS
             or head.is_certified_not_run
@@ -372,13 +371,6 @@
             self._discard_timer.cancel()
             self._discard_timer = None
 
-    def _record_load(self, head: incoming_request.ResponseHead) -> None:
-        now_ms = self._clock.now_ms()
-        if head.work_time_percent is not None and head.is_signed:
-            self.server.speed.on_work_time(head.work_time_percent, now_ms)
-        if head.running is not None:
-            self.server.on_report(head.running, head.waiting or 0, now_ms)
-
     def _fail(self, failure: AttemptFailure, detail: str) -> None:
         listener, self._listener = self._listener, None
         if listener is not None:
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -67,6 +67,7 @@
         "_fleet_load",
         "_fleet_load_at_ms",
         "failure_share",
+        "has_announced_leaving",
         "in_flight",
         "is_leaving",
         "is_version_recorded",
@@ -94,6 +95,8 @@
         )
         self.models: dict[str, frozenset[str]] = record.models
         self.is_leaving = record.is_draining
+        # Whether it has announced in a response that it leaves.
+        self.has_announced_leaving = False
         # Whether requests may be sent: see SoftwareVersions.
         self.is_version_recorded = True
         # If set, models come from the coordinator, which issues the orders and
@@ -306,6 +309,31 @@
         for listener in self._on_change_listeners:
             listener(server)
 
+    def mark_leaving(self, server_id: str, started_ms: int) -> bool:
+        """Take a server out that has announced that it leaves.
+
+        It counts for this process of the server, whatever its record says.
+        Return whether the announcement is new.
+        """
+        server = self._servers.get(server_id)
+        if server is None or server.record.started_ms != started_ms:
+            return False
+        if server.has_announced_leaving:
+            return False
+        server.has_announced_leaving = True
+        server.is_leaving = True
+        for listener in self._on_change_listeners:
+            listener(server)
+        return True
+
+    def announced_leaving(self) -> dict[str, int]:
+        """Return the start times of the servers that announced to leave."""
+        return {
+            server.server_id: server.record.started_ms
+            for server in self._servers.values()
+            if server.has_announced_leaving
+        }
+
     def drop_model(self, server_id: str, model: str, adapter: str) -> None:
         """Remove a model or adapter that a server turned out not to hold.
 
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -64,6 +64,13 @@
     # How long work takes on the server's VM now, 100 is usual; None if the
     # server does not report it.
     work_time_percent: int | None = None
+    # Whether the server announces that it accepts no new requests soon.
+    is_leaving: bool = False
+
+    @property
+    def is_from_server(self) -> bool:
+        """Return whether the response is certainly the server's."""
+        return self.is_echoed and (self.is_signed or self.is_certified_not_run)
 
 
 class RequestCodec(Protocol):
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -87,7 +87,7 @@
             ),
             handler,
             dependencies.clock,
-            dependencies.limits,
+            dependencies.announcements,
         )
         attempt.meter = self.meter = dependencies.choice.meter(
             server, handler.request, handler.route
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -16,6 +16,7 @@
 from balsamwall.gateway import retry_policy as retry_policy_module
 from balsamwall.gateway import room_queue
 from balsamwall.gateway import running_streams
+from balsamwall.gateway import server_announcements
 from balsamwall.gateway import wait_forecast
 from balsamwall.gateway import wait_policy
 from balsamwall.limits import retry_budget as retry_budget_module
@@ -98,6 +99,7 @@
         "_priorities",
         "_retry_settings",
         "admission",
+        "announcements",
         "assignments",
         "authenticator",
         "choice",
@@ -179,6 +181,9 @@
         self.running_streams = running_streams.RunningStreams(directory)
         self.forecast = wait_forecast.WaitForecast(clock)
         self.limits = limits
+        self.announcements = server_announcements.ServerAnnouncements(
+            clock, directory, limits, log
+        )
         self.quotas = quotas
         self.wait_policy = wait_policy.WaitPolicy(random_source)
         self._configuration = configuration
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -373,7 +373,8 @@
         """Send the request, or choose again without a permit."""
         if self._handler.is_finished:
             return
-        if is_granted:
+        # The server may have been drained during the wait.
+        if is_granted and server.is_ready:
             self._handler.send(server)
         else:
             self.dispatch()
--- /dev/null
+++ b/src/balsamwall/gateway/server_announcements.py
@@ -0,0 +1,73 @@
+"""Apply what backend servers state about themselves in responses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamwall.gateway import incoming_request
+
+if TYPE_CHECKING:
+    from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import server_limits
+    from balsamwall.logs import decision_log
+    from balsamwall.timing import clock as clock_module
+
+
+class ServerAnnouncements:
+    """Record load, limit and leaving of servers from all responses.
+
+    Load pattern: a server says in its responses that it leaves, while its
+    record in the store stays ready or cannot be read.
+    """
+
+    __slots__ = ("_clock", "_directory", "_limits", "_log")
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        directory: backend_directory.BackendDirectory,
+        limits: server_limits.ServerLimits,
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._limits = limits
+        self._log = log
+
+    def on_response(
+        self,
+        server: backend_directory.BackendServer,
+        status: int,
+        head: incoming_request.ResponseHead,
+    ) -> None:
+        """Apply the head of a response, also one that is not forwarded."""
+        self._record_load(server, head)
+        self._limits.on_response(server, status, head)
+        # A refusal with this status may come from another server, to which
+        # the address was given.
+        is_from_server = (
+            head.is_from_server
+            and status != incoming_request.WRONG_SERVER_STATUS
+        )
+        if head.is_leaving and is_from_server:
+            self._on_leaving(server)
+
+    def _record_load(
+        self,
+        server: backend_directory.BackendServer,
+        head: incoming_request.ResponseHead,
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if head.work_time_percent is not None and head.is_signed:
+            server.speed.on_work_time(head.work_time_percent, now_ms)
+        if head.running is not None:
+            server.on_report(head.running, head.waiting or 0, now_ms)
+
+    def _on_leaving(self, server: backend_directory.BackendServer) -> None:
+        record = server.record
+        if self._directory.mark_leaving(record.server_id, record.started_ms):
+            self._log.write(
+                "server_announced_leaving",
+                server=record.server_id,
+                service=record.service,
+            )
--- a/src/balsamwall/gateway/server_limits.py
+++ b/src/balsamwall/gateway/server_limits.py
@@ -121,13 +121,10 @@
 
         Only a response that is certainly the server's ends a limit.
         """
-        is_from_server = head.is_echoed and (
-            head.is_signed or head.is_certified_not_run
-        )
         if status == incoming_request.WRONG_SERVER_STATUS:
             # It may come from another server at the same address.
             return
-        if head.limit_per_s is None and not is_from_server:
+        if head.limit_per_s is None and not head.is_from_server:
             return
         found = limit_book.LimitObservation(
             server.server_id,
--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from balsamwall.gateway import backend_directory
     from balsamwall.infrastructure import http_client
@@ -56,9 +57,8 @@
         def on_answer(answer: http_client.HttpResponse) -> None:
             report = None
             if answer.status == 200:
-                limit = answer.headers.get(header_codec.SERVER_LIMIT.decode())
                 try:
-                    report = decode_report(answer.body, limit)
+                    report = decode_report(answer.body, answer.headers)
                 except ValueError as error:
                     eliot.log_message(
                         "report_unreadable",
@@ -114,9 +114,9 @@
 
 
 def decode_report(
-    raw: bytes, limit: str | None = None
+    raw: bytes, headers: Mapping[str, str]
 ) -> engine_control.EngineReport:
-    """Decode a report and its limit field; raise ValueError if invalid."""
+    """Decode a report and its header; raise ValueError if invalid."""
     document = documents.decode_object(raw)
     return engine_control.EngineReport(
         order_count=_integer_field(document, "seq"),
@@ -128,11 +128,20 @@
         running=_integer_field(document, "active"),
         waiting=_integer_field(document, "queued"),
         limit_per_s=header_codec.decode_limit(
-            [] if limit is None else [limit.encode("latin-1", "replace")]
+            _header_values(headers, header_codec.SERVER_LIMIT)
+        ),
+        is_leaving=header_codec.announces_leaving(
+            _header_values(headers, header_codec.SERVER_LEAVING)
         ),
     )
 
 
+def _header_values(headers: Mapping[str, str], name: bytes) -> list[bytes]:
+    """Return the values of a header field, none or one."""
+    found = headers.get(name.decode())
+    return [] if found is None else [found.encode("latin-1", "replace")]
+
+
 def _integer_field(document: dict[str, Any], name: str) -> int:
     found = document.get(name)
     if type(found) is not int:
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -25,6 +25,7 @@
 NOT_EXECUTED = b"balsamwall-not-executed"
 SERVER_LOAD = b"balsamwall-server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 CONTENT_ENCODING = b"content-encoding"
 AUTHORIZATION = b"authorization"
 WORKSPACE = b"balsamwall-tenant"
@@ -155,6 +156,9 @@
             work_time_percent=(
                 _parse_percent(load[3]) if len(load) > 3 else None
             ),
+            is_leaving=announces_leaving(
+                [value for name, value in fields if name == SERVER_LEAVING]
+            ),
         )
 
     def response_fields(
@@ -198,6 +202,14 @@
     )
 
 
+def announces_leaving(values: list[bytes]) -> bool:
+    """Return whether one of the values announces that a server leaves.
+
+    Other values than 1 are ignored.
+    """
+    return any(value.strip() == b"1" for value in values)
+
+
 def _parse_rate(raw: bytes) -> float | None:
     try:
         rate = float(raw.strip().decode("ascii"))
