Bound each field of documents where it is decoded

One record of another writer under servers/ with "remaining_ms": 1e999 stopped all entries from following the store for good, also after a restart, and one with "slots" of 400 digits took half of the requests. A value passed the check of its type and failed where it was used, and an exception in one listener ended the feed for all.

json_fields reads each field of records, configurations, workspaces and reports of engines with its type and range; a text has a length, an address must be an IP number with a port. A record that does not fit is logged and left out, as before for wrong types. The feed calls each listener by itself, logs its exception without the text, and goes on.

--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -11,6 +11,7 @@
 from balsamwall.coordination import engine_control
 from balsamwall.platform import documents
 from balsamwall.platform import header_codec
+from balsamwall.platform import json_fields
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -117,16 +118,16 @@
     raw: bytes, headers: Mapping[str, str]
 ) -> engine_control.EngineReport:
     """Decode a report and its header; raise ValueError if invalid."""
-    document = documents.decode_object(raw)
+    document = json_fields.decode_object(raw)
     return engine_control.EngineReport(
-        order_count=_integer_field(document, "seq"),
+        order_count=json_fields.integer(
+            document, "seq", maximum=json_fields.MAX_INTEGER
+        ),
         is_busy=bool(document.get("busy")),
         models=documents.decode_models(document),
-        pending_adapters=frozenset(
-            _decode_pending_adapters(document.get("coming", []))
-        ),
-        running=_integer_field(document, "active"),
-        waiting=_integer_field(document, "queued"),
+        pending_adapters=frozenset(_decode_pending_adapters(document)),
+        running=json_fields.integer(document, "active"),
+        waiting=json_fields.integer(document, "queued"),
         limit_per_s=header_codec.decode_limit(
             _header_values(headers, header_codec.SERVER_LIMIT)
         ),
@@ -142,19 +143,12 @@
     return [] if found is None else [found.encode("latin-1", "replace")]
 
 
-def _integer_field(document: dict[str, Any], name: str) -> int:
-    found = document.get(name)
-    if type(found) is not int:
-        raise ValueError(f"{name}: expected an integer, found {found!r}")
-    return found
-
-
-def _decode_pending_adapters(adapters: object) -> list[tuple[str, str]]:
+def _decode_pending_adapters(
+    document: dict[str, Any],
+) -> list[tuple[str, str]]:
     """Decode the pending adapters, written as MODEL/NAME@VERSION."""
-    if type(adapters) is not list:
-        raise ValueError(f"coming: expected a list, found {adapters!r}")
     found = []
-    for row in adapters:
-        model, _, rest = str(row).partition("/")
+    for row in json_fields.texts(document, "coming"):
+        model, _, rest = row.partition("/")
         found.append((model, rest.partition("@")[0]))
     return found
--- a/src/balsamwall/platform/store_documents.py
+++ b/src/balsamwall/platform/store_documents.py
@@ -11,7 +11,7 @@
 import eliot
 
 from balsamwall.infrastructure import key_value_service
-from balsamwall.platform import documents
+from balsamwall.platform import json_fields
 from balsamwall.platform import store_revision
 
 if TYPE_CHECKING:
@@ -59,8 +59,8 @@
     if answer.status != 200:
         return None
     try:
-        return documents.decode_object(answer.body)
-    except documents.DocumentError as error:
+        return json_fields.decode_object(answer.body)
+    except json_fields.DocumentError as error:
         eliot.log_message("store_answer_unreadable", reason=str(error)[:200])
         return None
 
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
+import traceback
 from typing import TYPE_CHECKING
 import urllib.parse
 
@@ -46,6 +48,7 @@
 # second. Each delay is reduced at random by up to half.
 MIN_BACKOFF_MS = 60
 MAX_BACKOFF_MS = 400
+MAX_LOGGED_KEY_LENGTH = 200
 # HTTP status of a watch whose start revision the store no longer has.
 GONE_STATUS = 410
 
@@ -162,7 +165,7 @@
         self._watches.append(watch)
         for item in list(self._items.values()):
             if item.value is not None and watch.matches(item.key):
-                on_change(item)
+                self._notify(watch, item)
         return watch
 
     def keep_no_items(self, prefix: str) -> None:
@@ -240,7 +243,7 @@
         self._era = era
         self._set_connected(False)
         for listener in self._restore_listeners:
-            listener()
+            _call("restore", listener)
 
     def apply_update(self, update: key_value_service.StoreUpdate) -> None:
         """Apply an update that the coordinator has read from the store.
@@ -466,7 +469,7 @@
             after_revision, self._revision, items
         )
         for listener in self._update_listeners:
-            listener(update)
+            _call("update", functools.partial(listener, update))
 
     def _schedule_watch(self, delay_ms: int) -> None:
         """Make the next call after a delay, or when the relay has ended."""
@@ -500,7 +503,11 @@
             self._items[item.key] = item
         for watch in list(self._watches):
             if watch.matches(item.key):
-                watch.on_change(item)
+                self._notify(watch, item)
+
+    @staticmethod
+    def _notify(watch: FeedWatch, item: key_value_service.KeyValue) -> None:
+        _call(item.key[:MAX_LOGGED_KEY_LENGTH], lambda: watch.on_change(item))
 
     def _retry(
         self, call: Callable[[], None], answer: http_client.HttpResponse
@@ -526,3 +533,20 @@
             eliot.log_message("store_connected", revision=self._revision)
         for listener in self._state_listeners:
             listener(is_connected)
+
+
+def _call(subject: str, listener: Callable[[], None]) -> None:
+    """Call a listener, whose exception must not end the feed of all others.
+
+    The text of the exception is not logged, since it may hold API keys.
+    """
+    try:
+        listener()
+    except Exception as error:
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        eliot.log_message(
+            "store_listener_failed",
+            subject=subject,
+            error=type(error).__name__,
+            place=f"{frame.name}:{frame.lineno}",
+        )
--- a/src/balsamwall/platform/workspace_documents.py
+++ b/src/balsamwall/platform/workspace_documents.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 from balsamwall.gateway import workspace as workspace_module
+from balsamwall.platform import json_fields
 
 _QuotaUnit = workspace_module.QuotaUnit
 
@@ -55,9 +55,7 @@
             f"tenants[{index}].name: expected a non-empty text without "
             "control characters or outer spaces"
         )
-    priority = row.get("priority", 0)
-    if type(priority) is not int or priority < 0:
-        raise _error(name, "priority", "expected a non-negative integer")
+    priority = _count(name, row, "priority")
     return workspace_module.Workspace(
         name,
         _key_digests(name, row),
@@ -89,9 +87,7 @@
     """Return the quota, or None without a limit; check it in any case."""
     rate_per_s = _amount(name, row, "rate_per_s")
     burst = _amount(name, row, "burst")
-    plain_tokens = row.get("plain_tokens", 0)
-    if type(plain_tokens) is not int or plain_tokens < 0:
-        raise _error(name, "plain_tokens", "expected a non-negative integer")
+    plain_tokens = _count(name, row, "plain_tokens")
     unit = row.get("unit", _QuotaUnit.REQUESTS.value)
     units = [item.value for item in _QuotaUnit]
     if unit not in units:
@@ -103,12 +99,23 @@
     )
 
 
+def _count(name: str, row: dict[str, Any], field: str) -> int:
+    try:
+        return json_fields.integer(row, field, 0)
+    except json_fields.DocumentError as error:
+        raise _error(
+            name,
+            field,
+            f"expected an integer from 0 to {json_fields.MAX_COUNT}",
+        ) from error
+
+
 def _amount(name: str, row: dict[str, Any], field: str) -> float:
-    found = row.get(field, 0)
     try:
-        if type(found) in (int, float) and 0 <= float(found) < math.inf:
-            return float(found)
-    except OverflowError:
-        # An integer beyond the range of a float is not a usable limit.
-        pass
-    raise _error(name, field, "expected a finite number of at least 0")
+        return json_fields.number(row, field, 0.0)
+    except json_fields.DocumentError as error:
+        raise _error(
+            name,
+            field,
+            f"expected a number from 0 to {json_fields.MAX_NUMBER:.0f}",
+        ) from error
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,6 +6,7 @@
 import unittest
 
 from balsamwall.platform import documents
+from balsamwall.platform import json_fields
 
 SERVER = {
     "service": "app",
@@ -82,14 +83,14 @@
         ]
         for changes in cases:
             with self.subTest(changes=changes):
-                with self.assertRaises(documents.DocumentError):
+                with self.assertRaises(json_fields.DocumentError):
                     self.read(**changes)
 
     def test_bytes_that_are_no_json_object(self):
         """Guards against an uncaught error on corrupt data."""
         for raw in (b"", b"\xff\xfe", b"[]", b"3", b"{", b"[" * 100_000):
             with self.subTest(raw=raw[:10]):
-                with self.assertRaises(documents.DocumentError):
+                with self.assertRaises(json_fields.DocumentError):
                     documents.decode_server("i-1", raw)
 
 
@@ -121,5 +122,5 @@
             {"routes": [{**ROUTE, "timeout_ms": None}]},
         ):
             with self.subTest(changes=changes):
-                with self.assertRaises(documents.DocumentError):
+                with self.assertRaises(json_fields.DocumentError):
                     self.read(**changes)
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -121,6 +121,23 @@
         self.read(bad, row("s/b", "1", 6))
         self.assertEqual(self.seen, [("s/b", "1")])
 
+    def test_failure_of_a_listener_is_contained(self):
+        """Guards against a feed that one odd item ends for all others."""
+
+        def fail(item):
+            raise OverflowError("secret")
+
+        self.feed.add("s/", fail, is_prefix=True)
+        self.feed.add_update_listener(fail)
+        with mock.patch("eliot.log_message") as log:
+            self.read(row("s/a", "1", 5), row("s/b", "1", 6))
+            self.feed.add("s/", fail, is_prefix=True)
+        self.assertEqual(self.seen, [("s/a", "1"), ("s/b", "1")])
+        self.assertEqual(self.store.last[0], "/kv-watch")
+        names = [call.args[0] for call in log.call_args_list]
+        self.assertEqual(names.count("store_listener_failed"), 5)
+        self.assertNotIn("secret", str(log.call_args_list))
+
     def test_nothing_is_kept_of_transient_keys(self):
         """Guards against memory that grows with each key ever written."""
         self.feed.add("t/", self.record_change, is_prefix=True)
--- a/tests/platform/test_workspace_documents.py
+++ b/tests/platform/test_workspace_documents.py
@@ -6,6 +6,7 @@
 import unittest
 
 from balsamwall.platform import documents
+from balsamwall.platform import json_fields
 
 KEY = "k-secret-1"
 ROUTE = {
@@ -66,7 +67,7 @@
         self.assertEqual(list(decode(tenants=[]).workspaces), [])
 
     def check_rejected(self, field, *rows):
-        with self.assertRaises(documents.DocumentError) as caught:
+        with self.assertRaises(json_fields.DocumentError) as caught:
             decode(*rows)
         text = str(caught.exception)
         self.assertIn(field, text)
@@ -116,15 +117,15 @@
         """Guards against an exception that ends the watch of the store."""
         for rows in (None, {}, "x", [3], [None], [[]]):
             with self.subTest(rows=rows):
-                with self.assertRaises(documents.DocumentError):
+                with self.assertRaises(json_fields.DocumentError):
                     decode(tenants=rows)
 
     def test_number_out_of_range_elsewhere(self):
         """Guards against an exception that is no DocumentError."""
-        with self.assertRaises(documents.DocumentError):
+        with self.assertRaises(json_fields.DocumentError):
             decode(routes=[{**ROUTE, "timeout_ms": float("inf")}])
 
     def test_public_of_another_type(self):
         """Guards against a route that is public by a text such as false."""
-        with self.assertRaises(documents.DocumentError):
+        with self.assertRaises(json_fields.DocumentError):
             decode(routes=[{**ROUTE, "public": "false"}])
