--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -11,6 +11,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+from soak import leaving as leaving_module
 from soak import ledger as ledger_module
 from soak import poison_part as poison_part_module
 from soak import proxy as proxy_module
@@ -78,8 +79,7 @@
         self.violations: list[str] = []
         self.state = "ready"
         self.draining_since_ms: int | None = None
-        # Whether responses announce that the server leaves.
-        self.announces_leaving = False
+        self.leaving = leaving_module.AnnouncedLeaving()
         self.started_ms = 0
         self._lease = 0
         self._lease_era = data.era
@@ -329,7 +329,7 @@
     def render(self, request: server.Request) -> Any:
         """Serve a report, an order or a caller's request."""
         backend = self._backend
-        if backend.announces_leaving:
+        if backend.leaving.is_active:
             request.setHeader("Server-Leaving", "1")
         expected = request.getHeader("balsamwall-expect-instance")
         if expected not in (None, backend.instance_id):
@@ -356,6 +356,7 @@
         backend = self._backend
         request_id = request.getHeader("balsamwall-request-id") or ""
         known = backend.ledger.requests.get(request_id)
+        backend.leaving.on_request(known)
         limit = backend.limit.on_request(known.entry if known else "")
         if limit is not None:
             request.setHeader("Server-Limit", limit)
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -8,6 +8,7 @@
 from soak import caller as caller_module
 from soak import checks
 from soak import ledger as ledger_module
+from soak import route_probe
 
 KINDS = {
     ledger_module.Kind.IDEMPOTENT: ("idempotent", "app", False),
@@ -17,7 +18,7 @@
 }
 
 
-def rows(version: int) -> dict[str, Any]:
+def rows(version: int, has_added_route: bool) -> dict[str, Any]:
     """Return a configuration in the format of the platform."""
     routes = [
         {
@@ -35,6 +36,9 @@
         }
         for kind, (rule, service, is_resumable) in KINDS.items()
     ]
+    if has_added_route:
+        name = route_probe.ROUTE
+        routes.append({**routes[0], "name": name, "path_prefix": f"/{name}/"})
     engine = {
         "slots": 16,
         "kv_capacity": 100_000,
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -146,6 +146,13 @@
                 f"{self.name} exited with code {code} on a stop"
             )
 
+    def record_without_store(self, duration_s: float) -> None:
+        """Record that the process does not reach the store from now on."""
+        now_ms = ledger_module.now_ms()
+        self.without_store_ms.append(
+            (now_ms, now_ms + int(duration_s * 1_000))
+        )
+
     def kill(self) -> None:
         """Kill the process with SIGKILL and wait for its exit."""
         self.is_stopping = True
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -140,17 +140,10 @@
     fault = soak.random.choice([item for item in LinkFault][1:])
     for entry in soak.entries:
         if entry.name == name:
-            _record_without_store(entry, duration_s)
+            entry.record_without_store(duration_s)
     _set_link_fault(proxy, fault, duration_s)
 
 
-def _record_without_store(
-    entry: entry_module.Entry, duration_s: float
-) -> None:
-    now_ms = ledger_module.now_ms()
-    entry.without_store_ms.append((now_ms, now_ms + int(duration_s * 1_000)))
-
-
 def _set_link_fault(
     proxy: proxy_module.Proxy, fault: LinkFault, duration_s: float
 ) -> None:
@@ -163,7 +156,7 @@
     """Inject a store fault that affects all entries."""
     soak.site.fault = soak.random.choice([item for item in StoreFault][1:])
     for entry in soak.entries:
-        _record_without_store(entry, duration_s)
+        entry.record_without_store(duration_s)
     reactor.callLater(duration_s, _clear_store_fault, soak)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 from twisted.internet import reactor
 from twisted.web import server
 
+from soak import announcements as announcements_module
 from soak import backend_server
 from soak import caller as caller_module
 from soak import checks
@@ -22,6 +23,7 @@
 from soak import proxy as proxy_module
 from soak import report as report_module
 from soak import resumption_checks
+from soak import route_probe as route_probe_module
 from soak import store as store_module
 from soak import version_faults
 from soak import workspaces as workspaces_module
@@ -115,6 +117,11 @@
         )
         self._engines = [item for item in self._all_backends if item.is_engine]
         self._version_faults = self._new_version_faults()
+        self._announcements = announcements_module.Announcements(
+            random.Random(f"{seed}/announcements"), self, self._is_planned_only
+        )
+        self._route_probe = route_probe_module.RouteProbe()
+        self._has_added_route = False
         self._callers = parts.callers(self.entries)
 
     def _new_version_faults(self) -> version_faults.VersionFaults | None:
@@ -154,6 +161,7 @@
         self._next_fault()
         if self._version_faults is not None:
             self._version_faults.start(self._duration_s)
+        self._announcements.start(self._duration_s)
         reactor.callLater(self._duration_s, self._end_faults)
 
     def _next_fault(self) -> None:
@@ -185,9 +193,12 @@
 
     def _end_key_changes(self) -> None:
         self._are_keys_final = True
+        self._has_added_route = True
+        self._put_configuration(1)
 
     def _begin_probe(self) -> None:
         self._probe_start_ms = ledger_module.now_ms()
+        self._route_probe.send(self.entries)
         reactor.callLater(PROBE_S, self._stop_callers)
 
     def _stop_callers(self) -> None:
@@ -227,6 +238,7 @@
             )
         self._violations += self._workspace_violations()
         self._violations += self._resumption_violations()
+        self._violations += self._route_probe.violations()
         if self._is_planned_only:
             self._violations += checks.truncation_violations(
                 self.ledger, self._stalls
@@ -338,9 +350,18 @@
             workspaces.interval_s(), self._replace_key, workspaces
         )
 
+    def rewrite_configuration(self) -> None:
+        """Write the newest version of the configuration again."""
+        self._put_configuration(0)
+
+    def end_leaving(self, backend: backend_server.BackendServer) -> None:
+        """Check that the leaving was obeyed, and restart the server."""
+        self._violations += backend.leaving.end(self._disturbed_entries())
+        backend.undrain()
+
     def _put_configuration(self, step: int) -> None:
         self._version += step
-        rows = configuration.rows(self._version)
+        rows = configuration.rows(self._version, self._has_added_route)
         if self._features.workspaces is not None:
             rows["tenants"] = self._features.workspaces.rows()
         self.data.put("op/config", json.dumps(rows).encode())
--- a/tests/platform/test_leaving_server_process.py
+++ b/tests/platform/test_leaving_server_process.py
@@ -27,7 +27,7 @@
         """
         traffic = entry_fleet.Traffic(self.fleet, "first", 0.01)
         leaving = self.fleet.servers[0]
-        leaving.announces_leaving = True
+        leaving.leaving.begin()
         time.sleep(ANNOUNCED_S + DRAIN_S)
         since_ms = ledger_module.now_ms()
         time.sleep(OBSERVED_S)
