End the drain of an agent that nobody can take over from

An agent whose connected peers all leave, or that has none, gives these two steps up after 10 s. A connected entry, or an agent that stays, keeps it waiting as before, and running requests are finished in any case. Successors are safe without the transfer, as after a crash.

The new tests of AgentCore fail without the watch.

--- a/src/balsamwall/agent/agent_core.py
+++ b/src/balsamwall/agent/agent_core.py
@@ -9,6 +9,7 @@
 
 from balsamwall.agent import agent_parts
 from balsamwall.agent import state_reporter
+from balsamwall.agent import successor_watch
 from balsamwall.protocol import message_hub
 from balsamwall.protocol import messages_request
 from balsamwall.protocol import messages_state
@@ -51,6 +52,7 @@
         "_open_steps",
         "_outbox",
         "_reporter",
+        "_successors",
         "parts",
     )
 
@@ -74,6 +76,11 @@
         self._leaving = None
         self._open_steps: set[int] = set()
         self._drain_callbacks: list[Callable[[], None]] = []
+        self._successors = successor_watch.SuccessorWatch(
+            clock,
+            lambda: self._hub.peers_of("entry"),
+            lambda: self._hub.peers_of("agent"),
+        )
         self._reporter = state_reporter.StateReporter(
             clock,
             outbox,
@@ -132,6 +139,7 @@
     def on_peer_up(self, peer: str, hello: messages_session.Hello) -> None:
         """Notify the components of a new peer and send it the state."""
         self._hub.on_peer_up(peer, hello)
+        self._successors.on_peer_up(peer)
         if self._leaving is not None:
             self._outbox.send(peer, self._leaving)
         if hello.role == "entry":
@@ -188,11 +196,25 @@
         # Propagation of the mark is a drain step too: an idle agent stays up
         # until the entries have received it.
         self._clock.call_later(DRAIN_PROPAGATION_MS, self._finish_step, -1)
-        self._open_steps = {-1, *range(len(self.parts.drain_steps))}
-        for index, step in enumerate(self.parts.drain_steps):
+        steps = self.parts.drain_steps + self.parts.transfer_steps
+        self._open_steps = {-1, *range(len(steps))}
+        for index, step in enumerate(steps):
             step(functools.partial(self._finish_step, index))
+        self._successors.start(self._give_up_transfers)
+
+    def _give_up_transfers(self) -> None:
+        """Finish the steps that need another process, as there is none."""
+        first = len(self.parts.drain_steps)
+        open_transfers = [step for step in self._open_steps if step >= first]
+        if open_transfers:
+            eliot.log_message(
+                "agent_handover_given_up", peer=self._identity.vm
+            )
+        for step in open_transfers:
+            self._finish_step(step)
 
     def _on_leaving(self, item: messages_state.Leaving) -> None:
+        self._successors.on_leaving(item.vm)
         own = (self._identity.vm, self._identity.incarnation)
         if (item.vm, item.incarnation) == own:
             self.begin_drain(item.source)
--- a/src/balsamwall/agent/agent_parts.py
+++ b/src/balsamwall/agent/agent_parts.py
@@ -93,6 +93,10 @@
     drain_steps: list[Callable[[Callable[[], None]], None]] = (
         dataclasses.field(default_factory=list)
     )
+    # Like drain_steps, but given up when no other process can take over.
+    transfer_steps: list[Callable[[Callable[[], None]], None]] = (
+        dataclasses.field(default_factory=list)
+    )
 
 
 # Message types that each field of AgentParts handles.
--- a/src/balsamwall/composition/engine_unit.py
+++ b/src/balsamwall/composition/engine_unit.py
@@ -167,7 +167,8 @@
             load_source=self._load,
             resident_source=self,
             configuration_readers=[self],
-            drain_steps=[self.executor.start_drain, self._start_handover],
+            drain_steps=[self.executor.start_drain],
+            transfer_steps=[self._start_handover],
         )
 
     def start(self) -> None:
--- a/src/balsamwall/composition/service_unit.py
+++ b/src/balsamwall/composition/service_unit.py
@@ -175,7 +175,8 @@
             load_source=self._load,
             resident_source=self,
             configuration_readers=[self],
-            drain_steps=[self.executor.start_drain, self._leave_homes],
+            drain_steps=[self.executor.start_drain],
+            transfer_steps=[self._leave_homes],
         )
 
     def start(self) -> None:
--- a/tests/agent/test_agent_core.py
+++ b/tests/agent/test_agent_core.py
@@ -7,6 +7,7 @@
 
 from balsamwall.agent import agent_core
 from balsamwall.agent import agent_parts
+from balsamwall.agent import successor_watch
 from balsamwall.protocol import message
 from balsamwall.protocol import messages_request
 from balsamwall.protocol import messages_session
@@ -25,6 +26,7 @@
         self.running = 0
         self.messages: list[message.Message] = []
         self.on_idle: Callable[[], None] | None = None
+        self.on_transferred: Callable[[], None] | None = None
 
     def on_message(self, peer: str, item: message.Message) -> None:
         self.messages.append(item)
@@ -38,6 +40,9 @@
     def start_drain(self, on_idle: Callable[[], None]) -> None:
         self.on_idle = on_idle
 
+    def start_transfer(self, on_done: Callable[[], None]) -> None:
+        self.on_transferred = on_done
+
 
 class AgentCoreTest(unittest.TestCase):
     """Guard against drains that interrupt requests and excess reports."""
@@ -52,6 +57,7 @@
             load_source=self.work,
             resident_source=self.work,
             drain_steps=[self.work.start_drain],
+            transfer_steps=[self.work.start_transfer],
         )
         identity = session.Identity("agent-1", "agent", "z", "tampere", 5)
         self.core = agent_core.AgentCore(
@@ -110,6 +116,7 @@
         self.assertIn(("entry-2", mark), self.sent)
         self.work.on_idle()
         self.work.on_idle()
+        self.work.on_transferred()
         self.clock.advance(agent_core.DRAIN_LINGER_MS)
         self.assertEqual(["done"], drained)
 
@@ -118,11 +125,57 @@
         drained: list[str] = []
         self.core.begin_drain("signal", lambda: drained.append("done"))
         self.work.on_idle()
+        self.work.on_transferred()
         self.clock.advance(agent_core.DRAIN_PROPAGATION_MS)
         self.assertEqual([], drained)
         self.clock.advance(agent_core.DRAIN_LINGER_MS)
         self.assertEqual(["done"], drained)
 
+    def test_drain_without_a_successor_ends(self) -> None:
+        """Guards against agents that outlive the stop of a whole system.
+
+        The other agent leaves as well, and waits for this one.
+        """
+        self._peer_up("entry-1", "entry")
+        self._peer_up("agent-2", "agent")
+        drained: list[str] = []
+        self.core.begin_drain("signal", lambda: drained.append("done"))
+        self.work.on_idle()
+        leaving = messages_state.Leaving("agent-2", 1, "signal")
+        self.core.on_message("agent-2", leaving)
+        self.clock.advance(5 * successor_watch.ALONE_TIMEOUT_MS)
+        self.assertEqual([], drained)
+        self.core.on_peer_down("entry-1")
+        self.clock.advance(
+            successor_watch.ALONE_TIMEOUT_MS
+            + 2 * successor_watch.CHECK_INTERVAL_MS
+            + agent_core.DRAIN_LINGER_MS
+        )
+        self.assertEqual(["done"], drained)
+
+    def test_transfer_waits_for_a_successor(self) -> None:
+        """Guards against a model that is lost with a lost connection."""
+        self._peer_up("agent-2", "agent")
+        drained: list[str] = []
+        self.core.begin_drain("signal", lambda: drained.append("done"))
+        self.work.on_idle()
+        for _ in range(5):
+            self.core.on_peer_down("agent-2")
+            self.clock.advance(successor_watch.ALONE_TIMEOUT_MS - 2_000)
+            self._peer_up("agent-2", "agent")
+            self.clock.advance(successor_watch.ALONE_TIMEOUT_MS)
+        self.assertEqual([], drained)
+
+    def test_requests_are_finished_without_a_successor(self) -> None:
+        """Guards against a stop that cuts off what may not be repeated."""
+        drained: list[str] = []
+        self.core.begin_drain("signal", lambda: drained.append("done"))
+        self.clock.advance(5 * successor_watch.ALONE_TIMEOUT_MS)
+        self.assertEqual([], drained)
+        self.work.on_idle()
+        self.clock.advance(agent_core.DRAIN_LINGER_MS)
+        self.assertEqual(["done"], drained)
+
     def test_leaving_mark_of_another_incarnation(self) -> None:
         """A mark of an earlier incarnation must not drain this one."""
         late = messages_state.Leaving("agent-1", 4, "vm_list")
