Move the election of the coordinator out of the composition of an entry

CoordinatorElection has the lease, the delay after a restore and the record of the holder. The tests of tests.composition and tests.platform.test_restored_store pass.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -12,7 +12,7 @@
 from balsamwall.composition import quota_parts
 from balsamwall.composition import version_parts
 from balsamwall.coordination import coordinator as coordinator_module
-from balsamwall.coordination import election_delay
+from balsamwall.coordination import coordinator_election
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_dialer
 from balsamwall.coordination import fleet_server
@@ -40,7 +40,6 @@
 from balsamwall.gateway import speed_metrics
 from balsamwall.limits import fleet_size
 from balsamwall.logs import decision_log
-from balsamwall.placement import lease_keeper
 from balsamwall.settings import address as address_module
 
 if TYPE_CHECKING:
@@ -58,14 +57,6 @@
 # Number of entries that share the limits of servers until the fleet reports
 # it. A lower number than the true one would exceed a limit.
 ASSUMED_ENTRIES_OF_LIMITS = 100
-# Key of the lease whose holder, the coordinator, sends orders to engines.
-COORDINATOR_KEY = "balsamwall/order-holder"
-LEASE_RENEW_INTERVAL_MS = 700
-# All entries start together. The first attempts to acquire the lease are
-# spread over this time, so that most entries see a holder before they try.
-ELECTION_SPREAD_MS = 400
-# The coordinator stops this long before its lease may expire in the store.
-LEASE_MARGIN_MS = 500
 
 
 class GatewayUnit:
@@ -84,7 +75,6 @@
         self._clock = clock
         self._random = random_source
         self._dependencies = dependencies
-        self._is_stopping = False
         self._log = decision_log.DecisionLog(self._clock)
         self._metrics = gateway_metrics.GatewayMetrics()
         self._configuration = configuration_holder.ConfigurationHolder()
@@ -101,7 +91,7 @@
             self._directory,
             dependencies.store,
             lambda: self._coordinator.is_active,
-            self._is_store_available,
+            lambda: self._election.is_store_available,
             lambda: self._fleet_size.count,
             self._log,
         )
@@ -220,7 +210,6 @@
         self._own_address = str(
             address_module.Address(settings.ip, settings.fleet_port)
         )
-        self._coordinator_address = ""
         self._dialer = fleet_dialer.FleetDialer(self._reactor, self._clock)
         self._fleet_client = fleet_client.FleetClient(
             self._clock,
@@ -258,23 +247,15 @@
 
     def _build_coordinator(self) -> None:
         settings = self._settings
-        lease_ms = max(settings.lease_ms, settings.min_lease_ms)
-        self._lease = lease_keeper.LeaseKeeper(
+        self._election = coordinator_election.CoordinatorElection(
             self._clock,
+            self._random,
             self._dependencies.store,
-            COORDINATOR_KEY,
+            self._dependencies.connection,
             self._own_address,
-            self._is_candidate,
-            lease_keeper.LeaseTimes(
-                lease_ms, LEASE_RENEW_INTERVAL_MS, LEASE_MARGIN_MS
-            ),
-            lambda: self._own_restored_revision,
-        )
-        self._election_delay = election_delay.ElectionDelay(
-            self._clock, lease_ms
+            max(settings.lease_ms, settings.min_lease_ms),
+            self._fleet_client.on_coordinator_changed,
         )
-        # Revision of a restored record that names this process, 0 for none.
-        self._own_restored_revision = 0
         permits = permit_issuer.PermitIssuer(
             self._clock, self._limits, self._fleet_size
         )
@@ -282,7 +263,7 @@
             self._clock,
             self._configuration,
             self._directory,
-            self._lease,
+            self._election.lease,
             limited_engine_control.LimitedEngineControl(
                 self._clock,
                 self._dependencies.engines,
@@ -292,7 +273,7 @@
             ),
             self._fleet_server,
             self._log,
-            self._is_store_available,
+            lambda: self._election.is_store_available,
             self._limits,
             permits,
             self._quota_parts.issuer,
@@ -317,9 +298,7 @@
         self._log.start()
         self._pool.start()
         self._follow_store()
-        self._clock.call_later(
-            int(ELECTION_SPREAD_MS * self._random.random()), self._lease.start
-        )
+        self._election.start()
         self._coordinator.start()
         self._fleet_client.start()
         self._listen()
@@ -337,14 +316,13 @@
             self._server_feed.on_store_state
         )
         dependencies.connection.add_update_listener(self._on_store_update)
-        dependencies.connection.add_restore_listener(self._on_store_restored)
         dependencies.store.watch(
             dependencies.configuration_key, self._on_configuration
         )
         dependencies.store.watch(
             dependencies.servers_prefix, self._on_server, is_prefix=True
         )
-        dependencies.store.watch(COORDINATOR_KEY, self._on_coordinator_record)
+        self._election.follow()
         dependencies.connection.keep_no_items(origin_log.PREFIX)
         self._origin_parts.start()
         self._quota_parts.entry_count.start()
@@ -378,7 +356,7 @@
 
     def stop(self) -> None:
         """Drain requests for up to the grace time, then stop the reactor."""
-        self._is_stopping = True
+        self._election.stop()
         eliot.log_message(
             "daemon_stopping", requests=self._gateway.active_requests
         )
@@ -485,39 +463,6 @@
         )
         self._fleet_client.request_load(wanted)
 
-    def _is_candidate(self) -> bool:
-        """Return whether this entry may become or stay coordinator."""
-        if self._is_stopping or not self._dependencies.connection.is_synced:
-            return False
-        if self._lease.is_held:
-            return True
-        is_vacant = not self._coordinator_address
-        if not is_vacant and not self._own_restored_revision:
-            return False
-        return self._election_delay.is_over
-
-    def _on_store_restored(self) -> None:
-        self._election_delay.on_restored(is_holder=self._lease.is_held)
-
-    def _is_store_available(self) -> bool:
-        """Return whether the store can confirm who is coordinator.
-
-        A failed lease renewal reveals the loss of the store sooner than the
-        watch, which is idle most of the time.
-        """
-        connection = self._dependencies.connection
-        return connection.is_connected and not self._lease.is_renewal_failing
-
-    def _on_coordinator_record(self, item: key_value_service.KeyValue) -> None:
-        self._coordinator_address = (item.value or b"").decode(
-            "utf-8", "replace"
-        )
-        is_own = self._coordinator_address == self._own_address
-        self._own_restored_revision = (
-            item.revision if item.is_restored and is_own else 0
-        )
-        self._fleet_client.on_coordinator_changed(self._coordinator_address)
-
     def _connect_to_coordinator(
         self, address: str
     ) -> fleet_client.Link | None:
--- a/tests/platform/test_restored_store_process.py
+++ b/tests/platform/test_restored_store_process.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from balsamwall.composition import gateway_unit
+from balsamwall.coordination import coordinator_election
 from soak import ledger as ledger_module
 from tests.fixtures import entry_fleet
 from tests.fixtures import reactor_thread
@@ -136,7 +136,9 @@
     def coordinator(self):
         """Return the entry that the store names as coordinator."""
         item = reactor_thread.run(
-            lambda: self.fleet.data.items.get(gateway_unit.COORDINATOR_KEY)
+            lambda: self.fleet.data.items.get(
+                coordinator_election.COORDINATOR_KEY
+            )
         )
         if item is None:
             return None
