Check again who may be elected before the lease's key is written

A test of elections over restores in virtual time (100 seeds: restores with and without the leases of the copy, cuts, kills of the holder, new entries) found two coordinators: an entry had asked for a lease just before it learned of the restore from the response, and went on to write the key although the delay had begun.

LeaseKeeper asks whether its process is still a candidate once the lease is granted, and revokes it otherwise.

--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -197,7 +197,8 @@
             if not isinstance(result, Success):
                 return
             lease_id = result.unwrap()
-            if attempt != self._attempt:
+            # The response may have shown that the store was restored.
+            if attempt != self._attempt or not self._is_candidate():
                 self._store.revoke(lease_id, lambda result: None)
                 return
             self._lease_id = lease_id
--- /dev/null
+++ b/tests/coordination/test_coordinator_election.py
@@ -0,0 +1,147 @@
+"""Tests of the election of a coordinator over restores of the store."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from balsamwall.coordination import coordinator_election
+from balsamwall.platform import store_client
+from balsamwall.timing import virtual_clock
+from tests.fixtures import virtual_store
+
+LEASE_MS = 3_000
+ENTRIES = 4
+STEP_MS = 20
+DAY_MS = 40_000
+# After the last fault there is a coordinator within this time.
+CALM_MS = 10_000
+SEEDS = range(100)
+
+
+class Candidate:
+    """Feed, client and election of one entry."""
+
+    def __init__(self, clock, store, number, seed):
+        self.address = f"10.0.0.{number}:1"
+        self.http = virtual_store.VirtualHttp(clock, store, LEASE_MS)
+        source = random.Random(f"{seed}/{number}")
+        client = store_client.StoreClient(clock, source, self.http, "store")
+        self.election = coordinator_election.CoordinatorElection(
+            clock,
+            source,
+            client,
+            client.feed,
+            self.address,
+            LEASE_MS,
+            lambda holder: None,
+        )
+        self.election.follow()
+        client.feed.start()
+        self.election.start()
+
+    @property
+    def is_holder(self):
+        return self.election.lease.is_held
+
+
+class ElectionDay:
+    """Entries under faults of the store, drawn from a seed."""
+
+    def __init__(self, seed):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.clock = virtual_clock.VirtualClock(start_ms=1_000)
+        self.store = virtual_store.VirtualStore(self.clock)
+        self.candidates = []
+        self.killed = 0
+        self.tokens = []
+        self.problems = []
+        self.restores = 0
+        for _ in range(ENTRIES):
+            self.start_entry()
+
+    def start_entry(self):
+        number = len(self.candidates) + self.killed
+        self.candidates.append(
+            Candidate(self.clock, self.store, number, self.seed)
+        )
+
+    def play(self):
+        end_ms = self.clock.now_ms() + DAY_MS
+        while self.clock.now_ms() < end_ms:
+            self.advance(self.random.randint(200, 4_000))
+            self.random.choice(
+                (self.restore, self.restore, self.cut, self.kill_holder)
+            )()
+        for candidate in self.candidates:
+            candidate.http.is_cut = False
+        self.advance(CALM_MS)
+
+    def advance(self, duration_ms):
+        for _ in range(duration_ms // STEP_MS):
+            self.clock.advance(STEP_MS)
+            self.store.end_leases()
+            self.store.notify()
+            self.check()
+
+    def check(self):
+        holders = [item for item in self.candidates if item.is_holder]
+        if len(holders) > 1:
+            self.problems.append((self.clock.now_ms(), "two holders"))
+        for holder in holders:
+            token = holder.election.lease.revision
+            if self.tokens and token < self.tokens[-1]:
+                self.problems.append((self.clock.now_ms(), "lower token"))
+            if not self.tokens or token != self.tokens[-1]:
+                self.tokens.append(token)
+
+    def restore(self):
+        """Return from a copy, with or without the leases of the copy."""
+        state = self.store.copy()
+        self.advance(self.random.randint(0, 5_000))
+        for number in range(self.random.randint(0, 60)):
+            self.store.put("op/config", b"%d" % number)
+        self.store.is_away = True
+        self.store.close_watches()
+        self.advance(self.random.randint(100, 1_500))
+        self.store.is_away = False
+        self.store.restore(state, keeps_leases=self.random.random() < 0.5)
+        self.restores += 1
+
+    def cut(self):
+        """Cut one entry off from the store for some time."""
+        cut = self.random.choice(self.candidates)
+        cut.http.is_cut = True
+        self.clock.call_later(
+            self.random.randint(500, 6_000), setattr, cut.http, "is_cut", False
+        )
+
+    def kill_holder(self):
+        """Kill the holder, if there is one, and start another entry."""
+        for candidate in list(self.candidates):
+            if candidate.is_holder:
+                candidate.http.is_cut = True
+                candidate.election.stop()
+                self.candidates.remove(candidate)
+                self.killed += 1
+                self.start_entry()
+
+
+class CoordinatorElectionTest(unittest.TestCase):
+    """Load pattern: copies that lack the lease, or hold an earlier one."""
+
+    def test_one_holder_with_a_rising_token(self):
+        """Guards against two coordinators, and orders that are fenced off."""
+        problems = {}
+        restores = 0
+        for seed in SEEDS:
+            day = ElectionDay(seed)
+            day.play()
+            restores += day.restores
+            if not any(item.is_holder for item in day.candidates):
+                day.problems.append((DAY_MS, "no holder at the end"))
+            if day.problems:
+                problems[seed] = day.problems[:3]
+        self.assertEqual(problems, {})
+        self.assertGreater(restores, 2 * len(SEEDS))
