Check in the soak that changes after a restore are followed

The route that the soak added after all faults came so late that revisions had passed those of before the restore, and its request had no identifier, so that the entry refused it before it looked for the route: the check could not fail.

The operator writes 40 versions that the store then loses, adds a route when it has written again, and each entry that is not disturbed is asked for it 3 s later. The service of these routes has no server, so that nothing runs.

--- a/soak/announcements.py
+++ b/soak/announcements.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import reactor
 
+from soak import ledger as ledger_module
 from soak import store as store_module
 
 if TYPE_CHECKING:
@@ -26,6 +27,11 @@
 # The operator writes its configuration again after this time. Servers do so
 # with their next heartbeat.
 MAX_REWRITE_S = 1.0
+# Versions that the store loses, so that its revisions go back for longer than
+# the changes after its return take to make up for.
+LOST_VERSIONS = 40
+# A change binds at the latest this long after its acknowledgement.
+APPLY_S = 3.0
 # A server that announces its leaving restarts after this time.
 LEAVING_S = 4.5
 
@@ -44,6 +50,12 @@
     def rewrite_configuration(self) -> None:
         """Write the newest version of the configuration again."""
 
+    def add_route(self) -> str:
+        """Write a version with one more route; return its name."""
+
+    def probe_route(self, name: str, since_ms: int) -> None:
+        """Ask the entries for a route, unless disturbed since a time."""
+
     def end_leaving(self, backend: backend_server.BackendServer) -> None:
         """Check that the leaving was obeyed, and restart the server."""
 
@@ -83,6 +95,8 @@
         reactor.callLater(age_s, self._lose_store, copy)
 
     def _lose_store(self, copy: store_module.StoreCopy) -> None:
+        for _ in range(LOST_VERSIONS):
+            self._target.rewrite_configuration()
         away_s = self._random.uniform(MIN_AWAY_S, MAX_AWAY_S)
         rewrite_s = self._random.uniform(0.0, MAX_REWRITE_S)
         self._target.record_fault("restore_store", away_s + rewrite_s)
@@ -91,14 +105,18 @@
         self._target.site.fault = store_module.StoreFault.REFUSE
         self._target.site.close_watches()
         reactor.callLater(away_s, self._restore, copy)
-        reactor.callLater(
-            away_s + rewrite_s, self._target.rewrite_configuration
-        )
+        reactor.callLater(away_s + rewrite_s, self._write_again)
 
     def _restore(self, copy: store_module.StoreCopy) -> None:
         self._target.data.restore(copy)
         self._target.site.fault = store_module.StoreFault.NONE
 
+    def _write_again(self) -> None:
+        self._target.rewrite_configuration()
+        name = self._target.add_route()
+        now_ms = ledger_module.now_ms()
+        reactor.callLater(APPLY_S, self._target.probe_route, name, now_ms)
+
     def _announce_leaving(self) -> None:
         backend = self._random.choice(self._target.backends)
         if not backend.is_up or backend.state != "ready":
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import TYPE_CHECKING
 
 from soak import backend_server
 from soak import caller as caller_module
 from soak import checks
 from soak import ledger as ledger_module
-from soak import route_probe
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 KINDS = {
     ledger_module.Kind.IDEMPOTENT: ("idempotent", "app", False),
@@ -16,9 +19,10 @@
     ledger_module.Kind.STREAM: ("streaming", "models", False),
     ledger_module.Kind.RESUMABLE_STREAM: ("streaming", "models", True),
 }
+EMPTY_SERVICE = "empty"
 
 
-def rows(version: int, has_added_route: bool) -> dict[str, Any]:
+def rows(version: int, added_routes: Iterable[str]) -> dict[str, Any]:
     """Return a configuration in the format of the platform."""
     routes = [
         {
@@ -36,9 +40,17 @@
         }
         for kind, (rule, service, is_resumable) in KINDS.items()
     ]
-    if has_added_route:
-        name = route_probe.ROUTE
-        routes.append({**routes[0], "name": name, "path_prefix": f"/{name}/"})
+    # Their service has no server, so that requests show whether an entry
+    # knows the route, and run nowhere.
+    routes += [
+        {
+            **routes[0],
+            "name": name,
+            "path_prefix": f"/{name}/",
+            "service": EMPTY_SERVICE,
+        }
+        for name in added_routes
+    ]
     engine = {
         "slots": 16,
         "kv_capacity": 100_000,
@@ -56,6 +68,7 @@
     }
     services = [
         {"name": "app", "max_conns": 200},
+        {"name": EMPTY_SERVICE, "max_conns": 200},
         {"name": "models", "max_conns": 200, "engine": engine},
     ]
     return {"version": version, "routes": routes, "services": services}
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -153,6 +153,11 @@
             (now_ms, now_ms + int(duration_s * 1_000))
         )
 
+    def is_disturbed_since(self, since_ms: int) -> bool:
+        """Tell whether it was frozen, restarted or without the store since."""
+        windows = self.disturbed_ms + self.without_store_ms
+        return any(until_ms >= since_ms for _, until_ms in windows)
+
     def kill(self) -> None:
         """Kill the process with SIGKILL and wait for its exit."""
         self.is_stopping = True
--- a/soak/run.py
+++ b/soak/run.py
@@ -121,7 +121,7 @@
             random.Random(f"{seed}/announcements"), self, self._is_planned_only
         )
         self._route_probe = route_probe_module.RouteProbe()
-        self._has_added_route = False
+        self._added_routes: list[str] = []
         self._callers = parts.callers(self.entries)
 
     def _new_version_faults(self) -> version_faults.VersionFaults | None:
@@ -193,12 +193,11 @@
 
     def _end_key_changes(self) -> None:
         self._are_keys_final = True
-        self._has_added_route = True
-        self._put_configuration(1)
+        self.add_route()
 
     def _begin_probe(self) -> None:
         self._probe_start_ms = ledger_module.now_ms()
-        self._route_probe.send(self.entries)
+        self._route_probe.send(self._added_routes[-1], self.entries)
         reactor.callLater(PROBE_S, self._stop_callers)
 
     def _stop_callers(self) -> None:
@@ -238,7 +237,7 @@
             )
         self._violations += self._workspace_violations()
         self._violations += self._resumption_violations()
-        self._violations += self._route_probe.violations()
+        self._violations += self._route_probe.violations
         if self._is_planned_only:
             self._violations += checks.truncation_violations(
                 self.ledger, self._stalls
@@ -354,6 +353,23 @@
         """Write the newest version of the configuration again."""
         self._put_configuration(0)
 
+    def add_route(self) -> str:
+        """Write a version with one more route; return its name."""
+        self._added_routes.append(f"added{len(self._added_routes)}")
+        self._put_configuration(1)
+        return self._added_routes[-1]
+
+    def probe_route(self, name: str, since_ms: int) -> None:
+        """Ask the entries for a route, unless disturbed since a time."""
+        self._route_probe.send(
+            name,
+            [
+                entry
+                for entry in self.entries
+                if not entry.is_disturbed_since(since_ms)
+            ],
+        )
+
     def end_leaving(self, backend: backend_server.BackendServer) -> None:
         """Check that the leaving was obeyed, and restart the server."""
         self._violations += backend.leaving.end(self._disturbed_entries())
@@ -361,7 +377,7 @@
 
     def _put_configuration(self, step: int) -> None:
         self._version += step
-        rows = configuration.rows(self._version, self._has_added_route)
+        rows = configuration.rows(self._version, self._added_routes)
         if self._features.workspaces is not None:
             rows["tenants"] = self._features.workspaces.rows()
         self.data.put("op/config", json.dumps(rows).encode())
