Let a suspicion of an entry lapse with its hold

A request that crashed two servers in succession and never came again stayed in the set of LocalSuspicion, so that the entry computed a digest of every later request until other suspects pushed it out.

The set is emptied once the last hold has ended.

--- a/src/balsamwall/gateway/local_suspicion.py
+++ b/src/balsamwall/gateway/local_suspicion.py
@@ -48,7 +48,7 @@
     requests on servers that fail together were sent before the first crash.
     """
 
-    __slots__ = ("_chains", "_clock", "_suspects")
+    __slots__ = ("_chains", "_clock", "_held_until_ms", "_suspects")
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
@@ -56,8 +56,12 @@
         self._chains = collections.OrderedDict()
         # Requests that may be held back, so that others need no digest.
         self._suspects: set[bytes] = set()
+        self._held_until_ms = 0  # the end of the last hold
 
     def __bool__(self) -> bool:
+        if self._suspects and self._clock.now_ms() >= self._held_until_ms:
+            # A request that does not come again is not looked up any more.
+            self._suspects.clear()
         return bool(self._suspects)
 
     def on_broken(self, request: bytes, sent_ms: int) -> None:
@@ -70,6 +74,8 @@
             chain.crashes += 1
             chain.last_ms = now_ms
             self._suspects.add(request)
+            end_ms = now_ms + chain.hold_ms
+            self._held_until_ms = max(self._held_until_ms, end_ms)
         self._chains.move_to_end(request)
         if len(self._chains) > MAX_REQUESTS:
             oldest, _ = self._chains.popitem(last=False)
