Spread the reads of a restored store over a large fleet

Every entry reads all keys when the store turns out to be restored. Within the 0.1 s of a relayed change, 300 entries before 3,003 servers would make 2,100 calls (computed), while all may make 2,000 a second.

The delay is drawn from 3 ms for each entry, between 0.1 and 0.9 s, so that a change is still in force in time.

--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -44,6 +44,11 @@
 # Random delay before the feed reads a change that was relayed in part, so that
 # not all entries call the store at the same moment.
 RELAY_READ_JITTER_MS = 100
+# The same for a restored store, which every entry reads in full. A fleet with
+# many servers needs several calls for it, and all entries together may make
+# some thousand a second.
+RESTORE_READ_JITTER_PER_READER_MS = 3
+MAX_RESTORE_READ_JITTER_MS = 900
 # The delay after a failed call starts at the first value and doubles up to the
 # second. Each delay is reduced at random by up to half.
 MIN_BACKOFF_MS = 60
@@ -223,7 +228,14 @@
             self._cancel_call()
         elif self._timer is not None:
             self._timer.cancel()
-        delay_ms = int(RELAY_READ_JITTER_MS * self._random.random())
+        jitter_ms = min(
+            MAX_RESTORE_READ_JITTER_MS,
+            max(
+                RELAY_READ_JITTER_MS,
+                RESTORE_READ_JITTER_PER_READER_MS * self._readers,
+            ),
+        )
+        delay_ms = int(jitter_ms * self._random.random())
         self._timer = self._clock.call_later(delay_ms, self.start)
 
     @property
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -131,6 +131,25 @@
         self.clock.advance(store_feed.RELAY_READ_JITTER_MS)
         self.assertEqual(self.store.last[0], "/kv-range")
 
+    def test_reads_of_a_large_fleet_are_spread(self):
+        """Guards against calls that the store refuses to all entries."""
+        begun_ms = set()
+        for seed in range(20):
+            clock = virtual_clock.VirtualClock()
+            store = test_store_feed.ScriptedStore()
+            store.era = 1
+            feed = store_feed.StoreFeed(
+                clock, random.Random(seed), store.request
+            )
+            feed.start()
+            store.answer(items=[], truncated=False, current_rev=1)
+            feed.set_readers(300)
+            feed.on_era(2)
+            while len(store.calls) < 3:
+                clock.advance(1)
+            begun_ms.add(clock.now_ms() // store_feed.RELAY_READ_JITTER_MS)
+        self.assertGreater(len(begun_ms), 5)
+
     def test_end_of_the_relay_does_not_replace_the_read(self):
         """Guards against a watch in the new era after an old revision."""
         self.feed.apply_update(update(1, 100, 1, 100))
