Compare the sequence of restored records only

A server may take the number of its next record from the store's copy. Its records would then have been ignored, drains included, until the number had passed the one before the restore. Found by reading; the users' pages do not say where the number comes from.

Only an item of the copy is compared, and one that drains is applied in any case. The two cases have tests, which fail on the code before.

--- a/src/balsamwall/gateway/server_feed.py
+++ b/src/balsamwall/gateway/server_feed.py
@@ -36,8 +36,8 @@
 
     Load pattern: the store returns from a copy that has records of servers
     which have left, and older records of others. A process that was removed
-    counts again only once its record is written, and a record never replaces
-    a later one of the same process.
+    counts again only once its record is written, and a record of the copy
+    does not replace a later one of the same process.
     """
 
     __slots__ = (
@@ -100,23 +100,32 @@
             self._pending[server_id] = self._clock.call_later(
                 RESTORED_RECORD_HOLD_MS, self._on_hold_over, record
             )
-            return
-        self._apply(record)
+        elif not is_restored or not self._is_outdated(record):
+            self._apply(record)
 
     def _on_hold_over(self, record: backend_directory.ServerRecord) -> None:
         self._pending.pop(record.server_id, None)
         self._apply(record)
 
-    def _apply(self, record: backend_directory.ServerRecord) -> None:
+    def _is_outdated(self, record: backend_directory.ServerRecord) -> bool:
+        """Return whether a restored record is older than the known one.
+
+        One that drains is applied in any case, since a drain is final.
+        """
         known = self._directory.get(record.server_id)
-        if known is not None and record.is_older_than(known.record):
-            self._log.write(
-                "server_record_outdated",
-                server=record.server_id,
-                sequence=record.sequence,
-                known_sequence=known.record.sequence,
-            )
-            return
+        if known is None or record.is_draining:
+            return False
+        if not record.is_older_than(known.record):
+            return False
+        self._log.write(
+            "server_record_outdated",
+            server=record.server_id,
+            sequence=record.sequence,
+            known_sequence=known.record.sequence,
+        )
+        return True
+
+    def _apply(self, record: backend_directory.ServerRecord) -> None:
         self._log.write(
             "server_record",
             server=record.server_id,
--- a/tests/gateway/test_server_feed.py
+++ b/tests/gateway/test_server_feed.py
@@ -105,9 +105,19 @@
         known = self.directory.get("s1").record
         self.feed.on_record("s1", b"5 ready 8", is_restored=True)
         self.assertIs(self.directory.get("s1").record, known)
-        self.feed.on_record("s1", b"5 ready 9")
+        # A server may take its number from the record in the store.
+        self.feed.on_record("s1", b"5 ready 8")
         self.assertIsNot(self.directory.get("s1").record, known)
 
+    def test_drain_in_an_older_record_is_obeyed(self):
+        """Guards against a drain that was written before the store was read.
+
+        The server goes on from the number in the copy.
+        """
+        self.feed.on_record("s1", b"5 ready 9")
+        self.feed.on_record("s1", b"5 draining 8", is_restored=True)
+        self.assertEqual(self.names(), [])
+
     def test_record_that_expired_in_an_outage_has_a_grace(self):
         """Guards against removing all servers after an outage."""
         self.feed.on_store_state(False)
