Delay the election of an entry that starts after a restore

The coordinator records in balsamwall/elected-era that it was elected in the present era, once an era. An entry for which the record does not name the present era waits as the others do. After a kill of all entries without a restore nothing is delayed, and a store without an era gets no such record.

--- a/src/balsamwall/composition/gateway_dependencies.py
+++ b/src/balsamwall/composition/gateway_dependencies.py
@@ -32,6 +32,10 @@
     def is_synced(self) -> bool:
         """Return whether all keys have been read at least once."""
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store, 0 if it states none."""
+
     def keep_no_items(self, prefix: str) -> None:
         """Keep nothing of the keys under a prefix after their delivery."""
 
--- a/src/balsamwall/coordination/coordinator_election.py
+++ b/src/balsamwall/coordination/coordinator_election.py
@@ -5,6 +5,8 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from returns.result import Success
+
 from balsamwall.coordination import election_delay
 from balsamwall.placement import lease_keeper
 
@@ -17,6 +19,9 @@
 
 # Key of the lease whose holder, the coordinator, sends orders to engines.
 COORDINATOR_KEY = "balsamwall/order-holder"
+# Key with the last era of the store in which a coordinator was elected.
+ELECTED_ERA_KEY = "balsamwall/elected-era"
+MAX_ERA_DIGITS = 18
 LEASE_RENEW_INTERVAL_MS = 700
 # All entries start together. The first attempts to acquire the lease are
 # spread over this time, so that most entries see a holder before they try.
@@ -36,6 +41,10 @@
     def is_synced(self) -> bool:
         """Return whether all keys have been read at least once."""
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store, 0 if it states none."""
+
     def add_restore_listener(self, listener: Callable[[], None]) -> None:
         """Call back when the store returns from a copy, before it is read."""
 
@@ -44,6 +53,10 @@
     """Acquire the lease while there is no coordinator, and follow its record.
 
     An entry that is stopping, or has not read the store yet, is no candidate.
+
+    Load pattern: an entry starts while the store has just been restored, and
+    an earlier holder does not know of it. The new entry has seen no restore;
+    it delays its election unless one has taken place in this era.
     """
 
     __slots__ = (
@@ -51,12 +64,14 @@
         "_clock",
         "_connection",
         "_delay",
+        "_elected_era",
         "_holder",
         "_is_stopping",
         "_on_holder",
         "_own_restored_revision",
         "_random",
         "_store",
+        "_written_era",
         "lease",
     )
 
@@ -83,6 +98,8 @@
         self._is_stopping = False
         self._holder = ""
         self._delay = election_delay.ElectionDelay(clock, lease_ms)
+        self._elected_era = 0
+        self._written_era = 0  # by this process
         # Revision of a restored record that names this process, 0 for none.
         self._own_restored_revision = 0
         self.lease = lease_keeper.LeaseKeeper(
@@ -100,6 +117,7 @@
     def follow(self) -> None:
         """Follow the record of the coordinator, and restores of the store."""
         self._connection.add_restore_listener(self._on_store_restored)
+        self._store.watch(ELECTED_ERA_KEY, self._on_elected_era)
         self._store.watch(COORDINATOR_KEY, self._on_record)
 
     def start(self) -> None:
@@ -127,9 +145,13 @@
         if self._is_stopping or not self._connection.is_synced:
             return False
         if self.lease.is_held:
+            self._record_era()
             return True
         if self._holder and not self._own_restored_revision:
             return False
+        is_era_new = self._connection.era != self._elected_era
+        if is_era_new and not self._delay.has_begun:
+            self._delay.on_restored(is_holder=False)
         return self._delay.is_over
 
     def _on_store_restored(self) -> None:
@@ -140,3 +162,26 @@
         is_own = item.is_restored and self._holder == self._address
         self._own_restored_revision = item.revision if is_own else 0
         self._on_holder(self._holder)
+
+    def _on_elected_era(self, item: key_value_service.KeyValue) -> None:
+        text = item.value or b""
+        is_number = text.isdigit() and len(text) <= MAX_ERA_DIGITS
+        self._elected_era = int(text) if is_number else 0
+
+    def _record_era(self) -> None:
+        """Record the era of an election that this process has won.
+
+        A record that is lost, or written late in another era, only delays the
+        election of an entry that starts later.
+        """
+        era = self._connection.era
+        if era in (self._elected_era, self._written_era):
+            return
+        self._written_era = era
+        self._store.put(ELECTED_ERA_KEY, b"%d" % era, self._on_era_written)
+
+    def _on_era_written(
+        self, result: key_value_service.RevisionResult
+    ) -> None:
+        if not isinstance(result, Success):
+            self._written_era = 0
--- a/src/balsamwall/coordination/election_delay.py
+++ b/src/balsamwall/coordination/election_delay.py
@@ -29,6 +29,11 @@
         self._end_ms = self._clock.now_ms() + self._lease_ms
         self._was_holder = is_holder
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a restore of the store has been seen."""
+        return self._end_ms is not None
+
     @property
     def is_over(self) -> bool:
         """Return whether this process may be elected."""
--- a/tests/coordination/test_coordinator_election.py
+++ b/tests/coordination/test_coordinator_election.py
@@ -72,7 +72,13 @@
         while self.clock.now_ms() < end_ms:
             self.advance(self.random.randint(200, 4_000))
             self.random.choice(
-                (self.restore, self.restore, self.cut, self.kill_holder)
+                (
+                    self.restore,
+                    self.restore,
+                    self.cut,
+                    self.kill_holder,
+                    self.replace_other,
+                )
             )()
         for candidate in self.candidates:
             candidate.http.is_cut = False
@@ -127,6 +133,16 @@
                 self.killed += 1
                 self.start_entry()
 
+    def replace_other(self):
+        """Kill an entry that is not the holder, and start another one."""
+        others = [item for item in self.candidates if not item.is_holder]
+        killed = self.random.choice(others)
+        killed.http.is_cut = True
+        killed.election.stop()
+        self.candidates.remove(killed)
+        self.killed += 1
+        self.start_entry()
+
 
 class CoordinatorElectionTest(unittest.TestCase):
     """Load pattern: copies that lack the lease, or hold an earlier one."""
@@ -145,3 +161,41 @@
                 problems[seed] = day.problems[:3]
         self.assertEqual(problems, {})
         self.assertGreater(restores, 2 * len(SEEDS))
+
+
+class StartedEntryTest(unittest.TestCase):
+    """Load pattern: entries start after a restore, or after a kill of all."""
+
+    def setUp(self):
+        self.day = ElectionDay(1)
+        self.day.advance(2 * LEASE_MS)
+
+    def kill_all(self):
+        for candidate in self.day.candidates:
+            candidate.http.is_cut = True
+            candidate.election.stop()
+        self.day.killed += len(self.day.candidates)
+        self.day.candidates.clear()
+
+    def elected_after_ms(self):
+        """Start an entry; return after how long it is the coordinator."""
+        self.day.start_entry()
+        started_ms = self.day.clock.now_ms()
+        while not self.day.candidates[-1].is_holder:
+            self.day.advance(STEP_MS)
+            self.assertLess(self.day.clock.now_ms() - started_ms, CALM_MS)
+        return self.day.clock.now_ms() - started_ms
+
+    def test_election_after_a_kill_of_all_is_not_delayed(self):
+        """Guards against a slower restart wherever a store states its era."""
+        self.kill_all()
+        self.day.advance(2 * LEASE_MS)
+        self.assertLess(self.elected_after_ms(), LEASE_MS / 2)
+
+    def test_election_after_a_restore_is_delayed(self):
+        """Guards against a holder of before that goes on by its clock."""
+        state = self.day.store.copy()
+        self.kill_all()
+        self.day.advance(2 * LEASE_MS)
+        self.day.store.restore(state, keeps_leases=False)
+        self.assertGreater(self.elected_after_ms(), LEASE_MS - STEP_MS)
