Tell starting entries the configuration that the store has lost

An entry that starts after a restore, and before the operator has written again, knows the copy's older configuration only: a route that all others serve gets 404 there, and keys that were withdrawn since the copy are accepted.

While the store holds a lower version than the coordinator, the state of the fleet names the coordinator's, and an entry with a lower one asks for the document. Nothing is sent while the store has the newest version, so that earlier builds get no message that they do not know.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -17,6 +17,7 @@
 from balsamwall.coordination import fleet_dialer
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
+from balsamwall.coordination import held_configuration
 from balsamwall.coordination import limited_engine_control
 from balsamwall.coordination import local_link
 from balsamwall.coordination import origin_log
@@ -239,6 +240,9 @@
             self._origin_parts.exchange,
             self._on_store_changes,
             self._dependencies.connection.stop_relay,
+            held_configuration.HeldConfigurationReader(
+                self._clock, self._configuration, self._apply_document
+            ),
             self._log,
         )
         self._fleet_server = fleet_server.FleetServer(
@@ -376,25 +380,37 @@
         return 200, self._metrics.render()
 
     def _on_configuration(self, item: key_value_service.KeyValue) -> None:
-        if item.value is None:
-            return
+        if item.value is not None:
+            version = self._apply_document(item.value, item.revision)
+            if version is not None:
+                self._configuration.on_stored(version)
+
+    def _apply_document(
+        self, document: bytes, revision: int | None = None
+    ) -> int | None:
+        """Apply a configuration from the store, or from the coordinator.
+
+        Return its version, None if it is unreadable. The revision is None for
+        one that the coordinator holds and the store has lost.
+        """
         try:
-            configuration = self._dependencies.read_configuration(item.value)
+            configuration = self._dependencies.read_configuration(document)
         except ValueError as error:
             eliot.log_message(
                 "configuration_unreadable",
-                revision=item.revision,
+                revision=revision,
                 reason=str(error)[:200],
             )
-            return
-        if self._configuration.offer(configuration):
+            return None
+        if self._configuration.offer(configuration, document):
             eliot.log_message(
                 "configuration_in_force",
                 version=configuration.version,
-                revision=item.revision,
+                revision=revision,
             )
             self._version_parts.versions.on_configuration()
             self._gateway.on_configuration()
+        return configuration.version
 
     def _on_server(self, item: key_value_service.KeyValue) -> None:
         server_id = item.key.removeprefix(self._dependencies.servers_prefix)
--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import held_configuration
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import load_forecast
 from balsamwall.coordination import messages_fleet
@@ -79,7 +80,9 @@
         self._links.broadcast(
             messages_fleet.FleetState(
                 self._links.count,
-                self._crashes.with_acceptance(loads),
+                held_configuration.with_version(
+                    self._configuration, self._crashes.with_acceptance(loads)
+                ),
                 self._demand.queued(),
                 load_forecast.expected_loads(self._engines.all(), now_ms),
             )
--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -18,6 +18,7 @@
     from collections.abc import Iterable
 
     from balsamwall.coordination import fleet_stream
+    from balsamwall.coordination import held_configuration
     from balsamwall.coordination import origin_exchange
     from balsamwall.coordination import standby_link
     from balsamwall.coordination import workspace_use
@@ -69,6 +70,7 @@
         "_coordinator_address",
         "_heard_ms",
         "_is_connecting",
+        "_configuration_reader",
         "_leaving",
         "_limits",
         "_link",
@@ -112,12 +114,14 @@
         origins: origin_exchange.OriginExchange,
         on_store_changes: Callable[[messages_fleet.StoreChanges], None],
         on_link_lost: Callable[[], None],
+        configuration_reader: held_configuration.HeldConfigurationReader,
         log: decision_log.DecisionLog,
     ) -> None:
         self._clock = clock
         self._vm = vm
         self._zone = zone
         self._crashes = crash_reports.CrashReports()
+        self._configuration_reader = configuration_reader
         self._leaving = leaving_exchange.LeavingReports(directory, log)
         self._features = entry_features.FeatureAnnouncement(address)
         self._assignments = assignments
@@ -303,6 +307,8 @@
             self._origins.apply(item)
         elif isinstance(item, messages_fleet.ServerLeavingReport):
             self._leaving.apply(item)
+        elif isinstance(item, messages_fleet.HeldConfiguration):
+            self._configuration_reader.apply(item)
         elif isinstance(item, messages_fleet.FleetWorkspaceUse):
             self._use.apply(item)
         elif isinstance(item, messages_fleet.StoreChanges):
@@ -328,6 +334,9 @@
         features = self._features.on_loads(state.loads)
         if features is not None and self._link is not None:
             self._link.send(features)
+        query = self._configuration_reader.on_loads(state.loads)
+        if query is not None and self._link is not None:
+            self._link.send(query)
         now_ms = self._clock.now_ms()
         for server in self._directory.all_servers():
             load = state.loads.get(server.server_id, 0)
--- a/src/balsamwall/coordination/messages_fleet.py
+++ b/src/balsamwall/coordination/messages_fleet.py
@@ -316,6 +316,24 @@
     rows: list[list[Any]]
 
 
+@message.register(130)
+class ConfigurationQuery(message.Message):
+    """Ask for a configuration that the store has lost in a restore.
+
+    It is sent to a coordinator that announces a higher version than the
+    entry's in its FleetState. The version is the entry's, 0 without one.
+    """
+
+    version: int
+
+
+@message.register(131)
+class HeldConfiguration(message.Message):
+    """Answer a ConfigurationQuery with the document of the coordinator."""
+
+    document: bytes
+
+
 @message.register(127)
 class BoundDemand(message.Message):
     """Report the streams of an entry that wait for a model at a version.
--- a/src/balsamwall/coordination/query_responder.py
+++ b/src/balsamwall/coordination/query_responder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import held_configuration
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import prompt_scheduler
 
@@ -53,6 +54,8 @@
             return messages_fleet.PermitDecision(item.number, wait_ms)
         if isinstance(item, messages_fleet.QuotaQuery):
             return grant(self._quotas, item)
+        if isinstance(item, messages_fleet.ConfigurationQuery):
+            return held_configuration.respond(self._configuration)
         return None
 
     def gap_target_ms(self, service: str) -> int:
--- a/src/balsamwall/gateway/configuration_holder.py
+++ b/src/balsamwall/gateway/configuration_holder.py
@@ -18,10 +18,12 @@
     out of order, so a lower version is never accepted.
     """
 
-    __slots__ = ("_current",)
+    __slots__ = ("_current", "_document", "_stored_version")
 
     def __init__(self) -> None:
         self._current: gateway_configuration.GatewayConfiguration | None = None
+        self._document = b""
+        self._stored_version: int | None = None  # None before the first read
 
     @property
     def current(self) -> gateway_configuration.GatewayConfiguration | None:
@@ -37,12 +39,31 @@
             )
         return self._current
 
+    @property
+    def lost_document(self) -> bytes:
+        """Return the document of the active configuration if it was lost.
+
+        The store then holds an older version, since it was restored from a
+        copy. The result is empty otherwise.
+        """
+        if self._current is None or self._stored_version is None:
+            return b""
+        is_lost = self._stored_version < self._current.version
+        return self._document if is_lost else b""
+
+    def on_stored(self, version: int) -> None:
+        """Set the version that the store holds."""
+        self._stored_version = version
+
     def offer(
-        self, configuration: gateway_configuration.GatewayConfiguration
+        self,
+        configuration: gateway_configuration.GatewayConfiguration,
+        document: bytes = b"",
     ) -> bool:
         """Accept a higher version; return whether it was accepted."""
         current = self._current
         if current is not None and configuration.version <= current.version:
             return False
         self._current = configuration
+        self._document = document
         return True
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from balsamwall.coordination import fleet_client
+from balsamwall.coordination import held_configuration
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import standby_link
 from balsamwall.gateway import assignment_client
@@ -72,6 +73,9 @@
             origin_harness.make_parts(harness).exchange,
             lambda changes: None,
             lambda: None,
+            held_configuration.HeldConfigurationReader(
+                self.clock, harness.configuration, lambda document: None
+            ),
             decision_log.DecisionLog(self.clock),
         )
         self.client.start()
--- a/tests/platform/test_restored_store_process.py
+++ b/tests/platform/test_restored_store_process.py
@@ -103,6 +103,22 @@
         self.assertNotIn(404, second.statuses())
         self.check_later_route()
 
+    def test_entry_that_starts_learns_the_version_that_the_copy_lacks(self):
+        """Guards against an older configuration at an entry that restarts.
+
+        The operator has not written it again yet.
+        """
+        holder = self.wait_for_coordinator()
+        self.lose_writes()
+        time.sleep(ELECTION_S)
+        started = next(item for item in self.fleet.entries if item != holder)
+        started.kill()
+        started.start()
+        self.fleet.wait_until_served(started)
+        time.sleep(APPLY_S)
+        for entry in self.fleet.entries:
+            self.assertEqual(self.fleet.request(entry, "second"), 200)
+
     def test_drain_that_the_copy_lacks_is_kept(self):
         """Guards against a drained server that the copy shows as ready."""
         copy = self.fleet.copy()
