Part the watches of the feed from the feed

A watch, with the call that contains the exception of its listener, is a module of its own, and the protocol of the store's state stands once.

--- a/src/balsamwall/composition/gateway_dependencies.py
+++ b/src/balsamwall/composition/gateway_dependencies.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from balsamwall.coordination import coordinator_election
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -17,25 +19,13 @@
     from balsamwall.infrastructure import key_value_service
 
 
-class StoreConnection(Protocol):
-    """State of the connection to the store."""
+class StoreConnection(coordinator_election.StoreState, Protocol):
+    """Connection to the store, with the copy of its keys."""
 
     @property
     def confirmation(self) -> configuration_freshness.Confirmation:
         """Return what is known of the age of the copy of the store."""
 
-    @property
-    def is_connected(self) -> bool:
-        """Return whether the last call received a response."""
-
-    @property
-    def is_synced(self) -> bool:
-        """Return whether all keys have been read at least once."""
-
-    @property
-    def era(self) -> int:
-        """Return the era of the store, 0 if it states none."""
-
     def keep_no_items(self, prefix: str) -> None:
         """Keep nothing of the keys under a prefix after their delivery."""
 
@@ -50,9 +40,6 @@
     ) -> None:
         """Call back with each response of the store to a read or a watch."""
 
-    def add_restore_listener(self, listener: Callable[[], None]) -> None:
-        """Call back when the store returns from a copy, before it is read."""
-
     def apply_update(self, update: key_value_service.StoreUpdate) -> None:
         """Apply an update that another process has read."""
 
--- a/src/balsamwall/platform/store_feed.py
+++ b/src/balsamwall/platform/store_feed.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import functools
-import traceback
 from typing import TYPE_CHECKING
 import urllib.parse
 
@@ -12,6 +11,7 @@
 
 from balsamwall.infrastructure import key_value_service
 from balsamwall.platform import feed_confirmation
+from balsamwall.platform import feed_watch
 from balsamwall.platform import store_documents
 from balsamwall.platform import store_revision
 
@@ -53,37 +53,10 @@
 # second. Each delay is reduced at random by up to half.
 MIN_BACKOFF_MS = 60
 MAX_BACKOFF_MS = 400
-MAX_LOGGED_KEY_LENGTH = 200
 # HTTP status of a watch whose start revision the store no longer has.
 GONE_STATUS = 410
 
 
-class FeedWatch:
-    """Handle of a watch on a key or a prefix."""
-
-    __slots__ = ("_feed", "is_prefix", "key", "on_change")
-
-    def __init__(
-        self,
-        feed: StoreFeed,
-        key: str,
-        on_change: Callable[[key_value_service.KeyValue], None],
-        is_prefix: bool,
-    ) -> None:
-        self._feed = feed
-        self.key = key
-        self.on_change = on_change
-        self.is_prefix = is_prefix
-
-    def cancel(self) -> None:
-        """End the watch; idempotent."""
-        self._feed.remove(self)
-
-    def matches(self, key: str) -> bool:
-        """Return whether the watch covers a key."""
-        return key.startswith(self.key) if self.is_prefix else key == self.key
-
-
 class StoreFeed:
     """Read all keys once, then follow the changes by long polling.
 
@@ -127,7 +100,7 @@
         self._clock = clock
         self._random = random_source
         self._request = request
-        self._watches: list[FeedWatch] = []
+        self._watches: list[feed_watch.FeedWatch] = []
         self._items: dict[str, key_value_service.KeyValue] = {}
         self._transient_prefixes: tuple[str, ...] = ()
         self._pages: dict[str, key_value_service.KeyValue] = {}
@@ -160,17 +133,17 @@
         key: str,
         on_change: Callable[[key_value_service.KeyValue], None],
         is_prefix: bool,
-    ) -> FeedWatch:
+    ) -> feed_watch.FeedWatch:
         """Deliver the current values, then each newer one.
 
         The current values are delivered before this returns. The value of a
         deleted key is None.
         """
-        watch = FeedWatch(self, key, on_change, is_prefix)
+        watch = feed_watch.FeedWatch(key, on_change, is_prefix, self.remove)
         self._watches.append(watch)
         for item in list(self._items.values()):
             if item.value is not None and watch.matches(item.key):
-                self._notify(watch, item)
+                watch.notify(item)
         return watch
 
     def keep_no_items(self, prefix: str) -> None:
@@ -181,7 +154,7 @@
         """
         self._transient_prefixes += (prefix,)
 
-    def remove(self, watch: FeedWatch) -> None:
+    def remove(self, watch: feed_watch.FeedWatch) -> None:
         """Remove a watch; idempotent."""
         if watch in self._watches:
             self._watches.remove(watch)
@@ -255,7 +228,7 @@
         self._era = era
         self._set_connected(False)
         for listener in self._restore_listeners:
-            _call("restore", listener)
+            feed_watch.call_listener("restore", listener)
 
     def apply_update(self, update: key_value_service.StoreUpdate) -> None:
         """Apply an update that the coordinator has read from the store.
@@ -481,7 +454,9 @@
             after_revision, self._revision, items
         )
         for listener in self._update_listeners:
-            _call("update", functools.partial(listener, update))
+            feed_watch.call_listener(
+                "update", functools.partial(listener, update)
+            )
 
     def _schedule_watch(self, delay_ms: int) -> None:
         """Make the next call after a delay, or when the relay has ended."""
@@ -515,11 +490,7 @@
             self._items[item.key] = item
         for watch in list(self._watches):
             if watch.matches(item.key):
-                self._notify(watch, item)
-
-    @staticmethod
-    def _notify(watch: FeedWatch, item: key_value_service.KeyValue) -> None:
-        _call(item.key[:MAX_LOGGED_KEY_LENGTH], lambda: watch.on_change(item))
+                watch.notify(item)
 
     def _retry(
         self, call: Callable[[], None], answer: http_client.HttpResponse
@@ -545,20 +516,3 @@
             eliot.log_message("store_connected", revision=self._revision)
         for listener in self._state_listeners:
             listener(is_connected)
-
-
-def _call(subject: str, listener: Callable[[], None]) -> None:
-    """Call a listener, whose exception must not end the feed of all others.
-
-    The text of the exception is not logged, since it may hold API keys.
-    """
-    try:
-        listener()
-    except Exception as error:
-        frame = traceback.extract_tb(error.__traceback__)[-1]
-        eliot.log_message(
-            "store_listener_failed",
-            subject=subject,
-            error=type(error).__name__,
-            place=f"{frame.name}:{frame.lineno}",
-        )
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -11,16 +11,10 @@
 from balsamwall.platform import engine_calls
 from tests.fixtures import entry_fleet
 from tests.fixtures import reactor_thread
+from tests.platform import test_documents
 
 SERVER = {
-    "service": "app",
-    "address": "10.0.0.1:80",
-    "zone": "z1",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold_remaining_ms": 0,
-    "seq": 4,
+    **test_documents.SERVER,
     "born": 1_000,
     "remaining_ms": 900,
     "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
