--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -201,6 +201,7 @@
         if not self.is_up:
             return
         self.is_up = False
+        self.leaving.on_process_end()
         self.ledger.crashes.append(
             ledger_module.Crash(
                 self.server_id, ledger_module.now_ms(), is_clean
--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -39,6 +39,10 @@
         """Announce the leaving until the process ends."""
         self.is_active = True
 
+    def on_process_end(self) -> None:
+        """Announce nothing any more; what has arrived is still checked."""
+        self.is_active = False
+
     def on_request(self, request: ledger_module.Request | None) -> None:
         """Record a request of a caller, before its response."""
         if not self.is_active or request is None:
@@ -49,7 +53,7 @@
         )
 
     def end(self, disturbed: Mapping[str, list[tuple[int, int]]]) -> list[str]:
-        """End the announcement; return the requests that ignored it.
+        """Return the requests that ignored the announcement, and forget it.
 
         An entry that was frozen or restarted since is excused.
         """
@@ -63,7 +67,6 @@
                 for since_ms, until_ms in disturbed.get(item.entry, [])
             )
         ]
-        self.is_active = False
         self._arrivals = []
         self._told_ms = {}
         return [
--- a/soak/run.py
+++ b/soak/run.py
@@ -372,8 +372,10 @@
 
     def end_leaving(self, backend: backend_server.BackendServer) -> None:
         """Check that the leaving was obeyed, and restart the server."""
+        is_same_process = backend.leaving.is_active
         self._violations += backend.leaving.end(self._disturbed_entries())
-        backend.undrain()
+        if is_same_process:
+            backend.undrain()
 
     def _put_configuration(self, step: int) -> None:
         self._version += step
