Count one crash for each server process in local suspicions

A stream broke in the crash of a server, its entry sent it once more to the same process, whose loss was not known yet, and the second break counted as a second crash in succession.

A process counts once for a request. The coordinator counted so already.

--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -118,7 +118,7 @@
             sent_ms,
         )
         self._broken.append(broken)
-        self._local.on_broken(fingerprints.request, sent_ms)
+        self._local.on_broken(fingerprints.request, broken.process, sent_ms)
         self._log.write(
             "crash_suspect",
             process=broken.process,
--- a/src/balsamwall/gateway/local_suspicion.py
+++ b/src/balsamwall/gateway/local_suspicion.py
@@ -23,14 +23,31 @@
 class _Chain:
     """Count crashes, each under a send after the crash before."""
 
-    __slots__ = ("crashes", "is_held", "last_ms")
+    __slots__ = ("_processes", "is_held", "last_ms")
 
-    def __init__(self, at_ms: int) -> None:
-        self.crashes = 1
+    def __init__(self, process: str, at_ms: int) -> None:
+        self._processes = {process}
         self.last_ms = at_ms
         # Whether it was held back; this goes on with a coordinator.
         self.is_held = False
 
+    @property
+    def crashes(self) -> int:
+        """Return the number of server processes that crashed."""
+        return len(self._processes)
+
+    def add(self, process: str, at_ms: int) -> bool:
+        """Count a crash; return False if the process had crashed before.
+
+        A request may be sent once more to a process that has just crashed,
+        before its loss is known.
+        """
+        if process in self._processes:
+            return False
+        self._processes.add(process)
+        self.last_ms = at_ms
+        return True
+
     @property
     def hold_ms(self) -> int:
         """Return for how long it is held back after the last crash."""
@@ -64,15 +81,13 @@
             self._suspects.clear()
         return bool(self._suspects)
 
-    def on_broken(self, request: bytes, sent_ms: int) -> None:
-        """Count a crash of the server that a request was sent to."""
+    def on_broken(self, request: bytes, process: str, sent_ms: int) -> None:
+        """Count a crash of the server process that a request was sent to."""
         now_ms = self._clock.now_ms()
         chain = self._chains.get(request)
         if chain is None or now_ms - chain.last_ms > MAX_HOLD_MS:
-            self._chains[request] = _Chain(now_ms)
-        elif sent_ms >= chain.last_ms:
-            chain.crashes += 1
-            chain.last_ms = now_ms
+            self._chains[request] = _Chain(process, now_ms)
+        elif sent_ms >= chain.last_ms and chain.add(process, now_ms):
             self._suspects.add(request)
             end_ms = now_ms + chain.hold_ms
             self._held_until_ms = max(self._held_until_ms, end_ms)
