Refuse a revision of a write that is out of range

A revision beyond the range of an era, in the response to a write, would have become a fencing token above those of all later eras.

Such a write has an unknown outcome. The new test fails on the code before.

--- a/src/balsamwall/platform/store_client.py
+++ b/src/balsamwall/platform/store_client.py
@@ -302,10 +302,8 @@
                 callback(Failure(_Code.COMPARE_FAILED))
                 return
             callback(
-                _integer_result(answer, "revision").map(
-                    lambda number: (
-                        store_revision.StoreRevision(era, number).ordered
-                    )
+                _integer_result(answer, "revision").bind(
+                    lambda number: _ordered(era, number)
                 )
             )
 
@@ -342,6 +340,13 @@
         return {"key": self.key, "revision": number}
 
 
+def _ordered(era: int, number: int) -> Result[int, result_code.ResultCode]:
+    """Return the ordered revision of a write, if the number is one."""
+    if not store_revision.is_revision(number):
+        return Failure(_Code.PLATFORM_OUTCOME_UNKNOWN)
+    return Success(store_revision.StoreRevision(era, number).ordered)
+
+
 def _lease_result(
     answer: http_client.HttpResponse, field: str
 ) -> Result[int, result_code.ResultCode]:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -323,6 +323,15 @@
         body = json.loads(self.http.calls[-1][2])
         self.assertEqual(body["precondition"][0]["revision"], 57)
 
+    def test_revision_out_of_range_is_no_token(self):
+        """Guards against a fencing token that no later one can exceed."""
+        for number in (-1, 2**40, 10**400):
+            with self.subTest(str(number)[:5]):
+                self.client.compare_and_swap("k", 0, b"v", self.results.append)
+                self.http.answer(revision=number)
+                unknown = result_code.ResultCode.PLATFORM_OUTCOME_UNKNOWN
+                self.assertEqual(self.results.pop(), Failure(unknown))
+
     def test_pages_of_two_eras_are_no_result(self):
         """Guards against a list of keys that never existed together."""
         self.client.get_prefix("", self.results.append)
