Keep an announced leaving of a server whose record has lapsed

A stream goes on at a server whose record has lapsed, and its response may say that the server leaves. The directory did not list the process any more and dropped the announcement, so that it got requests again when its record returned.

The memory of departed processes takes it. The new test fails on the code before.

--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -316,7 +316,9 @@
         Return whether the announcement is new.
         """
         server = self._servers.get(server_id)
-        if server is None or server.record.started_ms != started_ms:
+        if server is None:
+            return self._mark_departed_leaving(server_id, started_ms)
+        if server.record.started_ms != started_ms:
             return False
         if server.has_announced_leaving:
             return False
@@ -326,6 +328,19 @@
             listener(server)
         return True
 
+    def _mark_departed_leaving(self, server_id: str, started_ms: int) -> bool:
+        """Record the leaving of a process that is not listed any more.
+
+        It may still serve what it has begun, and its record may return.
+        """
+        departed = self._departed.get(server_id)
+        if departed is None or departed.record.started_ms != started_ms:
+            return False
+        if departed.was_leaving:
+            return False
+        self._departed[server_id] = _DepartedServer(departed.record, True)
+        return True
+
     def announced_leaving(self) -> dict[str, int]:
         """Return the start times of the servers that announced to leave."""
         return {
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -189,6 +189,21 @@
         directory.put(gateway_harness.make_record("s1", started_ms=6))
         self.assertEqual(directory.ready_servers("app"), [])
 
+    def test_announcement_of_a_server_whose_record_lapsed(self):
+        """Guards against requests to it when its record returns.
+
+        A stream that it still serves brings the announcement.
+        """
+        clock = virtual_clock.VirtualClock()
+        directory = backend_directory.BackendDirectory(clock.now_ms)
+        record = gateway_harness.make_record("s1", started_ms=6)
+        directory.put(record)
+        directory.remove("s1")
+        self.assertFalse(directory.mark_leaving("s1", 5))
+        self.assertTrue(directory.mark_leaving("s1", 6))
+        directory.put(record)
+        self.assertEqual(directory.ready_servers("app"), [])
+
     def test_report_of_an_engine(self):
         """Guards against orders to an engine that leaves."""
         raw = b'{"seq": 1, "active": 0, "queued": 0}'
