Ask for the revision of the record where an acquisition goes on

The owner of a lease may name the revision at which its key is written, or give the acquisition up; only the election of the coordinator does. Other leases are as they were.

--- a/src/balsamwall/coordination/coordinator_election.py
+++ b/src/balsamwall/coordination/coordinator_election.py
@@ -111,7 +111,7 @@
             lease_keeper.LeaseTimes(
                 lease_ms, LEASE_RENEW_INTERVAL_MS, LEASE_MARGIN_MS
             ),
-            lambda: self._own_restored_revision,
+            self._expected_revision,
         )
 
     def follow(self) -> None:
@@ -154,6 +154,13 @@
             self._delay.on_restored(is_holder=False)
         return self._delay.is_over
 
+    def _expected_revision(self) -> int | None:
+        """Return the revision at which to write the record, None for not.
+
+        The grant of the lease may have shown that the store was restored.
+        """
+        return self._own_restored_revision if self._is_candidate() else None
+
     def _on_store_restored(self) -> None:
         self._delay.on_restored(is_holder=self.lease.is_held)
 
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -79,12 +79,12 @@
     __slots__ = (
         "_attempt",
         "_clock",
+        "_expected_revision",
         "_is_candidate",
         "_is_renewal_failing",
         "_key",
         "_lease_id",
         "_owner",
-        "_replaced_revision",
         "_store",
         "_revision",
         "_acquired_ms",
@@ -101,14 +101,15 @@
         owner: str,
         is_candidate: Callable[[], bool],
         times: LeaseTimes | None = None,
-        replaced_revision: Callable[[], int] = lambda: 0,
+        expected_revision: Callable[[], int | None] = lambda: 0,
     ) -> None:
-        """Set what to acquire, and the revision of a record to replace.
+        """Set what to acquire, and the revision that the key must have.
 
         It is that of a record which this process has written under a lease
-        that it has lost, 0 if the key must be absent.
+        that it has lost, 0 if the key must be absent, and None if the
+        acquisition is given up after all.
         """
-        self._replaced_revision = replaced_revision
+        self._expected_revision = expected_revision
         self._clock = clock
         self._times = times or LeaseTimes()
         self._revision = 0
@@ -197,14 +198,14 @@
             if not isinstance(result, Success):
                 return
             lease_id = result.unwrap()
-            # The response may have shown that the store was restored.
-            if attempt != self._attempt or not self._is_candidate():
+            expected = self._expected_revision()
+            if attempt != self._attempt or expected is None:
                 self._store.revoke(lease_id, lambda result: None)
                 return
             self._lease_id = lease_id
             self._store.compare_and_swap(
                 self._key,
-                self._replaced_revision(),
+                expected,
                 self._owner.encode(),
                 on_written,
                 lease_id,
