--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -11,6 +11,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+from soak import backoff as backoff_module
 from soak import leaving as leaving_module
 from soak import ledger as ledger_module
 from soak import poison_part as poison_part_module
@@ -91,6 +92,7 @@
         self.proxy: proxy_module.Proxy | None = None
         self._address = ""
         self.limit = server_limit.AnnouncedLimit()
+        self.backoff = backoff_module.AnnouncedBackoff()
         # Times in which the link to this server was harmed.
         self.harmed_ms: list[tuple[int, int]] = []
 
@@ -202,6 +204,7 @@
             return
         self.is_up = False
         self.leaving.on_process_end()
+        self.backoff.on_process_end()
         self.ledger.crashes.append(
             ledger_module.Crash(
                 self.server_id, ledger_module.now_ms(), is_clean
@@ -337,13 +340,13 @@
             return self._reject_unexecuted(request, 421)
         if request.path == b"/report":
             return json.dumps(backend.report()).encode()
-        if request.path != b"/order":
-            self._on_arrival(request)
         if request.path == b"/order":
             request.setResponseCode(
                 backend.apply_order(json.loads(request.content.read()))
             )
             return b"{}"
+        if self._on_arrival(request):
+            return self._reject_unexecuted(request, 503)
         model = request.getHeader("balsamwall-model")
         if backend.is_engine and model not in backend.models:
             return self._reject_unexecuted(request, 421)
@@ -352,8 +355,11 @@
         _Run(backend, request)
         return server.NOT_DONE_YET
 
-    def _on_arrival(self, request: server.Request) -> None:
-        """Record a caller's request; add limit and load to its response."""
+    def _on_arrival(self, request: server.Request) -> bool:
+        """Record a caller's request; add what the server says of itself.
+
+        Return whether the server turns the request away with a back-off.
+        """
         backend = self._backend
         request_id = request.getHeader("balsamwall-request-id") or ""
         known = backend.ledger.requests.get(request_id)
@@ -365,6 +371,10 @@
             request.setHeader("Balsamwall-Server-Load", backend.load)
         if backend.workspaces is not None:
             backend.workspaces.on_arrival(request, known)
+        retry_after = backend.backoff.on_request(known.entry if known else "")
+        if retry_after is not None:
+            request.setHeader("Retry-After", retry_after)
+        return retry_after is not None
 
     @staticmethod
     def _reject_unexecuted(request: server.Request, status: int) -> bytes:
