Suspect no request that is sent to a process after its crash

Change: a server remembers when a response of its process broke off, until a later response shows that it lives. A send after that, which breaks without a response, says nothing of its request, neither to the entry nor to the coordinator.

--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -19,6 +19,9 @@
 # Engines prefill a prompt within a few hundred milliseconds, so an older
 # report no longer shows how many requests are queued.
 WAITING_MAX_AGE_MS = 300
+# The record of a crashed server expires within this time, so that requests
+# may still be sent to it.
+CRASH_NOTICE_MS = 4_000
 # Number of removed processes that are remembered.
 MAX_DEPARTED_SERVERS = 2_000
 
@@ -64,6 +67,7 @@
     """Hold a backend server with its load as this entry knows it."""
 
     __slots__ = (
+        "_broken_ms",
         "_fleet_load",
         "_fleet_load_at_ms",
         "failure_share",
@@ -113,6 +117,8 @@
         self.reported_waiting = 0
         self.failure_share = 0.0
         self.ejected_until_ms = 0
+        # When a response broke off, None after a later response.
+        self._broken_ms: int | None = None
 
     @property
     def server_id(self) -> str:
@@ -165,6 +171,22 @@
         self.in_flight -= 1
         self.sent_since_report -= 1
 
+    def on_response(self) -> None:
+        """Record that the process lives, whatever broke before."""
+        self._broken_ms = None
+
+    def on_broken(self, now_ms: int) -> None:
+        """Record that a response of this process broke off."""
+        self._broken_ms = now_ms
+
+    def had_broken_before(self, sent_ms: int) -> bool:
+        """Return whether the process was probably gone before a send."""
+        broken_ms = self._broken_ms
+        return (
+            broken_ms is not None
+            and broken_ms <= sent_ms <= broken_ms + CRASH_NOTICE_MS
+        )
+
     def waiting(self, now_ms: int) -> float:
         """Return the reported number of queued requests, weighted by age."""
         age_ms = now_ms - self.reported_ms
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -309,17 +309,8 @@
         server = attempt.server
         if failure is attempt_module.AttemptFailure.NOT_CONNECTED:
             self.suspects.on_server_lost(server.record)
-        elif (
-            failure is attempt_module.AttemptFailure.BROKEN
-            and not handler.body.is_proven
-        ):
-            is_at_begin = attempt.status != 0 and not handler.body.has_data
-            self.suspects.on_broken_response(
-                server.record,
-                handler.fingerprints,
-                is_at_begin,
-                attempt.sent_ms,
-            )
+        elif failure is attempt_module.AttemptFailure.BROKEN:
+            self._on_broken(handler, attempt)
         self.log.write(
             "attempt_failed",
             request=handler.request_id,
@@ -333,6 +324,23 @@
             failure_share=round(server.failure_share, 2),
         )
 
+    def _on_broken(
+        self, handler: RequestOutcome, attempt: attempt_module.Attempt
+    ) -> None:
+        """Report a broken response, unless something else has broken it.
+
+        A request that is sent to a process after its crash did not cause it.
+        """
+        server = attempt.server
+        was_gone = server.had_broken_before(attempt.sent_ms)
+        server.on_broken(self.clock.now_ms())
+        if was_gone or handler.body.is_proven:
+            return
+        is_at_begin = attempt.status != 0 and not handler.body.has_data
+        self.suspects.on_broken_response(
+            server.record, handler.fingerprints, is_at_begin, attempt.sent_ms
+        )
+
     def on_finished(
         self,
         handler: RequestOutcome,
--- a/src/balsamwall/gateway/server_announcements.py
+++ b/src/balsamwall/gateway/server_announcements.py
@@ -49,7 +49,10 @@
             head.is_from_server
             and status != incoming_request.WRONG_SERVER_STATUS
         )
-        if head.is_leaving and is_from_server:
+        if not is_from_server:
+            return
+        server.on_response()
+        if head.is_leaving:
             self._on_leaving(server)
 
     def _record_load(
