Log and count the back-off that servers ask for

Change: Retry-After of a 503 is decoded into one typed value, with odd values bounded, and recorded by server process. Each refusal and each send within its time leave a line and a count. The choice of servers is as before.

--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -42,6 +42,7 @@
         "_resumes",
         "_routes",
         "_sends",
+        "_sends_in_backoff",
         "_server_limits",
         "workspaces",
     )
@@ -70,6 +71,12 @@
             ("reason",),
             registry=self._registry,
         )
+        self._sends_in_backoff = prometheus_client.Counter(
+            "balsamwall_gateway_sends_in_backoff",
+            "Requests sent within the back-off of a server, by reason",
+            ("reason",),
+            registry=self._registry,
+        )
         self._resumes = prometheus_client.Counter(
             "balsamwall_gateway_resumed_streams",
             "Streams resumed by their caller or by the entry, by outcome",
@@ -173,6 +180,10 @@
         """Count a request that is sent to a server."""
         self._sends.labels(reason).inc()
 
+    def count_send_in_backoff(self, reason: str) -> None:
+        """Count a send to a server that has asked for a back-off."""
+        self._sends_in_backoff.labels(reason).inc()
+
     def count_resume(self, *, is_by_caller: bool, outcome: str) -> None:
         """Count a resumed stream by the value of its ResumeOutcome."""
         self._resumes.labels(
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -13,6 +13,8 @@
 
 # Status (Misdirected Request) that certifies that the request was not run.
 WRONG_SERVER_STATUS = 421
+# Status (Service Unavailable) with which a server may ask for a back-off.
+UNAVAILABLE_STATUS = 503
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,6 +50,14 @@
     api_key: bytes = dataclasses.field(default=b"", repr=False)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RetryAfter:
+    """Time after which a server accepts requests again."""
+
+    delay_ms: int  # 0 if the value is invalid
+    text: str  # as the server states it, shortened
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ResponseHead:
     """Hold the values of a response head that decide on forwarding it."""
@@ -66,6 +76,7 @@
     work_time_percent: int | None = None
     # Whether the server announces that it accepts no new requests soon.
     is_leaving: bool = False
+    retry_after: RetryAfter | None = None
 
     @property
     def is_from_server(self) -> bool:
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -93,9 +93,9 @@
             server, handler.request, handler.route
         )
         reason = "retry" if self.sends else "first"
-        dependencies.metrics.count_send(
-            "resume" if handler.has_begun else reason
-        )
+        reason = "resume" if handler.has_begun else reason
+        dependencies.metrics.count_send(reason)
+        dependencies.backoff.on_send(server.record, handler.request_id, reason)
         self.sends += 1
         self._has_response = False
         handler.body.on_sent()
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -17,6 +17,7 @@
 from balsamwall.gateway import room_queue
 from balsamwall.gateway import running_streams
 from balsamwall.gateway import server_announcements
+from balsamwall.gateway import server_backoff as server_backoff_module
 from balsamwall.gateway import wait_forecast
 from balsamwall.gateway import wait_policy
 from balsamwall.limits import retry_budget as retry_budget_module
@@ -102,6 +103,7 @@
         "announcements",
         "assignments",
         "authenticator",
+        "backoff",
         "choice",
         "clock",
         "codec",
@@ -181,8 +183,9 @@
         self.running_streams = running_streams.RunningStreams(directory)
         self.forecast = wait_forecast.WaitForecast(clock)
         self.limits = limits
+        self.backoff = server_backoff_module.ServerBackoff(clock, log, metrics)
         self.announcements = server_announcements.ServerAnnouncements(
-            clock, directory, limits, log
+            clock, directory, limits, self.backoff, log
         )
         self.quotas = quotas
         self.wait_policy = wait_policy.WaitPolicy(random_source)
--- a/src/balsamwall/gateway/server_announcements.py
+++ b/src/balsamwall/gateway/server_announcements.py
@@ -8,30 +8,33 @@
 
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import server_backoff
     from balsamwall.gateway import server_limits
     from balsamwall.logs import decision_log
     from balsamwall.timing import clock as clock_module
 
 
 class ServerAnnouncements:
-    """Record load, limit and leaving of servers from all responses.
+    """Record load, limit, back-off and leaving of servers from all responses.
 
     Load pattern: a server says in its responses that it leaves, while its
     record in the store stays ready or cannot be read.
     """
 
-    __slots__ = ("_clock", "_directory", "_limits", "_log")
+    __slots__ = ("_backoff", "_clock", "_directory", "_limits", "_log")
 
     def __init__(
         self,
         clock: clock_module.Clock,
         directory: backend_directory.BackendDirectory,
         limits: server_limits.ServerLimits,
+        backoff: server_backoff.ServerBackoff,
         log: decision_log.DecisionLog,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._limits = limits
+        self._backoff = backoff
         self._log = log
 
     def on_response(
@@ -49,6 +52,13 @@
             head.is_from_server
             and status != incoming_request.WRONG_SERVER_STATUS
         )
+        # Another server at the address answers with the status above, so that
+        # a refusal without a proof is the server's, too.
+        is_refusal = status == incoming_request.UNAVAILABLE_STATUS
+        if is_refusal and head.retry_after is not None:
+            self._backoff.on_refused(
+                server.record, head.retry_after, is_from_server=is_from_server
+            )
         if not is_from_server:
             return
         server.on_response()
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -26,6 +26,7 @@
 SERVER_LOAD = b"balsamwall-server-load"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
 AUTHORIZATION = b"authorization"
 WORKSPACE = b"balsamwall-tenant"
@@ -54,6 +55,11 @@
 MAX_WORK_TIME_PERCENT = 10_000
 # A longer deadline of a request is reduced to one day.
 MAX_DEADLINE_MS = 86_400_000
+# A longer back-off of a server is reduced to this. One faulty header must not
+# take a server out for good.
+MAX_BACKOFF_MS = 600_000
+# Characters of a header field that are logged.
+MAX_LOGGED_CHARACTERS = 40
 
 
 class HeaderCodec:
@@ -159,6 +165,9 @@
             is_leaving=announces_leaving(
                 [value for name, value in fields if name == SERVER_LEAVING]
             ),
+            retry_after=decode_retry_after(
+                [value for name, value in fields if name == RETRY_AFTER]
+            ),
         )
 
     def response_fields(
@@ -197,7 +206,7 @@
     number of at least 0 is ignored.
     """
     return min(
-        (rate for rate in map(_parse_rate, values) if rate is not None),
+        (rate for rate in map(_parse_decimal, values) if rate is not None),
         default=None,
     )
 
@@ -210,12 +219,31 @@
     return any(value.strip() == b"1" for value in values)
 
 
-def _parse_rate(raw: bytes) -> float | None:
+def decode_retry_after(
+    values: list[bytes],
+) -> incoming_request.RetryAfter | None:
+    """Return the back-off of a server, None without the header field.
+
+    The longest of several values counts. A value that is not a finite decimal
+    number of seconds of at least 0 is ignored, as is a date.
+    """
+    if not values:
+        return None
+    seconds = [found for found in map(_parse_decimal, values) if found]
+    delay_ms = min(MAX_BACKOFF_MS, 1_000 * max(seconds, default=0.0))
+    text = b", ".join(values).decode("latin-1")
+    return incoming_request.RetryAfter(
+        math.ceil(delay_ms), text[:MAX_LOGGED_CHARACTERS]
+    )
+
+
+def _parse_decimal(raw: bytes) -> float | None:
+    """Return a finite decimal number of at least 0, or None."""
     try:
-        rate = float(raw.strip().decode("ascii"))
+        number = float(raw.strip().decode("ascii"))
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _parse_integer(raw: bytes, maximum: int = 10**9) -> int | None:
