Send nothing to a server within the back-off that it asks for

What callers saw: 503 with Retry-After: 0.50 while every server wanted no requests for 8 s, after up to three sends each. What servers saw: 565 requests of one entry within one such time, where 2 are allowed.

Cause: no module decided on Retry-After of a server's 503; it was one more failed attempt, and the next request chose the server as before.

Change: ServerBackoff decides for all paths. The choice of a server, an assignment of the coordinator, a granted permit and a connection that is made late ask it, as do the reports and orders of the coordinator. It is kept by server process and entry, a longer time wins, and it ends by a clock that goes on in a suspension. At its end an entry begins with one request and widens its window with each response. The refusal is no failure of the server. Where all servers are in a back-off, a request waits if the first of them is back in time, and is refused at once with that time otherwise. A caller gets no figure of one server that others could serve.

--- a/src/balsamwall/composition/gateway_dependencies.py
+++ b/src/balsamwall/composition/gateway_dependencies.py
@@ -62,7 +62,7 @@
 
     store: key_value_service.KeyValueService
     connection: StoreConnection
-    engines: engine_control.EngineControl
+    engines: engine_control.EngineClient
     codec: incoming_request.RequestCodec
     read_configuration: Callable[
         [bytes], gateway_configuration.GatewayConfiguration
--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -34,6 +34,7 @@
 from balsamwall.gateway import release_pacing
 from balsamwall.gateway import request_dependencies
 from balsamwall.gateway import residency_waits
+from balsamwall.gateway import server_backoff
 from balsamwall.gateway import server_choice
 from balsamwall.gateway import server_feed
 from balsamwall.gateway import server_health
@@ -161,6 +162,9 @@
     def _build_requests(self) -> None:
         settings, dependencies = self._settings, self._dependencies
         health = server_health.ServerHealth(self._clock)
+        self._backoff = server_backoff.ServerBackoff(
+            self._clock, self._log, self._metrics
+        )
         self._request_dependencies = request_dependencies.RequestDependencies(
             clock=self._clock,
             zone=settings.availability_zone,
@@ -171,6 +175,7 @@
                 self._directory,
                 health,
                 self._limits,
+                self._backoff,
             ),
             health=health,
             pool=self._pool,
@@ -186,6 +191,7 @@
             entries=ASSUMED_ENTRIES,
             directory=self._directory,
             limits=self._limits,
+            backoff=self._backoff,
             quotas=self._quota_parts.quotas,
             request_load=self._request_load,
             random_source=self._random,
@@ -260,6 +266,7 @@
             max(settings.lease_ms, settings.min_lease_ms),
             self._fleet_client.on_coordinator_changed,
         )
+        self._dependencies.engines.set_backoff(self._backoff)
         permits = permit_issuer.PermitIssuer(
             self._clock, self._limits, self._fleet_size
         )
@@ -274,6 +281,7 @@
                 self._limits,
                 permits,
                 self._directory,
+                self._backoff,
             ),
             self._fleet_server,
             self._log,
--- a/src/balsamwall/coordination/engine_control.py
+++ b/src/balsamwall/coordination/engine_control.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import server_backoff
 
 
 class OrderKind(enum.Enum):
@@ -79,3 +80,10 @@
         callback: Callable[[OrderOutcome], None],
     ) -> None:
         """Send an order that is valid only for the expected order count."""
+
+
+class EngineClient(EngineControl, Protocol):
+    """Client that reaches the engines, and reads their refusals."""
+
+    def set_backoff(self, backoff: server_backoff.ServerBackoff) -> None:
+        """Set what records the back-off that engines ask for."""
--- a/src/balsamwall/coordination/limited_engine_control.py
+++ b/src/balsamwall/coordination/limited_engine_control.py
@@ -1,4 +1,4 @@
-"""Calls of the coordinator to engines that limit what they accept or leave."""
+"""Calls of the coordinator to engines, as far as they want them."""
 
 from __future__ import annotations
 
@@ -12,19 +12,22 @@
 
     from balsamwall.coordination import permit_issuer
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import server_backoff
     from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
 
 
 class LimitedEngineControl:
-    """Count reports and orders against the limit of their engine.
+    """Keep to the limit and the back-off of engines in reports and orders.
 
     Load pattern: an overloaded engine is polled while a model loads, which
     alone would use up its limit. Reports are spaced, and orders, which free a
     place for many requests, are sent at once; both delay later requests.
+    An engine in a back-off gets neither before its end.
     """
 
     __slots__ = (
+        "_backoff",
         "_clock",
         "_control",
         "_directory",
@@ -40,12 +43,14 @@
         limits: server_limits.ServerLimits,
         permits: permit_issuer.PermitIssuer,
         directory: backend_directory.BackendDirectory,
+        backoff: server_backoff.ServerBackoff,
     ) -> None:
         self._clock = clock
         self._control = control
         self._limits = limits
         self._permits = permits
         self._directory = directory
+        self._backoff = backoff
         # By limited server; others are not recorded.
         self._last_report_ms: dict[str, int] = {}
 
@@ -54,8 +59,9 @@
         record: backend_directory.ServerRecord,
         callback: Callable[[engine_control.EngineReport | None], None],
     ) -> None:
-        """Request a report, later if the last one is too recent."""
-        delay_ms = self._report_delay_ms(record.server_id)
+        """Request a report, later if the engine does not want it now."""
+        delay_ms = self._backoff.left_ms(record)
+        delay_ms = delay_ms or self._report_delay_ms(record.server_id)
         if delay_ms > 0:
             self._clock.call_later(
                 delay_ms, self.read_report, record, callback
@@ -77,7 +83,14 @@
         fencing_token: int,
         callback: Callable[[engine_control.OrderOutcome], None],
     ) -> None:
-        """Send an order that is valid only for the expected order count."""
+        """Send an order that is valid only for the expected order count.
+
+        An engine in a back-off is taken for one that is busy.
+        """
+        if self._backoff.left_ms(record):
+            outcome = engine_control.OrderOutcome.CONFLICT
+            self._clock.call_later(0, callback, outcome)
+            return
         self._permits.charge(record.server_id)
         self._control.send_order(
             record, order, order_count, fencing_token, callback
--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -39,6 +39,7 @@
     """State why an attempt gave no response for the caller."""
 
     NOT_CONNECTED = "not_connected"  # nothing was sent
+    BACKED_OFF = "backed_off"  # nothing was sent, as the server asked for
     NOT_RUN = "not_run"  # the server certified that it did not run
     BROKEN = "broken"  # the connection broke; it may have run
     INVALID = "invalid"  # unusable response; it may have run
@@ -49,7 +50,13 @@
 
 
 # Failures that say nothing about how the server serves other requests.
-BLAMELESS = frozenset({AttemptFailure.UNREAD, AttemptFailure.NOT_READ})
+BLAMELESS = frozenset(
+    {
+        AttemptFailure.UNREAD,
+        AttemptFailure.NOT_READ,
+        AttemptFailure.BACKED_OFF,
+    }
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -122,6 +129,7 @@
         "_refusal",
         "_unread",
         "framing",
+        "has_backed_off",
         "meter",
         "record",
         "sent_ms",
@@ -146,6 +154,8 @@
         self.meter: stream_meter.StreamMeter | None = None
         self._clock = clock
         self.status = 0
+        # Whether the server wants no more requests for a time.
+        self.has_backed_off = False
         self.framing: body_framing.BodyFraming | None = None
         # Set when the connection is there.
         self.source: connection_source.ConnectionSource | None = None
@@ -250,7 +260,14 @@
     def on_connected(
         self, connection: backend_connection.BackendConnection
     ) -> None:
-        """Send the request on the connection."""
+        """Send the request, unless the server wants none by now."""
+        if self._announcements.is_backed_off(self.server):
+            connection.close()
+            self._outgoing.body.release(self)
+            self.has_backed_off = True
+            detail = "the server asked for a back-off"
+            self._fail(AttemptFailure.BACKED_OFF, detail)
+            return
         self._connection = connection
         self.source = connection.source
         outgoing = self._outgoing
@@ -293,6 +310,10 @@
         self.status = status
         self.framing = framing
         self._announcements.on_response(self.server, status, head)
+        self.has_backed_off = (
+            status == incoming_request.UNAVAILABLE_STATUS
+            and head.retry_after is not None
+        )
         is_refusal = (
             status == incoming_request.WRONG_SERVER_STATUS
             or head.is_certified_not_run
--- a/src/balsamwall/gateway/refusal.py
+++ b/src/balsamwall/gateway/refusal.py
@@ -9,10 +9,12 @@
 
 if TYPE_CHECKING:
     from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import http_fields
 
 # A quarantined request has not run. Status 503 guarantees this to the caller;
 # the usual status of the code does not.
 STATUS_OF_QUARANTINED = 503
+RETRY_AFTER = b"retry-after"
 # Default Retry-After time, used if the gateway has no estimate of the wait.
 RETRY_AFTER_MS = 500
 
@@ -25,6 +27,15 @@
         self.code = code
 
 
+def with_retry_after(
+    fields: http_fields.Fields, retry_after_ms: int
+) -> http_fields.Fields:
+    """Return response fields with this Retry-After time only."""
+    seconds = f"{retry_after_ms / 1_000:.2f}"
+    others = [field for field in fields if field[0] != RETRY_AFTER]
+    return [*others, (RETRY_AFTER, seconds.encode())]
+
+
 def write(
     exchange: caller_exchange.CallerExchange,
     code: result_code.ResultCode,
@@ -40,8 +51,7 @@
     if code is result_code.ResultCode.QUARANTINED:
         status = STATUS_OF_QUARANTINED
     if status in (429, 503):
-        seconds = f"{retry_after_ms / 1_000:.2f}"
-        fields.append((b"retry-after", seconds.encode()))
+        fields = with_retry_after(fields, retry_after_ms)
     if status == 401:
         # RFC 9110 requires the scheme to use in a response with this status.
         fields.append((b"www-authenticate", b"Bearer"))
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -8,6 +8,7 @@
 from balsamwall.gateway import event_deadline
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import outgoing_request
+from balsamwall.gateway import refusal
 from balsamwall.gateway import retry_policy
 from balsamwall.gateway import stream_parts
 
@@ -159,11 +160,13 @@
         length = None
         if not self._handler.body.is_event_stream:
             length = http_fields.content_length(fields)
-        self._exchange.begin(
-            attempt.status,
-            self._dependencies.codec.response_fields(fields),
-            length,
-        )
+        fields = self._dependencies.codec.response_fields(fields)
+        if attempt.has_backed_off:
+            # The server speaks for itself, and others may serve the caller.
+            fields = refusal.with_retry_after(
+                fields, self._handler.dispatch.retry_after_ms
+            )
+        self._exchange.begin(attempt.status, fields, length)
 
     def release_body(self) -> None:
         """Release the caller's body if no failure allows another send.
@@ -209,12 +212,16 @@
         self.abandon(is_failure=not has_begun and not is_unread)
 
     def finish(self, is_failure: bool) -> None:
-        """Record the outcome of the current attempt and clear it."""
+        """Record the outcome of the current attempt and clear it.
+
+        A server that asks for a back-off has not failed.
+        """
         attempt = self.current
         if attempt is None:
             return
         self._clear(attempt)
-        self._dependencies.health.on_outcome(attempt.server, is_failure)
+        if not attempt.has_backed_off:
+            self._dependencies.health.on_outcome(attempt.server, is_failure)
 
     def abandon(self, is_failure: bool) -> None:
         """Cancel the current attempt, if there is one."""
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -17,7 +17,6 @@
 from balsamwall.gateway import room_queue
 from balsamwall.gateway import running_streams
 from balsamwall.gateway import server_announcements
-from balsamwall.gateway import server_backoff as server_backoff_module
 from balsamwall.gateway import wait_forecast
 from balsamwall.gateway import wait_policy
 from balsamwall.limits import retry_budget as retry_budget_module
@@ -37,6 +36,7 @@
     from balsamwall.gateway import request_dispatch
     from balsamwall.gateway import response_body
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import server_backoff
     from balsamwall.gateway import server_choice
     from balsamwall.gateway import server_health
     from balsamwall.gateway import server_limits
@@ -148,6 +148,7 @@
         entries: int,
         directory: backend_directory.BackendDirectory,
         limits: server_limits.ServerLimits,
+        backoff: server_backoff.ServerBackoff,
         quotas: workspace_quotas.WorkspaceQuotas,
         request_load: Callable[[residency_waits.WantedModel], None],
         random_source: random.Random,
@@ -183,9 +184,9 @@
         self.running_streams = running_streams.RunningStreams(directory)
         self.forecast = wait_forecast.WaitForecast(clock)
         self.limits = limits
-        self.backoff = server_backoff_module.ServerBackoff(clock, log, metrics)
+        self.backoff = backoff
         self.announcements = server_announcements.ServerAnnouncements(
-            clock, directory, limits, self.backoff, log
+            clock, directory, limits, backoff, log
         )
         self.quotas = quotas
         self.wait_policy = wait_policy.WaitPolicy(random_source)
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -175,6 +175,16 @@
         """Return the longest wait that leaves time for a response."""
         return self._handler.left_ms - retry_policy.MIN_REMAINING_MS
 
+    @property
+    def retry_after_ms(self) -> int:
+        """Return when a refused request may be sent again."""
+        dependencies = self._dependencies
+        holders = dependencies.directory.holders(*self.target)
+        backoff_ms = dependencies.backoff.until_open_ms(holders)
+        if not backoff_ms:
+            return refusal.RETRY_AFTER_MS
+        return dependencies.wait_policy.retry_after_ms(backoff_ms)
+
     def dispatch(self) -> None:
         """Send, queue or refuse the request."""
         if self._handler.is_finished:
@@ -218,6 +228,8 @@
         """Queue the request, unless the service has no server at all."""
         if choice.no_server_reason is _NoServerReason.NOT_RESIDENT:
             self._wait.wait_for_model(self._max_wait_ms)
+        elif choice.no_server_reason is _NoServerReason.BACKOFF:
+            self._wait.wait_for_backoff(choice.backoff_ms, self._max_wait_ms)
         elif choice.no_server_reason is _NoServerReason.LIMITED:
             self._wait.wait_for_room(self._max_wait_ms)
         elif choice.no_server_reason is _NoServerReason.NO_VERSION:
@@ -298,6 +310,9 @@
             # The servers tried before may have room by now.
             self._excluded = frozenset()
             return False
+        if choice.no_server_reason is _NoServerReason.BACKOFF:
+            self._excluded = frozenset()
+            return self._wait.refuse_if_late(choice.backoff_ms)
         if server is None:
             self._wait.stop()
             self.dispatch()
@@ -353,7 +368,9 @@
             self._dependencies.directory.holders(*self.target),
             self._handler.resumption.required_version,
         )
-        for server in self._dependencies.health.usable(holders):
+        backoff = self._dependencies.backoff
+        open_now = [item for item in holders if backoff.is_open(item)]
+        for server in self._dependencies.health.usable(open_now):
             if server.server_id == server_id:
                 self._handler.send(server)
                 return
@@ -373,8 +390,12 @@
         """Send the request, or choose again without a permit."""
         if self._handler.is_finished:
             return
-        # The server may have been drained during the wait.
-        if is_granted and server.is_ready:
+        # The server may have been drained, or have asked for a back-off,
+        # during the wait.
+        is_open = server.is_ready and self._dependencies.backoff.is_open(
+            server
+        )
+        if is_granted and is_open:
             self._handler.send(server)
         else:
             self.dispatch()
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -344,7 +344,11 @@
             if self._has_begun:
                 self._cut(_Code.ANSWER_INTERRUPTED, detail)
             else:
-                self._refuse(_Code.BACKEND_DOWN, f"{failure.value}: {detail}")
+                self._refuse(
+                    _Code.BACKEND_DOWN,
+                    f"{failure.value}: {detail}",
+                    self.dispatch.retry_after_ms,
+                )
         elif self.resumption.is_ambiguous:
             self.resumption.refuse_ambiguous()
         elif failure is attempt_module.AttemptFailure.NOT_RUN:
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -116,6 +116,41 @@
         self._begin(remaining_ms)
         dependencies.room.add(handler)
 
+    def wait_for_backoff(self, backoff_ms: int, remaining_ms: int) -> None:
+        """Wait until a server wants requests again, if that is soon enough.
+
+        It is refused at once otherwise, with the time of the first server.
+        """
+        if backoff_ms > self._max_backoff_ms(remaining_ms):
+            self._refuse_backoff(backoff_ms)
+            return
+        self._is_for_room = True
+        self._begin(remaining_ms)
+        self._dependencies.room.add(self._handler)
+
+    def refuse_if_late(self, backoff_ms: int) -> bool:
+        """Refuse the request if its wait ends before a back-off does.
+
+        Return whether it was refused.
+        """
+        remaining_ms = self._end_ms - self._clock.now_ms()
+        if backoff_ms <= self._max_backoff_ms(remaining_ms):
+            return False
+        self.stop()
+        self._refuse_backoff(backoff_ms)
+        return True
+
+    def _max_backoff_ms(self, remaining_ms: int) -> int:
+        """Return the longest back-off after which a response is in time."""
+        max_wait_ms = self._dependencies.wait_policy.max_wait_ms(
+            self._handler.route.caller_timeout_ms
+        )
+        return min(remaining_ms, max_wait_ms - self._total_waited_ms)
+
+    def _refuse_backoff(self, backoff_ms: int) -> None:
+        detail = f"all servers accept no requests for {backoff_ms} ms"
+        self._refuse(_Code.QUEUE_FULL, detail, backoff_ms)
+
     def _fair_forecast(self) -> tuple[int, bool]:
         """Return the expected wait in the fair order and whether to refuse.
 
--- a/src/balsamwall/gateway/retry_policy.py
+++ b/src/balsamwall/gateway/retry_policy.py
@@ -18,6 +18,13 @@
 MAX_FAILED_CONNECTS = 4
 # With less time left, no response would arrive before the deadline.
 MIN_REMAINING_MS = 40
+# Failures of attempts that sent nothing.
+UNSENT = frozenset(
+    {
+        attempt_module.AttemptFailure.NOT_CONNECTED,
+        attempt_module.AttemptFailure.BACKED_OFF,
+    }
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,7 +33,7 @@
 
     possible_runs: int = 0  # attempts that a server may have run
     refused: int = 0  # attempts that a server certified as not run
-    failed_connects: int = 0
+    failed_connects: int = 0  # also those given up for a back-off
 
     @property
     def may_have_run(self) -> bool:
@@ -35,7 +42,7 @@
 
     def record_failure(self, failure: attempt_module.AttemptFailure) -> None:
         """Count a failed attempt."""
-        if failure is attempt_module.AttemptFailure.NOT_CONNECTED:
+        if failure in UNSENT:
             self.failed_connects += 1
         elif failure is attempt_module.AttemptFailure.NOT_RUN:
             self.refused += 1
@@ -66,7 +73,7 @@
         """
         if remaining_ms < MIN_REMAINING_MS:
             return False
-        if failure is attempt_module.AttemptFailure.NOT_CONNECTED:
+        if failure in UNSENT:
             return history.failed_connects < MAX_FAILED_CONNECTS
         if failure is attempt_module.AttemptFailure.NOT_RUN:
             if history.refused >= MAX_REFUSED_ATTEMPTS:
--- a/src/balsamwall/gateway/server_announcements.py
+++ b/src/balsamwall/gateway/server_announcements.py
@@ -62,9 +62,15 @@
         if not is_from_server:
             return
         server.on_response()
+        if not is_refusal:
+            self._backoff.on_response(server)
         if head.is_leaving:
             self._on_leaving(server)
 
+    def is_backed_off(self, server: backend_directory.BackendServer) -> bool:
+        """Return whether a server wants no requests of this entry now."""
+        return self._backoff.left_ms(server.record) > 0
+
     def _record_load(
         self,
         server: backend_directory.BackendServer,
--- a/src/balsamwall/gateway/server_backoff.py
+++ b/src/balsamwall/gateway/server_backoff.py
@@ -7,6 +7,8 @@
 from balsamwall.gateway import crash_suspects
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import incoming_request
@@ -15,6 +17,22 @@
 
 # Processes that are kept. Those whose time is over are dropped first.
 MAX_PROCESSES = 2_000
+# A window that has stopped no request for this time is needed no more.
+# Requests that wait are tried again several times in it.
+MIN_UNUSED_MS = 100
+
+
+class _Backoff:
+    """Time without requests of one server process, and what follows it."""
+
+    __slots__ = ("stopped_ms", "until_ms", "window")
+
+    def __init__(self) -> None:
+        self.until_ms = 0
+        self.stopped_ms = 0  # when the window last stopped a request
+        # Requests that this entry may have open at the server after the time,
+        # None before its end.
+        self.window: int | None = None
 
 
 class ServerBackoff:
@@ -22,10 +40,11 @@
 
     Load pattern: a server turns requests away and states for how long, while
     requests keep coming. It speaks to this entry only, so that the others
-    may still use it.
+    may still use it. At the end many requests wait for it, so that the entry
+    begins with one and sends more with each response.
     """
 
-    __slots__ = ("_clock", "_log", "_metrics", "_until_ms")
+    __slots__ = ("_backoffs", "_clock", "_log", "_metrics")
 
     def __init__(
         self,
@@ -38,7 +57,10 @@
         self._metrics = metrics
         # By server process: kept apart from the directory, since a record may
         # lapse and return within the time.
-        self._until_ms: dict[str, int] = {}
+        self._backoffs: dict[str, _Backoff] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._backoffs)
 
     def on_refused(
         self,
@@ -60,15 +82,55 @@
         )
         if left_ms <= 0:
             return
-        if len(self._until_ms) >= MAX_PROCESSES:
+        if len(self._backoffs) >= MAX_PROCESSES:
             self._drop_ended()
-        process = crash_suspects.process_name(record)
-        self._until_ms[process] = self._clock.now_ms() + left_ms
+        found = self._backoffs.setdefault(
+            crash_suspects.process_name(record), _Backoff()
+        )
+        found.until_ms = self._clock.now_ms() + left_ms
+        found.window = None
+
+    def on_response(self, server: backend_directory.BackendServer) -> None:
+        """Widen the window after the time with a response to a request."""
+        found = self._find(server.record)
+        if found is None or found.window is None:
+            return
+        if found.window < server.record.slots:
+            found.window += 1
+        unused_ms = self._clock.now_ms() - found.stopped_ms
+        if unused_ms >= MIN_UNUSED_MS:
+            del self._backoffs[crash_suspects.process_name(server.record)]
 
     def left_ms(self, record: backend_directory.ServerRecord) -> int:
         """Return for how long the process wants no requests, 0 if it does."""
-        until_ms = self._until_ms.get(crash_suspects.process_name(record), 0)
-        return max(0, until_ms - self._clock.now_ms())
+        found = self._find(record)
+        if found is None:
+            return 0
+        return max(0, found.until_ms - self._clock.now_ms())
+
+    def is_open(self, server: backend_directory.BackendServer) -> bool:
+        """Return whether a request may be sent to a server now."""
+        found = self._find(server.record)
+        if found is None:
+            return True
+        if found.until_ms > self._clock.now_ms():
+            return False
+        if found.window is None:
+            # Streams that it has served all the while do not count.
+            found.window = server.in_flight + 1
+            found.stopped_ms = self._clock.now_ms()
+        if server.in_flight < found.window:
+            return True
+        found.stopped_ms = self._clock.now_ms()
+        return False
+
+    def until_open_ms(
+        self, servers: Iterable[backend_directory.BackendServer]
+    ) -> int:
+        """Return the time until the first of the servers wants requests."""
+        if not self._backoffs:
+            return 0
+        return min((self.left_ms(item.record) for item in servers), default=0)
 
     def on_send(
         self,
@@ -89,13 +151,18 @@
             left_ms=left_ms,
         )
 
+    def _find(self, record: backend_directory.ServerRecord) -> _Backoff | None:
+        if not self._backoffs:
+            return None
+        return self._backoffs.get(crash_suspects.process_name(record))
+
     def _drop_ended(self) -> None:
         """Drop ended times, or the oldest entry if none has ended."""
         now_ms = self._clock.now_ms()
-        self._until_ms = {
-            process: until_ms
-            for process, until_ms in self._until_ms.items()
-            if until_ms > now_ms
+        self._backoffs = {
+            process: found
+            for process, found in self._backoffs.items()
+            if found.until_ms > now_ms
         }
-        if len(self._until_ms) >= MAX_PROCESSES:
-            del self._until_ms[next(iter(self._until_ms))]
+        if len(self._backoffs) >= MAX_PROCESSES:
+            del self._backoffs[next(iter(self._backoffs))]
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -17,6 +17,7 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import server_backoff
     from balsamwall.gateway import server_limits
     from balsamwall.timing import clock as clock_module
 
@@ -58,6 +59,7 @@
     NOT_RESIDENT = "not_resident"
     NO_VERSION = "no_version"  # no ready server of the required version
     LIMITED = "limited"  # the limits of all servers are used up
+    BACKOFF = "backoff"  # all servers want no requests for a time
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -69,6 +71,8 @@
     expected_ms: int = 0  # score: time to the first token with penalties
     load: int = 0  # requests at the server before this one
     candidates: int = 0  # servers that were compared
+    # Time until the first server wants requests, if all are in a back-off.
+    backoff_ms: int = 0
 
 
 def load_penalty_ms(load: float, slots: int) -> float:
@@ -128,6 +132,7 @@
     """
 
     __slots__ = (
+        "_backoff",
         "_clock",
         "_directory",
         "_has_idle",
@@ -144,12 +149,14 @@
         directory: backend_directory.BackendDirectory,
         health: server_health.ServerHealth,
         limits: server_limits.ServerLimits,
+        backoff: server_backoff.ServerBackoff,
     ) -> None:
         self._clock = clock
         self._random = random_source
         self._directory = directory
         self._health = health
         self._limits = limits
+        self._backoff = backoff
         self._prefixes: dict[tuple[str, str], tuple[str, int]] = {}
         self._has_idle: (
             Callable[[backend_directory.ServerRecord], bool] | None
@@ -187,11 +194,10 @@
         holders = _holders(of_version, request)
         if not holders:
             return Choice(None, NoServerReason.NOT_RESIDENT)
-        usable = [
-            server
-            for server in self._health.usable(holders)
-            if self._limits.is_open(server)
-        ]
+        backoff_ms = self._backoff.until_open_ms(holders)
+        if backoff_ms:
+            return Choice(None, NoServerReason.BACKOFF, backoff_ms=backoff_ms)
+        usable = self.usable(holders)
         if not usable:
             return Choice(None, NoServerReason.LIMITED)
         scores = [
@@ -203,6 +209,22 @@
         load = int(best.load(self._clock.now_ms()))
         return Choice(best, None, int(score), load, len(usable))
 
+    def usable(
+        self, holders: list[backend_directory.BackendServer]
+    ) -> list[backend_directory.BackendServer]:
+        """Return the servers to which a request may be sent now.
+
+        Servers in a back-off come first, since ejected ones are returned if
+        too few others are left.
+        """
+        if self._backoff:
+            holders = [item for item in holders if self._backoff.is_open(item)]
+        return [
+            server
+            for server in self._health.usable(holders)
+            if self._limits.is_open(server)
+        ]
+
     def record_sent(
         self,
         server: backend_directory.BackendServer,
--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -9,6 +9,7 @@
 import eliot
 
 from balsamwall.coordination import engine_control
+from balsamwall.gateway import incoming_request
 from balsamwall.platform import documents
 from balsamwall.platform import header_codec
 from balsamwall.platform import json_fields
@@ -18,6 +19,7 @@
     from collections.abc import Mapping
 
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import server_backoff
     from balsamwall.infrastructure import http_client
 
 REPORT_TIMEOUT_MS = 700
@@ -42,11 +44,16 @@
 class EngineCalls:
     """Read reports of workers and send them orders, as the coordinator."""
 
-    __slots__ = ("_holder", "_http")
+    __slots__ = ("_backoff", "_holder", "_http")
 
     def __init__(self, http: http_client.HttpClient, holder: str) -> None:
         self._http = http
         self._holder = holder
+        self._backoff: server_backoff.ServerBackoff | None = None
+
+    def set_backoff(self, backoff: server_backoff.ServerBackoff) -> None:
+        """Set what records the back-off that engines ask for."""
+        self._backoff = backoff
 
     def read_report(
         self,
@@ -56,6 +63,7 @@
         """Request a report; the callback gets None if none is readable."""
 
         def on_answer(answer: http_client.HttpResponse) -> None:
+            self._record_backoff(record, answer)
             report = None
             if answer.status == 200:
                 try:
@@ -88,6 +96,7 @@
         """Send an order that is valid only for the expected order count."""
 
         def on_answer(answer: http_client.HttpResponse) -> None:
+            self._record_backoff(record, answer)
             callback(_OUTCOMES.get(answer.status, _Outcome.UNKNOWN))
 
         body: dict[str, Any] = {
@@ -113,6 +122,20 @@
             on_answer,
         )
 
+    def _record_backoff(
+        self,
+        record: backend_directory.ServerRecord,
+        answer: http_client.HttpResponse,
+    ) -> None:
+        """Record a refusal that states for how long it holds."""
+        if answer.status != incoming_request.UNAVAILABLE_STATUS:
+            return
+        retry_after = header_codec.decode_retry_after(
+            _header_values(answer.headers, header_codec.RETRY_AFTER)
+        )
+        if self._backoff is not None and retry_after is not None:
+            self._backoff.on_refused(record, retry_after, is_from_server=False)
+
 
 def decode_report(
     raw: bytes, headers: Mapping[str, str]
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -225,7 +225,12 @@
         directory.put(gateway_harness.make_record("s1", models={"m": ()}))
         limits, permits, _, _ = gateway_harness.make_limits(clock)
         control = limited_engine_control.LimitedEngineControl(
-            clock, _LeavingEngine(), limits, permits, directory
+            clock,
+            _LeavingEngine(),
+            limits,
+            permits,
+            directory,
+            gateway_harness.make_backoff(clock),
         )
         record = directory.get("s1").record
         control.read_report(record, lambda report: None)
--- a/tests/gateway/test_server_speed.py
+++ b/tests/gateway/test_server_speed.py
@@ -156,8 +156,9 @@
         super().setUp()
         health = server_health.ServerHealth(self.clock)
         limits = gateway_harness.make_limits(self.clock)[0]
+        backoff = gateway_harness.make_backoff(self.clock)
         self.choice = server_choice.ServerChoice(
-            self.clock, self.random, self.directory, health, limits
+            self.clock, self.random, self.directory, health, limits, backoff
         )
         self.request = incoming_request.IncomingRequest(
             b"r", "h", None, model=MODEL, prompt_tokens=1_000
