Read the record before a stream goes on at a server without a version

Cause: the report of other operators (a stream taken up at an entry that was out of step) shows where servers of the service state no version: such an entry took that for the only version without reading the store, while others had begun the stream at a server of a version that had just joined.

Change: a stream of unknown origin waits for the read of the record there, too. An absent record is a proof only that no version was recorded.

Result: the new test failed before (the stream went on at the server without a version) and passes. It costs one shared read of the store for resumed streams of unknown origin; they are refused while the store can't be read.

--- a/src/balsamwall/coordination/version_record.py
+++ b/src/balsamwall/coordination/version_record.py
@@ -132,7 +132,7 @@
                 self._seen_revision = item.revision
             is_current = item.revision >= self._seen_revision
             self._on_change(item)
-            on_read(is_current and bool(self._stored))
+            on_read(is_current and self._stored is not None)
 
         self._store.get(self._key, on_result)
 
--- a/src/balsamwall/gateway/stream_resumption.py
+++ b/src/balsamwall/gateway/stream_resumption.py
@@ -268,9 +268,6 @@
         """Wait for the origin, or for a proof that there is one version."""
         dependencies = self._dependencies
         versions = dependencies.versions
-        if versions.only_version(self._service) == "":
-            self._bind("")
-            return
         has_several = versions.has_several(self._service)
         if has_several and not self._resumed_id:
             self._refuse_undecided()
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -329,6 +329,26 @@
         self.resume()
         self.assertEqual(self.sent_to(), ["plain"])
 
+    def test_version_that_joins_beside_servers_without_one(self):
+        """Guards against a proof by an old copy, in an entry out of step.
+
+        Others have begun the stream at a server that states a version.
+        """
+
+        def read(callback):
+            self.record_versions("v2")
+            callback(True)
+
+        self.start_entry()
+        self.harness.add_servers("plain")
+        self.harness.dependencies.version_proof = version_proof.VersionProof(
+            self.harness.clock, lambda: 5, read
+        )
+        exchange = self.resume()
+        self.harness.clock.advance(stream_resumption.PROOF_WAIT_MS)
+        self.assertEqual(exchange.status, 503)
+        self.assertEqual(self.sent_to(), [])
+
     def test_service_without_resumable_streams(self):
         """Guards against refusals of a service that is not guarded."""
         self.start_entry(is_resumable=False)
