Distrust the record of versions for 3 s after a restore of the store

Change: the record proves nothing for 3 s after a restore that the entry has seen, also by that read itself. It is not read meanwhile, and streams of unknown origin are refused with a short Retry-After.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -328,6 +328,9 @@
             self._server_feed.on_store_state
         )
         dependencies.connection.add_update_listener(self._on_store_update)
+        dependencies.connection.add_restore_listener(
+            self._version_parts.proof.on_restored
+        )
         dependencies.store.watch(
             dependencies.configuration_key, self._on_configuration
         )
--- a/src/balsamwall/gateway/version_proof.py
+++ b/src/balsamwall/gateway/version_proof.py
@@ -12,6 +12,9 @@
 # Shortest time between two reads: 500 a second of all entries, where the store
 # accepts 2,000.
 READ_INTERVAL_PER_ENTRY_MS = 2
+# Time after a restore of the store in which other entries write the versions
+# again that its copy lacks, and servers their records.
+RESTORE_SETTLE_MS = 3_000
 
 
 class VersionProof:
@@ -20,7 +23,8 @@
     The copy of the record in an entry may be old: while it is cut off from the
     store and the coordinator, others may begin streams at a newer version. A
     read that begins after a caller has resumed a stream has every version that
-    can have begun it. Requests share reads, of which one is in progress.
+    can have begun it, unless the store has just returned from a copy. Requests
+    share reads, of which one is in progress.
 
     Load pattern: all entries restart, and their callers resume many streams of
     unknown origin within a second.
@@ -31,6 +35,7 @@
         "_count_entries",
         "_is_busy",
         "_read",
+        "_settled_ms",
         "_waiting",
     )
 
@@ -47,6 +52,11 @@
         # Whether a read is in progress or was made a moment ago.
         self._is_busy = False
         self._waiting: list[Callable[[bool], None]] = []
+        self._settled_ms = clock.now_ms()
+
+    def on_restored(self) -> None:
+        """Distrust the record, whose copy may lack a version, for a time."""
+        self._settled_ms = self._clock.now_ms() + RESTORE_SETTLE_MS
 
     def confirm(self, callback: Callable[[bool], None]) -> None:
         """Call back with whether a read that begins from now on succeeds."""
@@ -57,9 +67,16 @@
         if self._is_busy or not self._waiting:
             return
         self._is_busy = True
+        begun_ms = self._clock.now_ms()
+        if begun_ms < self._settled_ms:
+            delay_ms = self._settled_ms - begun_ms
+            self._clock.call_later(delay_ms, self._on_interval_over)
+            return
         waiting, self._waiting = self._waiting, []
 
         def on_read(is_read: bool) -> None:
+            # The read itself may have shown that the store was restored.
+            is_read = is_read and begun_ms >= self._settled_ms
             interval_ms = READ_INTERVAL_PER_ENTRY_MS * self._count_entries()
             self._clock.call_later(interval_ms, self._on_interval_over)
             for callback in waiting:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -349,6 +349,26 @@
         self.assertEqual(exchange.status, 503)
         self.assertEqual(self.sent_to(), [])
 
+    def test_version_that_a_restored_store_lacks(self):
+        """Guards against a proof by the copy, in an entry out of step.
+
+        Others write the version again, that the stream began at.
+        """
+        proof = version_proof.VersionProof(
+            self.harness.clock, lambda: 5, lambda callback: callback(True)
+        )
+        self.harness.dependencies.version_proof = proof
+        proof.on_restored()
+        exchange = self.resume()
+        self.harness.clock.advance(version_proof.RESTORE_SETTLE_MS - 100)
+        self.assertEqual(exchange.status, 503)
+        self.assertLess(self.retry_after_s(exchange), 1)
+        self.assertEqual(self.sent_to(), [])
+        self.harness.clock.advance(100)
+        self.resume()
+        self.harness.clock.advance(20)
+        self.assertEqual(self.sent_to(), ["old"])
+
     def test_service_without_resumable_streams(self):
         """Guards against refusals of a service that is not guarded."""
         self.start_entry(is_resumable=False)
