--- a/soak/announcements.py
+++ b/soak/announcements.py
@@ -1,4 +1,4 @@
-"""Announcements of the store and of servers: restores, and leaving."""
+"""Announcements of the store and of servers: restores, leaving, back-off."""
 
 from __future__ import annotations
 
@@ -17,9 +17,10 @@
     from soak import entry as entry_module
 
 # Share of the runs with unplanned faults whose store is restored, and of all
-# runs in which servers announce their leaving.
+# runs in which servers announce their leaving, and ask for a back-off.
 RESTORE_SHARE = 0.5
 LEAVING_SHARE = 0.6
+BACKOFF_SHARE = 0.6
 MAX_RESTORES = 2
 MAX_COPY_AGE_S = 3.0
 MIN_AWAY_S = 0.2
@@ -34,6 +35,12 @@
 APPLY_S = 3.0
 # A server that announces its leaving restarts after this time.
 LEAVING_S = 4.5
+# Back-offs that servers ask for, and how long they turn requests away.
+MAX_BACKOFFS = 3
+MIN_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 4.0
+# Share of the back-offs in which all servers of a service ask for one.
+WHOLE_SERVICE_SHARE = 0.5
 
 
 class AnnouncementTarget(Protocol):
@@ -61,7 +68,7 @@
 
 
 class Announcements:
-    """Restore the store from copies, and let servers announce to leave.
+    """Restore the store, and let servers announce to leave or to back off.
 
     They have a random source of their own, so that the other faults of a
     seed do not depend on them.
@@ -79,15 +86,21 @@
         is_restored = self._random.random() < RESTORE_SHARE
         self.restores = restores if is_restored and not is_planned_only else 0
         self.has_leaving = self._random.random() < LEAVING_SHARE
+        backoffs = self._random.randint(1, MAX_BACKOFFS)
+        has_backoffs = self._random.random() < BACKOFF_SHARE
+        self.backoffs = backoffs if has_backoffs else 0
 
     def start(self, duration_s: float) -> None:
-        """Schedule the restores and the announcements of leaving."""
+        """Schedule the restores and the announcements of servers."""
         for _ in range(self.restores):
             delay_s = self._random.uniform(0.0, duration_s)
             reactor.callLater(delay_s, self._copy)
         if self.has_leaving:
             delay_s = self._random.uniform(0.0, duration_s / 2)
             reactor.callLater(delay_s, self._announce_leaving)
+        for _ in range(self.backoffs):
+            delay_s = self._random.uniform(0.0, duration_s)
+            reactor.callLater(delay_s, self._ask_for_backoff)
 
     def _copy(self) -> None:
         copy = self._target.data.copy()
@@ -124,3 +137,16 @@
         self._target.record_fault("announce_leaving", 0.0)
         backend.leaving.begin()
         reactor.callLater(LEAVING_S, self._target.end_leaving, backend)
+
+    def _ask_for_backoff(self) -> None:
+        """Let a server, or all of its service, turn requests away."""
+        chosen = self._random.choice(self._target.backends)
+        is_whole = self._random.random() < WHOLE_SERVICE_SHARE
+        seconds = self._random.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S)
+        length_s = self._random.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S)
+        self._target.record_fault("ask_for_backoff", length_s)
+        for backend in self._target.backends:
+            is_included = is_whole and backend.service == chosen.service
+            if backend is chosen or is_included:
+                backend.backoff.begin(round(seconds, 2))
+                reactor.callLater(length_s, backend.backoff.end)
--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -133,8 +133,11 @@
         )
 
     def is_disturbed(self, begin_ms: int, end_ms: int) -> bool:
-        """Tell whether the link was harmed, or a limit announced."""
-        return self.limit.is_announced(begin_ms, end_ms) or any(
+        """Tell whether the link was harmed, or requests turned away."""
+        is_refusing = self.limit.is_announced(
+            begin_ms, end_ms
+        ) or self.backoff.is_binding(begin_ms, end_ms)
+        return is_refusing or any(
             since_ms <= end_ms and begin_ms <= until_ms
             for since_ms, until_ms in self.harmed_ms
         )
--- a/soak/backoff.py
+++ b/soak/backoff.py
@@ -71,19 +71,22 @@
     ) -> dict[str, int]:
         """Return by entry the most requests within one back-off.
 
-        An entry that was frozen, restarted or cut off since is excused.
+        An entry that was frozen, restarted or cut off since is excused, and so
+        are all of them, under an empty name, by the server's own link.
         """
         return {
             entry: max(
-                self._count(entry, item)
-                for item in refusals
-                if not _is_disturbed(item, disturbed.get(entry, []))
+                (
+                    self._count(entry, item)
+                    for item in refusals
+                    if not _is_disturbed(
+                        item,
+                        [*disturbed.get(entry, []), *disturbed.get("", [])],
+                    )
+                ),
+                default=0,
             )
             for entry, refusals in self._refusals.items()
-            if any(
-                not _is_disturbed(item, disturbed.get(entry, []))
-                for item in refusals
-            )
         }
 
     def _count(self, entry: str, refusal: _Refusal) -> int:
@@ -93,6 +96,14 @@
             for at_ms in self._arrivals_ms[entry]
         )
 
+    def is_binding(self, begin_ms: int, end_ms: int) -> bool:
+        """Tell whether a back-off was asked for in a part of an interval."""
+        return any(
+            item.at_ms <= end_ms and begin_ms <= item.until_ms
+            for refusals in self._refusals.values()
+            for item in refusals
+        )
+
     def violations(
         self, name: str, disturbed: Mapping[str, list[tuple[int, int]]]
     ) -> list[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -187,6 +187,7 @@
             self._version_faults.end()
         for backend in self.backends:
             backend.limit.end()
+            backend.backoff.end()
         probe_delay_s = MAX_FAULT_S + RECOVERY_S
         reactor.callLater(probe_delay_s - KEY_REST_S, self._end_key_changes)
         reactor.callLater(probe_delay_s, self._begin_probe)
@@ -235,6 +236,9 @@
             self._violations += backend.limit.violations(
                 backend.server_id, disturbed
             )
+            self._violations += backend.backoff.violations(
+                backend.server_id, disturbed
+            )
         self._violations += self._workspace_violations()
         self._violations += self._resumption_violations()
         self._violations += self._route_probe.violations
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -19,6 +19,9 @@
 # Engines prefill a prompt within a few hundred milliseconds, so an older
 # report no longer shows how many requests are queued.
 WAITING_MAX_AGE_MS = 300
+# A server that refused a connection is tried by one request in this time. It
+# has probably crashed, and its record expires soon.
+CONNECT_TRIAL_MS = 300
 # The record of a crashed server expires within this time, so that requests
 # may still be sent to it.
 CRASH_NOTICE_MS = 4_000
@@ -70,6 +73,7 @@
         "_broken_ms",
         "_fleet_load",
         "_fleet_load_at_ms",
+        "_next_trial_ms",
         "failure_share",
         "has_announced_leaving",
         "in_flight",
@@ -119,6 +123,8 @@
         self.ejected_until_ms = 0
         # When a response broke off, None after a later response.
         self._broken_ms: int | None = None
+        # When a connection may be tried again, None if it is reachable.
+        self._next_trial_ms: int | None = None
 
     @property
     def server_id(self) -> str:
@@ -174,11 +180,25 @@
     def on_response(self) -> None:
         """Record that the process lives, whatever broke before."""
         self._broken_ms = None
+        self._next_trial_ms = None
 
     def on_broken(self, now_ms: int) -> None:
         """Record that a response of this process broke off."""
         self._broken_ms = now_ms
 
+    def on_not_connected(self, now_ms: int) -> None:
+        """Record that no connection to this process was made."""
+        self._next_trial_ms = now_ms + CONNECT_TRIAL_MS
+
+    def is_trial_due(self, now_ms: int) -> bool:
+        """Return whether one request may find out if it is reachable."""
+        return self._next_trial_ms is None or now_ms >= self._next_trial_ms
+
+    def begin_trial(self, now_ms: int) -> None:
+        """Let no other request try a server that may be unreachable."""
+        if self._next_trial_ms is not None:
+            self._next_trial_ms = now_ms + CONNECT_TRIAL_MS
+
     def had_broken_before(self, sent_ms: int) -> bool:
         """Return whether the process was probably gone before a send."""
         broken_ms = self._broken_ms
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -312,6 +312,7 @@
         self.metrics.count_attempt(failure.value)
         server = attempt.server
         if failure is attempt_module.AttemptFailure.NOT_CONNECTED:
+            server.on_not_connected(self.clock.now_ms())
             self.suspects.on_server_lost(server.record)
         elif failure is attempt_module.AttemptFailure.BROKEN:
             self._on_broken(handler, attempt)
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -296,7 +296,24 @@
         is_queued = room.has_waiting(
             self.target, self.priority, is_bound=self.bound_version is not None
         )
-        return not is_queued and self._has_room(server)
+        if is_queued or not self._is_reachable(server):
+            return False
+        return self._has_room(server)
+
+    def _is_reachable(self, server: backend_directory.BackendServer) -> bool:
+        """Return whether to use a server that may have crashed.
+
+        A request that is bound to a software version may have no other server,
+        and waits for it, or until its model is loaded elsewhere. Any other
+        request finds out by itself.
+        """
+        if self.bound_version is None:
+            return True
+        now_ms = self._dependencies.clock.now_ms()
+        if not server.is_trial_due(now_ms):
+            return False
+        server.begin_trial(now_ms)
+        return True
 
     def try_send(self, is_owed: bool = False) -> bool:
         """Send the request if a server has room.
@@ -317,6 +334,9 @@
             self._wait.stop()
             self.dispatch()
             return True
+        if not self._is_reachable(server):
+            self._excluded = frozenset()
+            return False
         is_sparse = not is_owed and self._dependencies.room.is_sparse(self)
         if not self._has_room(server, is_owed=is_owed, is_sparse=is_sparse):
             return False
