Test that resumed streams wait for a crashed server of their version

Cause: in a release, callers resumed streams whose model lay on one server of their version, which had crashed and was still listed.

Result: two of the five tests fail on the code before and pass.

--- a/soak/announcements.py
+++ b/soak/announcements.py
@@ -20,7 +20,7 @@
 # runs in which servers announce their leaving, and ask for a back-off.
 RESTORE_SHARE = 0.5
 LEAVING_SHARE = 0.6
-BACKOFF_SHARE = 0.6
+BACKOFF_SHARE = 0.8
 MAX_RESTORES = 2
 MAX_COPY_AGE_S = 3.0
 MIN_AWAY_S = 0.2
@@ -40,7 +40,7 @@
 MIN_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 4.0
 # Share of the back-offs in which all servers of a service ask for one.
-WHOLE_SERVICE_SHARE = 0.5
+WHOLE_SERVICE_SHARE = 0.8
 
 
 class AnnouncementTarget(Protocol):
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -530,6 +530,52 @@
         return coordinator
 
 
+class CrashedServerTest(VersionsTestCase):
+    """The only server of a version refuses connections, still listed."""
+
+    def setUp(self):
+        super().setUp()
+        self.add("new", "v2")
+        self.merge_origin("v1")
+        self.harness.pool.unreachable.add("old")
+        self.exchange = self.resume()
+
+    def test_resumed_stream_waits_for_its_version(self):
+        """Guards against a refusal after four tries within 60 ms."""
+        self.harness.clock.advance(600)
+        self.assertIsNone(self.exchange.status)
+        self.add("old2", "v1")
+        self.harness.clock.advance(600)
+        self.assertEqual(self.sent_to(), ["old2"])
+
+    def test_server_is_tried_again(self):
+        """Guards against a server that is given up for one lost connect."""
+        self.harness.pool.unreachable.clear()
+        self.harness.clock.advance(400)
+        self.assertEqual(self.sent_to(), ["old"])
+
+    def test_one_request_tries_it_at_a_time(self):
+        """Guards against waiting streams that all fail at the same server."""
+        others = [
+            self.resume([(b"balsamwall-request-id", b"q%d" % number), *named])
+            for number, named in enumerate([RESUMED[1:]] * 5, 3)
+        ]
+        self.harness.clock.advance(1_000)
+        waiting = [item for item in others if item.status is None]
+        self.assertGreaterEqual(len(waiting), 4)
+
+    def test_new_stream_is_not_held_up(self):
+        """Guards against new streams that wait for the server, too."""
+        self.begin_stream()
+        self.assertEqual(self.sent_to(), ["new"])
+
+    def test_version_leaves_with_the_server(self):
+        """Guards against a wait for a version that has gone."""
+        self.harness.directory.remove("old")
+        self.harness.clock.advance(100)
+        self.assert_refused(self.exchange, b"no server of software version")
+
+
 class ModelVersionsTest(VersionsTestCase):
     """A model that only another version holds."""
 
