Let resumed streams prefer servers that do not refuse connections

Cause: by reading: a stream that is bound to a version waited for a server that refused connections if another one of the version looked busier.

Change: such servers are chosen only if there is no other one, until one request may try them again.

Result: the new test failed before and passes.

--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -247,17 +247,37 @@
         )
 
     def _choose(self) -> server_choice.Choice:
-        choice = self._dependencies.choice.choose(
+        """Choose a server; prefer those that do not refuse connections."""
+        unreachable = self._unreachable()
+        choice = self._choose_except(self._excluded | unreachable)
+        if choice.server is None and unreachable:
+            choice = self._choose_except(self._excluded)
+        if choice.server is not None:
+            self.choice = choice
+        return choice
+
+    def _choose_except(self, excluded: frozenset[str]) -> server_choice.Choice:
+        return self._dependencies.choice.choose(
             self._service,
             self.request,
             self._dependencies.zone,
-            self._excluded,
+            excluded,
             self.route.gap_target_ms,
             self._handler.resumption.required_version,
         )
-        if choice.server is not None:
-            self.choice = choice
-        return choice
+
+    def _unreachable(self) -> frozenset[str]:
+        """Return the servers that a bound request does not try now."""
+        if self.bound_version is None:
+            return frozenset()
+        now_ms = self._dependencies.clock.now_ms()
+        return frozenset(
+            server.server_id
+            for server in self._dependencies.directory.servers_of(
+                self._service
+            )
+            if not server.is_trial_due(now_ms)
+        )
 
     def _has_room(
         self,
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -548,6 +548,14 @@
         self.harness.clock.advance(600)
         self.assertEqual(self.sent_to(), ["old2"])
 
+    def test_busy_server_of_the_version_serves(self):
+        """Guards against a wait while another server of it has room."""
+        self.harness.clock.advance(100)
+        self.add("old2", "v1")
+        self.set_busy("old2")
+        self.harness.clock.advance(100)
+        self.assertEqual(self.sent_to(), ["old2"])
+
     def test_server_is_tried_again(self):
         """Guards against a server that is given up for one lost connect."""
         self.harness.pool.unreachable.clear()
