Begin all waits for room in one place

Change: one method begins both waits; `ServerChoice.usable` is private.

Result: no change of behaviour; the tests of waits, back-off, versions and the request handler pass.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -39,7 +39,7 @@
     """State why an attempt gave no response for the caller."""
 
     NOT_CONNECTED = "not_connected"  # nothing was sent
-    BACKED_OFF = "backed_off"  # nothing was sent, as the server asked for
+    BACKED_OFF = "backed_off"  # the server wants no requests; nothing was sent
     NOT_RUN = "not_run"  # the server certified that it did not run
     BROKEN = "broken"  # the connection broke; it may have run
     INVALID = "invalid"  # unusable response; it may have run
@@ -154,7 +154,7 @@
         self.meter: stream_meter.StreamMeter | None = None
         self._clock = clock
         self.status = 0
-        # Whether the server wants no more requests for a time.
+        # Whether the server asked for a back-off, here or before the send.
         self.has_backed_off = False
         self.framing: body_framing.BodyFraming | None = None
         # Set when the connection is there.
--- a/src/balsamwall/gateway/backend_directory.py
+++ b/src/balsamwall/gateway/backend_directory.py
@@ -19,8 +19,8 @@
 # Engines prefill a prompt within a few hundred milliseconds, so an older
 # report no longer shows how many requests are queued.
 WAITING_MAX_AGE_MS = 300
-# A server that refused a connection is tried by one request in this time. It
-# has probably crashed, and its record expires soon.
+# Requests that wait for a server which refused a connection try it once in
+# this time. It has probably crashed, and its record expires soon.
 CONNECT_TRIAL_MS = 300
 # The record of a crashed server expires within this time, so that requests
 # may still be sent to it.
--- a/src/balsamwall/gateway/request_wait.py
+++ b/src/balsamwall/gateway/request_wait.py
@@ -112,9 +112,7 @@
             detail = f"expected wait for room is {expected_ms} ms"
             self._refuse(_Code.QUEUE_FULL, detail, expected_ms)
             return
-        self._is_for_room = True
-        self._begin(remaining_ms)
-        dependencies.room.add(handler)
+        self._begin_for_room(remaining_ms)
 
     def wait_for_backoff(self, backoff_ms: int, remaining_ms: int) -> None:
         """Wait until a server wants requests again, if that is soon enough.
@@ -124,9 +122,7 @@
         if backoff_ms > self._max_backoff_ms(remaining_ms):
             self._refuse_backoff(backoff_ms)
             return
-        self._is_for_room = True
-        self._begin(remaining_ms)
-        self._dependencies.room.add(self._handler)
+        self._begin_for_room(remaining_ms)
 
     def refuse_if_late(self, backoff_ms: int) -> bool:
         """Refuse the request if its wait ends before a back-off does.
@@ -199,6 +195,12 @@
             return self.waited_ms
         return self.waited_ms + self._clock.now_ms() - self._since_ms
 
+    def _begin_for_room(self, remaining_ms: int) -> None:
+        """Begin a wait in the queue, which tries the request again."""
+        self._is_for_room = True
+        self._begin(remaining_ms)
+        self._dependencies.room.add(self._handler)
+
     def _begin(self, remaining_ms: int) -> None:
         self._since_ms = self._clock.now_ms()
         self._end_ms = self._since_ms + remaining_ms
--- a/src/balsamwall/gateway/server_choice.py
+++ b/src/balsamwall/gateway/server_choice.py
@@ -197,7 +197,7 @@
         backoff_ms = self._backoff.until_open_ms(holders)
         if backoff_ms:
             return Choice(None, NoServerReason.BACKOFF, backoff_ms=backoff_ms)
-        usable = self.usable(holders)
+        usable = self._usable(holders)
         if not usable:
             return Choice(None, NoServerReason.LIMITED)
         scores = [
@@ -209,7 +209,7 @@
         load = int(best.load(self._clock.now_ms()))
         return Choice(best, None, int(score), load, len(usable))
 
-    def usable(
+    def _usable(
         self, holders: list[backend_directory.BackendServer]
     ) -> list[backend_directory.BackendServer]:
         """Return the servers to which a request may be sent now.
