Show streams that join two versions at an entry out of step with a test

Change: a test with real entries. One is frozen while a version joins; the store returns from a copy that lacks the version, and the other entries, which have begun the streams, are killed. A second test has no restore.

--- a/tests/platform/test_stream_resumption_process.py
+++ b/tests/platform/test_stream_resumption_process.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import pathlib
+import signal
 import tempfile
 import threading
 import time
@@ -34,6 +35,8 @@
 # All streams have begun at least this long before an entry is killed.
 BEGUN_S = 1.2
 DOWN_S = 1.0
+# A version that joins is recorded and used by then.
+JOIN_S = 1.6
 RESUME_S = 9
 POLL_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
@@ -171,9 +174,11 @@
         return fields
 
 
-class StreamResumptionProcessTest(unittest.TestCase):
+class ResumptionTestCase(unittest.TestCase):
     """Three entries, a stand-in for the store, two servers of each version."""
 
+    versions = VERSIONS
+
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -186,7 +191,7 @@
         self.addCleanup(reactor_thread.run, self.listener.stopListening)
         self.servers = [
             self.start_server(number, version)
-            for number, version in enumerate(sorted(VERSIONS * 2))
+            for number, version in enumerate(sorted(self.versions * 2))
         ]
         self.entries = [
             entry_module.Entry(
@@ -200,7 +205,7 @@
         for entry in self.entries:
             self.addCleanup(entry.kill)
             entry.start()
-        self.wait_until_both_versions_serve()
+        self.wait_until_all_versions_serve()
 
     def listen(self):
         site = store_module.StoreSite(self.data)
@@ -224,13 +229,13 @@
         self.addCleanup(reactor_thread.run, started.leave)
         return started
 
-    def wait_until_both_versions_serve(self):
-        """Wait until streams begin at both versions through each entry."""
+    def wait_until_all_versions_serve(self):
+        """Wait until streams begin at all versions through each entry."""
         end_s = time.monotonic() + START_S
         number = STREAMS
         for entry in self.entries:
             seen = set()
-            while len(seen) < len(VERSIONS):
+            while len(seen) < len(self.versions):
                 self.assertLess(time.monotonic(), end_s, seen)
                 # Streams at the same time, as one alone goes to one server.
                 probes = [
@@ -255,7 +260,7 @@
             self.assertLess(time.monotonic(), end_s, "streams do not begin")
             time.sleep(POLL_S)
         time.sleep(BEGUN_S)
-        self.assertEqual({item.version for item in streams}, {*VERSIONS})
+        self.assertEqual({item.version for item in streams}, {*self.versions})
         return streams
 
     def kill(self, entries):
@@ -295,6 +300,10 @@
         whole = [item for item in resumed if item.is_whole]
         self.assertGreaterEqual(len(whole), len(resumed) / 2, version)
 
+
+class StreamResumptionProcessTest(ResumptionTestCase):
+    """Entries are killed while both versions serve."""
+
     def test_kill_of_all_entries(self):
         """Guards against a stream that goes on at another version.
 
@@ -334,3 +343,55 @@
         resumed = [item for item in streams if item.resumptions]
         self.assertEqual(len(resumed), STREAMS // ENTRIES)
         self.assertTrue(all(item.is_whole for item in streams))
+
+
+class OutOfStepEntryTest(ResumptionTestCase):
+    """One entry is frozen while servers of another version join.
+
+    The streams begin at the other entries, which are killed just before the
+    entry goes on, so that it is the only one that can take them up.
+    """
+
+    versions = ("v1",)
+
+    def play(self, before_kill=lambda: None):
+        """Return the streams, all of which were taken up."""
+        *others, frozen = self.entries
+        frozen.send_signal(signal.SIGSTOP)
+        for number in (10, 11):
+            self.start_server(number, "v2")
+        time.sleep(JOIN_S)
+        streams = [
+            # An even number begins at the first of the two entries.
+            Stream(2 * number, [others[number % 2], frozen])
+            for number in range(STREAMS)
+        ]
+        for stream in streams:
+            stream.start()
+        time.sleep(BEGUN_S)
+        before_kill()
+        self.kill(others)
+        frozen.send_signal(signal.SIGCONT)
+        end_s = time.monotonic() + RESUME_S
+        for stream in streams:
+            stream.end_s = end_s
+        for stream in streams:
+            stream.join(RESUME_S + 2 * READ_TIMEOUT_S)
+        self.assertEqual({item.version for item in streams}, {*VERSIONS})
+        self.assertTrue(all(item.resumptions for item in streams))
+        return streams
+
+    def test_version_joins(self):
+        """Guards against a proof by what the frozen entry knew."""
+        streams = self.play()
+        self.assertEqual(self.joined(streams), [])
+        for version in VERSIONS:
+            self.check_share(streams, version)
+
+    def test_version_joins_and_the_store_is_restored(self):
+        """Guards against a proof by a copy that lacks the version."""
+        copy = reactor_thread.run(self.data.copy)
+        streams = self.play(
+            lambda: reactor_thread.run(lambda: self.data.restore(copy))
+        )
+        self.assertEqual(self.joined(streams), [])
