--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,10 +11,10 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from peers import case as case_module  # noqa: E402
-from peers import client  # noqa: E402
-from peers import entry as entry_module  # noqa: E402
-from peers import worker  # noqa: E402
+import client_peer  # noqa: E402
+import entry_process  # noqa: E402
+import frame  # noqa: E402
+import worker_peer  # noqa: E402
 
 SERVICE = "varaus"
 ENTRIES = 4
@@ -58,15 +58,18 @@
 }
 
 
-async def send_requests(case: case_module.Case) -> None:
+async def send_requests(case: frame.Case) -> None:
     """Send to the entries that are ready, in turn."""
     number = 0
     while True:
         number += 1
         entry = case.entries[number % ENTRIES]
-        if entry.exit_code is None and await client.probe(entry.ready) == 200:
+        if (
+            entry.exit_code is None
+            and await client_peer.probe(entry.ready) == 200
+        ):
             case.record_attempt(
-                await client.send(
+                await client_peer.send(
                     entry.name,
                     entry.front,
                     f"/release/{number}",
@@ -78,7 +81,7 @@
 
 
 async def restart(
-    case: case_module.Case, entry: entry_module.Entry, number: int
+    case: frame.Case, entry: entry_process.Entry, number: int
 ) -> int:
     """Stop and start an entry, and tell it that its settings have changed.
 
@@ -109,11 +112,13 @@
     return 1
 
 
-async def play(case: case_module.Case) -> int:
+async def play(case: frame.Case) -> int:
     """Restart two of four entries in turn, three times each."""
     case.store.put("op/config", json.dumps(CONFIGURATION).encode())
     for number in range(4):
-        found = worker.Worker(case.store, f"i-{number}", SERVICE, case.record)
+        found = worker_peer.Worker(
+            case.store, f"i-{number}", SERVICE, case.record
+        )
         case.workers.append(found)
         await found.start()
     for number in range(ENTRIES):
@@ -132,8 +137,8 @@
     case.say(f"ends by themselves: {ends}")
     is_broken = machines >= MIN_MACHINES
     case.say("Fault" if is_broken else "no fault")
-    return case_module.BROKEN if is_broken else case_module.HELD
+    return frame.BROKEN if is_broken else frame.HELD
 
 
 if __name__ == "__main__":
-    case_module.run(FOLDER, play)
+    frame.run(FOLDER, play)
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,6 +9,6 @@
 
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or newer is needed")
-for path in sorted(pathlib.Path(".").glob("*/*.py")):
+for path in sorted(pathlib.Path(".").glob("**/*.py")):
     ast.parse(path.read_text(), str(path))
 PY
--- a/review/peers/client.py
+++ b/review/client_peer.py
@@ -7,7 +7,7 @@
 import time
 import uuid
 
-from peers import http
+import http_wire
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,7 +65,7 @@
         async with asyncio.timeout(wait_s):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(raw)
-            response = await http.read_response(reader)
+            response = await http_wire.read_response(reader)
         attempt.status = response.status
         attempt.fields = response.fields
         attempt.body = response.body
@@ -88,7 +88,7 @@
         async with asyncio.timeout(wait_s):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(b"GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n")
-            response = await http.read_response(reader)
+            response = await http_wire.read_response(reader)
             writer.close()
             return response.status
     except (TimeoutError, OSError, ValueError, asyncio.IncompleteReadError):
--- a/review/peers/engine.py
+++ b/review/engine_peer.py
@@ -9,9 +9,9 @@
 import time
 from typing import Any
 
-from peers import http
-from peers import store as store_module
-from peers import worker
+import http_wire
+import store_peer
+import worker_peer
 
 EVENT_S = 0.02
 
@@ -27,12 +27,12 @@
     status: int
 
 
-class Engine(worker.Worker):
+class Engine(worker_peer.Worker):
     """A sound engine; it checks fencing tokens only if told to."""
 
     def __init__(
         self,
-        store: store_module.Store,
+        store: store_peer.Store,
         server_id: str,
         service: str,
         record: Callable[..., None],
@@ -70,7 +70,7 @@
 
     async def handle(
         self,
-        request: http.Request,
+        request: http_wire.Request,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
@@ -80,7 +80,7 @@
             request_id = request.fields.get("balsamwall-request-id", "")
             self.refuse(writer, 421, request_id)
         elif request.target == "/report":
-            http.write_json(writer, 200, self._report())
+            http_wire.write_json(writer, 200, self._report())
         elif request.target == "/order":
             body = json.loads(request.body)
             status = self._take_order(body)
@@ -102,7 +102,7 @@
                 precondition=body.get("precondition"),
                 status=status,
             )
-            http.write_json(writer, status, {})
+            http_wire.write_json(writer, status, {})
         elif request.fields.get("balsamwall-model", "") not in self.models:
             request_id = request.fields.get("balsamwall-request-id", "")
             self.refuse(writer, 421, request_id)
@@ -153,7 +153,7 @@
 
     async def respond(
         self,
-        request: http.Request,
+        request: http_wire.Request,
         request_id: str,
         writer: asyncio.StreamWriter,
     ) -> None:
--- a/review/peers/entry.py
+++ b/review/entry_process.py
@@ -9,7 +9,7 @@
 import subprocess
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 
 SETTINGS = """\
 node = "{name}"
--- a/review/peers/case.py
+++ b/review/frame.py
@@ -12,10 +12,10 @@
 import time
 import traceback
 
-from peers import client
-from peers import entry as entry_module
-from peers import store as store_module
-from peers import worker as worker_module
+import client_peer
+import entry_process
+import store_peer
+import worker_peer
 
 HELD = 0
 BROKEN = 1
@@ -37,9 +37,9 @@
     def __init__(self, folder: pathlib.Path, scratch: pathlib.Path) -> None:
         self.scratch = scratch
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.store = store_module.Store()
-        self.workers: list[worker_module.Worker] = []
-        self.entries: list[entry_module.Entry] = []
+        self.store = store_peer.Store()
+        self.workers: list[worker_peer.Worker] = []
+        self.entries: list[entry_process.Entry] = []
         self._begin_s = time.monotonic()
         self._lines: list[tuple[float, str]] = []
         self._path = folder / "record.txt"
@@ -59,7 +59,7 @@
         text = " ".join(f"{name}={value}" for name, value in fields.items())
         self._lines.append((self.now_s, f"{what} {text}".strip()))
 
-    def record_attempt(self, attempt: client.Attempt) -> None:
+    def record_attempt(self, attempt: client_peer.Attempt) -> None:
         """Add an attempt of a client, at the time of its send."""
         took = "none" if attempt.took_s is None else f"{attempt.took_s:.3f}"
         self._lines.append(
@@ -91,10 +91,10 @@
         if self._lag_s > MAX_LAG_S:
             raise CouldNotRunError("this machine is too busy")
 
-    async def add_entry(self, name: str) -> entry_module.Entry:
+    async def add_entry(self, name: str) -> entry_process.Entry:
         """Add an entry with an address of the store of its own."""
         address = await self.store.listen_for(name)
-        found = entry_module.Entry(name, address, self.scratch)
+        found = entry_process.Entry(name, address, self.scratch)
         self.entries.append(found)
         return found
 
@@ -110,7 +110,7 @@
             waiting = [
                 item
                 for item in waiting
-                if await client.probe(item.ready) != 200
+                if await client_peer.probe(item.ready) != 200
             ]
 
     def close(self) -> None:
--- a/review/peers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and tools that the cases of the review share."""
--- a/review/peers/store.py
+++ b/review/store_peer.py
@@ -9,7 +9,7 @@
 from typing import Any
 import urllib.parse
 
-from peers import http
+import http_wire
 
 Answer = tuple[int, dict[str, Any]]
 MAX_ITEMS = 500
@@ -112,7 +112,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
-            request = await http.read_request(reader)
+            request = await http_wire.read_request(reader)
             while request is not None:
                 path, _, query = request.target.partition("?")
                 self.calls.append((time.monotonic(), machine, path))
@@ -125,9 +125,9 @@
                     )
                 if path == "/kv-watch" and machine in self.turned_away:
                     status, body = 503, {}
-                http.write_json(writer, status, body)
+                http_wire.write_json(writer, status, body)
                 await writer.drain()
-                request = await http.read_request(reader)
+                request = await http_wire.read_request(reader)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
--- a/review/peers/worker.py
+++ b/review/worker_peer.py
@@ -8,8 +8,8 @@
 import time
 from typing import Any
 
-from peers import http
-from peers import store as store_module
+import http_wire
+import store_peer
 
 HEARTBEAT_S = 1.2
 WORK_S = 0.03
@@ -20,7 +20,7 @@
 
     def __init__(
         self,
-        store: store_module.Store,
+        store: store_peer.Store,
         server_id: str,
         service: str,
         record: Callable[..., None],
@@ -88,7 +88,7 @@
     ) -> None:
         try:
             while True:
-                request = await http.read_request(reader)
+                request = await http_wire.read_request(reader)
                 if request is None:
                     break
                 await self.handle(request, reader, writer)
@@ -100,7 +100,7 @@
 
     async def handle(
         self,
-        request: http.Request,
+        request: http_wire.Request,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
@@ -120,7 +120,7 @@
 
     async def respond(
         self,
-        request: http.Request,
+        request: http_wire.Request,
         request_id: str,
         writer: asyncio.StreamWriter,
     ) -> None:
