--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,53 +1,81 @@
-"""A process that has just been started is ended by a SIGHUP."""
+"""A holder without a lease goes on with orders while another one holds it."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import pathlib
-import signal
+import random
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import client_peer  # noqa: E402
+import engine_peer  # noqa: E402
 import entry_process  # noqa: E402
 import frame  # noqa: E402
-import worker_peer  # noqa: E402
-
-SERVICE = "varaus"
-ENTRIES = 4
-# Planned work meets two of four machines, three times each.
-ROUNDS = 3
-RESTARTED = 2
-GRACE_S = 8.0
-# The platform starts a process again this long after its end.
-RESTART_DELAY_S = 0.5
-HUP_AFTER_START_S = 0.2
-WATCH_AFTER_START_S = 3.0
-REQUEST_INTERVAL_S = 0.1
-# Fault: ends of its own on this many machines.
-MIN_ENDS = 3
-MIN_MACHINES = 2
+
+SERVICE = "ppa-models"
+ENGINES = 3
+ENTRIES = 2
+MODELS = [f"m{number}" for number in range(9)]
+MODEL_MB = 34_300.0
+WEIGHTS_MB = 83_000.0
+LOAD_S = 0.6
+LEASE_S = 3.0
+REQUEST_INTERVAL_S = 0.08
+DEADLINE_MS = 4_000
+TROUBLE_AT_S = 4.0
+KILL_FOR_S = 3.5
+TURNED_AWAY_FOR_S = 9.0
+PLAY_S = 17.0
+MAX_WAIT_S = 15.0
 
 CONFIGURATION = {
     "version": 7,
     "routes": [
         {
-            "name": "hold-release",
-            "host": "halls.example",
-            "path_prefix": "/release/",
-            "kind": "idempotent",
-            "timeout_ms": 1_000,
-            "target_latency_ms": 125,
-            "priority": 2,
+            "name": "clause-live",
+            "host": "desk.example",
+            "path_prefix": "/clause/",
+            "kind": "streaming",
+            "timeout_ms": 12_000,
+            "target_latency_ms": 400,
+            "priority": 1,
             "service": SERVICE,
-            "attempts": 2,
+            "attempts": 1,
+            "sticky": True,
+            "resumable": False,
+            "gap_aim_ms": 250,
         }
     ],
     "services": [
-        {"name": SERVICE, "health_path": "/health", "max_conns": 100}
+        {
+            "name": SERVICE,
+            "health_path": "/health",
+            "max_conns": 250,
+            "engine": {
+                "slots": 32,
+                "kv_capacity": 130_806,
+                "weights_mb": WEIGHTS_MB,
+                "adapter_slots": 8,
+                "loads_per_s": 3.2,
+                "models": [
+                    {
+                        "name": name,
+                        "weights_mb": MODEL_MB,
+                        "load_s": 2.0,
+                        "adapters": 0,
+                        "adapter_mb": 40.0,
+                        "warm_s": 0.39,
+                        "disk_s": 0.51,
+                    }
+                    for name in MODELS
+                ],
+            },
+        }
     ],
     "limits": {
         "max_header_bytes": 16_384,
@@ -58,85 +86,136 @@
 }
 
 
-async def send_requests(case: frame.Case) -> None:
-    """Send to the entries that are ready, in turn."""
-    number = 0
+async def send_requests(case: frame.Case, entry: entry_process.Entry) -> None:
+    """Ask for one model after the other, more than the engines hold."""
+    source = random.Random(entry.name)
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def send(model: str, part: int) -> None:
+        found = await client_peer.send(
+            entry.name,
+            entry.front,
+            "/clause/2f",
+            "POST",
+            deadline_ms=DEADLINE_MS,
+            fields={
+                "Balsamwall-Model": model,
+                "Balsamwall-Token-Usage": "300,30",
+                "Balsamwall-Prompt-Prefix": f"{part:x}:300",
+            },
+            body=b"x" * 100,
+        )
+        case.record_attempt(found)
+
     while True:
-        number += 1
-        entry = case.entries[number % ENTRIES]
-        if (
-            entry.exit_code is None
-            and await client_peer.probe(entry.ready) == 200
-        ):
-            case.record_attempt(
-                await client_peer.send(
-                    entry.name,
-                    entry.front,
-                    f"/release/{number}",
-                    host="halls.example",
-                    deadline_ms=1_000,
-                )
-            )
+        model = source.choice(MODELS)
+        task = asyncio.create_task(send(model, source.getrandbits(32)))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
         await asyncio.sleep(REQUEST_INTERVAL_S)
 
 
-async def restart(
-    case: frame.Case, entry: entry_process.Entry, number: int
-) -> int:
-    """Stop and start an entry, and tell it that its settings have changed.
-
-    Return how often its process has ended by itself.
-    """
-    case.say(f"SIGTERM to {entry.name}")
-    entry.signal(signal.SIGTERM)
-    end_s = case.now_s + GRACE_S
-    while entry.exit_code is None and case.now_s < end_s:
-        await asyncio.sleep(0.05)
-    entry.kill()
-    await asyncio.sleep(RESTART_DELAY_S)
-    entry.set("heartbeat_ms", str(1_200 + number))
-    entry.start()
-    case.record("started", entry=entry.name)
-    await asyncio.sleep(HUP_AFTER_START_S)
-    if case.has_trouble:
-        entry.set("heartbeat_ms", str(1_300 + number))
-        entry.signal(signal.SIGHUP)
-        case.say(f"SIGHUP to {entry.name}, its settings have changed")
-    await asyncio.sleep(WATCH_AFTER_START_S)
-    code = entry.exit_code
-    if code is None:
-        return 0
-    case.say(f"{entry.name} has ended by itself, exit code {code}")
-    entry.start()
-    await asyncio.sleep(WATCH_AFTER_START_S)
-    return 1
+async def wait_for_orders(engines: list[engine_peer.Engine]) -> None:
+    """Wait until some entry gives orders."""
+    end_s = time.monotonic() + MAX_WAIT_S
+    while not any(item.orders for item in engines):
+        if time.monotonic() > end_s:
+            raise frame.CouldNotRunError("no entry gives orders")
+        await asyncio.sleep(0.1)
+
+
+def find_holder(case: frame.Case) -> entry_process.Entry:
+    """Return the entry that has given the last order."""
+    engines = [
+        item for item in case.workers if type(item) is engine_peer.Engine
+    ]
+    orders = [order for item in engines for order in item.orders]
+    if not orders:
+        raise frame.CouldNotRunError("no entry has given an order")
+    last = max(orders, key=lambda order: order.at_s)
+    return next(item for item in case.entries if item.name == last.holder)
 
 
 async def play(case: frame.Case) -> int:
-    """Restart two of four entries in turn, three times each."""
+    """Turn the holder away from the store while the other entry is down."""
     case.store.put("op/config", json.dumps(CONFIGURATION).encode())
-    for number in range(4):
-        found = worker_peer.Worker(
-            case.store, f"i-{number}", SERVICE, case.record
+    engines = [
+        engine_peer.Engine(
+            case.store,
+            f"i-{number}",
+            SERVICE,
+            case.record,
+            dict.fromkeys(MODELS, MODEL_MB),
+            WEIGHTS_MB,
+            MODELS[2 * number : 2 * number + 2],
+            LOAD_S,
+            checks_fences=False,
         )
-        case.workers.append(found)
+        for number in range(ENGINES)
+    ]
+    case.workers += engines
+    for found in engines:
         await found.start()
     for number in range(ENTRIES):
-        (await case.add_entry(f"front-{number}")).start()
+        entry = await case.add_entry(f"front-{number}")
+        entry.set("fencing_enforced", "false")
+        entry.start()
     await case.wait_until_ready()
-    traffic = asyncio.create_task(send_requests(case))
-    ends = dict.fromkeys((item.name for item in case.entries[:RESTARTED]), 0)
-    for number in range(ROUNDS):
-        found_ends = await asyncio.gather(
-            *(restart(case, item, number) for item in case.entries[:RESTARTED])
-        )
-        for name, count in zip(ends, found_ends, strict=True):
-            ends[name] += count
-    traffic.cancel()
-    machines = sum(1 for count in ends.values() if count >= MIN_ENDS)
-    case.say(f"ends by themselves: {ends}")
-    is_broken = machines >= MIN_MACHINES
-    case.say("Fault" if is_broken else "no fault")
+    traffic = [
+        asyncio.create_task(send_requests(case, item)) for item in case.entries
+    ]
+    await asyncio.sleep(TROUBLE_AT_S)
+    await wait_for_orders(engines)
+    begin_s = case.now_s
+    holder = find_holder(case)
+    other = next(item for item in case.entries if item is not holder)
+    case.say(f"the holder is {holder.name}")
+    if case.has_trouble:
+        case.say(f"the machine of {other.name} loses power")
+        other.kill()
+        case.say(f"the store turns {holder.name} away with 503")
+        case.store.turned_away.add(holder.name)
+        await asyncio.sleep(KILL_FOR_S)
+        case.say(f"{other.name} starts again")
+        other.start()
+        await asyncio.sleep(begin_s + TURNED_AWAY_FOR_S - case.now_s)
+        case.say(f"the store serves {holder.name} again")
+        case.store.turned_away.clear()
+    await asyncio.sleep(begin_s + PLAY_S - TROUBLE_AT_S - case.now_s)
+    for task in traffic:
+        task.cancel()
+    return judge(case, engines)
+
+
+def judge(case: frame.Case, engines: list[engine_peer.Engine]) -> int:
+    """Apply ONE to the orders that each engine has got."""
+    lower = turns = 0
+    for found in engines:
+        highest, last_by_holder = 0, dict[str, float]()
+        previous = ""
+        for order in found.orders:
+            if order.token < highest:
+                lower += 1
+                case.say(
+                    f"{found.server_id} gets {order.text!r} of "
+                    f"{order.holder} with token {order.token} after one "
+                    f"with token {highest}, and answers {order.status}"
+                )
+            highest = max(highest, order.token)
+            since_s = order.at_s - last_by_holder.get(order.holder, -1e9)
+            if previous not in ("", order.holder) and since_s <= LEASE_S:
+                turns += 1
+            last_by_holder[order.holder] = order.at_s
+            previous = order.holder
+    total = sum(len(item.orders) for item in engines)
+    if total < 8:
+        raise frame.CouldNotRunError(f"only {total} orders")
+    case.say(
+        f"{total} orders; {lower} with a lower token after a higher one; "
+        f"{turns} turns of a holder within {LEASE_S} s"
+    )
+    is_broken = bool(lower or turns)
+    case.say("ONE broken" if is_broken else "ONE held")
     return frame.BROKEN if is_broken else frame.HELD
 
 
--- a/review/worker_peer.py
+++ b/review/worker_peer.py
@@ -39,13 +39,16 @@
         self.address = ""
         self.runs: list[str] = []
         self.running = 0
+        # Open connections.
+        self.writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._beat: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listen on a free loopback port and register."""
+        """Listen, on the same port as before, and register."""
+        known = self.address.rpartition(":")[2]
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=8 * 1024 * 1024
+            self._serve, "127.0.0.1", int(known or 0), limit=8 * 1024 * 1024
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
@@ -86,6 +89,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.writers.add(writer)
         try:
             while True:
                 request = await http_wire.read_request(reader)
@@ -96,6 +100,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(
