Take the decision on orders and terms out of the coordinator

That decision stood among the plans of coordinator.py, and no log line said that the lease had ended while the term went on, so that the logs could not tell a lease held too long from a term that goes on without one.

Change: `OrderAuthority` takes the lease, the count of entries and the state of the store, and decides on the term and on the token. No decision changes.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -15,6 +15,7 @@
 from balsamwall.coordination import fleet_broadcast
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import order_authority
 from balsamwall.coordination import order_runner
 from balsamwall.coordination import prefetch_planner
 from balsamwall.coordination import prompt_scheduler
@@ -50,9 +51,6 @@
 # No model is prefetched for this time after an engine was added, as not all
 # engines may be known yet.
 ENGINE_DISCOVERY_MS = 1_000
-# Longest time without the lease during which orders may continue.
-# A longer outage of the store is treated as a partition of this VM alone.
-MAX_WITHOUT_LEASE_MS = 30_000
 
 
 class FleetLinks(Protocol):
@@ -79,6 +77,7 @@
     """
 
     __slots__ = (
+        "_authority",
         "_broadcast",
         "_clock",
         "_configuration",
@@ -86,14 +85,8 @@
         "_demand",
         "_directory",
         "_engines",
-        "_entries_with_lease",
         "_features",
         "_fleet_size",
-        "_lease_held_ms",
-        "_is_active",
-        "_fenced_revision",
-        "_is_store_connected",
-        "_lease",
         "_limits",
         "_links",
         "_log",
@@ -129,7 +122,9 @@
         self._clock = clock
         self._configuration = configuration
         self._directory = directory
-        self._lease = lease
+        self._authority = order_authority.OrderAuthority(
+            clock, lease, lambda: links.count, is_store_connected, log
+        )
         self._links = links
         self._log = log
         self._limits = limits
@@ -177,40 +172,13 @@
             self._standby,
             self._crashes,
         )
-        self._is_active = False
-        # Newest token that an engine has rejected, 0 for none.
-        self._fenced_revision = 0
-        self._is_store_connected = is_store_connected
-        self._lease_held_ms = 0
-        self._entries_with_lease = 0
         self._plan_timer: clock_module.Timer | None = None
         self._last_summary_ms = 0
 
     @property
     def fencing_token(self) -> int:
-        """Return the fencing token for orders, 0 if none may be sent.
-
-        Engines reject orders whose token is below one they have seen, so the
-        lease only avoids wasted work. While the store is unreachable no other
-        entry can take the lease, and this one keeps sending orders as long as
-        most entries stay connected to it.
-        """
-        if self._lease.revision <= self._fenced_revision:
-            return 0
-        if self._lease.is_held or self._may_continue_without_lease():
-            return self._lease.revision
-        return 0
-
-    def _may_continue_without_lease(self) -> bool:
-        """Return whether orders continue after the lease has expired."""
-        if not self._is_active or self._is_store_connected():
-            return False
-        # Entries that reach the store disconnect to follow a new coordinator.
-        if self._links.count * 2 <= self._entries_with_lease:
-            return False
-        return (
-            self._clock.now_ms() - self._lease_held_ms < MAX_WITHOUT_LEASE_MS
-        )
+        """Return the fencing token for orders, 0 if none may be sent."""
+        return self._authority.fencing_token
 
     @property
     def is_active(self) -> bool:
@@ -219,13 +187,14 @@
         After a pause of the process, messages are read before the next tick
         checks the lease, which may have expired in the meantime.
         """
-        return self._is_active and bool(self.fencing_token)
+        return self._authority.is_in_term and self._authority.may_coordinate
 
     def start(self) -> None:
         """Check the lease and plan every TICK_INTERVAL_MS."""
         self._clock.call_later(TICK_INTERVAL_MS, self.start)
-        self._update_lease_state()
-        if self._is_active:
+        if self._authority.update():
+            self._on_term_changed()
+        if self._authority.is_in_term:
             self._tick()
 
     def on_message(self, vm: str, item: message.Message) -> None:
@@ -319,24 +288,12 @@
 
     def on_fenced(self) -> None:
         """Stop sending orders: an engine has seen a newer fencing token."""
-        self._log.write("orders_fenced", token=self._lease.revision)
-        self._fenced_revision = self._lease.revision
+        self._authority.on_fenced()
 
-    # Lease
+    # Term
 
-    def _update_lease_state(self) -> None:
-        if self._lease.is_held:
-            self._lease_held_ms = self._clock.now_ms()
-            self._entries_with_lease = self._links.count
-        is_active = bool(self.fencing_token)
-        if is_active == self._is_active:
-            return
-        self._is_active = is_active
-        self._log.write(
-            "orders_taken" if is_active else "orders_given_up",
-            token=self._lease.revision,
-        )
-        if is_active:
+    def _on_term_changed(self) -> None:
+        if self._authority.is_in_term:
             self._start_term()
         else:
             self._quotas.stop()
@@ -367,7 +324,7 @@
 
     def _on_plan_due(self) -> None:
         self._plan_timer = None
-        if self._is_active:
+        if self._authority.is_in_term:
             self._plan()
 
     def _plan(self) -> None:
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -9,6 +9,7 @@
 from balsamwall.coordination import coordinator as coordinator_module
 from balsamwall.coordination import engine_speed
 from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import order_authority
 from balsamwall.coordination import residency_log
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
@@ -138,7 +139,7 @@
         """Guards against a partitioned VM that never stops its orders."""
         self.is_connected = False
         self.expire_lease()
-        self.clock.advance(coordinator_module.MAX_WITHOUT_LEASE_MS)
+        self.clock.advance(order_authority.MAX_WITHOUT_LEASE_MS)
         self.assertEqual(self.coordinator.fencing_token, 0)
 
     def test_rejected_token_is_not_used_again_without_the_lease(self):
