Send orders only under a valid lease where engines check no tokens

Cause: a term that has lost its lease goes on while the store is away, as long as most of the entries that were connected with the lease still are. A holder that was alone when its lease ended counts only itself, so that it goes on whoever starts, returns or joins. This is safe only where engines reject lower tokens, and `fencing_enforced` was read nowhere. Counting better would not help: no count taken before the trouble says anything of an entry that starts later.

Change: `fencing_enforced` is read (missing: true, the platform's default; text or a number: an error that names the field). Where it is false, `LeasedOrders` allows an order only while the lease is held, and each order has a time by which it must be sent, which the HTTP client checks when the connection is open: after a freeze the event loop reads a connection that has opened before it runs timers. The term goes on, so that the entries get answers, and reports of engines are still read.

--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -12,8 +12,10 @@
 from twisted.web import server
 
 from soak import backoff as backoff_module
+from soak import entry as entry_module
 from soak import leaving as leaving_module
 from soak import ledger as ledger_module
+from soak import order_record
 from soak import poison_part as poison_part_module
 from soak import proxy as proxy_module
 from soak import server_limit
@@ -77,6 +79,9 @@
         self.order_count = 0
         self.busy_until_s = 0.0
         self.holders_by_token: dict[int, str] = {}
+        self.checks_tokens = True
+        # One record for each start of the engine.
+        self.order_records: list[order_record.OrderRecord] = []
         self.violations: list[str] = []
         self.state = "ready"
         self.draining_since_ms: int | None = None
@@ -117,6 +122,9 @@
         self.order_count = 0
         self.busy_until_s = 0.0
         self.holders_by_token = {}
+        self.order_records.append(
+            order_record.OrderRecord(entry_module.LEASE_MS)
+        )
         self.is_up = True
         self._send_heartbeat()
 
@@ -279,11 +287,12 @@
     def apply_order(self, body: dict[str, Any]) -> int:
         """Execute an order and return the HTTP status."""
         holder, token = body["holder"], body["fencing_token"]
+        self.order_records[-1].add(holder, token)
         if self.holders_by_token.setdefault(token, holder) != holder:
             self.violations.append(
                 f"two order holders share fencing token {token}"
             )
-        if token < max(self.holders_by_token):
+        if self.checks_tokens and token < max(self.holders_by_token):
             return 412
         is_busy = time.monotonic() < self.busy_until_s
         if is_busy or body.get("precondition") != self.order_count:
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -30,6 +30,7 @@
         zone: str,
         store_port: int,
         folder: pathlib.Path,
+        engines_check_tokens: bool = True,
     ) -> None:
         self.name = name
         self.callers_port = free_ports.free_port()
@@ -37,6 +38,7 @@
         self._settings = folder / f"{name}.toml"
         self._store_port = store_port
         self._zone = zone
+        self._engines_check_tokens = engines_check_tokens
         self._internal_ports = [free_ports.free_port() for _ in range(2)]
         self._process: subprocess.Popen[bytes] | None = None
         self._log = folder / f"{name}.log"
@@ -45,6 +47,8 @@
         self.is_frozen = False
         # Times in which the process was frozen or started again.
         self.disturbed_ms: list[tuple[int, int]] = []
+        # Times in which the process was frozen.
+        self.frozen_ms: list[tuple[int, int]] = []
         # Times in which the process did not reach the store.
         self.without_store_ms: list[tuple[int, int]] = []
         self.unexpected_exits: list[str] = []
@@ -54,6 +58,7 @@
         bounds: dict[str, Any] = {
             "grace_s": GRACE_S,
             "lease_ms": LEASE_MS,
+            "fencing_enforced": self._engines_check_tokens,
             "retry_budget_ratio": 0.2,
             "budget_extra": 50,
             "budget_window_s": 10,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -111,7 +111,9 @@
     entry.send_signal(signal.SIGSTOP)
     entry.is_frozen = True
     now_ms = ledger_module.now_ms()
-    entry.disturbed_ms.append((now_ms, now_ms + int(duration_s * 1_000)))
+    window = (now_ms, now_ms + int(duration_s * 1_000))
+    entry.disturbed_ms.append(window)
+    entry.frozen_ms.append(window)
     reactor.callLater(duration_s, _resume, entry)
 
 
--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -18,8 +18,10 @@
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
 from balsamwall.coordination import held_configuration
+from balsamwall.coordination import leased_orders
 from balsamwall.coordination import limited_engine_control
 from balsamwall.coordination import local_link
+from balsamwall.coordination import order_authority
 from balsamwall.coordination import origin_log
 from balsamwall.coordination import permit_issuer
 from balsamwall.coordination import store_relay
@@ -256,14 +258,13 @@
         )
 
     def _build_coordinator(self) -> None:
-        settings = self._settings
         self._election = coordinator_election.CoordinatorElection(
             self._clock,
             self._random,
             self._dependencies.store,
             self._dependencies.connection,
             self._own_address,
-            max(settings.lease_ms, settings.min_lease_ms),
+            self._lease_ms,
             self._fleet_client.on_coordinator_changed,
         )
         self._dependencies.engines.set_backoff(self._backoff)
@@ -274,7 +275,7 @@
             self._clock,
             self._configuration,
             self._directory,
-            self._election.lease,
+            self._new_order_authority(),
             limited_engine_control.LimitedEngineControl(
                 self._clock,
                 self._dependencies.engines,
@@ -285,7 +286,6 @@
             ),
             self._fleet_server,
             self._log,
-            lambda: self._election.is_store_available,
             self._limits,
             permits,
             self._quota_parts.issuer,
@@ -300,6 +300,23 @@
             self._fleet_server.broadcast,
         )
 
+    @property
+    def _lease_ms(self) -> int:
+        return max(self._settings.lease_ms, self._settings.min_lease_ms)
+
+    def _new_order_authority(self) -> order_authority.OrderAuthority:
+        lease = self._election.lease
+        return order_authority.OrderAuthority(
+            self._clock,
+            lease,
+            lambda: self._fleet_server.count,
+            lambda: self._election.is_store_available,
+            self._log,
+            None
+            if self._settings.engines_check_tokens
+            else leased_orders.LeasedOrders(lease),
+        )
+
     def watch_log(self, count_dropped: Callable[[], int]) -> None:
         """Export the number of log lines dropped because of a slow reader."""
         self._metrics.watch_log(count_dropped)
--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -15,7 +15,6 @@
 from balsamwall.coordination import fleet_broadcast
 from balsamwall.coordination import limit_rows
 from balsamwall.coordination import messages_fleet
-from balsamwall.coordination import order_authority
 from balsamwall.coordination import order_runner
 from balsamwall.coordination import prefetch_planner
 from balsamwall.coordination import prompt_scheduler
@@ -26,9 +25,8 @@
 from balsamwall.gateway import residency_waits
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from balsamwall.coordination import engine_control
+    from balsamwall.coordination import order_authority
     from balsamwall.coordination import origin_exchange
     from balsamwall.coordination import permit_issuer
     from balsamwall.coordination import quota_issuer
@@ -38,7 +36,6 @@
     from balsamwall.gateway import server_limits
     from balsamwall.limits import fleet_size as fleet_size_module
     from balsamwall.logs import decision_log
-    from balsamwall.placement import lease_keeper
     from balsamwall.protocol import message
     from balsamwall.timing import clock as clock_module
 
@@ -108,11 +105,10 @@
         clock: clock_module.Clock,
         configuration: configuration_holder.ConfigurationHolder,
         directory: backend_directory.BackendDirectory,
-        lease: lease_keeper.LeaseKeeper,
+        authority: order_authority.OrderAuthority,
         control: engine_control.EngineControl,
         links: FleetLinks,
         log: decision_log.DecisionLog,
-        is_store_connected: Callable[[], bool],
         limits: server_limits.ServerLimits,
         permits: permit_issuer.PermitIssuer,
         quotas: quota_issuer.QuotaIssuer,
@@ -122,9 +118,7 @@
         self._clock = clock
         self._configuration = configuration
         self._directory = directory
-        self._authority = order_authority.OrderAuthority(
-            clock, lease, lambda: links.count, is_store_connected, log
-        )
+        self._authority = authority
         self._links = links
         self._log = log
         self._limits = limits
@@ -180,6 +174,11 @@
         """Return the fencing token for orders, 0 if none may be sent."""
         return self._authority.fencing_token
 
+    @property
+    def send_by_ms(self) -> int | None:
+        """Return until when an order may be sent, None without a bound."""
+        return self._authority.send_by_ms
+
     @property
     def is_active(self) -> bool:
         """Return whether this process is the active coordinator.
@@ -329,6 +328,8 @@
 
     def _plan(self) -> None:
         """Plan and start the changes of greatest gain on the idle engines."""
+        if not self.fencing_token:
+            return
         self._demand.update()
         now_ms = self._clock.now_ms()
         waiting = self._demand.waiting()
--- a/src/balsamwall/coordination/coordinator_election.py
+++ b/src/balsamwall/coordination/coordinator_election.py
@@ -27,6 +27,8 @@
 # spread over this time, so that most entries see a holder before they try.
 ELECTION_SPREAD_MS = 400
 # The coordinator stops this long before its lease may expire in the store.
+# It exceeds engine_control.ORDER_TIMEOUT_MS, so that the last order arrives
+# before another process can hold the lease.
 LEASE_MARGIN_MS = 500
 
 
@@ -109,7 +111,9 @@
             address,
             self._is_candidate,
             lease_keeper.LeaseTimes(
-                lease_ms, LEASE_RENEW_INTERVAL_MS, LEASE_MARGIN_MS
+                lease_ms,
+                LEASE_RENEW_INTERVAL_MS,
+                LEASE_MARGIN_MS,
             ),
             self._expected_revision,
         )
--- a/src/balsamwall/coordination/engine_control.py
+++ b/src/balsamwall/coordination/engine_control.py
@@ -14,6 +14,12 @@
     from balsamwall.gateway import server_backoff
 
 
+# Longest time from the sending of an order to its response. The connection is
+# then aborted, so that the order does not arrive later. An order without a
+# response is safe to repeat, as it carries the same expected order count.
+ORDER_TIMEOUT_MS = 400
+
+
 class OrderKind(enum.Enum):
     """Type of an order, by the name used on the wire."""
 
@@ -77,9 +83,14 @@
         order: Order,
         order_count: int,
         fencing_token: int,
+        send_by_ms: int | None,
         callback: Callable[[OrderOutcome], None],
     ) -> None:
-        """Send an order that is valid only for the expected order count."""
+        """Send an order that is valid only for the expected order count.
+
+        Nothing is sent after `send_by_ms`, by the clock of this process; None
+        is no bound.
+        """
 
 
 class EngineClient(EngineControl, Protocol):
--- a/src/balsamwall/coordination/limited_engine_control.py
+++ b/src/balsamwall/coordination/limited_engine_control.py
@@ -81,6 +81,7 @@
         order: engine_control.Order,
         order_count: int,
         fencing_token: int,
+        send_by_ms: int | None,
         callback: Callable[[engine_control.OrderOutcome], None],
     ) -> None:
         """Send an order that is valid only for the expected order count.
@@ -93,7 +94,7 @@
             return
         self._permits.charge(record.server_id)
         self._control.send_order(
-            record, order, order_count, fencing_token, callback
+            record, order, order_count, fencing_token, send_by_ms, callback
         )
 
     def _report_delay_ms(self, server_id: str) -> int:
--- a/src/balsamwall/coordination/order_authority.py
+++ b/src/balsamwall/coordination/order_authority.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.coordination import leased_orders as leased_orders_module
     from balsamwall.logs import decision_log
     from balsamwall.placement import lease_keeper
     from balsamwall.timing import clock as clock_module
@@ -20,9 +21,11 @@
     """Decide whether a term goes on, and whether orders may be sent.
 
     A term is the time during which this process is the active coordinator.
-    Load pattern: the store is away from all entries, or turns only this one
-    away, and the lease ends. While the store is away no other entry can take
-    the lease, and the term goes on as long as most entries stay connected.
+    Load pattern: the lease ends, since the store is away from all entries or
+    turns this one away. The term goes on as long as most entries stay
+    connected, so that they get answers. Orders go on only where engines reject
+    those of a former coordinator: who is connected tells nothing of an entry
+    that has just started and may hold the lease.
     """
 
     __slots__ = (
@@ -34,6 +37,7 @@
         "_is_store_connected",
         "_lease",
         "_lease_held_ms",
+        "_leased_orders",
         "_log",
         "is_in_term",
     )
@@ -45,13 +49,18 @@
         count_entries: Callable[[], int],
         is_store_connected: Callable[[], bool],
         log: decision_log.DecisionLog,
+        leased_orders: leased_orders_module.LeasedOrders | None,
     ) -> None:
-        """Set the lease, and what counts the connected entries."""
+        """Set the lease, and what counts the connected entries.
+
+        `leased_orders` is None where engines check fencing tokens.
+        """
         self._clock = clock
         self._lease = lease
         self._count_entries = count_entries
         self._is_store_connected = is_store_connected
         self._log = log
+        self._leased_orders = leased_orders
         self._lease_held_ms = 0
         self._entries_with_lease = 0
         self._has_lease = False
@@ -70,11 +79,21 @@
     def fencing_token(self) -> int:
         """Return the fencing token for orders, 0 if none may be sent.
 
-        Engines reject orders whose token is below one they have seen, so the
-        lease only avoids wasted work.
+        Engines that check tokens reject those below one they have seen, so
+        that there the lease only avoids wasted work.
         """
+        leased_orders = self._leased_orders
+        if leased_orders is not None and not leased_orders.may_send:
+            return 0
         return self._lease.revision if self.may_coordinate else 0
 
+    @property
+    def send_by_ms(self) -> int | None:
+        """Return until when an order may be sent, None without a bound."""
+        if self._leased_orders is None:
+            return None
+        return self._leased_orders.send_by_ms
+
     def update(self) -> bool:
         """Begin or end the term; return whether that has changed."""
         has_lease = self._lease.is_held
--- a/src/balsamwall/coordination/order_runner.py
+++ b/src/balsamwall/coordination/order_runner.py
@@ -49,10 +49,18 @@
 class RunnerOwner(Protocol):
     """Source of the fencing token, and listener for the results of orders."""
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether the state of engines is of use."""
+
     @property
     def fencing_token(self) -> int:
         """Return the fencing token for orders, 0 if none may be sent."""
 
+    @property
+    def send_by_ms(self) -> int | None:
+        """Return until when an order may be sent, None without a bound."""
+
     def on_residents_changed(
         self, tracker: engine_tracker.EngineTracker
     ) -> None:
@@ -221,7 +229,12 @@
                 self._on_outcome(tracker, order, outcome)
 
         self._control.send_order(
-            tracker.record, order, tracker.order_count, token, on_outcome
+            tracker.record,
+            order,
+            tracker.order_count,
+            token,
+            self._owner.send_by_ms,
+            on_outcome,
         )
 
     def _on_outcome(
@@ -364,7 +377,7 @@
 
         The report is ignored if the state has changed in the meantime.
         """
-        if not self._owner.fencing_token:
+        if not self._owner.is_active:
             self._schedule(tracker, RETRY_INTERVAL_MS, retry)
             return
         state = tracker.state
--- a/src/balsamwall/gateway/gateway_settings.py
+++ b/src/balsamwall/gateway/gateway_settings.py
@@ -33,6 +33,9 @@
     # the newest for max_unconfirmed_ms: one may have been revoked meanwhile.
     refuses_unconfirmed_keys: bool = False
     max_unconfirmed_ms: int = 5_000
+    # Whether engines reject an order with a fencing token below one they have
+    # seen. Without that, orders need the lease itself.
+    engines_check_tokens: bool = True
     quota_tolerance: quota_tolerance_module.QuotaTolerance = (
         quota_tolerance_module.QuotaTolerance()
     )
--- a/src/balsamwall/infrastructure/http_client.py
+++ b/src/balsamwall/infrastructure/http_client.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.web import client
 from twisted.web import http_headers
@@ -224,6 +225,25 @@
         self.exchange.abort()
 
 
+@interface.implementer(interfaces.IStreamClientEndpoint)
+class _RequestEndpoint:
+    """Endpoint that checks at the last moment whether to send a request."""
+
+    def __init__(self, endpoint: Any, may_send: Callable[[], bool]) -> None:
+        self._endpoint = endpoint
+        self._may_send = may_send
+
+    def connect(self, protocolFactory: Any) -> Any:
+        connecting = self._endpoint.connect(protocolFactory)
+        return connecting.addCallback(self._on_connected)
+
+    def _on_connected(self, connected: Any) -> Any:
+        if self._may_send():
+            return connected
+        connected.transport.abortConnection()
+        raise error.ConnectingCancelledError(None)
+
+
 @interface.implementer(iweb.IAgentEndpointFactory)
 class _EndpointFactory:
     """Factory of endpoints for numeric IP addresses.
@@ -232,8 +252,9 @@
     between attempts, reports a refused connection only after 300 ms.
     """
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, may_send: Callable[[], bool]) -> None:
         self._reactor = reactor
+        self._may_send = may_send
 
     def endpointForURI(self, uri: Any) -> Any:
         if uri.scheme != b"http":
@@ -246,7 +267,10 @@
             else endpoints.TCP4ClientEndpoint
         )
         timeout_s = CONNECT_TIMEOUT_MS / 1_000
-        return factory(self._reactor, host, uri.port, timeout=timeout_s)
+        return _RequestEndpoint(
+            factory(self._reactor, host, uri.port, timeout=timeout_s),
+            self._may_send,
+        )
 
 
 class HttpClient:
@@ -256,15 +280,14 @@
     request sent on it would needlessly end with an unknown outcome.
     """
 
-    __slots__ = ("_agent", "_clock")
+    __slots__ = ("_agent", "_clock", "_pool", "_reactor")
 
     def __init__(self, reactor: Any, clock: clock_module.Clock) -> None:
         self._clock = clock
-        pool = client.HTTPConnectionPool(reactor, persistent=False)
-        pool.retryAutomatically = False
-        self._agent = client.Agent.usingEndpointFactory(
-            reactor, _EndpointFactory(reactor), pool
-        )
+        self._reactor = reactor
+        self._pool = client.HTTPConnectionPool(reactor, persistent=False)
+        self._pool.retryAutomatically = False
+        self._agent = self._new_agent(lambda: True)
 
     def stream(
         self,
@@ -287,15 +310,27 @@
         body: bytes,
         timeout_ms: int,
         callback: Callable[[HttpResponse], None],
+        send_by_ms: int | None = None,
     ) -> Callable[[], None]:
         """Send a request and call back once; return a cancel function.
 
         `timeout_ms` covers the whole call. After a cancel there is no
-        callback.
+        callback. A connection that is open only after `send_by_ms`, as the
+        process was paused or the server slow, is closed without a request.
         """
         collector = _ResponseCollector(callback)
         collector.timer = self._clock.call_later(
             timeout_ms, collector.on_timeout
         )
-        collector.exchange.start(self._agent, method, url, headers, body)
+        agent = self._agent
+        if send_by_ms is not None:
+            agent = self._new_agent(lambda: self._clock.now_ms() <= send_by_ms)
+        collector.exchange.start(agent, method, url, headers, body)
         return collector.cancel
+
+    def _new_agent(self, may_send: Callable[[], bool]) -> client.Agent:
+        return client.Agent.usingEndpointFactory(
+            self._reactor,
+            _EndpointFactory(self._reactor, may_send),
+            self._pool,
+        )
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -136,6 +136,11 @@
             return False
         return self._clock.now_ms() < end_ms
 
+    @property
+    def valid_until_ms(self) -> int:
+        """Return until when the lease is valid, 0 while it is not held."""
+        return self._valid_until_ms or 0 if self.is_held else 0
+
     @property
     def held_since_ms(self) -> int | None:
         """Return when the lease was acquired, None while it is not held."""
@@ -188,7 +193,10 @@
         self._valid_until_ms = None
         self._acquired_ms = None
         if lease_id:
-            self._store.revoke(lease_id, lambda result: None)
+            self._revoke(lease_id)
+
+    def _revoke(self, lease_id: int) -> None:
+        self._store.revoke(lease_id, lambda result: None)
 
     def _acquire(self) -> None:
         attempt = self._attempt
@@ -200,7 +208,7 @@
             lease_id = result.unwrap()
             expected = self._expected_revision()
             if attempt != self._attempt or expected is None:
-                self._store.revoke(lease_id, lambda result: None)
+                self._revoke(lease_id)
                 return
             self._lease_id = lease_id
             self._store.compare_and_swap(
--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -23,9 +23,6 @@
     from balsamwall.infrastructure import http_client
 
 REPORT_TIMEOUT_MS = 700
-# Engines respond to an order within some milliseconds. A retry is safe, as it
-# carries the same expected order count.
-ORDER_TIMEOUT_MS = 400
 # Header with the server for which a call is meant; another one responds with
 # status 421.
 EXPECT_SERVER = "Balsamwall-Expect-Instance"
@@ -91,9 +88,13 @@
         order: engine_control.Order,
         order_count: int,
         fencing_token: int,
+        send_by_ms: int | None,
         callback: Callable[[engine_control.OrderOutcome], None],
     ) -> None:
-        """Send an order that is valid only for the expected order count."""
+        """Send an order that is valid only for the expected order count.
+
+        Nothing is sent after `send_by_ms`.
+        """
 
         def on_answer(answer: http_client.HttpResponse) -> None:
             self._record_backoff(record, answer)
@@ -118,8 +119,9 @@
             f"http://{record.host}:{record.port}/order",
             headers,
             json.dumps(body).encode(),
-            ORDER_TIMEOUT_MS,
+            engine_control.ORDER_TIMEOUT_MS,
             on_answer,
+            send_by_ms,
         )
 
     def _record_backoff(
--- a/src/balsamwall/platform/node_settings.py
+++ b/src/balsamwall/platform/node_settings.py
@@ -129,6 +129,7 @@
         max_unconfirmed_ms=int(
             bounds.optional_number("revoke_ms", DEFAULT_REVOKE_MS)
         ),
+        engines_check_tokens=bounds.flag("fencing_enforced", True),
         quota_tolerance=_quota_tolerance(bounds),
     )
 
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -52,23 +52,33 @@
         self.lease = FakeLease()
         self.links = FakeLinks()
         self.is_connected = True
-        self.coordinator = coordinator_module.Coordinator(
+        self.coordinator = self.make_coordinator(None)
+        self.coordinator.start()
+        self.lease.is_held, self.lease.revision = True, 7
+        self.clock.advance(500)
+
+    def make_coordinator(self, orders):
+        log = decision_log.DecisionLog(self.clock)
+        return coordinator_module.Coordinator(
             self.clock,
             configuration_holder.ConfigurationHolder(),
             backend_directory.BackendDirectory(self.clock.now_ms),
-            self.lease,
+            order_authority.OrderAuthority(
+                self.clock,
+                self.lease,
+                lambda: self.links.count,
+                lambda: self.is_connected,
+                log,
+                orders,
+            ),
             None,
             self.links,
-            decision_log.DecisionLog(self.clock),
-            lambda: self.is_connected,
+            log,
             *gateway_harness.make_limits(self.clock),
             origin_harness.make_parts(
                 gateway_harness.GatewayHarness(clock=self.clock)
             ).merger,
         )
-        self.coordinator.start()
-        self.lease.is_held, self.lease.revision = True, 7
-        self.clock.advance(500)
 
     def expire_lease(self):
         self.lease.is_held = False
--- a/tests/coordination/test_engine_room.py
+++ b/tests/coordination/test_engine_room.py
@@ -26,6 +26,7 @@
 
     def __init__(self, clock, engine, seed):
         self.fencing_token = 7
+        self.send_by_ms = None
         self.random = random.Random(seed)
         record = gateway_harness.make_record("e1", models=engine.models)
         self.tracker = engine_tracker.EngineTracker(record, engine.spec)
@@ -35,6 +36,10 @@
         self.runner.set_load_rate(100.0)
         self.runner.refresh(self.tracker)
 
+    @property
+    def is_active(self):
+        return bool(self.fencing_token)
+
     def on_residents_changed(self, tracker):
         pass
 
--- a/tests/coordination/test_order_of_plans.py
+++ b/tests/coordination/test_order_of_plans.py
@@ -7,6 +7,7 @@
 from balsamwall.coordination import coordinator as coordinator_module
 from balsamwall.coordination import engine_control
 from balsamwall.coordination import messages_fleet
+from balsamwall.coordination import order_authority
 from balsamwall.coordination import residency_planner
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import configuration_holder
@@ -30,7 +31,9 @@
         )
         self.clock.call_later(1, callback, report)
 
-    def send_order(self, record, order, order_count, token, callback):
+    def send_order(
+        self, record, order, order_count, token, send_by_ms, callback
+    ):
         self.orders.append((order.kind.value, order.model))
         accepted = engine_control.OrderOutcome.ACCEPTED
         self.clock.call_later(1, callback, accepted)
@@ -53,16 +56,19 @@
         self.directory = backend_directory.BackendDirectory(self.clock.now_ms)
         lease = test_coordinator.FakeLease()
         lease.is_held, lease.revision = True, 7
+        links = test_coordinator.FakeLinks()
+        log = decision_log.DecisionLog(self.clock)
         self.engine = AcceptingEngine(self.clock)
         self.coordinator = coordinator_module.Coordinator(
             self.clock,
             configuration,
             self.directory,
-            lease,
+            order_authority.OrderAuthority(
+                self.clock, lease, lambda: links.count, lambda: True, log, None
+            ),
             self.engine,
-            test_coordinator.FakeLinks(),
-            decision_log.DecisionLog(self.clock),
-            lambda: True,
+            links,
+            log,
             *gateway_harness.make_limits(self.clock),
             origin_harness.make_parts(
                 gateway_harness.GatewayHarness(clock=self.clock)
--- a/tests/coordination/test_order_runner.py
+++ b/tests/coordination/test_order_runner.py
@@ -43,7 +43,9 @@
         )
         self.clock.call_later(1, callback, report)
 
-    def send_order(self, record, order, order_count, token, callback):
+    def send_order(
+        self, record, order, order_count, token, send_by_ms, callback
+    ):
         outcome = self.execute(order, order_count)
         if self.lost_responses:
             self.lost_responses -= 1
@@ -73,6 +75,8 @@
 
     def __init__(self):
         self.fencing_token = 7
+        self.is_active = True
+        self.send_by_ms = None
         self.residents = []
         self.is_fenced = False
 
@@ -148,7 +152,7 @@
         """Guards against unused memory while the engine state is read."""
         send = self.engine.send_order
 
-        def drop_order(record, order, order_count, token, callback):
+        def drop_order(record, order, count, token, send_by_ms, callback):
             self.engine.send_order = send
             self.clock.call_later(1, callback, Outcome.UNKNOWN)
 
--- a/tests/gateway/test_server_backoff.py
+++ b/tests/gateway/test_server_backoff.py
@@ -350,7 +350,9 @@
 
     def send_order(self):
         order = engine_control.Order(engine_control.OrderKind.LOAD, "m1")
-        self.control.send_order(self.record, order, 1, 5, self.found.append)
+        self.control.send_order(
+            self.record, order, 1, 5, None, self.found.append
+        )
 
     def test_nothing_is_sent_within_the_time(self):
         """Guards against orders and reports to such an engine."""
@@ -380,7 +382,16 @@
     def __init__(self):
         self.calls = 0
 
-    def call(self, method, url, headers, body, timeout_ms, callback):
+    def call(
+        self,
+        method,
+        url,
+        headers,
+        body,
+        timeout_ms,
+        callback,
+        send_by_ms=None,
+    ):
         self.calls += 1
         callback(
             http_client.HttpResponse(503, {"retry-after": "3"}, b"", True, "")
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -71,6 +71,20 @@
         for value in (-1, float("inf"), float("nan")):
             self.check_rejected("bounds.revoke_ms", value)
 
+    def test_engines_that_execute_any_order(self):
+        """Guards against orders without a lease where engines take them all.
+
+        A value of another type is an error, and no value is the platform's
+        default.
+        """
+        self.assertTrue(node_settings.parse(ROWS).engines_check_tokens)
+        for value in (True, False):
+            bounds = {**ROWS["bounds"], "fencing_enforced": value}
+            found = node_settings.parse({**ROWS, "bounds": bounds})
+            self.assertIs(found.engines_check_tokens, value)
+        for value in ("false", "", 0, 1, []):
+            self.check_rejected("bounds.fencing_enforced", value)
+
     def test_quota_tolerance(self):
         """Guards against the slack of one deployment in all others."""
         found = node_settings.parse(ROWS).quota_tolerance
