Revoke the lease of orders once those under way have arrived

Cause: an entry that stops revokes its lease at the next renewal, with orders on their way for up to 400 ms. The next holder orders 0 to 700 ms later, with a higher token, and an order of the former one arrives behind it. Where engines check tokens they reject it.

Change: where they don't, the lease ends for this process at once and is revoked in the store ORDER_TIMEOUT_MS later. A process that ends before revokes nothing, and the lease lapses.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -13,6 +13,7 @@
 from balsamwall.composition import version_parts
 from balsamwall.coordination import coordinator as coordinator_module
 from balsamwall.coordination import coordinator_election
+from balsamwall.coordination import engine_control
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_dialer
 from balsamwall.coordination import fleet_server
@@ -258,6 +259,7 @@
         )
 
     def _build_coordinator(self) -> None:
+        settings = self._settings
         self._election = coordinator_election.CoordinatorElection(
             self._clock,
             self._random,
@@ -266,6 +268,10 @@
             self._own_address,
             self._lease_ms,
             self._fleet_client.on_coordinator_changed,
+            # Engines that check tokens reject an order that arrives later.
+            0
+            if settings.engines_check_tokens
+            else engine_control.ORDER_TIMEOUT_MS,
         )
         self._dependencies.engines.set_backoff(self._backoff)
         permits = permit_issuer.PermitIssuer(
--- a/src/balsamwall/coordination/coordinator_election.py
+++ b/src/balsamwall/coordination/coordinator_election.py
@@ -86,10 +86,12 @@
         address: str,
         lease_ms: int,
         on_holder: Callable[[str], None],
+        release_delay_ms: int,
     ) -> None:
         """Set the own address, and whom to tell that of each coordinator.
 
-        It is empty while there is none.
+        It is empty while there is none. The lease is revoked after
+        `release_delay_ms` once this process is no candidate any more.
         """
         self._clock = clock
         self._random = random_source
@@ -114,6 +116,7 @@
                 lease_ms,
                 LEASE_RENEW_INTERVAL_MS,
                 LEASE_MARGIN_MS,
+                release_delay_ms,
             ),
             self._expected_revision,
         )
--- a/src/balsamwall/placement/lease_keeper.py
+++ b/src/balsamwall/placement/lease_keeper.py
@@ -32,6 +32,9 @@
     ttl_ms: int = LEASE_TTL_MS
     renew_ms: int = LEASE_RENEW_MS
     margin_ms: int = LEASE_MARGIN_MS
+    # Time from the end of the task to the revocation of the lease, in which
+    # calls that are under way arrive.
+    release_delay_ms: int = 0
 
 
 StoreResult = Result[int, result_code.ResultCode]
@@ -171,7 +174,7 @@
         """
         self._timer = self._clock.call_later(self._times.renew_ms, self.start)
         if not self._is_candidate():
-            self._release()
+            self._release(self._times.release_delay_ms)
         elif self._lease_id:
             # The service may have kept the lease during an outage.
             self._renew()
@@ -186,13 +189,18 @@
             self._timer = None
         self._release()
 
-    def _release(self) -> None:
+    def _release(self, delay_ms: int = 0) -> None:
+        """End the task now, and revoke the lease after a delay."""
         self._attempt += 1
         self._is_renewal_failing = False
         lease_id, self._lease_id = self._lease_id, 0
         self._valid_until_ms = None
         self._acquired_ms = None
-        if lease_id:
+        if not lease_id:
+            return
+        if delay_ms:
+            self._clock.call_later(delay_ms, self._revoke, lease_id)
+        else:
             self._revoke(lease_id)
 
     def _revoke(self, lease_id: int) -> None:
--- a/tests/coordination/test_coordinator_election.py
+++ b/tests/coordination/test_coordinator_election.py
@@ -35,6 +35,7 @@
             self.address,
             LEASE_MS,
             lambda holder: None,
+            0,
         )
         self.election.follow()
         client.feed.start()
--- a/tests/coordination/test_orders_without_lease.py
+++ b/tests/coordination/test_orders_without_lease.py
@@ -19,6 +19,7 @@
 STEP_MS = 20
 TICK_MS = 100
 ORDER_INTERVAL_MS = 60
+SEEDS = range(1, 61)
 
 
 class FreezableClock:
@@ -68,6 +69,7 @@
             f"{name}:{number}",
             LEASE_MS,
             lambda holder: None,
+            engine_control.ORDER_TIMEOUT_MS,
         )
         self.authority = order_authority.OrderAuthority(
             self.clock,
@@ -238,6 +240,17 @@
                 self.assertIsNot(day.holder, former)
                 self.check(day)
 
+    def test_holder_that_stops_leaves_no_order_behind(self):
+        """Guards against a lease that is released with orders under way."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                day = OrderDay(seed)
+                former = day.holder
+                former.election.stop()
+                day.advance(6_000)
+                self.assertIsNot(day.holder, former)
+                self.check(day)
+
     def test_holder_that_is_served_for_a_moment_keeps_its_lease(self):
         """Guards against orders without end after one served renewal."""
         day = OrderDay()
