Keep holders that take turns apart where engines check no tokens

Cause: a holder that loses its lease and gets it again, or a process that starts again on the VM of a former one (a release that replaces one entry after the other), orders less than `lease_ms` after its last order, with another holder between.

Change: under a new lease a process orders `lease_ms` and the time of an order after its own last one, or after its start. Elsewhere nothing waits: a holder that takes over from a lost one has been up for longer.

--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -320,7 +320,9 @@
             self._log,
             None
             if self._settings.engines_check_tokens
-            else leased_orders.LeasedOrders(lease),
+            else leased_orders.LeasedOrders(
+                self._clock, lease, self._lease_ms
+            ),
         )
 
     def watch_log(self, count_dropped: Callable[[], int]) -> None:
--- a/src/balsamwall/coordination/order_authority.py
+++ b/src/balsamwall/coordination/order_authority.py
@@ -96,6 +96,8 @@
 
     def update(self) -> bool:
         """Begin or end the term; return whether that has changed."""
+        if self._leased_orders is not None:
+            self._leased_orders.update()
         has_lease = self._lease.is_held
         if has_lease:
             self._lease_held_ms = self._clock.now_ms()
--- a/tests/coordination/test_orders_without_lease.py
+++ b/tests/coordination/test_orders_without_lease.py
@@ -77,7 +77,9 @@
             day.count_up,
             lambda: self.election.is_store_available,
             decision_log.DecisionLog(self.clock),
-            leased_orders.LeasedOrders(self.election.lease),
+            leased_orders.LeasedOrders(
+                self.clock, self.election.lease, LEASE_MS
+            ),
         )
         self.election.follow()
         client.feed.start()
@@ -164,13 +166,18 @@
 
     def problems(self):
         """Return the orders that a holder gives beside another one."""
-        found, highest, holder_by_token = [], 0, {}
+        found, highest, previous = [], 0, ""
+        last_ms, holder_by_token = {}, {}
         for at_ms, name, token in self.orders:
             if token < highest:
                 found.append((at_ms, name, "lower token"))
             if holder_by_token.setdefault(token, name) != name:
                 found.append((at_ms, name, "token of another holder"))
+            since_ms = at_ms - last_ms.get(name, -LEASE_MS)
+            if previous not in ("", name) and since_ms < LEASE_MS:
+                found.append((at_ms, name, "turn within the lease"))
             highest = max(highest, token)
+            last_ms[name], previous = at_ms, name
         return found
 
     def orders_since(self, since_ms):
@@ -278,3 +285,49 @@
         day.store.is_away = False
         day.advance(3_000)
         self.check(day)
+
+    def test_any_order_of_events(self):
+        """Guards against orders of events that no other test has."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                day = OrderDay(seed, entries=3)
+                for _ in range(12):
+                    self.disturb(day)
+                    day.advance(day.random.randint(100, 4_000))
+                for item in day.entries:
+                    item.http.is_cut = False
+                    if item.clock.is_frozen:
+                        item.clock.thaw()
+                day.advance(12_000)
+                self.check(day)
+
+    def disturb(self, day):
+        """Cut, freeze, kill, stop or start an entry, or return from a copy."""
+        entry = day.random.choice(day.entries)
+        kind = day.random.randrange(6)
+        if kind == 0:
+            entry.http.is_cut = not entry.http.is_cut
+        elif kind == 1:
+            if entry.clock.is_frozen:
+                entry.clock.thaw()
+            else:
+                entry.clock.is_frozen = True
+        elif kind == 2:
+            entry.kill()
+            day.entries.remove(entry)
+            day.start(entry.name)
+        elif kind == 3:
+            entry.election.stop()
+            day.advance(day.random.randint(100, 2_000))
+            day.kill(entry)
+            day.start(entry.name)
+        elif kind == 4:
+            day.start(f"front-{len(day.entries)}")
+        else:
+            state = day.store.copy()
+            day.advance(day.random.randint(0, 2_000))
+            day.store.is_away = True
+            day.store.close_watches()
+            day.advance(day.random.randint(100, 1_500))
+            day.store.is_away = False
+            day.store.restore(state, keeps_leases=False)
