Bound the head, the framing and the sum of responses to own calls

Callers lose all requests of an entry whose process ends out of memory, since some engines write bytes without end in their reports (report of other operators).

Cause: `HttpClient.call` bounded the decoded body of one call (16 MiB), and nothing else. The head had no bound but the timeout, and a body could be 16 MiB for each of all engines at once; many small chunks were kept as as many objects.

Change: `ResponseAllowance` counts the bytes of a connection as they come: 16 KiB for the head with interim responses, then the bound of the call with its framing (256 KiB for a report, 16 KiB for an order). The connection is aborted there. `ResponseMemory` bounds the unfinished bodies of a client together (8 MiB for all engines, 32 MiB for the store, which has a client of its own) and cuts the longest. Both endpoints of a request are in one module now.

--- a/src/balsamwall/infrastructure/http_client.py
+++ b/src/balsamwall/infrastructure/http_client.py
@@ -8,15 +8,16 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error
-from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope import interface
 
+from balsamwall.infrastructure import request_endpoint
+from balsamwall.infrastructure import response_bounds
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -24,8 +25,10 @@
 
     from balsamwall.timing import clock as clock_module
 
-CONNECT_TIMEOUT_MS = 1_000
+# Bounds of the body of one response, and of all unfinished ones of a client.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_UNFINISHED_BYTES = 2 * MAX_RESPONSE_BYTES
+EXCEEDED = "response exceeds the size limit"
 # Reason of a refused connection: no process listens on the port. A connect
 # timeout is a different reason, as the process may be busy or paused.
 CONNECTION_REFUSED = "connection refused"
@@ -101,9 +104,17 @@
 class HttpExchange:
     """One request and its response on a dedicated connection."""
 
-    __slots__ = ("_deferred", "_reader", "_receiver")
+    __slots__ = ("_deferred", "_reader", "_receiver", "allowance", "may_send")
 
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        receiver: Receiver,
+        max_bytes: int | None = None,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Set the bound on the body, None for a stream without one."""
+        self.allowance = response_bounds.ResponseAllowance(max_bytes)
+        self.may_send = may_send
         self._receiver: Receiver | None = receiver
         self._deferred: Any = None
         self._reader: Any = None
@@ -141,6 +152,10 @@
         elif self._deferred is not None:
             self._deferred.cancel()
 
+    def on_exceeded(self) -> None:
+        """Report a response that exceeds its bound; it has been cut."""
+        self.close(False, True, EXCEEDED)
+
     def on_data(self, data: bytes) -> None:
         """Pass a chunk of the body to the receiver."""
         if self._receiver is not None:
@@ -153,6 +168,7 @@
             receiver.on_close(is_complete, was_sent, reason)
 
     def _on_response(self, response: Any) -> None:
+        self.allowance.is_head_complete = True
         self._reader = _BodyReader(self)
         if self._receiver is not None:
             found = {
@@ -178,19 +194,25 @@
         "_body",
         "_callback",
         "_headers",
-        "_size",
+        "_memory",
         "_status",
         "exchange",
         "timer",
     )
 
-    def __init__(self, callback: Callable[[HttpResponse], None]) -> None:
+    def __init__(
+        self,
+        callback: Callable[[HttpResponse], None],
+        memory: response_bounds.ResponseMemory[_ResponseCollector],
+        max_bytes: int,
+        may_send: Callable[[], bool],
+    ) -> None:
         self._callback: Callable[[HttpResponse], None] | None = callback
+        self._memory = memory
         self._status = 0
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
-        self._size = 0
-        self.exchange = HttpExchange(self)
+        self._body = bytearray()
+        self.exchange = HttpExchange(self, max_bytes, may_send)
         self.timer: clock_module.Timer | None = None
 
     def on_head(self, status: int, headers: dict[str, str]) -> None:
@@ -198,20 +220,22 @@
         self._headers = headers
 
     def on_data(self, data: bytes) -> None:
-        self._size += len(data)
-        self._body.append(data)
-        if self._size > MAX_RESPONSE_BYTES:
-            self.exchange.abort()
-            self.on_close(False, True, "response body exceeds the size limit")
+        self._body += data
+        for longest in self._memory.add(self, len(data)):
+            longest.cut()
+
+    def cut(self) -> None:
+        """Abort a response, as the unfinished ones are too long together."""
+        self.exchange.abort()
+        self.on_close(False, True, EXCEEDED)
 
     def on_close(self, is_complete: bool, was_sent: bool, reason: str) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        callback, self._callback = self._callback, None
+        callback = self._end()
         if callback is None:
             return
         status = self._status if is_complete else 0
-        body = b"".join(self._body) if is_complete else b""
+        body = bytes(self._body) if is_complete else b""
+        self._body.clear()
         callback(HttpResponse(status, self._headers, body, was_sent, reason))
 
     def on_timeout(self) -> None:
@@ -219,58 +243,16 @@
         self.on_close(False, True, "no complete response within the timeout")
 
     def cancel(self) -> None:
-        self._callback = None
-        if self.timer is not None:
-            self.timer.cancel()
+        self._end()
         self.exchange.abort()
 
-
-@interface.implementer(interfaces.IStreamClientEndpoint)
-class _RequestEndpoint:
-    """Endpoint that checks at the last moment whether to send a request."""
-
-    def __init__(self, endpoint: Any, may_send: Callable[[], bool]) -> None:
-        self._endpoint = endpoint
-        self._may_send = may_send
-
-    def connect(self, protocolFactory: Any) -> Any:
-        connecting = self._endpoint.connect(protocolFactory)
-        return connecting.addCallback(self._on_connected)
-
-    def _on_connected(self, connected: Any) -> Any:
-        if self._may_send():
-            return connected
-        connected.transport.abortConnection()
-        raise error.ConnectingCancelledError(None)
-
-
-@interface.implementer(iweb.IAgentEndpointFactory)
-class _EndpointFactory:
-    """Factory of endpoints for numeric IP addresses.
-
-    The default factory also resolves host names and, because of its delay
-    between attempts, reports a refused connection only after 300 ms.
-    """
-
-    def __init__(self, reactor: Any, may_send: Callable[[], bool]) -> None:
-        self._reactor = reactor
-        self._may_send = may_send
-
-    def endpointForURI(self, uri: Any) -> Any:
-        if uri.scheme != b"http":
-            raise ValueError(f"unsupported scheme {uri.scheme!r}")
-        host = uri.host.decode("ascii").strip("[]")
-        is_ipv6 = ":" in host
-        factory = (
-            endpoints.TCP6ClientEndpoint
-            if is_ipv6
-            else endpoints.TCP4ClientEndpoint
-        )
-        timeout_s = CONNECT_TIMEOUT_MS / 1_000
-        return _RequestEndpoint(
-            factory(self._reactor, host, uri.port, timeout=timeout_s),
-            self._may_send,
-        )
+    def _end(self) -> Callable[[HttpResponse], None] | None:
+        """Release timer and memory; return the callback on the first call."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self._memory.remove(self)
+        callback, self._callback = self._callback, None
+        return callback
 
 
 class HttpClient:
@@ -280,14 +262,22 @@
     request sent on it would needlessly end with an unknown outcome.
     """
 
-    __slots__ = ("_agent", "_clock", "_pool", "_reactor")
+    __slots__ = ("_clock", "_memory", "_pool", "_reactor")
 
-    def __init__(self, reactor: Any, clock: clock_module.Clock) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clock_module.Clock,
+        max_unfinished_bytes: int = MAX_UNFINISHED_BYTES,
+    ) -> None:
+        """Set the bound on the bodies of all unfinished responses."""
         self._clock = clock
         self._reactor = reactor
+        self._memory: response_bounds.ResponseMemory[_ResponseCollector] = (
+            response_bounds.ResponseMemory(max_unfinished_bytes)
+        )
         self._pool = client.HTTPConnectionPool(reactor, persistent=False)
         self._pool.retryAutomatically = False
-        self._agent = self._new_agent(lambda: True)
 
     def stream(
         self,
@@ -299,7 +289,7 @@
     ) -> HttpExchange:
         """Send a request and stream the response, without a read timeout."""
         exchange = HttpExchange(receiver)
-        exchange.start(self._agent, method, url, headers, body)
+        self._start(exchange, method, url, headers, body)
         return exchange
 
     def call(
@@ -311,26 +301,38 @@
         timeout_ms: int,
         callback: Callable[[HttpResponse], None],
         send_by_ms: int | None = None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> Callable[[], None]:
         """Send a request and call back once; return a cancel function.
 
-        `timeout_ms` covers the whole call. After a cancel there is no
-        callback. A connection that is open only after `send_by_ms`, as the
-        process was paused or the server slow, is closed without a request.
+        `timeout_ms` covers the whole call, and `max_bytes` the body with its
+        framing. After a cancel there is no callback. A connection that is open
+        only after `send_by_ms`, as the process was paused or the server slow,
+        is closed without a request.
         """
-        collector = _ResponseCollector(callback)
+        collector = _ResponseCollector(
+            callback,
+            self._memory,
+            max_bytes,
+            lambda: send_by_ms is None or self._clock.now_ms() <= send_by_ms,
+        )
         collector.timer = self._clock.call_later(
             timeout_ms, collector.on_timeout
         )
-        agent = self._agent
-        if send_by_ms is not None:
-            agent = self._new_agent(lambda: self._clock.now_ms() <= send_by_ms)
-        collector.exchange.start(agent, method, url, headers, body)
+        self._start(collector.exchange, method, url, headers, body)
         return collector.cancel
 
-    def _new_agent(self, may_send: Callable[[], bool]) -> client.Agent:
-        return client.Agent.usingEndpointFactory(
+    def _start(
+        self,
+        exchange: HttpExchange,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        agent = client.Agent.usingEndpointFactory(
             self._reactor,
-            _EndpointFactory(self._reactor, may_send),
+            request_endpoint.EndpointFactory(self._reactor, exchange),
             self._pool,
         )
+        exchange.start(agent, method, url, headers, body)
--- a/src/balsamwall/platform/daemon.py
+++ b/src/balsamwall/platform/daemon.py
@@ -35,14 +35,20 @@
     """Assemble an entry from the settings and the platform adapters."""
     clock = reactor_clock.ReactorClock(reactor)
     random_source = random.Random()
-    http = http_client.HttpClient(reactor, clock)
     store = store_client.StoreClient(
-        clock, random_source, http, str(settings.store)
+        clock,
+        random_source,
+        http_client.HttpClient(reactor, clock),
+        str(settings.store),
+    )
+    # Engines share no bound on memory with the store.
+    engine_http = http_client.HttpClient(
+        reactor, clock, engine_calls.MAX_UNFINISHED_BYTES
     )
     ports = gateway_dependencies.GatewayDependencies(
         store=store,
         connection=store.feed,
-        engines=engine_calls.EngineCalls(http, settings.vm),
+        engines=engine_calls.EngineCalls(engine_http, settings.vm),
         codec=header_codec.HeaderCodec(),
         read_configuration=documents.decode_configuration,
         read_server=documents.decode_server,
--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -23,6 +23,12 @@
     from balsamwall.infrastructure import http_client
 
 REPORT_TIMEOUT_MS = 700
+# A report names the models and adapters of one engine. An order has no body
+# of use in its response.
+MAX_REPORT_BYTES = 256 * 1024
+MAX_ORDER_RESPONSE_BYTES = 16 * 1024
+# Bodies of all unfinished reports and orders together.
+MAX_UNFINISHED_BYTES = 8 * 1024 * 1024
 # Header with the server for which a call is meant; another one responds with
 # status 421.
 EXPECT_SERVER = "Balsamwall-Expect-Instance"
@@ -80,6 +86,7 @@
             b"",
             REPORT_TIMEOUT_MS,
             on_answer,
+            max_bytes=MAX_REPORT_BYTES,
         )
 
     def send_order(
@@ -122,6 +129,7 @@
             engine_control.ORDER_TIMEOUT_MS,
             on_answer,
             send_by_ms,
+            MAX_ORDER_RESPONSE_BYTES,
         )
 
     def _record_backoff(
--- a/tests/gateway/test_server_backoff.py
+++ b/tests/gateway/test_server_backoff.py
@@ -391,6 +391,7 @@
         timeout_ms,
         callback,
         send_by_ms=None,
+        max_bytes=None,
     ):
         self.calls += 1
         callback(
