Close a stream that opens to a former coordinator

Callers see: requests of an entry wait for models that are loaded elsewhere, and get permits of a process that may not order any more.

Cause: found while asking which other paths serve a holder without its lease. While an entry connects to a coordinator and the store names another one, no second attempt begins; the first stream then opens and is taken for the current coordinator's. A former holder that is turned away from the store accepts it, and counts this entry among those that keep it in its term. Messages of a replaced stream were applied too.

Change: the stream is closed if the coordinator has changed meanwhile, and the attempt to the current one begins at once. Messages count only from the current stream. The end of a replaced stream no longer permits a second attempt beside one that is under way.

--- a/src/balsamwall/coordination/fleet_client.py
+++ b/src/balsamwall/coordination/fleet_client.py
@@ -67,6 +67,7 @@
         "_directory",
         "_features",
         "_forecast",
+        "_connecting_address",
         "_coordinator_address",
         "_heard_ms",
         "_is_connecting",
@@ -149,6 +150,7 @@
         self._log = log
         self._waits = waits
         self._coordinator_address = ""
+        self._connecting_address = ""
         self._link: Link | None = None
         self._is_connecting = False
         self._reconnect_ms = REPORT_INTERVAL_MS
@@ -345,8 +347,17 @@
     # Stream to another process
 
     def on_stream_opened(self, stream: fleet_stream.FleetStream) -> None:
-        """Identify this entry to the coordinator and send a first report."""
+        """Identify this entry to the coordinator and send a first report.
+
+        Another process may have become coordinator in the meantime. The former
+        one, if it is cut off from the store, would go on with this entry.
+        """
         self._is_connecting = False
+        if self._connecting_address != self._coordinator_address:
+            stream.close()
+            self._next_connect_ms = 0
+            self._connect()
+            return
         self._link = stream
         stream.send(messages_fleet.FleetHello(self._vm))
         self._log.write("holder_connected", holder=self._coordinator_address)
@@ -355,15 +366,15 @@
     def on_stream_message(
         self, stream: fleet_stream.FleetStream, item: message.Message
     ) -> None:
-        """Apply a message from the coordinator."""
-        self.on_message(item)
+        """Apply a message from the coordinator, not from a former one."""
+        if stream is self._link:
+            self.on_message(item)
 
     def on_stream_closed(self, stream: fleet_stream.FleetStream) -> None:
         """Use the models in the server records until a new stream is open.
 
         The end of a stream that has been replaced has no effect.
         """
-        self._is_connecting = False
         if stream is not self._link:
             return
         self._link = None
@@ -384,6 +395,7 @@
         if now_ms < self._next_connect_ms:
             return
         self._is_connecting = True
+        self._connecting_address = self._coordinator_address
         self._next_connect_ms = now_ms + self._reconnect_ms
         self._reconnect_ms = min(MAX_RECONNECT_MS, 2 * self._reconnect_ms)
         link = self._open_link(self._coordinator_address)
--- a/tests/coordination/test_fleet_client.py
+++ b/tests/coordination/test_fleet_client.py
@@ -28,12 +28,13 @@
 
     def __init__(self):
         self.sent = []
+        self.is_closed = False
 
     def send(self, item):
         self.sent.append(item)
 
     def close(self):
-        pass
+        self.is_closed = True
 
 
 class FleetClientTest(unittest.TestCase):
@@ -42,6 +43,7 @@
     def setUp(self):
         self.clock = virtual_clock.VirtualClock(start_ms=1_000)
         self.connect_times_ms = []
+        self.addresses = []
         self.entry_counts = []
         self.suspects = crash_suspects.CrashSuspects(
             self.clock, decision_log.DecisionLog(self.clock)
@@ -82,8 +84,30 @@
 
     def open_link(self, address):
         self.connect_times_ms.append(self.clock.now_ms())
+        self.addresses.append(address)
         return None
 
+    def test_late_stream_to_a_former_coordinator_is_closed(self):
+        """Guards against an entry that follows a coordinator without a lease.
+
+        The connection to the former one opens after the change.
+        """
+        self.client.on_coordinator_changed("10.0.0.1:7")
+        self.client.on_coordinator_changed("10.0.0.2:7")
+        former, current = FakeStream(), FakeStream()
+        self.client.on_stream_opened(former)
+        self.assertTrue(former.is_closed)
+        self.assertEqual(former.sent, [])
+        self.assertEqual(self.addresses, ["10.0.0.1:7", "10.0.0.2:7"])
+        self.client.on_stream_closed(former)
+        self.client.on_stream_opened(current)
+        self.assertFalse(current.is_closed)
+        state = messages_fleet.FleetState(4, {}, {}, {})
+        self.client.on_stream_message(former, state)
+        self.assertEqual(self.entry_counts, [])
+        self.client.on_stream_message(current, state)
+        self.assertEqual(self.entry_counts, [4])
+
     def reject_connection(self):
         stream = FakeStream()
         self.client.on_stream_opened(stream)
