Let engines of some soak seeds execute orders without a check

Cause: the soak's engines all rejected lower tokens, so that it could not show orders of a former holder; it had no check of turns.

Tests of the coordinator: entries are answered while orders wait, orders have an end, and the margin of the lease covers an order.

--- a/soak/features.py
+++ b/soak/features.py
@@ -14,6 +14,8 @@
 # Share of the seeds whose callers resume broken streams, at engines of
 # several software versions for the most part.
 RESUMPTIONS_SHARE = 0.5
+# Share of the seeds whose engines execute orders whatever their token is.
+UNCHECKED_ORDERS_SHARE = 0.4
 
 
 class Features:
@@ -23,7 +25,12 @@
     the same.
     """
 
-    __slots__ = ("has_work_time", "versions", "workspaces")
+    __slots__ = (
+        "engines_check_tokens",
+        "has_work_time",
+        "versions",
+        "workspaces",
+    )
 
     def __init__(self, seed: int) -> None:
         source = random.Random(f"{seed}/parts")
@@ -35,6 +42,8 @@
             self.workspaces = workspaces_module.Workspaces(
                 random.Random(f"{seed}/workspaces")
             )
+        unchecked = random.Random(f"{seed}/unchecked orders").random()
+        self.engines_check_tokens = unchecked >= UNCHECKED_ORDERS_SHARE
         self.versions: software_versions.SoftwareVersions | None = None
         if resuming < RESUMPTIONS_SHARE:
             self.versions = software_versions.SoftwareVersions(
@@ -50,5 +59,6 @@
             "work_time": self.has_work_time,
             "resumptions": self.versions is not None,
             "versions": has_versions,
+            "unchecked_orders": not self.engines_check_tokens,
         }
         return [name for name, has_feature in found.items() if has_feature]
--- a/soak/run.py
+++ b/soak/run.py
@@ -102,6 +102,7 @@
                     zone,
                     proxy.listen(),
                     folder,
+                    self._features.engines_check_tokens,
                 )
             )
         parts = participants.Participants(
@@ -116,6 +117,8 @@
             truncated_share
         )
         self._engines = [item for item in self._all_backends if item.is_engine]
+        for engine in self._engines:
+            engine.checks_tokens = self._features.engines_check_tokens
         self._version_faults = self._new_version_faults()
         self._announcements = announcements_module.Announcements(
             random.Random(f"{seed}/announcements"), self, self._is_planned_only
@@ -239,6 +242,7 @@
             self._violations += backend.backoff.violations(
                 backend.server_id, disturbed
             )
+        self._violations += self._order_violations()
         self._violations += self._workspace_violations()
         self._violations += self._resumption_violations()
         self._violations += self._route_probe.violations
@@ -265,6 +269,21 @@
             return True
         return self._features.workspaces.expects_service(request)
 
+    def _order_violations(self) -> list[str]:
+        """Return the orders that engines without checks have executed."""
+        if self._features.engines_check_tokens:
+            return []
+        found = []
+        for engine in self._engines:
+            disturbed = {item.name: item.frozen_ms for item in self.entries}
+            disturbed[""] = engine.harmed_ms
+            for record in engine.order_records:
+                found += [
+                    f"{engine.server_id}: {text}"
+                    for text in record.violations(disturbed)
+                ]
+        return found
+
     def _workspace_violations(self) -> list[str]:
         if self._features.workspaces is None:
             return []
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -7,7 +7,10 @@
 from unittest import mock
 
 from balsamwall.coordination import coordinator as coordinator_module
+from balsamwall.coordination import coordinator_election
+from balsamwall.coordination import engine_control
 from balsamwall.coordination import engine_speed
+from balsamwall.coordination import leased_orders
 from balsamwall.coordination import messages_fleet
 from balsamwall.coordination import order_authority
 from balsamwall.coordination import residency_log
@@ -25,6 +28,7 @@
     def __init__(self):
         self.is_held = False
         self.revision = 0
+        self.valid_until_ms = 0
 
 
 class FakeLinks:
@@ -118,6 +122,44 @@
         self.clock.advance(500)
         self.assertEqual(self.coordinator.fencing_token, 0)
 
+    def coordinate_unchecked_engines(self):
+        """Begin a term in which orders need the lease, after the pause."""
+        self.lease.is_held = False
+        orders = leased_orders.LeasedOrders(self.clock, self.lease, 3_000)
+        self.coordinator = self.make_coordinator(orders)
+        self.coordinator.start()
+        self.clock.advance(4_000)
+        self.lease.is_held, self.lease.revision = True, 9
+        self.lease.valid_until_ms = self.clock.now_ms() + 2_500
+        self.clock.advance(500)
+
+    def test_entries_are_answered_without_orders(self):
+        """Guards against entries that are left alone with the orders.
+
+        The store is away, and engines check no tokens.
+        """
+        self.coordinate_unchecked_engines()
+        self.assertEqual(self.coordinator.fencing_token, 9)
+        self.is_connected = False
+        self.expire_lease()
+        self.assertEqual(self.coordinator.fencing_token, 0)
+        self.assertTrue(self.coordinator.is_active)
+
+    def test_orders_have_an_end_where_engines_check_no_tokens(self):
+        """Guards against an order that is sent after the lease has ended."""
+        self.assertIsNone(self.coordinator.send_by_ms)
+        self.coordinate_unchecked_engines()
+        self.assertEqual(
+            self.coordinator.send_by_ms, self.lease.valid_until_ms
+        )
+
+    def test_margin_of_the_lease_covers_an_order(self):
+        """Guards against an order that arrives after the end of the lease."""
+        self.assertLess(
+            engine_control.ORDER_TIMEOUT_MS,
+            coordinator_election.LEASE_MARGIN_MS,
+        )
+
     def test_speed_averages_do_not_depend_on_traffic(self):
         """Guards against averages that requests for models speed up.
 
