--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -10,6 +10,7 @@
 
 from balsamwall.coordination import engine_control
 from balsamwall.gateway import incoming_request
+from balsamwall.infrastructure import http_client
 from balsamwall.platform import documents
 from balsamwall.platform import header_codec
 from balsamwall.platform import json_fields
@@ -20,7 +21,6 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import server_backoff
-    from balsamwall.infrastructure import http_client
 
 REPORT_TIMEOUT_MS = 700
 # A report names the models and adapters of one engine. An order has no body
@@ -66,7 +66,7 @@
         """Request a report; the callback gets None if none is readable."""
 
         def on_answer(answer: http_client.HttpResponse) -> None:
-            self._record_backoff(record, answer)
+            self._on_answer(record, answer)
             report = None
             if answer.status == 200:
                 try:
@@ -104,7 +104,7 @@
         """
 
         def on_answer(answer: http_client.HttpResponse) -> None:
-            self._record_backoff(record, answer)
+            self._on_answer(record, answer)
             callback(_OUTCOMES.get(answer.status, _Outcome.UNKNOWN))
 
         body: dict[str, Any] = {
@@ -132,12 +132,14 @@
             MAX_ORDER_RESPONSE_BYTES,
         )
 
-    def _record_backoff(
+    def _on_answer(
         self,
         record: backend_directory.ServerRecord,
         answer: http_client.HttpResponse,
     ) -> None:
         """Record a refusal that states for how long it holds."""
+        if answer.reason == http_client.EXCEEDED:
+            eliot.log_message("response_too_long", server=record.server_id)
         if answer.status != incoming_request.UNAVAILABLE_STATUS:
             return
         retry_after = header_codec.decode_retry_after(
