Wire election and order authority in one place

Change: `OrderParts` builds the election and the authority; the test uses the soak's engine; `is_in_term`, `allowance` and `may_send` are properties.

--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -51,7 +51,21 @@
         }
         for name in added_routes
     ]
-    engine = {
+    services = [
+        {"name": "app", "max_conns": 200},
+        {"name": EMPTY_SERVICE, "max_conns": 200},
+        {
+            "name": "models",
+            "max_conns": 200,
+            "engine": engine(backend_server.MODELS),
+        },
+    ]
+    return {"version": version, "routes": routes, "services": services}
+
+
+def engine(models: Iterable[str]) -> dict[str, Any]:
+    """Return the engine of a service, as in a configuration."""
+    return {
         "slots": 16,
         "kv_capacity": 100_000,
         "weights_mb": backend_server.WEIGHTS_MB,
@@ -63,12 +77,6 @@
                 "weights_mb": backend_server.MODEL_MB,
                 "load_s": backend_server.LOAD_S,
             }
-            for name in backend_server.MODELS
+            for name in models
         ],
     }
-    services = [
-        {"name": "app", "max_conns": 200},
-        {"name": EMPTY_SERVICE, "max_conns": 200},
-        {"name": "models", "max_conns": 200, "engine": engine},
-    ]
-    return {"version": version, "routes": routes, "services": services}
--- a/src/balsamwall/composition/gateway_unit.py
+++ b/src/balsamwall/composition/gateway_unit.py
@@ -8,21 +8,18 @@
 import eliot
 
 import balsamwall
+from balsamwall.composition import order_parts
 from balsamwall.composition import origin_parts
 from balsamwall.composition import quota_parts
 from balsamwall.composition import version_parts
 from balsamwall.coordination import coordinator as coordinator_module
-from balsamwall.coordination import coordinator_election
-from balsamwall.coordination import engine_control
 from balsamwall.coordination import fleet_client
 from balsamwall.coordination import fleet_dialer
 from balsamwall.coordination import fleet_server
 from balsamwall.coordination import fleet_stream
 from balsamwall.coordination import held_configuration
-from balsamwall.coordination import leased_orders
 from balsamwall.coordination import limited_engine_control
 from balsamwall.coordination import local_link
-from balsamwall.coordination import order_authority
 from balsamwall.coordination import origin_log
 from balsamwall.coordination import permit_issuer
 from balsamwall.coordination import store_relay
@@ -259,20 +256,17 @@
         )
 
     def _build_coordinator(self) -> None:
-        settings = self._settings
-        self._election = coordinator_election.CoordinatorElection(
+        parts = order_parts.OrderParts(
             self._clock,
             self._random,
-            self._dependencies.store,
-            self._dependencies.connection,
+            self._dependencies,
+            self._settings,
             self._own_address,
-            self._lease_ms,
             self._fleet_client.on_coordinator_changed,
-            # Engines that check tokens reject an order that arrives later.
-            0
-            if settings.engines_check_tokens
-            else engine_control.ORDER_TIMEOUT_MS,
+            lambda: self._fleet_server.count,
+            self._log,
         )
+        self._election = parts.election
         self._dependencies.engines.set_backoff(self._backoff)
         permits = permit_issuer.PermitIssuer(
             self._clock, self._limits, self._fleet_size
@@ -281,7 +275,7 @@
             self._clock,
             self._configuration,
             self._directory,
-            self._new_order_authority(),
+            parts.authority,
             limited_engine_control.LimitedEngineControl(
                 self._clock,
                 self._dependencies.engines,
@@ -306,25 +300,6 @@
             self._fleet_server.broadcast,
         )
 
-    @property
-    def _lease_ms(self) -> int:
-        return max(self._settings.lease_ms, self._settings.min_lease_ms)
-
-    def _new_order_authority(self) -> order_authority.OrderAuthority:
-        lease = self._election.lease
-        return order_authority.OrderAuthority(
-            self._clock,
-            lease,
-            lambda: self._fleet_server.count,
-            lambda: self._election.is_store_available,
-            self._log,
-            None
-            if self._settings.engines_check_tokens
-            else leased_orders.LeasedOrders(
-                self._clock, lease, self._lease_ms
-            ),
-        )
-
     def watch_log(self, count_dropped: Callable[[], int]) -> None:
         """Export the number of log lines dropped because of a slow reader."""
         self._metrics.watch_log(count_dropped)
--- a/src/balsamwall/coordination/order_authority.py
+++ b/src/balsamwall/coordination/order_authority.py
@@ -34,12 +34,12 @@
         "_entries_with_lease",
         "_fenced_revision",
         "_has_lease",
+        "_is_in_term",
         "_is_store_connected",
         "_lease",
         "_lease_held_ms",
         "_leased_orders",
         "_log",
-        "is_in_term",
     )
 
     def __init__(
@@ -66,7 +66,12 @@
         self._has_lease = False
         # Newest token that an engine has rejected, 0 for none.
         self._fenced_revision = 0
-        self.is_in_term = False
+        self._is_in_term = False
+
+    @property
+    def is_in_term(self) -> bool:
+        """Return whether a term has begun, and was not found to have ended."""
+        return self._is_in_term
 
     @property
     def may_coordinate(self) -> bool:
@@ -106,9 +111,9 @@
         if may_coordinate and has_lease != self._has_lease:
             self._log_lease(has_lease)
         self._has_lease = has_lease
-        if may_coordinate == self.is_in_term:
+        if may_coordinate == self._is_in_term:
             return False
-        self.is_in_term = may_coordinate
+        self._is_in_term = may_coordinate
         self._log.write(
             "orders_taken" if may_coordinate else "orders_given_up",
             token=self._lease.revision,
@@ -122,7 +127,7 @@
 
     def _may_continue_without_lease(self) -> bool:
         """Return whether the term continues after the lease has expired."""
-        if not self.is_in_term or self._is_store_connected():
+        if not self._is_in_term or self._is_store_connected():
             return False
         # Entries that reach the store disconnect to follow a new coordinator.
         if self._count_entries() * 2 <= self._entries_with_lease:
--- a/src/balsamwall/infrastructure/http_client.py
+++ b/src/balsamwall/infrastructure/http_client.py
@@ -104,7 +104,13 @@
 class HttpExchange:
     """One request and its response on a dedicated connection."""
 
-    __slots__ = ("_deferred", "_reader", "_receiver", "allowance", "may_send")
+    __slots__ = (
+        "_allowance",
+        "_deferred",
+        "_may_send",
+        "_reader",
+        "_receiver",
+    )
 
     def __init__(
         self,
@@ -113,8 +119,8 @@
         may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         """Set the bound on the body, None for a stream without one."""
-        self.allowance = response_bounds.ResponseAllowance(max_bytes)
-        self.may_send = may_send
+        self._allowance = response_bounds.ResponseAllowance(max_bytes)
+        self._may_send = may_send
         self._receiver: Receiver | None = receiver
         self._deferred: Any = None
         self._reader: Any = None
@@ -152,6 +158,16 @@
         elif self._deferred is not None:
             self._deferred.cancel()
 
+    @property
+    def allowance(self) -> response_bounds.ResponseAllowance:
+        """Return the bytes that the response may have."""
+        return self._allowance
+
+    @property
+    def may_send(self) -> bool:
+        """Return whether the request may still be sent."""
+        return self._may_send()
+
     def on_exceeded(self) -> None:
         """Report a response that exceeds its bound; it has been cut."""
         self.close(False, True, EXCEEDED)
@@ -168,7 +184,7 @@
             receiver.on_close(is_complete, was_sent, reason)
 
     def _on_response(self, response: Any) -> None:
-        self.allowance.is_head_complete = True
+        self._allowance.on_head()
         self._reader = _BodyReader(self)
         if self._receiver is not None:
             found = {
--- a/src/balsamwall/infrastructure/request_endpoint.py
+++ b/src/balsamwall/infrastructure/request_endpoint.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 from typing import Protocol
-from typing import TYPE_CHECKING
 
 from twisted.internet import endpoints
 from twisted.internet import error
@@ -14,18 +13,19 @@
 
 from balsamwall.infrastructure import response_bounds
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 CONNECT_TIMEOUT_MS = 1_000
 
 
 class Exchange(Protocol):
     """Request and response that use a connection alone."""
 
-    allowance: response_bounds.ResponseAllowance
-    # Whether the request may still be sent once the connection is open.
-    may_send: Callable[[], bool]
+    @property
+    def allowance(self) -> response_bounds.ResponseAllowance:
+        """Return the bytes that the response may have."""
+
+    @property
+    def may_send(self) -> bool:
+        """Return whether the request may still be sent."""
 
     def on_exceeded(self) -> None:
         """Handle a response that was cut, as it exceeded its allowance."""
@@ -48,7 +48,7 @@
         return self._endpoint.connect(factory).addCallback(self._on_connected)
 
     def _on_connected(self, connected: Any) -> Any:
-        if self._exchange.may_send():
+        if self._exchange.may_send:
             return connected.wrappedProtocol
         connected.transport.abortConnection()
         raise error.ConnectingCancelledError(None)
--- a/src/balsamwall/infrastructure/response_bounds.py
+++ b/src/balsamwall/infrastructure/response_bounds.py
@@ -27,23 +27,27 @@
     content that it frames.
     """
 
-    __slots__ = ("_max_bytes", "_received", "is_head_complete")
+    __slots__ = ("_is_head_complete", "_max_bytes", "_received")
 
     def __init__(self, max_bytes: int | None) -> None:
         """Set the bound on the bytes after the head, None for none."""
         self._max_bytes = max_bytes
         self._received = 0
-        self.is_head_complete = False
+        self._is_head_complete = False
 
     @property
     def left(self) -> int | None:
         """Return how many bytes may be read now, None without a bound."""
-        if not self.is_head_complete:
+        if not self._is_head_complete:
             return max(0, MAX_HEAD_BYTES - self._received)
         if self._max_bytes is None:
             return None
         return max(0, MAX_HEAD_BYTES + self._max_bytes - self._received)
 
+    def on_head(self) -> None:
+        """Allow the body as well: the head is complete."""
+        self._is_head_complete = True
+
     def take(self, size: int) -> None:
         """Count bytes that are read."""
         self._received += size
--- a/tests/platform/test_orders_without_lease_process.py
+++ b/tests/platform/test_orders_without_lease_process.py
@@ -16,6 +16,7 @@
 from twisted.web import server
 
 from soak import backend_server
+from soak import configuration
 from soak import entry as entry_module
 from soak import ledger as ledger_module
 from soak import poison_part
@@ -54,21 +55,7 @@
         {
             "name": SERVICE,
             "max_conns": 200,
-            "engine": {
-                "slots": 16,
-                "kv_capacity": 100_000,
-                "weights_mb": backend_server.WEIGHTS_MB,
-                "adapter_slots": 0,
-                "loads_per_s": 20.0,
-                "models": [
-                    {
-                        "name": name,
-                        "weights_mb": backend_server.MODEL_MB,
-                        "load_s": backend_server.LOAD_S,
-                    }
-                    for name in MODELS
-                ],
-            },
+            "engine": configuration.engine(MODELS),
         }
     ],
 }
