--- a/src/balsamwall/platform/engine_calls.py
+++ b/src/balsamwall/platform/engine_calls.py
@@ -137,7 +137,7 @@
         record: backend_directory.ServerRecord,
         answer: http_client.HttpResponse,
     ) -> None:
-        """Record a refusal that states for how long it holds."""
+        """Log a response that was cut off; record a back-off it asks for."""
         if answer.reason == http_client.EXCEEDED:
             eliot.log_message("response_too_long", server=record.server_id)
         if answer.status != incoming_request.UNAVAILABLE_STATUS:
