Log the sends behind a refusal and the proof of each

Users saw requests run that had been refused as not run.

Change: an execution record keeps the state of each send of a request: connecting, unsent, written, certified as not run. A refusal of a request that runs at most once and was sent writes refused_after_send with the proof of each send, and counts in balsamwall_gateway_refusals_after_send_total by proof; a send after the answer writes sent_after_answer. The record decides nothing yet.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -19,6 +19,7 @@
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import connection_pool
+    from balsamwall.gateway import execution_record
     from balsamwall.gateway import held_bodies
     from balsamwall.gateway import http_fields
     from balsamwall.gateway import server_announcements
@@ -127,6 +128,7 @@
         "_listener",
         "_outgoing",
         "_refusal",
+        "_send",
         "_unread",
         "framing",
         "has_backed_off",
@@ -146,7 +148,9 @@
         listener: AttemptListener,
         clock: clock_module.Clock,
         announcements: server_announcements.ServerAnnouncements,
+        send: execution_record.Send,
     ) -> None:
+        self._send = send
         self.server = server
         self.record = server.record  # as it was known at the send
         self.sent_ms = clock.now_ms()
@@ -227,6 +231,7 @@
     def abandon(self) -> None:
         """Close the connection; the listener is not called again."""
         self._listener = None
+        self._send.on_unsent()
         self._cancel_discard_timer()
         if self._connection is not None:
             self._connection.close()
@@ -263,6 +268,7 @@
         """Send the request, unless the server wants none by now."""
         if self._announcements.is_backed_off(self.server):
             connection.close()
+            self._send.on_unsent()
             self._outgoing.body.release(self)
             self.has_backed_off = True
             detail = "the server asked for a back-off"
@@ -271,6 +277,7 @@
         self._connection = connection
         self.source = connection.source
         outgoing = self._outgoing
+        self._send.on_written()
         connection.send(
             outgoing.method,
             outgoing.target,
@@ -284,6 +291,7 @@
 
     def on_not_connected(self, detail: str) -> None:
         """Report that no connection was made and nothing was sent."""
+        self._send.on_unsent()
         self._outgoing.body.release(self)
         self._fail(AttemptFailure.NOT_CONNECTED, detail)
 
@@ -320,6 +328,7 @@
         )
         # Without the identifier it may be the refusal of another request.
         if is_refusal and head.is_echoed:
+            self._send.on_certified()
             self._refusal = f"status {status}"
             self._limit_discarding(REFUSAL_BODY_TIMEOUT_MS)
             return
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -39,6 +39,7 @@
         "_registry",
         "_permits",
         "_requests",
+        "_refusals_after_send",
         "_resumes",
         "_routes",
         "_sends",
@@ -71,6 +72,12 @@
             ("reason",),
             registry=self._registry,
         )
+        self._refusals_after_send = prometheus_client.Counter(
+            "balsamwall_gateway_refusals_after_send",
+            "Refusals of sent requests that run at most once, by proof",
+            ("proof",),
+            registry=self._registry,
+        )
         self._sends_in_backoff = prometheus_client.Counter(
             "balsamwall_gateway_sends_in_backoff",
             "Requests sent within the back-off of a server, by reason",
@@ -180,6 +187,10 @@
         """Count a request that is sent to a server."""
         self._sends.labels(reason).inc()
 
+    def count_refusal_after_send(self, proof: str) -> None:
+        """Count a refusal by what proves that the request has not run."""
+        self._refusals_after_send.labels(proof).inc()
+
     def count_send_in_backoff(self, reason: str) -> None:
         """Count a send to a server that has asked for a back-off."""
         self._sends_in_backoff.labels(reason).inc()
--- a/src/balsamwall/gateway/refusal.py
+++ b/src/balsamwall/gateway/refusal.py
@@ -41,8 +41,8 @@
     code: result_code.ResultCode,
     detail: str,
     retry_after_ms: int = RETRY_AFTER_MS,
-) -> None:
-    """Write a JSON error response with the status of a result code."""
+) -> int:
+    """Write a JSON error response; return its status."""
     body = json.dumps(
         {"error": {"code": code.number, "name": code.name, "detail": detail}}
     ).encode()
@@ -58,3 +58,4 @@
     exchange.begin(status, fields, len(body))
     exchange.write(body)
     exchange.finish()
+    return status
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -80,6 +80,7 @@
     def send(self, server: backend_directory.BackendServer) -> None:
         """Send the request to a server as the current attempt."""
         dependencies, handler = self._dependencies, self._handler
+        dependencies.execution_log.on_send(handler, server.server_id)
         attempt = attempt_module.Attempt(
             server,
             dependencies.codec,
@@ -89,6 +90,7 @@
             handler,
             dependencies.clock,
             dependencies.announcements,
+            handler.execution.open_send(server.server_id),
         )
         attempt.meter = self.meter = dependencies.choice.meter(
             server, handler.request, handler.route
@@ -166,6 +168,7 @@
             fields = refusal.with_retry_after(
                 fields, self._handler.dispatch.retry_after_ms
             )
+        self._handler.answered_status = attempt.status
         self._exchange.begin(attempt.status, fields, length)
 
     def release_body(self) -> None:
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -11,6 +11,7 @@
 from balsamwall.gateway import authentication
 from balsamwall.gateway import connection_source
 from balsamwall.gateway import crash_suspects
+from balsamwall.gateway import execution_log
 from balsamwall.gateway import request_priority
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
@@ -51,10 +52,9 @@
     from balsamwall.timing import clock as clock_module
 
 
-class RequestOutcome(Protocol):
+class RequestOutcome(execution_log.AnsweredRequest, Protocol):
     """Provide the values of a request that are logged and measured."""
 
-    route: route_module.Route
     request: incoming_request.IncomingRequest
     workspace: workspace_module.Workspace | None
     progress: stream_progress.StreamProgress
@@ -62,18 +62,10 @@
     body: response_body.ResponseBody
     dispatch: request_dispatch.RequestDispatch
 
-    @property
-    def request_id(self) -> str:
-        """Return the caller's request identifier as text for logs."""
-
     @property
     def fingerprints(self) -> fingerprints_module.RequestFingerprints:
         """Return digests of the request and of the parts of its prompt."""
 
-    @property
-    def arrived_ms(self) -> int:
-        """Return when the first byte of the request was read."""
-
 
 class RetryBudgetSettings:
     """Set the retry budget of the fleet, shared by all entries.
@@ -108,6 +100,7 @@
         "clock",
         "codec",
         "directory",
+        "execution_log",
         "forecast",
         "health",
         "limits",
@@ -190,6 +183,7 @@
         )
         self.quotas = quotas
         self.wait_policy = wait_policy.WaitPolicy(random_source)
+        self.execution_log = execution_log.ExecutionLog(log, metrics)
         self._configuration = configuration
         self._retry_settings = retry_settings
         self._entries = max(1, entries)
@@ -356,6 +350,7 @@
         """Log and measure the outcome of a request."""
         duration_ms = self.clock.now_ms() - handler.arrived_ms
         self.metrics.observe_end(handler.route.name, code, duration_ms)
+        self.execution_log.on_finished(handler)
         if handler.workspace is not None:
             self.metrics.workspaces.count_end(
                 handler.workspace,
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -6,6 +6,7 @@
 
 from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import event_relay
+from balsamwall.gateway import execution_record
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import incoming_request
 from balsamwall.gateway import quota_gate
@@ -32,8 +33,6 @@
 _Code = result_code.ResultCode
 # A response with this status or a higher one is a failure of the server.
 SERVER_ERROR_STATUS = 500
-# Statuses that certify to callers that the request has not run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class RequestHandler:
@@ -54,10 +53,12 @@
         "_dependencies",
         "_quota",
         "_service",
+        "answered_status",
         "attempts",
         "body",
         "content",
         "dispatch",
+        "execution",
         "progress",
         "request",
         "resumption",
@@ -83,6 +84,8 @@
         self._service = service
         self._on_finished = on_finished
         self._has_begun = False
+        self.answered_status = 0
+        self.execution = execution_record.ExecutionRecord(dependencies.clock)
         self.progress = stream_progress.StreamProgress()
         self._is_finished = False
         self.content = request_content.RequestContent(
@@ -250,7 +253,8 @@
             self.dispatch.exclude(attempt.server)
             self.dispatch.dispatch()
             return
-        if status in NOT_RUN_STATUSES and not self.route.is_repeatable:
+        is_promise = status in execution_record.NOT_RUN_STATUSES
+        if is_promise and not self.route.is_repeatable:
             self._replace_uncertified_status(attempt, status)
             return
         self._begin(attempt, fields)
@@ -425,7 +429,9 @@
             code = _Code.OUTCOME_UNKNOWN
         elif code is _Code.DEADLINE_EXCEEDED and not may_have_run:
             code = _Code.DEADLINE_UNREACHABLE
-        refusal.write(self._exchange, code, detail, retry_after_ms)
+        self.answered_status = refusal.write(
+            self._exchange, code, detail, retry_after_ms
+        )
         self._finish(code, detail, None)
 
     def _cut(self, code: _Code, detail: str) -> None:
