Define the links to the entries below the coordinator

Cause: the coordinator, what it broadcasts and what entries report imported each other in a circle, since all three need the links to the entries, whose protocol was defined in the module of the coordinator.

Change: the protocol stands in a module of its own.

--- a/src/balsamwall/coordination/coordinator.py
+++ b/src/balsamwall/coordination/coordinator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 from balsamwall.coordination import crash_control
@@ -26,6 +25,7 @@
 
 if TYPE_CHECKING:
     from balsamwall.coordination import engine_control
+    from balsamwall.coordination import fleet_links
     from balsamwall.coordination import order_authority
     from balsamwall.coordination import origin_exchange
     from balsamwall.coordination import permit_issuer
@@ -50,23 +50,6 @@
 ENGINE_DISCOVERY_MS = 1_000
 
 
-class FleetLinks(Protocol):
-    """Connections to the other entries and the entry in this process."""
-
-    @property
-    def count(self) -> int:
-        """Return the number of connected entries, including this one."""
-
-    def broadcast(self, item: message.Message) -> None:
-        """Send a message to all entries."""
-
-    def send(self, vm: str, item: message.Message) -> None:
-        """Send a message to one entry, if it is connected."""
-
-    def close_all(self) -> None:
-        """Close the streams of the other entries."""
-
-
 class Coordinator:
     """Plan model loads from demand and residents while orders may be sent.
 
@@ -107,7 +90,7 @@
         directory: backend_directory.BackendDirectory,
         authority: order_authority.OrderAuthority,
         control: engine_control.EngineControl,
-        links: FleetLinks,
+        links: fleet_links.FleetLinks,
         log: decision_log.DecisionLog,
         limits: server_limits.ServerLimits,
         permits: permit_issuer.PermitIssuer,
--- a/src/balsamwall/coordination/entry_reports.py
+++ b/src/balsamwall/coordination/entry_reports.py
@@ -10,8 +10,8 @@
 from balsamwall.coordination import workspace_use
 
 if TYPE_CHECKING:
-    from balsamwall.coordination import coordinator as coordinator_module
     from balsamwall.coordination import entry_features
+    from balsamwall.coordination import fleet_links
     from balsamwall.coordination import origin_exchange
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import configuration_holder
@@ -76,7 +76,7 @@
         loads = self._leaving.with_acceptance(loads)
         return self.origins.with_acceptance(loads)
 
-    def share(self, links: coordinator_module.FleetLinks) -> None:
+    def share(self, links: fleet_links.FleetLinks) -> None:
         """Send the merged reports to the entries that accept them."""
         self.speeds.share(links.send)
         self._leaving.share(links.send)
--- a/src/balsamwall/coordination/fleet_broadcast.py
+++ b/src/balsamwall/coordination/fleet_broadcast.py
@@ -10,11 +10,11 @@
 from balsamwall.coordination import messages_fleet
 
 if TYPE_CHECKING:
-    from balsamwall.coordination import coordinator as coordinator_module
     from balsamwall.coordination import crash_control
     from balsamwall.coordination import demand as demand_module
     from balsamwall.coordination import engine_table
     from balsamwall.coordination import entry_reports
+    from balsamwall.coordination import fleet_links
     from balsamwall.coordination import standby_choice
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import server_limits
@@ -47,7 +47,7 @@
         self,
         clock: clock_module.Clock,
         configuration: configuration_holder.ConfigurationHolder,
-        links: coordinator_module.FleetLinks,
+        links: fleet_links.FleetLinks,
         demand: demand_module.Demand,
         engines: engine_table.EngineTable,
         reports: entry_reports.EntryReports,
