Play servers that refuse twice and fail what they have run in the soak

Users saw requests run that had been refused as not run, and requests that run once run twice. The soak's servers refuse 3 in 100 requests, always with a certificate and once, and its check leaves out statuses with a signature, so that it finds none of this.

For requests that run at most once, 408, 421, 429 and 503 are checked with and without a signature, and each violation names its cause from what the servers recorded. `--only` leaves out all other faults and features, and `--source` runs the entries of another checkout.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 
 import fire
 
+from soak import entry as entry_module
 from soak import report as report_module
 from soak import run as run_module
 
@@ -25,15 +26,31 @@
     seconds: float = DEFAULT_SECONDS,
     keep: str = "",
     entries: int = run_module.ENTRIES,
+    only: str = "",
+    source: str = "",
 ) -> None:
-    """Run one seed and print its report as JSON; keep logs in `keep`."""
+    """Run one seed and print its report as JSON; keep logs in `keep`.
+
+    `only` names faults and features, separated by commas; the others are left
+    out. `source` is a checkout whose entries run in place of this one's.
+    """
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        report = run_module.run(seed, seconds, folder, entries)
+        options = run_module.Options(
+            entries,
+            frozenset(name for name in _names(only) if name),
+            pathlib.Path(source or entry_module.ROOT),
+        )
+        report = run_module.run(seed, seconds, folder, options)
     print(json.dumps(dataclasses.asdict(report)))
 
 
+def _names(text: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Return the names of an option, which fire may have split."""
+    return tuple(text.split(",")) if isinstance(text, str) else text
+
+
 def many(
     seeds: str = "1:10",
     seconds: float = DEFAULT_SECONDS,
--- a/soak/backend_server.py
+++ b/soak/backend_server.py
@@ -18,6 +18,7 @@
 from soak import order_record
 from soak import poison_part as poison_part_module
 from soak import proxy as proxy_module
+from soak import refusals as refusals_module
 from soak import server_limit
 from soak import software_versions
 from soak import store as store_module
@@ -40,6 +41,7 @@
 UNFRAMED_SHARE = 0.25
 USUAL_VERSION = "v1"
 MODELS = ("m1", "m2", "m3", "m4")
+_Arrival = ledger_module.Arrival
 
 
 class BackendServer:
@@ -98,6 +100,7 @@
         self._address = ""
         self.limit = server_limit.AnnouncedLimit()
         self.backoff = backoff_module.AnnouncedBackoff()
+        self.refusals: refusals_module.Refusals | None = None
         # Times in which the link to this server was harmed.
         self.harmed_ms: list[tuple[int, int]] = []
 
@@ -357,16 +360,32 @@
                 backend.apply_order(json.loads(request.content.read()))
             )
             return b"{}"
+        arrival = self._record_arrival(request)
         if self._on_arrival(request):
             return self._reject_unexecuted(request, 503)
+        refusals = backend.refusals
+        if refusals is not None and refusals.refuse(request, arrival):
+            return server.NOT_DONE_YET
         model = request.getHeader("balsamwall-model")
         if backend.is_engine and model not in backend.models:
             return self._reject_unexecuted(request, 421)
         if backend.random.random() < REJECT_SHARE:
             return self._reject_unexecuted(request, 503)
-        _Run(backend, request)
+        _Run(backend, request, arrival)
         return server.NOT_DONE_YET
 
+    def _record_arrival(self, request: server.Request) -> _Arrival:
+        backend = self._backend
+        arrival = _Arrival(
+            request.getHeader("balsamwall-request-id") or "",
+            backend.server_id,
+            ledger_module.now_ms(),
+        )
+        backend.ledger.add_arrival(arrival)
+        if backend.refusals is not None:
+            backend.refusals.connection(request).on_arrival(request, arrival)
+        return arrival
+
     def _on_arrival(self, request: server.Request) -> bool:
         """Record a caller's request; add what the server says of itself.
 
@@ -402,8 +421,13 @@
     """One execution of a request."""
 
     def __init__(
-        self, backend: BackendServer, request: server.Request
+        self,
+        backend: BackendServer,
+        request: server.Request,
+        arrival: _Arrival,
     ) -> None:
+        self._arrival = arrival
+        arrival.has_run = True
         self._request = request
         self._backend = backend
         self._is_finished = False
@@ -433,15 +457,33 @@
             known.entry if known else "",
         )
         self._event_count = int(request.getHeader("x-events") or 0)
-        step = self._send_event if self._event_count else self._respond
-        reactor.callLater(backend.scaled_s(WORK_S), step)
+        delay_s = backend.scaled_s(WORK_S)
+        refusals, self._failure = backend.refusals, None
+        if refusals is not None and not self._is_poison:
+            self._failure = refusals.failure()
+            if self._failure is refusals_module.Failure.AT_DEADLINE:
+                delay_s = refusals.delay_s(request, delay_s)
+        reactor.callLater(delay_s, self._begin_response)
 
     def _end(self) -> None:
         self._is_finished = True
 
-    def _respond(self) -> None:
+    def _begin_response(self) -> None:
         if self._is_finished:
             return
+        refusals, failure = self._backend.refusals, self._failure
+        if refusals is not None:
+            refusals.connection(self._request).write_kept_copy()
+            if failure is not None and not refusals.fail(
+                failure, self._request, self._arrival
+            ):
+                return
+        if self._event_count:
+            self._send_event()
+        else:
+            self._respond()
+
+    def _respond(self) -> None:
         body = ledger_module.expected_body(self._id)
         if self._is_unframed:
             self._request.write(body)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from soak import ledger as ledger_module
+from soak import refusal_checks
 from soak import stream_events
 
 if TYPE_CHECKING:
@@ -13,8 +14,6 @@
     from soak import backend_server
 
 Kind = ledger_module.Kind
-# Statuses which certify that the request was not executed and never will be.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Maximum time from the store's acknowledgement of the drain until the server
 # receives no new request.
 DRAIN_MS = 3_000
@@ -62,6 +61,8 @@
 ) -> list[str]:
     if request is None or len(runs) <= MAX_RUNS[request.kind]:
         return []
+    if request.kind in refusal_checks.RUN_ONCE_KINDS:
+        return []  # RefusalChecks names the cause
     return [
         f"{request.request_id}: {request.kind.value} ran {len(runs)} times"
     ]
@@ -75,7 +76,10 @@
         return []
     name = f"{request.request_id} at {request.entry}: {request.kind.value}"
     found = []
-    if response.status in NOT_RUN_STATUSES and not response.signature and runs:
+    # RefusalChecks has the kinds that run at most once.
+    is_promise = response.status in refusal_checks.NOT_RUN_STATUSES
+    is_repeatable = request.kind not in refusal_checks.RUN_ONCE_KINDS
+    if is_promise and is_repeatable and not response.signature and runs:
         found.append(f"{name}: status {response.status}, but was run")
     is_unexpected_401 = response.status == 401 and request.api_key is None
     if is_unexpected_401 or response.status in (400, 403, 404, 413, 431):
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -31,7 +31,9 @@
         store_port: int,
         folder: pathlib.Path,
         engines_check_tokens: bool = True,
+        source: pathlib.Path = ROOT,
     ) -> None:
+        self._source = source
         self.name = name
         self.callers_port = free_ports.free_port()
         self.ready_port = free_ports.free_port()
@@ -122,7 +124,7 @@
             self._process = subprocess.Popen(
                 [
                     sys.executable,
-                    str(ROOT / "src" / "platform_daemon.py"),
+                    str(self._source / "src" / "platform_daemon.py"),
                     "--settings",
                     str(self._settings),
                 ],
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -80,11 +80,17 @@
 
 
 def draw(
-    random_source: random.Random, is_planned_only: bool
-) -> tuple[str, Callable[[SoakTarget, float], None]]:
-    """Return the name and function of a randomly chosen fault."""
+    random_source: random.Random, is_planned_only: bool, only: frozenset[str]
+) -> tuple[str, Callable[[SoakTarget, float], None]] | None:
+    """Return the name and function of a randomly chosen fault, if any.
+
+    With names in `only`, others are left out.
+    """
     table = dict(_PLANNED) if is_planned_only else {**_PLANNED, **_UNPLANNED}
-    name = random_source.choice(sorted(table))
+    names = sorted(only & table.keys() if only else table)
+    if not names:
+        return None
+    name = random_source.choice(names)
     return name, table[name]
 
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -81,6 +81,31 @@
     event_count: int = 0  # events written in full
 
 
+class Intrusion(enum.IntEnum):
+    """State what a server wrote in front of its response to a request.
+
+    The more it looks like the response, the higher it is.
+    """
+
+    NONE = 0
+    OTHER_REFUSAL = 1  # names another request
+    NAMELESS_REFUSAL = 2
+    OWN_COPY = 3  # second copy of the refusal of an earlier send
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """One send of a request that has reached a backend server."""
+
+    request_id: str
+    server_id: str
+    at_ms: int
+    is_reused: bool = False  # sent on a connection that was used before
+    has_run: bool = False
+    action: str = "served"  # of the server
+    intrusion: Intrusion = Intrusion.NONE
+
+
 @dataclasses.dataclass(slots=True)
 class Crash:
     """Crash of a backend server."""
@@ -93,9 +118,10 @@
 class Ledger:
     """All requests, runs and crashes of servers of one soak."""
 
-    __slots__ = ("crashes", "requests", "runs", "stray_responses")
+    __slots__ = ("arrivals", "crashes", "requests", "runs", "stray_responses")
 
     def __init__(self) -> None:
+        self.arrivals: dict[str, list[Arrival]] = {}
         self.crashes: list[Crash] = []
         # Entries that sent bytes on a connection without an open request.
         self.stray_responses: list[str] = []
@@ -106,6 +132,16 @@
         """Record a request that is about to be sent."""
         self.requests[request.request_id] = request
 
+    def add_arrival(self, arrival: Arrival) -> None:
+        """Record a request that has reached a server."""
+        self.arrivals.setdefault(arrival.request_id, []).append(arrival)
+
+    def send_counts(self) -> dict[str, int]:
+        """Return the number of sends, and of those on new connections."""
+        arrivals = [item for found in self.arrivals.values() for item in found]
+        new = sum(1 for arrival in arrivals if not arrival.is_reused)
+        return {"sends": len(arrivals), "new_connections": new}
+
     def on_run(self, request_id: str, run: Run) -> None:
         """Record the start of a run."""
         self.runs.setdefault(request_id, []).append(run)
@@ -132,6 +168,10 @@
             row["response"]["body"] = body[:MAX_KEPT_BYTES].decode("latin-1")
         runs = self.runs.get(request.request_id, [])
         row["runs"] = [dataclasses.asdict(run) for run in runs]
+        row["arrivals"] = [
+            dataclasses.asdict(arrival) | {"intrusion": arrival.intrusion.name}
+            for arrival in self.arrivals.get(request.request_id, [])
+        ]
         return row
 
 
--- a/soak/report.py
+++ b/soak/report.py
@@ -21,6 +21,13 @@
     resumed: int = 0
     went_on: int = 0
     joined: int = 0
+    # Requests that run at most once: refused but run, run twice, and their
+    # number by status.
+    refused: int = 0
+    twice: int = 0
+    run_once: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Of all requests, in runs whose servers refuse and fail requests.
+    sends: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def line(self) -> str:
         """Return the report as text, with the first violations."""
@@ -28,7 +35,8 @@
             f"seed={self.seed} faults={len(self.faults)} "
             f"asked={self.asked} served={self.served} "
             f"resumed={self.resumed} went_on={self.went_on} "
-            f"joined={self.joined} stalls={self.stalls} "
+            f"joined={self.joined} refused={self.refused} "
+            f"twice={self.twice} stalls={self.stalls} "
             f"features={','.join(self.features) or '-'} "
             f"violations={len(self.violations)}"
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import pathlib
 import random
@@ -21,6 +22,7 @@
 from soak import participants
 from soak import poison_part
 from soak import proxy as proxy_module
+from soak import refusal_checks
 from soak import report as report_module
 from soak import resumption_checks
 from soak import route_probe as route_probe_module
@@ -55,6 +57,17 @@
 KEY_REST_S = 3.5
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Options:
+    """Choices of the command line beside the seed and the duration."""
+
+    entries: int = ENTRIES
+    # Faults and features of the run, all that the seed has if empty.
+    only: frozenset[str] = frozenset()
+    # Checkout whose entries run.
+    source: pathlib.Path = entry_module.ROOT
+
+
 class Soak:
     """Store, backend servers, entries and callers of one seed."""
 
@@ -63,16 +76,21 @@
         seed: int,
         duration_s: float,
         folder: pathlib.Path,
-        entries: int = ENTRIES,
+        options: Options,
     ) -> None:
         self.random = random.Random(seed)
+        self._only = options.only
         self._seed = seed
         self._duration_s = duration_s
         self.ledger = ledger_module.Ledger()
         self.data = store_module.StoreData()
         self.site = store_module.StoreSite(self.data)
         self.poison_part = poison_part.PoisonPart()
-        self._features = features_module.Features(seed)
+        is_planned_only = seed % PLANNED_ONLY_PERIOD == 0 and not self._only
+        self._is_planned_only = is_planned_only
+        self._features = features_module.Features(
+            seed, is_planned_only, self._only
+        )
         self._version = 0
         self._have_faults_ended = False
         self._are_keys_final = False
@@ -81,17 +99,17 @@
         self._violations: list[str] = []
         self._resumed: list[resumption_checks.Resumed] = []
         self._joined: list[str] = []
+        self._refusals = refusal_checks.RefusalChecks(self.ledger)
         # Intervals in which this process itself was not scheduled.
         self._stalls: list[tuple[int, int]] = []
         self._last_poll_ms = ledger_module.now_ms()
-        self._is_planned_only = seed % PLANNED_ONLY_PERIOD == 0
         self._listener = reactor.listenTCP(
             0, server.Site(self.site), interface="127.0.0.1"
         )
         store_port = self._listener.getHost().port
         self.store_proxies: dict[str, proxy_module.Proxy] = {}
         self.entries = []
-        for number in range(entries):
+        for number in range(options.entries):
             name = f"front-{number}"
             proxy = proxy_module.Proxy("127.0.0.1", store_port)
             self.store_proxies[name] = proxy
@@ -103,6 +121,7 @@
                     proxy.listen(),
                     folder,
                     self._features.engines_check_tokens,
+                    options.source,
                 )
             )
         parts = participants.Participants(
@@ -116,6 +135,8 @@
         self._all_backends = self.backends + parts.added_engines(
             truncated_share
         )
+        for backend in self._all_backends:
+            backend.refusals = self._features.refusals
         self._engines = [item for item in self._all_backends if item.is_engine]
         for engine in self._engines:
             engine.checks_tokens = self._features.engines_check_tokens
@@ -155,22 +176,30 @@
             caller.start()
         if self._features.workspaces is not None:
             self._replace_key(self._features.workspaces)
+        if not self._only:
+            self._start_other_faults()
+        self._next_fault()
+        reactor.callLater(self._duration_s, self._end_faults)
+
+    def _start_other_faults(self) -> None:
+        """Begin the faults that are not drawn one after the other."""
         # The limit binds only after some seconds, so that one begins early.
         self._faults.append(faults.limit_server.__name__)
         faults.limit_server(self, MAX_FAULT_S)
         if not self._is_planned_only and self.random.random() < POISON_SHARE:
             self._faults.append(faults.send_poison_part.__name__)
             faults.send_poison_part(self, MAX_FAULT_S)
-        self._next_fault()
         if self._version_faults is not None:
             self._version_faults.start(self._duration_s)
         self._announcements.start(self._duration_s)
-        reactor.callLater(self._duration_s, self._end_faults)
 
     def _next_fault(self) -> None:
         if self._have_faults_ended:
             return
-        name, function = faults.draw(self.random, self._is_planned_only)
+        drawn = faults.draw(self.random, self._is_planned_only, self._only)
+        if drawn is None:
+            return
+        name, function = drawn
         length_s = self.random.uniform(0.2, MAX_FAULT_S)
         self.record_fault(name, length_s)
         function(self, length_s)
@@ -188,6 +217,8 @@
         self._have_faults_ended = True
         if self._version_faults is not None:
             self._version_faults.end()
+        if self._features.refusals is not None:
+            self._features.refusals.end()
         for backend in self.backends:
             backend.limit.end()
             backend.backoff.end()
@@ -233,6 +264,8 @@
         self.end_poison_part(self.poison_part.name)
         self._violations += self.poison_part.violations(self.ledger)
         self._violations += checks.violations(self.ledger, self._all_backends)
+        self._refusals = refusal_checks.RefusalChecks(self.ledger)
+        self._violations += self._refusals.refused + self._refusals.twice
         for backend in self.backends:
             disturbed = self._disturbed_entries()
             disturbed[""] = backend.harmed_ms
@@ -328,6 +361,10 @@
             len(self._resumed),
             sum(item.goes_on for item in self._resumed),
             len(self._joined),
+            len(self._refusals.refused),
+            len(self._refusals.twice),
+            self._refusals.outcomes(),
+            self.ledger.send_counts() if self._features.refusals else {},
         )
 
     # Operations used by the fault functions
@@ -426,13 +463,10 @@
 
 
 def run(
-    seed: int,
-    duration_s: float,
-    folder: pathlib.Path,
-    entries: int = ENTRIES,
+    seed: int, duration_s: float, folder: pathlib.Path, options: Options
 ) -> report_module.Report:
     """Run one soak; the reactor allows only one per process."""
-    soak = Soak(seed, duration_s, folder, entries)
+    soak = Soak(seed, duration_s, folder, options)
     reactor.callWhenRunning(soak.start)
     try:
         reactor.run()
