--- a/soak/refusals.py
+++ b/soak/refusals.py
@@ -88,8 +88,14 @@
             self.write_copy(request_id, data)
 
     def write_copy(self, request_id: str, data: bytes) -> None:
-        """Write a second copy, unless inside a response."""
-        if self._open is None or not self._channel.transport.connected:
+        """Write a second copy, unless inside a response.
+
+        One that ends with its connection lasts until that is closed.
+        """
+        transport = self._channel.transport
+        if not transport.connected or transport.disconnecting:
+            return
+        if self._open is None:
             return
         request, arrival = self._open
         if request.finished:
@@ -98,7 +104,7 @@
             return
         else:
             _record_copy(arrival, request_id)
-        self._channel.transport.write(data)
+        transport.write(data)
 
 
 class Refusals:
