Let one record decide on sends and on promises of not run

Users saw requests run that had been refused as not run, and requests that run once run twice.

Change: a send may have run from its first byte until a certificate of this very send is read. The execution record holds the state of each send; it alone allows a status that promises (response_writer.py), the begin of a send (RequestHandler.send) and its first byte (Attempt.on_connected). AttemptHistory, the unsent count of the quota and the statuses kept in the handler go. A send that comes too late is withheld, logged and counted, and a request that has ended is not answered again.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -47,7 +47,7 @@
     STALLED = "stalled"  # no event for too long; it may have run
     UNREAD = "unread"  # cut by the server while its caller did not read
     NOT_READ = "not_read"  # broken while the server did not read the request
-    ABANDONED = "abandoned"  # cancelled by this entry after it was sent
+    WITHDRAWN = "withdrawn"  # given up by this entry; nothing was sent
 
 
 # Failures that say nothing about how the server serves other requests.
@@ -56,6 +56,7 @@
         AttemptFailure.UNREAD,
         AttemptFailure.NOT_READ,
         AttemptFailure.BACKED_OFF,
+        AttemptFailure.WITHDRAWN,
     }
 )
 
@@ -231,7 +232,7 @@
     def abandon(self) -> None:
         """Close the connection; the listener is not called again."""
         self._listener = None
-        self._send.on_unsent()
+        self._send.withdraw()
         self._cancel_discard_timer()
         if self._connection is not None:
             self._connection.close()
@@ -265,19 +266,26 @@
     def on_connected(
         self, connection: backend_connection.BackendConnection
     ) -> None:
-        """Send the request, unless the server wants none by now."""
+        """Send the request, if that is still wanted."""
         if self._announcements.is_backed_off(self.server):
-            connection.close()
-            self._send.on_unsent()
-            self._outgoing.body.release(self)
+            self._send.on_not_connected()
             self.has_backed_off = True
-            detail = "the server asked for a back-off"
-            self._fail(AttemptFailure.BACKED_OFF, detail)
+            self._give_up(
+                connection,
+                AttemptFailure.BACKED_OFF,
+                "the server asked for a back-off",
+            )
+            return
+        if not self._send.begin():
+            self._give_up(
+                connection,
+                AttemptFailure.WITHDRAWN,
+                "the request is answered, or another server may run it",
+            )
             return
         self._connection = connection
         self.source = connection.source
         outgoing = self._outgoing
-        self._send.on_written()
         connection.send(
             outgoing.method,
             outgoing.target,
@@ -291,7 +299,7 @@
 
     def on_not_connected(self, detail: str) -> None:
         """Report that no connection was made and nothing was sent."""
-        self._send.on_unsent()
+        self._send.on_not_connected()
         self._outgoing.body.release(self)
         self._fail(AttemptFailure.NOT_CONNECTED, detail)
 
@@ -378,6 +386,17 @@
         else:
             self._fail(self.break_failure, detail)
 
+    def _give_up(
+        self,
+        connection: backend_connection.BackendConnection,
+        failure: AttemptFailure,
+        detail: str,
+    ) -> None:
+        """Send nothing on a connection that has just come."""
+        connection.close()
+        self._outgoing.body.release(self)
+        self._fail(failure, detail)
+
     def _limit_discarding(self, timeout_ms: int) -> None:
         """Close the connection if the response has not ended by then."""
         self._cancel_discard_timer()
--- a/src/balsamwall/gateway/execution_log.py
+++ b/src/balsamwall/gateway/execution_log.py
@@ -64,15 +64,16 @@
         self._log = log
         self._metrics = metrics
 
-    def on_send(self, request: AnsweredRequest, server_id: str) -> None:
-        """Log a send of a request that has ended already."""
-        if request.is_finished:
-            self._log.write(
-                "sent_after_answer",
-                request=request.request_id,
-                server=server_id,
-                status=request.answered_status,
-            )
+    def on_withheld(self, request: AnsweredRequest, server_id: str) -> None:
+        """Log a send that came too late, or while another one is open."""
+        self._metrics.count_withheld_send()
+        self._log.write(
+            "send_withheld",
+            request=request.request_id,
+            server=server_id,
+            is_finished=request.is_finished,
+            sends=request.execution.rows(request.arrived_ms),
+        )
 
     def on_finished(self, request: AnsweredRequest) -> None:
         """Log the sends of a refused request, if there are any."""
--- a/src/balsamwall/gateway/execution_record.py
+++ b/src/balsamwall/gateway/execution_record.py
@@ -1,16 +1,18 @@
-"""Record what is known of whether backend servers have run a request."""
+"""Decide what may be told of a request, and whether it may be sent."""
 
 from __future__ import annotations
 
 import enum
 from typing import TYPE_CHECKING
 
+from balsamwall.results import result_code
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from balsamwall.timing import clock as clock_module
 
-
+_Code = result_code.ResultCode
 # Statuses that promise callers that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -19,7 +21,8 @@
     """State what is known of one send of a request."""
 
     CONNECTING = "connecting"  # nothing is written yet
-    UNSENT = "unsent"  # given up before its first byte
+    NOT_CONNECTED = "not_connected"  # ended before its first byte
+    WITHDRAWN = "withdrawn"  # given up before its first byte
     WRITTEN = "written"  # the server may be running it, or have run it
     NOT_RUN = "not_run"  # certified by the server in response to this send
 
@@ -31,9 +34,22 @@
     not.
     """
 
-    __slots__ = ("_clock", "_server_id", "_since_ms", "_state", "_written_ms")
-
-    def __init__(self, clock: clock_module.Clock, server_id: str) -> None:
+    __slots__ = (
+        "_clock",
+        "_record",
+        "_server_id",
+        "_since_ms",
+        "_state",
+        "_written_ms",
+    )
+
+    def __init__(
+        self,
+        record: ExecutionRecord,
+        clock: clock_module.Clock,
+        server_id: str,
+    ) -> None:
+        self._record = record
         self._clock = clock
         self._server_id = server_id
         self._state = SendState.CONNECTING
@@ -50,15 +66,29 @@
         """Return whether the server may have run it."""
         return self._state is SendState.WRITTEN
 
-    def on_written(self) -> None:
-        """Record that the first byte is about to be written."""
+    def begin(self) -> bool:
+        """Return whether the first byte may be written now.
+
+        The connection may come after the request has been answered.
+        """
+        if self._state is not SendState.CONNECTING:
+            return False
+        if not self._record.may_write:
+            self._set(SendState.WITHDRAWN)
+            return False
         self._written_ms = self._clock.now_ms()
         self._set(SendState.WRITTEN)
+        return True
+
+    def withdraw(self) -> None:
+        """Give it up, unless its first byte was written."""
+        if self._state is SendState.CONNECTING:
+            self._set(SendState.WITHDRAWN)
 
-    def on_unsent(self) -> None:
-        """Record that it was given up, unless its first byte was written."""
+    def on_not_connected(self) -> None:
+        """Record that it ended before its first byte."""
         if self._state is SendState.CONNECTING:
-            self._set(SendState.UNSENT)
+            self._set(SendState.NOT_CONNECTED)
 
     def on_certified(self) -> None:
         """Record that its server has certified that it did not run."""
@@ -85,12 +115,21 @@
 
 
 class ExecutionRecord:
-    """Record the sends of one request."""
+    """Record the sends of one request, from which its answers follow.
 
-    __slots__ = ("_clock", "_sends")
+    A request that runs at most once is written to a server only while none
+    may have run it, and no request once it has ended.
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    Load pattern: servers refuse, answer twice, break off and answer at the
+    deadline, while permits, assignments and connections come late.
+    """
+
+    __slots__ = ("_clock", "_has_ended", "_is_repeatable", "_sends")
+
+    def __init__(self, clock: clock_module.Clock, is_repeatable: bool) -> None:
         self._clock = clock
+        self._is_repeatable = is_repeatable
+        self._has_ended = False
         self._sends: list[Send] = []
 
     @property
@@ -101,14 +140,69 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether any server may have run the request."""
-        return any(send.may_have_run for send in self._sends)
+        return self.possible_runs > 0
+
+    @property
+    def possible_runs(self) -> int:
+        """Return how many sends a server may have run."""
+        return self._count(SendState.WRITTEN)
+
+    @property
+    def refused(self) -> int:
+        """Return how many sends a server certified as not run."""
+        return self._count(SendState.NOT_RUN)
+
+    @property
+    def failed_connects(self) -> int:
+        """Return how many sends ended before their first byte."""
+        return self._count(SendState.NOT_CONNECTED)
+
+    @property
+    def may_write(self) -> bool:
+        """Return whether the request may be written to a server."""
+        if self._has_ended:
+            return False
+        return self._is_repeatable or not self.may_have_run
+
+    @property
+    def may_send(self) -> bool:
+        """Return whether another send may begin."""
+        return self.may_write and not self._count(SendState.CONNECTING)
 
     def open_send(self, server_id: str) -> Send:
         """Return a new send, of which nothing is written yet."""
-        send = Send(self._clock, server_id)
+        send = Send(self, self._clock, server_id)
         self._sends.append(send)
         return send
 
+    def end(self) -> None:
+        """Record that the request has ended; nothing is written any more."""
+        self._has_ended = True
+        for send in self._sends:
+            send.withdraw()
+
+    def permits_status(self, status: int) -> bool:
+        """Return whether a response with this status tells the truth.
+
+        Only requests that run at most once must have a proof; callers repeat
+        the others after any failure.
+        """
+        if self._is_repeatable or status not in NOT_RUN_STATUSES:
+            return True
+        return not self.may_have_run
+
+    def truthful_code(self, code: result_code.ResultCode) -> _Code:
+        """Return the code, or the one that says what is known instead."""
+        if self.may_have_run:
+            is_false = code.is_certified_not_run
+            return _Code.OUTCOME_UNKNOWN if is_false else code
+        if code is _Code.DEADLINE_EXCEEDED:
+            return _Code.DEADLINE_UNREACHABLE
+        return code
+
     def rows(self, since_ms: int) -> list[list[object]]:
         """Return the rows of all sends, with times after `since_ms`."""
         return [send.row(since_ms) for send in self._sends]
+
+    def _count(self, state: SendState) -> int:
+        return sum(send.state is state for send in self._sends)
--- a/src/balsamwall/gateway/gateway_metrics.py
+++ b/src/balsamwall/gateway/gateway_metrics.py
@@ -45,6 +45,7 @@
         "_sends",
         "_sends_in_backoff",
         "_server_limits",
+        "_withheld_sends",
         "workspaces",
     )
 
@@ -78,6 +79,11 @@
             ("proof",),
             registry=self._registry,
         )
+        self._withheld_sends = prometheus_client.Counter(
+            "balsamwall_gateway_withheld_sends",
+            "Sends that came after the answer, or while another was open",
+            registry=self._registry,
+        )
         self._sends_in_backoff = prometheus_client.Counter(
             "balsamwall_gateway_sends_in_backoff",
             "Requests sent within the back-off of a server, by reason",
@@ -191,6 +197,10 @@
         """Count a refusal by what proves that the request has not run."""
         self._refusals_after_send.labels(proof).inc()
 
+    def count_withheld_send(self) -> None:
+        """Count a send that was withheld."""
+        self._withheld_sends.inc()
+
     def count_send_in_backoff(self, reason: str) -> None:
         """Count a send to a server that has asked for a back-off."""
         self._sends_in_backoff.labels(reason).inc()
--- a/src/balsamwall/gateway/quota_gate.py
+++ b/src/balsamwall/gateway/quota_gate.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamwall.gateway import execution_record
     from balsamwall.gateway import incoming_request
-    from balsamwall.gateway import retry_policy
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.gateway import workspace_balance
@@ -45,7 +45,6 @@
         "_on_admitted",
         "_on_refused",
         "_quotas",
-        "_unsent",
         "_wait",
     )
 
@@ -63,7 +62,6 @@
         self._charged = 0
         # The workspace of the request may change with the configuration.
         self._charged_workspace = ""
-        self._unsent = 0  # attempts given up before they were sent
         self._wait: workspace_balance.QuotaWait | None = None
 
     def start(self) -> None:
@@ -95,19 +93,12 @@
         is_urgent = admission.is_route_urgent(self._handler.route.priority)
         return self._handler.request.has_token_usage and not is_urgent
 
-    def on_unsent(self) -> None:
-        """Record that an attempt was given up before it was sent."""
-        self._unsent += 1
-
-    def on_finished(
-        self, sends: int, history: retry_policy.AttemptHistory
-    ) -> None:
+    def on_finished(self, execution: execution_record.ExecutionRecord) -> None:
         """End the wait; return the cost if no server may have run it."""
         if self._wait is not None:
             self._wait.cancel()
-        not_run = history.refused + history.failed_connects + self._unsent
         charged, self._charged = self._charged, 0
-        if charged and sends <= not_run:
+        if charged and not execution.may_have_run:
             self._quotas.put_back(self._charged_workspace, charged)
 
     def _refuse(
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -9,21 +9,20 @@
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import outgoing_request
 from balsamwall.gateway import refusal
-from balsamwall.gateway import retry_policy
 from balsamwall.gateway import stream_parts
 
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import connection_source
-    from balsamwall.gateway import quota_gate
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import request_handler
+    from balsamwall.gateway import response_writer
     from balsamwall.gateway import stream_meter
 
 
 class RequestAttempts:
-    """Keep the current attempt of a request and the history of the others.
+    """Keep the current attempt of a request, and what the others brought.
 
     At most one attempt is current. A server counts its prompt as pending until
     the response begins or the attempt ends.
@@ -36,12 +35,11 @@
         "_has_response",
         "_is_blocked",
         "_pending_tokens",
-        "_quota",
+        "_response",
         "_service",
         "connection",
         "current",
         "event_deadline",
-        "history",
         "meter",
         "parts",
         "sends",
@@ -53,13 +51,13 @@
         handler: request_handler.RequestHandler,
         exchange: caller_exchange.CallerExchange,
         service: str,
-        quota: quota_gate.QuotaGate,
+        response: response_writer.ResponseWriter,
     ) -> None:
         self._dependencies = dependencies
         self._handler = handler
         self._exchange = exchange
         self._service = service
-        self._quota = quota
+        self._response = response
         self._has_response = False  # of the current attempt, for the caller
         self._is_blocked = False  # whether the caller does not read
         self._pending_tokens = 0
@@ -69,7 +67,6 @@
             handler.route.event_timeout_ms,
             self._on_stalled,
         )
-        self.history = retry_policy.AttemptHistory()
         self.meter: stream_meter.StreamMeter | None = None  # of the last send
         self.sends = 0
         # Events of the response by the server process that wrote them.
@@ -80,7 +77,6 @@
     def send(self, server: backend_directory.BackendServer) -> None:
         """Send the request to a server as the current attempt."""
         dependencies, handler = self._dependencies, self._handler
-        dependencies.execution_log.on_send(handler, server.server_id)
         attempt = attempt_module.Attempt(
             server,
             dependencies.codec,
@@ -120,13 +116,12 @@
         self._pending_tokens = 0
 
     def may_retry(self, failure: attempt_module.AttemptFailure) -> bool:
-        """Record a failed attempt; return whether to send again."""
-        self.history.record_failure(failure)
+        """Return whether to send again after a failure."""
         if not self._exchange.body.may_be_sent or self._is_suspect(failure):
             return False
         return self._dependencies.retry_policy.may_retry(
             self._handler.route,
-            self.history,
+            self._handler.execution,
             failure,
             self._handler.left_ms,
             self._dependencies.retry_budget_for(self._service),
@@ -147,18 +142,14 @@
 
     def begin_response(
         self, attempt: attempt_module.Attempt, fields: http_fields.Fields
-    ) -> None:
-        """Begin the response to the caller.
+    ) -> bool:
+        """Begin the response to the caller; return whether it is a true one.
 
         An event stream has no length for the caller, since the length would
         end it before its last event is known to be complete. A response that
         ends with the server's connection is chunked for the caller, so that
         the loss of this process does not look like its end.
         """
-        self._has_response = True
-        self.release_pending_tokens()
-        self.release_body()
-        self._dependencies.on_first_response(self._handler)
         length = None
         if not self._handler.body.is_event_stream:
             length = http_fields.content_length(fields)
@@ -168,8 +159,13 @@
             fields = refusal.with_retry_after(
                 fields, self._handler.dispatch.retry_after_ms
             )
-        self._handler.answered_status = attempt.status
-        self._exchange.begin(attempt.status, fields, length)
+        if not self._response.relay(attempt.status, fields, length):
+            return False
+        self._has_response = True
+        self.release_pending_tokens()
+        self.release_body()
+        self._dependencies.on_first_response(self._handler)
+        return True
 
     def release_body(self) -> None:
         """Release the caller's body if no failure allows another send.
@@ -179,7 +175,10 @@
         handler = self._handler
         is_last = handler.has_begun and not handler.body.is_resumable
         if is_last or not self._dependencies.retry_policy.may_send_again(
-            handler.route, self.history, handler.left_ms, self._has_response
+            handler.route,
+            handler.execution,
+            handler.left_ms,
+            self._has_response,
         ):
             self._release_body()
 
@@ -231,12 +230,6 @@
         attempt = self.current
         if attempt is None:
             return
-        if attempt.is_sent:
-            self.history.record_failure(
-                attempt_module.AttemptFailure.ABANDONED
-            )
-        else:
-            self._quota.on_unsent()
         self.finish(is_failure)
         attempt.abandon()
 
@@ -251,8 +244,6 @@
             return
         self._clear(attempt)
         if route.is_stream or route.is_repeatable:
-            if not attempt.is_sent:
-                self._quota.on_unsent()
             attempt.abandon()
         else:
             attempt.detach(self._handler.left_ms)
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -15,6 +15,7 @@
 from balsamwall.gateway import request_content
 from balsamwall.gateway import request_dispatch
 from balsamwall.gateway import response_body
+from balsamwall.gateway import response_writer
 from balsamwall.gateway import stream_progress
 from balsamwall.gateway import stream_resumption
 from balsamwall.results import result_code
@@ -47,13 +48,12 @@
         "_deadline_timer",
         "_end_ms",
         "_exchange",
-        "_has_begun",
         "_is_finished",
         "_on_finished",
         "_dependencies",
         "_quota",
+        "_response",
         "_service",
-        "answered_status",
         "attempts",
         "body",
         "content",
@@ -83,9 +83,12 @@
         self.workspace = workspace
         self._service = service
         self._on_finished = on_finished
-        self._has_begun = False
-        self.answered_status = 0
-        self.execution = execution_record.ExecutionRecord(dependencies.clock)
+        self.execution = execution_record.ExecutionRecord(
+            dependencies.clock, route.is_repeatable
+        )
+        self._response = response_writer.ResponseWriter(
+            exchange, self.execution
+        )
         self.progress = stream_progress.StreamProgress()
         self._is_finished = False
         self.content = request_content.RequestContent(
@@ -108,7 +111,7 @@
             dependencies, self, service, self._quota.start, self._refuse
         )
         self.attempts = request_attempts.RequestAttempts(
-            dependencies, self, exchange, service, self._quota
+            dependencies, self, exchange, service, self._response
         )
 
     @property
@@ -124,7 +127,7 @@
     @property
     def has_begun(self) -> bool:
         """Return whether a part of the response was relayed."""
-        return self._has_begun
+        return self._response.is_relayed
 
     @property
     def request_id(self) -> str:
@@ -136,6 +139,11 @@
         """Return when the first byte of the request was read."""
         return self._arrived_ms
 
+    @property
+    def answered_status(self) -> int:
+        """Return the status that the caller got, 0 without one."""
+        return self._response.status
+
     @property
     def server_id(self) -> str:
         """Return the server of the current attempt, or an empty string."""
@@ -195,6 +203,9 @@
 
     def send(self, server: backend_directory.BackendServer) -> None:
         """Send the request to a server, unless it must be refused now."""
+        if not self.execution.may_send:
+            self._withhold(server)
+            return
         if self.refuse_quarantined() or self.refuse_unauthenticated():
             return
         if not self.resumption.may_send(server):
@@ -203,6 +214,14 @@
         self.resumption.on_send(server)
         self.attempts.send(server)
 
+    def _withhold(self, server: backend_directory.BackendServer) -> None:
+        """Send nothing; end a request that no other attempt can end."""
+        self._dependencies.execution_log.on_withheld(self, server.server_id)
+        if not self._is_finished and self.attempts.current is None:
+            self._refuse(
+                _Code.OUTCOME_UNKNOWN, "a server may have run the request"
+            )
+
     def on_written(self, attempt: attempt_module.Attempt) -> None:
         """Release the body if it will not be sent again."""
         if attempt is self.attempts.current:
@@ -232,7 +251,7 @@
                     "the software version of the server has changed",
                 )
                 return
-        if self._has_begun:
+        if self.has_begun:
             media_type = http_fields.media_type(fields)
             if not self.body.can_continue(status, media_type):
                 self.attempts.finish(True)
@@ -253,36 +272,21 @@
             self.dispatch.exclude(attempt.server)
             self.dispatch.dispatch()
             return
-        is_promise = status in execution_record.NOT_RUN_STATUSES
-        if is_promise and not self.route.is_repeatable:
-            self._replace_uncertified_status(attempt, status)
-            return
         self._begin(attempt, fields)
 
     def _begin(
         self, attempt: attempt_module.Attempt, fields: http_fields.Fields
     ) -> None:
-        """Begin the response to the caller."""
+        """Begin the response, or replace a status that is no proof."""
         self.resumption.on_head(attempt)
-        self._has_begun = True
-        self.body.begin(http_fields.media_type(fields))
-        self.attempts.begin_response(attempt, fields)
-
-    def _replace_uncertified_status(
-        self, attempt: attempt_module.Attempt, status: int
-    ) -> None:
-        """Answer with an unknown outcome in place of a server's status.
-
-        Callers repeat a request after this status, and the server has not
-        certified that the request did not run.
-        """
+        if self.attempts.begin_response(attempt, fields):
+            self.body.begin(http_fields.media_type(fields))
+            return
         self.attempts.finish(True)
         attempt.detach(self.left_ms)
-        self.attempts.history.record_failure(
-            attempt_module.AttemptFailure.INVALID
-        )
         self._refuse(
-            _Code.OUTCOME_UNKNOWN, f"uncertified status {status} of the server"
+            _Code.OUTCOME_UNKNOWN,
+            f"uncertified status {attempt.status} of the server",
         )
 
     def on_response_data(
@@ -306,7 +310,7 @@
                 self._dependencies.on_events_begun(self, attempt)
         if data:
             self.progress.record(now_ms, self._arrived_ms)
-            self._exchange.write(data)
+            self._response.write(data)
             if self.body.has_gone_on(now_ms):
                 self.content.prove(self.body)
 
@@ -322,7 +326,7 @@
         self.attempts.finish(is_failure)
         if not is_failure:
             self.content.prove(self.body)
-        self._exchange.finish()
+        self._response.finish()
         self._finish(_Code.OK, f"status {attempt.status}", attempt.server)
 
     def on_failed(
@@ -342,10 +346,10 @@
             self._dependencies.on_model_missing(
                 self._service, self.request, attempt.server
             )
-        if self._has_begun and not self.body.is_resumable:
+        if self.has_begun and not self.body.is_resumable:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
         elif not self.attempts.may_retry(failure):
-            if self._has_begun:
+            if self.has_begun:
                 self._cut(_Code.ANSWER_INTERRUPTED, detail)
             else:
                 self._refuse(
@@ -365,7 +369,7 @@
     def on_deadline(self) -> None:
         """End the request with what is known of its outcome."""
         self.attempts.on_deadline()
-        if self._has_begun:
+        if self.has_begun:
             self._cut(
                 _Code.DEADLINE_EXCEEDED,
                 "deadline exceeded while sending the response",
@@ -379,7 +383,7 @@
         A running attempt and a response that has begun are left alone. Return
         whether it was refused.
         """
-        if self._is_finished or self._has_begun or self.attempts.current:
+        if self._is_finished or self.has_begun or self.attempts.current:
             return False
         self.dispatch.stop_wait()
         self._refuse(code, detail)
@@ -387,7 +391,7 @@
 
     def refuse_unrun(self, code: _Code, detail: str) -> bool:
         """Refuse the request unless a server may have run it."""
-        if self.attempts.history.may_have_run:
+        if self.execution.may_have_run:
             return False
         return self.refuse_unsent(code, detail)
 
@@ -421,21 +425,16 @@
 
         A response that has begun is cut off instead.
         """
-        if self._has_begun:
+        if self._is_finished:
+            return
+        if self.has_begun:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
             return
-        may_have_run = self.attempts.history.may_have_run
-        if may_have_run and code.is_certified_not_run:
-            code = _Code.OUTCOME_UNKNOWN
-        elif code is _Code.DEADLINE_EXCEEDED and not may_have_run:
-            code = _Code.DEADLINE_UNREACHABLE
-        self.answered_status = refusal.write(
-            self._exchange, code, detail, retry_after_ms
-        )
+        code = self._response.refuse(code, detail, retry_after_ms)
         self._finish(code, detail, None)
 
     def _cut(self, code: _Code, detail: str) -> None:
-        self._exchange.cut()
+        self._response.cut()
         self._finish(code, detail, None)
 
     def _finish(
@@ -447,9 +446,10 @@
         if self._is_finished:
             return
         self._is_finished = True
+        self.execution.end()
         self.resumption.stop()
         self.dispatch.stop()
-        self._quota.on_finished(self.attempts.sends, self.attempts.history)
+        self._quota.on_finished(self.execution)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._dependencies.on_finished(self, code, detail, server)
--- a/src/balsamwall/gateway/retry_policy.py
+++ b/src/balsamwall/gateway/retry_policy.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
 
 if TYPE_CHECKING:
+    from balsamwall.gateway import execution_record
     from balsamwall.gateway import route as route_module
     from balsamwall.limits import retry_budget
 
@@ -23,33 +23,11 @@
     {
         attempt_module.AttemptFailure.NOT_CONNECTED,
         attempt_module.AttemptFailure.BACKED_OFF,
+        attempt_module.AttemptFailure.WITHDRAWN,
     }
 )
 
 
-@dataclasses.dataclass(slots=True)
-class AttemptHistory:
-    """Count failed attempts, by whether a server may have run the request."""
-
-    possible_runs: int = 0  # attempts that a server may have run
-    refused: int = 0  # attempts that a server certified as not run
-    failed_connects: int = 0  # also those given up for a back-off
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether any server may have run the request."""
-        return self.possible_runs > 0
-
-    def record_failure(self, failure: attempt_module.AttemptFailure) -> None:
-        """Count a failed attempt."""
-        if failure in UNSENT:
-            self.failed_connects += 1
-        elif failure is attempt_module.AttemptFailure.NOT_RUN:
-            self.refused += 1
-        else:
-            self.possible_runs += 1
-
-
 class RetryPolicy:
     """Allow retries that are safe, within the limits and the retry budget.
 
@@ -62,24 +40,25 @@
     def may_retry(
         self,
         route: route_module.Route,
-        history: AttemptHistory,
+        execution: execution_record.ExecutionRecord,
         failure: attempt_module.AttemptFailure,
         remaining_ms: int,
         budget: retry_budget.RetryBudget,
     ) -> bool:
         """Return whether to send again; if so, use up a retry of the budget.
 
-        A failed connect uses none. `history` must already include the failure.
+        A failed connect uses none.
         """
         if remaining_ms < MIN_REMAINING_MS:
             return False
         if failure in UNSENT:
-            return history.failed_connects < MAX_FAILED_CONNECTS
+            return execution.failed_connects < MAX_FAILED_CONNECTS
         if failure is attempt_module.AttemptFailure.NOT_RUN:
-            if history.refused >= MAX_REFUSED_ATTEMPTS:
+            if execution.refused >= MAX_REFUSED_ATTEMPTS:
                 return False
         elif (
-            not route.is_repeatable or history.possible_runs >= route.attempts
+            not route.is_repeatable
+            or execution.possible_runs >= route.attempts
         ):
             return False
         return budget.take()
@@ -87,19 +66,19 @@
     def may_send_again(
         self,
         route: route_module.Route,
-        history: AttemptHistory,
+        execution: execution_record.ExecutionRecord,
         remaining_ms: int,
         has_response: bool,
     ) -> bool:
-        """Return whether any failure of the current attempt allows a retry.
+        """Return whether any failure of the written attempt allows a retry.
 
         A request that must not be repeated is sent again if the server
         certifies that it has not run, which a response excludes.
         """
         if remaining_ms < MIN_REMAINING_MS:
             return False
-        if not has_response and history.refused + 1 < MAX_REFUSED_ATTEMPTS:
+        if not has_response and execution.refused + 1 < MAX_REFUSED_ATTEMPTS:
             return True
         return route.is_repeatable and (
-            history.possible_runs + 1 < route.attempts
+            execution.possible_runs < route.attempts
         )
--- /dev/null
+++ b/tests/gateway/test_execution_record.py
@@ -0,0 +1,170 @@
+"""Tests that refusals are true, whatever ends a request, and when."""
+
+from __future__ import annotations
+
+import unittest
+
+from balsamwall.gateway import execution_record
+from balsamwall.results import result_code
+from balsamwall.timing import virtual_clock
+from tests.fixtures import gateway_harness
+
+Code = result_code.ResultCode
+Kind = gateway_harness.Kind
+State = execution_record.SendState
+CERTIFICATE = [(b"balsamwall-not-executed", b"1")]
+LEAVING = (Code.LEAVING, "the entry leaves")
+NO_MEMORY = (Code.INSUFFICIENT_MEMORY, "no memory")
+
+
+class SlowPool:
+    """Pool whose connections come when the test delivers them."""
+
+    def __init__(self):
+        self.waiters = []
+        self.connections = []
+
+    def acquire(self, record, waiter, is_fresh=False, is_repeatable=False):
+        self.waiters.append(waiter)
+        return lambda: None
+
+    def deliver(self):
+        connection = gateway_harness.FakeConnection("s1")
+        self.connections.append(connection)
+        self.waiters[-1].on_connected(connection)
+
+    @property
+    def sends(self):
+        return [item for item in self.connections if item.request]
+
+
+# What ends a request without a response of a server.
+ENDS = {
+    "deadline": lambda case: case.harness.clock.advance(2_000),
+    "end of the process": lambda case: case.handler.terminate(),
+    "drain": lambda case: case.handler.refuse_unsent(*LEAVING),
+    "memory": lambda case: case.handler.refuse_unrun(*NO_MEMORY),
+}
+
+
+class RefusalTest(unittest.TestCase):
+    """One request that runs at most once, at one slow server."""
+
+    def begin(self, kind):
+        self.pool = SlowPool()
+        self.harness = gateway_harness.GatewayHarness(
+            gateway_harness.make_route(kind=kind), pool=self.pool
+        )
+        self.harness.add_servers("s1")
+        self.exchange = self.harness.send_request(method=b"POST")
+        (self.handler,) = self.harness.gateway._handlers
+
+    def end(self, name):
+        """End the request; return its status, None if it goes on."""
+        ENDS[name](self)
+        return self.exchange.status
+
+    def each_end(self):
+        for kind in (Kind.NON_IDEMPOTENT, Kind.STREAMING):
+            for name in ENDS:
+                with self.subTest(kind=kind, end=name):
+                    self.begin(kind)
+                    yield name
+
+    def test_request_that_a_server_may_run_is_not_refused(self):
+        """Guards against "not run" for a request that a server has."""
+        for name in self.each_end():
+            self.pool.deliver()
+            self.assertIn(self.end(name), (None, 502, 504))
+
+    def test_request_whose_connection_broke_is_not_refused(self):
+        """Guards against "not run" after a response that never came."""
+        for name in self.each_end():
+            self.pool.deliver()
+            self.pool.connections[0].receiver.on_broken(None, "reset")
+            self.assertEqual(self.end(name), 502)
+
+    def test_request_that_was_not_written_is_refused(self):
+        """Guards against an unknown outcome of what no server has got."""
+        for name in self.each_end():
+            self.assertIn(self.end(name), (None, 503))
+
+    def test_request_that_is_certified_is_refused(self):
+        """Guards against an unknown outcome while a refusal is read."""
+        for name in self.each_end():
+            self.pool.deliver()
+            self.pool.connections[0].begin(503, CERTIFICATE)
+            self.assertIn(self.end(name), (None, 503))
+
+    def test_connection_that_comes_after_the_answer_is_not_used(self):
+        """Guards against a run of a request that was refused."""
+        for name in self.each_end():
+            if self.end(name) is None:
+                self.handler.terminate()
+            self.pool.deliver()
+            self.assertEqual(self.pool.sends, [])
+            self.assertTrue(self.pool.connections[0].is_closed)
+
+    def test_connection_that_comes_after_the_caller_has_left(self):
+        """Guards against a run that nobody waits for."""
+        for _ in self.each_end():
+            self.handler.on_caller_disconnected()
+            self.pool.deliver()
+            self.assertEqual(self.pool.sends, [])
+
+    def test_send_after_the_answer_is_withheld(self):
+        """Guards against a permit or a load that comes after the answer."""
+        for name in self.each_end():
+            if self.end(name) is None:
+                self.handler.terminate()
+            self.handler.send(self.harness.directory.get("s1"))
+            self.assertEqual(len(self.pool.waiters), 1)
+
+    def test_second_send_is_withheld(self):
+        """Guards against two servers that run one request at a time."""
+        for _ in self.each_end():
+            for deliver in (lambda: None, self.pool.deliver):
+                deliver()
+                self.handler.send(self.harness.directory.get("s1"))
+                self.assertEqual(len(self.pool.waiters), 1)
+                self.assertIsNone(self.exchange.status)
+        name = b"balsamwall_gateway_withheld_sends_total 2.0"
+        self.assertIn(name, self.harness.metrics.render())
+
+
+class StatusTest(unittest.TestCase):
+    """Statuses that servers state by themselves."""
+
+    def setUp(self):
+        clock = virtual_clock.VirtualClock()
+        self.record = execution_record.ExecutionRecord(clock, False)
+        self.send = self.record.open_send("s1")
+
+    def test_promise_needs_a_proof(self):
+        """Guards against a server's own refusal that is passed on."""
+        for status in (408, 421, 429, 503):
+            self.setUp()
+            self.assertTrue(self.record.permits_status(status))
+            self.assertTrue(self.send.begin())
+            self.assertFalse(self.record.permits_status(status))
+            self.send.on_certified()
+            self.assertTrue(self.record.permits_status(status))
+
+    def test_certificate_of_an_unwritten_send_proves_nothing(self):
+        """Guards against a second copy of an earlier refusal."""
+        self.send.on_certified()
+        self.assertIs(self.send.state, State.CONNECTING)
+        self.send.begin()
+        self.assertTrue(self.record.may_have_run)
+
+    def test_withdrawn_send_stays_withdrawn(self):
+        """Guards against the first byte of a send that was given up."""
+        self.send.withdraw()
+        self.assertFalse(self.send.begin())
+        self.assertIs(self.send.state, State.WITHDRAWN)
+
+    def test_only_one_of_two_sends_is_written(self):
+        """Guards against two runs of a request whose connections are slow."""
+        other = self.record.open_send("s2")
+        self.assertTrue(self.send.begin())
+        self.assertFalse(other.begin())
