Open the circle of imports around the handling of a request

Eight modules of the gateway imported each other in one circle, through the types of a request's attempts and of its dispatch: the shared dependencies also logged and measured outcomes, and so needed the types of all parts that need the dependencies.

Change: request_outcomes.py logs and measures outcomes, by protocols with what it reads only; attempts and outgoing requests name what they need of the handler. Tests replace one method or the log in place of an attribute of the dependencies.

--- a/src/balsamwall/gateway/outgoing_request.py
+++ b/src/balsamwall/gateway/outgoing_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
@@ -9,14 +10,29 @@
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
+    from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
-    from balsamwall.gateway import request_handler
+    from balsamwall.gateway import response_body
     from balsamwall.gateway import route as route_module
+    from balsamwall.gateway import workspace as workspace_module
+
+
+class SentRequest(Protocol):
+    """Represent a request that is sent to servers."""
+
+    request: incoming_request.IncomingRequest
+    route: route_module.Route
+    workspace: workspace_module.Workspace | None
+    body: response_body.ResponseBody
+
+    @property
+    def left_ms(self) -> int:
+        """Return the time left until the deadline of the response."""
 
 
 def build(
     dependencies: request_dependencies.RequestDependencies,
-    handler: request_handler.RequestHandler,
+    handler: SentRequest,
     exchange: caller_exchange.CallerExchange,
     server: backend_directory.BackendServer,
 ) -> attempt_module.OutgoingRequest:
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
@@ -9,18 +10,46 @@
 from balsamwall.gateway import http_fields
 from balsamwall.gateway import outgoing_request
 from balsamwall.gateway import refusal
+from balsamwall.gateway import request_outcomes
 from balsamwall.gateway import stream_parts
 
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import connection_source
+    from balsamwall.gateway import request_content
     from balsamwall.gateway import request_dependencies
-    from balsamwall.gateway import request_handler
     from balsamwall.gateway import response_writer
     from balsamwall.gateway import stream_meter
 
 
+class RetriedDispatch(request_outcomes.ServerWaits, Protocol):
+    """Know when a refused request may be sent again."""
+
+    @property
+    def retry_after_ms(self) -> int:
+        """Return when a refused request may be sent again."""
+
+
+class AttemptedRequest(
+    attempt_module.AttemptListener,
+    outgoing_request.SentRequest,
+    request_outcomes.RequestOutcome,
+    Protocol,
+):
+    """Represent the request whose attempts are sent."""
+
+    content: request_content.RequestContent
+
+    @property
+    def dispatch(self) -> RetriedDispatch:
+        """Return what is known of the choice of a server."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a part of the response was relayed."""
+
+
 class RequestAttempts:
     """Keep the current attempt of a request, and what the others brought.
 
@@ -48,7 +77,7 @@
     def __init__(
         self,
         dependencies: request_dependencies.RequestDependencies,
-        handler: request_handler.RequestHandler,
+        handler: AttemptedRequest,
         exchange: caller_exchange.CallerExchange,
         service: str,
         response: response_writer.ResponseWriter,
@@ -164,7 +193,7 @@
         self._has_response = True
         self.release_pending_tokens()
         self.release_body()
-        self._dependencies.on_first_response(self._handler)
+        self._dependencies.outcomes.on_first_response(self._handler)
         return True
 
     def release_body(self) -> None:
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import admission as admission_module
 from balsamwall.gateway import assignment_client
-from balsamwall.gateway import attempt as attempt_module
 from balsamwall.gateway import authentication
-from balsamwall.gateway import connection_source
 from balsamwall.gateway import crash_suspects
-from balsamwall.gateway import execution_log
+from balsamwall.gateway import request_outcomes
 from balsamwall.gateway import request_priority
 from balsamwall.gateway import residency_waits
 from balsamwall.gateway import retry_policy as retry_policy_module
@@ -30,12 +27,8 @@
     from balsamwall.gateway import configuration_freshness
     from balsamwall.gateway import configuration_holder
     from balsamwall.gateway import connection_pool
-    from balsamwall.gateway import fingerprints as fingerprints_module
     from balsamwall.gateway import gateway_metrics
     from balsamwall.gateway import incoming_request
-    from balsamwall.gateway import request_attempts
-    from balsamwall.gateway import request_dispatch
-    from balsamwall.gateway import response_body
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import server_backoff
     from balsamwall.gateway import server_choice
@@ -43,30 +36,13 @@
     from balsamwall.gateway import server_limits
     from balsamwall.gateway import software_versions
     from balsamwall.gateway import stream_origins
-    from balsamwall.gateway import stream_progress
     from balsamwall.gateway import version_proof
     from balsamwall.gateway import workspace as workspace_module
     from balsamwall.gateway import workspace_quotas
     from balsamwall.logs import decision_log
-    from balsamwall.results import result_code
     from balsamwall.timing import clock as clock_module
 
 
-class RequestOutcome(execution_log.AnsweredRequest, Protocol):
-    """Provide the values of a request that are logged and measured."""
-
-    request: incoming_request.IncomingRequest
-    workspace: workspace_module.Workspace | None
-    progress: stream_progress.StreamProgress
-    attempts: request_attempts.RequestAttempts
-    body: response_body.ResponseBody
-    dispatch: request_dispatch.RequestDispatch
-
-    @property
-    def fingerprints(self) -> fingerprints_module.RequestFingerprints:
-        """Return digests of the request and of the parts of its prompt."""
-
-
 class RetryBudgetSettings:
     """Set the retry budget of the fleet, shared by all entries.
 
@@ -100,13 +76,13 @@
         "clock",
         "codec",
         "directory",
-        "execution_log",
         "forecast",
         "health",
         "limits",
         "log",
         "metrics",
         "origins",
+        "outcomes",
         "pool",
         "quotas",
         "retry_policy",
@@ -183,7 +159,9 @@
         )
         self.quotas = quotas
         self.wait_policy = wait_policy.WaitPolicy(random_source)
-        self.execution_log = execution_log.ExecutionLog(log, metrics)
+        self.outcomes = request_outcomes.RequestOutcomes(
+            clock, log, metrics, self.forecast, self.suspects, configuration
+        )
         self._configuration = configuration
         self._retry_settings = retry_settings
         self._entries = max(1, entries)
@@ -259,151 +237,3 @@
                 service, request.model, request.adapter
             )
         )
-
-    def on_first_response(self, handler: RequestOutcome) -> None:
-        """Record the time to the head of the response."""
-        waited_ms = self.clock.now_ms() - handler.arrived_ms
-        self.metrics.observe_first_response(handler.route.name, waited_ms)
-        choice = handler.dispatch.choice
-        if choice is not None and choice.server is not None:
-            self.forecast.on_first_response(
-                choice.server.record.service,
-                waited_ms - handler.dispatch.waited_ms,
-            )
-
-    def on_events_begun(
-        self, handler: RequestOutcome, attempt: attempt_module.Attempt
-    ) -> None:
-        """Log which server process begins or continues a stream.
-
-        An entry that is killed writes nothing later about its streams.
-        """
-        request, record = handler.request, attempt.record
-        self.log.write(
-            "stream_begun",
-            request=handler.request_id,
-            workspace=handler.workspace.name if handler.workspace else None,
-            server=record.server_id,
-            started_ms=record.started_ms,
-            software_version=record.software_version,
-            sends=handler.attempts.sends,
-            resumes=_text(request.resumed_attempt_id),
-            resumes_after=_text(request.resumes_after),
-        )
-
-    def on_attempt_failed(
-        self,
-        handler: RequestOutcome,
-        attempt: attempt_module.Attempt,
-        failure: attempt_module.AttemptFailure,
-        detail: str,
-    ) -> None:
-        """Log a failed attempt and report it to the crash attribution.
-
-        A response that broke at its begin makes the request a suspect. A
-        failed connect counts as the loss of the server.
-        """
-        self.metrics.count_attempt(failure.value)
-        server = attempt.server
-        if failure is attempt_module.AttemptFailure.NOT_CONNECTED:
-            server.on_not_connected(self.clock.now_ms())
-            self.suspects.on_server_lost(server.record)
-        elif failure is attempt_module.AttemptFailure.BROKEN:
-            self._on_broken(handler, attempt)
-        self.log.write(
-            "attempt_failed",
-            request=handler.request_id,
-            server=server.server_id,
-            failure=failure.value,
-            detail=detail,
-            after_ms=self.clock.now_ms() - attempt.sent_ms,
-            status=attempt.status,
-            has_data=handler.body.has_data,
-            was_reused=attempt.was_reused,
-            failure_share=round(server.failure_share, 2),
-        )
-
-    def _on_broken(
-        self, handler: RequestOutcome, attempt: attempt_module.Attempt
-    ) -> None:
-        """Report a broken response, unless something else has broken it.
-
-        A request that is sent to a process after its crash did not cause it.
-        """
-        server = attempt.server
-        was_gone = server.had_broken_before(attempt.sent_ms)
-        server.on_broken(self.clock.now_ms())
-        if was_gone or handler.body.is_proven:
-            return
-        is_at_begin = attempt.status != 0 and not handler.body.has_data
-        self.suspects.on_broken_response(
-            server.record, handler.fingerprints, is_at_begin, attempt.sent_ms
-        )
-
-    def on_finished(
-        self,
-        handler: RequestOutcome,
-        code: result_code.ResultCode,
-        detail: str,
-        server: backend_directory.BackendServer | None,
-    ) -> None:
-        """Log and measure the outcome of a request."""
-        duration_ms = self.clock.now_ms() - handler.arrived_ms
-        self.metrics.observe_end(handler.route.name, code, duration_ms)
-        self.execution_log.on_finished(handler)
-        if handler.workspace is not None:
-            self.metrics.workspaces.count_end(
-                handler.workspace,
-                handler.request,
-                handler.attempts.sends > 0,
-            )
-        if server is not None and handler.route.is_stream:
-            served_ms = duration_ms - handler.dispatch.waited_ms
-            self.forecast.on_stream_ended(server.record.service, served_ms)
-        current = self._configuration.current
-        source = handler.attempts.connection
-        choice = handler.dispatch.choice
-        self.log.write(
-            "request_over",
-            request=handler.request_id,
-            route=handler.route.name,
-            workspace=handler.workspace.name if handler.workspace else None,
-            model=handler.request.model,
-            adapter=handler.request.adapter,
-            code=code.name,
-            detail=detail,
-            server=server.server_id if server else None,
-            duration_ms=duration_ms,
-            expected_ms=choice.expected_ms if choice else None,
-            server_load=choice.load if choice else None,
-            candidates=choice.candidates if choice else None,
-            learned_factor=round(handler.attempts.meter.learned, 2)
-            if handler.attempts.meter
-            else None,
-            work_time=round(handler.attempts.meter.work_time_factor, 2)
-            if handler.attempts.meter
-            else None,
-            prompt_tokens=handler.request.prompt_tokens,
-            sends=handler.attempts.sends,
-            is_reused=source is connection_source.ConnectionSource.REUSED
-            if source
-            else None,
-            connection=source.value if source else None,
-            framing=handler.body.framing.value
-            if handler.body.framing
-            else None,
-            is_inside_event=handler.body.is_inside_event,
-            resumes=_text(handler.request.resumed_attempt_id),
-            resumes_after=_text(handler.request.resumes_after),
-            parts=[part.row() for part in handler.attempts.parts],
-            waited_ms=handler.dispatch.waited_ms,
-            room_waited_ms=handler.dispatch.room_waited_ms,
-            first_data_ms=handler.progress.first_data_ms,
-            longest_gap_ms=handler.progress.longest_gap_ms,
-            configuration=current.version if current else None,
-        )
-
-
-def _text(field: bytes | None) -> str | None:
-    """Return a header field as text for logs, None without a value."""
-    return field.decode("latin-1") if field else None
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -216,7 +216,7 @@
 
     def _withhold(self, server: backend_directory.BackendServer) -> None:
         """Send nothing; end a request that no other attempt can end."""
-        self._dependencies.execution_log.on_withheld(self, server.server_id)
+        self._dependencies.outcomes.on_send_withheld(self, server)
         if not self._is_finished and self.attempts.current is None:
             self._refuse(
                 _Code.OUTCOME_UNKNOWN, "a server may have run the request"
@@ -307,7 +307,7 @@
         if self.body.event_count > events:
             self.attempts.event_deadline.on_event()
             if not events:
-                self._dependencies.on_events_begun(self, attempt)
+                self._dependencies.outcomes.on_events_begun(self, attempt)
         if data:
             self.progress.record(now_ms, self._arrived_ms)
             self._response.write(data)
@@ -341,7 +341,9 @@
         self.attempts.finish(failure not in attempt_module.BLAMELESS)
         if failure is not attempt_module.AttemptFailure.UNREAD:
             self.dispatch.exclude(attempt.server)
-        self._dependencies.on_attempt_failed(self, attempt, failure, detail)
+        self._dependencies.outcomes.on_attempt_failed(
+            self, attempt, failure, detail
+        )
         if attempt.status == incoming_request.WRONG_SERVER_STATUS:
             self._dependencies.on_model_missing(
                 self._service, self.request, attempt.server
@@ -452,5 +454,5 @@
         self._quota.on_finished(self.execution)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
-        self._dependencies.on_finished(self, code, detail, server)
+        self._dependencies.outcomes.on_finished(self, code, detail, server)
         self._on_finished(self)
--- a/tests/gateway/test_request_bodies.py
+++ b/tests/gateway/test_request_bodies.py
@@ -12,6 +12,7 @@
 
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import caller_connection
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import held_bodies
 from balsamwall.gateway import request_writer
 from balsamwall.gateway import retry_policy
@@ -20,6 +21,9 @@
 from tests.fixtures import recording_transport
 from tests.fixtures import wire_harness
 
+# Method that is called for a request whose response broke.
+REPORT_OF_BREAK = (crash_suspects.CrashSuspects, "on_broken_response")
+
 Kind = gateway_harness.Kind
 BODY = b"b" * 200_000
 LENGTH = b"content-length: 2\r\n"
@@ -187,12 +191,10 @@
         digests = set()
         for body in (BODY, BODY[1:]):
             harness = make(Kind.STREAMING, body=body)
-            suspects = mock.Mock(harness.gateway.dependencies.suspects)
-            suspects.quarantine = None
-            harness.gateway.dependencies.suspects = suspects
             harness.respond(CHUNKED, EVENT)
-            lose(harness.server)
-            digests.add(suspects.on_broken_response.call_args.args[1].request)
+            with mock.patch.object(*REPORT_OF_BREAK) as report:
+                lose(harness.server)
+            digests.add(report.call_args.args[1].request)
         self.assertEqual(len(digests), 2)
 
 
@@ -281,12 +283,11 @@
         """
         for is_stalled, after_ms in ((True, 3_000), (True, 0), (False, 3_000)):
             harness = make(is_stalled=is_stalled)
-            suspects = mock.Mock(harness.gateway.dependencies.suspects)
-            harness.gateway.dependencies.suspects = suspects
             harness.clock.advance(after_ms)
-            lose(harness.server)
+            with mock.patch.object(*REPORT_OF_BREAK) as report:
+                lose(harness.server)
             is_blamed = not (is_stalled and after_ms)
-            self.assertEqual(suspects.on_broken_response.called, is_blamed)
+            self.assertEqual(report.called, is_blamed)
             servers = harness.gateway.directory.all_servers()
             share = max(server.failure_share for server in servers)
             self.assertEqual(share > 0.0, is_blamed)
--- a/tests/gateway/test_server_speed.py
+++ b/tests/gateway/test_server_speed.py
@@ -4,8 +4,8 @@
 
 import random
 import statistics
-import types
 import unittest
+from unittest import mock
 
 from balsamwall.gateway import backend_directory
 from balsamwall.gateway import incoming_request
@@ -298,10 +298,10 @@
             if event == "request_over":
                 lines.append(fields)
 
-        self.harness.dependencies.log = types.SimpleNamespace(write=write)
-        self.serve(b"1,0,32,100")
-        self.server.speed.on_work_time(300, self.harness.clock.now_ms())
-        self.serve(b"1,0,32,100")
+        with mock.patch("eliot.log_message", write):
+            self.serve(b"1,0,32,100")
+            self.server.speed.on_work_time(300, self.harness.clock.now_ms())
+            self.serve(b"1,0,32,100")
         found = [(line["learned_factor"], line["work_time"]) for line in lines]
         self.assertEqual(found, [(None, None), (1.0, 3.0)])
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -9,6 +9,7 @@
 from twisted.python import failure
 
 from balsamwall.gateway import caller_connection
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import unread_time
 from balsamwall.gateway import unsent_bytes
 from balsamwall.logs import decision_log
@@ -39,10 +40,6 @@
     def cut(self, unread_ms, kind=error.ConnectionLost, after_ms=None):
         """Let a server cut a stream that was not read for some time."""
         harness = make(is_resumable=True)
-        suspects = mock.Mock(harness.gateway.dependencies.suspects)
-        suspects.holds_any = False
-        suspects.has_watched = False
-        harness.gateway.dependencies.suspects = suspects
         harness.respond(CHUNKED, chunk(EVENT))
         harness.caller.pauseProducing()
         self.assertTrue(harness.server.transport.is_paused)
@@ -50,11 +47,13 @@
         if after_ms is not None:
             harness.caller.resumeProducing()
             harness.clock.advance(after_ms)
-        harness.close(kind)
+        with mock.patch.object(
+            crash_suspects.CrashSuspects, "on_broken_response"
+        ) as report:
+            harness.close(kind)
         servers = harness.gateway.directory.all_servers()
         share = max(server.failure_share for server in servers)
-        is_suspect = suspects.on_broken_response.called
-        return share, is_suspect, harness
+        return share, report.called, harness
 
     def test_server_that_cuts_an_unread_response_is_not_blamed(self):
         """Guards against ejecting servers because of a slow caller."""
