Believe a response only if all its identifiers agree

A head with the identifiers q1, q9 and q1 was read as the response to q1: the connection took the first one and the codec the last one. Its certificate was believed, and a request that may run once was sent again. With q9 before q1 the head was skipped as a late copy, and the caller waited for its deadline; a 200 with two signatures was passed on with both.

One rule now decides: the identifier and the signature of a head count only if all occurrences have the same value. A head that names this request among others is not skipped, ends the attempt as invalid and closes the connection. A repeated certificate or an identifier that repeats itself is still a proof.

The test of six heads failed on five of them before and passes now; the one of a refusal that repeats itself passed before and after.

--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -237,10 +237,11 @@
     def _on_head(self, event: Any) -> None:
         assert self._receiver is not None
         fields = [(bytes(n), bytes(v)) for n, v in event.headers]
-        echoed = http_fields.value(fields, self._echo_field)
+        echoed = http_fields.values(fields, self._echo_field)
         expected = self._receiver.attempt_id
-        # A second response to an earlier request may arrive first.
-        self._is_stale_response = bool(echoed) and echoed != expected
+        # A second response to an earlier request may arrive first. One that
+        # names this request, too, is for the receiver to judge.
+        self._is_stale_response = any(echoed) and expected not in echoed
         if self._is_stale_response:
             return
         assert self._request is not None
--- a/src/balsamwall/gateway/http_fields.py
+++ b/src/balsamwall/gateway/http_fields.py
@@ -29,6 +29,17 @@
     return None
 
 
+def values(fields: Fields, name: bytes) -> list[bytes]:
+    """Return all values of a field; the name is in lower case."""
+    return [content for found, content in fields if found == name]
+
+
+def agreed_value(fields: Fields, name: bytes) -> bytes | None:
+    """Return the value of a field, None if it has several different ones."""
+    found = set(values(fields, name))
+    return found.pop() if len(found) == 1 else None
+
+
 def content_length(fields: Fields) -> int | None:
     """Return the value of Content-Length, None if absent or invalid."""
     content = value(fields, b"content-length")
@@ -45,7 +56,7 @@
 
 def is_repeated(fields: Fields, name: bytes) -> bool:
     """Return whether a field occurs more than once."""
-    return sum(1 for found, _ in fields if found == name) > 1
+    return len(values(fields, name)) > 1
 
 
 def connection_options(fields: Fields) -> set[bytes]:
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -146,27 +146,30 @@
     def decode_response(
         self, fields: http_fields.Fields, attempt_id: bytes
     ) -> incoming_request.ResponseHead:
-        """Decode the fields of a response to an attempt."""
+        """Decode the fields of a response to an attempt.
+
+        With two identifiers or two signatures it is not known whose response
+        it is.
+        """
         found = dict(fields)
+        echoed_id = http_fields.agreed_value(fields, REQUEST_ID)
         load = found.get(SERVER_LOAD, b"").split(b",")
         return incoming_request.ResponseHead(
-            is_signed=bool(found.get(SIGNATURE)),
-            is_echoed=found.get(REQUEST_ID) == attempt_id,
+            is_signed=bool(http_fields.agreed_value(fields, SIGNATURE)),
+            is_echoed=echoed_id == attempt_id,
             is_certified_not_run=NOT_EXECUTED in found,
             is_encoded=CONTENT_ENCODING in found,
             running=_parse_integer(load[0]),
             waiting=_parse_integer(load[1]) if len(load) > 1 else None,
-            limit_per_s=decode_limit(
-                [value for name, value in fields if name == SERVER_LIMIT]
-            ),
+            limit_per_s=decode_limit(http_fields.values(fields, SERVER_LIMIT)),
             work_time_percent=(
                 _parse_percent(load[3]) if len(load) > 3 else None
             ),
             is_leaving=announces_leaving(
-                [value for name, value in fields if name == SERVER_LEAVING]
+                http_fields.values(fields, SERVER_LEAVING)
             ),
             retry_after=decode_retry_after(
-                [value for name, value in fields if name == RETRY_AFTER]
+                http_fields.values(fields, RETRY_AFTER)
             ),
         )
 
--- a/tests/gateway/test_certified_refusal.py
+++ b/tests/gateway/test_certified_refusal.py
@@ -15,6 +15,9 @@
     b"%sBalsamwall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
 ECHO = b"Balsamwall-Request-Id: q1\r\n"
+OTHER = b"Balsamwall-Request-Id: q9\r\n"
+SIGNATURE = b"Balsamwall-Response-Signature: s1\r\n"
+OTHER_SIGNATURE = b"Balsamwall-Response-Signature: s2\r\n"
 BROKEN_OUTCOME_STATUS = 502
 
 
@@ -98,3 +101,32 @@
         self.clock.advance(300)
         self.assertEqual(self.exchange.status, BROKEN_OUTCOME_STATUS)
         self.assertEqual(self.sends, 1)
+
+    def test_head_with_two_identifiers_or_signatures_is_no_proof(self):
+        """Guards against the refusal or answer of another request.
+
+        It is not skipped either, since no other response may come.
+        """
+        ok = b"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n"
+        for head in (
+            REFUSAL % (OTHER + ECHO),
+            REFUSAL % (ECHO + OTHER),
+            REFUSAL % (ECHO + OTHER + ECHO),
+            ok % (SIGNATURE + OTHER + ECHO),
+            ok % (ECHO + SIGNATURE + OTHER_SIGNATURE),
+            ok % (ECHO + OTHER_SIGNATURE + SIGNATURE),
+        ):
+            self.setUp()
+            self.last_send().dataReceived(head)
+            self.clock.advance(300)
+            with self.subTest(head):
+                self.assertEqual(self.exchange.status, BROKEN_OUTCOME_STATUS)
+                self.assertEqual(self.sends, 1)
+                self.assertTrue(self.last_send().transport.is_aborted)
+
+    def test_head_that_repeats_itself_is_a_proof(self):
+        """Guards against an unknown outcome of a request that did not run."""
+        certificate = b"Balsamwall-Not-Executed: 1\r\n"
+        self.last_send().dataReceived(REFUSAL % (2 * ECHO + certificate))
+        self.clock.advance(100)
+        self.assertEqual(self.sends, 2)
