Believe a certificate only with the status of a refusal

A server that answered 200, 404, 500, 502 or 504 with Balsamwall-Not-Executed was believed that it had not run the request. With these statuses a server states that it has: its own 500, and 504 at the deadline, count as run. A request that may run once was sent again, or refused as not run, and a whole signed response was thrown away.

A certificate now counts with 400, 408, 421, 429 and 503, and 421 needs none. With any other status it is ignored: the response is passed on if it is signed, without the certificate, and is invalid otherwise. The rule is part of the decoded head.

The table of 10 statuses, each with and without a signature, failed for all 10 rows of the five other statuses before and passes now.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -330,12 +330,7 @@
             status == incoming_request.UNAVAILABLE_STATUS
             and head.retry_after is not None
         )
-        is_refusal = (
-            status == incoming_request.WRONG_SERVER_STATUS
-            or head.is_certified_not_run
-        )
-        # Without the identifier it may be the refusal of another request.
-        if is_refusal and head.is_echoed:
+        if head.certifies_not_run(status):
             self._send.on_certified()
             self._refusal = f"status {status}"
             self._limit_discarding(REFUSAL_BODY_TIMEOUT_MS)
--- a/src/balsamwall/gateway/incoming_request.py
+++ b/src/balsamwall/gateway/incoming_request.py
@@ -13,6 +13,9 @@
 
 # Status (Misdirected Request) that certifies that the request was not run.
 WRONG_SERVER_STATUS = 421
+# Statuses with which a certificate that the request was not run agrees. With
+# another one, such as 200 or 500, the server states that it has run it.
+CERTIFIED_STATUSES = frozenset((400, 408, 421, 429, 503))
 # Status (Service Unavailable) with which a server may ask for a back-off.
 UNAVAILABLE_STATUS = 503
 
@@ -64,7 +67,7 @@
 
     is_signed: bool
     is_echoed: bool
-    is_certified_not_run: bool
+    has_certificate: bool  # that the request was not run
     is_encoded: bool
     running: int | None = None  # running requests that the server reports
     waiting: int | None = None  # queued requests that the server reports
@@ -81,7 +84,18 @@
     @property
     def is_from_server(self) -> bool:
         """Return whether the response is certainly the server's."""
-        return self.is_echoed and (self.is_signed or self.is_certified_not_run)
+        return self.is_echoed and (self.is_signed or self.has_certificate)
+
+    def certifies_not_run(self, status: int) -> bool:
+        """Return whether it proves that its request was not run.
+
+        Without the identifier it may be the refusal of another request.
+        """
+        if not self.is_echoed:
+            return False
+        if status == WRONG_SERVER_STATUS:
+            return True
+        return self.has_certificate and status in CERTIFIED_STATUSES
 
 
 class RequestCodec(Protocol):
--- a/src/balsamwall/platform/header_codec.py
+++ b/src/balsamwall/platform/header_codec.py
@@ -157,7 +157,7 @@
         return incoming_request.ResponseHead(
             is_signed=bool(http_fields.agreed_value(fields, SIGNATURE)),
             is_echoed=echoed_id == attempt_id,
-            is_certified_not_run=NOT_EXECUTED in found,
+            has_certificate=NOT_EXECUTED in found,
             is_encoded=CONTENT_ENCODING in found,
             running=_parse_integer(load[0]),
             waiting=_parse_integer(load[1]) if len(load) > 1 else None,
@@ -176,8 +176,15 @@
     def response_fields(
         self, fields: http_fields.Fields
     ) -> http_fields.Fields:
-        """Return the response fields that are forwarded to the caller."""
-        return http_fields.end_to_end(fields, frozenset())
+        """Return the response fields that are forwarded to the caller.
+
+        A certificate is not one of them: what is forwarded counts as run.
+        """
+        return [
+            field
+            for field in http_fields.end_to_end(fields, frozenset())
+            if field[0] != NOT_EXECUTED
+        ]
 
 
 def _resumed_attempt(fields: http_fields.Fields) -> bytes:
--- a/tests/gateway/test_certified_refusal.py
+++ b/tests/gateway/test_certified_refusal.py
@@ -18,6 +18,7 @@
 OTHER = b"Balsamwall-Request-Id: q9\r\n"
 SIGNATURE = b"Balsamwall-Response-Signature: s1\r\n"
 OTHER_SIGNATURE = b"Balsamwall-Response-Signature: s2\r\n"
+CERTIFICATE = b"balsamwall-not-executed"
 BROKEN_OUTCOME_STATUS = 502
 
 
@@ -130,3 +131,26 @@
         self.last_send().dataReceived(REFUSAL % (2 * ECHO + certificate))
         self.clock.advance(100)
         self.assertEqual(self.sends, 2)
+
+    def test_certificate_counts_only_with_the_status_of_a_refusal(self):
+        """Guards against a second run after a status that states a run."""
+        certified = (400, 408, 421, 429, 503)
+        for status in (*certified, 200, 404, 500, 502, 504):
+            for signature in (SIGNATURE, b""):
+                self.setUp()
+                refusal = REFUSAL % (ECHO + signature)
+                self.last_send().dataReceived(
+                    refusal.replace(b"503", b"%d" % status)
+                )
+                self.clock.advance(100)
+                with self.subTest(status=status, signature=signature):
+                    if status in certified:
+                        expected = (None, 2)
+                    else:
+                        passed_on = (
+                            status if signature else BROKEN_OUTCOME_STATUS
+                        )
+                        expected = (passed_on, 1)
+                    found = (self.exchange.status, self.sends)
+                    self.assertEqual(found, expected)
+                    self.assertNotIn(CERTIFICATE, dict(self.exchange.fields))
