Test what proves a refusal around its head and its end

Nothing showed that a certified refusal is believed only once its whole head is there, in any framing and after interim responses; that an early one leaves the rest of a body unwritten; and that a request which ends for another reason after its refusal is not sent again.

Three tables in the tests of certified refusals, and one test of early refusals.

--- a/tests/gateway/test_certified_refusal.py
+++ b/tests/gateway/test_certified_refusal.py
@@ -4,8 +4,14 @@
 
 import unittest
 
+from twisted.internet import error
+from twisted.python import failure
+
 from balsamwall.gateway import connection_pool
+from balsamwall.gateway import execution_record
+from balsamwall.gateway import gateway
 from balsamwall.platform import header_codec
+from balsamwall.results import result_code
 from balsamwall.timing import virtual_clock
 from tests.fixtures import gateway_harness
 from tests.fixtures import recording_transport
@@ -19,6 +25,8 @@
 SIGNATURE = b"Balsamwall-Response-Signature: s1\r\n"
 OTHER_SIGNATURE = b"Balsamwall-Response-Signature: s2\r\n"
 CERTIFICATE = b"balsamwall-not-executed"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+CRLF = b"\r\n"
 BROKEN_OUTCOME_STATUS = 502
 
 
@@ -154,3 +162,82 @@
                     found = (self.exchange.status, self.sends)
                     self.assertEqual(found, expected)
                     self.assertNotIn(CERTIFICATE, dict(self.exchange.fields))
+
+    def receive(self, data, end):
+        """Let the server respond and end the connection; return the sends."""
+        self.setUp()
+        connection = self.last_send()
+        connection.dataReceived(data)
+        if end is not None:
+            connection.connectionLost(failure.Failure(end()))
+        self.clock.advance(300)
+        return self.sends
+
+    def test_whole_head_is_a_proof_whatever_follows(self):
+        """Guards against an unknown outcome of a request that did not run."""
+        head = (REFUSAL % ECHO).replace(b"Content-Length: 0\r\n\r\n", b"")
+        for interim in (b"", b"HTTP/1.1 103 Early Hints\r\n" + OTHER + CRLF):
+            for rest, end in (
+                (CHUNKED + b"2\r\nab\r\n0\r\n\r\n", None),
+                (CHUNKED + b"2\r\na", error.ConnectionLost),
+                (b"Content-Length: 9\r\n\r\na", error.ConnectionDone),
+                (b"Content-Length: 0\r\n\r\njunk", None),
+                (b"\r\nab", error.ConnectionDone),
+                (b"\r\nab", None),
+            ):
+                with self.subTest(interim=interim, rest=rest):
+                    sends = self.receive(interim + head + rest, end)
+                    self.assertEqual(sends, 2)
+
+    def test_certificate_outside_of_a_whole_head_is_no_proof(self):
+        """Guards against a second run after half a refusal."""
+        whole = REFUSAL % ECHO
+        bare = whole.replace(b"Balsamwall-Not-Executed: 1\r\n", b"")
+        in_trailer = bare.replace(b"Content-Length: 0\r\n\r\n", CHUNKED)
+        interim = whole.replace(b"503 Service Unavailable", b"103 Hints")
+        for data, end in (
+            (whole[:-1], error.ConnectionDone),
+            (whole[:-2], error.ConnectionLost),
+            (in_trailer + b"0\r\nBalsamwall-Not-Executed: 1\r\n\r\n", None),
+            (interim, error.ConnectionDone),
+            (interim + bare, None),
+            (bare.replace(b"503", b"421").replace(ECHO, b""), None),
+        ):
+            with self.subTest(data):
+                self.assertEqual(self.receive(data, end), 1)
+                self.assertEqual(self.exchange.status, BROKEN_OUTCOME_STATUS)
+
+    def end_by_exit(self):
+        self.harness.gateway.begin_drain(gateway.KILL_MARGIN_MS, lambda: None)
+
+    def end_by_quarantine(self):
+        request = self.exchange.listener.fingerprints.request
+        suspects = self.harness.dependencies.suspects
+        suspects.hold_back(frozenset([request]), 9_000)
+
+    def end_by_memory(self):
+        code = result_code.ResultCode.INSUFFICIENT_MEMORY
+        self.exchange.listener.refuse_unrun(code, "")
+
+    def end_by_deadline(self):
+        self.clock.suspend(5_000)
+        self.clock.advance(0)
+
+    def end_by_caller(self):
+        self.exchange.listener.on_caller_disconnected()
+
+    def test_request_that_ends_after_its_refusal_is_not_sent_again(self):
+        """Guards against a run that follows the answer, or a false one."""
+        for name in [name for name in dir(self) if name.startswith("end_by")]:
+            for is_refused in (True, False):
+                self.setUp()
+                if is_refused:
+                    self.last_send().dataReceived(REFUSAL % ECHO)
+                getattr(self, name)()
+                promises = execution_record.NOT_RUN_STATUSES
+                is_promise = self.exchange.status in promises
+                with self.subTest(name, is_refused=is_refused):
+                    expected = is_refused and name != "end_by_caller"
+                    self.assertEqual(is_promise, expected)
+                    self.clock.advance(9_000)
+                    self.assertEqual(self.sends, 1)
--- a/tests/gateway/test_request_bodies.py
+++ b/tests/gateway/test_request_bodies.py
@@ -155,6 +155,24 @@
         self.assertEqual(total(harness), 0)
         self.assertEqual(bodies_sent(harness), 3)
 
+    def test_refusal_before_the_body_is_read(self):
+        """Guards against a run of half a body, and against a second run."""
+        uncertified = REFUSAL.replace(b"Balsamwall-Not-Executed", b"X")
+        for response, sends in ((REFUSAL, 2), (uncertified, 1)):
+            harness = make(is_stalled=True)
+            harness.pool.is_stalled = False
+            early = harness.server.transport
+            written = early.value()
+            harness.server.dataReceived(response)
+            early.is_stalled = False
+            early.read()
+            harness.clock.advance(100)
+            self.assertEqual(len(harness.pool.connections), sends)
+            self.assertEqual(bodies_sent(harness), sends - 1)
+            # The rest of the body is not written, nor any other bytes.
+            self.assertEqual(early.value(), written)
+            self.assertTrue(early.is_aborted)
+
     def test_dropped_body_is_not_sent_again(self):
         """Guards against a request that is sent without its body."""
         harness = make()
