Read requests that were sent ahead in one loop

A caller that sent 110 or more requests ahead on one connection, each of them refused at once, lost the connection: reading the next request was called from the end of the response to the one before, nine calls deep for each request, until Python's limit. 109 of 150 such requests were answered. The error came wherever the limit was reached, also while a request was sent.

The reader does not nest any more: the loop that handled the request goes on with the next one.

The test of 500 requests sent ahead failed before with RecursionError and passes now. A table guards that a request refused with 408 or 503 while it is read is not handled when its rest arrives; it passed before, too.

--- a/src/balsamwall/gateway/request_reader.py
+++ b/src/balsamwall/gateway/request_reader.py
@@ -87,6 +87,7 @@
         "_connection",
         "_head",
         "_is_paused",
+        "_is_reading",
         "_parser",
         "_site",
         "arrived_ms",
@@ -102,6 +103,7 @@
         self._head: caller_exchange.RequestHead | None = None
         self._body: held_bodies.HeldBody | None = None
         self._is_paused = False
+        self._is_reading = False  # whether read_events is running
         self.arrived_ms: int | None = None  # first byte of the request
         self.is_complete = False  # until its response has ended
 
@@ -137,7 +139,15 @@
             self.read_events()
 
     def read_events(self) -> None:
-        """Parse the bytes that were received up to the end of a request."""
+        """Parse the bytes that were received up to the end of a request.
+
+        A request that is answered at once calls this for the next one. The
+        loop goes on with it then, since calls would nest as deeply as callers
+        send requests ahead.
+        """
+        if self._is_reading:
+            return
+        self._is_reading = True
         try:
             while not (self.is_complete or self._connection.is_ended):
                 event = self._parser.next_event()
@@ -146,6 +156,8 @@
                 self._on_event(event)
         except h11.RemoteProtocolError as error:
             self._connection.reject(error.error_status_hint, str(error))
+        finally:
+            self._is_reading = False
         if self._body is not None and not self.is_complete:
             self._body.on_incomplete()
 
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from twisted.internet import error
 from twisted.python import failure
@@ -11,13 +12,16 @@
 from balsamwall.gateway import caller_connection
 from balsamwall.gateway import gateway_configuration
 from balsamwall.gateway import held_bodies
+from balsamwall.gateway import refusal
 from balsamwall.gateway import unsent_bytes
 from balsamwall.logs import decision_log
+from balsamwall.results import result_code
 from balsamwall.timing import virtual_clock
 from tests.fixtures import gateway_harness
 from tests.fixtures import recording_transport
 
 HEAD = b"POST /a/1 HTTP/1.1\r\nHost: h\r\n"
+LENGTH = b"Content-Length: %d\r\n\r\n"
 
 
 class RecordingSite:
@@ -127,6 +131,29 @@
         self.assertEqual(len(self.site.requests), 2)
         self.assertEqual(self.transport.value().count(b"HTTP/1.1 200"), 1)
 
+    def test_many_requests_sent_ahead_are_answered(self):
+        """Guards against calls that nest with each request sent ahead."""
+        code = result_code.ResultCode.UNKNOWN_PATH
+        self.site.on_request = lambda item: refusal.write(item, code, "")
+        self.connection.dataReceived(500 * (HEAD + LENGTH % 0))
+        self.assertEqual(self.transport.value().count(b"HTTP/1.1 404"), 500)
+
+    def test_request_that_is_refused_while_it_is_read_is_not_handled(self):
+        """Guards against a run of a request that was refused as not run."""
+        for part, rest, max_bytes, status in (
+            (HEAD, LENGTH % 0, 9, b"408"),
+            (HEAD + LENGTH % 2 + b"a", b"b", 9, b"408"),
+            (HEAD + LENGTH % 2 + b"a", b"b", 0, b"503"),
+        ):
+            self.setUp()
+            with mock.patch.object(held_bodies, "MAX_TOTAL_BYTES", max_bytes):
+                self.connection.dataReceived(part)
+                self.site.clock.advance(self.site.limits.idle_timeout_ms)
+            self.connection.dataReceived(rest + HEAD + LENGTH % 0)
+            with self.subTest(part=part, status=status):
+                self.assertEqual(self.transport.value()[9:12], status)
+                self.assertEqual(self.site.requests, [])
+
     def test_response_in_a_drain_closes_the_connection(self):
         """Guards against connections kept open to a draining entry."""
         self.connection.dataReceived(HEAD + b"Content-Length: 0\r\n\r\n")
