Keep a connection that is made when its connect is cancelled

Cause: a connect that was cancelled after it was made and before it was delivered was closed, and given to the pool as idle in the same reactor turn. The request that took it next reached the server and ran there, the connection closed behind it, and its caller got 502.

Change: BackendConnector.cancel stops only a connect that is not made yet. A connection that is made goes to the pool open. It is new and sound, and each new connection has its price; to close it would serve no one. A cancel after the delivery does nothing, since the connection has another owner by then.

--- a/src/balsamwall/gateway/backend_connector.py
+++ b/src/balsamwall/gateway/backend_connector.py
@@ -47,10 +47,12 @@
         self._record = record
         self._waiter: ConnectionWaiter | None = waiter
         self._source = source
+        self._is_made = False
         self.connector: Any = None
 
     def buildProtocol(self, addr: object) -> Any:  # noqa: N802
         """Create the connection and deliver it in the next reactor turn."""
+        self._is_made = True
         connection = self._pool.make_connection(self._record, self._source)
         self._pool.call_soon(self._deliver, connection)
         return connection
@@ -64,9 +66,14 @@
             waiter.on_not_connected(reason.getErrorMessage())
 
     def cancel(self) -> None:
-        """Cancel the connect; the waiter is not called."""
+        """Cancel the connect; the waiter is not called.
+
+        A connection that is made by now is not closed: the pool keeps it for
+        the next request.
+        """
         self._waiter = None
-        self.connector.disconnect()
+        if not self._is_made:
+            self.connector.disconnect()
 
     def _deliver(
         self, connection: backend_connection.BackendConnection
