Take no connection from the pool that this process is closing

Cause: a connection that this process closes is lost a reactor turn later, and counted as open until then. A request of that turn took the idle connection on which a second copy of a response had just arrived, or a new one on which the server had written before any request. It was never sent, and its caller got 502 for what may run once; the pool also learned a reset at that idle time.

Change: BackendConnection.is_open is false from the call of close() on. The pool takes no other connection, counts none as idle and keeps none, and the connector reports such a connect as failed, so that the request is sent again.

--- a/src/balsamwall/gateway/backend_connection.py
+++ b/src/balsamwall/gateway/backend_connection.py
@@ -96,6 +96,7 @@
         self._has_response = False
         self._writer: request_writer.RequestWriter | None = None
         self._framing = body_framing.BodyFraming.LENGTH
+        self._is_closing = False
         self.is_lost = False
         self.idle_limit_ms: int | None = None
         self.source = connection_source.ConnectionSource.NONE_IDLE
@@ -108,6 +109,11 @@
         """
         return attempt_id in self._sent_ids
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether it is neither lost nor being closed."""
+        return not (self.is_lost or self._is_closing)
+
     @property
     def is_awaited(self) -> bool:
         """Return whether a request was sent and nothing was received since."""
@@ -169,6 +175,7 @@
 
     def close(self) -> None:
         """Abort the connection; the receiver is not called again."""
+        self._is_closing = True
         self._receiver = None
         if self._writer is not None:
             self._writer.stopProducing()
--- a/src/balsamwall/gateway/backend_connector.py
+++ b/src/balsamwall/gateway/backend_connector.py
@@ -79,10 +79,10 @@
         self, connection: backend_connection.BackendConnection
     ) -> None:
         waiter, self._waiter = self._waiter, None
-        if connection.is_lost:
+        if not connection.is_open:
             if waiter is not None:
                 waiter.on_not_connected(
-                    "connection closed by the server right after the connect"
+                    "connection closed right after the connect"
                 )
         elif waiter is None:
             self._pool.on_idle(self._record, connection)
--- a/src/balsamwall/gateway/connection_pool.py
+++ b/src/balsamwall/gateway/connection_pool.py
@@ -145,7 +145,7 @@
         is_repeatable: bool,
     ) -> _IdleConnection | connection_source.ConnectionSource:
         """Return an idle connection, or the reason for opening a new one."""
-        idle = self._idle.get(record.server_id, [])
+        idle = self._open_idle(record.server_id)
         while idle and not _is_same_process(idle[-1].record, record):
             # Its request ended after the process had been replaced.
             idle.pop().connection.close()
@@ -159,9 +159,21 @@
             return _Source.MUST_BE_NEW
         return idle.pop()
 
+    def _open_idle(self, server_id: str) -> list[_IdleConnection]:
+        """Return the idle connections, of which the last one is open.
+
+        This process closes one on which it receives bytes, and is told of the
+        loss in a later reactor turn.
+        """
+        idle = self._idle.get(server_id, [])
+        while idle and not idle[-1].connection.is_open:
+            idle.pop()
+            self._closed.add(server_id, _Source.TOO_OLD)
+        return idle
+
     def has_idle(self, record: backend_directory.ServerRecord) -> bool:
         """Return whether a request can be sent without a new connection."""
-        idle = self._idle.get(record.server_id, [])
+        idle = self._open_idle(record.server_id)
         return bool(idle) and self._is_usable(idle[-1], is_repeatable=False)
 
     def on_idle(
@@ -246,7 +258,7 @@
 
     def _is_usable(self, item: _IdleConnection, is_repeatable: bool) -> bool:
         connection = item.connection
-        if connection.is_lost:
+        if not connection.is_open:
             return False
         limit_ms = self._timeout(item.record.service).limit_ms(
             connection.idle_limit_ms, is_repeatable
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -150,3 +150,72 @@
         self.assertEqual(self.server.requests, [b"q2"])
         self.assertEqual(self.opened, [Source.NONE_IDLE])
         self.assertEqual(self.server.connections, 1)
+
+    def test_idle_connection_in_the_turn_in_which_it_is_closed(self):
+        """Guards against a request that is never sent on a closed connection.
+
+        A second copy of a response makes this process close it.
+        """
+        used = reactor_thread.call(
+            lambda done: self.pool.acquire(self.record, Request(b"q1", done))
+        )
+
+        def start(done):
+            used.connection.dataReceived(RESPONSE % b"q1")
+            has_idle = self.pool.has_idle(self.record)
+            self.pool.acquire(
+                self.record, Request(b"q2", lambda item: done(item, has_idle))
+            )
+
+        second, has_idle = reactor_thread.call(start)
+        self.assertEqual(second.events, [200, b"ok", "end"])
+        self.assertFalse(has_idle)
+        self.assertEqual(self.server.requests, [b"q1", b"q2"])
+        self.assertEqual(self.opened, [Source.NONE_IDLE, Source.TOO_OLD])
+
+    def test_closed_connection_does_not_hide_the_others(self):
+        """Guards against a new connection while an open one is idle."""
+
+        def request(attempt_id, is_fresh):
+            return reactor_thread.call(
+                lambda done: self.pool.acquire(
+                    self.record, Request(attempt_id, done), is_fresh
+                )
+            )
+
+        request(b"q1", True)
+        used = request(b"q2", True)
+
+        def start(done):
+            used.connection.dataReceived(RESPONSE % b"q2")
+            has_idle = self.pool.has_idle(self.record)
+            self.pool.acquire(
+                self.record, Request(b"q3", lambda item: done(item, has_idle))
+            )
+
+        third, has_idle = reactor_thread.call(start)
+        self.assertEqual(third.events, [200, b"ok", "end"])
+        self.assertTrue(has_idle)
+        self.assertEqual(self.server.connections, 2)
+
+    def test_new_connection_that_is_closed_before_its_delivery(self):
+        """Guards against a request that is never sent on a closed connection.
+
+        The server writes before any request.
+        """
+        made = []
+        make = self.pool.make_connection
+
+        class Pool(connection_pool.ConnectionPool):
+            def make_connection(self, record, source):
+                made.append(make(record, source))
+                return made[0]
+
+        def start(done):
+            pool = Pool(self.reactor, reactor_thread.clock, b"x-id")
+            self.reactor.before = lambda: made[0].dataReceived(b"x")
+            pool.acquire(self.record, Request(b"q1", done))
+
+        first = reactor_thread.call(start)
+        self.assertEqual(first.events, ["not connected"])
+        self.assertEqual(self.server.requests, [])
