Let the connector name what it needs of the pool

Cause: backend_connector imported connection_pool for a type, and connection_pool imports backend_connector: a circle of two.

Change: ConnectionOwner, a Protocol beside ConnectionWaiter, has the three methods that the connector calls. No behavior is changed.

Result: neither file is part of a circle of imports now, type imports included; mypy is clean and tests/gateway/test_connection_pool.py passes.

--- a/src/balsamwall/gateway/backend_connector.py
+++ b/src/balsamwall/gateway/backend_connector.py
@@ -11,7 +11,6 @@
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_connection
     from balsamwall.gateway import backend_directory
-    from balsamwall.gateway import connection_pool
     from balsamwall.gateway import connection_source
 
 
@@ -31,6 +30,27 @@
         """Handle a failed connect; nothing was sent."""
 
 
+class ConnectionOwner(TypingProtocol):
+    """Create connections, and keep those that nobody waits for."""
+
+    def make_connection(
+        self,
+        record: backend_directory.ServerRecord,
+        source: connection_source.ConnectionSource,
+    ) -> backend_connection.BackendConnection:
+        """Return a connection that is about to be made."""
+
+    def on_idle(
+        self,
+        record: backend_directory.ServerRecord,
+        connection: backend_connection.BackendConnection,
+    ) -> None:
+        """Keep an idle connection for reuse, or close it."""
+
+    def call_soon(self, function: Any, *args: object) -> None:
+        """Call a function in the next reactor turn."""
+
+
 class BackendConnector(protocol.ClientFactory):  # type: ignore[misc]
     """Factory that opens one connection for a waiter."""
 
@@ -38,12 +58,12 @@
 
     def __init__(
         self,
-        pool: connection_pool.ConnectionPool,
+        owner: ConnectionOwner,
         record: backend_directory.ServerRecord,
         waiter: ConnectionWaiter,
         source: connection_source.ConnectionSource,
     ) -> None:
-        self._pool = pool
+        self._owner = owner
         self._record = record
         self._waiter: ConnectionWaiter | None = waiter
         self._source = source
@@ -53,8 +73,8 @@
     def buildProtocol(self, addr: object) -> Any:  # noqa: N802
         """Create the connection and deliver it in the next reactor turn."""
         self._is_made = True
-        connection = self._pool.make_connection(self._record, self._source)
-        self._pool.call_soon(self._deliver, connection)
+        connection = self._owner.make_connection(self._record, self._source)
+        self._owner.call_soon(self._deliver, connection)
         return connection
 
     def clientConnectionFailed(  # noqa: N802
@@ -85,6 +105,6 @@
                     "connection closed right after the connect"
                 )
         elif waiter is None:
-            self._pool.on_idle(self._record, connection)
+            self._owner.on_idle(self._record, connection)
         else:
             waiter.on_connected(connection)
