Begin the trial of a server only with a send

Cause: a request that is bound to a software version began the trial of a server that had refused a connection before it knew whether the server had room.

Change: the trial begins where the request is on its way to the server; before that it is only looked up.

--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -329,11 +329,7 @@
         """
         if self.bound_version is None:
             return True
-        now_ms = self._dependencies.clock.now_ms()
-        if not server.is_trial_due(now_ms):
-            return False
-        server.begin_trial(now_ms)
-        return True
+        return server.is_trial_due(self._dependencies.clock.now_ms())
 
     def try_send(self, is_owed: bool = False) -> bool:
         """Send the request if a server has room.
@@ -375,6 +371,8 @@
         A repeated request avoids servers that the coordinator does not know,
         and the coordinator does not know the version of a resumed stream.
         """
+        if self.bound_version is not None:
+            server.begin_trial(self._dependencies.clock.now_ms())
         if not self._is_counted:
             self._is_counted = True
             self._dependencies.room.on_sent(self)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -7,6 +7,8 @@
 
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import backend_connection
+from balsamwall.gateway import backend_directory
+from balsamwall.gateway import room_queue
 from balsamwall.gateway import route as route_module
 from balsamwall.gateway import server_limits
 from balsamwall.gateway import stream_origins
@@ -584,6 +586,30 @@
         self.assert_refused(self.exchange, b"no server of software version")
 
 
+class CrashedFullServerTest(VersionsTestCase):
+    """The only server of a version refuses a connection while it is full."""
+
+    engine = gateway_harness.make_engine("m1")
+
+    def test_server_is_tried_when_it_has_room(self):
+        """Guards against a trial that is used up by a request without room."""
+        self.harness.add_servers(
+            "old", software_version="v1", models={"m1": []}
+        )
+        self.add("new", "v2")
+        self.merge_origin("v1")
+        self.harness.pool.unreachable.add("old")
+        self.resume([*RESUMED, MODEL])
+        self.harness.pool.unreachable.clear()
+        server = self.harness.directory.get("old")
+        server.on_report(100, 0, self.harness.clock.now_ms())
+        self.harness.clock.advance(backend_directory.CONNECT_TRIAL_MS + 40)
+        self.assertEqual(self.sent_to(), [])
+        server.on_report(0, 0, self.harness.clock.now_ms())
+        self.harness.clock.advance(2 * room_queue.RETRY_INTERVAL_MS)
+        self.assertEqual(self.sent_to(), ["old"])
+
+
 class ModelVersionsTest(VersionsTestCase):
     """A model that only another version holds."""
 
