Try no request that has ended while another one was sent

Cause: the queue for room listed the requests that are owed a send and tried each. The send of one may end others at once: the answer of its caller lets a further request of that connection be read, whose body needs memory. One that had ended was then charged to its workspace and took a permit or an assignment, or was answered a second time on a connection that had gone on.

Change: RoomQueue looks again whether a request still waits before its turn, as it does for the other requests.

Result: test_request_that_ends_with_the_send_of_another in tests/gateway/test_fair_order.py failed before (both tried) and passes now.

--- a/src/balsamwall/gateway/room_queue.py
+++ b/src/balsamwall/gateway/room_queue.py
@@ -171,6 +171,9 @@
     def _send_owed(self, full: _FullTargets) -> None:
         """Send the oldest requests of the targets that owe them a send."""
         for item in self._fair.owed():
+            if item not in self._fair:
+                # It has ended with the send of another one.
+                continue
             if not self._send_oldest(item, full):
                 other = self._fair.oldest_unbound(item.target)
                 if item.bound_version is not None and other is not None:
--- a/tests/gateway/test_fair_order.py
+++ b/tests/gateway/test_fair_order.py
@@ -6,6 +6,7 @@
 import unittest
 
 from balsamwall.gateway import room_queue
+from balsamwall.gateway import sent_shares
 from balsamwall.timing import virtual_clock
 from tests.fixtures import fake_waiter
 
@@ -53,6 +54,34 @@
         )
         self.assertEqual(self.send(200), expected)
 
+    def test_request_that_ends_with_the_send_of_another(self):
+        """Guards against a send of a request whose caller has an answer.
+
+        A send may end others at once, to make room for a body.
+        """
+        targets = [("app", "m1", ""), ("app", "m2", "")]
+        before = sent_shares.SENDS_PER_OLDEST - 1
+        for target in targets:
+            self.add(before, target=target)
+            self.assertEqual(len(self.send(before, target)), before)
+        tried = []
+
+        class EndingWaiter(fake_waiter.FakeWaiter):
+            def try_send(waiter, is_owed=False):  # noqa: N805
+                tried.append(waiter)
+                for item in waiters:
+                    self.queue.remove(item)
+                return True
+
+        waiters = [
+            EndingWaiter(self.queue, self.servers, target=target)
+            for target in targets
+        ]
+        for waiter in waiters:
+            self.queue.add(waiter)
+        self.clock.advance(room_queue.RETRY_INTERVAL_MS)
+        self.assertEqual(tried, waiters[:1])
+
     def test_workspaces_are_served_equal_tokens(self):
         """Guards against a backlog that delays other workspaces."""
         self.add(100, workspace_name="large", cost=100)
