Decide no more on a stream whose request has ended

Cause: several requests may wait for the origin of one stream. When it became known each was called, also one that the send of another had ended at once to make room for a body. It was charged to the quota of its workspace, and nobody returned the charge.

Change: StreamResumption ignores the origin after its wait was stopped, as it does with the record of versions.

Result: test_request_that_ends_with_the_send_of_another in tests/gateway/test_stream_versions.py failed before (two starts of a charge for one request) and passes now, as do the other 59 tests of the file.

--- a/src/balsamwall/gateway/stream_resumption.py
+++ b/src/balsamwall/gateway/stream_resumption.py
@@ -283,7 +283,9 @@
             dependencies.version_proof.confirm(self._on_confirmed)
 
     def _on_origin(self) -> None:
-        """Decide after the wait for the origin."""
+        """Decide after the wait for the origin, unless it was ended."""
+        if self._timer is None:
+            return
         self.stop()
         self._bind_to_origin()
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -8,6 +8,7 @@
 from balsamwall.gateway import assignment_client
 from balsamwall.gateway import backend_connection
 from balsamwall.gateway import backend_directory
+from balsamwall.gateway import quota_gate
 from balsamwall.gateway import room_queue
 from balsamwall.gateway import route as route_module
 from balsamwall.gateway import server_limits
@@ -371,6 +372,33 @@
         self.harness.clock.advance(20)
         self.assertEqual(self.sent_to(), ["old"])
 
+    def test_request_that_ends_with_the_send_of_another(self):
+        """Guards against a charge to the quota that nobody returns.
+
+        Two requests wait for one origin; the send of one may end the other at
+        once, to make room for a body.
+        """
+        self.add("new", "v2")
+        acquire, starts = self.harness.pool.acquire, []
+
+        def end_second(*arguments, **options):
+            second.listener.on_caller_disconnected()
+            return acquire(*arguments, **options)
+
+        def start(gate):
+            starts.append(gate)
+            gate._on_admitted()
+
+        with (
+            mock.patch.object(self.harness.pool, "acquire", end_second),
+            mock.patch.object(quota_gate.QuotaGate, "start", start),
+        ):
+            self.resume()
+            second = self.resume()
+            self.merge_origin("v1")
+        self.assertEqual(self.sent_to(), ["old"])
+        self.assertEqual(len(starts), 1)
+
     def test_service_without_resumable_streams(self):
         """Guards against refusals of a service that is not guarded."""
         self.start_entry(is_resumable=False)
