Use no turn at a limited server for a request that has ended

Cause: without an answer of the coordinator an entry uses its own turn at a server with a limit. It used the turn also for a request whose caller had left during the query, and refused the next request until its turn after that, which is seconds away with a low limit and many entries.

Change: the request tells whether it still needs the permit, and a turn that it does not need is left to the next one. A permit that the coordinator has issued for it still lapses: the limit is kept, at most one request later.

--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -420,7 +420,11 @@
 
     def _request_permit(self, server: backend_directory.BackendServer) -> None:
         """Send to a server once its limit permits it."""
-        self._dependencies.limits.request_permit(server, self._on_permit)
+        self._dependencies.limits.request_permit(
+            server,
+            self._on_permit,
+            is_needed=lambda: not self._handler.is_finished,
+        )
 
     def _on_permit(
         self, server: backend_directory.BackendServer, is_granted: bool
--- a/src/balsamwall/gateway/server_limits.py
+++ b/src/balsamwall/gateway/server_limits.py
@@ -200,10 +200,13 @@
         self,
         server: backend_directory.BackendServer,
         on_decided: Callable[[backend_directory.BackendServer, bool], None],
+        *,
+        is_needed: Callable[[], bool],
     ) -> None:
         """Ask for a permit; call back with the server and the decision.
 
-        A server without a limit is permitted at once.
+        A server without a limit is permitted at once. A request that needs no
+        permit any more uses no turn of this entry; there is no call back then.
         """
         server_id = server.server_id
         rate = self.rate_of_process(server)
@@ -215,6 +218,8 @@
         def on_response(wait_ms: int | None) -> None:
             known.open_queries -= 1
             if wait_ms is None:
+                if not is_needed():
+                    return
                 wait_ms = self._take_own_share(known, rate)
             self._decide(known, server, wait_ms, on_decided)
 
