Stop the connect of a request whose caller has left

A caller who left while the connection for its request was made had the connect go on for as long as its timeout; the record of the request now keeps it from being sent, but the connection was opened, closed, and the body held for it.

Change: a detach before the first byte is an abandon: the connect is stopped, or its connection goes to the pool. The test that asserted a held body asserted what made the late send whole; it now asserts that the body is released at once and nothing is sent.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -241,11 +241,16 @@
         self._outgoing.body.release(self)
 
     def detach(self, timeout_ms: int) -> None:
-        """Let the server finish; the listener is not called again."""
+        """Let the server finish; the listener is not called again.
+
+        What is not sent by now is abandoned.
+        """
+        if self._connection is None:
+            self.abandon()
+            return
         self._listener = None
-        if self._connection is not None:
-            # A caller that was too slow must not keep the server waiting.
-            self._connection.resume()
+        # A caller that was too slow must not keep the server waiting.
+        self._connection.resume()
         self._limit_discarding(timeout_ms)
 
     def set_blocked(self, is_blocked: bool) -> None:
@@ -404,9 +409,6 @@
         self._cancel_discard_timer()
         if self._connection is not None:
             self._connection.close()
-        elif self._cancel_connect is not None:
-            self._cancel_connect()
-            self._outgoing.body.release(self)
         if self._refusal:
             self._fail(AttemptFailure.NOT_RUN, self._refusal)
 
--- a/tests/gateway/test_execution_record.py
+++ b/tests/gateway/test_execution_record.py
@@ -23,10 +23,14 @@
     def __init__(self):
         self.waiters = []
         self.connections = []
+        self.cancelled = 0
 
     def acquire(self, record, waiter, is_fresh=False, is_repeatable=False):
         self.waiters.append(waiter)
-        return lambda: None
+        return self.cancel
+
+    def cancel(self):
+        self.cancelled += 1
 
     def deliver(self):
         connection = gateway_harness.FakeConnection("s1")
@@ -109,6 +113,7 @@
         """Guards against a run that nobody waits for."""
         for _ in self.each_end():
             self.handler.on_caller_disconnected()
+            self.assertEqual(self.pool.cancelled, 1)
             self.pool.deliver()
             self.assertEqual(self.pool.sends, [])
 
--- a/tests/gateway/test_request_bodies.py
+++ b/tests/gateway/test_request_bodies.py
@@ -240,12 +240,14 @@
             self.harness.clock.advance(100)
         self.assertEqual(total(self.harness), 0)
 
-    def test_body_counts_for_a_caller_that_has_gone(self):
+    def test_body_is_released_when_the_caller_leaves(self):
         """Guards against a request that is sent without its body."""
-        lose(self.harness.caller)
         self.assertEqual(total(self.harness), len(BODY))
-        self.harness.clock.advance(9_000)
+        lose(self.harness.caller)
         self.assertEqual(total(self.harness), 0)
+        connection = mock.Mock()
+        self.waiters[-1].on_connected(connection)
+        connection.send.assert_not_called()
 
 
 class SlowServerTest(unittest.TestCase):
