Cut no response of a request that has ended

Cause: a second end of a request, as at the exit of the process, could cut a connection whose caller had its answer; refusals look at that already, since the record of the request decides.

Change: a request that has ended is not cut.

Result: the tests of the request handler pass; by reading, no call comes twice today.

--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -436,6 +436,8 @@
         self._finish(code, detail, None)
 
     def _cut(self, code: _Code, detail: str) -> None:
+        if self._is_finished:
+            return
         self._response.cut()
         self._finish(code, detail, None)
 
