End a request before the end of its response is written

A caller that sends its next request before it has the last response could have it run twice, or get the refusal of the request before it as well. The connection handles the next request within the end of a response, while the request that is refused still waits for its quota: the next request of the workspace let the quota admit both. The refused one was then sent, with the head and the body of the next one, which its connection had by then, or it was refused once more. The execution record ended only after the response.

Change: a request ends its waits, its deadline and its sends first and writes the end of its response then, whichever way it ends; a request that has ended is not cut off either.

--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -326,8 +326,9 @@
         self.attempts.finish(is_failure)
         if not is_failure:
             self.content.prove(self.body)
+        self._end()
         self._response.finish()
-        self._finish(_Code.OK, f"status {attempt.status}", attempt.server)
+        self._report(_Code.OK, f"status {attempt.status}", attempt.server)
 
     def on_failed(
         self,
@@ -408,8 +409,11 @@
 
     def on_caller_disconnected(self) -> None:
         """End the request; its server may be left to finish it."""
+        if self._is_finished:
+            return
         self.attempts.on_caller_disconnected()
-        self._finish(
+        self._end()
+        self._report(
             _Code.CALLER_GONE, "the caller closed the connection", None
         )
 
@@ -432,23 +436,23 @@
         if self.has_begun:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
             return
+        self._end()
         code = self._response.refuse(code, detail, retry_after_ms)
-        self._finish(code, detail, None)
+        self._report(code, detail, None)
 
     def _cut(self, code: _Code, detail: str) -> None:
         if self._is_finished:
             return
+        self._end()
         self._response.cut()
-        self._finish(code, detail, None)
+        self._report(code, detail, None)
 
-    def _finish(
-        self,
-        code: _Code,
-        detail: str,
-        server: backend_directory.BackendServer | None,
-    ) -> None:
-        if self._is_finished:
-            return
+    def _end(self) -> None:
+        """End all waits and sends, before the response ends.
+
+        The caller's next request is handled within the end of the response,
+        and may be what the waits of this one are for.
+        """
         self._is_finished = True
         self.execution.end()
         self.resumption.stop()
@@ -456,5 +460,13 @@
         self._quota.on_finished(self.execution)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
+
+    def _report(
+        self,
+        code: _Code,
+        detail: str,
+        server: backend_directory.BackendServer | None,
+    ) -> None:
+        """Log and measure the request that has ended."""
         self._dependencies.outcomes.on_finished(self, code, detail, server)
         self._on_finished(self)
