Keep the body of a request that is refused while it is written

Callers would have got status 503 (seen in the test only) after the second refusal of a request, although a third server could have run it, where that server refused it before it had read the whole body. The refusal is counted as soon as its head is read, and the body was released when it was written in full thereafter, as if another refusal were to come.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -311,8 +311,11 @@
     # ResponseReceiver
 
     def on_written(self) -> None:
-        """Pass on that the body was written in full."""
-        if self._listener is not None:
+        """Pass on that the body was written in full, unless it was refused.
+
+        Its end decides whether the body is sent again, and follows soon.
+        """
+        if self._listener is not None and not self._refusal:
             self._listener.on_written(self)
 
     def on_head(
--- a/tests/gateway/test_request_bodies.py
+++ b/tests/gateway/test_request_bodies.py
@@ -145,6 +145,21 @@
         harness.clock.advance(100)
         self.assertEqual(bodies_sent(harness), 2)
 
+    def test_early_refusal_is_repeated_with_the_body(self):
+        """Guards against a body that is released too early.
+
+        A server may refuse a request before it has read all of its body.
+        """
+        head, _, _ = REFUSAL.partition(b"Content-Length")
+        harness = make(is_stalled=True)
+        for _ in range(2):
+            harness.server.dataReceived(head + b"Content-Length: 1\r\n\r\n")
+            harness.server.transport.is_stalled = False
+            harness.server.transport.read()
+            harness.server.dataReceived(b"x")
+            harness.clock.advance(100)
+        self.assertEqual(len(harness.pool.connections), 3)
+
     def test_body_is_released_before_the_last_refusal(self):
         """Guards against a body held although no attempt is left."""
         harness = make()
