Withhold a second send of a request that may be repeated, too

No caller saw it yet: a send of a stream that can be resumed, or of an idempotent request, was begun while an earlier send of it was open. The record withholds a second send only while the first one connects, or if the request runs at most once.

Change: no request is sent while an attempt of it is current.

Result: test_second_send_is_withheld_while_the_first_is_open, which failed before.

--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -203,7 +203,7 @@
 
     def send(self, server: backend_directory.BackendServer) -> None:
         """Send the request to a server, unless it must be refused now."""
-        if not self.execution.may_send:
+        if self.attempts.current is not None or not self.execution.may_send:
             self._withhold(server)
             return
         if self.refuse_quarantined() or self.refuse_unauthenticated():
--- a/tests/gateway/test_execution_record.py
+++ b/tests/gateway/test_execution_record.py
@@ -137,6 +137,22 @@
         self.assertIn(name, self.harness.metrics.render())
 
 
+class RepeatableTest(unittest.TestCase):
+    """One request that may be repeated, at one server."""
+
+    def test_second_send_is_withheld_while_the_first_is_open(self):
+        """Guards against a stream that two servers continue at once."""
+        for kind in (Kind.IDEMPOTENT, Kind.STREAMING):
+            harness = gateway_harness.GatewayHarness(
+                gateway_harness.make_route(kind=kind, is_resumable=True)
+            )
+            harness.add_servers("s1")
+            harness.send_request(method=b"POST")
+            (handler,) = harness.gateway._handlers
+            handler.send(harness.directory.get("s1"))
+            self.assertEqual(len(harness.pool.connections), 1)
+
+
 class StatusTest(unittest.TestCase):
     """Statuses that servers state by themselves."""
 
