Judge result codes by the status that callers get

No caller saw it yet: two codes for an unknown outcome have status 503, which promises that a request has not run. The record replaced codes that certify "not run" only, so that these two would have been written for a request that a server may have run.

Change: a code is also replaced if its status is such a promise.

Result: test_no_code_of_a_request_that_may_have_run_is_a_promise, which failed before.

--- a/src/balsamwall/gateway/execution_record.py
+++ b/src/balsamwall/gateway/execution_record.py
@@ -194,7 +194,8 @@
     def truthful_code(self, code: result_code.ResultCode) -> _Code:
         """Return the code, or the one that says what is known instead."""
         if self.may_have_run:
-            is_false = code.is_certified_not_run
+            is_promise = code.http_status in NOT_RUN_STATUSES
+            is_false = is_promise or code.is_certified_not_run
             return _Code.OUTCOME_UNKNOWN if is_false else code
         if code is _Code.DEADLINE_EXCEEDED:
             return _Code.DEADLINE_UNREACHABLE
--- a/tests/gateway/test_execution_record.py
+++ b/tests/gateway/test_execution_record.py
@@ -171,6 +171,13 @@
             self.send.on_certified()
             self.assertTrue(self.record.permits_status(status))
 
+    def test_no_code_of_a_request_that_may_have_run_is_a_promise(self):
+        """Guards against a code for an unknown outcome with status 503."""
+        self.send.begin()
+        for code in Code:
+            status = self.record.truthful_code(code).http_status
+            self.assertTrue(self.record.permits_status(status), code)
+
     def test_certificate_of_an_unwritten_send_proves_nothing(self):
         """Guards against a second copy of an earlier refusal."""
         self.send.on_certified()
