Stop at the report of a failure that ends its request

An entry could write a traceback (AssertionError in RequestReader.body) for a request that crashed a server; none was seen in a log. Where the coordinator runs in the same process it may hold content back within the report of a failed attempt, which ends the request. The handling of the failure then went on and read the body of the connection, which had none, or that of the next request.

Change: it stops if the report has ended the request.

Result: test_request_that_ends_within_the_report_of_its_crash failed before with that error for each kind of request.

--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -349,6 +349,9 @@
             self._dependencies.on_model_missing(
                 self._service, self.request, attempt.server
             )
+        if self._is_finished:
+            # The report of the failure may have quarantined its content.
+            return
         if self.has_begun and not self.body.is_resumable:
             self._cut(_Code.ANSWER_INTERRUPTED, detail)
         elif not self.attempts.may_retry(failure):
--- a/tests/gateway/test_pipelined_requests.py
+++ b/tests/gateway/test_pipelined_requests.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
+
+from twisted.internet import error
+from twisted.python import failure
 
 from balsamwall.gateway import caller_connection
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import workspace as workspace_module
 from balsamwall.results import result_code
 from tests.fixtures import gateway_harness
 from tests.fixtures import quota_fleet
 from tests.fixtures import recording_transport
+from tests.fixtures import wire_harness
 
 WAIT_MS = 100
 TIMEOUT_MS = 2_000
@@ -111,3 +117,29 @@
         self.assertTrue(handler.refuse_unrun(*NO_MEMORY))
         self.assertEqual(exchange.status, 503)
         self.assertEqual(harness.pool.connections, [])
+
+    def test_request_that_ends_within_the_report_of_its_crash(self):
+        """Guards against an ended request that reads the next one's body.
+
+        A coordinator in this process may hold content back at once.
+        """
+
+        def report(suspects, record, fingerprints, *rest):
+            suspects.hold_back(frozenset([fingerprints.request]), WAIT_MS)
+
+        for kind in gateway_harness.Kind:
+            harness = wire_harness.WireHarness(
+                gateway_harness.make_route(kind=kind), body=b"hi"
+            )
+            with (
+                self.subTest(kind=kind),
+                mock.patch.object(
+                    crash_suspects.CrashSuspects, "on_broken_response", report
+                ),
+            ):
+                harness.server.connectionLost(
+                    failure.Failure(error.ConnectionLost())
+                )
+                text = harness.transport.value()
+                self.assertEqual(text.count(b"HTTP/1.1 502"), 1)
+                self.assertEqual(len(harness.pool.connections), 1)
