Count no crash where a live server broke a response off

Without a coordinator an entry counts broken responses under one request as crashes in succession.

A crash is confirmed when the process refuses a connection or its record is gone, and refuted by the answer to a request that was sent to the process after the break, within 2 s. Two confirmed crashes hold the request back at once. Otherwise, for 0.6 s after the second one, the request is sent only to the processes that it may have crashed: a crashed one refuses, a live one answers. A refuted crash releases a request that is held back. All broken responses of a request are kept, so that a refuted one hides no other.

--- a/src/balsamwall/gateway/attempt.py
+++ b/src/balsamwall/gateway/attempt.py
@@ -333,7 +333,9 @@
         head = self._codec.decode_response(fields, self.attempt_id)
         self.status = status
         self.framing = framing
-        self._announcements.on_response(self.server, status, head)
+        self._announcements.on_response(
+            self.server, status, head, self.sent_ms
+        )
         self.has_backed_off = (
             status == incoming_request.UNAVAILABLE_STATUS
             and head.retry_after is not None
--- a/src/balsamwall/gateway/crash_suspects.py
+++ b/src/balsamwall/gateway/crash_suspects.py
@@ -133,6 +133,7 @@
     def on_server_lost(self, record: backend_directory.ServerRecord) -> None:
         """Report the loss of a server process, if it is a new one."""
         process = process_name(record)
+        self._local.on_lost(process)
         now_ms = self._clock.now_ms()
         last_ms = self._lost_ms.get(process)
         if last_ms is not None and now_ms - last_ms < LOSS_REPORT_INTERVAL_MS:
@@ -143,6 +144,16 @@
         if self._link is not None:
             self._link.report_lost(process)
 
+    def on_answer(
+        self, record: backend_directory.ServerRecord, sent_ms: int
+    ) -> None:
+        """Drop broken responses of a process that answers a later request."""
+        if not self._local.awaits_answers:
+            return
+        process = process_name(record)
+        if self._local.on_answer(process, sent_ms):
+            self._log.write("crash_refuted", process=process)
+
     def on_proven(
         self, fingerprints: frozenset[bytes], first_data_ms: int
     ) -> None:
@@ -178,6 +189,19 @@
             fingerprints.request, is_coordinated=is_coordinated
         )
 
+    def undecided_processes(
+        self, fingerprints: fingerprints_module.RequestFingerprints
+    ) -> frozenset[str]:
+        """Return the only processes that may get a request for now.
+
+        It has crashed them, or one of them broke a response off and lives. A
+        crashed one refuses the connection. There are none in other cases.
+        """
+        is_coordinated = self._link is not None and self._link.is_coordinated
+        return self._local.undecided_processes(
+            fingerprints.request, is_coordinated=is_coordinated
+        )
+
     def watch(self, content: bytes, since_ms: int) -> None:
         """Report the next proof of this content.
 
--- a/src/balsamwall/gateway/request_dependencies.py
+++ b/src/balsamwall/gateway/request_dependencies.py
@@ -155,7 +155,7 @@
         self.limits = limits
         self.backoff = backoff
         self.announcements = server_announcements.ServerAnnouncements(
-            clock, directory, limits, backoff, log
+            clock, directory, limits, backoff, self.suspects, log
         )
         self.quotas = quotas
         self.wait_policy = wait_policy.WaitPolicy(random_source)
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -7,6 +7,7 @@
 
 from balsamwall.gateway import admission
 from balsamwall.gateway import assignment_client
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import refusal
 from balsamwall.gateway import request_priority
 from balsamwall.gateway import request_wait
@@ -49,6 +50,10 @@
     def left_ms(self) -> int:
         """Return the time left until the deadline of the response."""
 
+    @property
+    def undecided_processes(self) -> frozenset[str]:
+        """Return the only processes that may get the request, if any."""
+
     @property
     def is_finished(self) -> bool:
         """Return whether the request has ended in any way."""
@@ -192,6 +197,9 @@
         if self._handler.left_ms < retry_policy.MIN_REMAINING_MS:
             self._handler.on_deadline()
             return
+        undecided = self._handler.undecided_processes
+        if undecided:
+            self._excluded = self._others(undecided)
         choice = self._choose()
         if choice.server is not None:
             if self._may_send_now(choice.server):
@@ -241,6 +249,15 @@
                 refusal.RETRY_AFTER_MS,
             )
 
+    def _others(self, processes: frozenset[str]) -> frozenset[str]:
+        """Return the servers that are not one of these processes."""
+        servers = self._dependencies.directory.servers_of(self._service)
+        return frozenset(
+            server.server_id
+            for server in servers
+            if crash_suspects.process_name(server.record) not in processes
+        )
+
     def _dispatch_after(self, delay_ms: int) -> None:
         self._timer = self._dependencies.clock.call_later(
             delay_ms, self.dispatch
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import execution_record
 from balsamwall.gateway import http_fields
@@ -119,6 +120,14 @@
         """Return digests of the request and of the parts of its prompt."""
         return self.content.compute()
 
+    @property
+    def undecided_processes(self) -> frozenset[str]:
+        """Return the only processes that may get the request, if any."""
+        suspects = self._dependencies.suspects
+        if not suspects.holds_any:
+            return frozenset()
+        return suspects.undecided_processes(self.fingerprints)
+
     @property
     def is_finished(self) -> bool:
         """Return whether the request has ended in any way."""
@@ -208,7 +217,7 @@
             return
         if self.refuse_quarantined() or self.refuse_unauthenticated():
             return
-        if not self.resumption.may_send(server):
+        if self._is_kept_from(server) or not self.resumption.may_send(server):
             self.dispatch.dispatch()
             return
         self.resumption.on_send(server)
@@ -222,6 +231,12 @@
                 _Code.OUTCOME_UNKNOWN, "a server may have run the request"
             )
 
+    def _is_kept_from(self, server: backend_directory.BackendServer) -> bool:
+        processes = self.undecided_processes
+        return bool(processes) and (
+            crash_suspects.process_name(server.record) not in processes
+        )
+
     def on_written(self, attempt: attempt_module.Attempt) -> None:
         """Release the body if it will not be sent again."""
         if attempt is self.attempts.current:
--- a/src/balsamwall/gateway/server_announcements.py
+++ b/src/balsamwall/gateway/server_announcements.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from balsamwall.gateway import backend_directory
+    from balsamwall.gateway import crash_suspects
     from balsamwall.gateway import server_backoff
     from balsamwall.gateway import server_limits
     from balsamwall.logs import decision_log
@@ -21,7 +22,14 @@
     record in the store stays ready or cannot be read.
     """
 
-    __slots__ = ("_backoff", "_clock", "_directory", "_limits", "_log")
+    __slots__ = (
+        "_backoff",
+        "_clock",
+        "_directory",
+        "_limits",
+        "_log",
+        "_suspects",
+    )
 
     def __init__(
         self,
@@ -29,12 +37,14 @@
         directory: backend_directory.BackendDirectory,
         limits: server_limits.ServerLimits,
         backoff: server_backoff.ServerBackoff,
+        suspects: crash_suspects.CrashSuspects,
         log: decision_log.DecisionLog,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._limits = limits
         self._backoff = backoff
+        self._suspects = suspects
         self._log = log
 
     def on_response(
@@ -42,6 +52,7 @@
         server: backend_directory.BackendServer,
         status: int,
         head: incoming_request.ResponseHead,
+        sent_ms: int,
     ) -> None:
         """Apply the head of a response, also one that is not forwarded."""
         self._record_load(server, head)
@@ -62,6 +73,7 @@
         if not is_from_server:
             return
         server.on_response()
+        self._suspects.on_answer(server.record, sent_ms)
         if not is_refusal:
             self._backoff.on_response(server)
         if head.is_leaving:
--- a/tests/gateway/test_successive_crashes.py
+++ b/tests/gateway/test_successive_crashes.py
@@ -114,6 +114,27 @@
                     faults[servers, gap_ms, seed] = held_back
         self.assertEqual(faults, {})
 
+    def test_responses_that_live_servers_break_off_convict_nothing(self):
+        """Guards against broken responses that count as crashes.
+
+        There is no coordinator, and one server after the other crashes.
+        """
+        faults = {}
+        for per_s, paths in ((300, 40), (100, 5), (60, 1)):
+            for seed in range(1, 4):
+                fleet = repeat_harness.RepeatFleet(3, 3, seed)
+                fleet.stop_entry(0)
+                fleet.load(per_s, ELECTION_MS, paths=paths)
+                fleet.broken_share = 0.1
+                for server in fleet.servers.values():
+                    fleet.load(per_s, 1_500, paths=paths)
+                    server.crash()
+                fleet.load(per_s, 1_500, paths=paths)
+                held_back = fleet.sound_quarantined()
+                if held_back:
+                    faults[per_s, paths, seed] = len(held_back)
+        self.assertEqual(faults, {})
+
 
 class CrashReportsTest(unittest.TestCase):
     """Load pattern: entries of this build and a coordinator of the last."""
