--- a/soak/features.py
+++ b/soak/features.py
@@ -50,11 +50,7 @@
         if REFUSALS in only or (
             has_refusals and not (only or is_planned_only)
         ):
-            # To the entries a connection that breaks looks like a crash, and
-            # other faults keep them from deciding together which it was.
-            self.refusals = refusals_module.Refusals(
-                refusing, breaks_connections=bool(only)
-            )
+            self.refusals = refusals_module.Refusals(refusing)
         if not only:
             self._draw_others(seed)
 
--- a/soak/refusals.py
+++ b/soak/refusals.py
@@ -49,7 +49,6 @@
 
 # Relative frequency; the first is as frequent as all others together.
 _WEIGHTS = {item: 1 for item in Failure} | {Failure.STATUS: len(Failure) - 1}
-BREAKS = (Failure.HALF_HEAD, Failure.CLOSE, Failure.RESET)
 FOLLOWED_BY_RESPONSE = (Failure.OTHER_REFUSAL, Failure.NAMELESS_REFUSAL)
 
 
@@ -114,17 +113,10 @@
     connections as the entries keep.
     """
 
-    __slots__ = ("_connections", "_is_active", "_random", "_weights")
+    __slots__ = ("_connections", "_is_active", "_random")
 
-    def __init__(
-        self, random_source: random.Random, breaks_connections: bool
-    ) -> None:
+    def __init__(self, random_source: random.Random) -> None:
         self._random = random_source
-        self._weights = {
-            failure: weight
-            for failure, weight in _WEIGHTS.items()
-            if breaks_connections or failure not in BREAKS
-        }
         self._is_active = True
         self._connections: dict[Any, Connection] = {}  # by channel
 
@@ -169,7 +161,7 @@
         """Return how the next run fails, if it does."""
         if not self._is_active or self._random.random() >= FAILED_SHARE:
             return None
-        weights = self._weights
+        weights = _WEIGHTS
         return self._random.choices([*weights], [*weights.values()])[0]
 
     def delay_s(self, request: server.Request, usual_s: float) -> float:
