Give each request of a caller's connection an exchange of its own

A request that was sent ahead could be sent twice, or get the refusal of the one before it: the exchange was the connection, so that a late call for a request that had ended wrote its response, and read its head and body, as those of the next one. That each request now ends before its response does keeps late calls away by order only.

Change: RequestExchange holds the head and the body of one request, and writes on the connection until its response has ended. The connection itself only writes responses.

--- a/src/balsamwall/gateway/caller_connection.py
+++ b/src/balsamwall/gateway/caller_connection.py
@@ -13,13 +13,13 @@
 from zope.interface import declarations
 
 from balsamwall.gateway import refusal
+from balsamwall.gateway import request_exchange
 from balsamwall.gateway import request_reader
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from balsamwall.gateway import caller_exchange
-    from balsamwall.gateway import held_bodies
     from balsamwall.gateway import unsent_bytes
     from balsamwall.results import result_code
     from balsamwall.timing import clock as clock_module
@@ -117,28 +117,18 @@
 
     def on_request_read(self) -> None:
         """Handle a request that was read completely."""
-        self._site.on_request(self)
+        reader = self._reader
+        self._site.on_request(
+            request_exchange.RequestExchange(
+                self, reader.head, reader.body, reader.arrived_ms or 0
+            )
+        )
 
     def on_read_timeout(self) -> None:
         """Handle a request that takes too long."""
         self.reject(408, "timeout while reading the request")
 
-    # Exchange
-
-    @property
-    def head(self) -> caller_exchange.RequestHead:
-        """Return the request line and fields."""
-        return self._reader.head
-
-    @property
-    def body(self) -> held_bodies.HeldBody:
-        """Return the complete body."""
-        return self._reader.body
-
-    @property
-    def arrived_ms(self) -> int:
-        """Return when the first byte of the request was read."""
-        return self._reader.arrived_ms or 0
+    # Response
 
     @property
     def listener(self) -> caller_exchange.ExchangeListener | None:
@@ -149,10 +139,6 @@
         """Set the handler of the request."""
         self._listener = listener
 
-    def release_body(self) -> None:
-        """Release the body, which will not be sent again."""
-        self._reader.release_body()
-
     def begin(
         self,
         status: int,
--- a/src/balsamwall/gateway/caller_exchange.py
+++ b/src/balsamwall/gateway/caller_exchange.py
@@ -50,27 +50,12 @@
         """
 
 
-class CallerExchange(Protocol):
-    """Hold the request of a caller and write its response."""
-
-    @property
-    def head(self) -> RequestHead:
-        """Return the request line and fields."""
-
-    @property
-    def body(self) -> held_bodies.HeldBody:
-        """Return the complete body."""
-
-    @property
-    def arrived_ms(self) -> int:
-        """Return when the first byte of the request was read."""
+class ResponseConnection(Protocol):
+    """Write the response to the request that was read last."""
 
     def set_listener(self, listener: ExchangeListener) -> None:
         """Set the handler of the request."""
 
-    def release_body(self) -> None:
-        """Release the body, which will not be sent again."""
-
     def begin(
         self,
         status: int,
@@ -87,7 +72,26 @@
         """Write a part of the body."""
 
     def finish(self) -> None:
-        """End a complete response."""
+        """End a complete response; the next request may be handled within."""
 
     def cut(self) -> None:
         """End a response so that the caller detects that it is incomplete."""
+
+
+class CallerExchange(ResponseConnection, Protocol):
+    """Hold the request of a caller and write its response."""
+
+    @property
+    def head(self) -> RequestHead:
+        """Return the request line and fields."""
+
+    @property
+    def body(self) -> held_bodies.HeldBody:
+        """Return the complete body."""
+
+    @property
+    def arrived_ms(self) -> int:
+        """Return when the first byte of the request was read."""
+
+    def release_body(self) -> None:
+        """Release the body, which will not be sent again."""
--- a/src/balsamwall/gateway/refusal.py
+++ b/src/balsamwall/gateway/refusal.py
@@ -37,7 +37,7 @@
 
 
 def write(
-    exchange: caller_exchange.CallerExchange,
+    connection: caller_exchange.ResponseConnection,
     code: result_code.ResultCode,
     detail: str,
     retry_after_ms: int = RETRY_AFTER_MS,
@@ -55,7 +55,7 @@
     if status == 401:
         # RFC 9110 requires the scheme to use in a response with this status.
         fields.append((b"www-authenticate", b"Bearer"))
-    exchange.begin(status, fields, len(body))
-    exchange.write(body)
-    exchange.finish()
+    connection.begin(status, fields, len(body))
+    connection.write(body)
+    connection.finish()
     return status
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -154,6 +154,26 @@
                 self.assertEqual(self.transport.value()[9:12], status)
                 self.assertEqual(self.site.requests, [])
 
+    def test_request_that_has_ended_does_not_reach_the_next_one(self):
+        """Guards against a response or a body of another request."""
+        self.connection.dataReceived(
+            HEAD
+            + b"Content-Length: 2\r\n\r\nq1"
+            + HEAD
+            + b"Content-Length: 2\r\n\r\nq2"
+        )
+        first = self.site.exchange
+        self.respond()
+        written = self.transport.value()
+        first.begin(503, [], 0)
+        first.write(b"x")
+        first.cut()
+        first.finish()
+        self.assertEqual(self.transport.value(), written)
+        self.assertEqual(first.body.size, 2)
+        first.release_body()
+        self.assertEqual(self.site.exchange.body.data, b"q2")
+
     def test_response_in_a_drain_closes_the_connection(self):
         """Guards against connections kept open to a draining entry."""
         self.connection.dataReceived(HEAD + b"Content-Length: 0\r\n\r\n")
