--- a/src/balsamwall/gateway/execution_log.py
+++ b/src/balsamwall/gateway/execution_log.py
@@ -17,11 +17,11 @@
 
 
 class RefusalProof(enum.Enum):
-    """State why a request that was to be sent has not run."""
+    """State what proves that a refused request has not run."""
 
     CERTIFIED = "certified"  # by the servers of all sends that were written
     UNSENT = "unsent"  # no byte was written
-    NONE = "none"  # a server may have run it
+    NONE = "none"  # nothing: a server may have run it
 
 
 class AnsweredRequest(Protocol):
--- a/src/balsamwall/gateway/execution_record.py
+++ b/src/balsamwall/gateway/execution_record.py
@@ -21,8 +21,9 @@
     """State what is known of one send of a request."""
 
     CONNECTING = "connecting"  # nothing is written yet
-    NOT_CONNECTED = "not_connected"  # ended before its first byte
-    WITHDRAWN = "withdrawn"  # given up before its first byte
+    # No connect, or a back-off that the server asked for; nothing was sent.
+    NOT_CONNECTED = "not_connected"
+    WITHDRAWN = "withdrawn"  # given up by this entry; nothing was sent
     WRITTEN = "written"  # the server may be running it, or have run it
     NOT_RUN = "not_run"  # certified by the server in response to this send
 
@@ -61,11 +62,6 @@
         """Return what is known now."""
         return self._state
 
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether the server may have run it."""
-        return self._state is SendState.WRITTEN
-
     def begin(self) -> bool:
         """Return whether the first byte may be written now.
 
@@ -86,7 +82,7 @@
             self._set(SendState.WITHDRAWN)
 
     def on_not_connected(self) -> None:
-        """Record that it ended before its first byte."""
+        """Record that no connection was made, or a back-off forbids it."""
         if self._state is SendState.CONNECTING:
             self._set(SendState.NOT_CONNECTED)
 
@@ -115,7 +111,7 @@
 
 
 class ExecutionRecord:
-    """Record the sends of one request, from which its answers follow.
+    """Record the sends of one request, and decide what they allow.
 
     A request that runs at most once is written to a server only while none
     may have run it, and no request once it has ended.
@@ -154,7 +150,7 @@
 
     @property
     def failed_connects(self) -> int:
-        """Return how many sends ended before their first byte."""
+        """Return how many sends found no connection, or a back-off."""
         return self._count(SendState.NOT_CONNECTED)
 
     @property
--- a/src/balsamwall/gateway/request_attempts.py
+++ b/src/balsamwall/gateway/request_attempts.py
@@ -51,10 +51,10 @@
 
 
 class RequestAttempts:
-    """Keep the current attempt of a request, and what the others brought.
+    """Send the attempts of a request, of which one at most is current.
 
-    At most one attempt is current. A server counts its prompt as pending until
-    the response begins or the attempt ends.
+    A server counts its prompt as pending until the response begins or the
+    attempt ends.
     """
 
     __slots__ = (
