Ask the content of a request whether it may crash servers

Cause: the handler of a request asked the suspicions itself, with the digests of its content, in three places, and the dispatch asked the handler.

Change: RequestContent, which has the digests and proves content, answers for how long the request is held back and which processes may get it.

--- a/src/balsamwall/gateway/request_content.py
+++ b/src/balsamwall/gateway/request_content.py
@@ -1,12 +1,14 @@
-"""Identify the content of a request, and prove that it is sound."""
+"""Identify the content of a request, and whether it may crash servers."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import fingerprints as fingerprints_module
 
 if TYPE_CHECKING:
+    from balsamwall.gateway import backend_directory
     from balsamwall.gateway import caller_exchange
     from balsamwall.gateway import incoming_request
     from balsamwall.gateway import request_dependencies
@@ -41,6 +43,29 @@
             )
         return self._fingerprints
 
+    @property
+    def held_back_ms(self) -> int:
+        """Return for how long the request is held back, 0 if it is not."""
+        suspects = self._dependencies.suspects
+        if not suspects.holds_any:
+            return 0
+        return suspects.held_back_ms(self.compute())
+
+    @property
+    def undecided_processes(self) -> frozenset[str]:
+        """Return the only processes that may get the request, if any."""
+        suspects = self._dependencies.suspects
+        if not suspects.holds_any:
+            return frozenset()
+        return suspects.undecided_processes(self.compute())
+
+    def is_kept_from(self, server: backend_directory.BackendServer) -> bool:
+        """Return whether only other processes may get the request now."""
+        processes = self.undecided_processes
+        if not processes:
+            return False
+        return crash_suspects.process_name(server.record) not in processes
+
     def prove(self, body: response_body.ResponseBody) -> None:
         """Record that the request does not crash servers, once a response."""
         if body.is_proven:
--- a/src/balsamwall/gateway/request_dispatch.py
+++ b/src/balsamwall/gateway/request_dispatch.py
@@ -21,6 +21,7 @@
 
     from balsamwall.gateway import backend_directory
     from balsamwall.gateway import incoming_request
+    from balsamwall.gateway import request_content
     from balsamwall.gateway import request_dependencies
     from balsamwall.gateway import route as route_module
     from balsamwall.gateway import stream_resumption
@@ -40,6 +41,7 @@
     request: incoming_request.IncomingRequest
     route: route_module.Route
     workspace: workspace_module.Workspace | None
+    content: request_content.RequestContent
     resumption: stream_resumption.StreamResumption
 
     @property
@@ -50,10 +52,6 @@
     def left_ms(self) -> int:
         """Return the time left until the deadline of the response."""
 
-    @property
-    def undecided_processes(self) -> frozenset[str]:
-        """Return the only processes that may get the request, if any."""
-
     @property
     def is_finished(self) -> bool:
         """Return whether the request has ended in any way."""
@@ -197,7 +195,7 @@
         if self._handler.left_ms < retry_policy.MIN_REMAINING_MS:
             self._handler.on_deadline()
             return
-        undecided = self._handler.undecided_processes
+        undecided = self._handler.content.undecided_processes
         if undecided:
             self._excluded = self._others(undecided)
         choice = self._choose()
--- a/src/balsamwall/gateway/request_handler.py
+++ b/src/balsamwall/gateway/request_handler.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from balsamwall.gateway import attempt as attempt_module
-from balsamwall.gateway import crash_suspects
 from balsamwall.gateway import event_relay
 from balsamwall.gateway import execution_record
 from balsamwall.gateway import http_fields
@@ -120,14 +119,6 @@
         """Return digests of the request and of the parts of its prompt."""
         return self.content.compute()
 
-    @property
-    def undecided_processes(self) -> frozenset[str]:
-        """Return the only processes that may get the request, if any."""
-        suspects = self._dependencies.suspects
-        if not suspects.holds_any:
-            return frozenset()
-        return suspects.undecided_processes(self.fingerprints)
-
     @property
     def is_finished(self) -> bool:
         """Return whether the request has ended in any way."""
@@ -178,12 +169,11 @@
         A running response with data goes on, since it may prove that the
         content is sound. Return whether the request has ended.
         """
-        suspects = self._dependencies.suspects
-        if not suspects.holds_any or self._is_finished:
+        if self._is_finished:
             return False
         if self.attempts.current is not None and self.body.has_data:
             return False
-        left_ms = suspects.held_back_ms(self.fingerprints)
+        left_ms = self.content.held_back_ms
         if not left_ms:
             return False
         self.attempts.abandon(is_failure=False)
@@ -217,7 +207,8 @@
             return
         if self.refuse_quarantined() or self.refuse_unauthenticated():
             return
-        if self._is_kept_from(server) or not self.resumption.may_send(server):
+        is_usable = self.resumption.may_send(server)
+        if not is_usable or self.content.is_kept_from(server):
             self.dispatch.dispatch()
             return
         self.resumption.on_send(server)
@@ -231,12 +222,6 @@
                 _Code.OUTCOME_UNKNOWN, "a server may have run the request"
             )
 
-    def _is_kept_from(self, server: backend_directory.BackendServer) -> bool:
-        processes = self.undecided_processes
-        return bool(processes) and (
-            crash_suspects.process_name(server.record) not in processes
-        )
-
     def on_written(self, attempt: attempt_module.Attempt) -> None:
         """Release the body if it will not be sent again."""
         if attempt is self.attempts.current:
