Show a request that crashes workers without end because its caller leaves

Cause: the attempt of a caller that has left has no listener, so that its broken response is no evidence against the request.

--- a/review/peers2/worker.py
+++ b/review/peers2/worker.py
@@ -94,6 +94,17 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def crash(self, down_s: float) -> None:
+        """End as a crashed process does, and start again after some time."""
+        self.record.write("crashes", worker=self.name)
+        self.stop()
+        await asyncio.sleep(down_s)
+        self.born = int(time.time() * 1_000)
+        self.sequence = 0
+        self.active = 0
+        await self.start()
+        self.record.write("is back", worker=self.name)
+
     def signed(self, request_id: str) -> dict[str, str]:
         """Return the fields of an answer to a request."""
         return {
