--- a/review/peers2/entries.py
+++ b/review/peers2/entries.py
@@ -33,16 +33,20 @@
 """
 
 
+_given: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nobody uses."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
+    """Return ports of the loopback address that nobody uses, each once."""
+    found: list[int] = []
+    while len(found) < count:
+        with socket.socket() as item:
             item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+            port = item.getsockname()[1]
+        if port not in _given:
+            _given.add(port)
+            found.append(port)
+    return found
 
 
 class Entry:
